--- /dev/null
+++ b/src/wharfcart/settings/loading.py
@@ -0,0 +1,82 @@
+"""Loading of settings: TOML file, ``WHARFCART_*`` variables over it, flags over both.
+
+Every finding is reported at once, each with the place the value came from.
+"""
+
+import tomllib
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any, TypeVar
+
+from pydantic import BaseModel, ValidationError
+
+from wharfcart.errors import Finding, FindingsError
+
+VARIABLE_PREFIX = "WHARFCART_"
+CLIENT_PREFIX = "WHARFCART_CLI_"  # read by the client commands, no settings of a process
+NESTING_MARK = "__"
+
+SettingsModel = TypeVar("SettingsModel", bound=BaseModel)
+
+
+def load_settings(
+    model: type[SettingsModel],
+    path: Path,
+    environment: Mapping[str, str],
+    flags: Mapping[str, object] | None = None,
+) -> SettingsModel:
+    """Read and check settings.
+
+    Parameters
+    ----------
+    environment: variables; ``WHARFCART_JOURNAL__SHARDS`` sets ``journal.shards``. A value is read
+        as TOML where it is one, else as text.
+    flags: dotted key to value; None is passed over.
+
+    Raises
+    ------
+    FindingsError
+    """
+    try:
+        values: dict[str, Any] = tomllib.loads(path.read_text(encoding="utf-8"))
+    except OSError as error:
+        raise FindingsError([Finding(str(path), "file", error.strerror or "unreadable")]) from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise FindingsError([Finding(str(path), "file", f"not TOML: {error}")]) from None
+    sources: dict[str, str] = {}
+    for name, text in environment.items():
+        if name.startswith(VARIABLE_PREFIX) and not name.startswith(CLIENT_PREFIX):
+            key = name.removeprefix(VARIABLE_PREFIX).lower().replace(NESTING_MARK, ".")
+            _set(values, key, _parse(text))
+            sources[key] = name
+    for key, value in (flags or {}).items():
+        if value is not None:
+            _set(values, key, value)
+            sources[key] = "--" + key.replace(".", "-").replace("_", "-")
+    try:
+        return model.model_validate(values)
+    except ValidationError as error:
+        raise FindingsError(
+            [_finding(detail["loc"], detail["msg"], sources, path) for detail in error.errors()]
+        ) from None
+
+
+def _finding(
+    location: tuple[str | int, ...], reason: str, sources: Mapping[str, str], path: Path
+) -> Finding:
+    key = ".".join(str(step) for step in location)
+    return Finding(sources.get(key, str(path)), key or "file", reason)
+
+
+def _parse(text: str) -> object:
+    try:
+        return tomllib.loads(f"value = {text}")["value"]
+    except tomllib.TOMLDecodeError:
+        return text
+
+
+def _set(values: dict[str, Any], key: str, value: object) -> None:
+    *parents, last = key.split(".")
+    for parent in parents:
+        values = values.setdefault(parent, {})
+    values[last] = value
--- /dev/null
+++ b/src/wharfcart/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated journal: logs, state machine, database."""
--- /dev/null
+++ b/src/wharfcart/storage/database.py
@@ -0,0 +1,288 @@
+"""Durable storage of one node: logs, hard state and rows of all its shards in one SQLite file.
+
+Everything is written by one thread in group commits with ``synchronous=FULL``, so that a returned
+commit is on disk. ``locking_mode=EXCLUSIVE`` comes before WAL mode: otherwise SQLite maps a shared
+memory file, which the brief forbids. Each log entry and row carries a checksum.
+"""
+
+import logging
+import shutil
+import sqlite3
+import uuid
+from collections.abc import Iterator
+from pathlib import Path
+
+import xxhash
+
+from wharfcart.cluster.messages_pb2 import Command, LogEntry, ReplicaSet, Row
+from wharfcart.storage.replica import HardState
+from wharfcart.storage.shard_state import RowKind
+from wharfcart.storage.writes import InstalledBase, ShardRecord, ShardWrites
+
+DATABASE_NAME = "journal.sqlite"
+FEWEST_FREE_BYTES = 256 * 1024 * 1024
+
+logger = logging.getLogger(__name__)
+
+_SCHEMA = """
+create table if not exists identity (name text primary key, value text not null);
+create table if not exists shard (
+  shard integer primary key, epoch integer not null, voted_for text not null,
+  base_index integer not null, base_epoch integer not null, base_set blob not null,
+  applied_index integer not null, installing integer not null);
+create table if not exists log (
+  shard integer not null, number integer not null, epoch integer not null,
+  command blob not null, checksum blob not null, primary key (shard, number)) without rowid;
+create table if not exists record (
+  shard integer not null, kind text not null, id text not null, number integer not null,
+  value blob not null, checksum blob not null, primary key (shard, kind, id, number)) without rowid;
+"""
+
+
+class CorruptRecordError(Exception):
+    """A record's checksum does not match; the replica must be rebuilt from a peer."""
+
+
+def open_database(folder: Path) -> "Database":
+    """Open the data folder; one with a corrupt record is set aside and begun anew.
+
+    A disk that returned a corrupt record counts as lost: its replicas must not vote under the old
+    identity with less than they acknowledged. The new identity is rebuilt from the peers.
+    """
+    try:
+        database = Database(folder)
+        database.verify()
+        return database
+    except (CorruptRecordError, sqlite3.DatabaseError):
+        logger.exception("data folder corrupt, set aside", extra={"folder": str(folder)})
+    for path in folder.glob(f"{DATABASE_NAME}*"):
+        path.rename(path.with_name(f"corrupt-{path.name}"))
+    return Database(folder)
+
+
+class Database:
+    """The data folder of one node. Every method runs on the writer thread."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        folder.mkdir(parents=True, exist_ok=True)
+        self._connection = sqlite3.connect(
+            folder / DATABASE_NAME, isolation_level=None, check_same_thread=False
+        )
+        self._connection.execute("pragma locking_mode=exclusive")
+        self._connection.execute("pragma journal_mode=wal")
+        self._connection.execute("pragma synchronous=full")
+        self._connection.execute("pragma cache_size=-8192")
+        self._connection.executescript(_SCHEMA)
+        self.identity = self._read_identity()
+
+    def close(self) -> None:
+        """Close the file."""
+        self._connection.close()
+
+    def free_bytes(self) -> int:
+        """Return the free space of the data folder's disk."""
+        return shutil.disk_usage(self.folder).free
+
+    def _read_identity(self) -> str:
+        # A new identity for every new disk: an empty disk must never pass for the old voter.
+        found = self._connection.execute("select value from identity where name='self'").fetchone()
+        if found is not None:
+            return str(found[0])
+        identity = uuid.uuid4().hex[:12]
+        self._connection.execute("insert into identity values ('self', ?)", (identity,))
+        return identity
+
+    # ---- reading ----
+
+    def verify(self) -> None:
+        """Check every log entry and row.
+
+        Raises
+        ------
+        CorruptRecordError
+        """
+        for shard in self.shards():
+            self.load(shard)
+            for _ in self.rows(shard):
+                pass
+
+    def shards(self) -> list[int]:
+        """Return the numbers of the shards held here."""
+        return [row[0] for row in self._connection.execute("select shard from shard")]
+
+    def load(self, shard: int) -> ShardRecord:
+        """Read one shard's log and state.
+
+        Raises
+        ------
+        CorruptRecordError
+        """
+        found = self._connection.execute("select * from shard where shard=?", (shard,)).fetchone()
+        _, epoch, voted_for, base_index, base_epoch, base_set, applied, installing = found
+        log = []
+        query = "select number, epoch, command, checksum from log where shard=? order by number"
+        for number, entry_epoch, command, checksum in self._connection.execute(query, (shard,)):
+            if _checksum(command) != checksum:
+                raise CorruptRecordError(f"log {shard}/{number}")
+            if number > base_index:
+                log.append(LogEntry(index=number, epoch=entry_epoch, command=command))
+        return ShardRecord(
+            shard,
+            HardState(epoch, voted_for),
+            base_index,
+            base_epoch,
+            ReplicaSet.FromString(base_set),
+            applied,
+            bool(installing),
+            log,
+        )
+
+    def rows(self, shard: int, skip_lines: bool = False) -> Iterator[Row]:
+        """Iterate all rows of a shard in key order."""
+        after = ("", "", -1)
+        while True:
+            chunk = self.rows_after(shard, after, most=512, most_bytes=4 * 1024 * 1024)
+            if not chunk:
+                return
+            for row in chunk:
+                if not (skip_lines and row.kind == RowKind.LINE):
+                    yield row
+            after = (chunk[-1].kind, chunk[-1].id, chunk[-1].number)
+
+    def rows_after(
+        self, shard: int, after: tuple[str, str, int], most: int, most_bytes: int
+    ) -> list[Row]:
+        """Return rows whose key comes after ``after``; ends by count or bytes."""
+        query = (
+            "select kind, id, number, value, checksum from record where shard=?"
+            " and (kind, id, number) > (?, ?, ?) order by kind, id, number limit ?"
+        )
+        return self._collect(query, (shard, *after, most), most_bytes)
+
+    def read_rows(
+        self, shard: int, kind: str, id_: str, first: int, most: int, most_bytes: int
+    ) -> list[Row]:
+        """Return rows of one id from number ``first`` on."""
+        query = (
+            "select kind, id, number, value, checksum from record where shard=? and kind=?"
+            " and id=? and number>=? order by number limit ?"
+        )
+        return self._collect(query, (shard, kind, id_, first, most), most_bytes)
+
+    def _collect(self, query: str, values: tuple[object, ...], most_bytes: int) -> list[Row]:
+        rows: list[Row] = []
+        total = 0
+        for kind, id_, number, value, checksum in self._connection.execute(query, values):
+            if _checksum(value) != checksum:
+                raise CorruptRecordError(f"{kind} {id_}/{number}")
+            total += len(value)
+            if rows and total > most_bytes:
+                break
+            rows.append(Row(kind=kind, id=id_, number=number, value=value))
+        return rows
+
+    # ---- writing ----
+
+    def create_shard(self, shard: int, base_set: ReplicaSet) -> None:
+        """Create an empty replica."""
+        self._connection.execute(
+            "insert or ignore into shard values (?, 0, '', 0, 0, ?, 0, 0)",
+            (shard, base_set.SerializeToString()),
+        )
+
+    def write(self, writes: dict[int, ShardWrites]) -> None:
+        """Write everything in one commit; when this returns, it is on disk."""
+        self._connection.execute("begin immediate")
+        try:
+            for shard, shard_writes in writes.items():
+                self._write_shard(shard, shard_writes)
+            self._connection.execute("commit")
+        except BaseException:
+            self._connection.execute("rollback")
+            raise
+
+    def _write_shard(self, shard: int, writes: ShardWrites) -> None:
+        execute = self._connection.execute
+        if writes.hard_state is not None:
+            execute(
+                "update shard set epoch=?, voted_for=? where shard=?",
+                (writes.hard_state.epoch, writes.hard_state.voted_for, shard),
+            )
+        if writes.begin_install:
+            self._begin_install(shard)
+        if writes.entries:
+            first = writes.entries[0].index
+            execute("delete from log where shard=? and number>=?", (shard, first))
+        self._connection.executemany(
+            "insert or replace into log values (?, ?, ?, ?, ?)",
+            [(shard, e.index, e.epoch, e.command, _checksum(e.command)) for e in writes.entries],
+        )
+        self._put_rows(shard, writes.rows)
+        for row in writes.deleted_rows:
+            condition = "number<=?" if row.value == b"whole" else "number=?"
+            execute(
+                f"delete from record where shard=? and kind=? and id=? and {condition}",
+                (shard, row.kind, row.id, row.number),
+            )
+        if writes.applied_index is not None:
+            execute("update shard set applied_index=? where shard=?", (writes.applied_index, shard))
+        if writes.compact_to is not None:
+            self._compact(shard, writes.compact_to)
+        if writes.end_install is not None:
+            self._end_install(shard, writes.end_install)
+
+    def _put_rows(self, shard: int, rows: list[Row]) -> None:
+        self._connection.executemany(
+            "insert or replace into record values (?, ?, ?, ?, ?, ?)",
+            [(shard, r.kind, r.id, r.number, r.value, _checksum(r.value)) for r in rows],
+        )
+
+    def _compact(self, shard: int, index: int) -> None:
+        # Only what the rows already hold may leave the log.
+        query = "select applied_index, base_set from shard where shard=?"
+        applied, base_set = self._connection.execute(query, (shard,)).fetchone()
+        index = min(index, applied)
+        query = "select epoch from log where shard=? and number=?"
+        found = self._connection.execute(query, (shard, index)).fetchone()
+        if found is None:
+            return
+        self._connection.execute(
+            "update shard set base_index=?, base_epoch=?, base_set=? where shard=?",
+            (index, found[0], self._set_at(shard, index) or base_set, shard),
+        )
+        self._connection.execute("delete from log where shard=? and number<=?", (shard, index))
+
+    def _set_at(self, shard: int, index: int) -> bytes | None:
+        query = (
+            "select command from log where shard=? and number<=? and length(command)<4096"
+            " order by number desc"
+        )
+        for (blob,) in self._connection.execute(query, (shard, index)):
+            command = Command.FromString(blob)
+            if command.WhichOneof("body") == "replica_set":
+                return command.replica_set.SerializeToString()
+        return None
+
+    # ---- snapshots ----
+
+    def _begin_install(self, shard: int) -> None:
+        # Until the snapshot ends, the replica counts as empty; its epoch and vote stay.
+        self._connection.execute("delete from log where shard=?", (shard,))
+        self._connection.execute("delete from record where shard=?", (shard,))
+        self._connection.execute(
+            "update shard set base_index=0, base_epoch=0, applied_index=0, installing=1"
+            " where shard=?",
+            (shard,),
+        )
+
+    def _end_install(self, shard: int, base: InstalledBase) -> None:
+        self._connection.execute(
+            "update shard set base_index=?, base_epoch=?, base_set=?, applied_index=?,"
+            " installing=0 where shard=?",
+            (base.index, base.epoch, base.replica_set.SerializeToString(), base.index, shard),
+        )
+
+
+def _checksum(value: bytes) -> bytes:
+    return xxhash.xxh3_64_digest(value)
--- /dev/null
+++ b/src/wharfcart/storage/journal.py
@@ -0,0 +1,392 @@
+"""Journal driver: runs the shards of one node over its database and the transport.
+
+All shards share one group commit: while one is being written, the next gathers. Messages that rest
+on a write leave after it.
+"""
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable, Coroutine
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field
+from typing import Any, TypeVar
+
+from wharfcart.cluster.messages_pb2 import (
+    Command,
+    ProposeResult,
+    ReplicaMessage,
+    ReplicaSet,
+    Row,
+    Rows,
+    ShardPlacement,
+)
+from wharfcart.errors import Outcome, ServingError
+from wharfcart.storage.database import FEWEST_FREE_BYTES, Database
+from wharfcart.storage.replica import HardState, NotLeaderError
+from wharfcart.storage.shard import LOST_LEADERSHIP, ReadSnapshotRows, Shard, ShardOutput
+from wharfcart.storage.writes import ShardRecord, ShardWrites
+
+TICK_S = 0.03
+PROPOSE_TIMEOUT_S = 5.0
+SNAPSHOT_CHUNK_ROWS = 512
+SNAPSHOT_CHUNK_BYTES = 2 * 1024 * 1024
+GROWING_COMMANDS = ("file_append", "job_create")
+
+logger = logging.getLogger(__name__)
+
+SendReplicaMessages = Callable[[str, list[ReplicaMessage]], None]
+_T = TypeVar("_T")
+PlacementChanged = Callable[[ShardPlacement], None]
+LeadershipChanged = Callable[[int, bool], None]
+
+
+@dataclass
+class _GroupCommit:
+    """What one database commit will carry for all shards."""
+
+    writes: dict[int, ShardWrites] = field(default_factory=dict)
+    messages: list[ReplicaMessage] = field(default_factory=list)
+    marks: dict[int, tuple[int, int]] = field(default_factory=dict)
+    reloads: set[int] = field(default_factory=set)
+
+
+class Journal:
+    """All shard replicas of one node."""
+
+    def __init__(
+        self,
+        database: Database,
+        send: SendReplicaMessages,
+        placement_changed: PlacementChanged,
+        leadership_changed: LeadershipChanged,
+    ) -> None:
+        self._database = database
+        self._send = send
+        self._placement_changed = placement_changed
+        self._leadership_changed = leadership_changed
+        self._executor = ThreadPoolExecutor(1, thread_name_prefix="journal")
+        self._loop = asyncio.get_running_loop()
+        self._gathering = _GroupCommit()
+        self._work = asyncio.Event()
+        self._futures: dict[int, asyncio.Future[ProposeResult]] = {}
+        self._next_token = 1
+        self._proposals: dict[int, list[tuple[int, Command]]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._disk_full = False
+        self.shards: dict[int, Shard] = {}
+        self.commits = 0
+
+    @property
+    def identity(self) -> str:
+        """Identity of this node's disk."""
+        return self._database.identity
+
+    async def start(self) -> None:
+        """Load every shard on disk and start the writer."""
+        for number in await self._on_writer(self._database.shards):
+            await self._load(number)
+        self._spawn(self._write_loop())
+        self._spawn(self._tick_loop())
+
+    async def stop(self) -> None:
+        """Hand leaderships over, flush, and close the database."""
+        self.step_down()
+        while self._gathering.writes or self._gathering.messages:
+            await self._write_once()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._on_writer(self._database.close)
+        self._executor.shutdown()
+
+    async def _load(self, number: int) -> None:
+        record = await self._on_writer(lambda: self._database.load(number))
+        self._add_shard(record, await self._read_memory_rows(number))
+
+    async def _read_memory_rows(self, number: int) -> list[Row]:
+        return await self._on_writer(lambda: list(self._database.rows(number, skip_lines=True)))
+
+    def _add_shard(self, record: ShardRecord, rows: list[Row]) -> Shard:
+        now = self._loop.time()
+        shard = Shard(record, rows, self.identity, random.Random(), now)
+        self.shards[record.shard] = shard
+        self._placement_changed(self._placement_of(shard))
+        return shard
+
+    def create_shard(self, number: int, voters: list[str]) -> None:
+        """Create an empty replica: a first voter by placement, or a learner (no voters)."""
+        if number in self.shards:
+            return
+        base_set = ReplicaSet(voters=voters, in_sync=voters)
+        self._add_shard(ShardRecord(number, HardState(0, ""), 0, 0, base_set, 0, False, []), [])
+        self._spawn(self._create_on_disk(number, base_set))
+
+    async def _create_on_disk(self, number: int, base_set: ReplicaSet) -> None:
+        # The one writer thread runs this before any write that the new replica asks for.
+        await self._on_writer(lambda: self._database.create_shard(number, base_set))
+
+    # ---- inputs ----
+
+    def receive(self, messages: list[ReplicaMessage]) -> None:
+        """Handle messages of other replicas."""
+        now = self._loop.time()
+        for message in messages:
+            if message.target != self.identity:
+                continue
+            shard = self.shards.get(message.shard)
+            if shard is None:
+                self.create_shard(message.shard, [])
+                shard = self.shards[message.shard]
+            shard.receive(message, now)
+            self._collect(shard)
+
+    def storage_members(self, live: dict[str, str], leaving: set[str]) -> None:
+        """Note which storage identities are live, identity to zone, and which are leaving."""
+        for shard in self.shards.values():
+            shard.storage_members(live, leaving, self._loop.time())
+            self._collect(shard)
+
+    def step_down(self) -> None:
+        """Hand every leadership over."""
+        for shard in self.shards.values():
+            shard.step_down(self._loop.time())
+            self._collect(shard)
+
+    async def propose(self, number: int, command: Command) -> ProposeResult:
+        """Replicate a command and return its result.
+
+        Raises
+        ------
+        ServingError
+            ``not_leader`` with outcome ``not_run`` and the leader's identity as a note;
+            ``lost_leadership`` or ``journal_timeout`` with outcome ``unknown``.
+        """
+        shard = self.shards.get(number)
+        if shard is None or not shard.leads:
+            raise not_leader(shard.replica.leader if shard else "")
+        if self._disk_full and command.WhichOneof("body") in GROWING_COMMANDS:
+            raise ServingError("disk_full", "no room for new work", 507, retry_after_seconds=60)
+        token = self._next_token
+        self._next_token += 1
+        future: asyncio.Future[ProposeResult] = self._loop.create_future()
+        self._futures[token] = future
+        waiting = self._proposals.setdefault(number, [])
+        if not waiting:
+            self._loop.call_soon(self._flush_proposals, number)
+        waiting.append((token, command))
+        try:
+            async with asyncio.timeout(PROPOSE_TIMEOUT_S):
+                result = await future
+        except TimeoutError:
+            raise ServingError(
+                "journal_timeout", "the journal did not answer in time", 503, Outcome.UNKNOWN, 1.0
+            ) from None
+        finally:
+            self._futures.pop(token, None)
+        if result.code == LOST_LEADERSHIP:
+            raise ServingError(
+                LOST_LEADERSHIP, "leadership changed meanwhile", 503, Outcome.UNKNOWN, 0.5
+            )
+        return result
+
+    def _flush_proposals(self, number: int) -> None:
+        proposals = self._proposals.pop(number, [])
+        shard = self.shards[number]
+        try:
+            shard.propose(proposals, self._loop.time())
+        except NotLeaderError as error:
+            for token, _ in proposals:
+                future = self._futures.get(token)
+                if future is not None and not future.done():
+                    future.set_exception(not_leader(error.leader))
+            return
+        self._collect(shard)
+
+    def leading_shard(self, number: int) -> Shard:
+        """Return the shard if reads of its memory are current.
+
+        Raises
+        ------
+        ServingError
+            ``not_leader``.
+        """
+        shard = self.shards.get(number)
+        if shard is None or not shard.replica.lease_valid(self._loop.time()):
+            raise not_leader(shard.replica.leader if shard and not shard.leads else "")
+        return shard
+
+    async def read_rows(
+        self, number: int, kind: str, id_: str, first: int, most: int, most_bytes: int
+    ) -> Rows:
+        """Read rows of one id as the leader."""
+        self.leading_shard(number)
+        # Taken before the read: a group commit that begins meanwhile would else hide its rows.
+        unwritten = self._unwritten_rows(number, kind, id_, first)
+        rows = await self._on_writer(
+            lambda: self._database.read_rows(number, kind, id_, first, most, most_bytes)
+        )
+        if unwritten:
+            merged = {row.number: row for row in rows} | unwritten
+            rows = [merged[key] for key in sorted(merged)][:most]
+        return Rows(rows=rows)
+
+    def _unwritten_rows(self, number: int, kind: str, id_: str, first: int) -> dict[int, Row]:
+        # Committed rows may still wait for their group commit; the log already has them.
+        writes = self._gathering.writes.get(number)
+        if writes is None:
+            return {}
+        return {
+            row.number: row
+            for row in writes.rows
+            if row.kind == kind and row.id == id_ and row.number >= first
+        }
+
+    # ---- loops ----
+
+    async def _tick_loop(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            now = self._loop.time()
+            for shard in self.shards.values():
+                shard.tick(now)
+                self._collect(shard)
+
+    async def _write_loop(self) -> None:
+        while True:
+            await self._work.wait()
+            await self._write_once()
+
+    async def _write_once(self) -> None:
+        group = self._gathering
+        self._gathering = _GroupCommit()
+        self._work.clear()
+        if group.writes:
+            try:
+                free = await self._on_writer(lambda: self._write(group.writes))
+            except Exception:
+                # A disk that refuses a write must not lead or acknowledge: drop the group's
+                # messages and wait; peers see a silent replica and drop it from the in-sync set.
+                logger.exception("journal write failed")
+                self._restore(group)
+                await asyncio.sleep(1.0)
+                return
+            self._disk_full = free < FEWEST_FREE_BYTES
+            self.commits += 1
+        for number in group.reloads:
+            self.shards[number].reload(await self._read_memory_rows(number))
+            self._collect(self.shards[number])
+        self._send_all(group.messages)
+        now = self._loop.time()
+        for number, mark in group.marks.items():
+            self.shards[number].written(mark, now)
+            self._collect(self.shards[number])
+
+    def _write(self, writes: dict[int, ShardWrites]) -> int:
+        self._database.write(writes)
+        return self._database.free_bytes()
+
+    def _restore(self, group: _GroupCommit) -> None:
+        """Put a failed group back before what gathered since."""
+        newer = self._gathering
+        self._gathering = group
+        group.messages = []
+        for number, writes in newer.writes.items():
+            self._merge_writes(number, writes)
+        group.marks.update(newer.marks)
+        group.messages.extend(newer.messages)
+        group.reloads.update(newer.reloads)
+        self._work.set()
+
+    # ---- carrying out ----
+
+    def _collect(self, shard: Shard) -> None:
+        output = shard.take_output()
+        number = shard.number
+        if output.dirty:
+            self._merge_writes(number, output.writes)
+        if output.written_mark is not None:
+            self._gathering.marks[number] = output.written_mark
+        if output.reload:
+            self._gathering.reloads.add(number)
+        self._gathering.messages.extend(output.send_after_write)
+        if output.dirty or output.send_after_write:
+            self._work.set()
+        self._send_all(output.send_now)
+        self._resolve(output)
+        for read in output.reads:
+            self._spawn(self._read_snapshot(shard, read))
+        self._tell_changes(shard, output)
+
+    def _merge_writes(self, number: int, new: ShardWrites) -> None:
+        known = self._gathering.writes.setdefault(number, ShardWrites())
+        if new.begin_install:
+            self._gathering.writes[number] = new
+            return
+        known.hard_state = new.hard_state or known.hard_state
+        known.add_entries(new.entries)
+        # A delete must not be undone by an earlier put of the same row in the same commit.
+        deleted = {(row.kind, row.id, row.number) for row in new.deleted_rows}
+        known.rows = [row for row in known.rows if (row.kind, row.id, row.number) not in deleted]
+        put = {(row.kind, row.id, row.number) for row in new.rows}
+        known.deleted_rows = [
+            row for row in known.deleted_rows if (row.kind, row.id, row.number) not in put
+        ]
+        known.rows.extend(new.rows)
+        known.deleted_rows.extend(new.deleted_rows)
+        if new.applied_index is not None:
+            known.applied_index = new.applied_index
+        known.compact_to = new.compact_to or known.compact_to
+        known.end_install = new.end_install or known.end_install
+
+    def _send_all(self, messages: list[ReplicaMessage]) -> None:
+        by_target: dict[str, list[ReplicaMessage]] = {}
+        for message in messages:
+            by_target.setdefault(message.target, []).append(message)
+        for target, batch in by_target.items():
+            self._send(target, batch)
+
+    def _resolve(self, output: ShardOutput) -> None:
+        for answer in output.answers:
+            future = self._futures.get(answer.token)
+            if future is not None and not future.done():
+                future.set_result(answer.result)
+
+    def _tell_changes(self, shard: Shard, output: ShardOutput) -> None:
+        if output.role is not None:
+            self._leadership_changed(shard.number, shard.leads)
+        for _, command, _ in output.applied:
+            if command.WhichOneof("body") == "replica_set":
+                self._placement_changed(self._placement_of(shard))
+
+    def _placement_of(self, shard: Shard) -> ShardPlacement:
+        return ShardPlacement(
+            shard=shard.number,
+            replicas=shard.replica.replica_set.voters,
+            version=shard.replica.replica_set_index + 1,
+        )
+
+    async def _read_snapshot(self, shard: Shard, read: ReadSnapshotRows) -> None:
+        rows = await self._on_writer(
+            lambda: self._database.rows_after(
+                shard.number, read.after, SNAPSHOT_CHUNK_ROWS, SNAPSHOT_CHUNK_BYTES
+            )
+        )
+        shard.snapshot_rows_read(read.target, rows, self._loop.time())
+        self._collect(shard)
+
+    async def _on_writer(self, work: Callable[[], _T]) -> _T:
+        return await self._loop.run_in_executor(self._executor, work)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = self._loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def not_leader(leader: str) -> ServingError:
+    """Return the error of a replica asked for what only the leader may do."""
+    error = ServingError("not_leader", "this replica does not lead the shard", 503)
+    if leader:
+        error.add_note(leader)
+    return error
--- /dev/null
+++ b/src/wharfcart/storage/replica.py
@@ -0,0 +1,824 @@
+"""Journal replica core: one replica of one shard's log.
+
+Raft (Ongaro and Ousterhout 2014) with three changes, reasoned in docs/design/0002-journal.md:
+
+* **Commit** needs every replica of the *in-sync set*, never fewer than two nor than a majority of
+  the voters. A majority keeps Raft's safety; the rest keep an entry when disks are lost.
+* **In-sync set** and voters stand in the log as ``ReplicaSet`` entries. A silent replica is
+  dropped by an entry the others commit, and added again once it has caught up.
+* **Repair**: a dead identity is replaced by a caught-up spare, first removed, then added, so that
+  two consecutive voter sets always share a majority.
+
+Pre-vote and sticky leaders keep a returning replica from unseating a live leader. Reads rest on a
+lease judged by the holder's own monotonic clock from the *send* time of an acknowledged round, so a
+paused leader wakes up without one.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Protocol
+
+from wharfcart.cluster.messages_pb2 import (
+    AppendRequest,
+    AppendResponse,
+    CampaignNow,
+    Command,
+    LogEntry,
+    Noop,
+    ReplicaMessage,
+    ReplicaSet,
+    VoteRequest,
+    VoteResponse,
+)
+
+HEARTBEAT_S = 0.15
+ELECTION_MIN_S = 0.6
+ELECTION_SPREAD_S = 0.5
+LEASE_S = 0.5
+IN_SYNC_TIMEOUT_S = 1.0
+IN_SYNC_TIMEOUT_LEAVING_S = 0.3  # membership says that the replica is gone or leaving
+REPAIR_DELAY_S = 3.0
+RESEND_S = 0.3
+MOST_ENTRIES_A_MESSAGE = 256
+MOST_BYTES_A_MESSAGE = 4 * 1024 * 1024
+MOST_LOG_ENTRIES = 4096
+MOST_LOG_BYTES = 16 * 1024 * 1024
+FEWEST_COPIES = 2
+
+
+class Role(StrEnum):
+    """Role of a replica in its shard."""
+
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre_candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+class RandomSource(Protocol):
+    """The part of :class:`random.Random` that the core draws on."""
+
+    def random(self) -> float:
+        """Return a float in [0, 1)."""
+        ...
+
+
+@dataclass(frozen=True)
+class HardState:
+    """What must be on disk before a message that rests on it is sent."""
+
+    epoch: int
+    voted_for: str
+
+
+@dataclass(frozen=True)
+class Persist:
+    """Action: write hard state and entries; entries replace everything from their first index."""
+
+    hard_state: HardState
+    entries: tuple[LogEntry, ...] = ()
+
+
+@dataclass(frozen=True)
+class Send:
+    """Action: send a message, after everything persisted so far is on disk if so told."""
+
+    message: ReplicaMessage
+    after_persist: bool = False
+
+
+@dataclass(frozen=True)
+class Apply:
+    """Action: hand committed entries to the state machine, in order."""
+
+    entries: tuple[LogEntry, ...]
+
+
+@dataclass(frozen=True)
+class StartSnapshot:
+    """Action: stream the state machine's rows to a replica whose log is too far behind."""
+
+    target: str
+
+
+@dataclass(frozen=True)
+class CompactLog:
+    """Action: entries up to and including this index are no longer needed on disk."""
+
+    index: int
+
+
+@dataclass(frozen=True)
+class RoleChanged:
+    """Action: tell the driver the new role."""
+
+    role: Role
+
+
+ReplicaAction = Persist | Send | Apply | StartSnapshot | CompactLog | RoleChanged
+
+
+@dataclass
+class _Progress:
+    """What the leader knows of one other replica."""
+
+    next_index: int
+    match_index: int = 0
+    heard_at: float = 0.0
+    sent_at: float = 0.0
+    in_flight: bool = False
+    acknowledged_round_sent_at: float = -1.0
+    snapshot_running: bool = False
+
+
+class NotLeaderError(Exception):
+    """The replica does not lead its shard; carries the identity it believes does, or ''."""
+
+    def __init__(self, leader: str) -> None:
+        super().__init__(leader)
+        self.leader = leader
+
+
+@dataclass
+class Replica:
+    """One replica of one shard.
+
+    Inputs: :meth:`tick`, :meth:`receive`, :meth:`propose`, :meth:`persisted`,
+    :meth:`snapshot_installed`, :meth:`snapshot_sent`, :meth:`storage_members`. Each returns actions
+    to be carried out in order.
+    """
+
+    shard: int
+    identity: str
+    random: RandomSource
+    started_at: float
+    base_set: ReplicaSet
+    epoch: int = 0
+    voted_for: str = ""
+    log: list[LogEntry] = field(default_factory=list)
+    base_index: int = 0
+    base_epoch: int = 0
+    commit_index: int = 0
+    role: Role = Role.FOLLOWER
+    leader: str = ""
+    installing: bool = False
+    _persisted_index: int = 0
+    _log_bytes: int = 0
+    _sets: list[tuple[int, ReplicaSet]] = field(default_factory=list)
+    _heard_leader_at: float = 0.0
+    _election_at: float = 0.0
+    _votes: set[str] = field(default_factory=set)
+    _progress: dict[str, _Progress] = field(default_factory=dict)
+    _round: int = 0
+    _round_sent_at: dict[int, float] = field(default_factory=dict)
+    _epoch_start_index: int = 0
+    _last_heartbeat: float = 0.0
+    _live_storage: dict[str, str] = field(default_factory=dict)
+    _leaving_storage: set[str] = field(default_factory=set)
+    _learner: str = ""
+    _absent_since: dict[str, float] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self._persisted_index = self.last_index
+        self._log_bytes = sum(len(entry.command) for entry in self.log)
+        # A restarted replica may have promised a leader its lease: it waits as if it heard one.
+        self._heard_leader_at = self.started_at
+        self.commit_index = max(self.commit_index, self.base_index)
+        self._rebuild_sets()
+        self._reset_election(self.started_at)
+
+    # ---- views ----
+
+    @property
+    def last_index(self) -> int:
+        """Index of the newest entry in the log."""
+        return self.base_index + len(self.log)
+
+    @property
+    def last_epoch(self) -> int:
+        """Epoch of the newest entry."""
+        return self.log[-1].epoch if self.log else self.base_epoch
+
+    @property
+    def replica_set(self) -> ReplicaSet:
+        """Newest replica set in the log, committed or not (Raft section 6)."""
+        return self._sets[-1][1] if self._sets else self.base_set
+
+    @property
+    def replica_set_index(self) -> int:
+        """Index of the entry that set :attr:`replica_set`."""
+        return self._sets[-1][0] if self._sets else self.base_index
+
+    def lease_valid(self, now: float) -> bool:
+        """Whether this replica may answer reads: leads, committed in its epoch, holds the lease."""
+        if self.role is not Role.LEADER or self.commit_index < self._epoch_start_index:
+            return False
+        return now < self._quorum_contact() + LEASE_S
+
+    def entry(self, index: int) -> LogEntry | None:
+        """Return the entry at ``index`` if it is still held in memory."""
+        offset = index - self.base_index - 1
+        return self.log[offset] if 0 <= offset < len(self.log) else None
+
+    # ---- inputs ----
+
+    def tick(self, now: float) -> list[ReplicaAction]:
+        """Advance timers."""
+        if self.role is Role.LEADER:
+            return self._leader_tick(now)
+        if now >= self._election_at:
+            return self._start_pre_vote(now)
+        return []
+
+    def propose(self, commands: Sequence[bytes], now: float) -> tuple[int, list[ReplicaAction]]:
+        """Append commands to the log; return the first one's index.
+
+        Raises
+        ------
+        NotLeaderError
+        """
+        if self.role is not Role.LEADER:
+            raise NotLeaderError(self.leader)
+        first = self.last_index + 1
+        entries = [
+            LogEntry(index=first + offset, epoch=self.epoch, command=command)
+            for offset, command in enumerate(commands)
+        ]
+        actions = self._append_own(entries)
+        actions.extend(self._replicate_all(now))
+        return first, actions
+
+    def persisted(self, epoch: int, index: int, now: float) -> list[ReplicaAction]:
+        """Note that the log up to ``index``, written in ``epoch``, is on disk."""
+        if epoch != self.epoch:
+            return []
+        self._persisted_index = max(self._persisted_index, min(index, self.last_index))
+        return self._advance_commit(now) if self.role is Role.LEADER else []
+
+    def storage_members(
+        self, live: dict[str, str], leaving: set[str], now: float
+    ) -> list[ReplicaAction]:
+        """Note which storage identities are live, identity to zone, and which stop for a while.
+
+        The leader repairs by it. A leaving one is not replaced: a restart is no loss.
+        """
+        self._live_storage = live
+        self._leaving_storage = leaving
+        return self._repair(now) if self.role is Role.LEADER else []
+
+    def receive(self, message: ReplicaMessage, now: float) -> list[ReplicaAction]:
+        """Handle one message of another replica of this shard."""
+        if message.target != self.identity:
+            return []  # meant for an identity that used to live here
+        kind = message.WhichOneof("body")
+        if kind == "vote_request":
+            return self._vote_requested(message, now)
+        actions: list[ReplicaAction] = []
+        granted_pre_vote = (
+            kind == "vote_response"
+            and message.vote_response.pre_vote
+            and message.vote_response.granted
+        )
+        if message.epoch > self.epoch and not granted_pre_vote:
+            actions.extend(self._follow(message.epoch, "", now))
+        if kind == "vote_response":
+            actions.extend(self._vote_received(message, now))
+        elif kind == "append_request":
+            actions.extend(self._append_requested(message, now))
+        elif kind == "append_response":
+            actions.extend(self._append_answered(message, now))
+        elif kind == "campaign_now" and message.epoch == self.epoch and self._may_campaign():
+            actions.extend(self._start_election(now, transfer=True))
+        return actions
+
+    def snapshot_sent(self, target: str, index: int, now: float) -> list[ReplicaAction]:
+        """Note that ``target`` holds the rows as of ``index`` (0: the transfer failed)."""
+        progress = self._progress.get(target)
+        if progress is None:
+            return []
+        progress.snapshot_running = False
+        if index == 0:
+            return []
+        progress.next_index = max(progress.next_index, index + 1)
+        progress.match_index = max(progress.match_index, index)
+        progress.in_flight = False
+        return self._replicate(target, now)
+
+    def snapshot_installed(
+        self, index: int, epoch: int, replica_set: ReplicaSet
+    ) -> list[ReplicaAction]:
+        """Replace log and base by an installed snapshot."""
+        self.log = []
+        self._log_bytes = 0
+        self.base_index = index
+        self.base_epoch = epoch
+        self.base_set = replica_set
+        self._sets = []
+        self.commit_index = index
+        self._persisted_index = index
+        self.installing = False
+        return []
+
+    # ---- elections ----
+
+    def _reset_election(self, now: float) -> None:
+        self._election_at = now + ELECTION_MIN_S + ELECTION_SPREAD_S * self.random.random()
+
+    def _may_campaign(self) -> bool:
+        return self.identity in self.replica_set.voters and not self.installing
+
+    def _start_pre_vote(self, now: float) -> list[ReplicaAction]:
+        self._reset_election(now)
+        if not self._may_campaign():
+            return []
+        self.role = Role.PRE_CANDIDATE
+        self.leader = ""
+        self._votes = {self.identity}
+        if self._has_majority(self._votes):
+            return self._start_election(now)
+        return self._request_votes(self.epoch + 1, pre_vote=True)
+
+    def _start_election(self, now: float, transfer: bool = False) -> list[ReplicaAction]:
+        self.role = Role.CANDIDATE
+        self.epoch += 1
+        self.voted_for = self.identity
+        self._votes = {self.identity}
+        self._reset_election(now)
+        actions: list[ReplicaAction] = [self._persist()]
+        if self._has_majority(self._votes):
+            return actions + self._lead(now)
+        return actions + self._request_votes(self.epoch, pre_vote=False, transfer=transfer)
+
+    def _request_votes(
+        self, epoch: int, pre_vote: bool, transfer: bool = False
+    ) -> list[ReplicaAction]:
+        request = VoteRequest(
+            last_index=self.last_index,
+            last_epoch=self.last_epoch,
+            pre_vote=pre_vote,
+            transfer=transfer,
+        )
+        # A vote for oneself must be on disk before others hear of the candidacy.
+        return [
+            Send(self._message(peer, epoch, vote_request=request), after_persist=not pre_vote)
+            for peer in self.replica_set.voters
+            if peer != self.identity
+        ]
+
+    def _vote_requested(self, message: ReplicaMessage, now: float) -> list[ReplicaAction]:
+        request = message.vote_request
+        # A live leader's lease rests on this refusal (Raft section 6, disruptive servers).
+        # A transfer comes from a leader that has given its lease up already.
+        recent = now < self._heard_leader_at + ELECTION_MIN_S
+        sticky = self.role is Role.LEADER or (recent and not request.transfer)
+        up_to_date = (request.last_epoch, request.last_index) >= (self.last_epoch, self.last_index)
+        if sticky or message.epoch < self.epoch:
+            return [self._vote_response(message.sender, self.epoch, False, request.pre_vote)]
+        if request.pre_vote:
+            granted = up_to_date and message.epoch > self.epoch
+            epoch = message.epoch if granted else self.epoch
+            return [self._vote_response(message.sender, epoch, granted, True)]
+        actions: list[ReplicaAction] = []
+        if message.epoch > self.epoch:
+            actions.extend(self._follow(message.epoch, "", now))
+        granted = up_to_date and self.voted_for in ("", message.sender)
+        if granted:
+            self.voted_for = message.sender
+            self._reset_election(now)
+            actions.append(self._persist())
+        actions.append(self._vote_response(message.sender, self.epoch, granted, False))
+        return actions
+
+    def _vote_response(self, target: str, epoch: int, granted: bool, pre_vote: bool) -> Send:
+        response = VoteResponse(granted=granted, pre_vote=pre_vote)
+        return Send(self._message(target, epoch, vote_response=response), after_persist=True)
+
+    def _vote_received(self, message: ReplicaMessage, now: float) -> list[ReplicaAction]:
+        response = message.vote_response
+        wanted = Role.PRE_CANDIDATE if response.pre_vote else Role.CANDIDATE
+        expected_epoch = self.epoch + 1 if response.pre_vote else self.epoch
+        if self.role is not wanted or not response.granted or message.epoch != expected_epoch:
+            return []
+        self._votes.add(message.sender)
+        if not self._has_majority(self._votes):
+            return []
+        return self._start_election(now) if response.pre_vote else self._lead(now)
+
+    def _has_majority(self, identities: set[str]) -> bool:
+        voters = self.replica_set.voters
+        return len(identities.intersection(voters)) > len(voters) // 2
+
+    def _follow(self, epoch: int, leader: str, now: float) -> list[ReplicaAction]:
+        actions: list[ReplicaAction] = []
+        if self.role is Role.LEADER:
+            actions.append(RoleChanged(Role.FOLLOWER))
+        if epoch > self.epoch:
+            self.epoch = epoch
+            self.voted_for = ""
+            actions.append(self._persist())
+        self.role = Role.FOLLOWER
+        self.leader = leader
+        self._reset_election(now)
+        return actions
+
+    def _lead(self, now: float) -> list[ReplicaAction]:
+        self.role = Role.LEADER
+        self.leader = self.identity
+        self._round_sent_at = {}
+        self._learner = ""
+        self._absent_since = {}
+        self._progress = {
+            peer: _Progress(next_index=self.last_index + 1, heard_at=now)
+            for peer in self.replica_set.voters
+            if peer != self.identity
+        }
+        self._epoch_start_index = self.last_index + 1
+        noop = Command(noop=Noop()).SerializeToString()
+        entry = LogEntry(index=self._epoch_start_index, epoch=self.epoch, command=noop)
+        actions: list[ReplicaAction] = [RoleChanged(Role.LEADER), *self._append_own([entry])]
+        return actions + self._replicate_all(now)
+
+    def step_down(self, now: float) -> list[ReplicaAction]:
+        """Give up leadership for a planned stop and ask the most advanced peer to campaign."""
+        if self.role is not Role.LEADER:
+            return []
+        heirs = [peer for peer in self.replica_set.in_sync if peer in self._progress]
+        actions = self._follow(self.epoch, "", now)
+        self._election_at = now + 10 * ELECTION_MIN_S
+        if heirs:
+            heir = max(heirs, key=lambda peer: self._progress[peer].match_index)
+            actions.append(Send(self._message(heir, self.epoch, campaign_now=CampaignNow())))
+        return actions
+
+    # ---- log ----
+
+    def _append_own(self, entries: list[LogEntry]) -> list[ReplicaAction]:
+        self._extend_log(entries)
+        return [self._persist(tuple(entries))]
+
+    def _extend_log(self, entries: Sequence[LogEntry]) -> None:
+        for entry in entries:
+            self.log.append(entry)
+            self._log_bytes += len(entry.command)
+            self._note_set(entry)
+
+    def _note_set(self, entry: LogEntry) -> None:
+        # The command's first bytes tell its kind; parsing megabytes of results here would double
+        # the processor time of an entry.
+        if len(entry.command) > 4096:
+            return
+        command = Command.FromString(entry.command)
+        if command.WhichOneof("body") == "replica_set":
+            self._sets.append((entry.index, command.replica_set))
+
+    def _rebuild_sets(self) -> None:
+        self._sets = []
+        for entry in self.log:
+            self._note_set(entry)
+
+    def _truncate_from(self, index: int) -> None:
+        del self.log[index - self.base_index - 1 :]
+        self._persisted_index = min(self._persisted_index, index - 1)
+        self._log_bytes = sum(len(entry.command) for entry in self.log)
+        while self._sets and self._sets[-1][0] >= index:
+            self._sets.pop()
+
+    def _epoch_at(self, index: int) -> int | None:
+        if index == self.base_index:
+            return self.base_epoch
+        entry = self.entry(index)
+        return entry.epoch if entry is not None else None
+
+    def _persist(self, entries: tuple[LogEntry, ...] = ()) -> Persist:
+        return Persist(HardState(self.epoch, self.voted_for), entries)
+
+    # ---- following ----
+
+    def _append_requested(self, message: ReplicaMessage, now: float) -> list[ReplicaAction]:
+        request = message.append_request
+        if message.epoch < self.epoch:
+            return [self._append_response(message.sender, False, self.last_index, request.round)]
+        actions: list[ReplicaAction] = []
+        if self.role is not Role.FOLLOWER or self.leader != message.sender:
+            actions.extend(self._follow(message.epoch, message.sender, now))
+        self._heard_leader_at = now
+        self._reset_election(now)
+        if self.installing:
+            return actions
+        previous_epoch = self._epoch_at(request.previous_index)
+        if request.previous_index < self.base_index:
+            # Everything up to the base is committed, so it matches any leader's log.
+            match = self.base_index
+            entries = [entry for entry in request.entries if entry.index > match]
+            if not entries or entries[0].index != match + 1:
+                actions.append(self._append_response(message.sender, True, match, request.round))
+                return actions
+        elif previous_epoch != request.previous_epoch:
+            hint = min(request.previous_index - 1, self.last_index)
+            actions.append(self._append_response(message.sender, False, hint, request.round))
+            return actions
+        else:
+            entries = list(request.entries)
+            match = request.previous_index
+        new = self._skip_known(entries)
+        if new:
+            if new[0].index <= self.last_index:
+                self._truncate_from(new[0].index)
+            self._extend_log(new)
+            actions.append(self._persist(tuple(new)))
+        if entries:
+            match = entries[-1].index
+        actions.append(self._append_response(message.sender, True, match, request.round))
+        actions.extend(self._commit_to(min(request.commit_index, match)))
+        return actions
+
+    def _skip_known(self, entries: Sequence[LogEntry]) -> list[LogEntry]:
+        for position, entry in enumerate(entries):
+            if self._epoch_at(entry.index) != entry.epoch:
+                return list(entries[position:])
+        return []
+
+    def _append_response(self, target: str, accepted: bool, match: int, round_: int) -> Send:
+        response = AppendResponse(accepted=accepted, match_index=match, round=round_)
+        message = self._message(target, self.epoch, append_response=response)
+        return Send(message, after_persist=True)
+
+    def _commit_to(self, index: int) -> list[ReplicaAction]:
+        if index <= self.commit_index:
+            return []
+        first = self.commit_index + 1
+        start = first - self.base_index - 1
+        entries = tuple(self.log[start : index - self.base_index])
+        self.commit_index = index
+        return [Apply(entries), *self._compact()]
+
+    def _compact(self) -> list[ReplicaAction]:
+        if len(self.log) <= MOST_LOG_ENTRIES and self._log_bytes <= MOST_LOG_BYTES:
+            return []
+        keep_from = self.commit_index
+        if self.role is Role.LEADER:
+            members = [self._progress[p] for p in self.replica_set.in_sync if p in self._progress]
+            keep_from = min([keep_from, *(progress.match_index for progress in members)])
+        drop = (keep_from - self.base_index) // 2
+        if drop <= 0:
+            return []
+        index = self.base_index + drop
+        self.base_epoch = self.log[drop - 1].epoch
+        while self._sets and self._sets[0][0] <= index:
+            self.base_set = self._sets.pop(0)[1]
+        self._log_bytes -= sum(len(entry.command) for entry in self.log[:drop])
+        del self.log[:drop]
+        self.base_index = index
+        return [CompactLog(index)]
+
+    # ---- leading ----
+
+    def _leader_tick(self, now: float) -> list[ReplicaAction]:
+        if self._lost_quorum(now):
+            return self._follow(self.epoch, "", now)
+        actions = self._trim_in_sync(now)
+        if now - self._last_heartbeat >= HEARTBEAT_S:
+            actions.extend(self._replicate_all(now, heartbeat=True))
+        actions.extend(self._repair(now))
+        return actions
+
+    def _lost_quorum(self, now: float) -> bool:
+        voters = self.replica_set.voters
+        heard = {
+            peer
+            for peer, progress in self._progress.items()
+            if now - progress.heard_at < 2 * ELECTION_MIN_S
+        }
+        return not self._has_majority(heard | {self.identity}) and len(voters) > 1
+
+    def _quorum_contact(self) -> float:
+        """Latest time by whose sent round a majority had answered."""
+        voters = self.replica_set.voters
+        needed = len(voters) // 2 + 1 - (1 if self.identity in voters else 0)
+        if needed == 0:
+            return float("inf")
+        times = sorted(
+            (self._progress[p].acknowledged_round_sent_at for p in voters if p in self._progress),
+            reverse=True,
+        )
+        return times[needed - 1] if len(times) >= needed else -1.0
+
+    def _replicate_all(self, now: float, heartbeat: bool = False) -> list[ReplicaAction]:
+        self._round += 1
+        self._round_sent_at[self._round] = now
+        if len(self._round_sent_at) > 512:
+            self._round_sent_at.pop(next(iter(self._round_sent_at)))
+        if heartbeat:
+            self._last_heartbeat = now
+        actions: list[ReplicaAction] = []
+        for peer in self._progress:
+            actions.extend(self._replicate(peer, now, heartbeat))
+        return actions
+
+    def _replicate(self, peer: str, now: float, heartbeat: bool = False) -> list[ReplicaAction]:
+        progress = self._progress[peer]
+        if progress.in_flight and now - progress.sent_at > RESEND_S:
+            progress.in_flight = False
+            progress.next_index = progress.match_index + 1
+        if progress.snapshot_running:
+            return [self._append(peer, self.last_index, ())] if heartbeat else []
+        if progress.next_index <= self.base_index:
+            progress.snapshot_running = True
+            return [StartSnapshot(peer)]
+        entries: tuple[LogEntry, ...] = ()
+        if not progress.in_flight:
+            entries = self._entries_from(progress.next_index)
+        if not entries and not heartbeat:
+            return []
+        previous = progress.next_index - 1
+        if entries:
+            progress.in_flight = True
+            progress.sent_at = now
+            progress.next_index = entries[-1].index + 1
+        return [self._append(peer, previous, entries)]
+
+    def _entries_from(self, index: int) -> tuple[LogEntry, ...]:
+        start = index - self.base_index - 1
+        taken: list[LogEntry] = []
+        total = 0
+        for entry in self.log[start : start + MOST_ENTRIES_A_MESSAGE]:
+            total += len(entry.command)
+            if taken and total > MOST_BYTES_A_MESSAGE:
+                break
+            taken.append(entry)
+        return tuple(taken)
+
+    def _append(self, peer: str, previous: int, entries: tuple[LogEntry, ...]) -> Send:
+        request = AppendRequest(
+            previous_index=previous,
+            previous_epoch=self._epoch_at(previous) or 0,
+            entries=entries,
+            commit_index=self.commit_index,
+            round=self._round,
+        )
+        # The leader writes its own copy while the followers write theirs (Raft thesis 10.2.1).
+        return Send(self._message(peer, self.epoch, append_request=request))
+
+    def _append_answered(self, message: ReplicaMessage, now: float) -> list[ReplicaAction]:
+        progress = self._progress.get(message.sender)
+        if self.role is not Role.LEADER or message.epoch != self.epoch or progress is None:
+            return []
+        response = message.append_response
+        progress.heard_at = now
+        sent_at = self._round_sent_at.get(response.round, -1.0)
+        progress.acknowledged_round_sent_at = max(progress.acknowledged_round_sent_at, sent_at)
+        if not response.accepted:
+            progress.in_flight = False
+            progress.next_index = max(progress.match_index + 1, response.match_index + 1)
+            return self._replicate(message.sender, now)
+        progress.match_index = max(progress.match_index, response.match_index)
+        if progress.match_index + 1 >= progress.next_index:
+            progress.in_flight = False
+            progress.next_index = progress.match_index + 1
+        actions = self._advance_commit(now)
+        actions.extend(self._grow_in_sync(message.sender, now))
+        actions.extend(self._replicate(message.sender, now))
+        return actions
+
+    def _advance_commit(self, now: float) -> list[ReplicaAction]:
+        index = self._commitable_index()
+        if index <= self.commit_index or self._epoch_at(index) != self.epoch:
+            return []
+        actions = self._commit_to(index)
+        if self.identity not in self.replica_set.voters and index >= self.replica_set_index:
+            actions.extend(self._follow(self.epoch, "", now))
+        return actions
+
+    def _commitable_index(self) -> int:
+        replica_set = self.replica_set
+        matches = {peer: progress.match_index for peer, progress in self._progress.items()}
+        matches[self.identity] = self._persisted_index
+        in_sync = [matches.get(peer, 0) for peer in replica_set.in_sync]
+        if len(in_sync) < min(FEWEST_COPIES, len(replica_set.voters)):
+            return 0
+        by_voter = sorted((matches.get(peer, 0) for peer in replica_set.voters), reverse=True)
+        majority_match = by_voter[len(by_voter) // 2]
+        return min([majority_match, *in_sync])
+
+    # ---- in-sync set and repair ----
+
+    def _set_settled(self) -> bool:
+        """Whether the newest replica set is committed, and something of this epoch, too."""
+        settled = self.commit_index >= self.replica_set_index
+        return settled and self.commit_index >= self._epoch_start_index
+
+    def _change_set(
+        self, voters: Sequence[str], in_sync: Sequence[str], now: float
+    ) -> list[ReplicaAction]:
+        command = Command(replica_set=ReplicaSet(voters=voters, in_sync=in_sync))
+        _, actions = self.propose([command.SerializeToString()], now)
+        return actions
+
+    def _trim_in_sync(self, now: float) -> list[ReplicaAction]:
+        replica_set = self.replica_set
+        silent = [
+            peer
+            for peer in replica_set.in_sync
+            if peer in self._progress and now - self._progress[peer].heard_at > self._patience(peer)
+        ]
+        fewest = max(FEWEST_COPIES, len(replica_set.voters) // 2 + 1)
+        if not silent or len(replica_set.in_sync) - len(silent) < fewest:
+            return []
+        # Several drops may be outstanding: each later set is a subset, which stays a majority.
+        keep = [peer for peer in replica_set.in_sync if peer not in silent]
+        return self._change_set(list(replica_set.voters), keep, now)
+
+    def _patience(self, peer: str) -> float:
+        known_gone = self._live_storage and peer not in self._live_storage
+        return IN_SYNC_TIMEOUT_LEAVING_S if known_gone else IN_SYNC_TIMEOUT_S
+
+    def _grow_in_sync(self, peer: str, now: float) -> list[ReplicaAction]:
+        replica_set = self.replica_set
+        if peer in replica_set.in_sync or peer not in replica_set.voters or not self._set_settled():
+            return []
+        if self._progress[peer].match_index < self.commit_index:
+            return []
+        return self._change_set(list(replica_set.voters), [*replica_set.in_sync, peer], now)
+
+    def _repair(self, now: float) -> list[ReplicaAction]:
+        """Replace a voter whose identity has been gone for a while by a spare."""
+        if not self._live_storage or not self._set_settled():
+            return []
+        replica_set = self.replica_set
+        voters = list(replica_set.voters)
+        if len(voters) < FEWEST_COPIES + 1:
+            return self._add_learner_as_voter(voters, now)
+        dead = self._find_dead_voter(now)
+        if dead is None:
+            self._learner = ""
+            return []
+        if not self._learner:
+            return self._choose_learner(dead, now)
+        if not self._caught_up(self._learner):
+            if self._learner not in self._live_storage:
+                self._progress.pop(self._learner, None)
+                self._learner = ""
+            return []
+        voters.remove(dead)
+        in_sync = [peer for peer in replica_set.in_sync if peer != dead]
+        self._progress.pop(dead, None)
+        return self._change_set(voters, in_sync, now)
+
+    def _add_learner_as_voter(self, voters: list[str], now: float) -> list[ReplicaAction]:
+        if not self._learner:
+            return self._choose_learner("", now)
+        if not self._caught_up(self._learner):
+            return []
+        learner = self._learner
+        self._learner = ""
+        in_sync = [*self.replica_set.in_sync, learner]
+        return self._change_set([*voters, learner], in_sync, now)
+
+    def _find_dead_voter(self, now: float) -> str | None:
+        for voter in self.replica_set.voters:
+            silent = voter in self._progress and voter not in self.replica_set.in_sync
+            present = voter in self._live_storage or voter in self._leaving_storage
+            if present or not silent:
+                self._absent_since.pop(voter, None)
+            elif now - self._absent_since.setdefault(voter, now) > REPAIR_DELAY_S:
+                return voter
+        return None
+
+    def _choose_learner(self, dead: str, now: float) -> list[ReplicaAction]:
+        voters = [peer for peer in self.replica_set.voters if peer != dead]
+        used_zones = {self._live_storage.get(peer, "") for peer in voters}
+        spares = sorted(peer for peer in self._live_storage if peer not in self.replica_set.voters)
+        other_zone = [peer for peer in spares if self._live_storage[peer] not in used_zones]
+        choice = next(iter(other_zone or spares), None)
+        if choice is None:
+            return []
+        self._learner = choice
+        self._progress[choice] = _Progress(next_index=self.last_index + 1, heard_at=now)
+        return self._replicate(choice, now, heartbeat=True)
+
+    def _caught_up(self, peer: str) -> bool:
+        progress = self._progress.get(peer)
+        return progress is not None and progress.match_index >= self.commit_index
+
+    def _message(
+        self,
+        target: str,
+        epoch: int,
+        vote_request: VoteRequest | None = None,
+        vote_response: VoteResponse | None = None,
+        append_request: AppendRequest | None = None,
+        append_response: AppendResponse | None = None,
+        campaign_now: CampaignNow | None = None,
+    ) -> ReplicaMessage:
+        return ReplicaMessage(
+            shard=self.shard,
+            sender=self.identity,
+            target=target,
+            epoch=epoch,
+            vote_request=vote_request,
+            vote_response=vote_response,
+            append_request=append_request,
+            append_response=append_response,
+            campaign_now=campaign_now,
+        )
--- /dev/null
+++ b/src/wharfcart/storage/shard.py
@@ -0,0 +1,335 @@
+"""One shard on one node: replica, state machine, waiting proposals and snapshots, without I/O.
+
+The driver (:mod:`wharfcart.storage.journal`) and the simulator both run this class: they carry out
+its :class:`ShardOutput` and report back what reached the disk.
+"""
+
+import logging
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+
+from wharfcart.cluster.messages_pb2 import (
+    Command,
+    LogEntry,
+    ProposeResult,
+    ReplicaMessage,
+    ReplicaSet,
+    Row,
+    SnapshotChunk,
+    SnapshotResponse,
+)
+from wharfcart.storage.replica import (
+    Apply,
+    CompactLog,
+    NotLeaderError,
+    Persist,
+    RandomSource,
+    Replica,
+    ReplicaAction,
+    Role,
+    RoleChanged,
+    Send,
+    StartSnapshot,
+)
+from wharfcart.storage.shard_state import ShardState
+from wharfcart.storage.writes import InstalledBase, ShardRecord, ShardWrites
+
+SNAPSHOT_STEP_TIMEOUT_S = 3.0
+LOST_LEADERSHIP = "lost_leadership"
+RowKey = tuple[str, str, int]
+FIRST_ROW: RowKey = ("", "", -1)
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True)
+class ReadSnapshotRows:
+    """Ask the driver for the rows after a key, for a snapshot to ``target``."""
+
+    target: str
+    after: RowKey
+
+
+@dataclass(frozen=True)
+class Answer:
+    """The outcome of one proposal; ``code`` of the result is ``lost_leadership`` if unknown."""
+
+    token: int
+    result: ProposeResult
+
+
+@dataclass
+class ShardOutput:
+    """Everything to be carried out after a step."""
+
+    writes: ShardWrites = field(default_factory=ShardWrites)
+    dirty: bool = False
+    send_now: list[ReplicaMessage] = field(default_factory=list)
+    send_after_write: list[ReplicaMessage] = field(default_factory=list)
+    written_mark: tuple[int, int] | None = None  # epoch and index to report as on disk
+    answers: list[Answer] = field(default_factory=list)
+    reads: list[ReadSnapshotRows] = field(default_factory=list)
+    reload: bool = False
+    role: Role | None = None
+    applied: list[tuple[LogEntry, Command, ProposeResult]] = field(default_factory=list)
+
+
+@dataclass
+class _OutgoingSnapshot:
+    index: int
+    epoch: int
+    replica_set: ReplicaSet
+    sequence: int = 0
+    after: RowKey = FIRST_ROW
+    stepped_at: float = 0.0
+
+
+@dataclass
+class _IncomingSnapshot:
+    sender: str
+    index: int
+    next_sequence: int = 0
+
+
+class Shard:
+    """One replica with its state machine."""
+
+    def __init__(
+        self,
+        record: ShardRecord,
+        rows: Iterable[Row],
+        identity: str,
+        random: RandomSource,
+        now: float,
+    ) -> None:
+        self.number = record.shard
+        self.replica = Replica(
+            shard=record.shard,
+            identity=identity,
+            random=random,
+            started_at=now,
+            base_set=record.base_set,
+            epoch=record.hard_state.epoch,
+            voted_for=record.hard_state.voted_for,
+            log=record.log,
+            base_index=record.base_index,
+            base_epoch=record.base_epoch,
+            commit_index=record.applied_index,
+            installing=record.installing,
+        )
+        self.state = ShardState()
+        self.state.load(rows, record.applied_index)
+        self._output = ShardOutput()
+        self._waiting: dict[int, tuple[int, int]] = {}  # index -> epoch, token
+        self._outgoing: dict[str, _OutgoingSnapshot] = {}
+        self._incoming: _IncomingSnapshot | None = None
+        self._installed: InstalledBase | None = None
+
+    @property
+    def leads(self) -> bool:
+        """Whether this replica is the shard's leader."""
+        return self.replica.role is Role.LEADER
+
+    def take_output(self) -> ShardOutput:
+        """Return and clear what is to be carried out."""
+        output = self._output
+        self._output = ShardOutput()
+        rows, deleted = self.state.take_changes()
+        if rows or deleted:
+            output.writes.rows.extend(rows)
+            output.writes.deleted_rows.extend(deleted)
+            output.writes.applied_index = self.state.applied_index
+            output.dirty = True
+        return output
+
+    # ---- inputs ----
+
+    def tick(self, now: float) -> None:
+        """Advance timers."""
+        self._carry_out(self.replica.tick(now))
+        for target, snapshot in list(self._outgoing.items()):
+            if now - snapshot.stepped_at > SNAPSHOT_STEP_TIMEOUT_S:
+                del self._outgoing[target]
+                self._carry_out(self.replica.snapshot_sent(target, 0, now))
+
+    def receive(self, message: ReplicaMessage, now: float) -> None:
+        """Handle a message of another replica."""
+        kind = message.WhichOneof("body")
+        if kind == "snapshot_chunk":
+            self._receive_chunk(message, now)
+        elif kind == "snapshot_response":
+            self._chunk_answered(message, now)
+        else:
+            self._carry_out(self.replica.receive(message, now))
+
+    def propose(self, proposals: Sequence[tuple[int, Command]], now: float) -> None:
+        """Propose commands, each with a token its answer will carry.
+
+        Raises
+        ------
+        NotLeaderError
+        """
+        blobs = [command.SerializeToString() for _, command in proposals]
+        first, actions = self.replica.propose(blobs, now)
+        for offset, (token, _) in enumerate(proposals):
+            self._waiting[first + offset] = (self.replica.epoch, token)
+        self._carry_out(actions)
+
+    def written(self, mark: tuple[int, int], now: float) -> None:
+        """Note that everything of an earlier output is on disk."""
+        epoch, index = mark
+        self._carry_out(self.replica.persisted(epoch, index, now))
+
+    def storage_members(self, live: dict[str, str], leaving: set[str], now: float) -> None:
+        """Note which storage identities are live, identity to zone, and which are leaving."""
+        self._carry_out(self.replica.storage_members(live, leaving, now))
+
+    def step_down(self, now: float) -> None:
+        """Give up leadership for a planned stop."""
+        self._carry_out(self.replica.step_down(now))
+
+    # ---- actions ----
+
+    def _carry_out(self, actions: Sequence[ReplicaAction]) -> None:
+        output = self._output
+        for action in actions:
+            if isinstance(action, Persist):
+                output.writes.hard_state = action.hard_state
+                output.writes.add_entries(action.entries)
+                output.written_mark = (action.hard_state.epoch, self.replica.last_index)
+                output.dirty = True
+            elif isinstance(action, Send):
+                queue = output.send_after_write if action.after_persist else output.send_now
+                queue.append(action.message)
+            elif isinstance(action, Apply):
+                self._apply(action.entries)
+            elif isinstance(action, CompactLog):
+                output.writes.compact_to = action.index
+                output.writes.applied_index = self.state.applied_index
+                output.dirty = True
+            elif isinstance(action, StartSnapshot):
+                self._start_snapshot(action.target)
+            elif isinstance(action, RoleChanged):
+                output.role = action.role
+
+    def _apply(self, entries: Sequence[LogEntry]) -> None:
+        for entry in entries:
+            if entry.index <= self.state.applied_index:
+                continue
+            command = Command.FromString(entry.command)
+            result = self.state.apply(entry.index, command)
+            self._output.applied.append((entry, command, result))
+            waiting = self._waiting.pop(entry.index, None)
+            if waiting is None:
+                continue
+            epoch, token = waiting
+            if epoch != entry.epoch:
+                result = ProposeResult(code=LOST_LEADERSHIP)
+            self._output.answers.append(Answer(token, result))
+
+    # ---- snapshots: sending ----
+
+    def _start_snapshot(self, target: str) -> None:
+        replica = self.replica
+        index = self.state.applied_index
+        entry = replica.entry(index)
+        epoch = entry.epoch if entry is not None else replica.base_epoch
+        self._outgoing[target] = _OutgoingSnapshot(index, epoch, replica.replica_set)
+        self._output.reads.append(ReadSnapshotRows(target, FIRST_ROW))
+
+    def snapshot_rows_read(self, target: str, rows: list[Row], now: float) -> None:
+        """Send the rows that :class:`ReadSnapshotRows` asked for; none ends the snapshot."""
+        snapshot = self._outgoing.get(target)
+        if snapshot is None or not self.leads:
+            self._outgoing.pop(target, None)
+            return
+        snapshot.stepped_at = now
+        if rows:
+            snapshot.after = (rows[-1].kind, rows[-1].id, rows[-1].number)
+        chunk = SnapshotChunk(
+            snapshot_index=snapshot.index,
+            snapshot_epoch=snapshot.epoch,
+            sequence=snapshot.sequence,
+            rows=rows,
+            last=not rows,
+            voters=snapshot.replica_set.voters,
+            in_sync=snapshot.replica_set.in_sync,
+        )
+        message = self._message(target, snapshot_chunk=chunk)
+        self._output.send_now.append(message)
+
+    def _chunk_answered(self, message: ReplicaMessage, now: float) -> None:
+        response = message.snapshot_response
+        snapshot = self._outgoing.get(message.sender)
+        if snapshot is None or response.sequence != snapshot.sequence:
+            return
+        if response.last:
+            del self._outgoing[message.sender]
+            self._carry_out(self.replica.snapshot_sent(message.sender, snapshot.index, now))
+            return
+        snapshot.sequence += 1
+        self._output.reads.append(ReadSnapshotRows(message.sender, snapshot.after))
+
+    # ---- snapshots: receiving ----
+
+    def _receive_chunk(self, message: ReplicaMessage, now: float) -> None:
+        chunk = message.snapshot_chunk
+        if message.epoch < self.replica.epoch or message.target != self.replica.identity:
+            return
+        incoming = self._incoming
+        if chunk.sequence == 0:
+            incoming = _IncomingSnapshot(message.sender, chunk.snapshot_index)
+            self._incoming = incoming
+            self.replica.installing = True
+            self._output.writes = ShardWrites(
+                hard_state=self._output.writes.hard_state, begin_install=True
+            )
+            self._output.written_mark = None
+        if incoming is None or incoming.sender != message.sender:
+            return
+        if incoming.index != chunk.snapshot_index or incoming.next_sequence != chunk.sequence:
+            return
+        incoming.next_sequence += 1
+        self._output.writes.rows.extend(chunk.rows)
+        self._output.dirty = True
+        if chunk.last:
+            self._end_install(chunk)
+        response = SnapshotResponse(
+            snapshot_index=chunk.snapshot_index, sequence=chunk.sequence, last=chunk.last
+        )
+        answer = self._message(message.sender, snapshot_response=response)
+        self._output.send_after_write.append(answer)
+
+    def _end_install(self, chunk: SnapshotChunk) -> None:
+        replica_set = ReplicaSet(voters=chunk.voters, in_sync=chunk.in_sync)
+        base = InstalledBase(chunk.snapshot_index, chunk.snapshot_epoch, replica_set)
+        self._output.writes.end_install = base
+        self._output.reload = True
+        self._incoming = None
+        self._installed = base
+
+    def reload(self, rows: Iterable[Row]) -> None:
+        """Rebuild memory from the rows of a snapshot that is now on disk."""
+        base = self._installed
+        assert base is not None
+        self.state = ShardState()
+        self.state.load(rows, base.index)
+        self.replica.snapshot_installed(base.index, base.epoch, base.replica_set)
+
+    def _message(
+        self,
+        target: str,
+        snapshot_chunk: SnapshotChunk | None = None,
+        snapshot_response: SnapshotResponse | None = None,
+    ) -> ReplicaMessage:
+        return ReplicaMessage(
+            shard=self.number,
+            sender=self.replica.identity,
+            target=target,
+            epoch=self.replica.epoch,
+            snapshot_chunk=snapshot_chunk,
+            snapshot_response=snapshot_response,
+        )
+
+
+__all__ = ["Answer", "NotLeaderError", "ReadSnapshotRows", "Shard", "ShardOutput"]
