--- a/src/wharfcart/admission/limiter.py
+++ b/src/wharfcart/admission/limiter.py
@@ -30,6 +30,7 @@
         self._transport = transport
         self._home = BucketHome()
         self._taken: dict[str, TakenTokens] = {}
+        self._asking: dict[str, asyncio.Lock] = {}
 
     async def check(self, bucket: str, limits: Limits) -> None:
         """Spend one token of a bucket.
@@ -39,13 +40,18 @@
         ServingError
             ``rate_limited``, ``not_run``, with the time to come back.
         """
-        now = asyncio.get_running_loop().time()
+        loop = asyncio.get_running_loop()
         taken = self._taken.setdefault(bucket, TakenTokens())
-        if taken.spend(now):
+        if taken.spend(loop.time()):
             return
-        if now < taken.refused_until:
-            raise _rate_limited(taken.refused_until - now)
-        await self._take(bucket, limits, taken)
+        # One asks for all that wait: else a burst of callers drains the bucket of tokens that
+        # nobody spends.
+        async with self._asking.setdefault(bucket, asyncio.Lock()):
+            if taken.spend(loop.time()):
+                return
+            if loop.time() < taken.refused_until:
+                raise _rate_limited(taken.refused_until - loop.time())
+            await self._take(bucket, limits, taken)
 
     async def _take(self, bucket: str, limits: Limits, taken: TakenTokens) -> None:
         rate, burst = limits.requests_per_second, float(limits.burst)
