Stop batch at the engine, not by cutting connections; no item is lost to a defect

Stopping batch cancelled aiohttp while it connected; it closed a socket that uvloop's transport still held, the next socket of that number failed with RuntimeError, and the item's task died with the item. Ruled out: leases, flushes (the runners held open rows with nothing running). Change: batch is stopped by the engine's cancel call, whose answer ends the request; a request is never cancelled while it connects; any defect in an item's task is a failure of that try, not the end of the item; a runner that ended is logged and begun anew.

--- a/src/wharfcart/admission/backend_gate.py
+++ b/src/wharfcart/admission/backend_gate.py
@@ -110,6 +110,7 @@
     last_online_at: float = -1e9
     first_token_seconds: float = TYPICAL_FIRST_TOKEN_S
     stopped_batch: int = 0
+    _stopping: set[str] = field(default_factory=set)
 
     # ---- online ----
 
@@ -123,13 +124,19 @@
 
     def batch_to_stop(self) -> list[str]:
         """Return the batch requests that must stop now: youngest first, they lose least."""
-        surplus = len(self.batch) - self._batch_bound_beside_online()
+        running = [name for name in self.batch if name not in self._stopping]
+        surplus = len(running) - self._batch_bound_beside_online()
         if surplus <= 0 or not self.online:
             return []
-        stopped = list(reversed(self.batch))[:surplus]
+        stopped = running[-surplus:]
+        self._stopping.update(stopped)
         self.stopped_batch += len(stopped)
         return stopped
 
+    def is_stopping(self, request_id: str) -> bool:
+        """Whether a batch request was told to stop."""
+        return request_id in self._stopping
+
     def first_token(self, request_id: str, now: float) -> None:
         """Note that an online request's first token came."""
         running = self.online.get(request_id)
@@ -171,6 +178,7 @@
     def end_batch(self, request_id: str) -> None:
         """Note that a batch request ended."""
         self.batch.pop(request_id, None)
+        self._stopping.discard(request_id)
 
     @property
     def _parameters(self) -> PolicyParameters:
--- a/src/wharfcart/backends/application_client.py
+++ b/src/wharfcart/backends/application_client.py
@@ -23,8 +23,9 @@
             part = await read_whole(response)
         yield part
 
-    async def cancel(self, request_id: str) -> None:
+    async def cancel(self, request_id: str) -> bool:
         """Do nothing: an application call that began is let finish."""
+        return False
 
     async def settle(self, request: BackendRequest) -> BackendPart | None:
         """Ask what became of a request; a server without the call leaves it unknown."""
--- a/src/wharfcart/backends/engine_client.py
+++ b/src/wharfcart/backends/engine_client.py
@@ -77,15 +77,16 @@
         async with open_answer(self._session, self._address, request) as response:
             return await read_whole(response)
 
-    async def cancel(self, request_id: str) -> None:
+    async def cancel(self, request_id: str) -> bool:
         """Stop a stream; the engine keeps its tokens for a resume."""
         timeout = aiohttp.ClientTimeout(total=CONTROL_TIMEOUT_S)
         url = f"http://{self._address}/v1/streams/{request_id}"
         try:
-            async with self._session.delete(url, timeout=timeout):
-                return
-        except (TimeoutError, aiohttp.ClientError):
-            return  # a gone engine runs nothing
+            async with self._session.delete(url, timeout=timeout) as response:
+                answer = await response.json()
+                return bool(answer["cancelled"])
+        except (TimeoutError, aiohttp.ClientError, ValueError, LookupError):
+            return False  # a gone engine runs nothing
 
     async def settle(self, request: BackendRequest) -> BackendPart | None:
         """Resume the request by its id; None if the engine does not know it."""
--- a/src/wharfcart/backends/http_answers.py
+++ b/src/wharfcart/backends/http_answers.py
@@ -1,7 +1,9 @@
 """What engine and application clients have in common: reading an HTTP answer with care."""
 
-from collections.abc import AsyncIterator
+import asyncio
+from collections.abc import AsyncIterator, Coroutine
 from contextlib import asynccontextmanager
+from typing import Any
 
 import aiohttp
 
@@ -33,22 +35,41 @@
     """
     headers = request.headers | {REQUEST_ID_HEADER: request.request_id}
     timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
+    url = f"http://{address}/{request.path.lstrip('/')}"
+    call = session.request(
+        request.method, url, data=request.body or None, headers=headers, timeout=timeout
+    )
     try:
-        async with session.request(
-            request.method,
-            f"http://{address}/{request.path.lstrip('/')}",
-            data=request.body or None,
-            headers=headers,
-            timeout=timeout,
-        ) as response:
+        async with await _uncancelled(call) as response:
             _check_head(response, request)
             yield response
     except aiohttp.ClientConnectorError as error:
         raise BackendError(f"no connection: {error}", Outcome.NOT_RUN) from error
-    except (TimeoutError, aiohttp.ClientError) as error:
+    except (aiohttp.ClientError, OSError) as error:  # TimeoutError is an OSError
         raise BackendError(f"connection broke: {error!r}", Outcome.UNKNOWN) from error
 
 
+async def _uncancelled(
+    call: Coroutine[Any, Any, aiohttp.ClientResponse],
+) -> aiohttp.ClientResponse:
+    """Await the head of an answer; when cancelled, let it come and close it then.
+
+    Cancelling aiohttp while it connects closes a socket that uvloop's transport still holds; the
+    next socket of that number then fails ("File descriptor is used by transport").
+    """
+    opening = asyncio.ensure_future(call)
+    try:
+        return await asyncio.shield(opening)
+    except asyncio.CancelledError:
+        opening.add_done_callback(_close_unwanted)
+        raise
+
+
+def _close_unwanted(opening: asyncio.Future[aiohttp.ClientResponse]) -> None:
+    if not opening.cancelled() and opening.exception() is None:
+        opening.result().close()
+
+
 def _check_head(response: aiohttp.ClientResponse, request: BackendRequest) -> None:
     if response.headers.get(OUTCOME_HEADER) == Outcome.NOT_RUN:
         retry_after = float(response.headers.get("Retry-After", "1"))
--- a/src/wharfcart/backends/interface.py
+++ b/src/wharfcart/backends/interface.py
@@ -79,8 +79,8 @@
         """
         ...
 
-    async def cancel(self, request_id: str) -> None:
-        """Stop a request; nothing happens if it ended."""
+    async def cancel(self, request_id: str) -> bool:
+        """Stop a request; return whether the back end was running it."""
         ...
 
     async def settle(self, request: BackendRequest) -> BackendPart | None:
--- a/src/wharfcart/batch/runner.py
+++ b/src/wharfcart/batch/runner.py
@@ -207,6 +207,10 @@
             self._waiting.appendleft(item)
         except ServingError as error:
             await self._item_failed(item, request, error)
+        except Exception as error:
+            # A defect of ours must not lose the item.
+            logger.exception("item failed", extra={"request": item.request_id})
+            await self._item_failed(item, request, BackendError(repr(error), Outcome.UNKNOWN))
         else:
             self._answered(item, part)
 
--- a/src/wharfcart/node/fleet.py
+++ b/src/wharfcart/node/fleet.py
@@ -153,6 +153,10 @@
         if running is not None and running.runner.owned is not owned:
             self._disown(backend.backend_id)
             running = None
+        if running is not None and running.task.done():
+            logger.error("batch runner ended", exc_info=running.task.exception())
+            del self._running[backend.backend_id]
+            running = None
         if running is None:
             runner = self._context.make_runner(owned)
             task = asyncio.get_running_loop().create_task(runner.run())
--- a/src/wharfcart/routing/owner.py
+++ b/src/wharfcart/routing/owner.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import logging
-from collections.abc import AsyncGenerator, Callable
+from collections.abc import AsyncGenerator, Callable, Coroutine
 from contextlib import aclosing
 from dataclasses import dataclass, field
+from typing import Any
 
 import aiohttp
 
@@ -19,7 +20,8 @@
 ENGINE_CAPACITY = Capacity(online=96, batch=48)
 APPLICATION_CAPACITY = Capacity(online=256, batch=16)
 RETRY_AFTER_S = 1.0
-EVERYTHING_STOPPED = "stopped for online work"
+STOP_TRIES = 8
+STOP_DELAY_S = 0.01
 
 logger = logging.getLogger(__name__)
 
@@ -49,6 +51,7 @@
         self._session = session
         self._batch_yielded = batch_yielded
         self.backends: dict[str, OwnedBackend] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
 
     # ---- which back ends ----
 
@@ -124,11 +127,24 @@
                 await asyncio.shield(owned.client.cancel(request.request_id))
 
     def _make_way(self, owned: OwnedBackend) -> None:
+        if owned.backend.kind is not BackendKind.ENGINE:
+            return  # an application call that began is short, and stopping it makes it unknown
         for request_id in owned.gate.batch_to_stop():
-            task = owned.batch_tasks.get(request_id)
-            if task is not None:
-                task.cancel(EVERYTHING_STOPPED)
-                self._batch_yielded()
+            self._batch_yielded()
+            self._spawn(self._stop_batch(owned, request_id))
+
+    async def _stop_batch(self, owned: OwnedBackend, request_id: str) -> None:
+        """Stop a batch request at the engine, whose answer then says that it was stopped.
+
+        The order may overtake the request itself, so it is repeated while the request runs.
+        """
+        task = owned.batch_tasks.get(request_id)
+        for attempt in range(1, STOP_TRIES + 1):
+            if task is None or task.done() or await owned.client.cancel(request_id):
+                return
+            await asyncio.sleep(STOP_DELAY_S * attempt)
+        if task is not None:
+            task.cancel()
 
     # ---- batch ----
 
@@ -147,12 +163,14 @@
         owned.batch_tasks[request.request_id] = task
         try:
             return await asyncio.shield(task)
+        except ServingError:
+            if owned.gate.is_stopping(request.request_id):
+                raise BatchStoppedError from None
+            raise
         except asyncio.CancelledError:
-            stopped_for_online = task.cancelled()
-            task.cancel()
-            await asyncio.shield(owned.client.cancel(request.request_id))
-            if stopped_for_online:
+            if task.cancelled():
                 raise BatchStoppedError from None
+            await asyncio.shield(self._stop_batch(owned, request.request_id))
             raise
         finally:
             owned.gate.end_batch(request.request_id)
@@ -163,3 +181,8 @@
     async def _collect(self, owned: OwnedBackend, request: BackendRequest) -> BackendPart:
         parts = [part async for part in owned.client.send(request)]
         return parts[-1]
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
