--- /dev/null
+++ b/src/wharfcart/experiments/journal_simulation.py
@@ -0,0 +1,689 @@
+"""Seeded simulator of one journal shard: the real cores under virtual time and faults.
+
+Runs :class:`wharfcart.storage.shard.Shard` on simulated disks and a simulated network that loses,
+delays, repeats and reorders messages, with crashes, pauses, partitions and lost disks drawn from
+the seed. Clients work through it and what they see goes into a :class:`History`, which a checker
+judges (:mod:`wharfcart.experiments.history`). Same seed, same run.
+"""
+
+import heapq
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from wharfcart.cluster.messages_pb2 import (
+    Command,
+    FileAppend,
+    FileSeal,
+    ItemResult,
+    ItemsComplete,
+    ItemsLease,
+    JobCancel,
+    JobCreate,
+    KeyFinish,
+    KeyStart,
+    LogEntry,
+    ProposeResult,
+    ReplicaMessage,
+    ReplicaSet,
+    Row,
+)
+from wharfcart.experiments.history import History, Operation
+from wharfcart.storage.replica import HardState, NotLeaderError
+from wharfcart.storage.shard import LOST_LEADERSHIP, ReadSnapshotRows, Shard
+from wharfcart.storage.shard_state import ItemState, RowKind
+from wharfcart.storage.writes import ShardRecord, ShardWrites
+
+TICK_S = 0.05
+WRITE_LEAST_S = 0.001
+WRITE_MOST_S = 0.02
+DELAY_LEAST_S = 0.0005
+DELAY_MOST_S = 0.02
+MEMBERSHIP_LAG_S = 1.0
+CLIENT_TIMEOUT_S = 0.3
+CLIENT_PAUSE_S = 0.02
+CLIENTS = 6
+SNAPSHOT_ROWS = 16
+LOG_ENTRIES = 40
+ROWS_A_JOB = 150
+KEYS = 60
+JOB = "job"
+FILE = "file"
+
+
+@dataclass(frozen=True)
+class FaultPlan:
+    """How much goes wrong; rates are events a simulated second."""
+
+    seconds: float = 20.0
+    settle_seconds: float = 12.0
+    loss: float = 0.02
+    repeat: float = 0.02
+    crash_rate: float = 0.2
+    pause_rate: float = 0.15
+    partition_rate: float = 0.15
+    disk_loss_rate: float = 0.05
+    longest_fault_s: float = 3.0
+    spares: int = 1
+
+
+@dataclass
+class _Disk:
+    """What one disk holds, as :class:`wharfcart.storage.database.Database` would."""
+
+    identity: str
+    record: ShardRecord | None = None
+    rows: dict[tuple[str, str, int], Row] = field(default_factory=dict)
+
+    def write(self, writes: ShardWrites) -> None:
+        record = self.record
+        assert record is not None
+        log = {entry.index: entry for entry in record.log}
+        base = (record.base_index, record.base_epoch, record.base_set)
+        applied = record.applied_index
+        installing = record.installing
+        if writes.begin_install:
+            log, self.rows, applied, installing = {}, {}, 0, True
+            base = (0, 0, record.base_set)
+        if writes.entries:
+            first = writes.entries[0].index
+            log = {index: entry for index, entry in log.items() if index < first}
+            log.update({entry.index: entry for entry in writes.entries})
+        self._write_rows(writes)
+        if writes.applied_index is not None:
+            applied = writes.applied_index
+        if writes.compact_to is not None:
+            base = self._compact(log, base, min(writes.compact_to, applied))
+        if writes.end_install is not None:
+            end = writes.end_install
+            base = (end.index, end.epoch, end.replica_set)
+            applied, installing = end.index, False
+        self.record = ShardRecord(
+            0,
+            writes.hard_state or record.hard_state,
+            *base,
+            applied,
+            installing,
+            [log[index] for index in sorted(log) if index > base[0]],
+        )
+
+    def _write_rows(self, writes: ShardWrites) -> None:
+        for row in writes.rows:
+            self.rows[(row.kind, row.id, row.number)] = row
+        for row in writes.deleted_rows:
+            self.rows.pop((row.kind, row.id, row.number), None)
+
+    def _compact(
+        self, log: dict[int, LogEntry], base: tuple[int, int, ReplicaSet], index: int
+    ) -> tuple[int, int, ReplicaSet]:
+        if index not in log:
+            return base
+        replica_set = base[2]
+        for number in sorted(log):
+            if number > index:
+                break
+            command = Command.FromString(log[number].command)
+            if command.WhichOneof("body") == "replica_set":
+                replica_set = command.replica_set
+        return (index, log[index].epoch, replica_set)
+
+
+@dataclass
+class _Machine:
+    """One machine: a disk that lasts and a process that does not."""
+
+    name: str
+    disk: _Disk
+    shard: Shard | None = None
+    paused: bool = False
+    generation: int = 0
+    backlog: list[Callable[[], None]] = field(default_factory=list)
+    writing: bool = False
+    gathering: ShardWrites | None = None
+    after_write: list[ReplicaMessage] = field(default_factory=list)
+    mark: tuple[int, int] | None = None
+    reload: bool = False
+    reads: list[ReadSnapshotRows] = field(default_factory=list)
+
+
+class JournalSimulation:
+    """One run."""
+
+    def __init__(self, seed: int, plan: FaultPlan) -> None:
+        self.random = random.Random(seed)
+        self.plan = plan
+        self.now = 0.0
+        self.history = History()
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._sequence = 0
+        self._token = 0
+        self._tokens: dict[int, Callable[[ProposeResult | None], None]] = {}
+        self._cut: set[frozenset[str]] = set()
+        self._healing = False
+        count = 3 + plan.spares
+        self.machines = [_Machine(f"m{n}", _Disk(f"m{n}-0")) for n in range(count)]
+        voters = [machine.disk.identity for machine in self.machines[:3]]
+        for machine in self.machines[:3]:
+            self._new_record(machine, voters)
+        for machine in self.machines:
+            self._start(machine)
+        self.later(TICK_S, self._tick_all)
+        self.later(0.5, self._tell_members)
+        self.later(0.5, self._next_fault)
+        self._clients = [_Client(self, number) for number in range(CLIENTS)]
+        for client in self._clients:
+            self.later(1.5 + 0.01 * client.number, client.next_step)
+
+    def run(self) -> History:
+        """Run to the end: faults, then a quiet time, then final reads."""
+        end = self.plan.seconds
+        self._run_until(end)
+        self._heal()
+        self._run_until(end + self.plan.settle_seconds)
+        for client in self._clients:
+            client.stopped = True
+        self._final_reads()
+        self._run_until(end + self.plan.settle_seconds + 3.0)
+        return self.history
+
+    # ---- events ----
+
+    def later(self, delay: float, work: Callable[[], None]) -> None:
+        """Run ``work`` after a delay of simulated time."""
+        self._sequence += 1
+        heapq.heappush(self._events, (self.now + delay, self._sequence, work))
+
+    def _run_until(self, end: float) -> None:
+        while self._events and self._events[0][0] <= end:
+            self.now, _, work = heapq.heappop(self._events)
+            work()
+        self.now = end
+
+    def _on(self, machine: _Machine, work: Callable[[], None]) -> None:
+        """Run ``work`` on a machine: later if it is paused, never if it restarted meanwhile."""
+        if machine.paused:
+            machine.backlog.append(work)
+        else:
+            work()
+
+    # ---- machines ----
+
+    def _new_record(self, machine: _Machine, voters: list[str]) -> None:
+        base = ReplicaSet(voters=voters, in_sync=voters)
+        machine.disk.record = ShardRecord(0, HardState(0, ""), 0, 0, base, 0, False, [])
+
+    def _start(self, machine: _Machine) -> None:
+        machine.generation += 1
+        machine.writing = False
+        machine.gathering = None
+        machine.after_write = []
+        machine.mark = None
+        machine.reload = False
+        machine.reads = []
+        machine.backlog = []
+        machine.paused = False
+        if machine.disk.record is None:
+            machine.shard = None
+            return
+        rows = [row for row in machine.disk.rows.values() if row.kind != RowKind.LINE]
+        machine.shard = Shard(
+            machine.disk.record, rows, machine.disk.identity, self.random, self.now, LOG_ENTRIES
+        )
+
+    def _crash(self, machine: _Machine) -> None:
+        machine.generation += 1
+        machine.shard = None
+        machine.paused = False
+        machine.backlog = []
+
+    def _lose_disk(self, machine: _Machine) -> None:
+        self._crash(machine)
+        machine.disk = _Disk(self._new_identity(machine))
+
+    def _new_identity(self, machine: _Machine) -> str:
+        base, number = machine.disk.identity.rsplit("-", 1)
+        return f"{base}-{int(number) + 1}"
+
+    def _tick_all(self) -> None:
+        for machine in self.machines:
+            if not machine.paused and machine.shard is not None:
+                machine.shard.tick(self.now)
+                self._collect(machine)
+        self.later(TICK_S, self._tick_all)
+
+    def _tell_members(self) -> None:
+        live = {m.disk.identity: m.name for m in self.machines if m.shard or not m.disk.record}
+        live = {
+            m.disk.identity: m.name
+            for m in self.machines
+            if m.disk.identity in live and not m.paused and (m.shard or m.disk.record is None)
+        }
+
+        def tell() -> None:
+            for machine in self.machines:
+                if machine.shard is not None and not machine.paused:
+                    machine.shard.storage_members(live, set(), self.now)
+                    self._collect(machine)
+
+        self.later(MEMBERSHIP_LAG_S, tell)
+        self.later(0.5, self._tell_members)
+
+    # ---- disk and network ----
+
+    def _collect(self, machine: _Machine) -> None:
+        shard = machine.shard
+        assert shard is not None
+        output = shard.take_output()
+        if output.dirty or output.send_after_write or output.reload:
+            gathering = machine.gathering or ShardWrites()
+            machine.gathering = _merge(gathering, output.writes)
+        machine.after_write.extend(output.send_after_write)
+        machine.mark = output.written_mark or machine.mark
+        machine.reload = machine.reload or output.reload
+        for message in output.send_now:
+            self._send(machine, message)
+        for answer in output.answers:
+            done = self._tokens.pop(answer.token, None)
+            if done is not None:
+                done(answer.result)
+        machine.reads.extend(output.reads)
+        self._write(machine)
+
+    def _write(self, machine: _Machine) -> None:
+        if machine.writing or machine.gathering is None:
+            return
+        writes, messages, mark, reload = (
+            machine.gathering,
+            machine.after_write,
+            machine.mark,
+            machine.reload,
+        )
+        machine.gathering, machine.after_write, machine.mark = None, [], None
+        machine.reload = False
+        reads, machine.reads = machine.reads, []
+        machine.writing = True
+        generation = machine.generation
+
+        def written() -> None:
+            # A crash before this moment loses the whole commit, as SQLite's does.
+            if machine.generation != generation:
+                return
+            machine.disk.write(writes)
+            for read in reads:
+                self._read_snapshot(machine, read)
+            self._on(machine, lambda: self._written(machine, generation, messages, mark, reload))
+
+        self.later(self.random.uniform(WRITE_LEAST_S, WRITE_MOST_S), written)
+
+    def _written(
+        self,
+        machine: _Machine,
+        generation: int,
+        messages: list[ReplicaMessage],
+        mark: tuple[int, int] | None,
+        reload: bool,
+    ) -> None:
+        if machine.generation != generation or machine.shard is None:
+            return
+        machine.writing = False
+        if reload:
+            machine.shard.reload(
+                [row for row in machine.disk.rows.values() if row.kind != RowKind.LINE]
+            )
+        for message in messages:
+            self._send(machine, message)
+        if mark is not None:
+            machine.shard.written(mark, self.now)
+        self._collect(machine)
+
+    def _read_snapshot(self, machine: _Machine, read: ReadSnapshotRows) -> None:
+        generation = machine.generation
+
+        def answer() -> None:
+            if machine.generation != generation or machine.shard is None:
+                return
+            keys = sorted(key for key in machine.disk.rows if key > read.after)[:SNAPSHOT_ROWS]
+            rows = [machine.disk.rows[key] for key in keys]
+            machine.shard.snapshot_rows_read(read.target, rows, self.now)
+            self._collect(machine)
+
+        self.later(0.005, lambda: self._on(machine, answer))
+
+    def _send(self, sender: _Machine, message: ReplicaMessage) -> None:
+        if self._lost():
+            return
+        copies = 2 if self.random.random() < self.plan.repeat and not self._healing else 1
+        for _ in range(copies):
+            delay = self.random.uniform(DELAY_LEAST_S, DELAY_MOST_S)
+            self.later(delay, lambda: self._deliver(sender.name, message))
+
+    def _lost(self) -> bool:
+        return not self._healing and self.random.random() < self.plan.loss
+
+    def _deliver(self, sender: str, message: ReplicaMessage) -> None:
+        for machine in self.machines:
+            if machine.disk.identity != message.target or self._is_cut(sender, machine.name):
+                continue
+            if machine.shard is None and machine.disk.record is None:
+                self._new_record(machine, [])
+                self._start(machine)
+            if machine.shard is not None:
+                self._on(machine, lambda m=machine: self._receive(m, message))  # type: ignore[misc]
+
+    def _receive(self, machine: _Machine, message: ReplicaMessage) -> None:
+        if machine.shard is not None:
+            machine.shard.receive(message, self.now)
+            self._collect(machine)
+
+    def _is_cut(self, one: str, other: str) -> bool:
+        return frozenset((one, other)) in self._cut
+
+    # ---- faults ----
+
+    def _next_fault(self) -> None:
+        if self._healing:
+            return
+        plan = self.plan
+        rates = {
+            self._fault_crash: plan.crash_rate,
+            self._fault_pause: plan.pause_rate,
+            self._fault_partition: plan.partition_rate,
+            self._fault_disk: plan.disk_loss_rate,
+        }
+        for fault, rate in rates.items():
+            if self.random.random() < rate * 0.5:
+                fault()
+        self.later(0.5, self._next_fault)
+
+    def _victim(self) -> _Machine:
+        return self.random.choice(self.machines)
+
+    def _duration(self) -> float:
+        return self.random.uniform(0.05, self.plan.longest_fault_s)
+
+    def _fault_crash(self) -> None:
+        machine = self._victim()
+        self._crash(machine)
+        generation = machine.generation
+        self.later(self._duration(), lambda: self._restart(machine, generation))
+
+    def _restart(self, machine: _Machine, generation: int) -> None:
+        if machine.generation == generation:
+            self._start(machine)
+
+    def _fault_pause(self) -> None:
+        machine = self._victim()
+        if machine.shard is None or machine.paused:
+            return
+        machine.paused = True
+        generation = machine.generation
+        self.later(self._duration(), lambda: self._resume(machine, generation))
+
+    def _resume(self, machine: _Machine, generation: int) -> None:
+        if machine.generation != generation or not machine.paused:
+            return
+        machine.paused = False
+        backlog, machine.backlog = machine.backlog, []
+        for work in backlog:
+            work()
+
+    def _fault_partition(self) -> None:
+        one, other = self.random.sample([m.name for m in self.machines], 2)
+        pair = frozenset((one, other))
+        self._cut.add(pair)
+        self.later(self._duration(), lambda: self._cut.discard(pair))
+
+    def _fault_disk(self) -> None:
+        # One disk at a time, and only while the others hold what was acknowledged: the design
+        # note says which losses are survived, and this simulates just those.
+        machine = self._victim()
+        if not self._may_lose(machine):
+            return
+        self._lose_disk(machine)
+        self._start(machine)
+
+    def _may_lose(self, machine: _Machine) -> bool:
+        """Whether a majority of the newest committed voters keeps its disk."""
+        leaders = [m for m in self.machines if m.shard is not None and m.shard.leads]
+        if not leaders:
+            return False
+        newest = max(leaders, key=lambda m: m.shard.replica.epoch if m.shard else 0)
+        assert newest.shard is not None
+        replica = newest.shard.replica
+        voters = set(replica.replica_set.voters)
+        present = {m.disk.identity for m in self.machines if m.disk.record is not None}
+        remaining = (voters & present) - {machine.disk.identity}
+        settled = replica.commit_index >= replica.replica_set_index
+        return settled and len(voters) >= 3 and len(remaining) * 2 > len(voters)
+
+    def _heal(self) -> None:
+        self._healing = True
+        self._cut.clear()
+        for machine in self.machines:
+            if machine.paused:
+                self._resume(machine, machine.generation)
+            if machine.shard is None and machine.disk.record is not None:
+                self._start(machine)
+
+    # ---- clients' access ----
+
+    def propose(
+        self, machine: _Machine, command: Command, done: Callable[[ProposeResult | None], None]
+    ) -> None:
+        """Send a command to a machine; ``done`` gets the answer, or None if it cannot lead."""
+        if self._lost():
+            return
+
+        def arrive() -> None:
+            if machine.shard is None:
+                return
+            self._token += 1
+            token = self._token
+            self._tokens[token] = lambda result: self._answer(done, result)
+            try:
+                machine.shard.propose([(token, command)], self.now)
+            except NotLeaderError:
+                del self._tokens[token]
+                self._answer(done, None)
+                return
+            self._collect(machine)
+
+        delay = self.random.uniform(DELAY_LEAST_S, DELAY_MOST_S)
+        self.later(delay, lambda: self._on(machine, arrive))
+
+    def read(self, machine: _Machine, done: Callable[[Shard | None], None]) -> None:
+        """Read a machine's memory if it holds the lease; ``done`` gets the shard or None."""
+
+        def arrive() -> None:
+            shard = machine.shard
+            if shard is None:
+                return
+            done(shard if shard.replica.lease_valid(self.now) else None)
+
+        delay = self.random.uniform(DELAY_LEAST_S, DELAY_MOST_S)
+        self.later(delay, lambda: self._on(machine, arrive))
+
+    def _answer(
+        self, done: Callable[[ProposeResult | None], None], result: ProposeResult | None
+    ) -> None:
+        if not self._lost():
+            delay = self.random.uniform(DELAY_LEAST_S, DELAY_MOST_S)
+            self.later(delay, lambda: done(result))
+
+    def _final_reads(self) -> None:
+        leaders = [m for m in self.machines if m.shard is not None and m.shard.leads]
+        self.history.has_leader = bool(leaders)
+        for machine in leaders:
+            shard = machine.shard
+            if shard is not None and shard.replica.lease_valid(self.now):
+                record_reads(self.history, shard, self.now, self.now)
+
+
+def _merge(known: ShardWrites, new: ShardWrites) -> ShardWrites:
+    if new.begin_install:
+        new.hard_state = new.hard_state or known.hard_state
+        return new
+    known.hard_state = new.hard_state or known.hard_state
+    known.add_entries(new.entries)
+    known.rows.extend(new.rows)
+    known.deleted_rows.extend(new.deleted_rows)
+    if new.applied_index is not None:
+        known.applied_index = new.applied_index
+    known.compact_to = new.compact_to or known.compact_to
+    known.end_install = new.end_install or known.end_install
+    return known
+
+
+def record_reads(history: History, shard: Shard, begun: float, ended: float) -> None:
+    """Record what a reader sees of every key and item."""
+    for number in range(KEYS):
+        record = shard.state.keys.get(f"key-{number}")
+        value = None if record is None else (record.start.request_id, record.state)
+        history.add(Operation("read_key", f"key-{number}", begun, ended, value))
+    job = shard.state.jobs.get(JOB)
+    if job is None:
+        return
+    for row, state in enumerate(job.states):
+        history.add(Operation("read_item", str(row), begun, ended, ItemState(state).name))
+    history.add(Operation("read_cancelled", JOB, begun, ended, job.cancelled))
+
+
+class _Client:
+    """Does one thing after another through whichever machine it believes leads."""
+
+    def __init__(self, simulation: JournalSimulation, number: int) -> None:
+        self.simulation = simulation
+        self.number = number
+        self.stopped = False
+        self._step = 0
+        self._attempt = 0
+        self._cancelled = False
+
+    def next_step(self) -> None:
+        if self.stopped:
+            return
+        self._step += 1
+        simulation = self.simulation
+        roll = simulation.random.random()
+        if self.number == 0 and self._step <= 3:
+            self._prepare_job()
+        elif roll < 0.25:
+            self._read()
+        elif roll < 0.55:
+            self._use_key()
+        elif roll < 0.97 or simulation.now < simulation.plan.seconds * 0.6:
+            self._run_items()
+        else:
+            cancel = Command(job_cancel=JobCancel(job_id=JOB, tenant="t"))
+            self._propose("cancel", JOB, cancel, None)
+
+    def _prepare_job(self) -> None:
+        commands = [
+            Command(
+                file_append=FileAppend(
+                    file_id=FILE,
+                    tenant="t",
+                    lines=[b"{}"] * ROWS_A_JOB,
+                    classes=bytes(ROWS_A_JOB),
+                    service_names=["s"],
+                )
+            ),
+            Command(file_seal=FileSeal(file_id=FILE, tenant="t", rows=ROWS_A_JOB)),
+            Command(job_create=JobCreate(job_id=JOB, tenant="t", file_id=FILE)),
+        ]
+        command = commands[self._step - 1]
+        self._propose("prepare", str(self._step), command, None, until_done=True)
+
+    def _use_key(self) -> None:
+        name = f"key-{self.simulation.random.randrange(KEYS)}"
+        request_id = f"c{self.number}-{self._step}"
+        start = KeyStart(key=name, digest="d", request_id=request_id)
+
+        def started(result: ProposeResult | None) -> None:
+            if result is None or result.code != "ok":
+                self.simulation.later(CLIENT_PAUSE_S, self.next_step)
+            else:
+                finish = KeyFinish(
+                    key=name, request_id=request_id, state="completed", response=b"answer"
+                )
+                self._propose("finish", name, Command(key_finish=finish), request_id)
+
+        self._propose("start", name, Command(key_start=start), request_id, started)
+
+    def _run_items(self) -> None:
+        row = self.simulation.random.randrange(ROWS_A_JOB)
+        lease_id = f"c{self.number}-{self._step}"
+        lease = ItemsLease(lease_id=lease_id, job_id=JOB, holder=str(self.number), rows=[row])
+
+        def leased(result: ProposeResult | None) -> None:
+            # A completion is tried even without a lease, as a holder that lost it would.
+            outcome = ItemResult(row=row, body=lease_id.encode())
+            complete = ItemsComplete(job_id=JOB, lease_id=lease_id, results=[outcome])
+            self._propose("complete", str(row), Command(items_complete=complete), lease_id)
+
+        self._propose("lease", str(row), Command(items_lease=lease), lease_id, leased)
+
+    def _read(self) -> None:
+        begun = self.simulation.now
+        simulation = self.simulation
+
+        def seen(shard: Shard | None) -> None:
+            if shard is not None:
+                record_reads(simulation.history, shard, begun, simulation.now)
+
+        simulation.read(self._machine(), seen)
+        simulation.later(CLIENT_PAUSE_S, self.next_step)
+
+    def _machine(self) -> _Machine:
+        machines = self.simulation.machines
+        leaders = [m for m in machines if m.shard is not None and m.shard.leads]
+        if leaders and self.simulation.random.random() < 0.8:
+            return self.simulation.random.choice(leaders)
+        return self.simulation.random.choice(machines)
+
+    def _propose(
+        self,
+        kind: str,
+        target: str,
+        command: Command,
+        value: str | None,
+        then: Callable[[ProposeResult | None], None] | None = None,
+        until_done: bool = False,
+    ) -> None:
+        simulation = self.simulation
+        # The wall clock steps back and forth: nothing may rest on it.
+        command.at_ms = max(1, int(1e6 + simulation.random.uniform(-5e5, 5e5)))
+        begun = simulation.now
+        self._attempt += 1
+        attempt = self._attempt
+
+        def done(result: ProposeResult | None) -> None:
+            if attempt != self._attempt:
+                return
+            self._attempt += 1
+            unknown = result is None or result.code == LOST_LEADERSHIP
+            if not unknown and result is not None:
+                self._record(kind, target, begun, value, result)
+            if unknown and until_done:
+                self._step -= 1
+            if then is not None and not unknown:
+                then(result)
+            else:
+                simulation.later(CLIENT_PAUSE_S, self.next_step)
+
+        def timed_out() -> None:
+            if attempt == self._attempt:
+                self._attempt += 1
+                if until_done:
+                    self._step -= 1
+                simulation.later(CLIENT_PAUSE_S, self.next_step)
+
+        simulation.propose(self._machine(), command, done)
+        simulation.later(CLIENT_TIMEOUT_S, timed_out)
+
+    def _record(
+        self, kind: str, target: str, begun: float, value: str | None, result: ProposeResult
+    ) -> None:
+        seen: object = (result.code, result.key_record.start.request_id, result.accepted)
+        operation = Operation(kind, target, begun, self.simulation.now, seen, value)
+        self.simulation.history.add(operation)
--- a/src/wharfcart/storage/journal.py
+++ b/src/wharfcart/storage/journal.py
@@ -49,6 +49,7 @@
     messages: list[ReplicaMessage] = field(default_factory=list)
     marks: dict[int, tuple[int, int]] = field(default_factory=dict)
     reloads: set[int] = field(default_factory=set)
+    reads: list[tuple[Shard, ReadSnapshotRows]] = field(default_factory=list)
 
 
 class Journal:
@@ -276,6 +277,8 @@
         for number in group.reloads:
             self.shards[number].reload(await self._read_memory_rows(number))
             self._collect(self.shards[number])
+        for shard, read in group.reads:
+            self._spawn(self._read_snapshot(shard, read))
         self._send_all(group.messages)
         now = self._loop.time()
         for number, mark in group.marks.items():
@@ -296,6 +299,7 @@
         group.marks.update(newer.marks)
         group.messages.extend(newer.messages)
         group.reloads.update(newer.reloads)
+        group.reads.extend(newer.reads)
         self._work.set()
 
     # ---- carrying out ----
@@ -314,8 +318,7 @@
             self._work.set()
         self._send_all(output.send_now)
         self._resolve(output)
-        for read in output.reads:
-            self._spawn(self._read_snapshot(shard, read))
+        self._gathering.reads.extend((shard, read) for read in output.reads)
         self._tell_changes(shard, output)
 
     def _merge_writes(self, number: int, new: ShardWrites) -> None:
--- a/src/wharfcart/storage/replica.py
+++ b/src/wharfcart/storage/replica.py
@@ -127,6 +127,7 @@
     match_index: int = 0
     heard_at: float = 0.0
     sent_at: float = 0.0
+    sent_from: int = 0
     in_flight: bool = False
     acknowledged_round_sent_at: float = -1.0
     snapshot_running: bool = False
@@ -163,6 +164,7 @@
     role: Role = Role.FOLLOWER
     leader: str = ""
     installing: bool = False
+    most_log_entries: int = MOST_LOG_ENTRIES
     _persisted_index: int = 0
     _log_bytes: int = 0
     _sets: list[tuple[int, ReplicaSet]] = field(default_factory=list)
@@ -505,6 +507,8 @@
         self._heard_leader_at = now
         self._reset_election(now)
         if self.installing:
+            # Answer all the same: a leader that hears nobody steps down and begins it anew.
+            actions.append(self._append_response(message.sender, False, 0, request.round))
             return actions
         previous_epoch = self._epoch_at(request.previous_index)
         if request.previous_index < self.base_index:
@@ -554,7 +558,7 @@
         return [Apply(entries), *self._compact()]
 
     def _compact(self) -> list[ReplicaAction]:
-        if len(self.log) <= MOST_LOG_ENTRIES and self._log_bytes <= MOST_LOG_BYTES:
+        if len(self.log) <= self.most_log_entries and self._log_bytes <= MOST_LOG_BYTES:
             return []
         keep_from = self.commit_index
         if self.role is Role.LEADER:
@@ -619,10 +623,16 @@
     def _replicate(self, peer: str, now: float, heartbeat: bool = False) -> list[ReplicaAction]:
         progress = self._progress[peer]
         if progress.in_flight and now - progress.sent_at > RESEND_S:
+            # Back to what was sent last, not to the last acknowledged index: a new leader knows no
+            # acknowledgement yet, and would begin a snapshot that empties a replica in sync.
             progress.in_flight = False
-            progress.next_index = progress.match_index + 1
+            progress.next_index = min(progress.next_index, progress.sent_from)
         if progress.snapshot_running:
             return [self._append(peer, self.last_index, ())] if heartbeat else []
+        if peer in self.replica_set.in_sync:
+            # One in sync holds everything committed, so it matches at the base at the latest. A
+            # snapshot would empty it while its acknowledgements count.
+            progress.next_index = max(progress.next_index, self.base_index + 1)
         if progress.next_index <= self.base_index:
             progress.snapshot_running = True
             return [StartSnapshot(peer)]
@@ -635,6 +645,7 @@
         if entries:
             progress.in_flight = True
             progress.sent_at = now
+            progress.sent_from = progress.next_index
             progress.next_index = entries[-1].index + 1
         return [self._append(peer, previous, entries)]
 
@@ -722,13 +733,34 @@
             for peer in replica_set.in_sync
             if peer in self._progress and now - self._progress[peer].heard_at > self._patience(peer)
         ]
-        fewest = max(FEWEST_COPIES, len(replica_set.voters) // 2 + 1)
-        if not silent or len(replica_set.in_sync) - len(silent) < fewest:
+        if not silent:
             return []
-        # Several drops may be outstanding: each later set is a subset, which stays a majority.
         keep = [peer for peer in replica_set.in_sync if peer not in silent]
+        # A voter that has caught up takes a silent one's place in the same entry: with two in sync,
+        # dropping the silent one first would leave a single copy.
+        keep.extend(self._ready_to_join(now))
+        if len(keep) < max(FEWEST_COPIES, len(replica_set.voters) // 2 + 1):
+            return []
         return self._change_set(list(replica_set.voters), keep, now)
 
+    def _ready_to_join(self, now: float) -> list[str]:
+        """Voters outside the in-sync set that answer and hold everything committed."""
+        return [
+            peer
+            for peer in self.replica_set.voters
+            if peer in self._progress
+            and peer not in self.replica_set.in_sync
+            and now - self._progress[peer].heard_at <= self._patience(peer)
+            and self._caught_up(peer)
+        ]
+
+    def _in_sync_all_answer(self, now: float) -> bool:
+        return all(
+            now - self._progress[peer].heard_at <= self._patience(peer)
+            for peer in self.replica_set.in_sync
+            if peer in self._progress
+        )
+
     def _patience(self, peer: str) -> float:
         known_gone = self._live_storage and peer not in self._live_storage
         return IN_SYNC_TIMEOUT_LEAVING_S if known_gone else IN_SYNC_TIMEOUT_S
@@ -745,6 +777,9 @@
         """Replace a voter whose identity has been gone for a while by a spare."""
         if not self._live_storage or not self._set_settled():
             return []
+        # Fewer voters need more of them to answer: never shrink while one in sync is silent.
+        if not self._in_sync_all_answer(now):
+            return []
         replica_set = self.replica_set
         voters = list(replica_set.voters)
         if len(voters) < FEWEST_COPIES + 1:
--- a/src/wharfcart/storage/shard.py
+++ b/src/wharfcart/storage/shard.py
@@ -19,6 +19,7 @@
     SnapshotResponse,
 )
 from wharfcart.storage.replica import (
+    MOST_LOG_ENTRIES,
     Apply,
     CompactLog,
     NotLeaderError,
@@ -44,7 +45,11 @@
 
 @dataclass(frozen=True)
 class ReadSnapshotRows:
-    """Ask the driver for the rows after a key, for a snapshot to ``target``."""
+    """Ask the driver for the rows after a key, for a snapshot to ``target``.
+
+    To be read after this output's writes are on disk: the snapshot's index counts rows as present
+    that still wait for a group commit when it begins.
+    """
 
     target: str
     after: RowKey
@@ -79,15 +84,16 @@
     index: int
     epoch: int
     replica_set: ReplicaSet
+    stream: int
     sequence: int = 0
     after: RowKey = FIRST_ROW
-    stepped_at: float = 0.0
+    stepped_at: float | None = None
 
 
 @dataclass
 class _IncomingSnapshot:
-    sender: str
-    index: int
+    epoch: int
+    stream: int
     next_sequence: int = 0
 
 
@@ -101,6 +107,7 @@
         identity: str,
         random: RandomSource,
         now: float,
+        most_log_entries: int = MOST_LOG_ENTRIES,
     ) -> None:
         self.number = record.shard
         self.replica = Replica(
@@ -116,12 +123,15 @@
             base_epoch=record.base_epoch,
             commit_index=record.applied_index,
             installing=record.installing,
+            most_log_entries=most_log_entries,
         )
         self.state = ShardState()
         self.state.load(rows, record.applied_index)
         self._output = ShardOutput()
         self._waiting: dict[int, tuple[int, int]] = {}  # index -> epoch, token
         self._outgoing: dict[str, _OutgoingSnapshot] = {}
+        self._streams = 0
+        self._newest_stream = (0, 0)  # epoch and number of the newest snapshot begun here
         self._incoming: _IncomingSnapshot | None = None
         self._installed: InstalledBase | None = None
 
@@ -135,6 +145,7 @@
         output = self._output
         self._output = ShardOutput()
         rows, deleted = self.state.take_changes()
+        output.dirty = output.dirty or bool(output.reads)
         if rows or deleted:
             output.writes.rows.extend(rows)
             output.writes.deleted_rows.extend(deleted)
@@ -148,6 +159,8 @@
         """Advance timers."""
         self._carry_out(self.replica.tick(now))
         for target, snapshot in list(self._outgoing.items()):
+            if snapshot.stepped_at is None:
+                snapshot.stepped_at = now
             if now - snapshot.stepped_at > SNAPSHOT_STEP_TIMEOUT_S:
                 del self._outgoing[target]
                 self._carry_out(self.replica.snapshot_sent(target, 0, now))
@@ -234,7 +247,9 @@
         index = self.state.applied_index
         entry = replica.entry(index)
         epoch = entry.epoch if entry is not None else replica.base_epoch
-        self._outgoing[target] = _OutgoingSnapshot(index, epoch, replica.replica_set)
+        self._streams += 1
+        replica_set = replica.replica_set
+        self._outgoing[target] = _OutgoingSnapshot(index, epoch, replica_set, self._streams)
         self._output.reads.append(ReadSnapshotRows(target, FIRST_ROW))
 
     def snapshot_rows_read(self, target: str, rows: list[Row], now: float) -> None:
@@ -249,6 +264,7 @@
         chunk = SnapshotChunk(
             snapshot_index=snapshot.index,
             snapshot_epoch=snapshot.epoch,
+            stream=snapshot.stream,
             sequence=snapshot.sequence,
             rows=rows,
             last=not rows,
@@ -261,7 +277,9 @@
     def _chunk_answered(self, message: ReplicaMessage, now: float) -> None:
         response = message.snapshot_response
         snapshot = self._outgoing.get(message.sender)
-        if snapshot is None or response.sequence != snapshot.sequence:
+        if snapshot is None or response.stream != snapshot.stream:
+            return
+        if response.sequence != snapshot.sequence:
             return
         if response.last:
             del self._outgoing[message.sender]
@@ -277,17 +295,18 @@
         if message.epoch < self.replica.epoch or message.target != self.replica.identity:
             return
         incoming = self._incoming
-        if chunk.sequence == 0:
-            incoming = _IncomingSnapshot(message.sender, chunk.snapshot_index)
+        if chunk.sequence == 0 and self._wants_snapshot(message.epoch, chunk):
+            incoming = _IncomingSnapshot(message.epoch, chunk.stream)
             self._incoming = incoming
+            self._newest_stream = (message.epoch, chunk.stream)
             self.replica.installing = True
             self._output.writes = ShardWrites(
                 hard_state=self._output.writes.hard_state, begin_install=True
             )
             self._output.written_mark = None
-        if incoming is None or incoming.sender != message.sender:
+        if incoming is None or (incoming.epoch, incoming.stream) != (message.epoch, chunk.stream):
             return
-        if incoming.index != chunk.snapshot_index or incoming.next_sequence != chunk.sequence:
+        if incoming.next_sequence != chunk.sequence:
             return
         incoming.next_sequence += 1
         self._output.writes.rows.extend(chunk.rows)
@@ -295,11 +314,20 @@
         if chunk.last:
             self._end_install(chunk)
         response = SnapshotResponse(
-            snapshot_index=chunk.snapshot_index, sequence=chunk.sequence, last=chunk.last
+            snapshot_index=chunk.snapshot_index,
+            sequence=chunk.sequence,
+            last=chunk.last,
+            stream=chunk.stream,
         )
         answer = self._message(message.sender, snapshot_response=response)
         self._output.send_after_write.append(answer)
 
+    def _wants_snapshot(self, epoch: int, chunk: SnapshotChunk) -> bool:
+        """Whether a first chunk begins something new: a late copy must not empty the replica."""
+        if chunk.snapshot_index <= self.replica.commit_index and not self.replica.installing:
+            return False
+        return (epoch, chunk.stream) > self._newest_stream
+
     def _end_install(self, chunk: SnapshotChunk) -> None:
         replica_set = ReplicaSet(voters=chunk.voters, in_sync=chunk.in_sync)
         base = InstalledBase(chunk.snapshot_index, chunk.snapshot_epoch, replica_set)
