Simulated disk no longer shares its log with the replica's memory

The simulator handed the disk's list of entries to the replica, which trimmed and grew it; so the 'disk' lost entries at a compaction, and gained some before a write. Ruled out by the trace: the replica acknowledged only what was written. Change: a shard copies the log it starts from.

--- a/src/wharfcart/storage/shard.py
+++ b/src/wharfcart/storage/shard.py
@@ -118,7 +118,7 @@
             base_set=record.base_set,
             epoch=record.hard_state.epoch,
             voted_for=record.hard_state.voted_for,
-            log=record.log,
+            log=list(record.log),
             base_index=record.base_index,
             base_epoch=record.base_epoch,
             commit_index=record.applied_index,
