Real processes under failure: eleven scenarios, and a fleet of separate processes

Change: a process fleet (emulator and nodes, each a process), pytest-bdd scenarios: planned stop, process rules, leader killed, node killed with items in flight, disk lost, leader frozen, key-value outage through a whole job, lost answer, racing operators, leaving back end, main job on nine processes. Ports come from below the range of outgoing connections.

--- a/src/wharfcart/admin/handlers.py
+++ b/src/wharfcart/admin/handlers.py
@@ -110,13 +110,14 @@
     async def status(self, request: Request) -> HTTPResponse:
         """Return what every live node says of itself."""
         nodes = await self._context.node_statuses()
-        leaders = await self._context.shard_leaders()
+        replicas = self._context.shard_replicas()
         return json(
             {
                 "configuration_revision": self._context.configuration.revision,
                 "nodes": [_status_object(node) for node in nodes],
                 "shards": [
-                    {"shard": shard, "leader": leader} for shard, leader in sorted(leaders.items())
+                    {"shard": shard, "replicas": identities}
+                    for shard, identities in sorted(replicas.items())
                 ],
             }
         )
@@ -250,7 +251,8 @@
     answer: dict[str, Any] = {
         "node_id": node.node_id,
         "zone": node.zone,
-        "storage": node.storage,
+        "storage": bool(node.storage_identity),
+        "storage_identity": node.storage_identity,
         "answers": view is not None,
     }
     if view is not None:
--- a/src/wharfcart/admin/interface.py
+++ b/src/wharfcart/admin/interface.py
@@ -13,7 +13,7 @@
 
     node_id: str
     zone: str
-    storage: bool
+    storage_identity: str
     view: FleetView | None
 
 
@@ -24,4 +24,4 @@
     configuration: RevisionedMap
     take_entries: Callable[[Iterable[Entry], int], None]
     node_statuses: Callable[[], Awaitable[list[NodeStatus]]]
-    shard_leaders: Callable[[], Awaitable[dict[int, str]]]
+    shard_replicas: Callable[[], dict[int, list[str]]]
--- a/src/wharfcart/emulator/faults.py
+++ b/src/wharfcart/emulator/faults.py
@@ -21,6 +21,9 @@
     lost_answers: int = Field(
         default=0, ge=0, description="so many next calls take effect and get no answer"
     )
+    lost_writes: int = Field(
+        default=0, ge=0, description="the same, but only calls that write (key-value service)"
+    )
     refuse_part: float = Field(default=0.0, ge=0, le=1, description="part of calls answered 503")
     cut_streams: int = Field(default=0, ge=0, description="so many next streams end halfway")
     slow_factor: float = Field(default=1.0, gt=0, description="multiplies modelled times")
@@ -50,8 +53,11 @@
             return web.json_response({"error": "refused"}, status=503, headers=headers)
         return None
 
-    def after(self, request: web.Request) -> None:
+    def after(self, request: web.Request, writes: bool = False) -> None:
         """Apply faults that strike after the effect."""
+        if writes and self.faults.lost_writes > 0:
+            self.faults.lost_writes -= 1
+            drop_connection(request)
         if self.faults.lost_answers > 0:
             self.faults.lost_answers -= 1
             drop_connection(request)
--- a/src/wharfcart/emulator/key_value_server.py
+++ b/src/wharfcart/emulator/key_value_server.py
@@ -74,9 +74,9 @@
                 return web.json_response({"error": "rate limit"}, status=429)
             self._expire_leases()
             answer = handler(await request.json())
-            self.switch.after(request)
             async with self._changed:
                 self._changed.notify_all()
+            self.switch.after(request, writes=request.path.endswith("/txn"))
             return web.json_response(answer)
 
         return limited
--- a/src/wharfcart/experiments/dev_fleet.py
+++ b/src/wharfcart/experiments/dev_fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+import random
 import shutil
 import socket
 import tempfile
@@ -19,22 +20,38 @@
 STORAGE_NODES = 3
 START_TIMEOUT_S = 30.0
 POLL_S = 0.05
+FIRST_PORT = 12_000
+LAST_PORT = 32_000
+
+
+def free_ports(count: int) -> int:
+    """Return the first of ``count`` loopback ports in a row, free for TCP and UDP now.
+
+    They lie below the range from which the kernel takes ports of outgoing connections, so that no
+    client's connection can take one before its server starts.
+    """
+    while True:
+        first = random.randrange(FIRST_PORT, LAST_PORT - count)
+        if all(_is_free(port) for port in range(first, first + count)):
+            return first
+
+
+def _is_free(port: int) -> bool:
+    with (
+        socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp,
+        socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp,
+    ):
+        try:
+            tcp.bind(("127.0.0.1", port))
+            udp.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
 
 
 def free_endpoint() -> str:
     """Return a loopback address that is free for TCP and UDP now."""
-    while True:
-        with (
-            socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp,
-            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp,
-        ):
-            tcp.bind(("127.0.0.1", 0))
-            port = tcp.getsockname()[1]
-            try:
-                udp.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            return f"127.0.0.1:{port}"
+    return f"127.0.0.1:{free_ports(1)}"
 
 
 class DevFleet:
--- a/src/wharfcart/experiments/main_job.py
+++ b/src/wharfcart/experiments/main_job.py
@@ -186,6 +186,12 @@
         return await self._call("POST", "/v1/batches", json=body, headers=headers)
 
     async def _cancel(self, job_id: str) -> None:
+        """Cancel a job while some of its items run."""
+        job = await self._call("GET", f"/v1/batches/{job_id}")
+        waited = time.monotonic()
+        while not job["item_counts"]["completed"] and time.monotonic() - waited < JOB_TIMEOUT_S:
+            await asyncio.sleep(POLL_S / 4)
+            job = await self._call("GET", f"/v1/batches/{job_id}")
         started = time.monotonic()
         job = await self._call("POST", f"/v1/batches/{job_id}/cancel")
         while (
--- a/src/wharfcart/node/node.py
+++ b/src/wharfcart/node/node.py
@@ -208,7 +208,7 @@
             self._spreading.configuration,
             self._spreading.take_configuration,
             self._node_statuses,
-            self._shard_leaders,
+            self._shard_replicas,
         )
         self.gateway.add_routes(AdminHandlers(admin, self._store).routes())
 
@@ -404,7 +404,7 @@
             else:
                 async with limit:
                     view = await self._ask_view(Address(member.host, member.port))
-            return NodeStatus(member.node_id, member.zone, bool(member.storage_identity), view)
+            return NodeStatus(member.node_id, member.zone, member.storage_identity, view)
 
         members = sorted(self._gossip.membership.live(), key=lambda member: member.node_id)
         return list(await asyncio.gather(*(ask(member) for member in members)))
@@ -417,10 +417,9 @@
             return None
         return answer.fleet_view
 
-    async def _shard_leaders(self) -> dict[int, str]:
-        """Return the replicas of each shard; operators read leaders from the nodes' views."""
+    def _shard_replicas(self) -> dict[int, list[str]]:
         shards = self._spreading.placement.shards
-        return {shard: ",".join(placement.replicas) for shard, placement in shards.items()}
+        return {shard: list(placement.replicas) for shard, placement in shards.items()}
 
     async def _metrics_loop(self) -> None:
         while True:
--- /dev/null
+++ b/tests/integration/conftest.py
@@ -0,0 +1,483 @@
+"""Steps over fleets of separate processes."""
+
+import asyncio
+import json
+import os
+import shutil
+import signal
+from collections.abc import Coroutine, Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, TypeVar
+
+import aiohttp
+import pytest
+from pytest_bdd import given, parsers, then, when
+
+from tests.integration.clients import Client, Effect
+from wharfcart.emulator.engine_core import answer_text
+from wharfcart.experiments.example_fleets import Profile
+from wharfcart.experiments.main_job import MainJob, Target
+from wharfcart.experiments.process_fleet import NodeProcess, ProcessFleet
+
+EFFECTS = 60
+BATCH_ITEMS = 1500
+FREEZE_S = 4.0
+WAIT_S = 30.0
+POLL_S = 0.1
+
+_Value = TypeVar("_Value")
+
+
+@dataclass
+class World:
+    """What the steps of one scenario share."""
+
+    fleet: ProcessFleet
+    victim: NodeProcess | None = None
+    exit_code: int | None = None
+    streams: list[bool] = field(default_factory=list)
+    effects: list[Effect] = field(default_factory=list)
+    job_id: str = ""
+    items: list[str] = field(default_factory=list)
+    answers: list[tuple[int, dict[str, Any]]] = field(default_factory=list)
+    passed: bool = False
+
+
+def run(work: Coroutine[Any, Any, _Value]) -> _Value:
+    return asyncio.run(work)
+
+
+@pytest.fixture
+def fleets() -> Iterator[list[ProcessFleet]]:
+    started: list[ProcessFleet] = []
+    yield started
+    for fleet in started:
+        fleet.stop()
+
+
+@given(parsers.parse("a fleet of {count:d} nodes"), target_fixture="world")
+def a_fleet(count: int, fleets: list[ProcessFleet]) -> World:
+    fleet = ProcessFleet(Profile.REGISTRATION, count)
+    fleets.append(fleet)
+    run(fleet.start())
+    return World(fleet)
+
+
+async def until(condition: Any) -> None:
+    """Wait until an async condition holds."""
+    async with asyncio.timeout(WAIT_S):
+        while not await condition():
+            await asyncio.sleep(POLL_S)
+
+
+async def busiest_leader(fleet: ProcessFleet, url: str | None = None) -> NodeProcess:
+    return (await fleet.leaders(url))[0]
+
+
+# ---- planned stop ----
+
+
+@when("streams run through a node while it gets SIGTERM")
+def streams_and_sigterm(world: World) -> None:
+    async def scenario() -> None:
+        client = Client(world.fleet)
+        world.victim = world.fleet.nodes[0]
+        url = world.victim.url
+        tasks = [asyncio.create_task(client.stream(url, f"q{n}")) for n in range(24)]
+        await until(lambda: _in_flight(world.fleet))
+        world.fleet.send_signal(world.victim, signal.SIGTERM)
+        world.streams = list(await asyncio.gather(*tasks))
+        world.exit_code = await world.fleet.wait_exit(world.victim)
+        await client.close()
+
+    run(scenario())
+
+
+async def _in_flight(fleet: ProcessFleet) -> bool:
+    status = await fleet.status()
+    owned = [b for node in status["nodes"] for b in node.get("owned", [])]
+    return sum(backend["online_in_flight"] for backend in owned) >= 12
+
+
+@then("every stream was whole")
+def streams_whole(world: World) -> None:
+    assert world.streams and all(world.streams)
+
+
+@then("the node exited with code 0")
+def exited(world: World) -> None:
+    assert world.exit_code == 0
+
+
+# ---- process rules ----
+
+
+@when("online and batch traffic went through all nodes")
+def traffic(world: World) -> None:
+    async def scenario() -> None:
+        client = Client(world.fleet)
+        job_id, _ = await client.submit(200)
+        await asyncio.gather(
+            *(client.stream(url, f"q{n}") for n in range(4) for url in world.fleet.urls)
+        )
+        await client.wait_job(job_id)
+        await client.close()
+
+    run(scenario())
+
+
+@then("no node has child processes, io_uring or shared memory")
+def process_rules(world: World) -> None:
+    for node in world.fleet.nodes:
+        proc = Path(f"/proc/{node.pid}")
+        children = [p.read_text() for p in proc.glob("task/*/children")]
+        assert "".join(children).strip() == ""
+        links = [os.readlink(p) for p in proc.glob("fd/*") if p.exists()]
+        assert not [link for link in links if "io_uring" in link or "/dev/shm" in link]
+        mapped = (proc / "maps").read_text()
+        assert "/dev/shm" not in mapped and "SYSV" not in mapped and "-shm" not in mapped
+
+
+# ---- effects ----
+
+
+def _run_effects(world: World, disturb: Any) -> None:
+    async def scenario() -> None:
+        client = Client(world.fleet)
+        world.victim = await busiest_leader(world.fleet)
+        # Every effect is sent by two clients at once, as a client that resends does.
+        tasks = [
+            asyncio.create_task(client.effect(number + copy, f"key-{number}", f"vehicle-{number}"))
+            for number in range(EFFECTS)
+            for copy in range(2)
+        ]
+        await asyncio.sleep(0)
+        await disturb(world.victim)
+        world.effects = list(await asyncio.gather(*tasks))
+        await client.close()
+
+    run(scenario())
+
+
+@when("effects are resent through all nodes while the busiest leader is killed")
+def effects_and_kill(world: World) -> None:
+    async def kill(victim: NodeProcess) -> None:
+        world.fleet.send_signal(victim, signal.SIGKILL)
+
+    _run_effects(world, kill)
+
+
+@when("effects are resent through all nodes while the busiest leader is frozen")
+def effects_and_freeze(world: World) -> None:
+    async def freeze(victim: NodeProcess) -> None:
+        world.fleet.send_signal(victim, signal.SIGSTOP)
+        await asyncio.sleep(FREEZE_S)
+        world.fleet.send_signal(victim, signal.SIGCONT)
+
+    _run_effects(world, freeze)
+
+
+@then("every effect happened at most once")
+def at_most_once(world: World) -> None:
+    ledger = run(world.fleet.ledger())
+    paths = [effect["path"] for effect in ledger]
+    doubled = {path for path in paths if paths.count(path) > 1}
+    assert not doubled
+    assert len(paths) <= EFFECTS
+
+
+@then("every effect is completed or its answer says what is known")
+def effects_answered(world: World) -> None:
+    done = {effect["path"].rsplit("/", 1)[1] for effect in run(world.fleet.ledger())}
+    by_key: dict[str, set[str]] = {}
+    for effect in world.effects:
+        status, outcome, body = effect.answers[-1]
+        vehicle = effect.key.replace("key", "vehicle")
+        assert status == 200 or outcome == "unknown", effect.answers[-3:]
+        if status == 200:
+            assert vehicle in done
+            by_key.setdefault(effect.key, set()).add(body)
+        for earlier_status, earlier_outcome, _ in effect.answers[:-1]:
+            assert earlier_status != 200
+            assert earlier_outcome in ("not_run", "unknown", "no answer")
+    assert all(len(bodies) == 1 for bodies in by_key.values())
+    assert len(by_key) >= EFFECTS * 0.9
+
+
+@then("a killed node that starts again takes part again")
+def starts_again(world: World) -> None:
+    assert world.victim is not None
+    world.fleet.start_node(world.victim)
+
+    async def ready() -> bool:
+        assert world.victim is not None
+        try:
+            async with (
+                aiohttp.ClientSession() as session,
+                session.get(f"{world.victim.url}/readyz") as response,
+            ):
+                return response.status == 200
+        except aiohttp.ClientError:
+            return False
+
+    run(until(ready))
+
+
+# ---- batch ----
+
+
+def _run_job(world: World, disturb: Any) -> None:
+    async def scenario() -> None:
+        client = Client(world.fleet)
+        world.job_id, world.items = await client.submit(BATCH_ITEMS)
+        await disturb()
+        await client.wait_job(world.job_id)
+        await client.close()
+
+    run(scenario())
+
+
+async def _with_batch(world: World) -> NodeProcess:
+    """Wait until nodes run batch items; return the one with most."""
+    while True:
+        status = await world.fleet.status()
+        running = {
+            node["node_id"]: sum(b["batch_in_flight"] for b in node.get("owned", []))
+            for node in status["nodes"]
+        }
+        most = max(running, key=lambda name: running[name])
+        if running[most] >= 8:
+            return next(node for node in world.fleet.nodes if node.node_id == most)
+        await asyncio.sleep(0.02)
+
+
+@when("a batch job runs while a node with items in flight is killed")
+def job_and_kill(world: World) -> None:
+    async def disturb() -> None:
+        victim = await _with_batch(world)
+        world.fleet.send_signal(victim, signal.SIGKILL)
+
+    _run_job(world, disturb)
+
+
+@when("a batch job runs while a node is killed and its disk is lost")
+def job_and_disk(world: World) -> None:
+    async def disturb() -> None:
+        await _with_batch(world)
+        victim = world.victim = await busiest_leader(world.fleet)
+        world.fleet.send_signal(victim, signal.SIGKILL)
+        await world.fleet.wait_exit(victim)
+        assert victim.data_folder is not None
+        shutil.rmtree(victim.data_folder)
+        world.fleet.start_node(victim)
+
+    _run_job(world, disturb)
+
+
+@when("a batch job runs")
+def job(world: World) -> None:
+    async def nothing() -> None:
+        return
+
+    _run_job(world, nothing)
+
+
+@then("every item completed exactly once with its own answer")
+def items_exactly_once(world: World) -> None:
+    async def results() -> list[dict[str, Any]]:
+        client = Client(world.fleet)
+        found = await client.results(world.job_id)
+        await client.close()
+        return found
+
+    found = run(results())
+    assert sorted(result["custom_id"] for result in found) == sorted(world.items)
+    for result in found:
+        content = result["response"]["body"]["choices"][0]["message"]["content"]
+        assert content == answer_text(result["custom_id"], 32)
+
+
+@then("the new disk became a replica of every shard")
+def repaired(world: World) -> None:
+    async def all_replaced() -> bool:
+        status = await world.fleet.status(world.fleet.urls[-1])
+        replicas = [set(shard["replicas"]) for shard in status["shards"]]
+        return all(len(names) == 3 for names in replicas) and await _no_dead_replica(world)
+
+    run(until(all_replaced))
+
+
+async def _no_dead_replica(world: World) -> bool:
+    status = await world.fleet.status(world.fleet.urls[-1])
+    live = {node["storage_identity"] for node in status["nodes"] if node["storage"]}
+    return all(set(shard["replicas"]) <= live for shard in status["shards"])
+
+
+# ---- key-value service ----
+
+
+@when("the key-value service goes down and the busiest leader is killed")
+def outage(world: World) -> None:
+    async def scenario() -> None:
+        await world.fleet.set_faults(world.fleet.key_value, outage=True)
+        victim = world.victim = await busiest_leader(world.fleet)
+        world.fleet.send_signal(victim, signal.SIGKILL)
+
+    run(scenario())
+
+
+async def _change(world: World, value: str, revision: int | None, url: str) -> None:
+    document = {
+        "deployments": [
+            {
+                "name": "plates",
+                "tenant": "registry-office",
+                "template": "plate-check",
+                "parameters": {"office": value},
+            }
+        ]
+    }
+    headers = {"Authorization": f"Bearer {world.fleet.admin_key}"}
+    if revision is not None:
+        headers["If-Match"] = f'"{revision}"'
+    body = {"document": json.dumps(document), "author": value, "wait": True}
+    async with (
+        aiohttp.ClientSession(headers=headers) as session,
+        session.post(f"{url}/admin/v1/configuration", json=body) as response,
+    ):
+        world.answers.append((response.status, await response.json()))
+
+
+def _living_url(world: World) -> str:
+    return next(node.url for node in world.fleet.nodes if node is not world.victim)
+
+
+@then("a configuration change is refused as not run and says why")
+def refused(world: World) -> None:
+    run(_change(world, "during outage", None, _living_url(world)))
+    status, answer = world.answers[-1]
+    assert status == 503
+    assert answer["outcome"] == "not_run"
+    assert "key-value" in answer["error"]["message"]
+
+
+@then("the change is accepted once the service is back")
+def accepted_after(world: World) -> None:
+    run(world.fleet.set_faults(world.fleet.key_value, outage=False))
+    run(_change(world, "after outage", None, _living_url(world)))
+    assert world.answers[-1][0] == 200
+
+
+@when("the answer to a configuration change is lost")
+def lost_answer(world: World) -> None:
+    async def scenario() -> None:
+        await world.fleet.set_faults(world.fleet.key_value, lost_writes=1)
+        await _change(world, "lost answer", None, world.fleet.urls[0])
+
+    run(scenario())
+
+
+@then("the change is reported accepted at one revision")
+def accepted_once(world: World) -> None:
+    async def history() -> list[dict[str, Any]]:
+        headers = {"Authorization": f"Bearer {world.fleet.admin_key}"}
+        url = f"{world.fleet.urls[0]}/admin/v1/configuration/history"
+        async with (
+            aiohttp.ClientSession(headers=headers) as session,
+            session.get(url) as response,
+        ):
+            return list((await response.json())["records"])
+
+    status, answer = world.answers[-1]
+    assert status == 200
+    assert answer["revision"] == 2
+    records = [r for r in run(history()) if r["author"] == "lost answer"]
+    assert [record["revision"] for record in records] == [2]
+
+
+@then("it is in force on every node")
+def in_force(world: World) -> None:
+    status = run(world.fleet.status())
+    assert {node["configuration_revision"] for node in status["nodes"]} == {2}
+
+
+@when("two operators change the same deployment from the same revision")
+def race(world: World) -> None:
+    async def scenario() -> None:
+        one, other = world.fleet.urls[0], world.fleet.urls[1]
+        await asyncio.gather(
+            _change(world, "operator one", 1, one), _change(world, "operator two", 1, other)
+        )
+
+    run(scenario())
+
+
+@then("one is accepted and the other learns what changed")
+def one_wins(world: World) -> None:
+    by_status = {status: answer for status, answer in world.answers}
+    assert set(by_status) == {200, 412}
+    loser = by_status[412]
+    assert loser["outcome"] == "not_run"
+    assert loser["revision"] == 2
+    (changed,) = loser["changed"]
+    assert changed["author"] in ("operator one", "operator two")
+    assert changed["changes"][0]["key"] == "deployment/registry-office/plates"
+
+
+# ---- back ends ----
+
+
+@when("the machine list says that an engine is leaving")
+def engine_leaves(world: World) -> None:
+    async def scenario() -> None:
+        machines = world.fleet.machine_list.removesuffix("/targets")
+        async with (
+            aiohttp.ClientSession() as session,
+            session.post(
+                f"{machines}/control/machines/engine-1", json={"state": "leaving"}
+            ) as response,
+        ):
+            assert response.status == 200
+
+    run(scenario())
+
+
+@then("the engine gets no new work after 3 seconds")
+def no_new_work(world: World) -> None:
+    async def scenario() -> tuple[int, int]:
+        client = Client(world.fleet)
+        await asyncio.sleep(3.0)  # the promise's own three seconds
+        before = await _prompt_tokens(world)
+        urls = world.fleet.urls
+        streams = [client.stream(urls[n % len(urls)], f"q{n}") for n in range(60)]
+        assert all(await asyncio.gather(*streams))
+        after = await _prompt_tokens(world)
+        await client.close()
+        return before, after
+
+    before, after = run(scenario())
+    assert before == after
+
+
+async def _prompt_tokens(world: World) -> int:
+    async with aiohttp.ClientSession() as session:
+        async with session.get(world.fleet.machine_list) as response:
+            groups = await response.json()
+        address = next(g["targets"][0] for g in groups if g["labels"]["id"] == "engine-1")
+        async with session.get(f"http://{address}/status") as response:
+            return int((await response.json())["prompt_tokens"])
+
+
+# ---- main job ----
+
+
+@when("the main job runs")
+def main_job(world: World) -> None:
+    target = Target(world.fleet.urls, world.fleet.admin_key, world.fleet.profile)
+    world.passed = run(MainJob(target, 5000).run())
+
+
+@then("every promise was kept")
+def promises_kept(world: World) -> None:
+    assert world.passed
