--- a/src/wharfcart/cluster/membership.py
+++ b/src/wharfcart/cluster/membership.py
@@ -39,10 +39,12 @@
 SYNC_LEAST_S = 5.0  # between two whole member lists asked for
 PAUSE_S = 1.0  # a longer gap between ticks means that this process was stopped
 INDIRECT_PROBES = 3
-MOST_UPDATES_A_MESSAGE = 8
+MOST_UPDATES_A_MESSAGE = 12
 RETRANSMIT_FACTOR = 4
 LOCAL_HEALTH_MOST = 8
-FORGET_DEAD_S = 60.0
+FORGET_DEAD_S = 7200.0  # regions lose each other for an hour
+RECONNECT_S = 5.0  # between two probes of a member that was declared dead
+MANY_SUSPECTS = 20  # with more at once, it is a zone or a link, and refutations take longer
 JOIN_RETRY_S = 0.5
 DIGEST_FANOUT = 3
 RING_SIZE = 2**64
@@ -152,6 +154,7 @@
     _eager_at: float | None = None
     _synced_at: float = 0.0
     _agreed_at: float = 0.0
+    _next_reconnect: float = 0.0
     _ticked_at: float | None = None
     _digest: int = 0
 
@@ -241,6 +244,8 @@
             if now >= until:
                 actions.extend(self._declare_dead(node_id, now))
         self._forget_dead(now)
+        if now >= self._next_reconnect:
+            actions.extend(self._reconnect(now))
         if self._eager_at is not None and now >= self._eager_at:
             self._eager_at = None
             actions.extend(
@@ -331,12 +336,28 @@
         if probe.stage is _ProbeStage.DIRECT:
             probe.stage = _ProbeStage.INDIRECT
             probe.deadline = probe.period_end
-            helpers = self._random_peers(INDIRECT_PROBES, probe.target)
+            helpers = self._helpers(member)
             return [self._send(h, PING_REQUEST, probe.sequence, member) for h in helpers]
         self._probe = None
         self._local_health = min(LOCAL_HEALTH_MOST, self._local_health + 1)
         return self._suspect(probe.target, now)
 
+    def _helpers(self, target: Member) -> list[Member]:
+        """Choose who probes for us: first from the target's zone, which a cut link leaves whole."""
+        peers = self._random_peers(len(self.members), target.node_id)
+        peers.sort(key=lambda peer: peer.zone != target.zone)
+        near = peers[: INDIRECT_PROBES - 1]
+        return near + self._random_peers(1, target.node_id)
+
+    def _reconnect(self, now: float) -> list[MembershipAction]:
+        """Probe one dead member: it answers if it was only cut off, and refutes what we say."""
+        self._next_reconnect = now + RECONNECT_S * (0.5 + self.random.random())
+        dead = [m.node_id for m in self.members.values() if m.state == DEAD]
+        if not dead:
+            return []
+        chosen = dead[int(self.random.random() * len(dead))]
+        return [self._send(self.members[chosen], PING)]
+
     def _acknowledged(self, message: Gossip, now: float) -> list[MembershipAction]:
         relay = self._relays.pop(message.sequence, None)
         if relay is not None:
@@ -368,6 +389,10 @@
         suspected.state = SUSPECT
         return self._merge(suspected, now)
 
+    def _suspicion_seconds(self) -> float:
+        crowd = min(2.0, len(self._suspected_until) / MANY_SUSPECTS)
+        return SUSPICION_S * (1 + max(crowd, self._local_health / LOCAL_HEALTH_MOST))
+
     def _declare_dead(self, node_id: str, now: float) -> list[MembershipAction]:
         member = self.members.get(node_id)
         self._suspected_until.pop(node_id, None)
@@ -405,7 +430,7 @@
         self._suspected_until.pop(member.node_id, None)
         self._dead_since.pop(member.node_id, None)
         if member.state == SUSPECT:
-            self._suspected_until[member.node_id] = now + SUSPICION_S * (1 + self._local_health)
+            self._suspected_until[member.node_id] = now + self._suspicion_seconds()
         elif member.state in (DEAD, LEFT):
             self._dead_since[member.node_id] = now
         if known is not None and known.state == member.state:
@@ -431,7 +456,11 @@
 
     def _take_rumours(self, receiver: str | None) -> list[Member]:
         limit = RETRANSMIT_FACTOR * ceil(log10(len(self.members) + 2))
-        fresh_first = sorted(self._rumours.values(), key=lambda rumour: rumour.sent)
+        # Life before death: a refutation must overtake the suspicion that it answers.
+        fresh_first = sorted(
+            self._rumours.values(),
+            key=lambda rumour: (rumour.sent, rumour.member.state not in (ALIVE, SUSPECT)),
+        )
         taken = fresh_first[:MOST_UPDATES_A_MESSAGE]
         for rumour in taken:
             rumour.sent += 1
--- a/src/wharfcart/emulator/web_server.py
+++ b/src/wharfcart/emulator/web_server.py
@@ -11,13 +11,15 @@
     """One aiohttp application on one port."""
 
     def __init__(self, app: web.Application) -> None:
-        self._runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
+        self._runner = web.AppRunner(
+            app, access_log=None, handler_cancellation=True, shutdown_timeout=0.2
+        )
         self.address = ""
 
     async def start(self, host: str, port: int) -> None:
         """Listen; port 0 takes a free one."""
         await self._runner.setup()
-        site = web.TCPSite(self._runner, host, port, shutdown_timeout=0.2)
+        site = web.TCPSite(self._runner, host, port)
         await site.start()
         bound = self._runner.addresses[0]
         self.address = f"{bound[0]}:{bound[1]}"
--- a/src/wharfcart/experiments/dev_fleet.py
+++ b/src/wharfcart/experiments/dev_fleet.py
@@ -23,6 +23,8 @@
 FIRST_PORT = 12_000
 LAST_PORT = 32_000
 
+_handed_out: set[int] = set()
+
 
 def free_ports(count: int) -> int:
     """Return the first of ``count`` loopback ports in a row, free for TCP and UDP now.
@@ -32,7 +34,9 @@
     """
     while True:
         first = random.randrange(FIRST_PORT, LAST_PORT - count)
-        if all(_is_free(port) for port in range(first, first + count)):
+        wanted = range(first, first + count)
+        if _handed_out.isdisjoint(wanted) and all(_is_free(port) for port in wanted):
+            _handed_out.update(wanted)
             return first
 
 
--- a/src/wharfcart/experiments/scale.py
+++ b/src/wharfcart/experiments/scale.py
@@ -37,6 +37,7 @@
     messages_per_second: float
     cpu_percent: float
     memory_bytes: float
+    node_detection_p99_s: float
     rack_detection_p50_s: float
     rack_detection_p99_s: float
     rack_known_part: float
@@ -92,11 +93,12 @@
     fleet.reset_spending()
     fleet.run(STEADY_S)
     steady = _spending(fleet, STEADY_S)
+    single_times, _ = _lose(fleet, {"node-7"})
     rack = {f"node-{number}" for number in range(nodes // 2, nodes // 2 + RACK_NODES)}
     rack_times, rack_part = _lose(fleet, rack)
     zone = {n.name for n in fleet.nodes if n.zone == "zone-3" and n.up}
     zone_times, zone_part = _lose(fleet, zone)
-    lost = rack | zone
+    lost = rack | zone | {"node-7"}
     false_removals = fleet.false_removals(lost)
     burst = _burst(fleet)
     inside, healed = _cut_region(fleet, lost)
@@ -104,6 +106,7 @@
         nodes,
         *steady,
         memory,
+        _percentile(single_times, 99),
         _percentile(rack_times, 50),
         _percentile(rack_times, 99),
         rack_part,
--- a/src/wharfcart/storage/database.py
+++ b/src/wharfcart/storage/database.py
@@ -69,6 +69,9 @@
         self._connection = sqlite3.connect(
             folder / DATABASE_NAME, isolation_level=None, check_same_thread=False
         )
+        # Rows of about 1 kB spill to a page of their own on pages of 4 kB (tables without rowid
+        # hold a quarter of a page locally).
+        self._connection.execute("pragma page_size=16384")
         self._connection.execute("pragma locking_mode=exclusive")
         self._connection.execute("pragma journal_mode=wal")
         self._connection.execute("pragma synchronous=full")
--- a/src/wharfcart/storage/journal.py
+++ b/src/wharfcart/storage/journal.py
@@ -328,13 +328,12 @@
             return
         known.hard_state = new.hard_state or known.hard_state
         known.add_entries(new.entries)
-        # A delete must not be undone by an earlier put of the same row in the same commit.
-        deleted = {(row.kind, row.id, row.number) for row in new.deleted_rows}
-        known.rows = [row for row in known.rows if (row.kind, row.id, row.number) not in deleted]
-        put = {(row.kind, row.id, row.number) for row in new.rows}
-        known.deleted_rows = [
-            row for row in known.deleted_rows if (row.kind, row.id, row.number) not in put
-        ]
+        # Within a commit, rows are put before others are deleted: of a row that comes in both, only
+        # the later stays.
+        if new.deleted_rows:
+            known.rows = _without(known.rows, new.deleted_rows)
+        if known.deleted_rows:
+            known.deleted_rows = _without(known.deleted_rows, new.rows)
         known.rows.extend(new.rows)
         known.deleted_rows.extend(new.deleted_rows)
         if new.applied_index is not None:
@@ -387,6 +386,11 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def _without(rows: list[Row], others: list[Row]) -> list[Row]:
+    keys = {(row.kind, row.id, row.number) for row in others}
+    return [row for row in rows if (row.kind, row.id, row.number) not in keys]
+
+
 def not_leader(leader: str) -> ServingError:
     """Return the error of a replica asked for what only the leader may do."""
     error = ServingError("not_leader", "this replica does not lead the shard", 503)
