Experiments heaps, bursts, flooding, slow-backend: the real cores on modelled engines

Change: a discrete-event run of router, gates and engines in virtual time with paired baselines; the gate now paces batch prompts also while a back end has no online work, since the step that an online request finds under way cannot be stopped. Conclusion: chosen 0.05/4/0.1 for tail and 0.08/4/0.02 for throughput.

--- a/src/wharfcart/admission/backend_gate.py
+++ b/src/wharfcart/admission/backend_gate.py
@@ -14,8 +14,9 @@
 
 FIT_MEMORY = 0.98
 FEWEST_SAMPLES = 20
-SHORTEST_IDLE_S = 0.05
+SHORTEST_IDLE_S = 0.02
 TYPICAL_FIRST_TOKEN_S = 0.1
+TYPICAL_STEP_S = 0.015
 FIRST_TOKEN_WEIGHT = 0.1
 
 
@@ -28,19 +29,22 @@
     tolerance: by what part batch may lengthen an online token.
     floor_fraction: part of the slots that batch may use beside online work while nothing has been
         measured yet.
-    prefills_beside_online: batch prompts that may be processed at once beside online work.
+    prefills_beside_online: batch prompts that may begin in one engine step beside online work.
+    prefills_when_idle: the same without online work. It bounds the step that an online request may
+        find under way, which nothing can stop.
     idle_seconds: how long a back end has been without online work before batch takes all slots.
     """
 
     tolerance: float
     floor_fraction: float
     prefills_beside_online: int
+    prefills_when_idle: int
     idle_seconds: float
 
 
 POLICY_PARAMETERS = {
-    YieldingPolicy.TAIL: PolicyParameters(0.04, 0.05, 1, 0.3),
-    YieldingPolicy.THROUGHPUT: PolicyParameters(0.10, 0.25, 2, SHORTEST_IDLE_S),
+    YieldingPolicy.TAIL: PolicyParameters(0.05, 0.05, 1, 4, 0.1),
+    YieldingPolicy.THROUGHPUT: PolicyParameters(0.08, 0.25, 1, 4, SHORTEST_IDLE_S),
 }
 
 
@@ -162,14 +166,18 @@
             return 0
         idle_for = now - self.last_online_at
         if not self.online and idle_for >= POLICY_PARAMETERS[self.policy].idle_seconds:
-            return max(0, self.capacity.batch - len(self.batch))
+            room = self.capacity.batch - len(self.batch)
+            return max(0, min(room, self._parameters.prefills_when_idle - self._beginning(now)))
         if any(not running.first_token_seen for running in self.online.values()):
             return 0  # no batch prompt before an online first token
         room = self._batch_bound_beside_online() - len(self.batch)
-        # Batch answers come whole: their prompts count as processed after the usual time.
-        recent = now - self.first_token_seconds
-        prefilling = sum(running.started_at > recent for running in self.batch.values())
-        return max(0, min(room, self._parameters.prefills_beside_online - prefilling))
+        return max(0, min(room, self._parameters.prefills_beside_online - self._beginning(now)))
+
+    def _beginning(self, now: float) -> int:
+        """Batch requests whose prompt is likely processed in the engine's present step."""
+        line = self.fit.line()
+        step = line[0] if line is not None else TYPICAL_STEP_S
+        return sum(now - running.started_at < step for running in self.batch.values())
 
     def start_batch(self, request_id: str, now: float) -> None:
         """Note that a batch request was sent."""
--- a/src/wharfcart/cli/experiment.py
+++ b/src/wharfcart/cli/experiment.py
@@ -8,6 +8,7 @@
 
 from wharfcart.cli.options import OutputOption
 from wharfcart.cli.output import OutputFormat, print_answer
+from wharfcart.experiments.example_fleets import Profile
 
 app = typer.Typer(help="Experiments over emulated fleets.", no_args_is_help=True)
 
@@ -16,6 +17,10 @@
     """Experiments that can be run."""
 
     SCALE = "scale"
+    HEAPS = "heaps"
+    BURSTS = "bursts"
+    FLOODING = "flooding"
+    SLOW_BACKEND = "slow-backend"
 
 
 @app.callback()
@@ -26,6 +31,9 @@
 @app.command("run")
 def run(
     name: Annotated[Experiment, typer.Argument(help="Which experiment.")],
+    profile: Annotated[Profile, typer.Option(help="Fleet, for all but scale.")] = (
+        Profile.REGISTRATION
+    ),
     nodes: Annotated[str, typer.Option(help="Sizes for scale, as 50,100.")] = "50,100,200,410",
     seed: Annotated[int, typer.Option(help="Same seed, same run.")] = 1,
     output_folder: Annotated[Path, typer.Option("--output-folder", help="Where figures go.")] = (
@@ -34,8 +42,14 @@
     output: OutputOption = OutputFormat.TABLE,
 ) -> None:
     """Run an experiment and write its figures."""
+    # Imported here: numpy and matplotlib would cost every node tens of megabytes.
+    from wharfcart.experiments.heaps import Variant, run_heaps
     from wharfcart.experiments.scale import run_scale
 
+    if name is not Experiment.SCALE:
+        found = run_heaps(profile, Variant(name.value), seed, output_folder)
+        print_answer(found, output, ["figure", "value"], found.items())
+        return
     sizes = [int(size) for size in nodes.split(",")]
     figures = run_scale(sizes, seed, output_folder)
     columns = list(figures["sizes"][0])
--- a/src/wharfcart/emulator/engine_core.py
+++ b/src/wharfcart/emulator/engine_core.py
@@ -28,6 +28,7 @@
     most_waiting: int = 512
     cache_blocks: int = 8192
     tokens_a_word: float = 1.3
+    resume_is_free: bool = False  # an oracle's engine keeps what a stopped request had computed
 
 
 class StreamState(StrEnum):
@@ -245,7 +246,10 @@
         hashes = self.cache.hashes(request.target, request.prompt)
         hit = int(self.cache.hit_blocks(hashes) * BLOCK_TOKENS * self.model.tokens_a_word)
         request.cached_tokens = min(hit, request.prompt_tokens - 1)
-        request.prefilled = request.cached_tokens
+        held = self.model.resume_is_free and bool(request.tokens)
+        request.prefilled = (
+            request.prompt_tokens + len(request.tokens) if held else request.cached_tokens
+        )
         # Tokens generated before are part of the prompt now (recompute preemption).
         request.prefill_goal = request.prompt_tokens + len(request.tokens)
         self.prompt_tokens += request.prompt_tokens
--- /dev/null
+++ b/src/wharfcart/experiments/heaps.py
@@ -0,0 +1,176 @@
+"""Experiment ``heaps`` and its kin: batch beside online work, against paired baselines."""
+
+import json
+import random
+from dataclasses import dataclass
+from enum import StrEnum
+from pathlib import Path
+from typing import Any
+
+from wharfcart.configuration.schema import YieldingPolicy
+from wharfcart.experiments.example_fleets import Profile
+from wharfcart.experiments.simulated_serving import (
+    Arrival,
+    Mode,
+    Outcome,
+    SimulatedServing,
+    Workload,
+)
+
+SECONDS = 300.0
+WARM_UP_S = 20.0
+HEAP_EVERY_S = 10.0
+
+
+@dataclass(frozen=True)
+class FleetShape:
+    """A profile's fleet and load."""
+
+    engines: int
+    policy: YieldingPolicy
+    online_per_second: float
+    online_prompt_words: int
+    heap_items: int
+    batch_prompt_words: int
+    tenants: int
+
+
+SHAPES = {
+    Profile.REGISTRATION: FleetShape(6, YieldingPolicy.TAIL, 9.0, 400, 6000, 60, 50),
+    Profile.SWAP: FleetShape(9, YieldingPolicy.THROUGHPUT, 12.0, 250, 9000, 60, 60),
+}
+
+
+class Variant(StrEnum):
+    """Experiments of this module."""
+
+    HEAPS = "heaps"
+    BURSTS = "bursts"
+    FLOODING = "flooding"
+    SLOW_BACKEND = "slow-backend"
+
+
+def make_workload(shape: FleetShape, variant: Variant, seed: int) -> Workload:
+    """Draw arrivals and heaps."""
+    source = random.Random(seed)
+    arrivals: list[Arrival] = []
+    at = 0.0
+    while at < SECONDS:
+        rate = shape.online_per_second
+        if variant == Variant.BURSTS and 5.0 <= at % 15.0 < 7.0:
+            rate *= 4
+        at += source.expovariate(rate)
+        tenant = f"tenant-{source.randrange(shape.tenants)}"
+        if variant == Variant.FLOODING and source.random() < 0.5:
+            tenant = "flooder"
+        arrivals.append(Arrival(at, tenant, _prompt(shape, tenant, source)))
+    heaps = [
+        (number * HEAP_EVERY_S, shape.heap_items) for number in range(int(SECONDS / HEAP_EVERY_S))
+    ]
+    return Workload(arrivals, heaps, shape.batch_prompt_words, SECONDS, WARM_UP_S)
+
+
+def _prompt(shape: FleetShape, tenant: str, source: random.Random) -> str:
+    """A shared template head, the tenant's parameters, and a question of its own."""
+    head = " ".join(f"{tenant}-{n}" for n in range(shape.online_prompt_words // 2))
+    length = int(shape.online_prompt_words / 2 * source.lognormvariate(0, 0.4))
+    own = " ".join(str(source.randrange(10**6)) for _ in range(length))
+    return f"{head} {own}"
+
+
+def run_heaps(profile: Profile, variant: Variant, seed: int, output: Path) -> dict[str, Any]:
+    """Run every mode on the same arrivals; write figures, a plot and an HTML report."""
+    output.mkdir(parents=True, exist_ok=True)
+    shape = SHAPES[profile]
+    workload = make_workload(shape, variant, seed)
+    slow = 4.0 if variant == Variant.SLOW_BACKEND else 1.0
+    outcomes = {
+        mode: SimulatedServing(mode, workload, shape.engines, shape.policy, seed, slow).run()
+        for mode in Mode
+    }
+    figures = summarize(profile, variant, seed, outcomes)
+    (output / "figures.json").write_text(json.dumps(figures, indent=2) + "\n", encoding="utf-8")
+    plot_outcomes(outcomes, output / "latency.png", output / "timeline.png")
+    (output / "report.html").write_text(_report(figures), encoding="utf-8")
+    return figures
+
+
+def summarize(
+    profile: Profile, variant: Variant, seed: int, outcomes: dict[Mode, Outcome]
+) -> dict[str, Any]:
+    """Return the figures of a run."""
+    alone, ours = outcomes[Mode.ONLINE_ALONE], outcomes[Mode.WHARFCART]
+    oracle = outcomes[Mode.ORACLE]
+    figures: dict[str, Any] = {
+        "experiment": variant.value,
+        "profile": profile.value,
+        "seed": seed,
+        "online_p99_ratio": _ratio(ours, alone, 99),
+        "online_p50_ratio": _ratio(ours, alone, 50),
+        "batch_throughput_ratio": round(ours.items_completed / max(1, oracle.items_completed), 4),
+        "prefix_hit_ratio": round(ours.hit_tokens / max(1, ours.prompt_tokens), 4),
+        "fairness_max_min_ratio": _fairness(ours),
+        "batch_stopped": ours.batch_stopped,
+    }
+    for mode, outcome in outcomes.items():
+        figures[f"{mode.value}_items_per_second"] = round(
+            outcome.items_completed / (SECONDS - WARM_UP_S), 1
+        )
+        figures[f"{mode.value}_first_token_p50_ms"] = _milliseconds(outcome, 50)
+        figures[f"{mode.value}_first_token_p99_ms"] = _milliseconds(outcome, 99)
+    return figures
+
+
+def _milliseconds(outcome: Outcome, percent: float) -> float:
+    return round(float(outcome.first_token.get_value_at_percentile(percent)) / 1000, 2)
+
+
+def _ratio(one: Outcome, other: Outcome, percent: float) -> float:
+    return round(_milliseconds(one, percent) / _milliseconds(other, percent), 4)
+
+
+def _fairness(outcome: Outcome) -> float:
+    """Ratio of the worst to the best tenant's mean time to first token, the flooder left out."""
+    means = [
+        histogram.get_mean_value()
+        for tenant, histogram in outcome.first_token_by_tenant.items()
+        if tenant != "flooder" and histogram.total_count >= 10
+    ]
+    return round(max(means) / min(means), 3) if means else 1.0
+
+
+def plot_outcomes(outcomes: dict[Mode, Outcome], latency: Path, timeline: Path) -> None:
+    """Plot latency distributions, and slack and batch over time."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    percents = [1, 5, 10, 25, 50, 75, 90, 95, 99, 99.5, 99.9]
+    chart, axis = pyplot.subplots(figsize=(8, 4.5))
+    for mode, outcome in outcomes.items():
+        values = [_milliseconds(outcome, percent) for percent in percents]
+        axis.plot([str(percent) for percent in percents], values, marker=".", label=mode.value)
+    axis.set(xlabel="percentile", ylabel="time to first token, ms", yscale="log")
+    axis.legend()
+    chart.tight_layout()
+    chart.savefig(latency, dpi=120)
+    pyplot.close(chart)
+    chart, axis = pyplot.subplots(figsize=(8, 3.5))
+    points = outcomes[Mode.WHARFCART].timeline
+    axis.plot([p[0] for p in points], [p[1] for p in points], label="online in flight")
+    axis.plot([p[0] for p in points], [p[2] for p in points], label="batch in flight", alpha=0.6)
+    axis.set(xlabel="seconds", ylabel="requests on all engines")
+    axis.legend()
+    chart.tight_layout()
+    chart.savefig(timeline, dpi=120)
+    pyplot.close(chart)
+
+
+def _report(figures: dict[str, Any]) -> str:
+    rows = "".join(f"<tr><td>{key}</td><td>{value}</td></tr>" for key, value in figures.items())
+    return (
+        "<!doctype html><meta charset='utf-8'><title>wharfcart experiment</title>"
+        f"<h1>{figures['experiment']}, {figures['profile']}</h1><table>{rows}</table>"
+        "<img src='latency.png' alt='latency'><img src='timeline.png' alt='timeline'>"
+    )
