--- /dev/null
+++ b/src/wharfcart/experiments/capacity.py
@@ -0,0 +1,398 @@
+"""The capacity page's table: each role at the size of two years, from committed figures.
+
+``docs/CAPACITY.md`` holds what :func:`render_table` returns; a test compares the two, so that page
+and figures cannot part. ``python -m wharfcart.experiments.capacity`` writes the table anew.
+"""
+
+import json
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+FIGURES = Path("docs/figures")
+PAGE = Path("docs/CAPACITY.md")
+BEGIN = "<!-- table: computed, do not edit -->"
+END = "<!-- end of table -->"
+
+NODES = 410
+SERVERS = 1100
+STORAGE_NODES = 30
+SHARDS = 30
+REPLICAS = 3
+REQUESTS_PER_SECOND = 1000
+TOKENS_PER_SECOND = 370_000
+BATCH_ITEMS_PER_DAY = 1.3e9
+JOBS_PER_DAY = 2800
+LARGEST_JOB = 690_000
+CHANGES_PER_DAY = 3300
+SECONDS_A_DAY = 86_400
+ITEMS_A_LEASE = 64
+HEADER_BYTES = 40
+HEARTBEAT_S = 0.25
+POLLS_PER_SECOND_AND_SERVER = 1.0
+CPU_LIMIT_PERCENT = 1.9
+MEMORY_LIMIT_MB = 128
+BYTES_LIMIT = 2000
+
+
+@dataclass(frozen=True)
+class Row:
+    """One role's figure at the size."""
+
+    role: str
+    figure: str
+    formula: str
+    value: float
+    unit: str
+    limit: float | None
+    basis: str
+
+    @property
+    def verdict(self) -> str:
+        """Whether the value keeps the limit."""
+        if self.limit is None:
+            return ""
+        return "within" if self.value <= self.limit else "OVER"
+
+
+def load_figures(folder: Path) -> dict[str, Any]:
+    """Read all committed figures by file name."""
+    return {path.stem: json.loads(path.read_text()) for path in sorted(folder.glob("*.json"))}
+
+
+def compute_rows(figures: dict[str, Any]) -> list[Row]:
+    """Work every role out at the size."""
+    return [
+        *_membership(figures),
+        *_caller_edge(figures),
+        *_owner(figures),
+        *_journal(figures),
+        *_scheduler(figures),
+        *_configuration(figures),
+        *_whole_node(figures),
+    ]
+
+
+def _membership(figures: dict[str, Any]) -> list[Row]:
+    slopes = {slope["figure"]: slope for slope in figures["scale"]["slopes"]}
+
+    def at_size(name: str) -> float:
+        return float(slopes[name]["base"] + slopes[name]["per_node"] * NODES)
+
+    def formula(name: str) -> str:
+        slope = slopes[name]
+        return (
+            f"{slope['base']:.4g} + {slope['per_node']:.3g} ± {slope['standard_error']:.1g} a node"
+        )
+
+    largest = figures["scale"]["sizes"][-1]
+    return [
+        Row(
+            "membership",
+            "bytes sent",
+            formula("bytes_per_second"),
+            at_size("bytes_per_second"),
+            "B/s",
+            BYTES_LIMIT,
+            "run hollow, 50 to 410",
+        ),
+        Row(
+            "membership",
+            "messages",
+            formula("messages_per_second"),
+            at_size("messages_per_second"),
+            "1/s",
+            None,
+            "run hollow, 50 to 410",
+        ),
+        Row(
+            "membership",
+            "processor",
+            formula("cpu_percent"),
+            at_size("cpu_percent"),
+            "% of a core",
+            CPU_LIMIT_PERCENT,
+            "run hollow, 50 to 410",
+        ),
+        Row(
+            "membership",
+            "memory",
+            formula("memory_bytes"),
+            at_size("memory_bytes") / 1e6,
+            "MB",
+            MEMORY_LIMIT_MB,
+            "run hollow; extension memory not counted",
+        ),
+        Row(
+            "membership",
+            "one node lost, known to 99 in 100",
+            "measured at 410",
+            largest["node_detection_p99_s"],
+            "s",
+            6.0,
+            "run hollow",
+        ),
+        Row(
+            "membership",
+            "rack lost, known to 99 in 100",
+            "measured at 410",
+            largest["rack_detection_p99_s"],
+            "s",
+            6.0,
+            "run hollow",
+        ),
+        Row(
+            "membership",
+            "false removals in an hour, 1 % loss",
+            "measured at 410",
+            figures["membership_hour"]["false_removals"],
+            "",
+            0.0,
+            "run hollow",
+        ),
+    ]
+
+
+def _caller_edge(figures: dict[str, Any]) -> list[Row]:
+    gateway = figures["gateway"]
+    requests = REQUESTS_PER_SECOND / NODES
+    tokens = TOKENS_PER_SECOND / NODES
+    per_request = gateway["gateway_cpu_microseconds_per_request"]
+    per_token = gateway["cpu_microseconds_per_streamed_token_all_nodes"]
+    return [
+        Row(
+            "caller edge",
+            "processor for requests",
+            f"{requests:.2f}/s x {per_request} us",
+            requests * per_request / 1e4,
+            "% of a core",
+            None,
+            "reckoned from a measured slope",
+        ),
+        Row(
+            "caller edge and owner",
+            "processor for tokens",
+            f"{tokens:.0f}/s x {per_token} us",
+            tokens * per_token / 1e4,
+            "% of a core",
+            None,
+            "reckoned from a measured slope",
+        ),
+    ]
+
+
+def _owner(figures: dict[str, Any]) -> list[Row]:
+    slopes = figures["slopes"]
+    servers = SERVERS / NODES
+    poll_bytes = slopes["lease_poll_bytes"] + HEADER_BYTES
+    polls = servers * POLLS_PER_SECOND_AND_SERVER
+    return [
+        Row(
+            "owner",
+            "lease polls sent",
+            f"{servers:.1f} servers x 1/s x {poll_bytes} B",
+            polls * poll_bytes,
+            "B/s",
+            BYTES_LIMIT,
+            "reckoned from encoded messages",
+        ),
+        Row(
+            "owner",
+            "choice of a back end",
+            "measured with 1,100 servers",
+            slopes["router_choose_seconds"] * 1e6,
+            "us",
+            None,
+            "measured",
+        ),
+        Row(
+            "owner",
+            "routing state",
+            "measured with 1,100 servers",
+            slopes["router_memory_bytes"] / 1e6,
+            "MB",
+            MEMORY_LIMIT_MB,
+            "measured",
+        ),
+    ]
+
+
+def _journal(figures: dict[str, Any]) -> list[Row]:
+    journal, slopes = figures["journal"], figures["slopes"]
+    items = BATCH_ITEMS_PER_DAY / SECONDS_A_DAY
+    per_node = items * REPLICAS / STORAGE_NODES
+    cpu = journal["cpu_microseconds_per_item_three_replicas"] / REPLICAS
+    disk = journal["disk_bytes_per_item_and_replica"]
+    led = SHARDS / STORAGE_NODES
+    beats = led * (REPLICAS - 1) / HEARTBEAT_S
+    beat = slopes["heartbeat_bytes"] + HEADER_BYTES
+    answer = slopes["heartbeat_answer_bytes"] + HEADER_BYTES
+    return [
+        Row(
+            "journal replica",
+            "processor for items",
+            f"{per_node:.0f}/s x {cpu:.1f} us",
+            per_node * cpu / 1e4,
+            "% of a core",
+            None,
+            "reckoned from a measured slope",
+        ),
+        Row(
+            "journal replica",
+            "disk written a day",
+            f"{per_node:.0f}/s x {disk} B",
+            per_node * disk * SECONDS_A_DAY / 1e9,
+            "GB a disk",
+            None,
+            "reckoned from a measured slope",
+        ),
+        Row(
+            "journal leader",
+            "heartbeats and answers, idle",
+            f"{beats:.0f}/s x ({beat} + {answer}) B",
+            beats * (beat + answer),
+            "B/s",
+            BYTES_LIMIT,
+            "reckoned from encoded messages",
+        ),
+        Row(
+            "journal leader",
+            "memory of the largest job",
+            f"{LARGEST_JOB:,} x {slopes['scheduler_memory_bytes_per_item']:.2f} B",
+            LARGEST_JOB * slopes["scheduler_memory_bytes_per_item"] / 1e6,
+            "MB",
+            MEMORY_LIMIT_MB,
+            "measured",
+        ),
+    ]
+
+
+def _scheduler(figures: dict[str, Any]) -> list[Row]:
+    slopes = figures["slopes"]
+    items = BATCH_ITEMS_PER_DAY / SECONDS_A_DAY
+    leases = items / ITEMS_A_LEASE / SHARDS
+    seconds = slopes["scheduler_choose_seconds"]
+    held = BATCH_ITEMS_PER_DAY * slopes["scheduler_memory_bytes_per_item"] / SHARDS * REPLICAS
+    return [
+        Row(
+            "batch scheduler",
+            "processor",
+            f"{leases:.1f} leases/s x {seconds * 1e6:.0f} us",
+            leases * seconds * 100,
+            "% of a core",
+            CPU_LIMIT_PERCENT,
+            "reckoned, 94 jobs a shard measured",
+        ),
+        Row(
+            "batch scheduler",
+            "memory if a day's items stay in memory",
+            f"1.3e9 x {slopes['scheduler_memory_bytes_per_item']:.2f} B x 3 / 30",
+            held / 1e6,
+            "MB",
+            MEMORY_LIMIT_MB,
+            "reckoned from a measured slope",
+        ),
+    ]
+
+
+def _configuration(figures: dict[str, Any]) -> list[Row]:
+    slopes, largest = figures["slopes"], figures["scale"]["sizes"][-1]
+    changes = CHANGES_PER_DAY / SECONDS_A_DAY
+    burst_rate = 50 / 70
+    per_change = (largest["burst_bytes_per_second"] - largest["bytes_per_second"]) / burst_rate
+    return [
+        Row(
+            "configuration reader",
+            "key-value calls, whole fleet",
+            "2 readers x 1 / 2.5 s",
+            0.8,
+            "1/s",
+            1.0,
+            "reckoned",
+        ),
+        Row(
+            "configuration",
+            "in force everywhere, at most",
+            "measured at 410, 50 a minute",
+            largest["change_in_force_max_s"],
+            "s",
+            7.0,
+            "run hollow",
+        ),
+        Row(
+            "configuration",
+            "bytes sent for changes",
+            f"{changes:.3f}/s x {per_change:.0f} B",
+            changes * per_change,
+            "B/s",
+            BYTES_LIMIT,
+            "reckoned from a measured slope",
+        ),
+        Row(
+            "configuration",
+            "state",
+            f"{slopes['configuration_entries']:,} entries",
+            slopes["configuration_memory_bytes"] / 1e6,
+            "MB",
+            MEMORY_LIMIT_MB,
+            "measured; extension memory not counted",
+        ),
+    ]
+
+
+def _whole_node(figures: dict[str, Any]) -> list[Row]:
+    gateway = figures["gateway"]
+    idle = max(gateway["idle_megabytes"].values())
+    return [
+        Row(
+            "whole node",
+            "memory, idle, small fleet",
+            "resident, measured",
+            idle,
+            "MB",
+            MEMORY_LIMIT_MB,
+            "measured, 4 real nodes",
+        ),
+        Row(
+            "whole node",
+            "processor, idle, 3 back ends a node",
+            "measured",
+            gateway["idle_cpu_percent"],
+            "% of a core",
+            CPU_LIMIT_PERCENT,
+            "measured, 4 real nodes",
+        ),
+    ]
+
+
+def render_table(rows: list[Row]) -> str:
+    """Return the page's table."""
+    lines = [
+        "| role | figure | formula | at the size | limit | verdict | basis |",
+        "| --- | --- | --- | --- | --- | --- | --- |",
+    ]
+    for row in rows:
+        value = f"{row.value:.3g} {row.unit}".strip()
+        limit = "" if row.limit is None else f"{row.limit:g}"
+        lines.append(
+            f"| {row.role} | {row.figure} | {row.formula} | {value} | {limit} | {row.verdict} |"
+            f" {row.basis} |"
+        )
+    return "\n".join(lines)
+
+
+def replace_table(page: str, table: str) -> str:
+    """Return the page with its table replaced."""
+    before, rest = page.split(BEGIN)
+    _, after = rest.split(END)
+    return f"{before}{BEGIN}\n{table}\n{END}{after}"
+
+
+def main() -> None:
+    """Write the table anew."""
+    table = render_table(compute_rows(load_figures(FIGURES)))
+    PAGE.write_text(replace_table(PAGE.read_text(encoding="utf-8"), table), encoding="utf-8")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/wharfcart/storage/replica.py
+++ b/src/wharfcart/storage/replica.py
@@ -32,10 +32,10 @@
     VoteResponse,
 )
 
-HEARTBEAT_S = 0.15
-ELECTION_MIN_S = 0.6
+HEARTBEAT_S = 0.25
+ELECTION_MIN_S = 0.8
 ELECTION_SPREAD_S = 0.5
-LEASE_S = 0.5
+LEASE_S = 0.65
 IN_SYNC_TIMEOUT_S = 1.0
 IN_SYNC_TIMEOUT_LEAVING_S = 0.3  # membership says that the replica is gone or leaving
 REPAIR_DELAY_S = 3.0
