An ended job keeps counts only; a start reads no bulk rows; a corrupt row sets the disk aside

Change: when a job ends its items become counts (but for items of unknown outcome); a start reads logs and memory rows; a corrupt bulk row found later hands leaderships over and has the next start rebuild.

--- a/benchmarks/capacity_slopes.py
+++ b/benchmarks/capacity_slopes.py
@@ -1,6 +1,7 @@
 """State and processor time of each role at full size, measured on the real cores and codecs.
 
-Prints JSON; ``docs/figures/slopes.json`` is a committed run, from which docs/CAPACITY.md is computed.
+Prints JSON; ``docs/figures/slopes.json`` is a committed run, from which docs/CAPACITY.md is
+computed.
 """
 
 import gc
--- a/src/wharfcart/experiments/history.py
+++ b/src/wharfcart/experiments/history.py
@@ -99,6 +99,12 @@
             "completed, then not",
         )
 
+        # A job that ended shows counts: at least what was acknowledged as completed before.
+        for read in self.of("read_counts"):
+            known = {o.target for o in accepted if o.ended < read.begun}
+            if not isinstance(read.seen, int) or read.seen < len(known):
+                yield f"job: {len(known)} completions acknowledged, {read.seen} counted"
+
     # ---- cancel ----
 
     def _check_cancel(self) -> Iterator[str]:
--- a/src/wharfcart/experiments/journal_simulation.py
+++ b/src/wharfcart/experiments/journal_simulation.py
@@ -543,6 +543,8 @@
     job = shard.state.jobs.get(JOB)
     if job is None:
         return
+    if job.summarized:
+        history.add(Operation("read_counts", JOB, begun, ended, job.record.completed))
     for row, state in enumerate(job.states):
         history.add(Operation("read_item", str(row), begun, ended, ItemState(state).name))
     history.add(Operation("read_cancelled", JOB, begun, ended, job.cancelled))
--- a/src/wharfcart/storage/database.py
+++ b/src/wharfcart/storage/database.py
@@ -14,12 +14,13 @@
 
 import xxhash
 
-from wharfcart.cluster.messages_pb2 import Command, LogEntry, ReplicaSet, Row
+from wharfcart.cluster.messages_pb2 import Command, JobRecord, LogEntry, ReplicaSet, Row
 from wharfcart.storage.replica import HardState
-from wharfcart.storage.shard_state import RowKind
+from wharfcart.storage.shard_state import Job, RowKind
 from wharfcart.storage.writes import InstalledBase, ShardRecord, ShardWrites
 
 DATABASE_NAME = "journal.sqlite"
+CORRUPT_MARK = "corrupt"
 FEWEST_FREE_BYTES = 256 * 1024 * 1024
 
 logger = logging.getLogger(__name__)
@@ -57,6 +58,7 @@
         logger.exception("data folder corrupt, set aside", extra={"folder": str(folder)})
     for path in folder.glob(f"{DATABASE_NAME}*"):
         path.rename(path.with_name(f"corrupt-{path.name}"))
+    (folder / CORRUPT_MARK).unlink(missing_ok=True)
     return Database(folder)
 
 
@@ -99,17 +101,23 @@
     # ---- reading ----
 
     def verify(self) -> None:
-        """Check every log entry and row.
+        """Check what a start reads: logs and memory rows. Bulk rows are checked when read.
 
         Raises
         ------
         CorruptRecordError
         """
+        if (self.folder / CORRUPT_MARK).exists():
+            raise CorruptRecordError("a row read before was corrupt")
         for shard in self.shards():
             self.load(shard)
-            for _ in self.rows(shard):
+            for _ in self.memory_rows(shard):
                 pass
 
+    def mark_corrupt(self) -> None:
+        """Have the next start set this folder aside."""
+        (self.folder / CORRUPT_MARK).touch()
+
     def shards(self) -> list[int]:
         """Return the numbers of the shards held here."""
         return [row[0] for row in self._connection.execute("select shard from shard")]
@@ -141,16 +149,33 @@
             log,
         )
 
-    def rows(self, shard: int, skip_lines: bool = False) -> Iterator[Row]:
-        """Iterate all rows of a shard in key order."""
-        after = ("", "", -1)
+    def memory_rows(self, shard: int) -> Iterator[Row]:
+        """Iterate the rows from which a shard's memory is rebuilt.
+
+        Lines are left out, and so are the results of ended jobs: a disk may hold a day of them.
+        """
+        open_jobs: list[str] = []
+        for kind in RowKind:
+            if kind in (RowKind.LINE, RowKind.RESULT):
+                continue
+            for row in self._all_of(shard, kind, ""):
+                if kind is RowKind.JOB and not _is_summarized(row):
+                    open_jobs.append(row.id)
+                yield row
+        for job_id in open_jobs:
+            yield from self._all_of(shard, RowKind.RESULT, job_id)
+
+    def _all_of(self, shard: int, kind: RowKind, id_: str) -> Iterator[Row]:
+        """Iterate the rows of a kind, of one id if that is given."""
+        after = (kind.value, id_, -1)
         while True:
             chunk = self.rows_after(shard, after, most=512, most_bytes=4 * 1024 * 1024)
+            for row in chunk:
+                if row.kind != kind or (id_ and row.id != id_):
+                    return
+                yield row
             if not chunk:
                 return
-            for row in chunk:
-                if not (skip_lines and row.kind == RowKind.LINE):
-                    yield row
             after = (chunk[-1].kind, chunk[-1].id, chunk[-1].number)
 
     def rows_after(
@@ -287,5 +312,9 @@
         )
 
 
+def _is_summarized(row: Row) -> bool:
+    return Job(JobRecord.FromString(row.value), bytearray(), b"").summarized
+
+
 def _checksum(value: bytes) -> bytes:
     return xxhash.xxh3_64_digest(value)
--- a/src/wharfcart/storage/journal.py
+++ b/src/wharfcart/storage/journal.py
@@ -22,7 +22,7 @@
     ShardPlacement,
 )
 from wharfcart.errors import Outcome, ServingError
-from wharfcart.storage.database import FEWEST_FREE_BYTES, Database
+from wharfcart.storage.database import FEWEST_FREE_BYTES, CorruptRecordError, Database
 from wharfcart.storage.replica import HardState, NotLeaderError
 from wharfcart.storage.shard import LOST_LEADERSHIP, ReadSnapshotRows, Shard, ShardOutput
 from wharfcart.storage.writes import ShardRecord, ShardWrites
@@ -106,7 +106,7 @@
         self._add_shard(record, await self._read_memory_rows(number))
 
     async def _read_memory_rows(self, number: int) -> list[Row]:
-        return await self._on_writer(lambda: list(self._database.rows(number, skip_lines=True)))
+        return await self._on_writer(lambda: list(self._database.memory_rows(number)))
 
     def _add_shard(self, record: ShardRecord, rows: list[Row]) -> Shard:
         now = self._loop.time()
@@ -224,14 +224,24 @@
         self.leading_shard(number)
         # Taken before the read: a group commit that begins meanwhile would else hide its rows.
         unwritten = self._unwritten_rows(number, kind, id_, first)
-        rows = await self._on_writer(
-            lambda: self._database.read_rows(number, kind, id_, first, most, most_bytes)
-        )
+        try:
+            rows = await self._on_writer(
+                lambda: self._database.read_rows(number, kind, id_, first, most, most_bytes)
+            )
+        except CorruptRecordError as error:
+            await self._found_corrupt(error)
+            raise not_leader("") from error
         if unwritten:
             merged = {row.number: row for row in rows} | unwritten
             rows = [merged[key] for key in sorted(merged)][:most]
         return Rows(rows=rows)
 
+    async def _found_corrupt(self, error: CorruptRecordError) -> None:
+        """Hand over and have the next start rebuild this disk from its peers."""
+        logger.error("corrupt row, restart this node", extra={"row": str(error)})
+        await self._on_writer(self._database.mark_corrupt)
+        self.step_down()
+
     def _unwritten_rows(self, number: int, kind: str, id_: str, first: int) -> dict[int, Row]:
         # Committed rows may still wait for their group commit; the log already has them.
         writes = self._gathering.writes.get(number)
--- a/src/wharfcart/storage/shard_state.py
+++ b/src/wharfcart/storage/shard_state.py
@@ -135,6 +135,41 @@
         pending = bytes([ItemState.PENDING])
         self.states = self.states.replace(pending, bytes([ItemState.CANCELLED]))
 
+    @property
+    def summarized(self) -> bool:
+        """Whether only counts are left of the items."""
+        return self.finished and not self.record.unknown
+
+    def end(self, now_ms: int) -> None:
+        """Note that every item ended, and keep only their counts.
+
+        A job with items of unknown outcome keeps them: they may become definite yet.
+        """
+        record = self.record
+        record.completed = self.count(ItemState.COMPLETED)
+        record.failed = self.count(ItemState.FAILED)
+        record.cancelled = self.count(ItemState.CANCELLED)
+        record.unknown = self.count(ItemState.UNKNOWN)
+        record.finished_ms = now_ms
+        if self.summarized:
+            self.states, self.classes = bytearray(), b""
+
+    def _counts(self) -> dict[str, int]:
+        if self.summarized:
+            record = self.record
+            return {
+                "completed": record.completed,
+                "failed": record.failed,
+                "cancelled": record.cancelled,
+            }
+        return {
+            "completed": self.count(ItemState.COMPLETED),
+            "failed": self.count(ItemState.FAILED),
+            "cancelled": self.count(ItemState.CANCELLED),
+            "unknown": self.count(ItemState.UNKNOWN),
+            "leased": self.count(ItemState.LEASED),
+        }
+
     def view(self) -> JobView:
         """Return what callers see."""
         create = self.record.create
@@ -142,12 +177,8 @@
             job_id=create.job_id,
             tenant=create.tenant,
             state=self._state_name(),
-            total=len(self.states),
-            completed=self.count(ItemState.COMPLETED),
-            failed=self.count(ItemState.FAILED),
-            cancelled=self.count(ItemState.CANCELLED),
-            unknown=self.count(ItemState.UNKNOWN),
-            leased=self.count(ItemState.LEASED),
+            total=self.record.rows,
+            **self._counts(),
             created_ms=self.record.created_ms,
             deadline_ms=create.deadline_ms,
             file_id=create.file_id,
@@ -263,7 +294,7 @@
         classes = bytes(self.file_classes.get(create.file_id, b""))
         job = Job(record, bytearray(source.rows), classes)
         if source.rows == 0:
-            record.finished_ms = now_ms
+            job.end(now_ms)
         self.jobs[create.job_id] = job
         self._put_job(job)
         return ProposeResult(code="ok", job=job.view())
@@ -281,7 +312,7 @@
 
     def _finish_if_done(self, job: Job, now_ms: int) -> None:
         if not job.finished and not job.has_open_items():
-            job.record.finished_ms = now_ms
+            job.end(now_ms)
             self._put_job(job)
 
     # ---- items ----
@@ -291,7 +322,7 @@
         known = self.leases.get(lease.lease_id)
         if known is not None:
             return ProposeResult(code="ok", accepted=len(known.rows))
-        if job is None or job.cancelled:
+        if job is None or job.cancelled or job.finished:
             return ProposeResult(code="nothing_leased")
         rows = [row for row in lease.rows if job.states[row] == ItemState.PENDING]
         if not rows:
@@ -342,7 +373,7 @@
         return True
 
     def _lease_open(self, job: Job, lease: Lease) -> bool:
-        return any(job.states[row] == ItemState.LEASED for row in lease.rows)
+        return not job.summarized and any(job.states[r] == ItemState.LEASED for r in lease.rows)
 
     def _lease_end(self, end: LeaseEnd, now_ms: int) -> ProposeResult:
         """End a lease or rows of it: what did not run or may be repeated goes back."""
@@ -350,6 +381,9 @@
         if lease is None:
             return ProposeResult(code="ok")
         job = self.jobs[lease.job_id]
+        if job.summarized:
+            self._drop_lease(end.lease_id)
+            return ProposeResult(code="ok")
         not_run = set(end.not_run)
         for row in end.rows or lease.rows:
             if job.states[row] != ItemState.LEASED:
@@ -417,7 +451,7 @@
         for job_id in jobs:
             job = self.jobs.pop(job_id)
             self._delete(RowKind.JOB, job_id, 0)
-            self._delete(RowKind.RESULT, job_id, len(job.states), whole=True)
+            self._delete(RowKind.RESULT, job_id, job.record.rows, whole=True)
         in_use = {job.record.create.file_id for job in self.jobs.values()}
         files = [
             file_id
@@ -449,6 +483,14 @@
         marker = b"whole" if whole else b""
         self.deleted_rows.append(Row(kind=kind.value, id=id_, number=number, value=marker))
 
+    def _mark_leased(self, lease: Lease) -> None:
+        job = self.jobs[lease.job_id]
+        if job.summarized:
+            return  # the job ended through other leases; this one lapses
+        for number in lease.rows:
+            if job.states[number] == ItemState.PENDING:
+                job.states[number] = ItemState.LEASED
+
     def load(self, rows: Iterable[Row], applied_index: int) -> None:
         """Rebuild memory from rows; lines are skipped, results set only their item's state."""
         results: list[tuple[str, int, int]] = []
@@ -460,7 +502,10 @@
                 self.file_classes.setdefault(row.id, bytearray())[row.number :] = row.value
             elif row.kind == RowKind.JOB:
                 record = JobRecord.FromString(row.value)
-                self.jobs[row.id] = Job(record, bytearray(record.rows), b"")
+                job = Job(record, bytearray(), b"")
+                if not job.summarized:
+                    job.states = bytearray(record.rows)
+                self.jobs[row.id] = job
             elif row.kind == RowKind.LEASE:
                 self.leases[row.id] = Lease.FromString(row.value)
             elif row.kind == RowKind.KEY:
@@ -469,17 +514,15 @@
                 self.keys[row.id] = stored
             elif row.kind == RowKind.RESULT:
                 results.append((row.id, row.number, ItemResult.FromString(row.value).end))
-        for job in self.jobs.values():
+        open_jobs = [job for job in self.jobs.values() if not job.summarized]
+        for job in open_jobs:
             job.classes = bytes(self.file_classes.get(job.record.create.file_id, b""))
         for job_id, number, end in results:
-            if job_id in self.jobs:
+            if job_id in self.jobs and not self.jobs[job_id].summarized:
                 self.jobs[job_id].states[number] = _STATE_BY_END[end]
         for lease in self.leases.values():
-            states = self.jobs[lease.job_id].states
-            for number in lease.rows:
-                if states[number] == ItemState.PENDING:
-                    states[number] = ItemState.LEASED
-        for job in self.jobs.values():
+            self._mark_leased(lease)
+        for job in open_jobs:
             if job.cancelled:
                 job.cancel_pending()
         self.applied_index = applied_index
