Back ends that lose answers, refuse and cut streams; an error keeps its status between nodes

Cause: a refusal of a back end reached the caller as 503 from its owner and as 502 through another node: the status was guessed from the code on the far side. Change: the status travels with the error; one merge of writes serves driver and simulator; tests of lost answers, refusals, outages, cut streams against the ledger.

--- a/src/wharfcart/cluster/transport.py
+++ b/src/wharfcart/cluster/transport.py
@@ -56,6 +56,7 @@
             code=error.code,
             message=error.message,
             outcome=error.outcome.value,
+            status=error.status,
             leader_hint=leader_hint,
             retry_after_ms=int((error.retry_after_seconds or 0) * 1000),
         )
@@ -310,21 +311,11 @@
         return task
 
 
-STATUS_BY_CODE = {
-    "no_leader": 503,
-    "not_leader": 503,
-    "overloaded": 503,
-    "deadline_exceeded": 504,
-    "backend_failed": 502,
-    "not_found": 404,
-}
-
-
 def _serving_error(error: CallError) -> ServingError:
     result = ServingError(
         error.code,
         error.message,
-        STATUS_BY_CODE.get(error.code, 500),
+        error.status or 500,
         Outcome(error.outcome),
         error.retry_after_ms / 1000 or None,
     )
--- a/src/wharfcart/experiments/journal_simulation.py
+++ b/src/wharfcart/experiments/journal_simulation.py
@@ -276,7 +276,7 @@
         output = shard.take_output()
         if output.dirty or output.send_after_write or output.reload:
             gathering = machine.gathering or ShardWrites()
-            machine.gathering = _merge(gathering, output.writes)
+            machine.gathering = gathering.merge(output.writes)
         machine.after_write.extend(output.send_after_write)
         machine.mark = output.written_mark or machine.mark
         machine.reload = machine.reload or output.reload
@@ -519,21 +519,6 @@
                 record_reads(self.history, shard, self.now, self.now)
 
 
-def _merge(known: ShardWrites, new: ShardWrites) -> ShardWrites:
-    if new.begin_install:
-        new.hard_state = new.hard_state or known.hard_state
-        return new
-    known.hard_state = new.hard_state or known.hard_state
-    known.add_entries(new.entries)
-    known.rows.extend(new.rows)
-    known.deleted_rows.extend(new.deleted_rows)
-    if new.applied_index is not None:
-        known.applied_index = new.applied_index
-    known.compact_to = new.compact_to or known.compact_to
-    known.end_install = new.end_install or known.end_install
-    return known
-
-
 def record_reads(history: History, shard: Shard, begun: float, ended: float) -> None:
     """Record what a reader sees of every key and item."""
     for number in range(KEYS):
--- a/src/wharfcart/storage/journal.py
+++ b/src/wharfcart/storage/journal.py
@@ -332,24 +332,8 @@
         self._tell_changes(shard, output)
 
     def _merge_writes(self, number: int, new: ShardWrites) -> None:
-        known = self._gathering.writes.setdefault(number, ShardWrites())
-        if new.begin_install:
-            self._gathering.writes[number] = new
-            return
-        known.hard_state = new.hard_state or known.hard_state
-        known.add_entries(new.entries)
-        # Within a commit, rows are put before others are deleted: of a row that comes in both, only
-        # the later stays.
-        if new.deleted_rows:
-            known.rows = _without(known.rows, new.deleted_rows)
-        if known.deleted_rows:
-            known.deleted_rows = _without(known.deleted_rows, new.rows)
-        known.rows.extend(new.rows)
-        known.deleted_rows.extend(new.deleted_rows)
-        if new.applied_index is not None:
-            known.applied_index = new.applied_index
-        known.compact_to = new.compact_to or known.compact_to
-        known.end_install = new.end_install or known.end_install
+        known = self._gathering.writes.get(number)
+        self._gathering.writes[number] = new if known is None else known.merge(new)
 
     def _send_all(self, messages: list[ReplicaMessage]) -> None:
         by_target: dict[str, list[ReplicaMessage]] = {}
@@ -396,11 +380,6 @@
         task.add_done_callback(self._tasks.discard)
 
 
-def _without(rows: list[Row], others: list[Row]) -> list[Row]:
-    keys = {(row.kind, row.id, row.number) for row in others}
-    return [row for row in rows if (row.kind, row.id, row.number) not in keys]
-
-
 def not_leader(leader: str) -> ServingError:
     """Return the error of a replica asked for what only the leader may do."""
     error = ServingError("not_leader", "this replica does not lead the shard", 503)
--- a/src/wharfcart/storage/writes.py
+++ b/src/wharfcart/storage/writes.py
@@ -43,6 +43,27 @@
     begin_install: bool = False
     end_install: InstalledBase | None = None
 
+    def merge(self, newer: "ShardWrites") -> "ShardWrites":
+        """Return what both ask for in one commit, ``newer`` having come later."""
+        if newer.begin_install:
+            # An install empties the replica: only epoch and vote of what came before still count.
+            newer.hard_state = newer.hard_state or self.hard_state
+            return newer
+        self.hard_state = newer.hard_state or self.hard_state
+        self.add_entries(newer.entries)
+        # Rows are put before others are deleted: of a row that comes in both, only the later stays.
+        if newer.deleted_rows:
+            self.rows = _without(self.rows, newer.deleted_rows)
+        if self.deleted_rows:
+            self.deleted_rows = _without(self.deleted_rows, newer.rows)
+        self.rows.extend(newer.rows)
+        self.deleted_rows.extend(newer.deleted_rows)
+        if newer.applied_index is not None:
+            self.applied_index = newer.applied_index
+        self.compact_to = newer.compact_to or self.compact_to
+        self.end_install = newer.end_install or self.end_install
+        return self
+
     def add_entries(self, entries: Sequence[LogEntry]) -> None:
         """Add entries, which replace everything from their first index on."""
         if not entries:
@@ -50,3 +71,8 @@
         first = entries[0].index
         self.entries = [entry for entry in self.entries if entry.index < first]
         self.entries.extend(entries)
+
+
+def _without(rows: list[Row], others: list[Row]) -> list[Row]:
+    keys = {(row.kind, row.id, row.number) for row in others}
+    return [row for row in rows if (row.kind, row.id, row.number) not in keys]
--- /dev/null
+++ b/tests/gateway/test_backend_faults.py
@@ -0,0 +1,106 @@
+"""Back ends that lose answers, refuse, and cut streams: nothing doubled, nothing half."""
+
+import json
+from collections.abc import Iterator
+
+import httpx2 as httpx
+import pytest
+
+from wharfcart.emulator.engine_core import answer_text
+from wharfcart.emulator.faults import Faults
+from wharfcart.experiments.dev_fleet import DevFleet
+
+KEY = {"Authorization": "Bearer dealer-05-key"}
+
+
+@pytest.fixture
+def faulty(fleet: DevFleet) -> Iterator[DevFleet]:
+    yield fleet
+    for server in (*fleet.emulator.applications.values(), *fleet.emulator.engines.values()):
+        server.switch.faults = Faults()
+
+
+def _set_applications(fleet: DevFleet, **faults: object) -> None:
+    for server in fleet.emulator.applications.values():
+        server.switch.faults = Faults.model_validate(faults)
+
+
+def _register(fleet: DevFleet, vehicle: str, node: int = 0) -> httpx.Response:
+    headers = KEY | {"Idempotency-Key": vehicle}
+    url = f"{fleet.urls[node]}/v1/services/register/{vehicle}"
+    return httpx.post(url, json={"vehicle": vehicle}, headers=headers, timeout=30)
+
+
+def _effects(fleet: DevFleet, vehicle: str) -> int:
+    paths = [effect.path for effect in fleet.emulator.ledgers["registry"]]
+    return paths.count(f"registrations/{vehicle}")
+
+
+def test_lost_answer_of_an_effect_is_settled_never_repeated(faulty: DevFleet) -> None:
+    _set_applications(faulty, lost_answers=1)
+    first = _register(faulty, "lost-1")
+    assert first.status_code >= 500
+    assert first.json()["outcome"] == "unknown"
+    assert _effects(faulty, "lost-1") == 1
+    # The same key through another node: the back end tells what became of it.
+    again = _register(faulty, "lost-1", node=1)
+    assert again.status_code == 200
+    assert _effects(faulty, "lost-1") == 1
+
+
+def test_unknown_effect_becomes_definite_when_looked_up(faulty: DevFleet) -> None:
+    _set_applications(faulty, lost_answers=1)
+    assert _register(faulty, "lost-2").json()["outcome"] == "unknown"
+    _set_applications(faulty)
+    found = httpx.get(f"{faulty.urls[2]}/v1/requests/lost-2", headers=KEY).json()
+    assert found["state"] == "completed"
+    assert json.loads(found["response"])["path"] == "registrations/lost-2"
+
+
+def test_refused_effect_is_not_run_and_may_be_sent_again(faulty: DevFleet) -> None:
+    _set_applications(faulty, refuse_part=1.0)
+    refused = _register(faulty, "refused-1")
+    assert refused.status_code == 503
+    assert refused.json()["outcome"] == "not_run"
+    assert "Retry-After" in refused.headers
+    assert _effects(faulty, "refused-1") == 0
+    _set_applications(faulty)
+    assert _register(faulty, "refused-1").status_code == 200
+    assert _effects(faulty, "refused-1") == 1
+
+
+def test_effect_whose_server_is_down_is_not_run(faulty: DevFleet) -> None:
+    _set_applications(faulty, outage=True)
+    answer = _register(faulty, "down-1")
+    # The connection was made, so nobody can say that it did not run, until the server tells.
+    assert answer.json()["outcome"] == "unknown"
+    assert _effects(faulty, "down-1") == 0
+    _set_applications(faulty)
+    settled = httpx.get(f"{faulty.urls[0]}/v1/requests/down-1", headers=KEY).json()
+    assert settled["state"] == "not_run"
+    assert _register(faulty, "down-1").status_code == 200
+    assert _effects(faulty, "down-1") == 1
+
+
+def test_cut_stream_is_resumed_and_whole(faulty: DevFleet) -> None:
+    for engine in faulty.emulator.engines.values():
+        engine.switch.faults = Faults(cut_streams=1)
+    body = {
+        "model": "notices",
+        "stream": True,
+        "messages": [{"role": "user", "content": "cut me"}],
+    }
+    url = f"{faulty.urls[0]}/v1/chat/completions"
+    lines = httpx.post(url, json=body, headers=KEY, timeout=30).text.split("\n\n")
+    chunks = [json.loads(line[6:]) for line in lines if line.startswith("data: {")]
+    text = "".join(chunk["choices"][0]["delta"].get("content", "") for chunk in chunks)
+    assert text.strip() == answer_text("cut me", 48)
+    assert "data: [DONE]" in lines
+
+
+def test_repeatable_request_goes_to_another_server(faulty: DevFleet) -> None:
+    one = next(iter(faulty.emulator.applications.values()))
+    one.switch.faults = Faults(refuse_part=1.0)
+    for number in range(20):
+        url = f"{faulty.urls[number % 3]}/v1/services/status/{number}"
+        assert httpx.get(url, headers=KEY, timeout=30).status_code == 200
