--- a/src/wharfcart/experiments/process_fleet.py
+++ b/src/wharfcart/experiments/process_fleet.py
@@ -191,14 +191,22 @@
 
     async def ledger(self) -> list[dict[str, Any]]:
         """Return every effect that the application servers recorded."""
-        async with aiohttp.ClientSession() as session:
-            async with session.get(self.machine_list) as response:
-                groups = await response.json()
-            application = next(g for g in groups if g["labels"]["kind"] == "application")
-            url = f"http://{application['targets'][0]}/ledger"
-            async with session.get(url) as response:
-                effects: list[dict[str, Any]] = await response.json()
-                return effects
+        address = (await self.addresses("application"))[0]
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(f"http://{address}/ledger") as response,
+        ):
+            effects: list[dict[str, Any]] = await response.json()
+            return effects
+
+    async def addresses(self, kind: str) -> list[str]:
+        """Return the addresses of the listed back ends of a kind."""
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(self.machine_list) as response,
+        ):
+            groups = await response.json()
+        return [str(g["targets"][0]) for g in groups if g["labels"]["kind"] == kind]
 
     async def set_faults(self, address: str, **faults: object) -> None:
         """Switch faults of one stand-in."""
--- a/tests/integration/conftest.py
+++ b/tests/integration/conftest.py
@@ -92,6 +92,9 @@
         client = Client(world.fleet)
         world.victim = world.fleet.nodes[0]
         url = world.victim.url
+        # Slow streams, so that a node that does not wait for them cuts them.
+        for address in await world.fleet.addresses("engine"):
+            await world.fleet.set_faults(address, slow_factor=8.0)
         tasks = [asyncio.create_task(client.stream(url, f"q{n}")) for n in range(24)]
         await until(lambda: _in_flight(world.fleet))
         world.fleet.send_signal(world.victim, signal.SIGTERM)
@@ -530,9 +533,7 @@
 
 async def _prompt_tokens(world: World) -> int:
     async with aiohttp.ClientSession() as session:
-        async with session.get(world.fleet.machine_list) as response:
-            groups = await response.json()
-        address = next(g["targets"][0] for g in groups if g["labels"]["id"] == "engine-1")
+        address = (await world.fleet.addresses("engine"))[0]
         async with session.get(f"http://{address}/status") as response:
             return int((await response.json())["prompt_tokens"])
 
