A shard that lost two of three disks goes on by an operator's word; fail-over drops the dead at once

Cause: two disks lost after their acknowledgements left a shard stopped for good; a lost spare was waited for for ever (found by the scenario); after a leader's death the new one waited a second more for its predecessor before it could commit.

--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,8 @@
 bench: install
 	$(BIN)/python benchmarks/gateway_latency.py
 	$(BIN)/python benchmarks/journal_throughput.py
+	$(BIN)/python benchmarks/leader_failover.py
+	$(BIN)/python benchmarks/capacity_slopes.py
 
 soak: install
 	$(BIN)/python benchmarks/journal_soak.py
--- a/src/wharfcart/admin/handlers.py
+++ b/src/wharfcart/admin/handlers.py
@@ -86,6 +86,7 @@
             Route(self.rollback, f"{root}/configuration/rollback", "POST"),
             Route(self.history, f"{root}/configuration/history", "GET"),
             Route(self.status, f"{root}/status", "GET"),
+            Route(self.recover, f"{root}/journal/<shard:int>/recover", "POST"),
         ]
 
     # ---- reading ----
@@ -122,6 +123,11 @@
             }
         )
 
+    async def recover(self, request: Request, shard: int) -> HTTPResponse:
+        """Have this node's disk go on alone with a shard whose other disks are lost."""
+        self._context.recover_shard(shard)
+        return json({"shard": shard, "recovering": True})
+
     # ---- changing ----
 
     async def plan(self, request: Request) -> HTTPResponse:
--- a/src/wharfcart/admin/interface.py
+++ b/src/wharfcart/admin/interface.py
@@ -24,4 +24,5 @@
     configuration: RevisionedMap
     take_entries: Callable[[Iterable[Entry], int], None]
     node_statuses: Callable[[], Awaitable[list[NodeStatus]]]
+    recover_shard: Callable[[int], None]
     shard_replicas: Callable[[], dict[int, list[str]]]
--- a/src/wharfcart/cli/main.py
+++ b/src/wharfcart/cli/main.py
@@ -5,7 +5,7 @@
 import typer
 
 import wharfcart
-from wharfcart.cli import batch, config, experiment, processes
+from wharfcart.cli import batch, config, experiment, journal, processes
 from wharfcart.cli.client import Server
 from wharfcart.cli.options import KeyOption, OutputOption, ServerOption
 from wharfcart.cli.output import OutputFormat, print_answer
@@ -17,6 +17,7 @@
 )
 app.add_typer(config.app, name="config")
 app.add_typer(batch.app, name="batch")
+app.add_typer(journal.app, name="journal")
 app.add_typer(experiment.app, name="experiment")
 app.command()(processes.node)
 app.command()(processes.emulator)
--- a/src/wharfcart/experiments/journal_simulation.py
+++ b/src/wharfcart/experiments/journal_simulation.py
@@ -178,13 +178,13 @@
     def run(self) -> History:
         """Run to the end: faults, then a quiet time, then final reads."""
         end = self.plan.seconds
-        self._run_until(end)
+        self.run_until(end)
         self._heal()
-        self._run_until(end + self.plan.settle_seconds)
+        self.run_until(end + self.plan.settle_seconds)
         for client in self._clients:
             client.stopped = True
         self._final_reads()
-        self._run_until(end + self.plan.settle_seconds + 3.0)
+        self.run_until(end + self.plan.settle_seconds + 3.0)
         return self.history
 
     # ---- events ----
@@ -194,7 +194,8 @@
         self._sequence += 1
         heapq.heappush(self._events, (self.now + delay, self._sequence, work))
 
-    def _run_until(self, end: float) -> None:
+    def run_until(self, end: float) -> None:
+        """Advance simulated time."""
         while self._events and self._events[0][0] <= end:
             self.now, _, work = heapq.heappop(self._events)
             work()
@@ -231,14 +232,15 @@
             machine.disk.record, rows, machine.disk.identity, self.random, self.now, LOG_ENTRIES
         )
 
-    def _crash(self, machine: _Machine) -> None:
+    def crash(self, machine: _Machine) -> None:
+        """End a machine's process; its disk stays."""
         machine.generation += 1
         machine.shard = None
         machine.paused = False
         machine.backlog = []
 
     def _lose_disk(self, machine: _Machine) -> None:
-        self._crash(machine)
+        self.crash(machine)
         machine.disk = _Disk(self._new_identity(machine))
 
     def _new_identity(self, machine: _Machine) -> str:
@@ -404,7 +406,7 @@
 
     def _fault_crash(self) -> None:
         machine = self._victim()
-        self._crash(machine)
+        self.crash(machine)
         generation = machine.generation
         self.later(self._duration(), lambda: self._restart(machine, generation))
 
--- a/src/wharfcart/experiments/scale.py
+++ b/src/wharfcart/experiments/scale.py
@@ -16,7 +16,7 @@
 
 from wharfcart.experiments.hollow_fleet import HollowFleet
 
-WARM_UP_S = 60.0
+WARM_UP_S = 180.0
 STEADY_S = 60.0
 RACK_NODES = 8
 DETECTION_S = 25.0
--- a/src/wharfcart/gateway/app.py
+++ b/src/wharfcart/gateway/app.py
@@ -81,7 +81,7 @@
         self, handler: Callable[..., Awaitable[HTTPResponse | None]]
     ) -> Callable[..., Coroutine[Any, Any, HTTPResponse | None]]:
         @wraps(handler)
-        async def counted(request: Request, **arguments: str) -> HTTPResponse | None:
+        async def counted(request: Request, **arguments: Any) -> HTTPResponse | None:
             self._in_progress += 1
             try:
                 return await handler(request, **arguments)
--- a/src/wharfcart/node/node.py
+++ b/src/wharfcart/node/node.py
@@ -208,6 +208,7 @@
             self._spreading.configuration,
             self._spreading.take_configuration,
             self._node_statuses,
+            self._recover_shard,
             self._shard_replicas,
         )
         self.gateway.add_routes(AdminHandlers(admin, self._store).routes())
@@ -417,6 +418,13 @@
             return None
         return answer.fleet_view
 
+    def _recover_shard(self, shard: int) -> None:
+        if self._journal is None:
+            raise ServingError("recovery_refused", "this node has no data folder", 409)
+        known = self._spreading.placement.shards.get(shard)
+        version = known.version if known is not None else 0
+        self._journal.recover_alone(shard, self._live_storage(), version)
+
     def _shard_replicas(self) -> dict[int, list[str]]:
         shards = self._spreading.placement.shards
         return {shard: list(placement.replicas) for shard, placement in shards.items()}
--- a/src/wharfcart/routing/owner.py
+++ b/src/wharfcart/routing/owner.py
@@ -161,6 +161,7 @@
         owned.gate.start_batch(request.request_id, loop.time())
         task = loop.create_task(self._collect(owned, request))
         owned.batch_tasks[request.request_id] = task
+        task.add_done_callback(_note_exception)
         try:
             return await asyncio.shield(task)
         except ServingError:
@@ -186,3 +187,9 @@
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+
+
+def _note_exception(task: "asyncio.Task[BackendPart]") -> None:
+    """Take the exception of a task whose waiter went away: a stopped request ends with one."""
+    if not task.cancelled():
+        task.exception()
--- a/src/wharfcart/storage/journal.py
+++ b/src/wharfcart/storage/journal.py
@@ -149,6 +149,33 @@
             shard.storage_members(live, leaving, self._loop.time())
             self._collect(shard)
 
+    def recover_alone(self, number: int, live: dict[str, str], known_version: int) -> None:
+        """Go on with a shard whose other disks are lost for good, by an operator's word.
+
+        Parameters
+        ----------
+        live: storage identities that membership knows.
+        known_version: newest version of the shard's placement that any node told.
+
+        Raises
+        ------
+        ServingError
+            ``recovery_refused`` if a majority of the voters lives, if this disk holds no replica of
+            the shard, or if the shard's set changed after this replica last heard of it.
+        """
+        shard = self.shards.get(number)
+        if shard is None or self.identity not in shard.replica.replica_set.voters:
+            raise _recovery_refused("this node holds no voting replica of the shard")
+        voters = shard.replica.replica_set.voters
+        if sum(voter in live for voter in voters) * 2 > len(voters):
+            raise _recovery_refused("a majority of the voters lives: wait for an election")
+        in_sync = shard.replica.replica_set.in_sync
+        if self.identity not in in_sync or known_version > shard.replica.replica_set_index + 1:
+            raise _recovery_refused("this replica was dropped from the in-sync set: it is behind")
+        logger.warning("shard recovered alone", extra={"shard": number})
+        shard.recover_alone(self._loop.time())
+        self._collect(shard)
+
     def step_down(self) -> None:
         """Hand every leadership over."""
         for shard in self.shards.values():
@@ -381,6 +408,10 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def _recovery_refused(reason: str) -> ServingError:
+    return ServingError("recovery_refused", reason, 409)
+
+
 def not_leader(leader: str) -> ServingError:
     """Return the error of a replica asked for what only the leader may do."""
     error = ServingError("not_leader", "this replica does not lead the shard", 503)
--- a/src/wharfcart/storage/replica.py
+++ b/src/wharfcart/storage/replica.py
@@ -106,6 +106,7 @@
     _election_at: float = 0.0
     _votes: set[str] = field(default_factory=set)
     _progress: dict[str, Progress] = field(default_factory=dict)
+    _deposed: str = ""
     _round: int = 0
     _round_sent_at: dict[int, float] = field(default_factory=dict)
     _epoch_start_index: int = 0
@@ -266,6 +267,7 @@
         if not self._may_campaign():
             return []
         self.role = Role.PRE_CANDIDATE
+        self._deposed = self.leader or self._deposed
         self.leader = ""
         self._votes = {self.identity}
         if self._has_majority(self._votes):
@@ -352,6 +354,8 @@
             actions.append(self._persist())
         self.role = Role.FOLLOWER
         self.leader = leader
+        if leader:
+            self._deposed = ""
         self._reset_election(now)
         return actions
 
@@ -361,7 +365,12 @@
         self._round_sent_at = {}
         self._policy.restart()
         self._progress = {
-            peer: Progress(next_index=self.last_index + 1, heard_at=now)
+            # The predecessor has been silent for an election's time already: it need not be
+            # waited for again before it is dropped from the in-sync set.
+            peer: Progress(
+                next_index=self.last_index + 1,
+                heard_at=self._heard_leader_at if peer == self._deposed else now,
+            )
             for peer in self.replica_set.voters
             if peer != self.identity
         }
@@ -371,6 +380,20 @@
         actions: list[ReplicaAction] = [RoleChanged(Role.LEADER), *self._append_own([entry])]
         return actions + self._replicate_all(now)
 
+    def recover_alone(self, now: float) -> list[ReplicaAction]:
+        """Go on as the only voter, by an operator's word that the other disks are lost for good.
+
+        The repair then adds spares. Whether this replica was in sync to the end is not known here;
+        the caller checks what it can (docs/operations/failures.md).
+        """
+        self.epoch += 1
+        self.voted_for = self.identity
+        alone = ReplicaSet(voters=[self.identity], in_sync=[self.identity])
+        command = Command(replica_set=alone).SerializeToString()
+        entry = LogEntry(index=self.last_index + 1, epoch=self.epoch, command=command)
+        actions = self._append_own([entry])
+        return actions + self._lead(now)
+
     def step_down(self, now: float) -> list[ReplicaAction]:
         """Give up leadership for a planned stop and ask the most advanced peer to campaign."""
         if self.role is not Role.LEADER:
--- a/src/wharfcart/storage/replica_set_policy.py
+++ b/src/wharfcart/storage/replica_set_policy.py
@@ -144,7 +144,7 @@
         if not self._learner:
             return self._choose_learner(view, "")
         if not view.caught_up(self._learner):
-            return Decision()
+            return self._give_up_lost_learner()
         learner, self._learner = self._learner, ""
         current = view.replica_set
         return Decision(
--- a/src/wharfcart/storage/shard.py
+++ b/src/wharfcart/storage/shard.py
@@ -194,6 +194,10 @@
         """Note which storage identities are live, identity to zone, and which are leaving."""
         self._carry_out(self.replica.storage_members(live, leaving, now))
 
+    def recover_alone(self, now: float) -> None:
+        """Go on as the only voter, by an operator's word."""
+        self._carry_out(self.replica.recover_alone(now))
+
     def step_down(self, now: float) -> None:
         """Give up leadership for a planned stop."""
         self._carry_out(self.replica.step_down(now))
--- a/tests/integration/conftest.py
+++ b/tests/integration/conftest.py
@@ -346,6 +346,62 @@
     _run_job(world, disturb)
 
 
+@when("a batch job and effects are done and then two disks are lost")
+def two_disks(world: World) -> None:
+    async def nothing(victim: Any = None) -> None:
+        return
+
+    _run_job(world, nothing)
+    _run_effects(world, nothing)
+
+    async def lose() -> None:
+        for victim in world.fleet.nodes[:2]:
+            world.fleet.send_signal(victim, signal.SIGKILL)
+        for victim in world.fleet.nodes[:2]:
+            await world.fleet.wait_exit(victim)
+            assert victim.data_folder is not None
+            shutil.rmtree(victim.data_folder)
+            world.fleet.start_node(victim)
+
+    run(lose())
+
+
+@when("the operator has the survivor go on alone")
+def recover(world: World) -> None:
+    survivor = world.fleet.nodes[2]
+    done: set[int] = set()
+    headers = {"Authorization": f"Bearer {world.fleet.admin_key}"}
+
+    async def recovered() -> bool:
+        async with aiohttp.ClientSession(headers=headers) as session:
+            for shard in range(world.fleet.shards):
+                url = f"{survivor.url}/admin/v1/journal/{shard}/recover"
+                async with session.post(url) as response:
+                    # Refused while membership still counts the lost identities as live.
+                    if response.status == 200:
+                        done.add(shard)
+        return len(done) == world.fleet.shards
+
+    run(until(recovered))
+
+
+@then("every effect is replayed from the journal")
+def effects_replayed(world: World) -> None:
+    async def replay() -> list[Effect]:
+        client = Client(world.fleet)
+        again = [
+            await client.effect(number, f"key-{number}", f"vehicle-{number}")
+            for number in range(EFFECTS)
+        ]
+        await client.close()
+        return again
+
+    first = {effect.key: effect.answers[-1][2] for effect in world.effects}
+    assert {effect.key: effect.answers[-1][2] for effect in run(replay())} == first
+    ledger = [effect["path"] for effect in run(world.fleet.ledger())]
+    assert len(ledger) == len(set(ledger)) == EFFECTS
+
+
 @when("a batch job runs")
 def job(world: World) -> None:
     async def nothing() -> None:
--- a/tests/integration/features/failures.feature
+++ b/tests/integration/features/failures.feature
@@ -82,3 +82,12 @@
     Then every effect happened at most once
     And every effect is completed or its answer says what is known
     And after the cut a configuration change is in force on every node
+
+  Scenario: Two disks are lost after their acknowledgements
+    Given a fleet of 4 nodes
+    When a batch job and effects are done and then two disks are lost
+    And the operator has the survivor go on alone
+    Then every item completed exactly once with its own answer
+    And every effect happened at most once
+    And every effect is replayed from the journal
+    And the new disk became a replica of every shard
--- /dev/null
+++ b/tests/storage/test_replica_set_policy.py
@@ -0,0 +1,84 @@
+"""Who replicates a shard, decision by decision."""
+
+from wharfcart.cluster.messages_pb2 import ReplicaSet
+from wharfcart.storage.replica_set_policy import (
+    IN_SYNC_TIMEOUT_S,
+    REPAIR_DELAY_S,
+    LeaderView,
+    Progress,
+    ReplicaSetPolicy,
+)
+
+NOW = 100.0
+COMMITTED = 7
+
+
+def _view(voters: str, in_sync: str, answering: str, caught_up: str = "abcdef") -> LeaderView:
+    """The view of leader ``a``; others answer or not, hold everything or not."""
+    progress = {
+        peer: Progress(
+            next_index=COMMITTED + 1,
+            match_index=COMMITTED if peer in caught_up else 0,
+            heard_at=NOW if peer in answering else NOW - 2 * IN_SYNC_TIMEOUT_S,
+        )
+        for peer in "bcdef"
+        if peer in voters + answering
+    }
+    return LeaderView(ReplicaSet(voters=voters, in_sync=in_sync), progress, COMMITTED, True)
+
+
+def _policy(live: str) -> ReplicaSetPolicy:
+    return ReplicaSetPolicy(live={identity: f"zone-{identity}" for identity in live})
+
+
+def test_silent_replica_leaves_the_in_sync_set() -> None:
+    decision = _policy("ab").decide(_view("abc", "abc", "b"), NOW)
+    assert decision.next_set is not None
+    assert list(decision.next_set.in_sync) == ["a", "b"]
+
+
+def test_last_but_one_copy_is_never_dropped() -> None:
+    assert _policy("a").decide(_view("abc", "ab", ""), NOW).next_set is None
+
+
+def test_caught_up_voter_takes_a_silent_ones_place() -> None:
+    decision = _policy("ac").decide(_view("abc", "ab", "c"), NOW)
+    assert decision.next_set is not None
+    assert list(decision.next_set.in_sync) == ["a", "c"]
+
+
+def test_voter_gone_for_long_is_replaced_by_a_spare_that_caught_up() -> None:
+    policy = _policy("abd")
+    view = _view("abc", "ab", "bd")
+    assert policy.decide(view, NOW) == policy.decide(view, NOW)
+    later = NOW + REPAIR_DELAY_S + 0.1
+    view.progress["b"].heard_at = view.progress["d"].heard_at = later
+    assert policy.decide(view, later).learner == "d"
+    removed = policy.decide(view, later)
+    assert removed.next_set is not None and list(removed.next_set.voters) == ["a", "b"]
+    assert removed.forget == ("c",)
+    added = policy.decide(_view("ab", "ab", "bd"), NOW)
+    assert added.next_set is not None and list(added.next_set.voters) == ["a", "b", "d"]
+
+
+def test_voter_that_left_for_a_while_is_not_replaced() -> None:
+    policy = _policy("abd")
+    policy.leaving = {"c"}
+    view = _view("abc", "ab", "bd")
+    for seconds in (0.0, REPAIR_DELAY_S + 1):
+        view.progress["b"].heard_at = NOW + seconds
+        assert policy.decide(view, NOW + seconds).learner is None
+
+
+def test_spare_that_is_lost_makes_room_for_another() -> None:
+    """Found by a scenario: the first spare was an identity that was lost already."""
+    policy = _policy("ax")
+    assert policy.decide(_view("a", "a", ""), NOW).learner == "x"
+    policy.live = {"a": "zone-a", "d": "zone-d"}
+    assert policy.decide(_view("a", "a", ""), NOW).forget == ("x",)
+    assert policy.decide(_view("a", "a", ""), NOW).learner == "d"
+
+
+def test_spare_of_another_zone_first() -> None:
+    policy = ReplicaSetPolicy(live={"a": "1", "b": "2", "d": "1", "e": "3"})
+    assert policy.decide(_view("ab", "ab", "b"), NOW).learner == "e"
