--- a/benchmarks/capacity_slopes.py
+++ b/benchmarks/capacity_slopes.py
@@ -79,7 +79,7 @@
 
 
 def configuration_figures() -> dict[str, float]:
-    document = load_document(json.dumps(example_document(Profile.REGISTRATION)), "example")
+    document = load_document(json.dumps(example_document(Profile.REGISTRATION)), "example").unwrap()
     entries = document_entries(document)
     deployments = [key for key in entries if key.startswith("deployment/")]
     every = {
--- a/src/wharfcart/admin/handlers.py
+++ b/src/wharfcart/admin/handlers.py
@@ -11,6 +11,7 @@
 
 import yaml
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from returns.result import Failure
 from sanic import Request
 from sanic.response import HTTPResponse, json
 
@@ -155,9 +156,10 @@
 
     def _plan(self, wanted: ChangeRequest) -> ChangePlan:
         # A partial document may refer to what is in force already: references are checked below.
-        entries = document_entries(
-            load_document(wanted.document, wanted.file, check_references=False)
-        )
+        parsed = load_document(wanted.document, wanted.file, check_references=False)
+        if isinstance(parsed, Failure):
+            raise FindingsError(parsed.failure())
+        entries = document_entries(parsed.unwrap())
         current = self._context.configuration.live()
         plan = plan_changes(current, entries, wanted.replace)
         self._check(plan, wanted.file)
--- a/src/wharfcart/cli/config.py
+++ b/src/wharfcart/cli/config.py
@@ -8,9 +8,8 @@
 
 from wharfcart.cli.client import Server
 from wharfcart.cli.options import KeyOption, OutputOption, ServerOption
-from wharfcart.cli.output import ExitCode, OutputFormat, fail, fail_findings, print_answer
+from wharfcart.cli.output import ExitCode, OutputFormat, fail, or_fail, print_answer
 from wharfcart.configuration.validation import load_document
-from wharfcart.errors import FindingsError
 
 app = typer.Typer(help="Templates, deployments and tenants.", no_args_is_help=True)
 
@@ -23,11 +22,10 @@
 def check(file: FileArgument, output: OutputOption = OutputFormat.TABLE) -> None:
     """Check a whole document without a server; print every finding."""
     try:
-        document = load_document(file.read_text(encoding="utf-8"), str(file))
+        text = file.read_text(encoding="utf-8")
     except UnicodeDecodeError:
         fail(f"{file}: not UTF-8", ExitCode.FINDINGS)
-    except FindingsError as error:
-        fail_findings(error.findings)
+    document = or_fail(load_document(text, str(file)))
     counts = {
         "tenants": len(document.tenants),
         "models": len(document.models),
--- a/src/wharfcart/cli/output.py
+++ b/src/wharfcart/cli/output.py
@@ -4,14 +4,17 @@
 import sys
 from collections.abc import Iterable
 from enum import IntEnum, StrEnum
-from typing import Any, NoReturn
+from typing import Any, NoReturn, TypeVar
 
 import typer
+from returns.result import Failure, Result
 from rich.console import Console
 from rich.table import Table
 
 from wharfcart.errors import Finding
 
+_Value = TypeVar("_Value")
+
 
 class ExitCode(IntEnum):
     """Exit codes of every command (docs/operations/command-line.md)."""
@@ -56,6 +59,13 @@
     raise typer.Exit(int(code))
 
 
+def or_fail(result: Result[_Value, list[Finding]]) -> _Value:
+    """Return a result's value; findings end the command."""
+    if isinstance(result, Failure):
+        fail_findings(result.failure())
+    return result.unwrap()
+
+
 def fail_findings(findings: Iterable[Finding]) -> NoReturn:
     """Print every finding and end the command."""
     for finding in findings:
--- a/src/wharfcart/cli/processes.py
+++ b/src/wharfcart/cli/processes.py
@@ -10,9 +10,8 @@
 import uvloop
 from pydantic import BaseModel
 
-from wharfcart.cli.output import ExitCode, fail_findings
+from wharfcart.cli.output import ExitCode, or_fail
 from wharfcart.emulator.fleet import EmulatedFleet
-from wharfcart.errors import FindingsError
 from wharfcart.experiments.dev_fleet import DevFleet
 from wharfcart.experiments.example_fleets import Profile
 from wharfcart.experiments.main_job import MainJob, Target
@@ -112,10 +111,7 @@
 
 
 def _load(model: type[SettingsModel], path: Path, flags: dict[str, Any]) -> SettingsModel:
-    try:
-        return load_settings(model, path, os.environ, flags)
-    except FindingsError as error:
-        fail_findings(error.findings)
+    return or_fail(load_settings(model, path, os.environ, flags))
 
 
 def _stop_event() -> asyncio.Event:
--- a/src/wharfcart/configuration/validation.py
+++ b/src/wharfcart/configuration/validation.py
@@ -5,6 +5,7 @@
 
 import yaml
 from pydantic import ValidationError
+from returns.result import Failure, Result, Success
 
 from wharfcart.configuration.schema import (
     Deployment,
@@ -12,7 +13,7 @@
     Template,
     TemplateKind,
 )
-from wharfcart.errors import Finding, FindingsError
+from wharfcart.errors import Finding
 
 Location = tuple[str | int, ...]
 
@@ -46,17 +47,16 @@
     return None
 
 
-def load_document(text: str, file: str, check_references: bool = True) -> Document:
-    """Parse and check a YAML document.
+def load_document(
+    text: str, file: str, check_references: bool = True
+) -> Result[Document, list[Finding]]:
+    """Parse and check a YAML document; return it, or every finding in it.
 
     Parameters
     ----------
     check_references: False for a document whose references may lie outside it.
 
-    Raises
-    ------
-    FindingsError
-        With every finding: syntax, types, unknown keys, references, parameter values.
+    Findings: syntax, types, unknown keys, references, parameter values.
     """
     try:
         raw = yaml.safe_load(text) or {}
@@ -64,21 +64,19 @@
     except yaml.YAMLError as error:
         mark = getattr(error, "problem_mark", None)
         place = f"line {mark.line + 1}" if mark is not None else "document"
-        raise FindingsError([Finding(file, place, f"not YAML: {error}")]) from None
+        return Failure([Finding(file, place, f"not YAML: {error}")])
     try:
         document = Document.model_validate(raw)
     except ValidationError as error:
-        raise FindingsError(
+        return Failure(
             [
                 Finding(file, _place(tuple(detail["loc"]), lines), detail["msg"])
                 for detail in error.errors()
             ]
-        ) from None
+        )
     checks = check_document(document) if check_references else _check_duplicates(document)
     findings = [Finding(file, _place(location, lines), reason) for location, reason in checks]
-    if findings:
-        raise FindingsError(findings)
-    return document
+    return Failure(findings) if findings else Success(document)
 
 
 def _place(location: Location, lines: _Lines | None) -> str:
--- a/src/wharfcart/gateway/online.py
+++ b/src/wharfcart/gateway/online.py
@@ -4,6 +4,7 @@
 import json as json_library
 import uuid
 from contextlib import aclosing
+from dataclasses import replace
 from typing import Any
 
 import xxhash
@@ -32,6 +33,7 @@
     validation_error,
 )
 from wharfcart.gateway.schema import ChatCompletionRequest, CompletionRequest
+from wharfcart.observability.logs import request_context
 
 KEY_HEADER = "Idempotency-Key"
 MOST_KEY_LENGTH = 200
@@ -135,6 +137,9 @@
         service = self._context.services.find_service(tenant.name, name)
         if service is None or service.kind is not kind:
             raise ServingError("service_not_found", f"no service {name!r}", 404)
+        context = request_context.get()
+        if context is not None:
+            request_context.set(replace(context, service=name))
         return service
 
     async def _serve(
--- a/src/wharfcart/settings/loading.py
+++ b/src/wharfcart/settings/loading.py
@@ -9,8 +9,9 @@
 from typing import Any, TypeVar
 
 from pydantic import BaseModel, ValidationError
+from returns.result import Failure, Result, Success
 
-from wharfcart.errors import Finding, FindingsError
+from wharfcart.errors import Finding
 
 VARIABLE_PREFIX = "WHARFCART_"
 CLIENT_PREFIX = "WHARFCART_CLI_"  # read by the client commands, no settings of a process
@@ -24,25 +25,21 @@
     path: Path,
     environment: Mapping[str, str],
     flags: Mapping[str, object] | None = None,
-) -> SettingsModel:
-    """Read and check settings.
+) -> Result[SettingsModel, list[Finding]]:
+    """Read and check settings; return them, or every finding.
 
     Parameters
     ----------
     environment: variables; ``WHARFCART_JOURNAL__SHARDS`` sets ``journal.shards``. A value is read
         as TOML where it is one, else as text.
     flags: dotted key to value; None is passed over.
-
-    Raises
-    ------
-    FindingsError
     """
     try:
         values: dict[str, Any] = tomllib.loads(path.read_text(encoding="utf-8"))
     except OSError as error:
-        raise FindingsError([Finding(str(path), "file", error.strerror or "unreadable")]) from None
+        return Failure([Finding(str(path), "file", error.strerror or "unreadable")])
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        raise FindingsError([Finding(str(path), "file", f"not TOML: {error}")]) from None
+        return Failure([Finding(str(path), "file", f"not TOML: {error}")])
     sources: dict[str, str] = {}
     for name, text in environment.items():
         if name.startswith(VARIABLE_PREFIX) and not name.startswith(CLIENT_PREFIX):
@@ -54,11 +51,11 @@
             _set(values, key, value)
             sources[key] = "--" + key.replace(".", "-").replace("_", "-")
     try:
-        return model.model_validate(values)
+        return Success(model.model_validate(values))
     except ValidationError as error:
-        raise FindingsError(
+        return Failure(
             [_finding(detail["loc"], detail["msg"], sources, path) for detail in error.errors()]
-        ) from None
+        )
 
 
 def _finding(
--- a/src/wharfcart/storage/replica.py
+++ b/src/wharfcart/storage/replica.py
@@ -43,6 +43,7 @@
 )
 from wharfcart.storage.replica_set_policy import (
     FEWEST_COPIES,
+    IN_SYNC_TIMEOUT_S,
     LeaderView,
     Progress,
     ReplicaSetPolicy,
@@ -107,6 +108,7 @@
     _votes: set[str] = field(default_factory=set)
     _progress: dict[str, Progress] = field(default_factory=dict)
     _deposed: str = ""
+    _asked_at: float = 0.0
     _round: int = 0
     _round_sent_at: dict[int, float] = field(default_factory=dict)
     _epoch_start_index: int = 0
@@ -163,6 +165,10 @@
             return self._leader_tick(now)
         if now >= self._election_at:
             return self._start_pre_vote(now)
+        if self.role is not Role.FOLLOWER and now - self._asked_at > RESEND_S:
+            # A lost request would else cost a whole election's time.
+            pre_vote = self.role is Role.PRE_CANDIDATE
+            return self._request_votes(self.epoch + pre_vote, pre_vote, now)
         return []
 
     def propose(self, commands: Sequence[bytes], now: float) -> tuple[int, list[ReplicaAction]]:
@@ -272,7 +278,7 @@
         self._votes = {self.identity}
         if self._has_majority(self._votes):
             return self._start_election(now)
-        return self._request_votes(self.epoch + 1, pre_vote=True)
+        return self._request_votes(self.epoch + 1, True, now)
 
     def _start_election(self, now: float, transfer: bool = False) -> list[ReplicaAction]:
         self.role = Role.CANDIDATE
@@ -283,10 +289,10 @@
         actions: list[ReplicaAction] = [self._persist()]
         if self._has_majority(self._votes):
             return actions + self._lead(now)
-        return actions + self._request_votes(self.epoch, pre_vote=False, transfer=transfer)
+        return actions + self._request_votes(self.epoch, False, now, transfer)
 
     def _request_votes(
-        self, epoch: int, pre_vote: bool, transfer: bool = False
+        self, epoch: int, pre_vote: bool, now: float, transfer: bool = False
     ) -> list[ReplicaAction]:
         request = VoteRequest(
             last_index=self.last_index,
@@ -294,11 +300,12 @@
             pre_vote=pre_vote,
             transfer=transfer,
         )
+        self._asked_at = now
         # A vote for oneself must be on disk before others hear of the candidacy.
         return [
             Send(self._message(peer, epoch, vote_request=request), after_persist=not pre_vote)
             for peer in self.replica_set.voters
-            if peer != self.identity
+            if peer != self.identity and peer not in self._votes
         ]
 
     def _vote_requested(self, message: ReplicaMessage, now: float) -> list[ReplicaAction]:
@@ -311,7 +318,7 @@
         if sticky or message.epoch < self.epoch:
             return [self._vote_response(message.sender, self.epoch, False, request.pre_vote)]
         if request.pre_vote:
-            granted = up_to_date and message.epoch > self.epoch
+            granted = up_to_date and message.epoch > self.epoch and not self._goes_first(message)
             epoch = message.epoch if granted else self.epoch
             return [self._vote_response(message.sender, epoch, granted, True)]
         actions: list[ReplicaAction] = []
@@ -325,6 +332,16 @@
         actions.append(self._vote_response(message.sender, self.epoch, granted, False))
         return actions
 
+    def _goes_first(self, message: ReplicaMessage) -> bool:
+        """Whether of two that stand at the same moment with equal logs it is we who go on.
+
+        Else both would vote for themselves and lose another election's time.
+        """
+        request = message.vote_request
+        equal = (request.last_epoch, request.last_index) == (self.last_epoch, self.last_index)
+        standing = self.role in (Role.PRE_CANDIDATE, Role.CANDIDATE)
+        return standing and equal and self.identity < message.sender
+
     def _vote_response(self, target: str, epoch: int, granted: bool, pre_vote: bool) -> Send:
         response = VoteResponse(granted=granted, pre_vote=pre_vote)
         return Send(self._message(target, epoch, vote_response=response), after_persist=True)
@@ -365,11 +382,11 @@
         self._round_sent_at = {}
         self._policy.restart()
         self._progress = {
-            # The predecessor has been silent for an election's time already: it need not be
-            # waited for again before it is dropped from the in-sync set.
+            # A majority has not heard the predecessor for an election's time: it is not waited for
+            # again before it is dropped from the in-sync set.
             peer: Progress(
                 next_index=self.last_index + 1,
-                heard_at=self._heard_leader_at if peer == self._deposed else now,
+                heard_at=now - 2 * IN_SYNC_TIMEOUT_S if peer == self._deposed else now,
             )
             for peer in self.replica_set.voters
             if peer != self.identity
--- a/tests/configuration/test_configuration.py
+++ b/tests/configuration/test_configuration.py
@@ -6,6 +6,7 @@
 import yaml
 from hypothesis import given
 from hypothesis import strategies as st
+from returns.pipeline import is_successful
 
 from wharfcart.cluster.messages_pb2 import Entry
 from wharfcart.configuration.changes import ChangeRecord, plan_changes, plan_rollback
@@ -13,7 +14,6 @@
 from wharfcart.configuration.services import ServiceIndex
 from wharfcart.configuration.spreading import RevisionedMap
 from wharfcart.configuration.validation import load_document
-from wharfcart.errors import FindingsError
 from wharfcart.experiments.example_fleets import Profile, example_document
 
 ROOT = Path(__file__).parents[2]
@@ -43,9 +43,8 @@
 
 
 def _findings(text: str) -> dict[str, str]:
-    with pytest.raises(FindingsError) as caught:
-        load_document(text, "doc")
-    return {finding.place: finding.reason for finding in caught.value.findings}
+    findings = load_document(text, "doc").failure()
+    return {finding.place: finding.reason for finding in findings}
 
 
 def test_every_wrong_field_is_found_with_its_line() -> None:
@@ -75,10 +74,8 @@
 
 @given(st.text(max_size=200))
 def test_any_text_gives_findings_or_a_document(text: str) -> None:
-    try:
-        load_document(text, "doc")
-    except FindingsError as error:
-        assert error.findings
+    parsed = load_document(text, "doc")
+    assert is_successful(parsed) or parsed.failure()
 
 
 @pytest.mark.parametrize("profile", Profile)
@@ -86,7 +83,7 @@
     path = ROOT / "examples" / profile.value / "configuration.yaml"
     text = path.read_text(encoding="utf-8")
     assert yaml.safe_load(text) == example_document(profile)
-    assert len(load_document(text, str(path)).deployments) > 200
+    assert len(load_document(text, str(path)).unwrap().deployments) > 200
 
 
 def _entries(document: dict[str, bytes], revision: int) -> list[Entry]:
@@ -94,7 +91,7 @@
 
 
 def test_service_is_template_and_values_and_follows_changes() -> None:
-    document = load_document(yaml.safe_dump(example_document(Profile.SWAP)), "doc")
+    document = load_document(yaml.safe_dump(example_document(Profile.SWAP)), "doc").unwrap()
     entries = document_entries(document)
     index = ServiceIndex()
     index.update(_entries(entries, 1))
--- a/tests/settings/test_settings.py
+++ b/tests/settings/test_settings.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from wharfcart.errors import FindingsError
 from wharfcart.settings.loading import load_settings
 from wharfcart.settings.schema import NodeSettings
 
@@ -33,7 +32,9 @@
         "WHARFCART_JOURNAL__SHARDS": "6",
         "WHARFCART_CLI_SERVER": "no setting",
     }
-    settings = load_settings(NodeSettings, path, environment, {"zone": "c", "listen": None})
+    settings = load_settings(
+        NodeSettings, path, environment, {"zone": "c", "listen": None}
+    ).unwrap()
     assert (settings.zone, settings.node_id, settings.journal.shards) == ("c", "n2", 6)
     assert settings.listen == "127.0.0.1:1"
 
@@ -41,9 +42,8 @@
 def test_all_findings_come_together_each_with_its_source(tmp_path: Path) -> None:
     path = _file(tmp_path, GOOD + 'colour = "red"\n[journal]\nshards = 0\n')
     environment = {"WHARFCART_LISTEN": "nowhere"}
-    with pytest.raises(FindingsError) as caught:
-        load_settings(NodeSettings, path, environment, {"node_id": "N!"})
-    places = {(finding.file, finding.place) for finding in caught.value.findings}
+    findings = load_settings(NodeSettings, path, environment, {"node_id": "N!"}).failure()
+    places = {(finding.file, finding.place) for finding in findings}
     assert places == {
         (str(path), "colour"),
         (str(path), "journal.shards"),
@@ -54,10 +54,8 @@
 
 @pytest.mark.parametrize("text", ["a = ", "\x00"])
 def test_no_toml_is_a_finding(tmp_path: Path, text: str) -> None:
-    with pytest.raises(FindingsError):
-        load_settings(NodeSettings, _file(tmp_path, text), {})
+    assert load_settings(NodeSettings, _file(tmp_path, text), {}).failure()
 
 
 def test_absent_file_is_a_finding(tmp_path: Path) -> None:
-    with pytest.raises(FindingsError):
-        load_settings(NodeSettings, tmp_path / "absent.toml", {})
+    assert load_settings(NodeSettings, tmp_path / "absent.toml", {}).failure()
