An effect that still runs is not settled as not run; slow clients tested

Cause: read from the code: a back end asked to settle an id whose effect was under way would say not run and then record the effect. Change: the stand-in answers 'running', which leaves the outcome unknown; a test of it, and one of fifty clients that send half a request.

--- a/src/wharfcart/backends/application_client.py
+++ b/src/wharfcart/backends/application_client.py
@@ -39,6 +39,8 @@
             raise BackendError(f"cannot settle: {error!r}", Outcome.UNKNOWN) from error
         if body["state"] == "not_run":
             return None
+        if body["state"] != "completed":
+            raise BackendError("still running there", Outcome.UNKNOWN)
         data = json.dumps(body["response"]).encode()
         return BackendPart(0, data, True, 200, {"content-type": "application/json"})
 
--- a/src/wharfcart/emulator/application_server.py
+++ b/src/wharfcart/emulator/application_server.py
@@ -44,6 +44,7 @@
         self._slots = asyncio.Semaphore(MOST_AT_ONCE)
         self._answers: dict[str, dict[str, object]] = {}
         self._closed: set[str] = set()
+        self._running: set[str] = set()
         app = web.Application(client_max_size=64 * 1024 * 1024)
         app.router.add_get("/status", self._status)
         app.router.add_get("/ledger", self._ledger)
@@ -89,7 +90,11 @@
         if request_id in self._closed:
             headers = {"X-Outcome": "not_run", "X-Request-Id": request_id}
             return web.json_response({"error": "closed"}, status=409, headers=headers)
-        await self._work()
+        self._running.add(request_id)
+        try:
+            await self._work()
+        finally:
+            self._running.discard(request_id)
         path = request.match_info["path"]
         digest = hashlib.sha256(body).hexdigest()
         business_key = request.headers.get("X-Business-Key", digest)
@@ -109,6 +114,8 @@
             return refused
         request_id = request.match_info["id"]
         answer = self._answers.get(request_id)
+        if request_id in self._running:
+            return web.json_response({"state": "running"})
         if answer is None:
             self._closed.add(request_id)
             return web.json_response({"state": "not_run"})
--- a/tests/gateway/test_backend_faults.py
+++ b/tests/gateway/test_backend_faults.py
@@ -82,6 +82,16 @@
     assert _effects(faulty, "down-1") == 1
 
 
+def test_effect_that_still_runs_is_not_settled_as_not_run(faulty: DevFleet) -> None:
+    """A back end asked too early must not let an effect happen that was called not run."""
+    server = next(iter(faulty.emulator.applications.values()))
+    server._running.add("early")
+    settle = f"http://{server.address}/effects/early/settle"
+    assert httpx.post(settle).json()["state"] == "running"
+    server._running.discard("early")
+    assert httpx.post(settle).json()["state"] == "not_run"
+
+
 def test_cut_stream_is_resumed_and_whole(faulty: DevFleet) -> None:
     for engine in faulty.emulator.engines.values():
         engine.switch.faults = Faults(cut_streams=1)
--- a/tests/gateway/test_bad_input.py
+++ b/tests/gateway/test_bad_input.py
@@ -162,3 +162,20 @@
     engines = any(engine.core.busy for engine in fleet.emulator.engines.values())
     owned = [backend for node in fleet.nodes for backend in node.owner.backends.values()]
     return engines or any(backend.gate.online for backend in owned)
+
+
+def test_slow_clients_hold_nobody_up(fleet: DevFleet) -> None:
+    host, port = fleet.urls[0].removeprefix("http://").split(":")
+    head = (
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
+        "Authorization: Bearer dealer-02-key\r\nContent-Length: 1000\r\n\r\n{"
+    )
+    slow = [socket.create_connection((host, int(port))) for _ in range(50)]
+    try:
+        for connection in slow:
+            connection.sendall(head.encode())
+        assert _post(fleet, "/v1/chat/completions", json=GOOD_LINE["body"]).status_code == 200
+    finally:
+        for connection in slow:
+            connection.close()
+    assert _post(fleet, "/v1/chat/completions", json=GOOD_LINE["body"]).status_code == 200
