A server drains before its base model changes

Cause: a model order went out at once; online requests and batch items of that server were left to it. Change: the reconciler's leader has a server drain through the directory for 5 s, then orders if it still leads; the owner ends a drain that its leader forgot after 8 s.

--- a/src/wharfcart/fleet/reconciler.py
+++ b/src/wharfcart/fleet/reconciler.py
@@ -2,7 +2,7 @@
 
 Compares target with actual state and returns orders, each fenced by the leader's epoch, so that an
 engine refuses a leader of the past. Never takes the last copy of a model in use and changes one
-server of a model at a time. Not done yet: draining a server before its base model changes, and
+server of a model at a time. The driver drains a server before its base model changes. Not done yet:
 following tenants' demand for adapters (every server of a model loads all of its adapters).
 """
 
@@ -11,7 +11,7 @@
 from wharfcart.backends.interface import Order, OrderKind
 from wharfcart.cluster.ownership import rendezvous_order
 
-REPORT_LAG_S = 5.0  # an order shows in the reports after this at the latest
+REPORT_LAG_S = 10.0  # an order shows in the reports after this at the latest, drain included
 ORDER_TIMEOUT_S = 120.0
 
 
--- a/src/wharfcart/node/fleet.py
+++ b/src/wharfcart/node/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import logging
+import time
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from typing import Any
@@ -11,7 +12,7 @@
 
 from wharfcart.backends.application_client import ApplicationClient
 from wharfcart.backends.engine_client import EngineClient, EngineReport
-from wharfcart.backends.interface import BackendError
+from wharfcart.backends.interface import BackendError, Order, OrderKind
 from wharfcart.batch.runner import BatchRunner
 from wharfcart.cluster.messages_pb2 import BackendView, Entry
 from wharfcart.cluster.ownership import choose_owner
@@ -25,6 +26,8 @@
 OWNERSHIP_CHECK_S = 0.5
 PROBE_S = 1.0
 RECONCILE_S = 2.0
+DRAIN_S = 5.0  # from saying that a server drains to changing its base model
+DRAIN_LIFE_S = 8.0  # after this the owner ends a drain that its leader forgot
 FAILURES_TO_BE_DOWN = 2
 
 logger = logging.getLogger(__name__)
@@ -51,6 +54,7 @@
 class _Known:
     machine: ListedMachine | None = None
     status: BackendStatus | None = None
+    drain_until: float | None = None  # wall clock, seconds
 
 
 @dataclass
@@ -100,6 +104,8 @@
             value = None if entry.deleted else json.loads(entry.value)
             if kind == "machine":
                 known.machine = ListedMachine(**value) if value is not None else None
+            elif kind == "drain":
+                known.drain_until = float(value["until"]) if value is not None else None
             else:
                 known.status = _parse_status(value)
             self._route(backend_id, known)
@@ -148,6 +154,7 @@
                 self._disown(backend_id)
 
     def _own(self, backend: Backend) -> None:
+        self._end_old_drain(backend.backend_id)
         owned = self._context.owner.adopt(backend, self._policy(backend))
         running = self._running.get(backend.backend_id)
         if running is not None and running.runner.owned is not owned:
@@ -166,6 +173,12 @@
         elif not backend.leaving and running.stopping is not None and running.stopping.done():
             self._disown(backend.backend_id)
 
+    def _end_old_drain(self, backend_id: str) -> None:
+        # By the owner, not by the leader that began it: leaders die.
+        known = self._known.get(backend_id)
+        if known is not None and known.drain_until is not None and time.time() > known.drain_until:
+            self._context.publish(f"drain/{backend_id}", None)
+
     def _policy(self, backend: Backend) -> YieldingPolicy:
         """Return the stricter policy of the templates that the back end serves."""
         policies = {
@@ -264,14 +277,29 @@
         ]
         now = asyncio.get_running_loop().time()
         for order in self._reconciler.reconcile(models, self._engines(), now):
-            machine = self._known[order.backend_id].machine
-            if machine is None:
-                continue
-            logger.info("order", extra={"order": str(order)})
-            try:
-                await EngineClient(machine.address, self._context.session).order(order)
-            except BackendError as error:
-                logger.info("order not answered", extra={"cause": str(error)})
+            status = self._known[order.backend_id].status
+            if order.kind is OrderKind.LOAD_MODEL and status is not None and status.model:
+                self._spawn_once(self._drain_then_give(order))
+            else:
+                await self._give(order)
+
+    async def _drain_then_give(self, order: Order) -> None:
+        """Have a server finish what it runs before its model is taken away."""
+        value = json.dumps({"until": time.time() + DRAIN_LIFE_S}).encode()
+        self._context.publish(f"drain/{order.backend_id}", value)
+        await asyncio.sleep(DRAIN_S)
+        if self._context.leader_epoch() == order.epoch:
+            await self._give(order)
+
+    async def _give(self, order: Order) -> None:
+        machine = self._known[order.backend_id].machine
+        if machine is None:
+            return
+        logger.info("order", extra={"order": str(order)})
+        try:
+            await EngineClient(machine.address, self._context.session).order(order)
+        except BackendError as error:
+            logger.info("order not answered", extra={"cause": str(error)})
 
     def _engines(self) -> list[EngineStatus]:
         return [
@@ -319,5 +347,5 @@
         machine.address,
         machine.zone,
         frozenset() if down else targets,
-        machine.leaving,
+        machine.leaving or known.drain_until is not None,
     )
