--- a/src/wharfcart/storage/database.py
+++ b/src/wharfcart/storage/database.py
@@ -21,6 +21,8 @@
 
 DATABASE_NAME = "journal.sqlite"
 CORRUPT_MARK = "corrupt"
+ROWS_A_READ = 512
+BYTES_A_READ = 4 * 1024 * 1024
 FEWEST_FREE_BYTES = 256 * 1024 * 1024
 
 logger = logging.getLogger(__name__)
@@ -167,16 +169,18 @@
 
     def _all_of(self, shard: int, kind: RowKind, id_: str) -> Iterator[Row]:
         """Iterate the rows of a kind, of one id if that is given."""
-        after = (kind.value, id_, -1)
+        query = (
+            "select kind, id, number, value, checksum from record where shard=? and kind=?"
+            " and (id, number) > (?, ?) and (?='' or id=?) order by id, number limit ?"
+        )
+        after = (id_, -1)
         while True:
-            chunk = self.rows_after(shard, after, most=512, most_bytes=4 * 1024 * 1024)
-            for row in chunk:
-                if row.kind != kind or (id_ and row.id != id_):
-                    return
-                yield row
+            values = (shard, kind.value, *after, id_, id_, ROWS_A_READ)
+            chunk = self._collect(query, values, BYTES_A_READ)
+            yield from chunk
             if not chunk:
                 return
-            after = (chunk[-1].kind, chunk[-1].id, chunk[-1].number)
+            after = (chunk[-1].id, chunk[-1].number)
 
     def rows_after(
         self, shard: int, after: tuple[str, str, int], most: int, most_bytes: int
