--- /dev/null
+++ b/src/wharfcart/batch/files.py
@@ -0,0 +1,207 @@
+"""Uploaded files: lines checked as they arrive and written to the journal a chunk at a time."""
+
+import hashlib
+import json
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from wharfcart.backends.requests import CHAT_PATH, COMPLETIONS_PATH, SERVICES_PREFIX
+from wharfcart.batch.ids import FILE_PREFIX, new_id
+from wharfcart.batch.lines import now_ms, service_name_of
+from wharfcart.cluster.messages_pb2 import Command, FileAppend, FileRecord, FileSeal
+from wharfcart.configuration.schema import TemplateKind
+from wharfcart.configuration.services import Service
+from wharfcart.storage.client import JournalClient
+
+LINES_AN_APPEND = 256
+BYTES_AN_APPEND = 1024 * 1024
+MOST_SERVICES_A_FILE = 255
+MOST_FINDINGS = 20
+ENGINE_PATHS = (CHAT_PATH, COMPLETIONS_PATH)
+
+FindService = Callable[[str, str], Service | None]
+
+
+class BadLinesError(Exception):
+    """Some lines of a file cannot be items; carries row numbers (from 1) and reasons."""
+
+    def __init__(self, findings: list[tuple[int, str]]) -> None:
+        super().__init__("; ".join(f"line {row}: {reason}" for row, reason in findings))
+        self.findings = findings
+
+
+@dataclass
+class LineChecker:
+    """Checks lines of a batch file and tells each one's service."""
+
+    tenant: str
+    find_service: FindService
+    service_names: list[str] = field(default_factory=list)
+    findings: list[tuple[int, str]] = field(default_factory=list)
+    rows: int = 0
+    _custom_ids: set[int] = field(default_factory=set)
+
+    def check(self, line: bytes) -> int:
+        """Check one line; return the index of its service, 0 if it is bad."""
+        self.rows += 1
+        reason, class_ = self._judge(line)
+        if reason is not None and len(self.findings) < MOST_FINDINGS:
+            self.findings.append((self.rows, reason))
+        return class_
+
+    def too_long(self, most_bytes: int) -> None:
+        """Note a line longer than allowed."""
+        self.findings.append((self.rows + 1, f"longer than {most_bytes} bytes"))
+
+    def _judge(self, line: bytes) -> tuple[str | None, int]:
+        try:
+            item = json.loads(line)
+        except UnicodeDecodeError:
+            return "not UTF-8", 0
+        except ValueError as error:
+            return f"not JSON: {error}", 0
+        except RecursionError:
+            return "nested too deeply", 0
+        if not isinstance(item, dict):
+            return "not an object", 0
+        custom_id = item.get("custom_id")
+        if not isinstance(custom_id, str):
+            return "custom_id is missing or no string", 0
+        # Hashes, not the ids themselves: a file may hold 690,000 of them.
+        if hash(custom_id) in self._custom_ids:
+            return f"custom_id {custom_id!r} stands twice", 0
+        self._custom_ids.add(hash(custom_id))
+        return self._judge_target(item)
+
+    def _judge_target(self, item: dict[str, object]) -> tuple[str | None, int]:
+        url = item.get("url")
+        if not isinstance(url, str):
+            return "url is missing or no string", 0
+        if not isinstance(item.get("body", {}), dict):
+            return "body is not an object", 0
+        name = service_name_of(item)
+        service = self.find_service(self.tenant, name)
+        if service is None:
+            return f"no service {name!r}", 0
+        wanted = TemplateKind.MODEL if url in ENGINE_PATHS else TemplateKind.APPLICATION
+        known_path = url in ENGINE_PATHS or url.startswith(SERVICES_PREFIX)
+        if not known_path or service.kind is not wanted:
+            return f"url {url!r} does not fit service {name!r}", 0
+        body = item.get("body")
+        if url == CHAT_PATH and not _has_messages(body):
+            return "body.messages is missing or not a list of objects", 0
+        return self._class_of(name)
+
+    def _class_of(self, name: str) -> tuple[str | None, int]:
+        if name not in self.service_names:
+            if len(self.service_names) >= MOST_SERVICES_A_FILE:
+                return f"more than {MOST_SERVICES_A_FILE} services in one file", 0
+            self.service_names.append(name)
+        return None, self.service_names.index(name)
+
+
+def _has_messages(body: object) -> bool:
+    messages = body.get("messages") if isinstance(body, dict) else None
+    return (
+        isinstance(messages, list)
+        and bool(messages)
+        and all(isinstance(message, dict) for message in messages)
+    )
+
+
+class FileWriter:
+    """Writes one uploaded file to the journal, line by line, holding a chunk at a time."""
+
+    def __init__(
+        self, journal: JournalClient, tenant: str, shard: int, checker: LineChecker, most_line: int
+    ) -> None:
+        self.file_id = new_id(FILE_PREFIX, shard)
+        self._journal = journal
+        self._tenant = tenant
+        self._shard = shard
+        self._checker = checker
+        self._most_line = most_line
+        self._buffer = bytearray()
+        self._lines: list[bytes] = []
+        self._classes = bytearray()
+        self._first_row = 0
+        self._bytes = 0
+        self._digest = hashlib.sha256()
+
+    async def write(self, data: bytes) -> None:
+        """Take the next bytes of the file.
+
+        Raises
+        ------
+        BadLinesError
+            Once a line is longer than allowed or enough findings have gathered.
+        ServingError
+        """
+        self._bytes += len(data)
+        self._digest.update(data)
+        self._buffer += data
+        *lines, rest = self._buffer.split(b"\n")
+        self._buffer = bytearray(rest)
+        for line in lines:
+            self._take(bytes(line))
+        if len(self._buffer) > self._most_line:
+            self._checker.too_long(self._most_line)
+        if self._checker.findings and (
+            len(self._buffer) > self._most_line or len(self._checker.findings) >= MOST_FINDINGS
+        ):
+            raise BadLinesError(self._checker.findings)
+        if len(self._lines) >= LINES_AN_APPEND or self._pending_bytes() >= BYTES_AN_APPEND:
+            await self._append()
+
+    async def finish(self, filename: str) -> FileRecord:
+        """Seal the file.
+
+        Raises
+        ------
+        BadLinesError, ServingError
+        """
+        if self._buffer.strip():
+            self._take(bytes(self._buffer))
+        if self._checker.findings:
+            raise BadLinesError(self._checker.findings)
+        await self._append()
+        seal = FileSeal(
+            file_id=self.file_id,
+            tenant=self._tenant,
+            rows=self._first_row,
+            bytes=self._bytes,
+            digest=self._digest.hexdigest(),
+            filename=filename,
+        )
+        command = Command(at_ms=now_ms(), file_seal=seal)
+        return (await self._journal.propose(self._shard, command)).file
+
+    def _take(self, line: bytes) -> None:
+        line = line.rstrip(b"\r")
+        if not line.strip():
+            return
+        if len(line) > self._most_line:
+            self._checker.too_long(self._most_line)
+            return
+        self._classes.append(self._checker.check(line))
+        self._lines.append(line)
+
+    def _pending_bytes(self) -> int:
+        return sum(len(line) for line in self._lines)
+
+    async def _append(self) -> None:
+        for start in range(0, len(self._lines), LINES_AN_APPEND):
+            lines = self._lines[start : start + LINES_AN_APPEND]
+            append = FileAppend(
+                file_id=self.file_id,
+                tenant=self._tenant,
+                first_row=self._first_row,
+                lines=lines,
+                classes=bytes(self._classes[start : start + LINES_AN_APPEND]),
+                service_names=self._checker.service_names,
+            )
+            command = Command(at_ms=now_ms(), file_append=append)
+            await self._journal.propose(self._shard, command)
+            self._first_row += len(lines)
+        self._lines.clear()
+        self._classes.clear()
--- a/src/wharfcart/gateway/batches.py
+++ b/src/wharfcart/gateway/batches.py
@@ -10,7 +10,8 @@
 from sanic.http import Http
 from sanic.response import HTTPResponse, json
 
-from wharfcart.batch.jobs import BadLinesError, FileWriter, NewJob
+from wharfcart.batch.files import BadLinesError, FileWriter
+from wharfcart.batch.jobs import NewJob
 from wharfcart.cluster.messages_pb2 import JobView
 from wharfcart.configuration.schema import Tenant
 from wharfcart.errors import Finding, ServingError
