An item recorded unknown is named in the errors file; a batch effect waits out an outage

Cause: an item whose lease ended without a word had a line without its custom_id. Change: the line is made from the input line; a test that a batch effect is neither lost nor doubled through an outage and a lost answer.

--- a/src/wharfcart/batch/jobs.py
+++ b/src/wharfcart/batch/jobs.py
@@ -2,14 +2,13 @@
 
 import asyncio
 import hashlib
-import json
 import random
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
 from wharfcart.batch.files import FileWriter, FindService, LineChecker
 from wharfcart.batch.ids import JOB_PREFIX, new_id, shard_of_id
-from wharfcart.batch.lines import now_ms
+from wharfcart.batch.lines import error_line, now_ms
 from wharfcart.cluster.messages_pb2 import (
     COMPLETED,
     Command,
@@ -196,7 +195,7 @@
         return result.job
 
     async def results(
-        self, job_id: str, completed: bool | None, first: int = 0, end: int | None = None
+        self, job: JobView, completed: bool | None, first: int = 0, end: int | None = None
     ) -> AsyncIterator[bytes]:
         """Yield output lines in input order, so far as items ended.
 
@@ -204,11 +203,17 @@
         ----------
         completed: only completed items if True, only others if False, all if None.
         """
-        shard = self._checked_shard(job_id, "batch")
-        async for row in self._journal.iterate_rows(shard, RowKind.RESULT, job_id, first, end):
+        shard = self._checked_shard(job.job_id, "batch")
+        async for row in self._journal.iterate_rows(shard, RowKind.RESULT, job.job_id, first, end):
             result = ItemResult.FromString(row.value)
             if completed is None or (result.end == COMPLETED) == completed:
-                yield result.body or _unknown_line(job_id, row.number)
+                yield result.body or await self._unknown_line(shard, job, row.number)
+
+    async def _unknown_line(self, shard: int, job: JobView, row: int) -> bytes:
+        """Return the output line of an item whose lease ended without a word."""
+        lines = await self._journal.read_rows(shard, RowKind.LINE, job.file_id, row, most=1)
+        line = lines[0].value if lines else b"{}"
+        return error_line(line, f"{job.job_id}-{row}", "unknown", Outcome.UNKNOWN)
 
     def _checked_shard(self, id_: str, what: str) -> int:
         shard = shard_of_id(id_)
@@ -217,16 +222,5 @@
         return shard
 
 
-def _unknown_line(job_id: str, row: int) -> bytes:
-    output = {
-        "id": f"{job_id}-{row}",
-        "custom_id": None,
-        "row": row,
-        "response": None,
-        "error": {"code": "unknown", "outcome": Outcome.UNKNOWN.value},
-    }
-    return json.dumps(output).encode()
-
-
 def _not_found(what: str, id_: str) -> ServingError:
     return ServingError(f"{what}_not_found", f"no {what} {id_!r}", 404)
--- a/src/wharfcart/gateway/batches.py
+++ b/src/wharfcart/gateway/batches.py
@@ -105,7 +105,7 @@
         jobs = self._context.jobs
         if file_id.startswith((OUTPUT_PREFIX, ERRORS_PREFIX)):
             view = await jobs.find(tenant.name, _job_of(file_id))
-            lines = jobs.results(view.job_id, completed=file_id.startswith(OUTPUT_PREFIX))
+            lines = jobs.results(view, completed=file_id.startswith(OUTPUT_PREFIX))
         else:
             lines = jobs.file_lines(await jobs.find_file(tenant.name, file_id))
         await self._send_lines(request, lines)
@@ -168,7 +168,7 @@
         view = await self._context.jobs.find(tenant.name, job_id)
         first = _integer(request, "first", 0, 0, view.total)
         most = _integer(request, "limit", int(view.total), 0, int(view.total))
-        lines = self._context.jobs.results(view.job_id, None, first, first + most)
+        lines = self._context.jobs.results(view, None, first, first + most)
         await self._send_lines(request, lines)
         return None
 
--- a/tests/gateway/test_backend_faults.py
+++ b/tests/gateway/test_backend_faults.py
@@ -1,6 +1,7 @@
 """Back ends that lose answers, refuse, and cut streams: nothing doubled, nothing half."""
 
 import json
+import time
 from collections.abc import Iterator
 
 import httpx2 as httpx
@@ -114,3 +115,27 @@
     for number in range(20):
         url = f"{faulty.urls[number % 3]}/v1/services/status/{number}"
         assert httpx.get(url, headers=KEY, timeout=30).status_code == 200
+
+
+def test_batch_effect_waits_out_an_outage_and_happens_once(faulty: DevFleet) -> None:
+    _set_applications(faulty, outage=True)
+    line = {
+        "custom_id": "effect-1",
+        "method": "POST",
+        "url": "/v1/services/register/batch-1",
+        "body": {"vehicle": "batch-1"},
+    }
+    root = faulty.urls[0]
+    headers = KEY | {"Content-Type": "application/jsonl"}
+    uploaded = httpx.post(f"{root}/v1/files", content=json.dumps(line), headers=headers).json()
+    body = {"input_file_id": uploaded["id"]}
+    job = httpx.post(f"{root}/v1/batches", json=body, headers=KEY).json()
+    assert job["status"] == "in_progress"
+    assert _effects(faulty, "batch-1") == 0
+    _set_applications(faulty, lost_answers=1)
+    deadline = time.monotonic() + 40
+    while job["status"] != "completed" and time.monotonic() < deadline:
+        time.sleep(0.1)
+        job = httpx.get(f"{root}/v1/batches/{job['id']}", headers=KEY).json()
+    assert job["item_counts"]["completed"] == 1
+    assert _effects(faulty, "batch-1") == 1
