One keeper of background tasks serves seven drivers

The batch leader had its own copy of the millisecond stamp. Change: observability/tasks.py serves all seven, so a failed task is logged wherever it ran; the leader calls now_ms. Otherwise behaviour is as before; no test was touched.

--- a/src/wharfcart/batch/leader.py
+++ b/src/wharfcart/batch/leader.py
@@ -2,10 +2,10 @@
 
 import asyncio
 import logging
-import time
 import uuid
 from collections.abc import Callable
 
+from wharfcart.batch.lines import now_ms
 from wharfcart.batch.scheduler import LEASE_TERM_S, BatchScheduler, Choice
 from wharfcart.cluster.messages_pb2 import (
     Command,
@@ -175,7 +175,7 @@
             logger.info("lease lapsed", extra={"lease": lease_id, "holder": lease.holder})
             await self._journal.propose(number, command(lease_end=end))
         if expire:
-            before = int(time.time() * 1000) - self._retention_ms
+            before = now_ms() - self._retention_ms
             await self._journal.propose(
                 number, command(expire=Expire(before_ms=before, most=EXPIRE_AT_ONCE))
             )
@@ -203,7 +203,7 @@
 ) -> Command:
     """Return a command stamped with the wall clock."""
     return Command(
-        at_ms=int(time.time() * 1000),
+        at_ms=now_ms(),
         items_lease=items_lease,
         lease_end=lease_end,
         expire=expire,
--- a/src/wharfcart/cluster/transport.py
+++ b/src/wharfcart/cluster/transport.py
@@ -17,6 +17,7 @@
 from wharfcart.cluster.membership import Address
 from wharfcart.cluster.messages_pb2 import CallError, Cancel, Frame
 from wharfcart.errors import Outcome, ServingError
+from wharfcart.observability.tasks import BackgroundTasks
 
 LENGTH = struct.Struct(">I")
 MOST_FRAME_BYTES = 32 * 1024 * 1024
@@ -180,7 +181,7 @@
         self._connections: dict[tuple[Address, TrafficClass], _Connection] = {}
         self._connecting: dict[tuple[Address, TrafficClass], asyncio.Lock] = {}
         self._inbound: set[_FrameProtocol] = set()
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = BackgroundTasks()
 
     async def start(self, address: Address) -> None:
         """Listen for peers."""
@@ -191,8 +192,7 @@
         """Close every connection and cancel the handlers still running."""
         if self._server is not None:
             self._server.close()
-        for task in list(self._tasks):
-            task.cancel()
+        self._tasks.cancel()
         for connection in self._connections.values():
             connection.protocol.close()
         for protocol in list(self._inbound):
@@ -229,7 +229,7 @@
         if connection is not None and not connection.lost:
             connection.protocol.write(frame)
             return
-        self._spawn(self._connect_and_send(address, frame))
+        self._tasks.spawn(self._connect_and_send(address, frame))
 
     async def _connect_and_send(self, address: Address, frame: Frame) -> None:
         try:
@@ -266,7 +266,7 @@
                 if task is not None:
                     task.cancel()
                 return
-            task = self._spawn(self._serve(frame, protocol))
+            task = self._tasks.spawn(self._serve(frame, protocol))
             if frame.call_id:
                 running[frame.call_id] = task
                 task.add_done_callback(lambda _: running.pop(frame.call_id, None))
@@ -302,13 +302,6 @@
             answer.last = True
             await respond(answer)
 
-    def _spawn(self, work: Awaitable[None]) -> asyncio.Task[None]:
-        task = asyncio.ensure_future(work)
-        assert isinstance(task, asyncio.Task)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
-
 
 def _serving_error(error: CallError) -> ServingError:
     result = ServingError(
--- a/src/wharfcart/emulator/engine_server.py
+++ b/src/wharfcart/emulator/engine_server.py
@@ -11,9 +11,8 @@
 import asyncio
 import json
 import random
-from collections.abc import AsyncIterator, Coroutine
+from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
-from typing import Any
 
 import aiohttp
 from aiohttp import web
@@ -21,6 +20,7 @@
 from wharfcart.emulator.engine_core import EngineCore, EngineModel, EngineRequest, StreamState
 from wharfcart.emulator.faults import FaultSwitch, drop_connection
 from wharfcart.emulator.web_server import WebServer
+from wharfcart.observability.tasks import BackgroundTasks
 
 LOAD_LAG_S = 1.0
 EVENT_LAG_S = 2.0
@@ -60,7 +60,7 @@
         self._reports: list[tuple[float, dict[str, int]]] = []
         self._events: list[tuple[float, int, str, str]] = []
         self._event_sequence = 0
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = BackgroundTasks()
         self.server = WebServer(self._build_app())
 
     @property
@@ -71,12 +71,11 @@
     async def start(self, host: str, port: int) -> None:
         """Listen and start stepping."""
         await self.server.start(host, port)
-        self._spawn(self._step_loop())
+        self._tasks.spawn(self._step_loop())
 
     async def stop(self) -> None:
         """Stop at once."""
-        for task in list(self._tasks):
-            task.cancel()
+        self._tasks.cancel()
         await self.server.stop()
 
     def _build_app(self) -> web.Application:
@@ -220,7 +219,7 @@
             if self._listeners[work.request_id] == 0:
                 del self._listeners[work.request_id]
                 if work.state in (StreamState.RUNNING, StreamState.WAITING):
-                    self._spawn(self._stop_if_left(work))
+                    self._tasks.spawn(self._stop_if_left(work))
 
     async def _stop_if_left(self, work: EngineRequest) -> None:
         await asyncio.sleep(DETACHED_GRACE_S / self._speed)
@@ -301,9 +300,9 @@
         self.loaded.fence = fence
         kind, name = str(order["order"]), str(order["name"])
         if kind == "load_model":
-            self._spawn(self._load_model(name, str(order.get("version", "1")), fence))
+            self._tasks.spawn(self._load_model(name, str(order.get("version", "1")), fence))
         elif kind == "load_adapter":
-            self._spawn(self._load_adapter(name))
+            self._tasks.spawn(self._load_adapter(name))
         elif kind == "unload_adapter":
             self.loaded.adapters.discard(name)
         elif kind == "change_role":
@@ -339,11 +338,6 @@
         self.core.cache.store([str(block) for block in body["blocks"]])
         return web.json_response({"held": len(self.core.cache.contents())})
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
 
 def _prompt_of(body: dict[str, object], chat: bool) -> tuple[str, str]:
     if not chat:
--- a/src/wharfcart/node/fleet.py
+++ b/src/wharfcart/node/fleet.py
@@ -4,7 +4,7 @@
 import json
 import logging
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -19,6 +19,7 @@
 from wharfcart.configuration.schema import YieldingPolicy
 from wharfcart.configuration.services import ServiceIndex
 from wharfcart.fleet.reconciler import EngineStatus, FleetReconciler, TargetModel
+from wharfcart.observability.tasks import BackgroundTasks
 from wharfcart.platform.machine_list import ListedMachine
 from wharfcart.routing.owner import OwnedBackend, Owner
 from wharfcart.routing.router import Backend, BackendKind, Router
@@ -91,7 +92,7 @@
         self._running: dict[str, _Running] = {}
         self._reconciler: FleetReconciler | None = None
         self._wake = asyncio.Event()
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = BackgroundTasks()
         self._leaving = False
 
     # ---- directory ----
@@ -135,7 +136,7 @@
             self._probe_due(loop.time())
             if loop.time() - reconciled_at > RECONCILE_S:
                 reconciled_at = loop.time()
-                self._spawn_once(self._reconcile())
+                self._tasks.spawn(self._reconcile())
             try:
                 async with asyncio.timeout(OWNERSHIP_CHECK_S):
                     await self._wake.wait()
@@ -192,7 +193,7 @@
     def _disown(self, backend_id: str) -> None:
         running = self._running.pop(backend_id)
         self._context.owner.release(backend_id)
-        self._spawn_once(self._wind_down(running))
+        self._tasks.spawn(self._wind_down(running))
 
     async def _wind_down(self, running: _Running) -> None:
         if running.stopping is None:
@@ -232,7 +233,7 @@
         for backend_id, running in self._running.items():
             if now - running.probed_at >= PROBE_S:
                 running.probed_at = now
-                self._spawn_once(self._probe(backend_id, running))
+                self._tasks.spawn(self._probe(backend_id, running))
 
     async def _probe(self, backend_id: str, running: _Running) -> None:
         known = self._known.get(backend_id)
@@ -279,7 +280,7 @@
         for order in self._reconciler.reconcile(models, self._engines(), now):
             status = self._known[order.backend_id].status
             if order.kind is OrderKind.LOAD_MODEL and status is not None and status.model:
-                self._spawn_once(self._drain_then_give(order))
+                self._tasks.spawn(self._drain_then_give(order))
             else:
                 await self._give(order)
 
@@ -319,11 +320,6 @@
             and not known.status.down
         ]
 
-    def _spawn_once(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
 
 def _parse_status(value: dict[str, Any] | None) -> BackendStatus | None:
     if value is None:
--- a/src/wharfcart/node/node.py
+++ b/src/wharfcart/node/node.py
@@ -5,8 +5,6 @@
 import logging
 import random
 import time
-from collections.abc import Coroutine
-from typing import Any
 
 import aiohttp
 
@@ -43,6 +41,7 @@
 from wharfcart.node.fleet import FleetContext, FleetDriver
 from wharfcart.node.spreading import SpreadingDriver, SpreadingHooks
 from wharfcart.observability.metrics import Metrics
+from wharfcart.observability.tasks import BackgroundTasks
 from wharfcart.platform.etcd_json import EtcdJsonStore
 from wharfcart.platform.key_value import KeyValueUnavailableError
 from wharfcart.platform.machine_list import PrometheusDiscovery
@@ -72,7 +71,7 @@
         self.settings = settings
         self.metrics = Metrics()
         self.services = ServiceIndex()
-        self._tasks: set[asyncio.Task[Any]] = set()
+        self._tasks = BackgroundTasks()
         self._journal: Journal | None = None
         self._batch_leader: BatchLeader | None = None
         self._stopping = False
@@ -187,7 +186,7 @@
             self._batch_leader,
         )
         requests = KeyedRequests(
-            self._journal_client, self._dispatcher, self.router, self.owner, self._keep
+            self._journal_client, self._dispatcher, self.router, self.owner, self._tasks.keep
         )
         jobs = JobService(
             self._journal_client, self.services.find_service, settings.most_line_bytes
@@ -213,11 +212,11 @@
         self.gateway.add_routes(AdminHandlers(admin, self._store).routes())
 
     def _start_loops(self) -> None:
-        self._spawn(self._fleet.run())
-        self._spawn(self._metrics_loop())
+        self._tasks.spawn(self._fleet.run())
+        self._tasks.spawn(self._metrics_loop())
         if self._batch_leader is not None:
-            self._spawn(self._batch_leader.run())
-            self._spawn(self._placement_loop())
+            self._tasks.spawn(self._batch_leader.run())
+            self._tasks.spawn(self._placement_loop())
 
     @property
     def ready(self) -> bool:
@@ -245,9 +244,7 @@
 
     async def close(self) -> None:
         """Close files and sockets at once."""
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._tasks.stop()
         await self._spreading.stop()
         if self._journal is not None:
             await self._journal.stop()
@@ -440,18 +437,6 @@
                 dropped = sum(shard.state.dropped_completions for shard in led)
                 metrics.dropped_completions.set(dropped)
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        self._keep(asyncio.get_running_loop().create_task(work))
-
-    def _keep(self, task: asyncio.Task[None]) -> None:
-        self._tasks.add(task)
-        task.add_done_callback(self._task_done)
-
-    def _task_done(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            logger.error("task failed", exc_info=task.exception())
-
 
 def _address(endpoint: str) -> Address:
     host, port = split_endpoint(endpoint)
--- a/src/wharfcart/node/spreading.py
+++ b/src/wharfcart/node/spreading.py
@@ -32,6 +32,7 @@
 from wharfcart.cluster.transport import PeerUnreachableError, Transport
 from wharfcart.configuration.spreading import DIRECTORY_OVERLAP_MS, RevisionedMap
 from wharfcart.errors import ServingError
+from wharfcart.observability.tasks import BackgroundTasks
 from wharfcart.platform.key_value import KeyValueUnavailableError
 from wharfcart.platform.machine_list import (
     ListedMachine,
@@ -77,7 +78,7 @@
         self._machine_list = machine_list
         self._hooks = hooks
         self._pulling: set[str] = set()
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = BackgroundTasks()
         self._last_list: dict[str, ListedMachine] | None = None
         self._newest_seen = 0
         self.heard_peer = False
@@ -91,13 +92,12 @@
 
     def start(self) -> None:
         """Start reading."""
-        self._spawn(self._read_key_value())
-        self._spawn(self._read_machines())
+        self._tasks.spawn(self._read_key_value())
+        self._tasks.spawn(self._read_machines())
 
     async def stop(self) -> None:
         """Stop reading."""
-        for task in list(self._tasks):
-            task.cancel()
+        self._tasks.cancel()
 
     # ---- news from here ----
 
@@ -156,7 +156,7 @@
             work.close()
             return
         self._pulling.add(what)
-        task = self._spawn(work)
+        task = self._tasks.spawn(work)
         task.add_done_callback(lambda _: self._pulling.discard(what))
 
     async def _pull_entries(self, address: Address, namespace: Namespace) -> None:
@@ -251,12 +251,6 @@
             if key.startswith("machine/")
         }
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
-
 
 def _jitter() -> float:
     return 1 + JITTER * (2 * random.random() - 1)
--- a/src/wharfcart/routing/owner.py
+++ b/src/wharfcart/routing/owner.py
@@ -2,10 +2,9 @@
 
 import asyncio
 import logging
-from collections.abc import AsyncGenerator, Callable, Coroutine
+from collections.abc import AsyncGenerator, Callable
 from contextlib import aclosing
 from dataclasses import dataclass, field
-from typing import Any
 
 import aiohttp
 
@@ -15,6 +14,7 @@
 from wharfcart.backends.interface import BackendClient, BackendPart, BackendRequest
 from wharfcart.configuration.schema import YieldingPolicy
 from wharfcart.errors import ServingError
+from wharfcart.observability.tasks import BackgroundTasks
 from wharfcart.routing.router import Backend, BackendKind
 
 ENGINE_CAPACITY = Capacity(online=96, batch=48)
@@ -51,7 +51,7 @@
         self._session = session
         self._batch_yielded = batch_yielded
         self.backends: dict[str, OwnedBackend] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = BackgroundTasks()
 
     # ---- which back ends ----
 
@@ -131,7 +131,7 @@
             return  # an application call that began is short, and stopping it makes it unknown
         for request_id in owned.gate.batch_to_stop():
             self._batch_yielded()
-            self._spawn(self._stop_batch(owned, request_id))
+            self._tasks.spawn(self._stop_batch(owned, request_id))
 
     async def _stop_batch(self, owned: OwnedBackend, request_id: str) -> None:
         """Stop a batch request at the engine, whose answer then says that it was stopped.
@@ -183,11 +183,6 @@
         parts = [part async for part in owned.client.send(request)]
         return parts[-1]
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
 
 def _note_exception(task: "asyncio.Task[BackendPart]") -> None:
     """Take the exception of a task whose waiter went away: a stopped request ends with one."""
--- a/src/wharfcart/storage/journal.py
+++ b/src/wharfcart/storage/journal.py
@@ -7,10 +7,10 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
-from typing import Any, TypeVar
+from typing import TypeVar
 
 from wharfcart.cluster.messages_pb2 import (
     Command,
@@ -22,6 +22,7 @@
     ShardPlacement,
 )
 from wharfcart.errors import Outcome, ServingError
+from wharfcart.observability.tasks import BackgroundTasks
 from wharfcart.storage.database import FEWEST_FREE_BYTES, CorruptRecordError, Database
 from wharfcart.storage.replica import NotLeaderError
 from wharfcart.storage.replica_actions import HardState
@@ -74,7 +75,7 @@
         self._futures: dict[int, asyncio.Future[ProposeResult]] = {}
         self._next_token = 1
         self._proposals: dict[int, list[tuple[int, Command]]] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = BackgroundTasks()
         self._disk_full = False
         self.shards: dict[int, Shard] = {}
         self.commits = 0
@@ -88,17 +89,15 @@
         """Load every shard on disk and start the writer."""
         for number in await self._on_writer(self._database.shards):
             await self._load(number)
-        self._spawn(self._write_loop())
-        self._spawn(self._tick_loop())
+        self._tasks.spawn(self._write_loop())
+        self._tasks.spawn(self._tick_loop())
 
     async def stop(self) -> None:
         """Hand leaderships over, flush, and close the database."""
         self.step_down()
         while self._gathering.writes or self._gathering.messages:
             await self._write_once()
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._tasks.stop()
         await self._on_writer(self._database.close)
         self._executor.shutdown()
 
@@ -122,7 +121,7 @@
             return
         base_set = ReplicaSet(voters=voters, in_sync=voters)
         self._add_shard(ShardRecord(number, HardState(0, ""), 0, 0, base_set, 0, False, []), [])
-        self._spawn(self._create_on_disk(number, base_set))
+        self._tasks.spawn(self._create_on_disk(number, base_set))
 
     async def _create_on_disk(self, number: int, base_set: ReplicaSet) -> None:
         # The one writer thread runs this before any write that the new replica asks for.
@@ -316,7 +315,7 @@
             self.shards[number].reload(await self._read_memory_rows(number))
             self._collect(self.shards[number])
         for shard, read in group.reads:
-            self._spawn(self._read_snapshot(shard, read))
+            self._tasks.spawn(self._read_snapshot(shard, read))
         self._send_all(group.messages)
         now = self._loop.time()
         for number, mark in group.marks.items():
@@ -402,11 +401,6 @@
     async def _on_writer(self, work: Callable[[], _T]) -> _T:
         return await self._loop.run_in_executor(self._executor, work)
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = self._loop.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
 
 def _recovery_refused(reason: str) -> ServingError:
     return ServingError("recovery_refused", reason, 409)
