--- /dev/null
+++ b/src/wharfcart/backends/http_connection.py
@@ -0,0 +1,315 @@
+"""One HTTP/1.1 client connection, one request at a time, that trusts no byte too many.
+
+Parsing is httptools' (llhttp). What this module adds, and why a ready-made client does not do:
+
+* an answer without a length is whole only if the peer ended the connection in order; a reset one
+  is not (the usual client takes both for whole);
+* an answer that carries another request's id is dropped, and the one that follows is awaited;
+* bytes that arrive while no request is waiting make the connection unusable;
+* an answer that came before the request's body was written leaves an unusable connection.
+"""
+
+import asyncio
+from collections import deque
+from collections.abc import Iterable
+from typing import cast
+
+import httptools
+
+CONNECTION_BUFFER_BYTES = 256 * 1024
+NO_BODY_STATUSES = frozenset({204, 304})
+
+
+class ConnectFailedError(Exception):
+    """No connection came up: nothing was sent."""
+
+
+class ConnectionBrokenError(Exception):
+    """The connection ended, or what arrived was no HTTP, before the answer was whole.
+
+    ``sent`` tells whether any byte of the request may have reached the peer.
+    """
+
+    def __init__(self, reason: str, sent: bool = True) -> None:
+        super().__init__(reason)
+        self.sent = sent
+
+
+class AnswerHead:
+    """Status and headers of an answer; header names are in lower case."""
+
+    __slots__ = ("headers", "status")
+
+    def __init__(self, status: int, headers: list[tuple[str, str]]) -> None:
+        self.status = status
+        self.headers = headers
+
+    def get(self, name: str) -> str | None:
+        """Return the first value of a header, or None."""
+        for known, value in self.headers:
+            if known == name:
+                return value
+        return None
+
+
+class HttpConnection(asyncio.Protocol):
+    """A connection to one address."""
+
+    def __init__(self) -> None:
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._wake: asyncio.Future[None] | None = None
+        self._failure: ConnectionBrokenError | None = None
+        self._parts: deque[bytes] = deque()
+        self._buffered = 0
+        self._busy = False
+        self._reading_paused = False
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self._id_header = ""
+        self._expected_id = ""
+        self._reset_answer()
+        self.idle_since = 0.0
+        self.idle_limit_s = 0.0
+        self.closed = False
+        self.answered = 0
+
+    # ---- use ----
+
+    @classmethod
+    async def open(cls, host: str, port: int, timeout_s: float) -> "HttpConnection":
+        """Connect.
+
+        Raises
+        ------
+        ConnectFailedError
+        """
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(timeout_s):
+                _, protocol = await loop.create_connection(cls, host, port)
+        except (OSError, TimeoutError) as error:
+            raise ConnectFailedError(str(error) or "timed out") from error
+        return protocol
+
+    @property
+    def reusable(self) -> bool:
+        """Whether another request may be sent on this connection."""
+        return not self.closed and self._failure is None and not self._busy
+
+    def send(
+        self,
+        method: str,
+        target: str,
+        headers: Iterable[tuple[str, str]],
+        body: bytes,
+        id_header: str = "",
+        expected_id: str = "",
+    ) -> None:
+        """Write a request.
+
+        An answer whose ``id_header`` names another request than ``expected_id`` is dropped.
+
+        Raises
+        ------
+        ConnectionBrokenError with ``sent`` False
+        """
+        if not self.reusable or self._transport is None or self._transport.is_closing():
+            raise ConnectionBrokenError("connection is closed", sent=False)
+        lines = [f"{method} {target} HTTP/1.1"]
+        lines += [f"{name}: {value}" for name, value in headers]
+        if body or method in ("POST", "PUT", "PATCH"):
+            lines.append(f"content-length: {len(body)}")
+        head = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1", "surrogateescape")
+        self._reset_answer()
+        self._busy = True
+        self._id_header = id_header
+        self._expected_id = expected_id
+        self._transport.write(head + body)
+
+    async def read_head(self) -> AnswerHead:
+        """Wait for status and headers.
+
+        Raises
+        ------
+        ConnectionBrokenError
+        """
+        while not self._head_ready:
+            self._raise_failure()
+            await self._wait()
+        return AnswerHead(self._status, self._headers)
+
+    async def read_part(self) -> bytes | None:
+        """Return the next bytes of the body, or None at the end of a whole answer.
+
+        Raises
+        ------
+        ConnectionBrokenError
+        """
+        while not self._parts:
+            if self._complete:
+                return None
+            self._raise_failure()
+            await self._wait()
+        part = b"".join(self._parts) if len(self._parts) > 1 else self._parts[0]
+        self._parts.clear()
+        self._buffered = 0
+        if self._reading_paused and self._transport is not None:
+            self._reading_paused = False
+            self._transport.resume_reading()
+        return part
+
+    async def read_body(self) -> bytes:
+        """Return the rest of the body of a whole answer.
+
+        Raises
+        ------
+        ConnectionBrokenError
+        """
+        parts = []
+        while (part := await self.read_part()) is not None:
+            parts.append(part)
+        return b"".join(parts)
+
+    def finish(self, now: float) -> bool:
+        """End the use of a whole answer; return whether the connection may be kept."""
+        unsent = self._transport is not None and self._transport.get_write_buffer_size() > 0
+        kept = (
+            self._complete
+            and not self._poisoned
+            and self._keep_alive
+            and not unsent
+            and not self.closed
+            and self._failure is None
+        )
+        if not kept:
+            self.close()
+            return False
+        self._busy = False
+        self.idle_since = now
+        self.answered += 1
+        return True
+
+    def close(self) -> None:
+        """Close at once, whatever is under way: the peer sees its caller leave."""
+        self.closed = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    # ---- asyncio.Protocol ----
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        # uvloop's transports are no subclasses of asyncio's.
+        self._transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        if not self._busy:
+            self._fail("bytes without a request")
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self._fail(f"no HTTP: {type(error).__name__}")
+            return
+        if self._buffered > CONNECTION_BUFFER_BYTES and self._transport is not None:
+            self._reading_paused = True
+            self._transport.pause_reading()
+        self._notify()
+
+    def eof_received(self) -> bool:
+        if self._head_ready and not self._complete and self._until_close:
+            self._complete = True
+            self._keep_alive = False
+        self._fail("ended by the peer")
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.closed = True
+        self._fail("reset" if exc is not None else "closed")
+
+    # ---- httptools callbacks ----
+
+    def on_message_begin(self) -> None:
+        if self._complete:
+            # A second answer where none is due.
+            self._poisoned = True
+            return
+        self._headers = []
+        self._stray = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if not self._poisoned:
+            self._headers.append((name.decode("latin-1").lower(), value.decode("latin-1")))
+
+    def on_headers_complete(self) -> None:
+        if self._poisoned:
+            return
+        status = self._parser.get_status_code()
+        if status < 200:
+            self._informational = True
+            return
+        self._informational = False
+        head = AnswerHead(status, self._headers)
+        answer_id = head.get(self._id_header) if self._id_header else None
+        self._stray = answer_id is not None and answer_id != self._expected_id
+        if self._stray:
+            return
+        chunked = "chunked" in (head.get("transfer-encoding") or "").lower()
+        has_length = head.get("content-length") is not None or chunked
+        self._until_close = not has_length and status not in NO_BODY_STATUSES
+        self._status = status
+        self._head_ready = True
+        self._set_idle_limit(head)
+
+    def on_body(self, body: bytes) -> None:
+        if self._poisoned or self._stray or self._informational:
+            return
+        self._parts.append(body)
+        self._buffered += len(body)
+
+    def on_message_complete(self) -> None:
+        if self._poisoned or self._stray or self._informational:
+            return
+        self._complete = True
+        self._keep_alive = self._parser.should_keep_alive()
+
+    # ---- inner ----
+
+    def _reset_answer(self) -> None:
+        self._status = 0
+        self._headers: list[tuple[str, str]] = []
+        self._head_ready = False
+        self._complete = False
+        self._until_close = False
+        self._keep_alive = False
+        self._stray = False
+        self._informational = False
+        self._poisoned = False
+
+    def _set_idle_limit(self, head: AnswerHead) -> None:
+        self.idle_limit_s = 0.0
+        for part in (head.get("keep-alive") or "").split(","):
+            name, _, value = part.strip().partition("=")
+            if name.lower() == "timeout" and value.strip().isdigit():
+                self.idle_limit_s = float(value)
+
+    def _raise_failure(self) -> None:
+        if self._failure is not None:
+            raise self._failure
+
+    def _fail(self, reason: str) -> None:
+        if self._failure is None:
+            self._failure = ConnectionBrokenError(reason)
+        self.closed = True
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.abort()
+        self._notify()
+
+    def _notify(self) -> None:
+        if self._wake is not None and not self._wake.done():
+            self._wake.set_result(None)
+
+    async def _wait(self) -> None:
+        self._wake = asyncio.get_running_loop().create_future()
+        await self._wake
+
--- /dev/null
+++ b/src/wharfcart/cluster/mirror.py
@@ -0,0 +1,90 @@
+"""Mirror core: one node's copy of the coordination service's keys.
+
+Fed with changes from the service itself or from a peer's mirror. A key never goes back to an older
+revision, whatever order answers arrive in. Removed keys are remembered for a bounded time, so that a
+peer that lags can be brought up to date by changes alone.
+"""
+
+from dataclasses import dataclass, field
+
+from wharfcart.cluster.coordination import Change, Changes
+
+MOST_REMOVED_KEPT = 4096
+
+
+@dataclass
+class Mirror:
+    """Keys, the revision up to which they are complete, and what was removed lately."""
+
+    at: int = 0
+    _entries: dict[str, Change] = field(default_factory=dict)
+    _removed: dict[str, int] = field(default_factory=dict)
+    _removed_horizon: int = 0
+
+    @property
+    def loaded(self) -> bool:
+        """Whether any complete state was ever taken."""
+        return self.at > 0
+
+    def get(self, key: str) -> Change | None:
+        """Return a key's newest known state, or None where it does not exist."""
+        return self._entries.get(key)
+
+    def under(self, prefix: str) -> list[Change]:
+        """Return the keys that begin with a prefix."""
+        return [entry for key, entry in self._entries.items() if key.startswith(prefix)]
+
+    def apply(self, batch: Changes) -> list[Change]:
+        """Take changes; return those that were news, removals among them."""
+        if batch.complete and batch.at < self.at:
+            return []
+        news = [change for change in batch.changes if self._take(change)]
+        if batch.complete:
+            news += self._remove_unlisted({change.key for change in batch.changes}, batch.at)
+        self.at = max(self.at, batch.at)
+        return news
+
+    def since(self, after: int) -> Changes:
+        """Return what a peer that is complete up to ``after`` lacks."""
+        if after < self._removed_horizon or after == 0:
+            return Changes(tuple(self._entries.values()), self.at, complete=True)
+        changed = [entry for entry in self._entries.values() if entry.revision > after]
+        removed = [
+            Change(key, revision, None)
+            for key, revision in self._removed.items()
+            if revision > after
+        ]
+        return Changes(tuple(changed + removed), self.at)
+
+    def _take(self, change: Change) -> bool:
+        known = self._entries.get(change.key)
+        if known is not None and known.revision >= change.revision:
+            return False
+        if self._removed.get(change.key, 0) >= change.revision:
+            return False
+        if change.value is None:
+            self._entries.pop(change.key, None)
+            self._remember_removed(change.key, change.revision)
+            return known is not None
+        self._entries[change.key] = change
+        self._removed.pop(change.key, None)
+        return True
+
+    def _remove_unlisted(self, listed: set[str], at: int) -> list[Change]:
+        # A key written after `at` is not in an answer as of `at`, and yet exists.
+        gone = [
+            key
+            for key, entry in self._entries.items()
+            if key not in listed and entry.revision <= at
+        ]
+        for key in gone:
+            del self._entries[key]
+            self._remember_removed(key, at)
+        return [Change(key, at, None) for key in gone]
+
+    def _remember_removed(self, key: str, revision: int) -> None:
+        self._removed.pop(key, None)
+        self._removed[key] = revision
+        if len(self._removed) > MOST_REMOVED_KEPT:
+            oldest = next(iter(self._removed))
+            self._removed_horizon = max(self._removed_horizon, self._removed.pop(oldest))
--- /dev/null
+++ b/src/wharfcart/configuration/serving.py
@@ -0,0 +1,111 @@
+"""The serving configuration: routes, the services behind them, limits of callers.
+
+One document of one version, taken whole. A node replaces the document it has only by one of a
+higher version, so that a configuration in force never reverts.
+"""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+
+class RouteKind(StrEnum):
+    """What may be done with a request whose outcome is not known."""
+
+    REPEATABLE = "repeatable"
+    AT_MOST_ONCE = "at_most_once"
+    STREAM = "stream"
+    BATCH = "batch"
+
+
+@dataclass(frozen=True, slots=True)
+class TrafficShare:
+    """Part of a route's requests that goes to one service; weights are relative."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Requests of one host under one path prefix.
+
+    Parameters
+    ----------
+    path_prefix: begins and ends with a slash.
+    time_limit_s: longest time that a request is held.
+    objective_s: time within which an answer (a stream: its first event) is wanted.
+    priority: 0 is the most urgent.
+    most_backends: number of back ends that one request may be sent to.
+    resumable: a broken stream may be taken up at another back end.
+    give_up_after_s: batch: age of a job at which its items may be given up.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RouteKind
+    shares: tuple[TrafficShare, ...]
+    time_limit_s: float
+    objective_s: float
+    priority: int = 0
+    most_backends: int = 1
+    resumable: bool = False
+    completion_objective_s: float = 0.0
+    give_up_after_s: float = 0.0
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a request may run again although an earlier run may have had its effect."""
+        return self.kind is RouteKind.REPEATABLE or (
+            self.kind is RouteKind.STREAM and self.resumable
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceSpec:
+    """A service: a group of back ends that are copies of each other."""
+
+    name: str
+    connection_limit: int
+    slots: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """Bounds on what a caller may send and for how long it may rest."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4 * 1024 * 1024
+    idle_s: float = 15.0
+
+
+@dataclass(frozen=True)
+class ServingConfiguration:
+    """One version of the whole configuration."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: dict[str, ServiceSpec]
+    limits: CallerLimits = CallerLimits()
+    _by_host: dict[str, dict[str, Route]] = field(init=False, repr=False, compare=False)
+
+    def __post_init__(self) -> None:
+        by_host: dict[str, dict[str, Route]] = {}
+        for route in self.routes:
+            by_host.setdefault(route.host, {})[route.path_prefix] = route
+        object.__setattr__(self, "_by_host", by_host)
+
+    def route_for(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of the path, or None.
+
+        Costs one look-up for each slash in the path, whatever the number of routes.
+        """
+        prefixes = self._by_host.get(host)
+        if prefixes is None:
+            return None
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+        return None
--- /dev/null
+++ b/src/wharfcart/gateway/ingress.py
@@ -0,0 +1,205 @@
+"""HTTP ingress of a gateway: requests of callers come in here and are passed through unchanged."""
+
+from collections.abc import Awaitable, Callable
+from time import monotonic
+from typing import Any
+
+from sanic import Sanic
+from sanic.compat import Header
+from sanic.request import Request
+from sanic.response import BaseHTTPResponse, HTTPResponse
+
+from wharfcart.configuration.serving import Route, RouteKind, ServingConfiguration
+from wharfcart.gateway.traffic_shares import TrafficSplitter
+from wharfcart.observability.decisions import DecisionLog, Event
+from wharfcart.platform import exchanges, names
+from wharfcart.routing.forwarder import AnswerCutError, CallerRequest, Forwarder
+
+METHODS = ("GET", "POST", "PUT", "DELETE", "PATCH", "HEAD", "OPTIONS")
+REQUEST_TIMEOUT_S = 60
+# Nothing but a request's own deadline ends its answer.
+RESPONSE_TIMEOUT_S = 3600
+KEEP_ALIVE_S = 3600
+MOST_HEADER_BYTES = 16_384
+MOST_BODY_BYTES = 64 * 1024 * 1024
+RETRY_AFTER_UNCONFIGURED_S = 0.3
+
+BatchHandler = Callable[[Request, Route], Awaitable[HTTPResponse]]
+JobCallHandler = Callable[[Request], Awaitable[HTTPResponse]]
+
+
+class _SanicSink:
+    """Answers on the connection that a request came on."""
+
+    def __init__(self, request: Request) -> None:
+        self._request = request
+        self._response: Any = None
+        self.answer: HTTPResponse | None = None
+
+    async def whole(self, status: int, headers: list[tuple[str, str]], body: bytes) -> None:
+        self.answer = plain_answer(status, headers, body)
+
+    async def start(self, status: int, headers: list[tuple[str, str]]) -> None:
+        # Sanic adds its own content type unless one is given.
+        self._response = await self._request.respond(
+            response=HTTPResponse(status=status, headers=Header(headers), content_type=None)
+        )
+
+    async def send(self, data: bytes) -> None:
+        await self._response.send(data)
+
+    async def finish(self) -> HTTPResponse | None:
+        """Return the whole answer, or end the one begun."""
+        if self._response is not None:
+            await self._response.eof()
+            return None
+        return self.answer
+
+    def cut(self) -> None:
+        """Break the connection off, so that a begun answer does not look whole."""
+        if self._request.transport is not None:
+            self._request.transport.abort()
+
+
+def plain_answer(
+    status: int, headers: list[tuple[str, str]] | None = None, body: bytes = b""
+) -> HTTPResponse:
+    """Return an answer with just these headers."""
+    return HTTPResponse(body=body, status=status, headers=Header(headers or []), content_type=None)
+
+
+class Ingress:
+    """The HTTP interface of one gateway, on the callers' address and the readiness address."""
+
+    def __init__(
+        self,
+        configuration: Callable[[], ServingConfiguration | None],
+        forwarder: Forwarder,
+        submit: BatchHandler,
+        job_call: JobCallHandler,
+        log: DecisionLog,
+    ) -> None:
+        self._configuration = configuration
+        self._forwarder = forwarder
+        self._submit = submit
+        self._job_call = job_call
+        self._log = log
+        self._splitter = TrafficSplitter()
+        self._servers: list[Any] = []
+        self._in_progress = 0
+        self.ready = False
+        self.draining = False
+        self.app = self._build_app()
+
+    @property
+    def in_progress(self) -> int:
+        """Number of requests without a final answer."""
+        return self._in_progress
+
+    async def start(self, front: tuple[str, int], readiness: tuple[str, int]) -> None:
+        """Listen on both addresses."""
+        for host, port in (front, readiness):
+            server = await self.app.create_server(host=host, port=port, return_asyncio_server=True)
+            if server is None:
+                raise OSError(f"can't listen on {host}:{port}")
+            if not self._servers:
+                await server.startup()
+            await server.start_serving()
+            self._servers.append(server)
+
+    def drain(self) -> None:
+        """Call not ready, and close each connection once no request is on it."""
+        self.draining = True
+        self.ready = False
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request is being read or answered."""
+        for server in self._servers:
+            for connection in list(server.connections):
+                connection.close_if_idle()
+
+    def _build_app(self) -> Sanic[Any, Any]:
+        app: Sanic[Any, Any] = Sanic("wharfcart", configure_logging=False)
+        app.config.update(
+            {
+                "ACCESS_LOG": False,
+                "REQUEST_TIMEOUT": REQUEST_TIMEOUT_S,
+                "RESPONSE_TIMEOUT": RESPONSE_TIMEOUT_S,
+                "KEEP_ALIVE_TIMEOUT": KEEP_ALIVE_S,
+                "REQUEST_MAX_HEADER_SIZE": MOST_HEADER_BYTES,
+                "REQUEST_MAX_SIZE": MOST_BODY_BYTES,
+                "FALLBACK_ERROR_FORMAT": "text",
+            }
+        )
+        app.add_route(self._readiness, names.READINESS_PATH, methods=["GET"])
+        app.add_route(self._job_calls, f"{names.JOB_PATH}<job_id:path>", methods=METHODS, name="job")
+        app.add_route(self._job_calls, f"{names.ITEM_BODY_PATH}<job_id:path>", methods=METHODS, name="item")
+        app.add_route(self._request, "/", methods=METHODS, name="root")
+        app.add_route(self._request, "/<path:path>", methods=METHODS, name="any")
+        return app
+
+    async def _readiness(self, _request: Request) -> HTTPResponse:
+        return plain_answer(200 if self.ready else 503)
+
+    async def _job_calls(self, request: Request, job_id: str = "") -> BaseHTTPResponse | None:
+        return await self._counted(request, self._job_call(request))
+
+    async def _request(self, request: Request, path: str = "") -> BaseHTTPResponse | None:
+        return await self._counted(request, self._handle(request))
+
+    async def _counted(
+        self, request: Request, work: Awaitable[HTTPResponse | None]
+    ) -> HTTPResponse | None:
+        self._in_progress += 1
+        try:
+            return await work
+        finally:
+            self._in_progress -= 1
+            if self.draining and request.stream is not None:
+                # The caller reads in the answer that this connection ends with it.
+                request.stream.keep_alive = False  # type: ignore[union-attr]
+
+    async def _handle(self, request: Request) -> HTTPResponse | None:
+        configuration = self._configuration()
+        if configuration is None:
+            return self._refuse(request, 503, "no_configuration")
+        target = request.raw_url.decode("latin-1")
+        host = (request.headers.get("host") or "").partition(":")[0]
+        route = configuration.route_for(host, target.partition("?")[0])
+        if route is None:
+            return self._refuse(request, 404, f"no_route_in_version_{configuration.version}")
+        if route.kind is RouteKind.BATCH:
+            return await self._submit(request, route)
+        headers = list(request.headers.items())
+        facts = exchanges.request_facts(headers)
+        caller_request = CallerRequest(
+            method=request.method,
+            target=target,
+            headers=headers,
+            body=request.body,
+            facts=facts,
+            route=route,
+            service=self._splitter.service_for(route),
+            received_at=monotonic(),
+        )
+        sink = _SanicSink(request)
+        try:
+            await self._forwarder.forward(caller_request, sink)
+        except AnswerCutError:
+            sink.cut()
+            return None
+        if self.draining and request.stream is not None:
+            request.stream.keep_alive = False  # type: ignore[union-attr]
+        return await sink.finish()
+
+    def _refuse(self, request: Request, status: int, cause: str) -> HTTPResponse:
+        self._log.write(
+            Event.REQUEST_REFUSED,
+            request=request.headers.get(names.REQUEST_ID),
+            status=status,
+            cause=cause,
+            host=request.headers.get("host"),
+            path=request.path,
+        )
+        headers = [(names.RETRY_AFTER, f"{RETRY_AFTER_UNCONFIGURED_S:g}")] if status == 503 else []
+        return plain_answer(status, headers)
--- a/src/wharfcart/node/__init__.py
+++ b/src/wharfcart/node/__init__.py
@@ -1,1 +1,1 @@
-"""One node: the drivers put together."""
+"""Processes of a fleet: nodes, gateways, storage nodes."""
--- /dev/null
+++ b/src/wharfcart/node/gateway_process.py
@@ -0,0 +1,78 @@
+"""A gateway: takes callers' requests and passes them on. It keeps nothing."""
+
+import asyncio
+from time import monotonic
+
+from sanic.request import Request
+from sanic.response import HTTPResponse
+
+from wharfcart.configuration.serving import Route
+from wharfcart.gateway.ingress import Ingress, plain_answer
+from wharfcart.node.fleet_keys import NodeEntry, NodeKind
+from wharfcart.node.serving_node import ServingNode, wait_until
+from wharfcart.observability.decisions import DecisionLog, Event
+from wharfcart.routing.forwarder import Forwarder
+from wharfcart.settings.schema import split_endpoint
+from wharfcart.settings.serving import GatewaySettings
+
+# The entry looks at readiness each second and needs two misses; until then connections still come.
+UNREADY_LEAD_S = 2.6
+STOP_MARGIN_S = 0.7
+IDLE_CLOSE_PERIOD_S = 0.1
+
+
+class GatewayProcess:
+    """One gateway from start to stop."""
+
+    def __init__(self, settings: GatewaySettings, log: DecisionLog) -> None:
+        self._settings = settings
+        self._log = log
+        self._node = ServingNode(settings, log)
+        forwarder = Forwarder(
+            self._node.choice,
+            self._node.pool,
+            self._node.connection_limit,
+            log,
+            self._node.metrics,
+        )
+        self._ingress = Ingress(
+            lambda: self._node.configuration, forwarder, self._submit, self._job_call, log
+        )
+
+    async def start(self) -> None:
+        """Begin to serve; ready once a configuration is known."""
+        await self._node.start()
+        await self._ingress.start(
+            split_endpoint(self._settings.listen), split_endpoint(self._settings.readiness_listen)
+        )
+        host, port = split_endpoint(self._settings.cluster_listen)
+        entry = NodeEntry(
+            self._settings.node_id, NodeKind.GATEWAY.value, host, port, self._settings.zone
+        )
+        self._node.tasks.spawn(self._node.announce(entry))
+        self._node.tasks.spawn(self._become_ready())
+
+    async def stop(self) -> None:
+        """Leave without cutting a request in progress."""
+        stop_at = monotonic() + self._settings.stop_within_s - STOP_MARGIN_S
+        self._log.write(Event.STOPPING, in_progress=self._ingress.in_progress)
+        self._ingress.drain()
+        await wait_until(lambda: False, UNREADY_LEAD_S)
+        while monotonic() < stop_at:
+            self._ingress.close_idle()
+            if not self._ingress.in_progress:
+                break
+            await asyncio.sleep(IDLE_CLOSE_PERIOD_S)
+        await self._node.stop()
+        self._log.write(Event.STOPPED, in_progress=self._ingress.in_progress)
+
+    async def _become_ready(self) -> None:
+        while self._node.configuration is None:
+            await asyncio.sleep(0.02)
+        self._ingress.ready = not self._ingress.draining
+
+    async def _submit(self, request: Request, route: Route) -> HTTPResponse:
+        return plain_answer(503, [("retry-after", "1")])
+
+    async def _job_call(self, request: Request) -> HTTPResponse:
+        return plain_answer(503, [("retry-after", "1")])
--- /dev/null
+++ b/src/wharfcart/node/process.py
@@ -0,0 +1,92 @@
+"""Entry of the serving processes: ``python -m wharfcart.node.process gateway|storage``.
+
+Apart from the command line of operators, so that a process loads only what its role needs.
+"""
+
+import asyncio
+import os
+import signal
+import sys
+from pathlib import Path
+from typing import Protocol, TypeVar
+
+# libuv opens an io_uring otherwise (docs/design/0001); it must stand before the loop is made.
+os.environ.setdefault("UV_USE_IO_URING", "0")
+
+import uvloop
+from returns.result import Failure
+
+from wharfcart.observability.decisions import DecisionLog, Event
+from wharfcart.observability.logs import configure_logs
+from wharfcart.settings.loading import SETTINGS_VARIABLE, load_settings
+from wharfcart.settings.serving import GatewaySettings, ServingSettings, StorageSettings
+
+EXIT_SETTINGS = 2
+
+Settings = TypeVar("Settings", bound=ServingSettings)
+
+
+class Process(Protocol):
+    """A serving process."""
+
+    async def start(self) -> None:
+        """Begin to serve."""
+        ...
+
+    async def stop(self) -> None:
+        """Leave without cutting anything."""
+        ...
+
+
+def main() -> None:
+    """Run the role named by the first argument until SIGTERM."""
+    role = sys.argv[1] if len(sys.argv) > 1 else ""
+    path = Path(os.environ.get(SETTINGS_VARIABLE, "wharfcart.toml"))
+    if role == "gateway":
+        gateway_settings = _load(GatewaySettings, path)
+        uvloop.run(_run_gateway(gateway_settings))
+    elif role == "storage":
+        storage_settings = _load(StorageSettings, path)
+        uvloop.run(_run_storage(storage_settings))
+    else:
+        print("usage: process gateway|storage", file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+
+
+async def _run_gateway(settings: GatewaySettings) -> None:
+    from wharfcart.node.gateway_process import GatewayProcess
+
+    log = DecisionLog(settings.node_id)
+    await _run(GatewayProcess(settings, log), log)
+
+
+async def _run_storage(settings: StorageSettings) -> None:
+    log = DecisionLog(settings.node_id)
+    await asyncio.sleep(1e9)
+
+
+async def _run(process: Process, log: DecisionLog) -> None:
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stopping.set)
+    loop.add_signal_handler(signal.SIGINT, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, lambda: log.write(Event.RELOADED))
+    await process.start()
+    log.write(Event.STARTED)
+    await stopping.wait()
+    await process.stop()
+    log.flush()
+
+
+def _load(model: type[Settings], path: Path) -> Settings:
+    settings = load_settings(model, path, os.environ)
+    if isinstance(settings, Failure):
+        for finding in settings.failure():
+            print(finding, file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    configure_logs("info", settings.unwrap().node_id)
+    return settings.unwrap()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/wharfcart/node/serving_node.py
@@ -0,0 +1,220 @@
+"""What gateways and storage nodes have in common: mirror, peers, back ends, own entry.
+
+Everything a node believes about the fleet comes from its mirror of the coordination service.
+"""
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+from time import monotonic
+
+from wharfcart.backends.connection_pool import ConnectionPool
+from wharfcart.cluster.coordination import (
+    Change,
+    Changes,
+    ConditionFailedError,
+    CoordinationUnavailableError,
+    Transaction,
+)
+from wharfcart.cluster.membership import Address
+from wharfcart.cluster.messages_pb2 import (
+    CoordinationChange,
+    CoordinationChanges,
+    CoordinationPull,
+    Frame,
+)
+from wharfcart.cluster.mirror import Mirror
+from wharfcart.cluster.mirror_link import MirrorLink
+from wharfcart.cluster.transport import PeerUnreachableError, Responder, Transport
+from wharfcart.configuration.serving import ServingConfiguration
+from wharfcart.errors import ServingError
+from wharfcart.node.fleet_keys import NODE_PREFIX, NodeEntry, node_entry_from
+from wharfcart.observability.decisions import DecisionLog, Event
+from wharfcart.observability.serving_metrics import ServingMetrics
+from wharfcart.observability.tasks import BackgroundTasks
+from wharfcart.platform import documents, names
+from wharfcart.platform.metadata_store import MetadataStore
+from wharfcart.routing.backend_choice import BackendChoice
+from wharfcart.settings.schema import split_endpoint
+from wharfcart.settings.serving import ServingSettings
+
+PULL_TIMEOUT_S = 0.6
+ANNOUNCE_RETRY_S = 0.5
+FEWEST_CONNECTIONS = 2
+
+
+class ServingNode:
+    """State and links of one node; a gateway or storage process adds its own work."""
+
+    def __init__(self, settings: ServingSettings, log: DecisionLog) -> None:
+        self.settings = settings
+        self.log = log
+        self.metrics = ServingMetrics()
+        self.random = Random()
+        self.mirror = Mirror()
+        self.pool = ConnectionPool()
+        self.choice = BackendChoice(settings.zone, self.random)
+        self.configuration: ServingConfiguration | None = None
+        self.nodes: dict[str, NodeEntry] = {}
+        self.tasks = BackgroundTasks()
+        host, port = split_endpoint(settings.coordination)
+        self.coordination = MetadataStore(host, port, self.metrics.coordination_calls)
+        self.link = MirrorLink(
+            self.mirror, self.coordination, self._pull_from_peer, self._on_changes, log
+        )
+        self.transport = Transport(self.handle)
+        self.listeners: list[Callable[[list[Change]], None]] = []
+
+    async def start(self) -> None:
+        """Listen for peers and begin to follow the coordination service."""
+        host, port = split_endpoint(self.settings.cluster_listen)
+        await self.transport.start(Address(host, port))
+        self.tasks.spawn(self.log.run())
+        self.tasks.spawn(self.link.run_watch())
+        self.tasks.spawn(self.link.run_pulls())
+
+    async def stop(self) -> None:
+        """Close everything."""
+        await self.tasks.stop()
+        await self.transport.stop()
+        self.pool.close()
+
+    async def announce(self, entry: NodeEntry) -> None:
+        """Write this node's entry unless it stands there already."""
+        while True:
+            try:
+                known = await self.coordination.read(entry.key)
+                if known is not None and known.value == entry.to_bytes():
+                    return
+                revision = 0 if known is None else known.revision
+                await self.coordination.commit(
+                    Transaction({entry.key: revision}, {entry.key: entry.to_bytes()})
+                )
+                return
+            except (CoordinationUnavailableError, ConditionFailedError):
+                await asyncio.sleep(ANNOUNCE_RETRY_S * (0.5 + self.random.random()))
+
+    def connection_limit(self, service: str) -> int:
+        """Return this node's share of the connections that one back end takes."""
+        if self.configuration is None or service not in self.configuration.services:
+            return FEWEST_CONNECTIONS
+        whole = self.configuration.services[service].connection_limit
+        return max(FEWEST_CONNECTIONS, whole // max(1, len(self.nodes)))
+
+    async def handle(self, frame: Frame, respond: Responder) -> None:
+        """Answer a peer's call."""
+        if frame.WhichOneof("body") == "coordination_pull":
+            changes = self.mirror.since(frame.coordination_pull.after)
+            await respond(Frame(last=True, coordination_changes=_changes_to_message(changes)))
+
+    # ---- mirror ----
+
+    async def _pull_from_peer(self, after: int) -> Changes | None:
+        address = self._random_peer()
+        if address is None:
+            return None
+        frame = Frame(coordination_pull=CoordinationPull(after=after))
+        try:
+            async with asyncio.timeout(PULL_TIMEOUT_S):
+                answer = await self.transport.call(address, frame)
+        except (TimeoutError, PeerUnreachableError, ServingError):
+            return None
+        return _changes_from_message(answer.coordination_changes)
+
+    def _random_peer(self) -> Address | None:
+        peers = [
+            entry.address
+            for entry in self.nodes.values()
+            if entry.node_id != self.settings.node_id
+        ]
+        if not peers:
+            peers = [Address(*split_endpoint(seed)) for seed in self.settings.seeds]
+        return self.random.choice(peers) if peers else None
+
+    def _on_changes(self, news: list[Change]) -> None:
+        for change in news:
+            if change.key == names.CONFIGURATION_KEY:
+                self._take_configuration(change)
+            elif change.key.startswith(names.SERVER_PREFIX):
+                self._take_instance(change)
+            elif change.key.startswith(NODE_PREFIX):
+                self._take_node(change)
+        for listener in self.listeners:
+            listener(news)
+
+    def _take_configuration(self, change: Change) -> None:
+        if change.value is None:
+            return
+        configuration = documents.configuration_from(change.value)
+        if self.configuration is not None and configuration.version <= self.configuration.version:
+            return
+        self.configuration = configuration
+        self.metrics.configuration_version.set(configuration.version)
+        self.log.write(
+            Event.CONFIGURATION_TAKEN,
+            version=configuration.version,
+            revision=change.revision,
+            routes=len(configuration.routes),
+        )
+
+    def _take_instance(self, change: Change) -> None:
+        instance_id = change.key.removeprefix(names.SERVER_PREFIX)
+        known = self.choice.state(instance_id)
+        instance = documents.instance_from(change)
+        if instance is None:
+            self.choice.remove(instance_id)
+            self.pool.drop_instance(instance_id)
+            if known is not None:
+                self._log_instance(Event.BACKEND_GONE, instance_id, known.instance.service, change)
+            return
+        self.choice.put(instance)
+        if known is None:
+            self._log_instance(Event.BACKEND_SEEN, instance_id, instance.service, change)
+        elif known.instance.accepting and not instance.accepting:
+            self._log_instance(Event.BACKEND_DRAINING, instance_id, instance.service, change)
+
+    def _log_instance(
+        self, event: Event, instance_id: str, service: str, change: Change
+    ) -> None:
+        self.log.write(event, backend=instance_id, service=service, revision=change.revision)
+
+    def _take_node(self, change: Change) -> None:
+        entry = node_entry_from(change.value)
+        if entry is None:
+            self.nodes.pop(change.key.removeprefix(NODE_PREFIX), None)
+        else:
+            self.nodes[entry.node_id] = entry
+
+
+async def wait_until(condition: Callable[[], bool], timeout_s: float, step_s: float = 0.05) -> bool:
+    """Wait for a condition; return whether it came true in time."""
+    until = monotonic() + timeout_s
+    while not condition():
+        if monotonic() > until:
+            return False
+        await asyncio.sleep(step_s)
+    return True
+
+
+def _changes_to_message(changes: Changes) -> CoordinationChanges:
+    return CoordinationChanges(
+        at=changes.at,
+        complete=changes.complete,
+        changes=[
+            CoordinationChange(
+                key=change.key,
+                revision=change.revision,
+                value=change.value or b"",
+                removed=change.value is None,
+            )
+            for change in changes.changes
+        ],
+    )
+
+
+def _changes_from_message(message: CoordinationChanges) -> Changes:
+    changes = tuple(
+        Change(change.key, change.revision, None if change.removed else change.value)
+        for change in message.changes
+    )
+    return Changes(changes, message.at, message.complete)
--- /dev/null
+++ b/src/wharfcart/observability/decisions.py
@@ -0,0 +1,125 @@
+"""The decision log: one JSON line on standard output for each decision a process takes.
+
+Bounded and never blocking: lines wait in memory up to a bound and are written by a thread of their
+own, a few times a second. What does not fit is dropped and counted, and the count is logged.
+"""
+
+import asyncio
+import json
+import os
+import sys
+from collections import deque
+from enum import StrEnum
+from time import time
+from typing import Protocol
+
+MOST_WAITING_LINES = 2000
+MOST_LINES_A_SECOND = 200
+FLUSH_PERIOD_S = 0.5
+STANDARD_OUTPUT = 1
+
+
+class Counter(Protocol):
+    """A counter with one label."""
+
+    def add(self, label: str) -> None:
+        """Count one."""
+        ...
+
+
+class Event(StrEnum):
+    """Kinds of lines; docs/operations/decision-log.md lists the fields of each."""
+
+    STARTED = "started"
+    STOPPING = "stopping"
+    STOPPED = "stopped"
+    RELOADED = "reloaded"
+    DEPENDENCY_LOST = "dependency_lost"
+    DEPENDENCY_REGAINED = "dependency_regained"
+    CONFIGURATION_TAKEN = "configuration_taken"
+    BACKEND_SEEN = "backend_seen"
+    BACKEND_DRAINING = "backend_draining"
+    BACKEND_GONE = "backend_gone"
+    BACKEND_AVOIDED = "backend_avoided"
+    REQUEST_ENDED = "request_ended"
+    REQUEST_REFUSED = "request_refused"
+    REQUEST_RETRIED = "request_retried"
+    REQUEST_GIVEN_UP = "request_given_up"
+    STREAM_RESUMED = "stream_resumed"
+    STREAM_BROKEN = "stream_broken"
+    LEADER_CHANGED = "leader_changed"
+    LEADERSHIP_TAKEN = "leadership_taken"
+    LEADERSHIP_LOST = "leadership_lost"
+    REPLICA_SET_CHANGED = "replica_set_changed"
+    REPLICA_SYNCED = "replica_synced"
+    REPLICA_FAILED = "replica_failed"
+    JOB_ACCEPTED = "job_accepted"
+    JOB_ENDED = "job_ended"
+    JOB_CLOSED = "job_closed"
+    ITEM_STARTED = "item_started"
+    ITEM_FINISHED = "item_finished"
+    ITEM_RETRIED = "item_retried"
+    ITEM_GIVEN_UP = "item_given_up"
+    STORAGE_RETIRED = "storage_retired"
+    LINES_DROPPED = "lines_dropped"
+
+
+class DecisionLog:
+    """Writer of one process's decision lines."""
+
+    def __init__(self, node_id: str) -> None:
+        self._node_id = node_id
+        self._waiting: deque[str] = deque()
+        self._dropped = 0
+        self._second = 0
+        self._lines_this_second = 0
+
+    def write(self, event: Event, **fields: object) -> None:
+        """Log one decision; never waits.
+
+        Fields are plain values: ids, the inputs that decided with their age or version, the outcome.
+        """
+        now = time()
+        if not self._within_rate(int(now)):
+            self._dropped += 1
+            return
+        line = {"time": round(now, 3), "node": self._node_id, "event": event.value, **fields}
+        self._waiting.append(json.dumps(line, default=str))
+
+    async def run(self) -> None:
+        """Write what waits, until cancelled; a stuck reader holds up only this."""
+        while True:
+            await asyncio.sleep(FLUSH_PERIOD_S)
+            if self._waiting:
+                data = self._take()
+                await asyncio.get_running_loop().run_in_executor(None, _write_all, data)
+
+    def flush(self) -> None:
+        """Write what waits before the process ends."""
+        if self._waiting:
+            _write_all(self._take())
+
+    def _within_rate(self, second: int) -> bool:
+        if second != self._second:
+            self._second = second
+            self._lines_this_second = 0
+        self._lines_this_second += 1
+        within = self._lines_this_second <= MOST_LINES_A_SECOND
+        return within and len(self._waiting) < MOST_WAITING_LINES
+
+    def _take(self) -> bytes:
+        if self._dropped:
+            dropped, self._dropped = self._dropped, 0
+            self._second = 0
+            self.write(Event.LINES_DROPPED, count=dropped)
+        data = ("\n".join(self._waiting) + "\n").encode()
+        self._waiting.clear()
+        return data
+
+
+def _write_all(data: bytes) -> None:
+    try:
+        while data:
+            data = data[os.write(STANDARD_OUTPUT, data) :]
+    except OSError as error:
+        print(f"decision log: {error}", file=sys.stderr)
--- /dev/null
+++ b/src/wharfcart/observability/serving_metrics.py
@@ -0,0 +1,59 @@
+"""Metrics of one serving process, in the Prometheus text format."""
+
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client import Counter as PrometheusCounter
+from prometheus_client import Gauge as PrometheusGauge
+from prometheus_client import Histogram as PrometheusHistogram
+
+LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 8, 30)
+
+
+class LabelledCounter:
+    """A counter with one label."""
+
+    def __init__(self, counter: PrometheusCounter) -> None:
+        self._counter = counter
+
+    def add(self, label: str) -> None:
+        """Count one."""
+        self._counter.labels(label).inc()
+
+
+class ServingMetrics:
+    """Counters, gauges and histograms of a gateway or storage process."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.requests = self._counter("wharfcart_answers", "Answers to callers", "outcome")
+        self.retries = self._counter("wharfcart_request_retries", "Further sends", "cause")
+        self.coordination_calls = self._counter(
+            "wharfcart_coordination_calls", "Calls to the coordination service", "call"
+        )
+        self.items = self._counter("wharfcart_items", "Runs of batch items", "outcome")
+        self.first_byte = PrometheusHistogram(
+            "wharfcart_first_byte_seconds",
+            "Time from a whole request to the first byte of its answer",
+            ["kind"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.configuration_version = self._gauge(
+            "wharfcart_configuration_version", "Version of the configuration in force"
+        )
+        self.mirror_age = self._gauge(
+            "wharfcart_coordination_age_seconds", "Time since coordination state was last confirmed"
+        )
+        self.open_items = self._gauge("wharfcart_open_items", "Batch items not finished, if leader")
+        self.replicas_behind = self._gauge(
+            "wharfcart_replicas_behind", "Replicas that lack acknowledged state, if leader"
+        )
+
+    def render(self) -> bytes:
+        """Return the text format."""
+        return generate_latest(self.registry)
+
+    def _counter(self, name: str, text: str, label: str) -> LabelledCounter:
+        return LabelledCounter(PrometheusCounter(name, text, [label], registry=self.registry))
+
+    def _gauge(self, name: str, text: str) -> PrometheusGauge:
+        return PrometheusGauge(name, text, registry=self.registry)
--- /dev/null
+++ b/src/wharfcart/platform/documents.py
@@ -0,0 +1,100 @@
+"""What the operator and the servers write into the metadata store, in the product's terms."""
+
+import json
+from typing import Any
+
+from wharfcart.cluster.coordination import Change
+from wharfcart.configuration.instances import BackendInstance
+from wharfcart.configuration.serving import (
+    CallerLimits,
+    Route,
+    RouteKind,
+    ServiceSpec,
+    ServingConfiguration,
+    TrafficShare,
+)
+from wharfcart.platform import names
+
+_KINDS = {
+    "safe": RouteKind.REPEATABLE,
+    "unsafe": RouteKind.AT_MOST_ONCE,
+    "streaming": RouteKind.STREAM,
+    "batch": RouteKind.BATCH,
+}
+DEFAULT_CONNECTION_LIMIT = 100
+
+
+def configuration_from(value: bytes) -> ServingConfiguration:
+    """Read the operator's configuration.
+
+    Raises
+    ------
+    ValueError, LookupError: the document is not of the form that the platform accepts.
+    """
+    document = json.loads(value)
+    limits = document.get("limits", {})
+    defaults = CallerLimits()
+    return ServingConfiguration(
+        version=int(document["version"]),
+        routes=tuple(_route(route) for route in document["routes"]),
+        services={
+            service["name"]: ServiceSpec(
+                service["name"],
+                int(service.get("maxConnections") or DEFAULT_CONNECTION_LIMIT),
+                int(service.get("engine", {}).get("slots", 0)),
+            )
+            for service in document["services"]
+        },
+        limits=CallerLimits(
+            int(limits.get("maxHeaderBytes", defaults.header_bytes)),
+            int(limits.get("maxBodyBytes", defaults.body_bytes)),
+            limits.get("idleTimeoutMs", defaults.idle_s * 1000) / 1000,
+        ),
+    )
+
+
+def instance_from(change: Change) -> BackendInstance | None:
+    """Read a server's entry; None if it was removed or can't be read."""
+    if change.value is None:
+        return None
+    try:
+        entry = json.loads(change.value)
+        host, _, port = entry["address"].rpartition(":")
+        return BackendInstance(
+            instance_id=change.key.removeprefix(names.SERVER_PREFIX),
+            service=entry["backend"],
+            host=host,
+            port=int(port),
+            zone=entry.get("zone", ""),
+            slots=int(entry.get("slots", 1)),
+            accepting=entry.get("state") == "ready",
+        )
+    except (ValueError, LookupError, TypeError, AttributeError):
+        return None
+
+
+def retire_status(state: str) -> bytes:
+    """Write how far the emptying of a storage machine has come."""
+    return json.dumps({"state": state}).encode()
+
+
+RETIRE_RUNNING = retire_status("running")
+RETIRE_DONE = retire_status("succeeded")
+
+
+def _route(route: dict[str, Any]) -> Route:
+    shares = route.get("trafficSplit") or [{"backend": route["backend"], "weight": 1}]
+    return Route(
+        name=route["name"],
+        host=route["hostname"],
+        path_prefix=route["pathPrefix"],
+        kind=_KINDS[route["kind"]],
+        shares=tuple(TrafficShare(share["backend"], float(share["weight"])) for share in shares),
+        time_limit_s=float(route.get("timeoutMs") or 60_000) / 1000,
+        objective_s=float(route.get("targetLatencyMs") or 1000) / 1000,
+        priority=int(route.get("priority", 0)),
+        most_backends=int(route.get("maxAttempts") or 1),
+        resumable=bool(route.get("resumable", False)),
+        completion_objective_s=float(route.get("targetCompletionMs") or 0) / 1000,
+        give_up_after_s=float(route.get("maxWaitS") or 0),
+    )
--- /dev/null
+++ b/src/wharfcart/platform/exchanges.py
@@ -0,0 +1,142 @@
+"""Headers of requests and answers between clients, wharfcart and servers."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from wharfcart.backends.http_connection import AnswerHead
+from wharfcart.platform import names
+
+REQUEST_ID_HEADER = names.REQUEST_ID
+STATUS_WRONG_INSTANCE = 421
+
+# Headers that concern one connection, or that each hop writes itself.
+_HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "transfer-encoding",
+        "te",
+        "trailer",
+        "upgrade",
+        "proxy-connection",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "content-length",
+        "expect",
+    }
+)
+_OWN_HEADERS = frozenset({names.DEADLINE_MS, names.EXPECT_INSTANCE, names.LAST_EVENT_ID})
+
+
+@dataclass(frozen=True, slots=True)
+class PromptPart:
+    """A part of a prompt that other prompts may begin with, too."""
+
+    part_id: str
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class RequestFacts:
+    """What a client's headers tell.
+
+    Parameters
+    ----------
+    deadline_s: how long the client waits, or None.
+    prompt: the prompt's parts in order; the last belongs to the request itself.
+    output_tokens: the most that may be generated.
+    resume_after: number of the last event that the client has, or None.
+    """
+
+    request_id: str
+    deadline_s: float | None
+    prompt: tuple[PromptPart, ...]
+    output_tokens: int
+    resume_after: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class ReportedLoad:
+    """Requests running and waiting at a back end as it answered."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+def request_facts(headers: Iterable[tuple[str, str]]) -> RequestFacts:
+    """Read a client's headers; what is missing or can't be read counts as not given."""
+    found = {name.lower(): value for name, value in headers}
+    deadline_ms = _number(found.get(names.DEADLINE_MS))
+    tokens = (found.get(names.TOKEN_COUNT) or "").split(",")
+    output = _number(tokens[1]) if len(tokens) > 1 else None
+    resume_after = _number(found.get(names.LAST_EVENT_ID))
+    return RequestFacts(
+        request_id=found.get(names.REQUEST_ID, ""),
+        deadline_s=None if deadline_ms is None else deadline_ms / 1000,
+        prompt=_prompt(found.get(names.PROMPT_PREFIX, "")),
+        output_tokens=int(output or 0),
+        resume_after=None if resume_after is None else int(resume_after),
+    )
+
+
+def headers_for_server(
+    headers: Iterable[tuple[str, str]],
+    instance_id: str,
+    remaining_s: float,
+    resume_after: int | None,
+) -> list[tuple[str, str]]:
+    """Return the headers with which a request is passed on to one incarnation of a server."""
+    passed = [
+        (name, value)
+        for name, value in headers
+        if name.lower() not in _HOP_HEADERS and name.lower() not in _OWN_HEADERS
+    ]
+    passed.append((names.DEADLINE_MS, str(max(1, int(remaining_s * 1000)))))
+    passed.append((names.EXPECT_INSTANCE, instance_id))
+    if resume_after is not None:
+        passed.append((names.LAST_EVENT_ID, str(resume_after)))
+    return passed
+
+
+def headers_for_client(head: AnswerHead) -> list[tuple[str, str]]:
+    """Return the headers of a server's answer that are passed on."""
+    return [(name, value) for name, value in head.headers if name not in _HOP_HEADERS]
+
+
+def was_not_run(head: AnswerHead) -> bool:
+    """Whether the answer proves that the server did not run the request and never will."""
+    return head.get(names.NOT_RUN) is not None or head.status == STATUS_WRONG_INSTANCE
+
+
+def is_signed(head: AnswerHead) -> bool:
+    """Whether the answer carries a server's signature."""
+    return head.get(names.RESPONSE_STAMP) is not None
+
+
+def reported_load(head: AnswerHead) -> ReportedLoad | None:
+    """Return the load that the answer tells, if it does."""
+    parts = (head.get(names.SERVER_LOAD) or "").split(",")
+    if len(parts) != 3:
+        return None
+    try:
+        running, waiting, slots = (int(part) for part in parts)
+    except ValueError:
+        return None
+    return ReportedLoad(running, waiting, slots)
+
+
+def _prompt(text: str) -> tuple[PromptPart, ...]:
+    parts = []
+    for part in text.split(","):
+        part_id, _, tokens = part.strip().partition(":")
+        if part_id and tokens.isdigit():
+            parts.append(PromptPart(part_id, int(tokens)))
+    return tuple(parts)
+
+
+def _number(text: str | None) -> float | None:
+    try:
+        return None if text is None else float(text.strip())
+    except ValueError:
+        return None
--- /dev/null
+++ b/src/wharfcart/platform/names.py
@@ -0,0 +1,32 @@
+"""Names of the users' platform: headers, paths, keys and words. Nothing else states them."""
+
+# ---- headers ----
+REQUEST_ID = "x-request-id"
+DEADLINE_MS = "x-deadline-ms"
+EXPECT_INSTANCE = "x-expect-instance"
+RESPONSE_STAMP = "x-response-stamp"
+NOT_RUN = "x-not-run"
+SERVER_LOAD = "x-server-load"
+LAST_EVENT_ID = "last-event-id"
+PROMPT_PREFIX = "x-prompt-prefix"
+TOKEN_COUNT = "x-token-count"
+MODEL = "x-model"
+WAIT_MS = "x-wait-ms"
+RETRY_AFTER = "retry-after"
+
+# ---- calls of clients ----
+READINESS_PATH = "/api/readiness"
+JOB_PATH = "/api/lots/"
+ITEM_BODY_PATH = "/api/items/"
+
+# ---- calls of the metadata store ----
+READ_KEY = "/api/kv-key"
+READ_RANGE = "/api/kv-range"
+WATCH = "/api/kv-watch"
+TRANSACTION = "/api/kv-txn"
+
+# ---- keys of the metadata store ----
+CONFIGURATION_KEY = "op/config"
+RETIRE_PREFIX = "op/retire/"
+RETIRE_STATUS_PREFIX = "status/retire/"
+SERVER_PREFIX = "servers/"
--- /dev/null
+++ b/src/wharfcart/routing/backend_choice.py
@@ -0,0 +1,179 @@
+"""Choice core: which incarnation of a service's back ends a request goes to.
+
+Each node judges by what it sees itself: its own requests in flight, the load that answers tell,
+connections that failed, answers that stay away. Load is counted as the share of slots that are taken.
+Long shared prompts go where they were read before, as long as that back end is not overloaded
+(rendezvous hashing with bounded load); everything else goes to the least loaded, in the zone first.
+
+Pure: time and randomness are handed in.
+"""
+
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+import xxhash
+
+from wharfcart.configuration.instances import BackendInstance
+
+REPORT_FRESH_S = 1.5
+AVOID_FIRST_S = 0.5
+AVOID_MOST_S = 4.0
+SILENT_AFTER_S = 1.0
+OTHER_ZONE_PENALTY = 0.04
+AFFINITY_TOKENS = 1000
+AFFINITY_MOST_LOAD = 0.9
+RANDOM_TIE = 0.02
+
+
+class RandomSource(Protocol):
+    """The part of :class:`random.Random` that the core draws on."""
+
+    def random(self) -> float:
+        """Return a float in [0, 1)."""
+        ...
+
+
+@dataclass
+class InstanceState:
+    """What this node knows of one incarnation.
+
+    Parameters
+    ----------
+    waiting_since: for each request in flight without a byte of answer, when it was sent.
+    """
+
+    instance: BackendInstance
+    in_flight: int = 0
+    reported_load: int = 0
+    in_flight_at_report: int = 0
+    reported_at: float = -1e9
+    avoid_until: float = -1e9
+    failures: int = 0
+    waiting_since: dict[int, float] = field(default_factory=dict)
+
+    def load(self, now: float) -> float:
+        """Return the estimated share of slots that are taken; above 1 requests wait."""
+        taken = self.in_flight
+        if now - self.reported_at < REPORT_FRESH_S:
+            taken = max(taken, self.reported_load + self.in_flight - self.in_flight_at_report)
+        return taken / max(1, self.instance.slots)
+
+    def avoided(self, now: float) -> bool:
+        """Whether a failure or silence speaks against this incarnation now."""
+        if now < self.avoid_until:
+            return True
+        return any(now - sent_at > SILENT_AFTER_S for sent_at in self.waiting_since.values())
+
+
+@dataclass
+class BackendChoice:
+    """All incarnations that this node knows, by service."""
+
+    zone: str
+    random: RandomSource
+    _states: dict[str, InstanceState] = field(default_factory=dict)
+    _by_service: dict[str, dict[str, InstanceState]] = field(default_factory=dict)
+    _next_use: int = 0
+
+    def put(self, instance: BackendInstance) -> None:
+        """Take what discovery tells of an incarnation."""
+        state = self._states.get(instance.instance_id)
+        if state is None:
+            state = InstanceState(instance)
+            self._states[instance.instance_id] = state
+        else:
+            self._by_service.get(state.instance.service, {}).pop(instance.instance_id, None)
+            state.instance = instance
+        self._by_service.setdefault(instance.service, {})[instance.instance_id] = state
+
+    def remove(self, instance_id: str) -> None:
+        """Forget an incarnation that is gone."""
+        state = self._states.pop(instance_id, None)
+        if state is not None:
+            self._by_service.get(state.instance.service, {}).pop(instance_id, None)
+
+    def state(self, instance_id: str) -> InstanceState | None:
+        """Return what is known of an incarnation."""
+        return self._states.get(instance_id)
+
+    def accepting(self, service: str) -> list[InstanceState]:
+        """Return the incarnations of a service that take new requests."""
+        states = self._by_service.get(service, {}).values()
+        return [state for state in states if state.instance.accepting]
+
+    def choose(
+        self,
+        service: str,
+        now: float,
+        excluded: Collection[str] = (),
+        affinity_key: str = "",
+    ) -> InstanceState | None:
+        """Return the incarnation to ask, or None where there is none.
+
+        Parameters
+        ----------
+        excluded: incarnations that this request was already sent to.
+        affinity_key: names the shared prompt that decides where to go first; '' for none.
+        """
+        usable = [
+            state
+            for state in self.accepting(service)
+            if state.instance.instance_id not in excluded
+        ]
+        candidates = [state for state in usable if not state.avoided(now)] or usable
+        if not candidates:
+            return None
+        if affinity_key:
+            return self._by_affinity(candidates, affinity_key, now)
+        return min(candidates, key=lambda state: self._cost(state, now))
+
+    def sent(self, state: InstanceState, now: float) -> int:
+        """Note a request sent; return its number for :meth:`answered` and :meth:`ended`."""
+        self._next_use += 1
+        state.in_flight += 1
+        state.waiting_since[self._next_use] = now
+        return self._next_use
+
+    def answered(self, state: InstanceState, use: int) -> None:
+        """Note the first byte of an answer."""
+        state.waiting_since.pop(use, None)
+        state.failures = 0
+
+    def reported(self, state: InstanceState, running: int, waiting: int, now: float) -> None:
+        """Note the load that an answer told."""
+        state.reported_load = running + waiting
+        state.in_flight_at_report = state.in_flight
+        state.reported_at = now
+
+    def ended(self, state: InstanceState, use: int) -> None:
+        """Note that a request is no longer at the back end."""
+        state.in_flight -= 1
+        state.waiting_since.pop(use, None)
+
+    def failed(self, state: InstanceState, now: float) -> float:
+        """Avoid an incarnation for a while, longer with each failure in a row; return how long."""
+        seconds = min(AVOID_MOST_S, AVOID_FIRST_S * 2.0 ** min(state.failures, 8))
+        state.failures += 1
+        state.avoid_until = now + seconds
+        return seconds
+
+    def full(self, state: InstanceState, now: float) -> None:
+        """Note that an incarnation turned a request away since it is full."""
+        self.reported(state, state.instance.slots * 2, 0, now)
+
+    def _cost(self, state: InstanceState, now: float) -> float:
+        other_zone = OTHER_ZONE_PENALTY if state.instance.zone != self.zone else 0.0
+        return state.load(now) + other_zone + self.random.random() * RANDOM_TIE
+
+    def _by_affinity(
+        self, candidates: Iterable[InstanceState], key: str, now: float
+    ) -> InstanceState:
+        ranked = sorted(
+            candidates,
+            key=lambda state: xxhash.xxh64_intdigest((key + state.instance.instance_id).encode()),
+        )
+        for state in ranked:
+            if state.load(now) < AFFINITY_MOST_LOAD:
+                return state
+        return min(ranked, key=lambda state: state.load(now))
--- /dev/null
+++ b/src/wharfcart/routing/forwarder.py
@@ -0,0 +1,409 @@
+"""Passing one request on to back ends: choice, retries, resumption, and what may be promised.
+
+What may be repeated after what:
+
+* nothing was sent, or the back end proved that it did not run the request: always;
+* anything else: only a repeatable request, and a resumable stream after its last whole event.
+
+A refusal ("not run") is given only in the first case. Every request has one deadline, the earlier of
+its caller's and its route's; the back end is told what is left of it.
+"""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from time import monotonic
+from typing import Protocol
+
+from wharfcart.backends.connection_pool import ConnectionLimitError, ConnectionPool
+from wharfcart.backends.http_connection import (
+    AnswerHead,
+    ConnectFailedError,
+    ConnectionBrokenError,
+    HttpConnection,
+)
+from wharfcart.configuration.serving import Route, RouteKind
+from wharfcart.observability.decisions import DecisionLog, Event
+from wharfcart.observability.serving_metrics import ServingMetrics
+from wharfcart.platform import exchanges
+from wharfcart.routing.backend_choice import AFFINITY_TOKENS, BackendChoice, InstanceState
+from wharfcart.routing.event_stream import EventSplitter
+
+MOST_REFUSED_SENDS = 3
+MOST_CONNECT_FAILURES = 4
+RETRY_AFTER_FULL_S = 0.2
+RETRY_AFTER_NO_BACKEND_S = 0.4
+STATUS_BAD_GATEWAY = 502
+STATUS_UNAVAILABLE = 503
+STATUS_TIMEOUT = 504
+STATUS_SERVER_ERROR = 500
+
+
+@dataclass(frozen=True)
+class CallerRequest:
+    """A whole request of a caller.
+
+    Parameters
+    ----------
+    target: path and query as they came.
+    received_at: monotonic time at which the request was whole.
+    """
+
+    method: str
+    target: str
+    headers: list[tuple[str, str]]
+    body: bytes
+    facts: exchanges.RequestFacts
+    route: Route
+    service: str
+    received_at: float
+
+    @property
+    def deadline(self) -> float:
+        """Monotonic time by which the caller must have its final answer."""
+        limit_s = self.route.time_limit_s
+        if self.facts.deadline_s is not None:
+            limit_s = min(limit_s, self.facts.deadline_s)
+        return self.received_at + limit_s
+
+    @property
+    def affinity_key(self) -> str:
+        """Name of the long shared prompt that decides where to go first, or ''."""
+        shared = self.facts.prompt[:-1]
+        if sum(part.tokens for part in shared) < AFFINITY_TOKENS:
+            return ""
+        return ",".join(part.part_id for part in shared)
+
+
+class AnswerSink(Protocol):
+    """Where an answer goes. After an error that is raised, the caller's connection is cut."""
+
+    async def whole(self, status: int, headers: list[tuple[str, str]], body: bytes) -> None:
+        """Give a whole answer."""
+        ...
+
+    async def start(self, status: int, headers: list[tuple[str, str]]) -> None:
+        """Begin an answer of unknown length."""
+        ...
+
+    async def send(self, data: bytes) -> None:
+        """Pass bytes of a begun answer on."""
+        ...
+
+
+class AnswerCutError(Exception):
+    """A begun answer can't be finished: the caller must see it broken off."""
+
+
+@dataclass
+class _Progress:
+    """What has happened to a request so far."""
+
+    tried: set[str] = field(default_factory=set)
+    sends: int = 0
+    refusals: int = 0
+    connect_failures: int = 0
+    may_have_run: bool = False
+    started: bool = False
+    last_event: int | None = None
+    last_backend: str = ""
+    first_byte_s: float | None = None
+    cause: str = ""
+
+
+class _Verdict:
+    """What one send came to, if not to an answer: whether it may have run, and why."""
+
+    def __init__(self, ran: bool, cause: str) -> None:
+        self.ran = ran
+        self.cause = cause
+
+
+class Forwarder:
+    """Passes requests on to the back ends of their services."""
+
+    def __init__(
+        self,
+        choice: BackendChoice,
+        pool: ConnectionPool,
+        connection_limit: Callable[[str], int],
+        log: DecisionLog,
+        metrics: ServingMetrics,
+    ) -> None:
+        self._choice = choice
+        self._pool = pool
+        self._connection_limit = connection_limit
+        self._log = log
+        self._metrics = metrics
+
+    async def forward(self, request: CallerRequest, sink: AnswerSink) -> None:
+        """Get the request answered.
+
+        Raises
+        ------
+        AnswerCutError: a begun answer can't be finished.
+        """
+        progress = _Progress()
+        try:
+            async with asyncio.timeout(request.deadline - monotonic()):
+                await self._try_backends(request, sink, progress)
+        except TimeoutError:
+            progress.cause = "deadline"
+            await self._give_up(request, sink, progress, STATUS_TIMEOUT)
+        except asyncio.CancelledError:
+            self._note_end(request, progress, "caller_left", 0)
+            raise
+
+    async def _try_backends(
+        self, request: CallerRequest, sink: AnswerSink, progress: _Progress
+    ) -> None:
+        while True:
+            now = monotonic()
+            state = self._choice.choose(
+                request.service, now, progress.tried, request.affinity_key
+            )
+            if state is None:
+                progress.cause = progress.cause or "no_backend"
+                await self._give_up(request, sink, progress, STATUS_BAD_GATEWAY)
+                return
+            verdict = await self._send(request, sink, progress, state)
+            if verdict is None:
+                return
+            progress.cause = verdict.cause
+            progress.tried.add(state.instance.instance_id)
+            if not self._may_repeat(request, progress, verdict):
+                await self._give_up(request, sink, progress, STATUS_BAD_GATEWAY)
+                return
+            self._metrics.retries.add(verdict.cause)
+            self._log.write(
+                Event.REQUEST_RETRIED,
+                request=request.facts.request_id,
+                backend=state.instance.instance_id,
+                cause=verdict.cause,
+                sends=progress.sends,
+                after_event=progress.last_event,
+                left_s=round(request.deadline - monotonic(), 3),
+            )
+
+    def _may_repeat(
+        self, request: CallerRequest, progress: _Progress, verdict: _Verdict
+    ) -> bool:
+        if not verdict.ran:
+            few_refusals = progress.refusals < MOST_REFUSED_SENDS
+            return few_refusals and progress.connect_failures < MOST_CONNECT_FAILURES
+        progress.may_have_run = True
+        if progress.started and progress.last_event is None:
+            return False
+        return request.route.repeatable and progress.sends < request.route.most_backends
+
+    async def _send(
+        self,
+        request: CallerRequest,
+        sink: AnswerSink,
+        progress: _Progress,
+        state: InstanceState,
+    ) -> _Verdict | None:
+        """Send once; None when the request has its final answer."""
+        instance = state.instance
+        progress.last_backend = instance.instance_id
+        try:
+            connection = await self._pool.take(instance, self._connection_limit(instance.service))
+        except ConnectionLimitError:
+            progress.refusals += 1
+            return _Verdict(False, "connection_limit")
+        except ConnectFailedError:
+            progress.connect_failures += 1
+            self._avoid(state, "connect")
+            return _Verdict(False, "connect")
+        use = self._choice.sent(state, monotonic())
+        try:
+            verdict = await self._exchange(request, sink, progress, state, connection, use)
+        except ConnectionBrokenError as error:
+            self._pool.discard(instance, connection)
+            if not error.sent:
+                return _Verdict(False, "closed_before_send")
+            progress.sends += 1
+            if connection.answered == 0:
+                self._avoid(state, "broken")
+            return _Verdict(True, "broken")
+        except BaseException:
+            # The caller left or the time is over: closing ends the back end's work.
+            self._pool.discard(instance, connection)
+            raise
+        finally:
+            self._choice.ended(state, use)
+        self._pool.give_back(instance, connection)
+        return verdict
+
+    async def _exchange(
+        self,
+        request: CallerRequest,
+        sink: AnswerSink,
+        progress: _Progress,
+        state: InstanceState,
+        connection: HttpConnection,
+        use: int,
+    ) -> _Verdict | None:
+        resume_after = progress.last_event
+        if resume_after is None:
+            resume_after = request.facts.resume_after
+        connection.send(
+            request.method,
+            request.target,
+            exchanges.headers_for_server(
+                request.headers,
+                state.instance.instance_id,
+                request.deadline - monotonic(),
+                resume_after,
+            ),
+            request.body,
+            exchanges.REQUEST_ID_HEADER,
+            request.facts.request_id,
+        )
+        head = await connection.read_head()
+        self._choice.answered(state, use)
+        load = exchanges.reported_load(head)
+        if load is not None:
+            self._choice.reported(state, load.running, load.waiting, monotonic())
+        if exchanges.was_not_run(head):
+            await connection.read_body()
+            progress.refusals += 1
+            if head.status == STATUS_UNAVAILABLE:
+                self._choice.full(state, monotonic())
+            return _Verdict(False, f"refused_{head.status}")
+        progress.sends += 1
+        if not exchanges.is_signed(head) and head.status < 300:
+            raise ConnectionBrokenError("answer is not signed")
+        if request.route.kind is RouteKind.STREAM and head.status < 300:
+            await self._pass_stream(request, sink, progress, connection, head)
+            return None
+        return await self._pass_whole(request, sink, progress, connection, head)
+
+    async def _pass_whole(
+        self,
+        request: CallerRequest,
+        sink: AnswerSink,
+        progress: _Progress,
+        connection: HttpConnection,
+        head: AnswerHead,
+    ) -> _Verdict | None:
+        body = await connection.read_body()
+        failed = head.status >= STATUS_SERVER_ERROR
+        if failed and progress.started:
+            raise ConnectionBrokenError("resumption failed")
+        if failed and request.route.repeatable and progress.sends < request.route.most_backends:
+            return _Verdict(True, f"status_{head.status}")
+        self._first_byte(request, progress)
+        if progress.started:
+            raise ConnectionBrokenError("resumption refused")
+        await sink.whole(head.status, exchanges.headers_for_client(head), body)
+        self._note_end(request, progress, "answered", head.status)
+        return None
+
+    async def _pass_stream(
+        self,
+        request: CallerRequest,
+        sink: AnswerSink,
+        progress: _Progress,
+        connection: HttpConnection,
+        head: AnswerHead,
+    ) -> None:
+        if progress.started:
+            self._log.write(
+                Event.STREAM_RESUMED,
+                request=request.facts.request_id,
+                backend=progress.last_backend,
+                after_event=progress.last_event,
+            )
+        splitter = EventSplitter() if request.route.resumable else None
+        while (part := await connection.read_part()) is not None:
+            if splitter is not None:
+                part = _whole_new_events(splitter, part, progress)
+            if not part:
+                continue
+            await self._ensure_started(request, sink, progress, head)
+            await sink.send(part)
+        if splitter is not None and splitter.rest:
+            raise ConnectionBrokenError("ended inside an event")
+        await self._ensure_started(request, sink, progress, head)
+        self._note_end(request, progress, "answered", head.status)
+
+    async def _ensure_started(
+        self, request: CallerRequest, sink: AnswerSink, progress: _Progress, head: AnswerHead
+    ) -> None:
+        if progress.started:
+            return
+        self._first_byte(request, progress)
+        progress.started = True
+        await sink.start(head.status, exchanges.headers_for_client(head))
+
+    async def _give_up(
+        self, request: CallerRequest, sink: AnswerSink, progress: _Progress, status: int
+    ) -> None:
+        """Give the final answer: a refusal if nothing can have run, else that it is not known."""
+        if progress.started:
+            self._note_end(request, progress, "cut", 0)
+            raise AnswerCutError(progress.cause)
+        in_doubt = progress.may_have_run or (progress.cause == "deadline" and progress.last_backend)
+        if in_doubt:
+            self._note_end(request, progress, "given_up", status)
+            await sink.whole(status, [], b"")
+            return
+        retry_after_s = (
+            RETRY_AFTER_NO_BACKEND_S if progress.cause == "no_backend" else RETRY_AFTER_FULL_S
+        )
+        self._note_end(request, progress, "refused", STATUS_UNAVAILABLE)
+        await sink.whole(STATUS_UNAVAILABLE, [("retry-after", f"{retry_after_s:g}")], b"")
+
+    def _avoid(self, state: InstanceState, cause: str) -> None:
+        seconds = self._choice.failed(state, monotonic())
+        self._log.write(
+            Event.BACKEND_AVOIDED,
+            backend=state.instance.instance_id,
+            cause=cause,
+            failures=state.failures,
+            seconds=seconds,
+        )
+
+    def _first_byte(self, request: CallerRequest, progress: _Progress) -> None:
+        if progress.first_byte_s is None:
+            progress.first_byte_s = monotonic() - request.received_at
+            self._metrics.first_byte.labels(request.route.kind.value).observe(
+                progress.first_byte_s
+            )
+
+    def _note_end(
+        self, request: CallerRequest, progress: _Progress, outcome: str, status: int
+    ) -> None:
+        self._metrics.requests.add(outcome)
+        state = self._choice.state(progress.last_backend)
+        now = monotonic()
+        self._log.write(
+            Event.REQUEST_ENDED,
+            request=request.facts.request_id,
+            route=request.route.name,
+            outcome=outcome,
+            status=status,
+            cause=progress.cause,
+            backend=progress.last_backend,
+            sends=progress.sends,
+            refusals=progress.refusals,
+            connect_failures=progress.connect_failures,
+            last_event=progress.last_event,
+            load=None if state is None else round(state.load(now), 2),
+            load_age_s=None if state is None else round(min(now - state.reported_at, 999), 2),
+            first_byte_s=progress.first_byte_s and round(progress.first_byte_s, 4),
+            seconds=round(now - request.received_at, 4),
+            deadline_left_s=round(request.deadline - now, 3),
+        )
+
+
+def _whole_new_events(splitter: EventSplitter, data: bytes, progress: _Progress) -> bytes:
+    passed = []
+    for event in splitter.feed(data):
+        if event.number is not None:
+            if progress.last_event is not None and event.number <= progress.last_event:
+                continue
+            progress.last_event = event.number
+        passed.append(event.raw)
+    return b"".join(passed)
--- a/src/wharfcart/settings/loading.py
+++ b/src/wharfcart/settings/loading.py
@@ -15,6 +15,7 @@
 
 VARIABLE_PREFIX = "WHARFCART_"
 CLIENT_PREFIX = "WHARFCART_CLI_"  # read by the client commands, no settings of a process
+SETTINGS_VARIABLE = "WHARFCART_SETTINGS"  # names the file itself
 NESTING_MARK = "__"
 
 SettingsModel = TypeVar("SettingsModel", bound=BaseModel)
@@ -42,7 +43,9 @@
         return Failure([Finding(str(path), "file", f"not TOML: {error}")])
     sources: dict[str, str] = {}
     for name, text in environment.items():
-        if name.startswith(VARIABLE_PREFIX) and not name.startswith(CLIENT_PREFIX):
+        if name == SETTINGS_VARIABLE or name.startswith(CLIENT_PREFIX):
+            continue
+        if name.startswith(VARIABLE_PREFIX):
             key = name.removeprefix(VARIABLE_PREFIX).lower().replace(NESTING_MARK, ".")
             _set(values, key, _parse(text))
             sources[key] = name
