--- a/src/wharfcart/backends/connection_pool.py
+++ b/src/wharfcart/backends/connection_pool.py
@@ -3,8 +3,8 @@
 from collections import deque
 from time import monotonic
 
-from wharfcart.backends.http_connection import HttpConnection
 from wharfcart.configuration.instances import BackendInstance
+from wharfcart.http.connection import HttpConnection
 
 CONNECT_TIMEOUT_S = 0.4
 DEFAULT_IDLE_LIMIT_S = 4.0
--- /dev/null
+++ b/src/wharfcart/batch/item_run.py
@@ -0,0 +1,178 @@
+"""One batch item at back ends: sends, resumption after a cut, and when it has failed for good."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import StrEnum
+from time import monotonic
+
+from wharfcart.backends.connection_pool import ConnectionLimitError, ConnectionPool
+from wharfcart.cluster.messages_pb2 import RequestItem
+from wharfcart.http.connection import (
+    ConnectFailedError,
+    ConnectionBrokenError,
+    HttpConnection,
+)
+from wharfcart.platform import exchanges
+from wharfcart.routing.backend_choice import BackendChoice, InstanceState
+from wharfcart.routing.event_stream import EventSplitter
+
+STATUS_IMPOSSIBLE = 422
+STATUS_FAILED = 500
+STATUS_UNAVAILABLE = 503
+SILENCE_LIMIT_S = 3.0
+
+
+class RunOutcome(StrEnum):
+    """How one send of an item ended."""
+
+    SUCCEEDED = "succeeded"
+    FAILED = "failed"
+    IMPOSSIBLE = "impossible"
+    REFUSED = "refused"
+    BROKEN = "broken"
+
+
+@dataclass
+class ItemProgress:
+    """What is known of an item that has no result yet.
+
+    Parameters
+    ----------
+    failures: answers that said that it failed.
+    last_event: number of the last whole event, or None.
+    not_before: monotonic time of the next send.
+    """
+
+    failures: int = 0
+    last_event: int | None = None
+    texts: list[str] = field(default_factory=list)
+    not_before: float = 0.0
+    last_backend: str = ""
+    sends: int = 0
+
+
+class ItemRunner:
+    """Sends items to back ends."""
+
+    def __init__(
+        self,
+        choice: BackendChoice,
+        pool: ConnectionPool,
+        connection_limit: Callable[[str], int],
+    ) -> None:
+        self._choice = choice
+        self._pool = pool
+        self._connection_limit = connection_limit
+
+    async def run(
+        self,
+        item: RequestItem,
+        host: str,
+        state: InstanceState,
+        use: int,
+        progress: ItemProgress,
+        give_up_at: float,
+    ) -> RunOutcome:
+        """Send an item once and read its events into ``progress``.
+
+        Cancelled, it ends the back end's work by closing the connection.
+
+        Parameters
+        ----------
+        use: number under which the item is already counted in flight at the back end.
+        """
+        instance = state.instance
+        progress.last_backend = instance.instance_id
+        try:
+            return await self._send(item, host, state, use, progress, give_up_at)
+        except (ConnectionLimitError, ConnectFailedError) as error:
+            if isinstance(error, ConnectFailedError):
+                self._choice.failed(state, monotonic())
+            return RunOutcome.REFUSED
+        finally:
+            self._choice.ended(state, use)
+
+    async def _send(
+        self,
+        item: RequestItem,
+        host: str,
+        state: InstanceState,
+        use: int,
+        progress: ItemProgress,
+        give_up_at: float,
+    ) -> RunOutcome:
+        instance = state.instance
+        connection = await self._pool.take(instance, self._connection_limit(instance.service))
+        try:
+            outcome = await self._exchange(connection, item, host, state, progress, give_up_at, use)
+        except (ConnectionBrokenError, TimeoutError):
+            self._pool.discard(instance, connection)
+            return RunOutcome.BROKEN
+        except BaseException:
+            self._pool.discard(instance, connection)
+            raise
+        self._pool.give_back(instance, connection)
+        return outcome
+
+    async def _exchange(
+        self,
+        connection: HttpConnection,
+        item: RequestItem,
+        host: str,
+        state: InstanceState,
+        progress: ItemProgress,
+        give_up_at: float,
+        use: int,
+    ) -> RunOutcome:
+        headers = [("host", host), (exchanges.REQUEST_ID_HEADER, item.item_id)]
+        headers += [(header.name, header.value) for header in item.headers]
+        progress.sends += 1
+        connection.send(
+            "POST",
+            item.path,
+            exchanges.headers_for_server(
+                headers,
+                state.instance.instance_id,
+                give_up_at - monotonic(),
+                progress.last_event,
+            ),
+            item.body,
+            exchanges.REQUEST_ID_HEADER,
+            item.item_id,
+        )
+        async with asyncio.timeout(SILENCE_LIMIT_S):
+            head = await connection.read_head()
+        self._choice.answered(state, use)
+        load = exchanges.reported_load(head)
+        if load is not None:
+            self._choice.reported(state, load.running, load.waiting, monotonic())
+        if head.status >= 300:
+            await connection.read_body()
+            if exchanges.was_not_run(head):
+                if head.status == STATUS_UNAVAILABLE:
+                    self._choice.full(state, monotonic())
+                return RunOutcome.REFUSED
+            if head.status == STATUS_IMPOSSIBLE:
+                return RunOutcome.IMPOSSIBLE
+            return RunOutcome.FAILED if head.status == STATUS_FAILED else RunOutcome.BROKEN
+        if not exchanges.is_signed(head):
+            return RunOutcome.BROKEN
+        return await self._read_events(connection, progress)
+
+    async def _read_events(self, connection: HttpConnection, progress: ItemProgress) -> RunOutcome:
+        splitter = EventSplitter()
+        while True:
+            async with asyncio.timeout(SILENCE_LIMIT_S):
+                part = await connection.read_part()
+            if part is None:
+                break
+            for event in splitter.feed(part):
+                if event.number is None:
+                    continue
+                expected = 0 if progress.last_event is None else progress.last_event + 1
+                if event.number < expected:
+                    continue
+                progress.last_event = event.number
+                progress.texts.append(event.data)
+        return RunOutcome.BROKEN if splitter.rest else RunOutcome.SUCCEEDED
--- /dev/null
+++ b/src/wharfcart/batch/job_execution.py
@@ -0,0 +1,258 @@
+"""Runs the items of a group's jobs while this node leads the group.
+
+Items go only into slots that the servers are seen to have free, so that online work finds its
+share; an item that was cut is taken up after its last event. Results are appended in the order in
+which they come and count once enough disks have them.
+"""
+
+import asyncio
+from collections.abc import Callable
+from time import monotonic, time
+
+from wharfcart.batch.item_run import ItemProgress, ItemRunner, RunOutcome
+from wharfcart.batch.job_scheduler import JobScheduler, ScheduledJob
+from wharfcart.cluster.messages_pb2 import ItemOutcome, RequestItem, RequestJob
+from wharfcart.configuration.serving import Route, ServingConfiguration
+from wharfcart.observability.decisions import DecisionLog, Event
+from wharfcart.observability.serving_metrics import ServingMetrics
+from wharfcart.observability.tasks import BackgroundTasks
+from wharfcart.routing.backend_choice import BackendChoice, InstanceState
+from wharfcart.storage.job_group import JobGroup
+from wharfcart.storage.job_leadership import JobLeadership
+
+PERIOD_S = 0.1
+MOST_LOAD = 0.7
+MOST_OWN_SHARE = 0.5
+RETRY_REFUSED_S = 0.15
+RETRY_BROKEN_S = 0.05
+RETRY_FAILED_S = 0.3
+GIVE_UP_MARGIN_S = 0.5
+FORGET_PERIOD_S = 5.0
+
+
+class JobExecution:
+    """Items of one group's jobs, on its leader."""
+
+    def __init__(
+        self,
+        group: JobGroup,
+        runner: ItemRunner,
+        choice: BackendChoice,
+        configuration: Callable[[], ServingConfiguration | None],
+        keep_jobs_s: float,
+        log: DecisionLog,
+        metrics: ServingMetrics,
+    ) -> None:
+        self._group = group
+        self._runner = runner
+        self._choice = choice
+        self._configuration = configuration
+        self._keep_jobs_s = keep_jobs_s
+        self._log = log
+        self._metrics = metrics
+        self._scheduler = JobScheduler()
+        self._tasks = BackgroundTasks()
+        self._runs: dict[str, asyncio.Task[None]] = {}
+        self._work = asyncio.Event()
+        self._forget_at = 0.0
+        group.on_leading = self._begin
+        group.on_deposed = self._end
+
+    # ---- calls of the job service ----
+
+    def job_accepted(self, job: RequestJob) -> None:
+        """Begin a job that counts."""
+        if job.job_id not in self._scheduler.jobs:
+            self._add(job, set())
+            self._work.set()
+
+    def job_ended(self, job_id: str) -> None:
+        """Stop every item of a job at once."""
+        scheduled = self._scheduler.remove(job_id)
+        if scheduled is None:
+            return
+        for item_id in list(scheduled.running):
+            run = self._runs.get(item_id)
+            if run is not None:
+                run.cancel()
+
+    # ---- leadership ----
+
+    def _begin(self) -> None:
+        leadership = self._group.leadership
+        assert leadership is not None
+        for record in leadership.jobs.values():
+            if not record.ended and not record.complete:
+                self._add(record.job, {result.item_id for result in record.results})
+        self._tasks.spawn(self._run())
+
+    def _end(self) -> None:
+        self._tasks.cancel()
+        self._scheduler = JobScheduler()
+        self._runs = {}
+
+    def _add(self, job: RequestJob, done: set[str]) -> None:
+        age_s = max(0.0, time() - job.accepted_ms / 1000)
+        self._scheduler.add(job, done, monotonic() - age_s)
+
+    async def _run(self) -> None:
+        while True:
+            self._work.clear()
+            self._start_items()
+            self._metrics.open_items.set(self._scheduler.open_items)
+            self._forget_old()
+            try:
+                async with asyncio.timeout(PERIOD_S if self._scheduler.jobs else 1.0):
+                    await self._work.wait()
+            except TimeoutError:
+                continue
+
+    def _start_items(self) -> None:
+        now = monotonic()
+        for scheduled in self._scheduler.in_order():
+            route = self._route_of(scheduled.job)
+            if now > scheduled.give_up_at + GIVE_UP_MARGIN_S:
+                self._give_up_all(scheduled)
+                continue
+            if route is None:
+                continue
+            for item in self._scheduler.startable(scheduled, now):
+                state = self._free_backend(route, scheduled, item, now)
+                if state is None:
+                    self._scheduler.put_back(scheduled, item)
+                    break
+                self._start(scheduled, item, state)
+
+    def _route_of(self, job: RequestJob) -> Route | None:
+        configuration = self._configuration()
+        if configuration is None:
+            return None
+        return configuration.route_for(job.host, job.path)
+
+    def _free_backend(
+        self, route: Route, scheduled: ScheduledJob, item: RequestItem, now: float
+    ) -> InstanceState | None:
+        progress = scheduled.progress_of(item.item_id)
+        excluded = (progress.last_backend,) if progress.last_backend else ()
+        service = route.shares[0].service
+        state = self._choice.choose(service, now, excluded) or self._choice.choose(service, now)
+        if state is None or state.load(now) >= MOST_LOAD:
+            return None
+        if state.in_flight >= max(1, state.instance.slots * MOST_OWN_SHARE):
+            return None
+        return state
+
+    def _start(self, scheduled: ScheduledJob, item: RequestItem, state: InstanceState) -> None:
+        scheduled.running.add(item.item_id)
+        # Counted before the task runs, so that the next choice sees it.
+        use = self._choice.sent(state, monotonic())
+        task = self._tasks.spawn(self._run_item(scheduled, item, state, use))
+        self._runs[item.item_id] = task
+        self._log.write(
+            Event.ITEM_STARTED,
+            item=item.item_id,
+            job=scheduled.job.job_id,
+            backend=state.instance.instance_id,
+            load=round(state.load(monotonic()), 2),
+            after_event=scheduled.progress_of(item.item_id).last_event,
+            due_in_s=round(scheduled.due_at - monotonic(), 2),
+        )
+
+    async def _run_item(
+        self, scheduled: ScheduledJob, item: RequestItem, state: InstanceState, use: int
+    ) -> None:
+        progress = scheduled.progress_of(item.item_id)
+        try:
+            outcome = await self._runner.run(
+                item, scheduled.job.host, state, use, progress, scheduled.give_up_at
+            )
+        finally:
+            scheduled.running.discard(item.item_id)
+            self._runs.pop(item.item_id, None)
+        self._metrics.items.add(outcome.value)
+        self._take_outcome(scheduled, item, progress, outcome)
+        self._work.set()
+
+    def _take_outcome(
+        self,
+        scheduled: ScheduledJob,
+        item: RequestItem,
+        progress: ItemProgress,
+        outcome: RunOutcome,
+    ) -> None:
+        if outcome is RunOutcome.SUCCEEDED:
+            self._finish(scheduled, item, True, "\n".join(progress.texts), "succeeded")
+            return
+        if outcome is RunOutcome.FAILED:
+            progress.failures += 1
+        if outcome is RunOutcome.IMPOSSIBLE:
+            self._finish(scheduled, item, False, "", "impossible")
+            return
+        if progress.failures >= scheduled.job.most_attempts:
+            self._finish(scheduled, item, False, "", f"failed {progress.failures} times")
+            return
+        delays = {RunOutcome.REFUSED: RETRY_REFUSED_S, RunOutcome.FAILED: RETRY_FAILED_S}
+        progress.not_before = monotonic() + delays.get(outcome, RETRY_BROKEN_S)
+        self._scheduler.put_back(scheduled, item)
+        self._log.write(
+            Event.ITEM_RETRIED,
+            item=item.item_id,
+            job=scheduled.job.job_id,
+            backend=progress.last_backend,
+            cause=outcome.value,
+            failures=progress.failures,
+            last_event=progress.last_event,
+        )
+
+    def _finish(
+        self,
+        scheduled: ScheduledJob,
+        item: RequestItem,
+        succeeded: bool,
+        text: str,
+        cause: str,
+    ) -> None:
+        leadership = self._group.leadership
+        if leadership is None:
+            return
+        job_id = scheduled.job.job_id
+        outcome = ItemOutcome(item_id=item.item_id, succeeded=succeeded, text=text.encode())
+        if not leadership.append(job_id, outcome):
+            return
+        self._group.wake_sessions()
+        record = leadership.jobs[job_id]
+        self._log.write(
+            Event.ITEM_FINISHED if succeeded else Event.ITEM_GIVEN_UP,
+            item=item.item_id,
+            job=job_id,
+            cause=cause,
+            position=len(record.results) - 1,
+            epoch=leadership.epoch,
+            due_in_s=round(scheduled.due_at - monotonic(), 2),
+        )
+        scheduled.progress.pop(item.item_id, None)
+        if record.complete:
+            self._scheduler.remove(job_id)
+            self._log.write(Event.JOB_CLOSED, job=job_id, items=len(record.results))
+
+    def _give_up_all(self, scheduled: ScheduledJob) -> None:
+        while scheduled.waiting:
+            self._finish(scheduled, scheduled.waiting.popleft(), False, "", "too old")
+
+    def _forget_old(self) -> None:
+        leadership = self._group.leadership
+        now = monotonic()
+        if leadership is None or now < self._forget_at:
+            return
+        self._forget_at = now + FORGET_PERIOD_S
+        for job_id in _forgettable(leadership, time(), self._keep_jobs_s):
+            leadership.forget(job_id)
+        self._group.wake_sessions()
+
+
+def _forgettable(leadership: JobLeadership, wall_clock: float, keep_s: float) -> list[str]:
+    return [
+        job_id
+        for job_id, record in leadership.jobs.items()
+        if (record.ended or record.complete) and wall_clock - record.job.accepted_ms / 1000 > keep_s
+    ]
--- /dev/null
+++ b/src/wharfcart/batch/job_scheduler.py
@@ -0,0 +1,78 @@
+"""Scheduling core: which items of which jobs run next, earliest deadline first.
+
+Pure: time is handed in as seconds.
+"""
+
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from wharfcart.batch.item_run import ItemProgress
+from wharfcart.cluster.messages_pb2 import RequestItem, RequestJob
+
+
+@dataclass
+class ScheduledJob:
+    """A job whose items are not all done.
+
+    Parameters
+    ----------
+    due_at, give_up_at: monotonic times.
+    waiting: items that are not running and have no result.
+    """
+
+    job: RequestJob
+    due_at: float
+    give_up_at: float
+    waiting: deque[RequestItem]
+    progress: dict[str, ItemProgress] = field(default_factory=dict)
+    running: set[str] = field(default_factory=set)
+
+    def progress_of(self, item_id: str) -> ItemProgress:
+        """Return what is known of an item."""
+        return self.progress.setdefault(item_id, ItemProgress())
+
+
+@dataclass
+class JobScheduler:
+    """All open jobs of one leader."""
+
+    jobs: dict[str, ScheduledJob] = field(default_factory=dict)
+
+    def add(self, job: RequestJob, done: set[str], accepted_at: float) -> ScheduledJob:
+        """Take a job; ``done`` names the items that have their result."""
+        scheduled = ScheduledJob(
+            job,
+            accepted_at + job.objective_s,
+            accepted_at + job.give_up_after_s,
+            deque(item for item in job.items if item.item_id not in done),
+        )
+        self.jobs[job.job_id] = scheduled
+        return scheduled
+
+    def remove(self, job_id: str) -> ScheduledJob | None:
+        """Drop a job that has ended."""
+        return self.jobs.pop(job_id, None)
+
+    def in_order(self) -> list[ScheduledJob]:
+        """Return the jobs with items that wait, the one due first at the front."""
+        waiting = [job for job in self.jobs.values() if job.waiting]
+        return sorted(waiting, key=lambda job: job.due_at)
+
+    def startable(self, scheduled: ScheduledJob, now: float) -> Iterator[RequestItem]:
+        """Yield items of a job that may be sent now; each one yielded is taken off the queue."""
+        for _ in range(len(scheduled.waiting)):
+            item = scheduled.waiting.popleft()
+            if scheduled.progress_of(item.item_id).not_before > now:
+                scheduled.waiting.append(item)
+                continue
+            yield item
+
+    def put_back(self, scheduled: ScheduledJob, item: RequestItem) -> None:
+        """Queue an item again, before those that were not begun."""
+        scheduled.waiting.appendleft(item)
+
+    @property
+    def open_items(self) -> int:
+        """Items without a result."""
+        return sum(len(job.waiting) + len(job.running) for job in self.jobs.values())
--- a/src/wharfcart/cluster/mirror.py
+++ b/src/wharfcart/cluster/mirror.py
@@ -1,8 +1,8 @@
 """Mirror core: one node's copy of the coordination service's keys.
 
 Fed with changes from the service itself or from a peer's mirror. A key never goes back to an older
-revision, whatever order answers arrive in. Removed keys are remembered for a bounded time, so that a
-peer that lags can be brought up to date by changes alone.
+revision, whatever order answers arrive in. Removed keys are remembered for a bounded time, so that
+a peer that lags can be brought up to date by changes alone.
 """
 
 from dataclasses import dataclass, field
--- a/src/wharfcart/cluster/mirror_link.py
+++ b/src/wharfcart/cluster/mirror_link.py
@@ -1,8 +1,8 @@
 """Keeps one node's mirror up to date: from the coordination service, and from peers.
 
-The node watches the service with long waits. Beside that it asks one peer at a time what it lacks: so
-news reaches a node that the service refuses, throttles or silently drops, and a watch that has died
-without a word is found out. No node ever takes an older state of a key.
+The node watches the service with long waits. Beside that it asks one peer at a time what it lacks:
+so news reaches a node that the service refuses, throttles or silently drops, and a watch that has
+died without a word is found out. No node ever takes an older state of a key.
 """
 
 import asyncio
@@ -125,6 +125,4 @@
                 Event.DEPENDENCY_LOST, dependency=DEPENDENCY, reason=reason, at=self.mirror.at
             )
         elif known_before:
-            self._log.write(
-                Event.DEPENDENCY_REGAINED, dependency=DEPENDENCY, at=self.mirror.at
-            )
+            self._log.write(Event.DEPENDENCY_REGAINED, dependency=DEPENDENCY, at=self.mirror.at)
--- a/src/wharfcart/cluster/transport.py
+++ b/src/wharfcart/cluster/transport.py
@@ -231,6 +231,13 @@
             return
         self._tasks.spawn(self._connect_and_send(address, frame))
 
+    def drop(self, address: Address) -> None:
+        """Close the connections to a peer that has fallen silent; the next call connects anew."""
+        for traffic in TrafficClass:
+            connection = self._connections.pop((address, traffic), None)
+            if connection is not None:
+                connection.protocol.close()
+
     async def _connect_and_send(self, address: Address, frame: Frame) -> None:
         try:
             connection = await self._connect(address, TrafficClass.BULK)
--- a/src/wharfcart/gateway/ingress.py
+++ b/src/wharfcart/gateway/ingress.py
@@ -7,9 +7,10 @@
 from sanic import Sanic
 from sanic.compat import Header
 from sanic.request import Request
-from sanic.response import BaseHTTPResponse, HTTPResponse
+from sanic.response import HTTPResponse
 
 from wharfcart.configuration.serving import Route, RouteKind, ServingConfiguration
+from wharfcart.gateway.answers import plain_answer
 from wharfcart.gateway.traffic_shares import TrafficSplitter
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.platform import exchanges, names
@@ -57,15 +58,9 @@
 
     def cut(self) -> None:
         """Break the connection off, so that a begun answer does not look whole."""
-        if self._request.transport is not None:
-            self._request.transport.abort()
-
-
-def plain_answer(
-    status: int, headers: list[tuple[str, str]] | None = None, body: bytes = b""
-) -> HTTPResponse:
-    """Return an answer with just these headers."""
-    return HTTPResponse(body=body, status=status, headers=Header(headers or []), content_type=None)
+        transport: Any = self._request.transport
+        if transport is not None:
+            transport.abort()
 
 
 class Ingress:
@@ -99,7 +94,9 @@
     async def start(self, front: tuple[str, int], readiness: tuple[str, int]) -> None:
         """Listen on both addresses."""
         for host, port in (front, readiness):
-            server = await self.app.create_server(host=host, port=port, return_asyncio_server=True)
+            server: Any = await self.app.create_server(
+                host=host, port=port, return_asyncio_server=True
+            )
             if server is None:
                 raise OSError(f"can't listen on {host}:{port}")
             if not self._servers:
@@ -132,8 +129,12 @@
             }
         )
         app.add_route(self._readiness, names.READINESS_PATH, methods=["GET"])
-        app.add_route(self._job_calls, f"{names.JOB_PATH}<job_id:path>", methods=METHODS, name="job")
-        app.add_route(self._job_calls, f"{names.ITEM_BODY_PATH}<job_id:path>", methods=METHODS, name="item")
+        app.add_route(
+            self._job_calls, f"{names.JOB_PATH}<job_id:path>", methods=METHODS, name="job"
+        )
+        app.add_route(
+            self._job_calls, f"{names.ITEM_BODY_PATH}<job_id:path>", methods=METHODS, name="item"
+        )
         app.add_route(self._request, "/", methods=METHODS, name="root")
         app.add_route(self._request, "/<path:path>", methods=METHODS, name="any")
         return app
@@ -141,10 +142,10 @@
     async def _readiness(self, _request: Request) -> HTTPResponse:
         return plain_answer(200 if self.ready else 503)
 
-    async def _job_calls(self, request: Request, job_id: str = "") -> BaseHTTPResponse | None:
+    async def _job_calls(self, request: Request, job_id: str = "") -> HTTPResponse | None:
         return await self._counted(request, self._job_call(request))
 
-    async def _request(self, request: Request, path: str = "") -> BaseHTTPResponse | None:
+    async def _request(self, request: Request, path: str = "") -> HTTPResponse | None:
         return await self._counted(request, self._handle(request))
 
     async def _counted(
@@ -155,9 +156,8 @@
             return await work
         finally:
             self._in_progress -= 1
-            if self.draining and request.stream is not None:
-                # The caller reads in the answer that this connection ends with it.
-                request.stream.keep_alive = False  # type: ignore[union-attr]
+            if self.draining:
+                _end_with_answer(request)
 
     async def _handle(self, request: Request) -> HTTPResponse | None:
         configuration = self._configuration()
@@ -188,8 +188,8 @@
         except AnswerCutError:
             sink.cut()
             return None
-        if self.draining and request.stream is not None:
-            request.stream.keep_alive = False  # type: ignore[union-attr]
+        if self.draining:
+            _end_with_answer(request)
         return await sink.finish()
 
     def _refuse(self, request: Request, status: int, cause: str) -> HTTPResponse:
@@ -203,3 +203,10 @@
         )
         headers = [(names.RETRY_AFTER, f"{RETRY_AFTER_UNCONFIGURED_S:g}")] if status == 503 else []
         return plain_answer(status, headers)
+
+
+def _end_with_answer(request: Request) -> None:
+    """Have the caller read in the answer that the connection ends with it."""
+    stream: Any = request.stream
+    if stream is not None:
+        stream.keep_alive = False
--- /dev/null
+++ b/src/wharfcart/gateway/job_calls.py
@@ -0,0 +1,140 @@
+"""Batch calls of callers at a gateway: submission, results, bodies, ends."""
+
+from time import time
+
+from sanic.request import Request
+from sanic.response import HTTPResponse
+
+from wharfcart.cluster.messages_pb2 import (
+    DONE,
+    NOT_FOUND,
+    EndJob,
+    Frame,
+    ReadItemBody,
+    ReadResults,
+    RequestJob,
+    SubmitJob,
+)
+from wharfcart.configuration.serving import Route
+from wharfcart.gateway.answers import plain_answer
+from wharfcart.observability.decisions import DecisionLog, Event
+from wharfcart.platform import batch_calls, names
+from wharfcart.storage.job_client import JobCallFailure, JobClient
+
+SUBMIT_TIMEOUT_S = 3.0
+SUBMIT_TRY_S = 2.0
+READ_TIMEOUT_S = 1.2
+READ_TRY_MARGIN_S = 0.7
+END_TIMEOUT_S = 3.0
+MOST_WAIT_S = 1.0
+RETRY_AFTER_S = 0.3
+JSON_TYPE = ("content-type", "application/json")
+
+
+class JobCalls:
+    """Translates callers' batch calls into calls on job groups."""
+
+    def __init__(self, client: JobClient, log: DecisionLog) -> None:
+        self._client = client
+        self._log = log
+
+    async def submit(self, request: Request, route: Route) -> HTTPResponse:
+        """Take a batch job into keeping."""
+        job_id = request.headers.get(names.REQUEST_ID, "")
+        try:
+            items = batch_calls.items_from(request.body)
+        except batch_calls.BadSubmissionError as error:
+            return self._refused(job_id, "submit", 400, f"malformed: {error}")
+        if not job_id:
+            return self._refused(job_id, "submit", 400, "no id")
+        job = RequestJob(
+            job_id=job_id,
+            host=(request.headers.get("host") or "").partition(":")[0],
+            path=request.raw_url.decode("latin-1").partition("?")[0],
+            accepted_ms=int(time() * 1000),
+            objective_s=route.completion_objective_s,
+            give_up_after_s=route.give_up_after_s,
+            most_attempts=route.most_backends,
+            items=items,
+        )
+        frame = Frame(submit_job=SubmitJob(job=job))
+        answer = await self._client.call(
+            job_id, frame, "job_answer", SUBMIT_TIMEOUT_S, SUBMIT_TRY_S
+        )
+        if isinstance(answer, JobCallFailure):
+            status = 504 if answer.sent else 503
+            return self._refused(job_id, "submit", status, answer.cause)
+        return plain_answer(202 if answer.job_answer.status == DONE else 503)
+
+    async def handle(self, request: Request) -> HTTPResponse:
+        """Answer a call on a job that was submitted."""
+        path = request.raw_url.decode("latin-1").partition("?")[0]
+        if path.startswith(names.JOB_PATH):
+            job_id = path.removeprefix(names.JOB_PATH)
+            if request.method == "DELETE":
+                return await self._end(job_id)
+            if request.method == "GET":
+                return await self._read(request, job_id)
+        elif request.method == "GET":
+            return await self._read_body(request, path.removeprefix(names.ITEM_BODY_PATH))
+        return plain_answer(405)
+
+    async def _read(self, request: Request, job_id: str) -> HTTPResponse:
+        first = _whole_number(request.args.get("after"))
+        wait_s = min(MOST_WAIT_S, _whole_number(request.headers.get(names.WAIT_MS)) / 1000)
+        message = ReadResults(job_id=job_id, after=first, wait_ms=int(wait_s * 1000))
+        answer = await self._client.call(
+            job_id,
+            Frame(read_results=message),
+            "result_page",
+            READ_TIMEOUT_S + wait_s,
+            wait_s + READ_TRY_MARGIN_S,
+        )
+        if isinstance(answer, JobCallFailure):
+            return self._refused(job_id, "read", 503, answer.cause)
+        page = answer.result_page
+        if page.status == NOT_FOUND:
+            return self._refused(job_id, "read", 404, "no such job")
+        return plain_answer(
+            200, [JSON_TYPE], batch_calls.result_page(page.total, first, page.results)
+        )
+
+    async def _read_body(self, request: Request, job_id: str) -> HTTPResponse:
+        item_id = request.args.get("id") or ""
+        frame = Frame(read_item_body=ReadItemBody(job_id=job_id, item_id=item_id))
+        answer = await self._client.call(
+            job_id, frame, "item_body", READ_TIMEOUT_S, READ_TRY_MARGIN_S
+        )
+        if isinstance(answer, JobCallFailure):
+            return self._refused(job_id, "read_body", 503, answer.cause)
+        if answer.item_body.status == NOT_FOUND:
+            return self._refused(job_id, "read_body", 404, "no such job or item")
+        return plain_answer(
+            200, [("content-type", "application/octet-stream")], answer.item_body.body
+        )
+
+    async def _end(self, job_id: str) -> HTTPResponse:
+        answer = await self._client.call(
+            job_id,
+            Frame(end_job=EndJob(job_id=job_id)),
+            "job_answer",
+            END_TIMEOUT_S,
+            SUBMIT_TRY_S,
+        )
+        if isinstance(answer, JobCallFailure):
+            status = 504 if answer.sent else 503
+            return self._refused(job_id, "end", status, answer.cause)
+        if answer.job_answer.status == NOT_FOUND:
+            return self._refused(job_id, "end", 404, "no such job")
+        return plain_answer(200)
+
+    def _refused(self, job_id: str, call: str, status: int, cause: str) -> HTTPResponse:
+        self._log.write(
+            Event.REQUEST_REFUSED, request=job_id, call=call, status=status, cause=cause
+        )
+        retry = [(names.RETRY_AFTER, f"{RETRY_AFTER_S:g}")] if status == 503 else []
+        return plain_answer(status, retry)
+
+
+def _whole_number(text: str | None) -> int:
+    return int(text) if text is not None and text.isdigit() else 0
--- a/src/wharfcart/gateway/traffic_shares.py
+++ b/src/wharfcart/gateway/traffic_shares.py
@@ -4,7 +4,8 @@
 
 from wharfcart.configuration.serving import Route
 
-# Successive multiples of the golden ratio, modulo 1, are spread evenly over any stretch of requests.
+# Successive multiples of the golden ratio, modulo 1, are spread evenly over any stretch of
+# requests.
 GOLDEN_RATIO = 0.6180339887498949
 
 
--- a/src/wharfcart/backends/http_connection.py
+++ b/src/wharfcart/http/connection.py
@@ -68,7 +68,15 @@
         self._writable.set()
         self._id_header = ""
         self._expected_id = ""
-        self._reset_answer()
+        self._status = 0
+        self._headers: list[tuple[str, str]] = []
+        self._head_ready = False
+        self._complete = False
+        self._until_close = False
+        self._keep_alive = False
+        self._stray = False
+        self._informational = False
+        self._poisoned = False
         self.idle_since = 0.0
         self.idle_limit_s = 0.0
         self.closed = False
@@ -199,10 +207,12 @@
     # ---- asyncio.Protocol ----
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
         # uvloop's transports are no subclasses of asyncio's.
         self._transport = cast(asyncio.Transport, transport)
 
     def data_received(self, data: bytes) -> None:
+        """Parse bytes; without a request they make the connection unusable."""
         if not self._busy:
             self._fail("bytes without a request")
             return
@@ -217,6 +227,7 @@
         self._notify()
 
     def eof_received(self) -> bool:
+        """Complete an answer that ends with its connection; fail any other."""
         if self._head_ready and not self._complete and self._until_close:
             self._complete = True
             self._keep_alive = False
@@ -224,12 +235,14 @@
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """Fail an answer that is not whole."""
         self.closed = True
         self._fail("reset" if exc is not None else "closed")
 
     # ---- httptools callbacks ----
 
     def on_message_begin(self) -> None:
+        """Begin an answer; a second one is not due."""
         if self._complete:
             # A second answer where none is due.
             self._poisoned = True
@@ -238,10 +251,12 @@
         self._stray = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep a header."""
         if not self._poisoned:
             self._headers.append((name.decode("latin-1").lower(), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
+        """Judge whose answer it is and how its end is known."""
         if self._poisoned:
             return
         status = self._parser.get_status_code()
@@ -262,12 +277,14 @@
         self._set_idle_limit(head)
 
     def on_body(self, body: bytes) -> None:
+        """Keep bytes of the body."""
         if self._poisoned or self._stray or self._informational:
             return
         self._parts.append(body)
         self._buffered += len(body)
 
     def on_message_complete(self) -> None:
+        """Note that the answer is whole."""
         if self._poisoned or self._stray or self._informational:
             return
         self._complete = True
@@ -277,7 +294,7 @@
 
     def _reset_answer(self) -> None:
         self._status = 0
-        self._headers: list[tuple[str, str]] = []
+        self._headers = []
         self._head_ready = False
         self._complete = False
         self._until_close = False
@@ -312,4 +329,3 @@
     async def _wait(self) -> None:
         self._wake = asyncio.get_running_loop().create_future()
         await self._wake
-
--- a/src/wharfcart/node/fleet_keys.py
+++ b/src/wharfcart/node/fleet_keys.py
@@ -40,7 +40,7 @@
 
     @property
     def key(self) -> str:
-        """Key of this entry. A storage node that comes back with an empty disk replaces its entry."""
+        """Key of this entry; a storage node that returns with an empty disk replaces it."""
         return NODE_PREFIX + self.node_id
 
     def to_bytes(self) -> bytes:
--- a/src/wharfcart/node/gateway_process.py
+++ b/src/wharfcart/node/gateway_process.py
@@ -3,17 +3,17 @@
 import asyncio
 from time import monotonic
 
-from sanic.request import Request
-from sanic.response import HTTPResponse
-
-from wharfcart.configuration.serving import Route
-from wharfcart.gateway.ingress import Ingress, plain_answer
-from wharfcart.node.fleet_keys import NodeEntry, NodeKind
+from wharfcart.cluster.membership import Address
+from wharfcart.gateway.ingress import Ingress
+from wharfcart.gateway.job_calls import JobCalls
+from wharfcart.node.fleet_keys import GROUP_PREFIX, NodeEntry, NodeKind
 from wharfcart.node.serving_node import ServingNode, wait_until
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.routing.forwarder import Forwarder
 from wharfcart.settings.schema import split_endpoint
 from wharfcart.settings.serving import GatewaySettings
+from wharfcart.storage.group_record import GroupRecord, group_record_from
+from wharfcart.storage.job_client import JobClient
 
 # The entry looks at readiness each second and needs two misses; until then connections still come.
 UNREADY_LEAD_S = 2.6
@@ -35,8 +35,17 @@
             log,
             self._node.metrics,
         )
+        jobs = JobCalls(
+            JobClient(
+                self._node.transport,
+                self._group_count,
+                self._group_record,
+                self._storage_address,
+            ),
+            log,
+        )
         self._ingress = Ingress(
-            lambda: self._node.configuration, forwarder, self._submit, self._job_call, log
+            lambda: self._node.configuration, forwarder, jobs.submit, jobs.handle, log
         )
 
     async def start(self) -> None:
@@ -71,8 +80,15 @@
             await asyncio.sleep(0.02)
         self._ingress.ready = not self._ingress.draining
 
-    async def _submit(self, request: Request, route: Route) -> HTTPResponse:
-        return plain_answer(503, [("retry-after", "1")])
+    def _group_count(self) -> int:
+        return len(self._node.mirror.under(GROUP_PREFIX))
+
+    def _group_record(self, group: int) -> GroupRecord | None:
+        entry = self._node.mirror.get(f"{GROUP_PREFIX}{group}")
+        return None if entry is None else group_record_from(entry.value, entry.revision)
 
-    async def _job_call(self, request: Request) -> HTTPResponse:
-        return plain_answer(503, [("retry-after", "1")])
+    def _storage_address(self, identity: str) -> Address | None:
+        for entry in self._node.nodes.values():
+            if entry.identity == identity:
+                return entry.address
+        return None
--- a/src/wharfcart/node/process.py
+++ b/src/wharfcart/node/process.py
@@ -61,8 +61,10 @@
 
 
 async def _run_storage(settings: StorageSettings) -> None:
+    from wharfcart.node.storage_process import StorageProcess
+
     log = DecisionLog(settings.node_id)
-    await asyncio.sleep(1e9)
+    await _run(StorageProcess(settings, log), log)
 
 
 async def _run(process: Process, log: DecisionLog) -> None:
--- a/src/wharfcart/node/serving_node.py
+++ b/src/wharfcart/node/serving_node.py
@@ -25,7 +25,7 @@
 )
 from wharfcart.cluster.mirror import Mirror
 from wharfcart.cluster.mirror_link import MirrorLink
-from wharfcart.cluster.transport import PeerUnreachableError, Responder, Transport
+from wharfcart.cluster.transport import Handler, PeerUnreachableError, Responder, Transport
 from wharfcart.configuration.serving import ServingConfiguration
 from wharfcart.errors import ServingError
 from wharfcart.node.fleet_keys import NODE_PREFIX, NodeEntry, node_entry_from
@@ -64,6 +64,7 @@
         )
         self.transport = Transport(self.handle)
         self.listeners: list[Callable[[list[Change]], None]] = []
+        self.handle_other: Handler = _ignore
 
     async def start(self) -> None:
         """Listen for peers and begin to follow the coordination service."""
@@ -106,6 +107,8 @@
         if frame.WhichOneof("body") == "coordination_pull":
             changes = self.mirror.since(frame.coordination_pull.after)
             await respond(Frame(last=True, coordination_changes=_changes_to_message(changes)))
+            return
+        await self.handle_other(frame, respond)
 
     # ---- mirror ----
 
@@ -123,9 +126,7 @@
 
     def _random_peer(self) -> Address | None:
         peers = [
-            entry.address
-            for entry in self.nodes.values()
-            if entry.node_id != self.settings.node_id
+            entry.address for entry in self.nodes.values() if entry.node_id != self.settings.node_id
         ]
         if not peers:
             peers = [Address(*split_endpoint(seed)) for seed in self.settings.seeds]
@@ -173,9 +174,7 @@
         elif known.instance.accepting and not instance.accepting:
             self._log_instance(Event.BACKEND_DRAINING, instance_id, instance.service, change)
 
-    def _log_instance(
-        self, event: Event, instance_id: str, service: str, change: Change
-    ) -> None:
+    def _log_instance(self, event: Event, instance_id: str, service: str, change: Change) -> None:
         self.log.write(event, backend=instance_id, service=service, revision=change.revision)
 
     def _take_node(self, change: Change) -> None:
@@ -186,6 +185,10 @@
             self.nodes[entry.node_id] = entry
 
 
+async def _ignore(_frame: Frame, _respond: Responder) -> None:
+    return
+
+
 async def wait_until(condition: Callable[[], bool], timeout_s: float, step_s: float = 0.05) -> bool:
     """Wait for a condition; return whether it came true in time."""
     until = monotonic() + timeout_s
--- /dev/null
+++ b/src/wharfcart/node/storage_process.py
@@ -0,0 +1,192 @@
+"""A storage node: keeps batch jobs on its disk and, as a group's leader, runs their items."""
+
+import asyncio
+from time import monotonic
+
+from wharfcart.batch.item_run import ItemRunner
+from wharfcart.batch.job_execution import JobExecution
+from wharfcart.batch.job_service import JobService
+from wharfcart.cluster.coordination import (
+    ConditionFailedError,
+    CoordinationUnavailableError,
+    Transaction,
+)
+from wharfcart.cluster.membership import Address
+from wharfcart.cluster.messages_pb2 import Frame
+from wharfcart.cluster.transport import Responder
+from wharfcart.node.fleet_keys import GROUP_PREFIX, NodeEntry, NodeKind
+from wharfcart.node.serving_node import ServingNode
+from wharfcart.observability.decisions import DecisionLog, Event
+from wharfcart.platform import documents, names
+from wharfcart.settings.schema import split_endpoint
+from wharfcart.settings.serving import StorageSettings
+from wharfcart.storage.disk import Disk, DiskFailedError
+from wharfcart.storage.job_client import group_of
+from wharfcart.storage.job_group import GroupContext, JobGroup
+
+OPEN_RETRY_S = 0.5
+RETIRE_PERIOD_S = 0.3
+STOP_LINGER_S = 0.3
+
+
+class StorageProcess:
+    """One storage node from start to stop."""
+
+    def __init__(self, settings: StorageSettings, log: DecisionLog) -> None:
+        self._settings = settings
+        self._log = log
+        self._node = ServingNode(settings, log)
+        self._node.handle_other = self._handle
+        self._disk = Disk(settings.data_folder)
+        self._groups: list[JobGroup] = []
+        self._services: list[JobService] = []
+        self._retire_states: dict[str, bytes] = {}
+
+    async def start(self) -> None:
+        """Open the disk, join the fleet, follow the groups."""
+        identity = await self._open_disk()
+        await self._node.start()
+        host, port = split_endpoint(self._settings.cluster_listen)
+        entry = NodeEntry(
+            self._settings.node_id,
+            NodeKind.STORAGE.value,
+            host,
+            port,
+            self._settings.zone,
+            identity,
+        )
+        self._node.tasks.spawn(self._node.announce(entry))
+        context = GroupContext(
+            identity,
+            self._disk,
+            self._node.transport,
+            self._node.coordination,
+            self._node.mirror,
+            self._identities,
+            self._retiring,
+            self._settings.tolerance.storage_nodes + 1,
+            self._log,
+        )
+        runner = ItemRunner(self._node.choice, self._node.pool, self._node.connection_limit)
+        for number in range(self._settings.job_groups):
+            self._add_group(number, context, runner)
+        for group in self._groups:
+            await group.start()
+        self._node.tasks.spawn(self._report_retirements())
+
+    async def stop(self) -> None:
+        """Hand leaderships over and leave."""
+        self._log.write(Event.STOPPING, leading=sum(g.leadership is not None for g in self._groups))
+        began_at = monotonic()
+        for group in self._groups:
+            await group.stop()
+        await asyncio.sleep(max(0.0, STOP_LINGER_S - (monotonic() - began_at)))
+        await self._node.stop()
+        await self._disk.close()
+        self._log.write(Event.STOPPED)
+
+    def _add_group(self, number: int, context: GroupContext, runner: ItemRunner) -> None:
+        group = JobGroup(number, f"{GROUP_PREFIX}{number}", context)
+        execution = JobExecution(
+            group,
+            runner,
+            self._node.choice,
+            lambda: self._node.configuration,
+            self._settings.keep_jobs_s,
+            self._log,
+            self._node.metrics,
+        )
+        self._groups.append(group)
+        self._services.append(JobService(group, execution, self._log))
+
+    async def _open_disk(self) -> str:
+        while True:
+            try:
+                return await self._disk.open()
+            except DiskFailedError as error:
+                self._log.write(Event.DEPENDENCY_LOST, dependency="disk", reason=str(error))
+                await asyncio.sleep(OPEN_RETRY_S)
+
+    # ---- views of the fleet ----
+
+    def _identities(self) -> dict[str, Address]:
+        return {
+            entry.identity: entry.address
+            for entry in self._node.nodes.values()
+            if entry.kind == NodeKind.STORAGE and entry.identity
+        }
+
+    def _retiring(self) -> set[str]:
+        ordered = {
+            change.key.removeprefix(names.RETIRE_PREFIX)
+            for change in self._node.mirror.under(names.RETIRE_PREFIX)
+        }
+        return {entry.identity for entry in self._node.nodes.values() if entry.node_id in ordered}
+
+    # ---- calls of other nodes ----
+
+    async def _handle(self, frame: Frame, respond: Responder) -> None:
+        answer = await self._answer(frame)
+        if answer is not None:
+            answer.last = True
+            await respond(answer)
+
+    async def _answer(self, frame: Frame) -> Frame | None:
+        match frame.WhichOneof("body"):
+            case "fence_group":
+                fence = frame.fence_group
+                return Frame(fence_result=await self._groups[fence.group].answer_fence(fence))
+            case "replicate_jobs":
+                write = frame.replicate_jobs
+                result = await self._groups[write.group].answer_replicate(write)
+                return Frame(replicate_result=result)
+            case "fetch_jobs":
+                fetch = frame.fetch_jobs
+                return Frame(job_updates=await self._groups[fetch.group].answer_fetch(fetch))
+            case "submit_job":
+                service = self._service(frame.submit_job.job.job_id)
+                return Frame(job_answer=await service.submit(frame.submit_job))
+            case "read_results":
+                service = self._service(frame.read_results.job_id)
+                return Frame(result_page=await service.read(frame.read_results))
+            case "read_item_body":
+                service = self._service(frame.read_item_body.job_id)
+                return Frame(item_body=await service.read_body(frame.read_item_body))
+            case "end_job":
+                service = self._service(frame.end_job.job_id)
+                return Frame(job_answer=await service.end(frame.end_job))
+        return None
+
+    def _service(self, job_id: str) -> JobService:
+        return self._services[group_of(job_id, len(self._services))]
+
+    # ---- emptied nodes ----
+
+    async def _report_retirements(self) -> None:
+        """As leader of the first group, tell the operator how far each emptying has come."""
+        while True:
+            await asyncio.sleep(RETIRE_PERIOD_S)
+            if self._groups[0].leadership is None:
+                continue
+            for order in self._node.mirror.under(names.RETIRE_PREFIX):
+                await self._report_one(order.key.removeprefix(names.RETIRE_PREFIX))
+
+    async def _report_one(self, node_id: str) -> None:
+        entry = self._node.nodes.get(node_id)
+        records = [group.record for group in self._groups]
+        holds = entry is not None and any(
+            record is None or entry.identity in record.members for record in records
+        )
+        state = documents.RETIRE_RUNNING if holds else documents.RETIRE_DONE
+        key = names.RETIRE_STATUS_PREFIX + node_id
+        known = self._node.mirror.get(key)
+        if known is not None and known.value in (state, documents.RETIRE_DONE):
+            return
+        try:
+            await self._node.coordination.commit(
+                Transaction({key: 0 if known is None else known.revision}, {key: state})
+            )
+        except (CoordinationUnavailableError, ConditionFailedError):
+            return
+        if not holds:
+            self._log.write(Event.STORAGE_RETIRED, retired=node_id)
--- a/src/wharfcart/observability/decisions.py
+++ b/src/wharfcart/observability/decisions.py
@@ -77,7 +77,8 @@
     def write(self, event: Event, **fields: object) -> None:
         """Log one decision; never waits.
 
-        Fields are plain values: ids, the inputs that decided with their age or version, the outcome.
+        Fields are plain values: ids, the inputs that decided with their age or version, the
+        outcome.
         """
         now = time()
         if not self._within_rate(int(now)):
--- /dev/null
+++ b/src/wharfcart/platform/batch_calls.py
@@ -0,0 +1,51 @@
+"""Batch calls of clients: bodies of submissions and of result pages."""
+
+import base64
+import binascii
+import json
+from collections.abc import Iterable
+
+from wharfcart.cluster.messages_pb2 import Header, ItemOutcome, RequestItem
+
+
+class BadSubmissionError(Exception):
+    """The body of a submission is not of the agreed form."""
+
+
+def items_from(body: bytes) -> list[RequestItem]:
+    """Read the items of a submission.
+
+    Raises
+    ------
+    BadSubmissionError
+    """
+    try:
+        return [
+            RequestItem(
+                item_id=item["id"],
+                path=item["path"],
+                headers=[
+                    Header(name=name, value=str(value))
+                    for name, value in item.get("headers", {}).items()
+                ],
+                body=base64.b64decode(item.get("body", "")),
+                tokens=int(item.get("tokens", 0)),
+            )
+            for item in json.loads(body)["requests"]
+        ]
+    except (ValueError, LookupError, TypeError, AttributeError, binascii.Error) as error:
+        raise BadSubmissionError(str(error)) from error
+
+
+def result_page(total: int, first: int, results: Iterable[ItemOutcome]) -> bytes:
+    """Write a page of results that begins at a position."""
+    rows = [
+        {
+            "id": result.item_id,
+            "state": "succeeded" if result.succeeded else "dead_letter",
+            "message": result.text.decode("utf-8", "replace"),
+        }
+        for result in results
+    ]
+    page = {"total": total, "nextPageToken": first + len(rows), "results": rows}
+    return json.dumps(page).encode()
--- a/src/wharfcart/platform/exchanges.py
+++ b/src/wharfcart/platform/exchanges.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from wharfcart.backends.http_connection import AnswerHead
+from wharfcart.http.connection import AnswerHead
 from wharfcart.platform import names
 
 REQUEST_ID_HEADER = names.REQUEST_ID
--- a/src/wharfcart/platform/metadata_store.py
+++ b/src/wharfcart/platform/metadata_store.py
@@ -6,11 +6,6 @@
 from typing import Any
 from urllib.parse import quote
 
-from wharfcart.backends.http_connection import (
-    ConnectFailedError,
-    ConnectionBrokenError,
-    HttpConnection,
-)
 from wharfcart.cluster.coordination import (
     Change,
     Changes,
@@ -19,6 +14,11 @@
     HistoryLostError,
     Transaction,
 )
+from wharfcart.http.connection import (
+    ConnectFailedError,
+    ConnectionBrokenError,
+    HttpConnection,
+)
 from wharfcart.observability.decisions import Counter
 from wharfcart.platform import names
 
--- a/src/wharfcart/routing/backend_choice.py
+++ b/src/wharfcart/routing/backend_choice.py
@@ -1,9 +1,10 @@
 """Choice core: which incarnation of a service's back ends a request goes to.
 
 Each node judges by what it sees itself: its own requests in flight, the load that answers tell,
-connections that failed, answers that stay away. Load is counted as the share of slots that are taken.
-Long shared prompts go where they were read before, as long as that back end is not overloaded
-(rendezvous hashing with bounded load); everything else goes to the least loaded, in the zone first.
+connections that failed, answers that stay away. Load is counted as the share of slots that are
+taken. Long shared prompts go where they were read before, as long as that back end is not
+overloaded (rendezvous hashing with bounded load); everything else goes to the least loaded, in the
+zone first.
 
 Pure: time and randomness are handed in.
 """
@@ -117,9 +118,7 @@
         affinity_key: names the shared prompt that decides where to go first; '' for none.
         """
         usable = [
-            state
-            for state in self.accepting(service)
-            if state.instance.instance_id not in excluded
+            state for state in self.accepting(service) if state.instance.instance_id not in excluded
         ]
         candidates = [state for state in usable if not state.avoided(now)] or usable
         if not candidates:
--- a/src/wharfcart/routing/event_stream.py
+++ b/src/wharfcart/routing/event_stream.py
@@ -33,7 +33,7 @@
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Add bytes and return the events that are whole now."""
         self._rest += data
-        events = []
+        events: list[StreamEvent] = []
         while True:
             end = self._end()
             if end < 0:
--- a/src/wharfcart/routing/forwarder.py
+++ b/src/wharfcart/routing/forwarder.py
@@ -5,8 +5,8 @@
 * nothing was sent, or the back end proved that it did not run the request: always;
 * anything else: only a repeatable request, and a resumable stream after its last whole event.
 
-A refusal ("not run") is given only in the first case. Every request has one deadline, the earlier of
-its caller's and its route's; the back end is told what is left of it.
+A refusal ("not run") is given only in the first case. Every request has one deadline, the earlier
+of its caller's and its route's; the back end is told what is left of it.
 """
 
 import asyncio
@@ -16,13 +16,13 @@
 from typing import Protocol
 
 from wharfcart.backends.connection_pool import ConnectionLimitError, ConnectionPool
-from wharfcart.backends.http_connection import (
+from wharfcart.configuration.serving import Route, RouteKind
+from wharfcart.http.connection import (
     AnswerHead,
     ConnectFailedError,
     ConnectionBrokenError,
     HttpConnection,
 )
-from wharfcart.configuration.serving import Route, RouteKind
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.observability.serving_metrics import ServingMetrics
 from wharfcart.platform import exchanges
@@ -159,9 +159,7 @@
     ) -> None:
         while True:
             now = monotonic()
-            state = self._choice.choose(
-                request.service, now, progress.tried, request.affinity_key
-            )
+            state = self._choice.choose(request.service, now, progress.tried, request.affinity_key)
             if state is None:
                 progress.cause = progress.cause or "no_backend"
                 await self._give_up(request, sink, progress, STATUS_BAD_GATEWAY)
@@ -185,9 +183,7 @@
                 left_s=round(request.deadline - monotonic(), 3),
             )
 
-    def _may_repeat(
-        self, request: CallerRequest, progress: _Progress, verdict: _Verdict
-    ) -> bool:
+    def _may_repeat(self, request: CallerRequest, progress: _Progress, verdict: _Verdict) -> bool:
         if not verdict.ran:
             few_refusals = progress.refusals < MOST_REFUSED_SENDS
             return few_refusals and progress.connect_failures < MOST_CONNECT_FAILURES
@@ -368,9 +364,7 @@
     def _first_byte(self, request: CallerRequest, progress: _Progress) -> None:
         if progress.first_byte_s is None:
             progress.first_byte_s = monotonic() - request.received_at
-            self._metrics.first_byte.labels(request.route.kind.value).observe(
-                progress.first_byte_s
-            )
+            self._metrics.first_byte.labels(request.route.kind.value).observe(progress.first_byte_s)
 
     def _note_end(
         self, request: CallerRequest, progress: _Progress, outcome: str, status: int
--- /dev/null
+++ b/src/wharfcart/storage/disk.py
@@ -0,0 +1,79 @@
+"""The disk of a storage node, off the event loop: one writer thread, one failure type."""
+
+import asyncio
+import sqlite3
+from collections.abc import Callable, Sequence
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import TypeVar
+
+from wharfcart.cluster.messages_pb2 import JobUpdate
+from wharfcart.storage.job_database import CorruptJobError, JobDatabase
+from wharfcart.storage.job_records import JobState
+
+Answer = TypeVar("Answer")
+CORRUPT_SUFFIX = ".corrupt"
+
+
+class DiskFailedError(Exception):
+    """The disk refused: it is full, or broken. Nothing of the call is taken to be written."""
+
+
+class Disk:
+    """A :class:`JobDatabase` whose calls don't hold up the event loop."""
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._thread = ThreadPoolExecutor(1, "disk")
+        self._database: JobDatabase | None = None
+
+    async def open(self) -> str:
+        """Open the data folder and return the disk's identity.
+
+        Raises
+        ------
+        DiskFailedError
+        """
+
+        def open_database() -> JobDatabase:
+            return JobDatabase(self._folder)
+
+        self._database = await self._run(open_database)
+        return self._database.identity
+
+    async def close(self) -> None:
+        """Close the file once what was begun is written."""
+        if self._database is not None:
+            await self._run(self._database.close)
+        self._thread.shutdown(wait=False)
+
+    async def promised(self, group: int) -> int:
+        """Return the highest epoch that was promised."""
+        return await self._run(lambda: self._open().promised(group))
+
+    async def promise(self, group: int, epoch: int) -> bool:
+        """Obey no leader of a lower epoch."""
+        return await self._run(lambda: self._open().promise(group, epoch))
+
+    async def states(self, group: int) -> list[JobState]:
+        """Return the state of every job of a group."""
+        return await self._run(lambda: self._open().states(group))
+
+    async def apply(self, group: int, epoch: int, updates: Sequence[JobUpdate]) -> bool:
+        """Write a leader's updates."""
+        return await self._run(lambda: self._open().apply(group, epoch, updates))
+
+    async def load(self, job_ids: Sequence[str]) -> list[JobUpdate]:
+        """Return whole records."""
+        return await self._run(lambda: self._open().load(job_ids))
+
+    def _open(self) -> JobDatabase:
+        if self._database is None:
+            raise DiskFailedError("not open")
+        return self._database
+
+    async def _run(self, work: Callable[[], Answer]) -> Answer:
+        try:
+            return await asyncio.get_running_loop().run_in_executor(self._thread, work)
+        except (sqlite3.Error, OSError, CorruptJobError) as error:
+            raise DiskFailedError(f"{type(error).__name__}: {error}") from error
--- /dev/null
+++ b/src/wharfcart/storage/job_client.py
@@ -0,0 +1,112 @@
+"""A gateway's calls to the leaders of job groups: who leads, and asking again elsewhere."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from time import monotonic
+
+import xxhash
+
+from wharfcart.cluster.membership import Address
+from wharfcart.cluster.messages_pb2 import NOT_LEADING, UNSURE, Frame
+from wharfcart.cluster.transport import PeerUnreachableError, Transport
+from wharfcart.errors import ServingError
+from wharfcart.storage.group_record import GroupRecord
+
+RETRY_S = 0.1
+FEWEST_CALL_S = 0.05
+
+
+@dataclass(frozen=True)
+class JobCallFailure:
+    """No leader answered in time.
+
+    ``sent`` tells whether some node may have acted on the call.
+    """
+
+    sent: bool
+    cause: str
+
+
+class JobClient:
+    """Calls to job groups.
+
+    Parameters
+    ----------
+    record_of: the record of a group as this node knows it.
+    address_of: where the disk of an identity is reached.
+    """
+
+    def __init__(
+        self,
+        transport: Transport,
+        groups: Callable[[], int],
+        record_of: Callable[[int], GroupRecord | None],
+        address_of: Callable[[str], Address | None],
+    ) -> None:
+        self._transport = transport
+        self._groups = groups
+        self._record_of = record_of
+        self._address_of = address_of
+
+    async def call(
+        self, job_id: str, frame: Frame, answer_field: str, timeout_s: float, try_s: float
+    ) -> Frame | JobCallFailure:
+        """Ask the leader of a job's group until one answers surely or the time is over.
+
+        Parameters
+        ----------
+        answer_field: the field of the answer that holds a status.
+        try_s: the longest that one node is waited for.
+        """
+        until = monotonic() + timeout_s
+        group = group_of(job_id, self._groups())
+        sent = False
+        cause = "no_leader"
+        hint = ""
+        while (left_s := until - monotonic()) > FEWEST_CALL_S:
+            address = self._leader_address(group, hint)
+            hint = ""
+            if address is not None:
+                answer, cause, may_have_acted = await self._ask(
+                    address, frame, answer_field, min(left_s, try_s)
+                )
+                sent = sent or may_have_acted
+                if answer is not None:
+                    status = getattr(answer, answer_field).status
+                    if status not in (NOT_LEADING, UNSURE):
+                        return answer
+                    hint = getattr(answer, answer_field).leader
+                    sent = sent or status == UNSURE
+                    cause = "not_leading" if status == NOT_LEADING else "unsure"
+            await asyncio.sleep(min(RETRY_S, max(0.0, until - monotonic())))
+        return JobCallFailure(sent, cause)
+
+    async def _ask(
+        self, address: Address, frame: Frame, answer_field: str, timeout_s: float
+    ) -> tuple[Frame | None, str, bool]:
+        request = Frame()
+        request.CopyFrom(frame)
+        try:
+            async with asyncio.timeout(timeout_s):
+                answer = await self._transport.call(address, request)
+        except TimeoutError:
+            self._transport.drop(address)
+            return None, "timeout", True
+        except PeerUnreachableError as error:
+            return None, "unreachable", error.sent
+        except ServingError as error:
+            return None, error.code, True
+        if answer.WhichOneof("body") != answer_field:
+            return None, "odd_answer", True
+        return answer, "", False
+
+    def _leader_address(self, group: int, hint: str) -> Address | None:
+        record = self._record_of(group)
+        leader = hint or (record.leader if record is not None else "")
+        return self._address_of(leader) if leader else None
+
+
+def group_of(job_id: str, groups: int) -> int:
+    """Return the group that a job belongs to."""
+    return xxhash.xxh64_intdigest(job_id.encode()) % max(1, groups)
--- /dev/null
+++ b/src/wharfcart/storage/job_database.py
@@ -0,0 +1,181 @@
+"""A storage node's disk: jobs of every group, promises to leaders, the disk's identity.
+
+One SQLite file with ``synchronous=FULL``; a method that returns has its writes on disk. The
+exclusive lock comes before WAL mode, or SQLite maps a shared memory file, which the brief forbids.
+"""
+
+import sqlite3
+import uuid
+from collections.abc import Iterable, Sequence
+from pathlib import Path
+
+import xxhash
+
+from wharfcart.cluster.messages_pb2 import ItemOutcome, JobUpdate, RequestJob
+from wharfcart.storage.job_records import JobState
+
+DATABASE_NAME = "jobs.sqlite"
+PAGE_BYTES = 8192
+CACHE_KIB = 2048
+CHECKPOINT_PAGES = 256
+
+_SCHEMA = """
+create table if not exists identity (name text primary key, value text not null);
+create table if not exists promise (job_group integer primary key, epoch integer not null);
+create table if not exists job (
+  job_id text primary key, job_group integer not null, epoch integer not null,
+  ended integer not null, results integer not null, spec blob not null, checksum integer not null
+) without rowid;
+create table if not exists result (
+  job_id text not null, position integer not null, value blob not null, checksum integer not null,
+  primary key (job_id, position)) without rowid;
+"""
+
+
+class CorruptJobError(Exception):
+    """A record's checksum does not match: the disk must be set aside and rebuilt from peers."""
+
+
+class JobDatabase:
+    """The file of one storage node. Every method runs on one writer thread."""
+
+    def __init__(self, folder: Path) -> None:
+        folder.mkdir(parents=True, exist_ok=True)
+        self._connection = sqlite3.connect(
+            folder / DATABASE_NAME, isolation_level=None, check_same_thread=False
+        )
+        execute = self._connection.execute
+        execute(f"pragma page_size={PAGE_BYTES}")
+        execute("pragma locking_mode=exclusive")
+        execute("pragma journal_mode=wal")
+        execute("pragma synchronous=full")
+        execute(f"pragma cache_size=-{CACHE_KIB}")
+        execute(f"pragma wal_autocheckpoint={CHECKPOINT_PAGES}")
+        self._connection.executescript(_SCHEMA)
+        self.identity = self._read_identity()
+
+    def close(self) -> None:
+        """Close the file."""
+        self._connection.close()
+
+    def promised(self, group: int) -> int:
+        """Return the highest epoch whose leader this disk obeys; 0 for none."""
+        row = self._connection.execute(
+            "select epoch from promise where job_group=?", (group,)
+        ).fetchone()
+        return 0 if row is None else int(row[0])
+
+    def promise(self, group: int, epoch: int) -> bool:
+        """Obey no leader of a lower epoch from now on; False if a higher one was promised."""
+        known = self.promised(group)
+        if known > epoch:
+            return False
+        if known < epoch:
+            self._connection.execute("insert or replace into promise values (?, ?)", (group, epoch))
+        return True
+
+    def states(self, group: int) -> list[JobState]:
+        """Return the state of every job of a group."""
+        rows = self._connection.execute(
+            "select job_id, epoch, results, ended from job where job_group=?", (group,)
+        )
+        return [
+            JobState(job_id, epoch, 1 + results + ended) for job_id, epoch, results, ended in rows
+        ]
+
+    def apply(self, group: int, epoch: int, updates: Sequence[JobUpdate]) -> bool:
+        """Write a leader's updates in one commit; False if a higher epoch was promised."""
+        if not self.promise(group, epoch):
+            return False
+        if not updates:
+            return True
+        self._connection.execute("begin immediate")
+        try:
+            for update in updates:
+                self._apply_one(group, update)
+            self._connection.execute("commit")
+        except BaseException:
+            if self._connection.in_transaction:
+                self._connection.execute("rollback")
+            raise
+        return True
+
+    def load(self, job_ids: Iterable[str]) -> list[JobUpdate]:
+        """Return whole records; unknown ids are left out.
+
+        Raises
+        ------
+        CorruptJobError
+        """
+        found = (self._load_one(job_id) for job_id in job_ids)
+        return [record for record in found if record is not None]
+
+    # ---- inner ----
+
+    def _apply_one(self, group: int, update: JobUpdate) -> None:
+        execute = self._connection.execute
+        if update.forgotten:
+            execute("delete from job where job_id=?", (update.job_id,))
+            execute("delete from result where job_id=?", (update.job_id,))
+            return
+        results = update.from_result + len(update.results)
+        if update.HasField("job"):
+            spec = update.job.SerializeToString()
+            execute(
+                "insert or replace into job values (?, ?, ?, ?, ?, ?, ?)",
+                (update.job_id, group, update.epoch, update.ended, results, spec, _checksum(spec)),
+            )
+        else:
+            execute(
+                "update job set epoch=?, ended=?, results=? where job_id=?",
+                (update.epoch, update.ended, results, update.job_id),
+            )
+        execute(
+            "delete from result where job_id=? and position>=?",
+            (update.job_id, update.from_result),
+        )
+        for position, outcome in enumerate(update.results, update.from_result):
+            value = outcome.SerializeToString()
+            execute(
+                "insert into result values (?, ?, ?, ?)",
+                (update.job_id, position, value, _checksum(value)),
+            )
+
+    def _load_one(self, job_id: str) -> JobUpdate | None:
+        row = self._connection.execute(
+            "select epoch, ended, spec, checksum from job where job_id=?", (job_id,)
+        ).fetchone()
+        if row is None:
+            return None
+        epoch, ended, spec, checksum = row
+        _check(spec, checksum)
+        rows = self._connection.execute(
+            "select value, checksum from result where job_id=? order by position", (job_id,)
+        ).fetchall()
+        for value, value_checksum in rows:
+            _check(value, value_checksum)
+        return JobUpdate(
+            job_id=job_id,
+            epoch=epoch,
+            job=RequestJob.FromString(spec),
+            results=[ItemOutcome.FromString(value) for value, _ in rows],
+            ended=bool(ended),
+        )
+
+    def _read_identity(self) -> str:
+        # A new identity for every new disk: an empty disk must never pass for the old replica.
+        row = self._connection.execute("select value from identity where name='self'").fetchone()
+        if row is not None:
+            return str(row[0])
+        identity = uuid.uuid4().hex[:12]
+        self._connection.execute("insert into identity values ('self', ?)", (identity,))
+        return identity
+
+
+def _checksum(data: bytes) -> int:
+    return xxhash.xxh32_intdigest(data)
+
+
+def _check(data: bytes, checksum: int) -> None:
+    if _checksum(data) != checksum:
+        raise CorruptJobError
--- /dev/null
+++ b/src/wharfcart/storage/job_group.py
@@ -0,0 +1,504 @@
+"""One job group on one storage node: replica always, leader when its turn comes.
+
+A replica that has not heard its leader for a while takes the next epoch by compare-and-swap on the
+group's record. While the coordination service is away leaders stay; a lost one is replaced when the
+service is back.
+"""
+
+import asyncio
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import replace
+from time import monotonic
+
+from wharfcart.cluster.coordination import (
+    ConditionFailedError,
+    CoordinationService,
+    CoordinationUnavailableError,
+    Transaction,
+)
+from wharfcart.cluster.membership import Address
+from wharfcart.cluster.messages_pb2 import (
+    FenceGroup,
+    FenceResult,
+    FetchJobs,
+    JobUpdates,
+    ReplicateJobs,
+    ReplicateResult,
+)
+from wharfcart.cluster.mirror import Mirror
+from wharfcart.cluster.transport import Transport
+from wharfcart.observability.decisions import DecisionLog, Event
+from wharfcart.observability.tasks import BackgroundTasks
+from wharfcart.storage.disk import Disk, DiskFailedError
+from wharfcart.storage.group_record import GroupRecord, RecordInDoubtError, group_record_from
+from wharfcart.storage.job_leadership import JobLeadership
+from wharfcart.storage.job_records import JobRecord, JobState, record_from
+from wharfcart.storage.replica_links import (
+    LocalReplicaLink,
+    RemoteReplicaLink,
+    state_to_message,
+)
+from wharfcart.storage.replica_session import (
+    HigherEpochError,
+    ReplicaFailedError,
+    ReplicaLink,
+    ReplicaSession,
+)
+from wharfcart.storage.replica_set_change import ReplicaSetChanger
+
+TICK_S = 0.1
+SILENCE_S = 1.2
+SILENCE_SPREAD_S = 0.4
+GATHER_S = 1.5
+FRESH_S = 0.75
+FENCE_RETRY_S = 0.15
+CONTEST_RETRY_S = 0.4
+
+
+class GroupContext:
+    """What all groups of a node share.
+
+    Parameters
+    ----------
+    identities: storage nodes known, identity to address.
+    retiring: identities that are to be emptied.
+    copies: replicas that must have a write before it counts.
+    """
+
+    def __init__(
+        self,
+        identity: str,
+        disk: Disk,
+        transport: Transport,
+        coordination: CoordinationService,
+        mirror: Mirror,
+        identities: Callable[[], dict[str, Address]],
+        retiring: Callable[[], set[str]],
+        copies: int,
+        log: DecisionLog,
+    ) -> None:
+        self.identity = identity
+        self.disk = disk
+        self.transport = transport
+        self.coordination = coordination
+        self.mirror = mirror
+        self.identities = identities
+        self.retiring = retiring
+        self.copies = copies
+        self.log = log
+
+    @property
+    def full_size(self) -> int:
+        """Replicas that a group has if there are enough disks: losses borne keep a quorum."""
+        return 2 * self.copies - 1
+
+
+class JobGroup:
+    """Replica and, at times, leader of one group."""
+
+    def __init__(self, group: int, key: str, context: GroupContext) -> None:
+        self.group = group
+        self.key = key
+        self._context = context
+        self._tasks = BackgroundTasks()
+        self._leader_tasks = BackgroundTasks()
+        self._heard_leader_at = monotonic()
+        self._started_at = monotonic()
+        self._promised_at_start = 0
+        self._last_led = 0
+        self._stopping = False
+        self._progress = asyncio.Event()
+        self.leadership: JobLeadership | None = None
+        self.sessions: dict[str, ReplicaSession] = {}
+        self._session_tasks: dict[str, asyncio.Task[None]] = {}
+        self.on_leading: Callable[[], None] = lambda: None
+        self.on_deposed: Callable[[], None] = lambda: None
+
+    # ---- views ----
+
+    @property
+    def record(self) -> GroupRecord | None:
+        """The group's record as this node knows it."""
+        entry = self._context.mirror.get(self.key)
+        return None if entry is None else group_record_from(entry.value, entry.revision)
+
+    @property
+    def leads_freshly(self) -> bool:
+        """Whether no other leader can have begun before a moment ago.
+
+        True if so many replicas confirmed this epoch lately that the others are too few to let
+        another leader in.
+        """
+        leadership = self.leadership
+        if leadership is None:
+            return False
+        now = monotonic()
+        fresh = sum(
+            1
+            for identity in leadership.members
+            if identity == self._context.identity
+            or (identity in self.sessions and now - self.sessions[identity].confirmed_at < FRESH_S)
+        )
+        return fresh >= leadership.copies
+
+    async def wait_progress(self, timeout_s: float) -> bool:
+        """Wait until more counts, the leadership changes, or the time is over."""
+        event = self._progress
+        try:
+            async with asyncio.timeout(timeout_s):
+                await event.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    # ---- life ----
+
+    async def start(self) -> None:
+        """Begin to follow the group."""
+        self._promised_at_start = await self._context.disk.promised(self.group)
+        self._last_led = self._promised_at_start
+        self._tasks.spawn(self._run())
+
+    async def stop(self) -> None:
+        """Hand over and end."""
+        self._stopping = True
+        await self._hand_over()
+        self._step_down("stopping")
+        await self._tasks.stop()
+
+    def wake_sessions(self) -> None:
+        """Tell every session that there is something to write."""
+        for session in self.sessions.values():
+            session.wake()
+
+    # ---- as a replica ----
+
+    async def answer_fence(self, message: FenceGroup) -> FenceResult:
+        """Promise an epoch to its leader, or tell whether one may be elected."""
+        disk = self._context.disk
+        if message.ask_only:
+            return FenceResult(granted=not self._hears_leader())
+        try:
+            if message.target != self._context.identity:
+                return FenceResult(granted=False, epoch=0)
+            if not await disk.promise(self.group, message.epoch):
+                return FenceResult(granted=False, epoch=await disk.promised(self.group))
+            states = await disk.states(self.group)
+        except DiskFailedError:
+            return FenceResult(granted=False, epoch=0)
+        self._hear_leader(message.epoch, message.leader)
+        return FenceResult(
+            granted=True, epoch=message.epoch, jobs=[state_to_message(state) for state in states]
+        )
+
+    async def answer_replicate(self, message: ReplicateJobs) -> ReplicateResult:
+        """Write a leader's updates."""
+        disk = self._context.disk
+        try:
+            if message.target != self._context.identity:
+                return ReplicateResult(accepted=False, epoch=0)
+            if not await disk.apply(self.group, message.epoch, list(message.updates)):
+                return ReplicateResult(accepted=False, epoch=await disk.promised(self.group))
+        except DiskFailedError:
+            return ReplicateResult(accepted=False, epoch=0)
+        self._hear_leader(message.epoch, message.leader)
+        return ReplicateResult(accepted=True, epoch=message.epoch)
+
+    async def answer_fetch(self, message: FetchJobs) -> JobUpdates:
+        """Return whole records."""
+        return JobUpdates(updates=await self._context.disk.load(list(message.job_ids)))
+
+    def _hears_leader(self) -> bool:
+        if self.leadership is not None:
+            return self.leads_freshly
+        return monotonic() - self._heard_leader_at < SILENCE_S
+
+    def _hear_leader(self, epoch: int, leader: str) -> None:
+        self._heard_leader_at = monotonic()
+        if self.leadership is not None and epoch > self.leadership.epoch:
+            self._step_down(f"epoch {epoch} of {leader}")
+
+    # ---- elections ----
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            record = self.record
+            if record is None:
+                await self._maybe_begin_group()
+            elif self.leadership is not None:
+                self._check_still_leading(record)
+            elif record.leader == self._context.identity and record.epoch > self._last_led:
+                await self._lead(record)
+            elif self._must_contest(record):
+                await self._contest()
+
+    def _check_still_leading(self, record: GroupRecord) -> None:
+        assert self.leadership is not None
+        if record.epoch > self.leadership.epoch:
+            self._step_down(f"epoch {record.epoch} of {record.leader}")
+
+    def _must_contest(self, record: GroupRecord) -> bool:
+        if self._stopping or self._context.identity not in record.members:
+            return False
+        rank = sorted(record.members).index(self._context.identity)
+        silence_s = SILENCE_S + SILENCE_SPREAD_S * rank
+        if record.leader == self._context.identity:
+            silence_s = TICK_S  # an earlier life of this process led
+        return monotonic() - self._heard_leader_at > silence_s
+
+    async def _maybe_begin_group(self) -> None:
+        known = self._context.identities()
+        if self._context.identity not in known or len(known) < self._context.copies:
+            return
+        if len(known) < self._context.full_size and monotonic() - self._started_at < GATHER_S:
+            return
+        if self._context.mirror.at == 0 or min(known) != self._context.identity:
+            return
+        members = frozenset(sorted(known)[: self._context.full_size])
+        with suppress(RecordInDoubtError):
+            await self._write_record(GroupRecord(1, self._context.identity, members), 0)
+
+    async def _contest(self) -> None:
+        self._heard_leader_at = monotonic() - SILENCE_S + CONTEST_RETRY_S
+        if not await self._others_agree():
+            return
+        try:
+            entry = await self._context.coordination.read(self.key)
+        except CoordinationUnavailableError:
+            return
+        record = None if entry is None else group_record_from(entry.value, entry.revision)
+        known = self.record
+        if record is None or known is None or record.epoch > known.epoch:
+            return  # another one was faster; the mirror will tell
+        if self._context.identity not in record.members:
+            return
+        taken = replace(record, epoch=record.epoch + 1, leader=self._context.identity)
+        try:
+            written = await self._write_record(taken, record.revision)
+        except RecordInDoubtError:
+            return  # if it took effect, the mirror will tell
+        if written is not None:
+            await self._lead(written)
+
+    async def _others_agree(self) -> bool:
+        """Whether enough replicas answer, none of which hears a leader.
+
+        Without this a replica that is cut off from the others, but not from the coordination
+        service, would unseat a leader whom it can't replace.
+        """
+        record = self.record
+        if record is None:
+            return False
+        others = record.members - {self._context.identity}
+        answers = await asyncio.gather(*(self._ask_one(identity) for identity in others))
+        if any(answer is False for answer in answers):
+            return False
+        answered = 1 + sum(answer is True for answer in answers)
+        return answered >= len(record.members) - self._context.copies + 1
+
+    async def _ask_one(self, identity: str) -> bool | None:
+        link = self._link(identity)
+        try:
+            return await link.may_elect()
+        except ReplicaFailedError:
+            return None
+
+    async def _write_record(self, record: GroupRecord, revision: int) -> GroupRecord | None:
+        """Swap the record in; None if that surely failed.
+
+        Raises
+        ------
+        RecordInDoubtError: it may have taken effect, or may yet as long as its condition holds.
+        """
+        try:
+            new_revision = await self._context.coordination.commit(
+                Transaction({self.key: revision}, {self.key: record.to_bytes()})
+            )
+        except ConditionFailedError:
+            return None
+        except CoordinationUnavailableError as error:
+            if error.may_have_taken_effect:
+                raise RecordInDoubtError from error
+            return None
+        return replace(record, revision=new_revision)
+
+    async def _lead(self, record: GroupRecord) -> None:
+        """Gather what the replicas hold and begin to lead an epoch that nobody led before."""
+        self._last_led = record.epoch
+        own = LocalReplicaLink(self.group, self._context.disk)
+        try:
+            states = {self._context.identity: await own.fence(record.epoch)}
+        except (ReplicaFailedError, HigherEpochError):
+            return
+        began_at = monotonic()
+        needed = len(record.members) - self._context.copies + 1
+        while len(states) < needed:
+            missing = record.members - states.keys()
+            answers = await asyncio.gather(
+                *(self._fence_one(identity, record.epoch) for identity in missing)
+            )
+            for identity, answer in zip(missing, answers, strict=True):
+                if answer is not None:
+                    states[identity] = answer
+            newest = self.record
+            if self._stopping or (newest is not None and newest.epoch > record.epoch):
+                return
+            if len(states) < needed:
+                await asyncio.sleep(FENCE_RETRY_S)
+        try:
+            records = await self._newest_records(states)
+        except ReplicaFailedError:
+            self._last_led = record.epoch
+            return
+        self._begin_leading(record, records, states, began_at)
+
+    async def _fence_one(self, identity: str, epoch: int) -> list[JobState] | None:
+        try:
+            return await self._link(identity).fence(epoch)
+        except (ReplicaFailedError, HigherEpochError):
+            return None
+
+    async def _newest_records(self, states: dict[str, list[JobState]]) -> list[JobRecord]:
+        newest: dict[str, tuple[tuple[int, int], str]] = {}
+        ordered = sorted(states, key=lambda identity: identity != self._context.identity)
+        for identity in ordered:
+            for state in states[identity]:
+                rank = (state.epoch, state.version)
+                if state.job_id not in newest or rank > newest[state.job_id][0]:
+                    newest[state.job_id] = (rank, identity)
+        records = []
+        for identity in ordered:
+            wanted = [job_id for job_id, (_, holder) in newest.items() if holder == identity]
+            if wanted:
+                updates = await self._link(identity).fetch(wanted)
+                if len(updates) != len(wanted):
+                    raise ReplicaFailedError("a job is missing")
+                records += [record_from(update) for update in updates]
+        return records
+
+    def _begin_leading(
+        self,
+        record: GroupRecord,
+        records: list[JobRecord],
+        states: dict[str, list[JobState]],
+        asked_at: float,
+    ) -> None:
+        leadership = JobLeadership(record.epoch, self._context.copies, record.members)
+        leadership.inherit(records)
+        self.leadership = leadership
+        for identity in record.members:
+            session = self.open_session(identity)
+            if session is not None and identity in states:
+                session.joined(states[identity], asked_at)
+        changer = ReplicaSetChanger(self, self._context)
+        self._leader_tasks.spawn(changer.run())
+        self._context.log.write(
+            Event.LEADERSHIP_TAKEN,
+            group=self.group,
+            epoch=record.epoch,
+            members=sorted(record.members),
+            jobs=len(records),
+            gathering_s=round(monotonic() - asked_at, 3),
+        )
+        self.on_leading()
+        self.notify_progress()
+
+    # ---- as a leader ----
+
+    def open_session(self, identity: str) -> ReplicaSession | None:
+        """Begin to keep a replica up to date, if that is not done yet."""
+        leadership = self.leadership
+        if leadership is None:
+            return None
+        session = self.sessions.get(identity)
+        if session is None:
+            session = ReplicaSession(
+                identity,
+                self._link(identity),
+                leadership,
+                self.notify_progress,
+                lambda epoch: self._step_down(f"epoch {epoch}"),
+                self._context.log,
+            )
+            self.sessions[identity] = session
+            self._session_tasks[identity] = self._leader_tasks.spawn(session.run())
+        return session
+
+    def close_session(self, identity: str) -> None:
+        """Leave a disk that is no longer a replica."""
+        self.sessions.pop(identity, None)
+        task = self._session_tasks.pop(identity, None)
+        if task is not None:
+            task.cancel()
+
+    def notify_progress(self) -> None:
+        """Wake everyone who waits for more to count."""
+        event, self._progress = self._progress, asyncio.Event()
+        event.set()
+
+    async def try_write_members(self, members: frozenset[str], leader: str) -> GroupRecord | None:
+        """Put another replica set, and perhaps another leader, into force.
+
+        Returns the record in force, or None where nothing was changed.
+
+        Raises
+        ------
+        RecordInDoubtError
+        """
+        known = self.record
+        if self.leadership is None or known is None or known.epoch != self.leadership.epoch:
+            return None
+        epoch = known.epoch if leader == known.leader else known.epoch + 1
+        wanted = replace(known, epoch=epoch, leader=leader, members=members)
+        written = await self._write_record(wanted, known.revision)
+        if written is not None:
+            return written
+        try:
+            entry = await self._context.coordination.read(self.key)
+        except CoordinationUnavailableError:
+            return None
+        found = None if entry is None else group_record_from(entry.value, entry.revision)
+        return None if found is None or found.revision == known.revision else found
+
+    async def _hand_over(self) -> None:
+        leadership = self.leadership
+        if leadership is None:
+            return
+        heirs = [
+            identity
+            for identity in leadership.members
+            if identity != self._context.identity
+            and identity in self.sessions
+            and self.sessions[identity].silent_s(monotonic()) < FRESH_S
+        ]
+        if heirs:
+            with suppress(RecordInDoubtError):
+                await self.try_write_members(leadership.members, heirs[0])
+
+    def _step_down(self, reason: str) -> None:
+        leadership = self.leadership
+        if leadership is None:
+            return
+        self.leadership = None
+        self._heard_leader_at = monotonic()
+        self.sessions = {}
+        self._session_tasks = {}
+        self._leader_tasks.cancel()
+        self._context.log.write(
+            Event.LEADERSHIP_LOST, group=self.group, epoch=leadership.epoch, reason=reason
+        )
+        self.on_deposed()
+        self.notify_progress()
+
+    def _link(self, identity: str) -> ReplicaLink:
+        if identity == self._context.identity:
+            return LocalReplicaLink(self.group, self._context.disk)
+        return RemoteReplicaLink(
+            self.group,
+            self._context.identity,
+            identity,
+            lambda target: self._context.identities().get(target),
+            self._context.transport,
+        )
--- /dev/null
+++ b/src/wharfcart/storage/job_leadership.py
@@ -0,0 +1,244 @@
+"""Leadership core: the state of a job group's leader in one epoch.
+
+The group's record in the coordination service names, by compare-and-swap, one leader an epoch and
+the set of replicas. Viewstamped replication's rules hold the rest:
+
+* A write counts once *copies* replicas of the set have it on disk in this epoch
+  (copies = losses to be borne + 1).
+* A new leader first has every replica that it reaches promise its epoch and tell what it holds;
+  with all but ``copies - 1`` of the set it knows everything that ever counted. Of each job it takes
+  the state with the highest epoch, then length.
+* Before it shows a state it has it written in its own epoch: a state of an older epoch that happens
+  to be on enough disks may yet lose against one of a newer epoch that is not reached now.
+* While the set changes, a write needs enough copies in the old set and in the new one.
+
+Pure: no sockets, clock, files.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from wharfcart.cluster.messages_pb2 import ItemOutcome, JobUpdate, RequestJob
+from wharfcart.storage.job_records import JobRecord, JobState
+
+MOST_UPDATE_BYTES = 1024 * 1024
+MOST_UPDATES = 64
+
+
+@dataclass
+class ReplicaProgress:
+    """What one replica is known to hold.
+
+    Parameters
+    ----------
+    base: job to the version up to which the replica's history is a prefix of the leader's.
+    written: job to the version that the replica wrote in this epoch; only this counts.
+    """
+
+    base: dict[str, int] = field(default_factory=dict)
+    written: dict[str, int] = field(default_factory=dict)
+    forget: set[str] = field(default_factory=set)
+
+
+@dataclass
+class JobLeadership:
+    """Jobs of a group and how far each replica has them.
+
+    Parameters
+    ----------
+    copies: replicas that must have a write before it counts.
+    members: identities of the replica set in force.
+    target: identities of the set that is being changed to, or None.
+    """
+
+    epoch: int
+    copies: int
+    members: frozenset[str]
+    target: frozenset[str] | None = None
+    jobs: dict[str, JobRecord] = field(default_factory=dict)
+    _inherited: dict[str, JobState] = field(default_factory=dict)
+    _replicas: dict[str, ReplicaProgress] = field(default_factory=dict)
+    _counted: dict[str, int] = field(default_factory=dict)
+
+    # ---- taking over ----
+
+    @property
+    def fewest_answers(self) -> int:
+        """Replicas of the set that must tell what they hold before the leader knows everything."""
+        return len(self.members) - self.copies + 1
+
+    def inherit(self, records: Iterable[JobRecord]) -> None:
+        """Begin with the newest state of each job that any of the replicas asked holds."""
+        for record in records:
+            job_id = record.job.job_id
+            self._inherited[job_id] = JobState(job_id, record.epoch, record.version)
+            record.epoch = self.epoch
+            self.jobs[job_id] = record
+
+    # ---- replicas ----
+
+    def replica_joined(self, identity: str, states: Iterable[JobState]) -> None:
+        """Note what a replica holds that has just promised this epoch."""
+        progress = ReplicaProgress()
+        self._replicas[identity] = progress
+        for state in states:
+            record = self.jobs.get(state.job_id)
+            if record is None:
+                # Never counted, or forgotten since: it must not come back under a later leader.
+                progress.forget.add(state.job_id)
+            elif state.epoch == self.epoch:
+                progress.base[state.job_id] = progress.written[state.job_id] = state.version
+            else:
+                progress.base[state.job_id] = self._common_version(state)
+        self._count_all()
+
+    def replica_left(self, identity: str) -> None:
+        """Forget a replica's progress: its connection ended, or it is another disk now."""
+        self._replicas.pop(identity, None)
+
+    def updates_for(self, identity: str) -> list[JobUpdate]:
+        """Return a bounded part of what a replica lacks."""
+        progress = self._replicas.get(identity)
+        if progress is None:
+            return []
+        updates = [JobUpdate(job_id=job_id, forgotten=True) for job_id in progress.forget]
+        size = 0
+        for job_id, record in self.jobs.items():
+            if progress.written.get(job_id, 0) >= record.version:
+                continue
+            update = record.update_since(progress.base.get(job_id, 0))
+            updates.append(update)
+            size += update.ByteSize()
+            if size > MOST_UPDATE_BYTES or len(updates) >= MOST_UPDATES:
+                break
+        return updates
+
+    def replica_wrote(self, identity: str, updates: Iterable[JobUpdate]) -> list[str]:
+        """Note updates on a replica's disk; return the jobs of which more counts now."""
+        progress = self._replicas.get(identity)
+        if progress is None:
+            return []
+        changed = []
+        for update in updates:
+            if update.forgotten:
+                progress.forget.discard(update.job_id)
+                continue
+            version = 1 + update.from_result + len(update.results) + int(update.ended)
+            progress.base[update.job_id] = progress.written[update.job_id] = version
+            if self._count(update.job_id):
+                changed.append(update.job_id)
+        return changed
+
+    def behind(self, identity: str) -> bool:
+        """Whether a replica lacks anything."""
+        progress = self._replicas.get(identity)
+        if progress is None:
+            return True
+        return any(
+            progress.written.get(job_id, 0) < record.version for job_id, record in self.jobs.items()
+        )
+
+    # ---- the replica set ----
+
+    def begin_change(self, target: frozenset[str] | None) -> None:
+        """From now on writes need enough copies in this set, too."""
+        self.target = target
+
+    def change_is_safe(self) -> bool:
+        """Whether the set may change to the target: everything has enough copies in it."""
+        if self.target is None:
+            return False
+        return all(
+            self._copies_of(job_id, record.version, self.target) >= self.copies
+            for job_id, record in self.jobs.items()
+        )
+
+    def finish_change(self, members: frozenset[str]) -> None:
+        """The group's record names another set now."""
+        self.members = members
+        self.target = None
+        self._count_all()
+
+    # ---- jobs ----
+
+    def accept(self, job: RequestJob) -> JobRecord:
+        """Take a job; the same id is the same job."""
+        known = self.jobs.get(job.job_id)
+        if known is not None:
+            return known
+        record = JobRecord(job, self.epoch)
+        self.jobs[job.job_id] = record
+        return record
+
+    def append(self, job_id: str, outcome: ItemOutcome) -> bool:
+        """Add a result; False if the job takes none any more or has one of that item."""
+        record = self.jobs.get(job_id)
+        if record is None or record.ended:
+            return False
+        if any(known.item_id == outcome.item_id for known in record.results):
+            return False
+        record.results.append(outcome)
+        return True
+
+    def end(self, job_id: str) -> JobRecord | None:
+        """End a job on its caller's word; None if there is no such job."""
+        record = self.jobs.get(job_id)
+        if record is not None:
+            record.ended = True
+        return record
+
+    def forget(self, job_id: str) -> None:
+        """Drop a job that has been kept long enough, here and on every replica."""
+        if self.jobs.pop(job_id, None) is None:
+            return
+        self._counted.pop(job_id, None)
+        self._inherited.pop(job_id, None)
+        for progress in self._replicas.values():
+            progress.forget.add(job_id)
+            progress.base.pop(job_id, None)
+            progress.written.pop(job_id, None)
+
+    def counted_version(self, job_id: str) -> int:
+        """Return the version of a job that has enough copies; 0 for none."""
+        return self._counted.get(job_id, 0)
+
+    def counted_results(self, job_id: str) -> list[ItemOutcome]:
+        """Return the results that may be shown."""
+        record = self.jobs[job_id]
+        return record.results[: max(0, self.counted_version(job_id) - 1)]
+
+    # ---- inner ----
+
+    def _common_version(self, state: JobState) -> int:
+        inherited = self._inherited.get(state.job_id)
+        if inherited is None or inherited.epoch != state.epoch:
+            return 0
+        return min(inherited.version, state.version)
+
+    def _copies_of(self, job_id: str, version: int, replicas: frozenset[str]) -> int:
+        return sum(
+            1
+            for identity in replicas
+            if (progress := self._replicas.get(identity)) is not None
+            and progress.written.get(job_id, 0) >= version
+        )
+
+    def _count(self, job_id: str) -> bool:
+        record = self.jobs.get(job_id)
+        if record is None:
+            return False
+        known = self._counted.get(job_id, 0)
+        for version in range(record.version, known, -1):
+            if self._has_enough(job_id, version):
+                self._counted[job_id] = version
+                return True
+        return False
+
+    def _count_all(self) -> None:
+        for job_id in self.jobs:
+            self._count(job_id)
+
+    def _has_enough(self, job_id: str, version: int) -> bool:
+        if self._copies_of(job_id, version, self.members) < self.copies:
+            return False
+        return self.target is None or self._copies_of(job_id, version, self.target) >= self.copies
--- /dev/null
+++ b/src/wharfcart/storage/replica_links.py
@@ -0,0 +1,140 @@
+"""Links from a leader to replicas: its own disk, and disks of other nodes."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+
+from wharfcart.cluster.membership import Address
+from wharfcart.cluster.messages_pb2 import (
+    FenceGroup,
+    FetchJobs,
+    Frame,
+    JobDigest,
+    JobUpdate,
+    ReplicateJobs,
+)
+from wharfcart.cluster.transport import PeerUnreachableError, Transport
+from wharfcart.errors import ServingError
+from wharfcart.storage.disk import Disk, DiskFailedError
+from wharfcart.storage.job_records import JobState
+from wharfcart.storage.replica_session import HigherEpochError, ReplicaFailedError
+
+CALL_TIMEOUT_S = 0.9
+
+
+class LocalReplicaLink:
+    """The leader's own disk."""
+
+    def __init__(self, group: int, disk: Disk) -> None:
+        self._group = group
+        self._disk = disk
+
+    async def may_elect(self) -> bool:
+        """A replica agrees with itself."""
+        return True
+
+    async def fence(self, epoch: int) -> list[JobState]:
+        """Promise an epoch to itself."""
+        try:
+            if not await self._disk.promise(self._group, epoch):
+                raise HigherEpochError(epoch + 1)
+            return await self._disk.states(self._group)
+        except DiskFailedError as error:
+            raise ReplicaFailedError(str(error)) from error
+
+    async def replicate(self, epoch: int, updates: Sequence[JobUpdate]) -> None:
+        """Write updates."""
+        if not updates:
+            return
+        try:
+            if not await self._disk.apply(self._group, epoch, updates):
+                raise HigherEpochError(epoch + 1)
+        except DiskFailedError as error:
+            raise ReplicaFailedError(str(error)) from error
+
+    async def fetch(self, job_ids: Sequence[str]) -> list[JobUpdate]:
+        """Return whole records."""
+        try:
+            return await self._disk.load(job_ids)
+        except DiskFailedError as error:
+            raise ReplicaFailedError(str(error)) from error
+
+
+class RemoteReplicaLink:
+    """Another node's disk."""
+
+    def __init__(
+        self,
+        group: int,
+        leader: str,
+        target: str,
+        address: Callable[[str], Address | None],
+        transport: Transport,
+    ) -> None:
+        self._group = group
+        self._leader = leader
+        self._target = target
+        self._address = address
+        self._transport = transport
+
+    async def may_elect(self) -> bool:
+        """Ask whether the replica hears no leader."""
+        message = FenceGroup(group=self._group, target=self._target, ask_only=True)
+        return (await self._call(Frame(fence_group=message))).fence_result.granted
+
+    async def fence(self, epoch: int) -> list[JobState]:
+        """Have the replica promise an epoch."""
+        message = FenceGroup(
+            group=self._group, epoch=epoch, leader=self._leader, target=self._target
+        )
+        answer = (await self._call(Frame(fence_group=message))).fence_result
+        if not answer.granted:
+            raise self._refusal(answer.epoch, epoch)
+        return [state_from_message(digest) for digest in answer.jobs]
+
+    async def replicate(self, epoch: int, updates: Sequence[JobUpdate]) -> None:
+        """Have updates written."""
+        message = ReplicateJobs(
+            group=self._group,
+            epoch=epoch,
+            leader=self._leader,
+            target=self._target,
+            updates=updates,
+        )
+        answer = (await self._call(Frame(replicate_jobs=message))).replicate_result
+        if not answer.accepted:
+            raise self._refusal(answer.epoch, epoch)
+
+    async def fetch(self, job_ids: Sequence[str]) -> list[JobUpdate]:
+        """Return whole records."""
+        message = FetchJobs(group=self._group, target=self._target, job_ids=job_ids)
+        answer = await self._call(Frame(fetch_jobs=message))
+        return list(answer.job_updates.updates)
+
+    def _refusal(self, promised: int, epoch: int) -> Exception:
+        if promised > epoch:
+            return HigherEpochError(promised)
+        return ReplicaFailedError("replica refused: disk or identity")
+
+    async def _call(self, frame: Frame) -> Frame:
+        address = self._address(self._target)
+        if address is None:
+            raise ReplicaFailedError("no address: the disk is gone")
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                return await self._transport.call(address, frame)
+        except TimeoutError as error:
+            # The connection may have died without a word: the next call begins a new one.
+            self._transport.drop(address)
+            raise ReplicaFailedError("no answer in time") from error
+        except (PeerUnreachableError, ServingError) as error:
+            raise ReplicaFailedError(str(error)) from error
+
+
+def state_from_message(digest: JobDigest) -> JobState:
+    """Read a digest."""
+    return JobState(digest.job_id, digest.epoch, 1 + digest.results + int(digest.ended))
+
+
+def state_to_message(state: JobState) -> JobDigest:
+    """Write a digest; only the length counts, so the end is told as part of it."""
+    return JobDigest(job_id=state.job_id, epoch=state.epoch, results=state.version - 1)
