--- a/src/wharfcart/gateway/ingress.py
+++ b/src/wharfcart/gateway/ingress.py
@@ -109,6 +109,13 @@
         self.draining = True
         self.ready = False
 
+    def stop_listening(self) -> None:
+        """Take no new connections from callers; readiness is still told.
+
+        The entry sends new connections to unready nodes, too, while most of a zone is unready.
+        """
+        self._servers[0].close()
+
     def close_idle(self) -> None:
         """Close the connections on which no request is being read or answered."""
         for server in self._servers:
@@ -160,6 +167,8 @@
                 _end_with_answer(request)
 
     async def _handle(self, request: Request) -> HTTPResponse | None:
+        if self.draining:
+            _end_with_answer(request)
         configuration = self._configuration()
         if configuration is None:
             return self._refuse(request, 503, "no_configuration")
--- a/src/wharfcart/node/gateway_process.py
+++ b/src/wharfcart/node/gateway_process.py
@@ -7,7 +7,7 @@
 from wharfcart.gateway.ingress import Ingress
 from wharfcart.gateway.job_calls import JobCalls
 from wharfcart.node.fleet_keys import GROUP_PREFIX, NodeEntry, NodeKind
-from wharfcart.node.serving_node import ServingNode, wait_until
+from wharfcart.node.serving_node import ServingNode
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.routing.forwarder import Forwarder
 from wharfcart.settings.schema import split_endpoint
@@ -66,7 +66,8 @@
         stop_at = monotonic() + self._settings.stop_within_s - STOP_MARGIN_S
         self._log.write(Event.STOPPING, in_progress=self._ingress.in_progress)
         self._ingress.drain()
-        await wait_until(lambda: False, UNREADY_LEAD_S)
+        await asyncio.sleep(UNREADY_LEAD_S)
+        self._ingress.stop_listening()
         while monotonic() < stop_at:
             self._ingress.close_idle()
             if not self._ingress.in_progress:
--- a/src/wharfcart/node/serving_node.py
+++ b/src/wharfcart/node/serving_node.py
@@ -6,7 +6,6 @@
 import asyncio
 from collections.abc import Callable
 from random import Random
-from time import monotonic
 
 from wharfcart.backends.connection_pool import ConnectionPool
 from wharfcart.cluster.coordination import (
@@ -189,16 +188,6 @@
     return
 
 
-async def wait_until(condition: Callable[[], bool], timeout_s: float, step_s: float = 0.05) -> bool:
-    """Wait for a condition; return whether it came true in time."""
-    until = monotonic() + timeout_s
-    while not condition():
-        if monotonic() > until:
-            return False
-        await asyncio.sleep(step_s)
-    return True
-
-
 def _changes_to_message(changes: Changes) -> CoordinationChanges:
     return CoordinationChanges(
         at=changes.at,
--- a/src/wharfcart/storage/job_group.py
+++ b/src/wharfcart/storage/job_group.py
@@ -335,13 +335,7 @@
         began_at = monotonic()
         needed = len(record.members) - self._context.copies + 1
         while len(states) < needed:
-            missing = record.members - states.keys()
-            answers = await asyncio.gather(
-                *(self._fence_one(identity, record.epoch) for identity in missing)
-            )
-            for identity, answer in zip(missing, answers, strict=True):
-                if answer is not None:
-                    states[identity] = answer
+            await self._gather_promises(record, states, needed)
             newest = self.record
             if self._stopping or (newest is not None and newest.epoch > record.epoch):
                 return
@@ -354,11 +348,32 @@
             return
         self._begin_leading(record, records, states, began_at)
 
-    async def _fence_one(self, identity: str, epoch: int) -> list[JobState] | None:
-        try:
-            return await self._link(identity).fence(epoch)
-        except (ReplicaFailedError, HigherEpochError):
-            return None
+    async def _gather_promises(
+        self, record: GroupRecord, states: dict[str, list[JobState]], needed: int
+    ) -> None:
+        """Ask the replicas that have not promised yet; stop once there are enough."""
+        missing = record.members - states.keys()
+        calls = {
+            asyncio.create_task(self._link(identity).fence(record.epoch)): identity
+            for identity in missing
+        }
+        pending = set(calls)
+        while pending and len(states) < needed:
+            done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+            for call in done:
+                if not isinstance(call.exception(), (ReplicaFailedError, HigherEpochError)):
+                    states[calls[call]] = call.result()
+        for call in pending:
+            call.cancel()
+
+    async def answering(self, identities: list[str]) -> list[str]:
+        """Return those of some disks that answer now."""
+        answers = await asyncio.gather(*(self._ask_one(identity) for identity in identities))
+        return [
+            identity
+            for identity, answer in zip(identities, answers, strict=True)
+            if answer is not None
+        ]
 
     async def _newest_records(self, states: dict[str, list[JobState]]) -> list[JobRecord]:
         newest: dict[str, tuple[tuple[int, int], str]] = {}
--- a/src/wharfcart/storage/replica_set_change.py
+++ b/src/wharfcart/storage/replica_set_change.py
@@ -36,21 +36,30 @@
             if leadership is None:
                 return
             # A swap in doubt may take effect as long as nothing else has: it is settled first.
-            target = self._doubtful or self._wanted_set()
+            target = self._doubtful or self._wanted_set(await self._live_spares())
             if target is not None and target != leadership.members:
                 await self._change_to(target)
 
-    def _wanted_set(self) -> frozenset[str] | None:
+    async def _live_spares(self) -> list[str]:
+        """Return the disks outside the set that answer now, if the set has need of any.
+
+        The list of nodes keeps machines that are gone for good: only an answer speaks for one.
+        """
+        leadership = self._group.leadership
+        if leadership is None:
+            return []
+        retiring = self._context.retiring()
+        kept = leadership.members - retiring
+        if len(kept) >= self._context.full_size and not any(map(self._is_dead, kept)):
+            return []
+        outside = sorted(self._context.identities().keys() - leadership.members - retiring)
+        return await self._group.answering(outside)
+
+    def _wanted_set(self, spares: list[str]) -> frozenset[str] | None:
         leadership = self._group.leadership
         if leadership is None:
             return None
-        known = self._context.identities()
         retiring = self._context.retiring()
-        spares = [
-            identity
-            for identity in sorted(known)
-            if identity not in leadership.members and identity not in retiring
-        ]
         kept = [identity for identity in leadership.members if identity not in retiring]
         dead = [identity for identity in kept if self._is_dead(identity)]
         replaceable = dead[: len(spares)]
