--- a/src/wharfcart/batch/job_execution.py
+++ b/src/wharfcart/batch/job_execution.py
@@ -21,11 +21,18 @@
 from wharfcart.storage.job_leadership import JobLeadership
 
 PERIOD_S = 0.1
-MOST_LOAD = 0.7
+# Items start while less than this share of a back end's slots is taken; above the other they yield.
+START_BELOW_LOAD = 0.7
+YIELD_ABOVE_LOAD = 0.92
 MOST_OWN_SHARE = 0.5
+# An item due within this time starts and stays although the back end is nearly full.
+URGENT_S = 8.0
+URGENT_LOAD = 1.0
+URGENT_SHARE = 0.4
 RETRY_REFUSED_S = 0.15
 RETRY_BROKEN_S = 0.05
 RETRY_FAILED_S = 0.3
+RETRY_YIELDED_S = 0.3
 GIVE_UP_MARGIN_S = 0.5
 FORGET_PERIOD_S = 5.0
 
@@ -53,6 +60,7 @@
         self._scheduler = JobScheduler()
         self._tasks = BackgroundTasks()
         self._runs: dict[str, asyncio.Task[None]] = {}
+        self._placed: dict[str, tuple[ScheduledJob, InstanceState]] = {}
         self._work = asyncio.Event()
         self._forget_at = 0.0
         group.on_leading = self._begin
@@ -90,6 +98,7 @@
         self._tasks.cancel()
         self._scheduler = JobScheduler()
         self._runs = {}
+        self._placed = {}
 
     def _add(self, job: RequestJob, done: set[str]) -> None:
         age_s = max(0.0, time() - job.accepted_ms / 1000)
@@ -98,6 +107,7 @@
     async def _run(self) -> None:
         while True:
             self._work.clear()
+            self._yield_to_online()
             self._start_items()
             self._metrics.open_items.set(self._scheduler.open_items)
             self._forget_old()
@@ -136,18 +146,47 @@
         excluded = (progress.last_backend,) if progress.last_backend else ()
         service = route.shares[0].service
         state = self._choice.choose(service, now, excluded) or self._choice.choose(service, now)
-        if state is None or state.load(now) >= MOST_LOAD:
+        if state is None:
             return None
-        if state.in_flight >= max(1, state.instance.slots * MOST_OWN_SHARE):
+        urgent = scheduled.due_at - now < URGENT_S
+        most_load = URGENT_LOAD if urgent else START_BELOW_LOAD
+        share = URGENT_SHARE if urgent else MOST_OWN_SHARE
+        if state.load(now) >= most_load or state.in_flight >= max(1, state.instance.slots * share):
             return None
         return state
 
+    def _yield_to_online(self) -> None:
+        """Cut items at back ends that online work has filled; they go on after their last event."""
+        now = monotonic()
+        excess: dict[str, int] = {}
+        for item_id, (scheduled, state) in list(self._placed.items()):
+            instance_id = state.instance.instance_id
+            if instance_id not in excess:
+                above = state.load(now) - YIELD_ABOVE_LOAD
+                excess[instance_id] = round(above * state.instance.slots)
+            if excess[instance_id] <= 0 or scheduled.due_at - now < URGENT_S:
+                continue
+            run = self._runs.get(item_id)
+            if run is None:
+                continue
+            excess[instance_id] -= 1
+            self._log.write(
+                Event.ITEM_YIELDED,
+                item=item_id,
+                job=scheduled.job.job_id,
+                backend=instance_id,
+                load=round(state.load(now), 2),
+                load_age_s=round(now - state.others_at, 2),
+            )
+            run.cancel()
+
     def _start(self, scheduled: ScheduledJob, item: RequestItem, state: InstanceState) -> None:
         scheduled.running.add(item.item_id)
         # Counted before the task runs, so that the next choice sees it.
         use = self._choice.sent(state, monotonic())
         task = self._tasks.spawn(self._run_item(scheduled, item, state, use))
         self._runs[item.item_id] = task
+        self._placed[item.item_id] = (scheduled, state)
         self._log.write(
             Event.ITEM_STARTED,
             item=item.item_id,
@@ -166,9 +205,16 @@
             outcome = await self._runner.run(
                 item, scheduled.job.host, state, use, progress, scheduled.give_up_at
             )
+        except asyncio.CancelledError:
+            if scheduled.job.job_id not in self._scheduler.jobs:
+                raise
+            progress.not_before = monotonic() + RETRY_YIELDED_S
+            self._scheduler.put_back(scheduled, item)
+            return
         finally:
             scheduled.running.discard(item.item_id)
             self._runs.pop(item.item_id, None)
+            self._placed.pop(item.item_id, None)
         self._metrics.items.add(outcome.value)
         self._take_outcome(scheduled, item, progress, outcome)
         self._work.set()
--- a/src/wharfcart/node/fleet_keys.py
+++ b/src/wharfcart/node/fleet_keys.py
@@ -8,6 +8,7 @@
 
 NODE_PREFIX = "wharfcart/nodes/"
 GROUP_PREFIX = "wharfcart/groups/"
+LOAD_BOARD_GROUP = 0  # its leader keeps the load board
 
 
 class NodeKind(StrEnum):
--- a/src/wharfcart/node/gateway_process.py
+++ b/src/wharfcart/node/gateway_process.py
@@ -6,7 +6,8 @@
 from wharfcart.cluster.membership import Address
 from wharfcart.gateway.ingress import Ingress
 from wharfcart.gateway.job_calls import JobCalls
-from wharfcart.node.fleet_keys import GROUP_PREFIX, NodeEntry, NodeKind
+from wharfcart.node.fleet_keys import GROUP_PREFIX, LOAD_BOARD_GROUP, NodeEntry, NodeKind
+from wharfcart.node.load_reports import LoadReporter
 from wharfcart.node.serving_node import ServingNode
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.routing.forwarder import Forwarder
@@ -60,6 +61,10 @@
         )
         self._node.tasks.spawn(self._node.announce(entry))
         self._node.tasks.spawn(self._become_ready())
+        reporter = LoadReporter(
+            self._settings.node_id, self._node.choice, self._node.transport, self._board_address
+        )
+        self._node.tasks.spawn(reporter.run())
 
     async def stop(self) -> None:
         """Leave without cutting a request in progress."""
@@ -88,6 +93,10 @@
         entry = self._node.mirror.get(f"{GROUP_PREFIX}{group}")
         return None if entry is None else group_record_from(entry.value, entry.revision)
 
+    def _board_address(self) -> Address | None:
+        record = self._group_record(LOAD_BOARD_GROUP)
+        return None if record is None else self._storage_address(record.leader)
+
     def _storage_address(self, identity: str) -> Address | None:
         for entry in self._node.nodes.values():
             if entry.identity == identity:
--- a/src/wharfcart/node/storage_process.py
+++ b/src/wharfcart/node/storage_process.py
@@ -12,9 +12,10 @@
     Transaction,
 )
 from wharfcart.cluster.membership import Address
-from wharfcart.cluster.messages_pb2 import Frame
+from wharfcart.cluster.messages_pb2 import Frame, LoadSummary
 from wharfcart.cluster.transport import Responder
-from wharfcart.node.fleet_keys import GROUP_PREFIX, NodeEntry, NodeKind
+from wharfcart.node.fleet_keys import GROUP_PREFIX, LOAD_BOARD_GROUP, NodeEntry, NodeKind
+from wharfcart.node.load_reports import LoadBoardKeeper
 from wharfcart.node.serving_node import ServingNode
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.platform import documents, names
@@ -40,7 +41,7 @@
         self._disk = Disk(settings.data_folder)
         self._groups: list[JobGroup] = []
         self._services: list[JobService] = []
-        self._retire_states: dict[str, bytes] = {}
+        self._board = LoadBoardKeeper(settings.node_id, self._node.choice)
 
     async def start(self) -> None:
         """Open the disk, join the fleet, follow the groups."""
@@ -143,6 +144,10 @@
             case "fetch_jobs":
                 fetch = frame.fetch_jobs
                 return Frame(job_updates=await self._groups[fetch.group].answer_fetch(fetch))
+            case "load_report":
+                if self._groups[LOAD_BOARD_GROUP].leadership is None:
+                    return Frame(load_summary=LoadSummary())
+                return Frame(load_summary=self._board.take(frame.load_report))
             case "submit_job":
                 service = self._service(frame.submit_job.job.job_id)
                 return Frame(job_answer=await service.submit(frame.submit_job))
--- a/src/wharfcart/observability/decisions.py
+++ b/src/wharfcart/observability/decisions.py
@@ -60,6 +60,7 @@
     ITEM_FINISHED = "item_finished"
     ITEM_RETRIED = "item_retried"
     ITEM_GIVEN_UP = "item_given_up"
+    ITEM_YIELDED = "item_yielded"
     STORAGE_RETIRED = "storage_retired"
     LINES_DROPPED = "lines_dropped"
 
--- a/src/wharfcart/routing/backend_choice.py
+++ b/src/wharfcart/routing/backend_choice.py
@@ -16,8 +16,10 @@
 import xxhash
 
 from wharfcart.configuration.instances import BackendInstance
+from wharfcart.routing.load_board import NodeLoad
 
 REPORT_FRESH_S = 1.5
+OTHERS_FRESH_S = 1.0
 AVOID_FIRST_S = 0.5
 AVOID_MOST_S = 4.0
 SILENT_AFTER_S = 1.0
@@ -25,6 +27,8 @@
 AFFINITY_TOKENS = 1000
 AFFINITY_MOST_LOAD = 0.9
 RANDOM_TIE = 0.02
+# So many prompt tokens that wait to be read weigh as much as all slots taken.
+TOKENS_A_FULL_LOAD = 24_000
 
 
 class RandomSource(Protocol):
@@ -42,6 +46,8 @@
     Parameters
     ----------
     waiting_since: for each request in flight without a byte of answer, when it was sent.
+    unread: for each of these, the tokens of its prompt that are probably not cached.
+    others: what all other nodes have there, as the load board told at ``others_at``.
     """
 
     instance: BackendInstance
@@ -52,14 +58,26 @@
     avoid_until: float = -1e9
     failures: int = 0
     waiting_since: dict[int, float] = field(default_factory=dict)
+    unread: dict[int, int] = field(default_factory=dict)
+    others: NodeLoad | None = None
+    others_at: float = -1e9
 
     def load(self, now: float) -> float:
         """Return the estimated share of slots that are taken; above 1 requests wait."""
         taken = self.in_flight
-        if now - self.reported_at < REPORT_FRESH_S:
+        if now - self.others_at < OTHERS_FRESH_S:
+            taken += self.others.in_flight if self.others is not None else 0
+        elif now - self.reported_at < REPORT_FRESH_S:
             taken = max(taken, self.reported_load + self.in_flight - self.in_flight_at_report)
         return taken / max(1, self.instance.slots)
 
+    def unread_tokens(self, now: float) -> int:
+        """Return the prompt tokens that wait to be read there."""
+        tokens = sum(self.unread.values())
+        if self.others is not None and now - self.others_at < OTHERS_FRESH_S:
+            tokens += self.others.unread_tokens
+        return tokens
+
     def avoided(self, now: float) -> bool:
         """Whether a failure or silence speaks against this incarnation now."""
         if now < self.avoid_until:
@@ -127,16 +145,33 @@
             return self._by_affinity(candidates, affinity_key, now)
         return min(candidates, key=lambda state: self._cost(state, now))
 
-    def sent(self, state: InstanceState, now: float) -> int:
+    def sent(self, state: InstanceState, now: float, unread_tokens: int = 0) -> int:
         """Note a request sent; return its number for :meth:`answered` and :meth:`ended`."""
         self._next_use += 1
         state.in_flight += 1
         state.waiting_since[self._next_use] = now
+        if unread_tokens:
+            state.unread[self._next_use] = unread_tokens
         return self._next_use
 
+    def own_loads(self) -> list[NodeLoad]:
+        """Return this node's requests by back end, for the load board."""
+        return [
+            NodeLoad(instance_id, state.in_flight, sum(state.unread.values()))
+            for instance_id, state in self._states.items()
+            if state.in_flight
+        ]
+
+    def others_reported(self, others: dict[str, NodeLoad], now: float) -> None:
+        """Take what the load board tells of all other nodes."""
+        for instance_id, state in self._states.items():
+            state.others = others.get(instance_id)
+            state.others_at = now
+
     def answered(self, state: InstanceState, use: int) -> None:
         """Note the first byte of an answer."""
         state.waiting_since.pop(use, None)
+        state.unread.pop(use, None)
         state.failures = 0
 
     def reported(self, state: InstanceState, running: int, waiting: int, now: float) -> None:
@@ -149,6 +184,7 @@
         """Note that a request is no longer at the back end."""
         state.in_flight -= 1
         state.waiting_since.pop(use, None)
+        state.unread.pop(use, None)
 
     def failed(self, state: InstanceState, now: float) -> float:
         """Avoid an incarnation for a while, longer with each failure in a row; return how long."""
@@ -163,7 +199,8 @@
 
     def _cost(self, state: InstanceState, now: float) -> float:
         other_zone = OTHER_ZONE_PENALTY if state.instance.zone != self.zone else 0.0
-        return state.load(now) + other_zone + self.random.random() * RANDOM_TIE
+        unread = state.unread_tokens(now) / TOKENS_A_FULL_LOAD
+        return state.load(now) + unread + other_zone + self.random.random() * RANDOM_TIE
 
     def _by_affinity(
         self, candidates: Iterable[InstanceState], key: str, now: float
--- a/src/wharfcart/routing/forwarder.py
+++ b/src/wharfcart/routing/forwarder.py
@@ -74,6 +74,13 @@
             return ""
         return ",".join(part.part_id for part in shared)
 
+    @property
+    def unread_tokens(self) -> int:
+        """Tokens that the back end must read if it keeps nothing of the prompt but long parts."""
+        if not self.affinity_key:
+            return sum(part.tokens for part in self.facts.prompt)
+        return sum(part.tokens for part in self.facts.prompt[-1:])
+
 
 class AnswerSink(Protocol):
     """Where an answer goes. After an error that is raised, the caller's connection is cut."""
@@ -211,7 +218,7 @@
             progress.connect_failures += 1
             self._avoid(state, "connect")
             return _Verdict(False, "connect")
-        use = self._choice.sent(state, monotonic())
+        use = self._choice.sent(state, monotonic(), request.unread_tokens)
         try:
             verdict = await self._exchange(request, sink, progress, state, connection, use)
         except ConnectionBrokenError as error:
