--- a/src/wharfcart/batch/item_run.py
+++ b/src/wharfcart/batch/item_run.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import StrEnum
 from time import monotonic
 
@@ -16,6 +16,7 @@
 from wharfcart.platform import exchanges
 from wharfcart.routing.backend_choice import BackendChoice, InstanceState
 from wharfcart.routing.event_stream import EventSplitter
+from wharfcart.storage.partial_texts import RunningText
 
 STATUS_IMPOSSIBLE = 422
 STATUS_FAILED = 500
@@ -39,14 +40,13 @@
 
     Parameters
     ----------
+    text: the events that it has given so far, perhaps under an earlier leader.
     failures: answers that said that it failed.
-    last_event: number of the last whole event, or None.
     not_before: monotonic time of the next send.
     """
 
+    text: RunningText
     failures: int = 0
-    last_event: int | None = None
-    texts: list[str] = field(default_factory=list)
     not_before: float = 0.0
     last_backend: str = ""
     sends: int = 0
@@ -135,7 +135,7 @@
                 headers,
                 state.instance.instance_id,
                 give_up_at - monotonic(),
-                progress.last_event,
+                progress.text.last_event,
             ),
             item.body,
             exchanges.REQUEST_ID_HEADER,
@@ -170,9 +170,10 @@
             for event in splitter.feed(part):
                 if event.number is None:
                     continue
-                expected = 0 if progress.last_event is None else progress.last_event + 1
-                if event.number < expected:
+                last_event = progress.text.last_event
+                if last_event is not None and event.number <= last_event:
                     continue
-                progress.last_event = event.number
-                progress.texts.append(event.data)
+                if last_event is not None and event.number > last_event + 1:
+                    return RunOutcome.BROKEN
+                progress.text.add(event.number, event.data)
         return RunOutcome.BROKEN if splitter.rest else RunOutcome.SUCCEEDED
--- a/src/wharfcart/batch/job_execution.py
+++ b/src/wharfcart/batch/job_execution.py
@@ -57,7 +57,7 @@
         self._keep_jobs_s = keep_jobs_s
         self._log = log
         self._metrics = metrics
-        self._scheduler = JobScheduler()
+        self._scheduler = JobScheduler(group.partial_texts)
         self._tasks = BackgroundTasks()
         self._runs: dict[str, asyncio.Task[None]] = {}
         self._placed: dict[str, tuple[ScheduledJob, InstanceState]] = {}
@@ -77,6 +77,7 @@
     def job_ended(self, job_id: str) -> None:
         """Stop every item of a job at once."""
         scheduled = self._scheduler.remove(job_id)
+        self._group.partial_texts.drop_job(job_id)
         if scheduled is None:
             return
         for item_id in list(scheduled.running):
@@ -96,7 +97,7 @@
 
     def _end(self) -> None:
         self._tasks.cancel()
-        self._scheduler = JobScheduler()
+        self._scheduler = JobScheduler(self._group.partial_texts)
         self._runs = {}
         self._placed = {}
 
@@ -193,7 +194,7 @@
             job=scheduled.job.job_id,
             backend=state.instance.instance_id,
             load=round(state.load(monotonic()), 2),
-            after_event=scheduled.progress_of(item.item_id).last_event,
+            after_event=scheduled.progress_of(item.item_id).text.last_event,
             due_in_s=round(scheduled.due_at - monotonic(), 2),
         )
 
@@ -227,7 +228,7 @@
         outcome: RunOutcome,
     ) -> None:
         if outcome is RunOutcome.SUCCEEDED:
-            self._finish(scheduled, item, True, "\n".join(progress.texts), "succeeded")
+            self._finish(scheduled, item, True, "\n".join(progress.text.texts), "succeeded")
             return
         if outcome is RunOutcome.FAILED:
             progress.failures += 1
@@ -247,7 +248,7 @@
             backend=progress.last_backend,
             cause=outcome.value,
             failures=progress.failures,
-            last_event=progress.last_event,
+            last_event=progress.text.last_event,
         )
 
     def _finish(
@@ -277,6 +278,7 @@
             due_in_s=round(scheduled.due_at - monotonic(), 2),
         )
         scheduled.progress.pop(item.item_id, None)
+        self._group.partial_texts.drop(item.item_id)
         if record.complete:
             self._scheduler.remove(job_id)
             self._log.write(Event.JOB_CLOSED, job=job_id, items=len(record.results))
--- a/src/wharfcart/batch/job_scheduler.py
+++ b/src/wharfcart/batch/job_scheduler.py
@@ -9,6 +9,7 @@
 
 from wharfcart.batch.item_run import ItemProgress
 from wharfcart.cluster.messages_pb2 import RequestItem, RequestJob
+from wharfcart.storage.partial_texts import PartialTexts
 
 
 @dataclass
@@ -25,18 +26,24 @@
     due_at: float
     give_up_at: float
     waiting: deque[RequestItem]
+    partial_texts: PartialTexts
     progress: dict[str, ItemProgress] = field(default_factory=dict)
     running: set[str] = field(default_factory=set)
 
     def progress_of(self, item_id: str) -> ItemProgress:
         """Return what is known of an item."""
-        return self.progress.setdefault(item_id, ItemProgress())
+        known = self.progress.get(item_id)
+        if known is None:
+            known = ItemProgress(self.partial_texts.of(self.job.job_id, item_id))
+            self.progress[item_id] = known
+        return known
 
 
 @dataclass
 class JobScheduler:
     """All open jobs of one leader."""
 
+    partial_texts: PartialTexts
     jobs: dict[str, ScheduledJob] = field(default_factory=dict)
 
     def add(self, job: RequestJob, done: set[str], accepted_at: float) -> ScheduledJob:
@@ -46,6 +53,7 @@
             accepted_at + job.objective_s,
             accepted_at + job.give_up_after_s,
             deque(item for item in job.items if item.item_id not in done),
+            self.partial_texts,
         )
         self.jobs[job.job_id] = scheduled
         return scheduled
--- a/src/wharfcart/routing/forwarder.py
+++ b/src/wharfcart/routing/forwarder.py
@@ -405,6 +405,8 @@
         if event.number is not None:
             if progress.last_event is not None and event.number <= progress.last_event:
                 continue
+            if progress.last_event is not None and event.number > progress.last_event + 1:
+                raise ConnectionBrokenError("an event is missing")
             progress.last_event = event.number
         passed.append(event.raw)
     return b"".join(passed)
--- a/src/wharfcart/storage/job_group.py
+++ b/src/wharfcart/storage/job_group.py
@@ -34,6 +34,7 @@
 from wharfcart.storage.group_record import GroupRecord, RecordInDoubtError, group_record_from
 from wharfcart.storage.job_leadership import JobLeadership
 from wharfcart.storage.job_records import JobRecord, JobState, record_from
+from wharfcart.storage.partial_texts import PartialTexts
 from wharfcart.storage.replica_links import (
     LocalReplicaLink,
     RemoteReplicaLink,
@@ -109,6 +110,7 @@
         self._last_led = 0
         self._stopping = False
         self._progress = asyncio.Event()
+        self.partial_texts = PartialTexts()
         self.leadership: JobLeadership | None = None
         self.sessions: dict[str, ReplicaSession] = {}
         self._session_tasks: dict[str, asyncio.Task[None]] = {}
@@ -203,8 +205,17 @@
         except DiskFailedError:
             return ReplicateResult(accepted=False, epoch=0)
         self._hear_leader(message.epoch, message.leader)
+        self._take_partial_texts(message)
         return ReplicateResult(accepted=True, epoch=message.epoch)
 
+    def _take_partial_texts(self, message: ReplicateJobs) -> None:
+        for update in message.updates:
+            if update.ended or update.forgotten:
+                self.partial_texts.drop_job(update.job_id)
+            for result in update.results:
+                self.partial_texts.drop(result.item_id)
+        self.partial_texts.take(message.partial_texts)
+
     async def answer_fetch(self, message: FetchJobs) -> JobUpdates:
         """Return whole records."""
         return JobUpdates(updates=await self._context.disk.load(list(message.job_ids)))
@@ -433,6 +444,7 @@
                 identity,
                 self._link(identity),
                 leadership,
+                self.partial_texts,
                 self.notify_progress,
                 lambda epoch: self._step_down(f"epoch {epoch}"),
                 self._context.log,
--- a/src/wharfcart/storage/replica_links.py
+++ b/src/wharfcart/storage/replica_links.py
@@ -10,6 +10,7 @@
     Frame,
     JobDigest,
     JobUpdate,
+    PartialText,
     ReplicateJobs,
 )
 from wharfcart.cluster.transport import PeerUnreachableError, Transport
@@ -41,8 +42,10 @@
         except DiskFailedError as error:
             raise ReplicaFailedError(str(error)) from error
 
-    async def replicate(self, epoch: int, updates: Sequence[JobUpdate]) -> None:
-        """Write updates."""
+    async def replicate(
+        self, epoch: int, updates: Sequence[JobUpdate], partial_texts: Sequence[PartialText]
+    ) -> None:
+        """Write updates; the leader has the partial texts in memory already."""
         if not updates:
             return
         try:
@@ -91,7 +94,9 @@
             raise self._refusal(answer.epoch, epoch)
         return [state_from_message(digest) for digest in answer.jobs]
 
-    async def replicate(self, epoch: int, updates: Sequence[JobUpdate]) -> None:
+    async def replicate(
+        self, epoch: int, updates: Sequence[JobUpdate], partial_texts: Sequence[PartialText]
+    ) -> None:
         """Have updates written."""
         message = ReplicateJobs(
             group=self._group,
@@ -99,6 +104,7 @@
             leader=self._leader,
             target=self._target,
             updates=updates,
+            partial_texts=partial_texts,
         )
         answer = (await self._call(Frame(replicate_jobs=message))).replicate_result
         if not answer.accepted:
--- a/src/wharfcart/storage/replica_session.py
+++ b/src/wharfcart/storage/replica_session.py
@@ -9,10 +9,11 @@
 from time import monotonic
 from typing import Protocol
 
-from wharfcart.cluster.messages_pb2 import JobUpdate
+from wharfcart.cluster.messages_pb2 import JobUpdate, PartialText
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.storage.job_leadership import JobLeadership
 from wharfcart.storage.job_records import JobState
+from wharfcart.storage.partial_texts import PartialTexts
 
 HEARTBEAT_S = 0.3
 RETRY_S = 0.25
@@ -44,8 +45,10 @@
         """Have the replica promise an epoch and tell what it holds."""
         ...
 
-    async def replicate(self, epoch: int, updates: Sequence[JobUpdate]) -> None:
-        """Have updates written; returns once they are on disk."""
+    async def replicate(
+        self, epoch: int, updates: Sequence[JobUpdate], partial_texts: Sequence[PartialText]
+    ) -> None:
+        """Have updates written; returns once they are on disk. Partial texts are kept in memory."""
         ...
 
     async def fetch(self, job_ids: Sequence[str]) -> list[JobUpdate]:
@@ -61,6 +64,7 @@
         identity: str,
         link: ReplicaLink,
         leadership: JobLeadership,
+        partial_texts: PartialTexts,
         on_progress: Callable[[], None],
         on_deposed: Callable[[int], None],
         log: DecisionLog,
@@ -68,6 +72,8 @@
         self.identity = identity
         self._link = link
         self._leadership = leadership
+        self._partial_texts = partial_texts
+        self._sent_events: dict[str, int] = {}
         self._on_progress = on_progress
         self._on_deposed = on_deposed
         self._log = log
@@ -102,6 +108,7 @@
             except ReplicaFailedError as error:
                 self._note_failure(str(error))
                 self._joined = False
+                self._sent_events = {}
                 self._leadership.replica_left(self.identity)
                 await asyncio.sleep(RETRY_S)
 
@@ -118,7 +125,8 @@
             if await _within(self._work.wait(), HEARTBEAT_S):
                 return
             sent_at = monotonic()
-        await self._link.replicate(epoch, updates)
+        texts = self._partial_texts.since(self._sent_events)
+        await self._link.replicate(epoch, updates, texts)
         self.confirmed_at = sent_at
         self._note_success()
         self._leadership.replica_wrote(self.identity, updates)
