--- /dev/null
+++ b/tests/cluster/test_mirror.py
@@ -0,0 +1,82 @@
+"""The mirror of the coordination service."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from wharfcart.cluster.coordination import Change, Changes
+from wharfcart.cluster.mirror import Mirror
+
+
+def change(key: str, revision: int, value: bytes | None = b"v") -> Change:
+    return Change(key, revision, value)
+
+
+def test_an_older_state_of_a_key_is_never_taken() -> None:
+    mirror = Mirror()
+    mirror.apply(Changes((change("a", 5, b"new"),), 5))
+    assert mirror.apply(Changes((change("a", 3, b"old"),), 6)) == []
+    entry = mirror.get("a")
+    assert entry is not None and entry.value == b"new"
+
+
+def test_a_removed_key_does_not_come_back_from_an_older_answer() -> None:
+    mirror = Mirror()
+    mirror.apply(Changes((change("a", 2),), 2))
+    mirror.apply(Changes((change("a", 4, None),), 4))
+    mirror.apply(Changes((change("a", 2),), 3))
+    assert mirror.get("a") is None
+
+
+def test_a_complete_state_removes_what_it_does_not_list() -> None:
+    mirror = Mirror()
+    mirror.apply(Changes((change("a", 2), change("b", 3)), 3))
+    news = mirror.apply(Changes((change("b", 3),), 7, complete=True))
+    assert [(item.key, item.value) for item in news] == [("a", None)]
+
+
+def test_a_complete_state_that_is_older_changes_nothing() -> None:
+    mirror = Mirror()
+    mirror.apply(Changes((change("a", 9),), 9))
+    assert mirror.apply(Changes((), 4, complete=True)) == []
+    assert mirror.get("a") is not None
+
+
+def test_a_key_written_after_a_listing_survives_it() -> None:
+    mirror = Mirror()
+    mirror.apply(Changes((change("a", 9),), 5))
+    mirror.apply(Changes((), 7, complete=True))
+    assert mirror.get("a") is not None
+
+
+def test_a_peer_is_told_what_it_lacks_removals_included() -> None:
+    mirror = Mirror()
+    mirror.apply(Changes((change("a", 2), change("b", 3)), 3, complete=True))
+    mirror.apply(Changes((change("a", 4, None), change("c", 5)), 5))
+    told = mirror.since(3)
+    assert {(item.key, item.value) for item in told.changes} == {("a", None), ("c", b"v")}
+    assert not told.complete and told.at == 5
+
+
+def test_a_peer_that_knows_nothing_is_told_everything() -> None:
+    mirror = Mirror()
+    mirror.apply(Changes((change("a", 2),), 3, complete=True))
+    assert mirror.since(0).complete
+
+
+@given(
+    st.lists(st.tuples(st.sampled_from("abc"), st.booleans()), max_size=20),
+    st.randoms(use_true_random=False),
+)
+def test_peers_converge_whatever_the_order(writes: list[tuple[str, bool]], random) -> None:
+    history = [
+        change(key, number, None if removed else str(number).encode())
+        for number, (key, removed) in enumerate(writes, 1)
+    ]
+    whole = Mirror()
+    whole.apply(Changes(tuple(history), len(history)))
+    other = Mirror()
+    parts = [Changes((item,), item.revision) for item in history]
+    random.shuffle(parts)
+    for part in parts:
+        other.apply(part)
+    assert sorted(other.under(""), key=str) == sorted(whole.under(""), key=str)
--- /dev/null
+++ b/tests/platform/test_documents.py
@@ -0,0 +1,119 @@
+"""Translation of the platform's documents and headers."""
+
+import json
+
+import pytest
+
+from wharfcart.cluster.coordination import Change
+from wharfcart.cluster.messages_pb2 import ItemOutcome
+from wharfcart.configuration.serving import RouteKind
+from wharfcart.http.connection import AnswerHead
+from wharfcart.platform import batch_calls, documents, exchanges
+
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r",
+            "hostname": "h.example",
+            "pathPrefix": "/a/",
+            "kind": "streaming",
+            "timeoutMs": 6000,
+            "targetLatencyMs": 500,
+            "priority": 0,
+            "trafficSplit": [{"backend": "s", "weight": 90}, {"backend": "t", "weight": 10}],
+            "maxAttempts": 2,
+            "resumable": True,
+        }
+    ],
+    "services": [{"name": "s", "maxConnections": 300, "engine": {"slots": 19}}],
+    "limits": {"maxHeaderBytes": 100, "maxBodyBytes": 200, "idleTimeoutMs": 15000},
+}
+
+
+def test_configuration() -> None:
+    configuration = documents.configuration_from(json.dumps(CONFIGURATION).encode())
+    (route,) = configuration.routes
+    assert (route.kind, route.time_limit_s, route.most_backends) == (RouteKind.STREAM, 6.0, 2)
+    assert [share.service for share in route.shares] == ["s", "t"]
+    assert configuration.services["s"].connection_limit == 300
+    assert configuration.limits.idle_s == 15.0
+
+
+def test_server_entry() -> None:
+    entry = {"backend": "s", "address": "10.0.0.9:80", "zone": "z", "slots": 3, "state": "draining"}
+    instance = documents.instance_from(Change("servers/i-1", 4, json.dumps(entry).encode()))
+    assert instance is not None
+    assert (instance.instance_id, instance.host, instance.port) == ("i-1", "10.0.0.9", 80)
+    assert not instance.accepting
+
+
+@pytest.mark.parametrize("value", [b"", b"{}", b"[]", b'{"backend": 1}', None])
+def test_an_entry_that_can_not_be_read_is_no_server(value: bytes | None) -> None:
+    assert documents.instance_from(Change("servers/i-1", 4, value)) is None
+
+
+def test_headers_for_a_server() -> None:
+    headers = [
+        ("host", "h"),
+        ("connection", "keep-alive"),
+        ("X-Deadline-Ms", "8000"),
+        ("X-Expect-Instance", "forged"),
+        ("x-other", "kept"),
+    ]
+    passed = exchanges.headers_for_server(headers, "i-1", 1.5, 4)
+    assert passed == [
+        ("host", "h"),
+        ("x-other", "kept"),
+        ("x-deadline-ms", "1500"),
+        ("x-expect-instance", "i-1"),
+        ("last-event-id", "4"),
+    ]
+
+
+def test_facts_of_a_request() -> None:
+    facts = exchanges.request_facts(
+        [
+            ("x-request-id", "r"),
+            ("x-deadline-ms", "8000"),
+            ("x-token-count", "1460,80"),
+            ("x-prompt-prefix", "5c:800,91:410,e4:250"),
+        ]
+    )
+    assert facts.deadline_s == 8.0 and facts.output_tokens == 80
+    assert [part.tokens for part in facts.prompt] == [800, 410, 250]
+
+
+def test_facts_that_can_not_be_read_are_not_given() -> None:
+    facts = exchanges.request_facts([("x-deadline-ms", "soon"), ("x-prompt-prefix", "a:b,,c")])
+    assert facts.deadline_s is None and facts.prompt == ()
+
+
+def test_only_the_server_itself_proves_that_it_did_not_run() -> None:
+    assert exchanges.was_not_run(AnswerHead(503, [("x-not-run", "1")]))
+    assert exchanges.was_not_run(AnswerHead(421, []))
+    assert not exchanges.was_not_run(AnswerHead(503, []))
+
+
+def test_submission_and_page() -> None:
+    body = json.dumps(
+        {
+            "requests": [
+                {"id": "i", "path": "/p/", "headers": {"a": "b"}, "body": "YQ==", "tokens": 3}
+            ]
+        }
+    )
+    (item,) = batch_calls.items_from(body.encode())
+    assert (item.item_id, item.body) == ("i", b"a")
+    page = json.loads(batch_calls.result_page(4, 1, [ItemOutcome(item_id="i", text=b"x")]))
+    assert page == {
+        "total": 4,
+        "nextPageToken": 2,
+        "results": [{"id": "i", "state": "dead_letter", "message": "x"}],
+    }
+
+
+@pytest.mark.parametrize("body", [b"", b"{}", b"[]", b'{"requests": [{}]}'])
+def test_a_bad_submission(body: bytes) -> None:
+    with pytest.raises(batch_calls.BadSubmissionError):
+        batch_calls.items_from(body)
--- /dev/null
+++ b/tests/routing/test_backend_choice.py
@@ -0,0 +1,113 @@
+"""Choice of a back end."""
+
+from random import Random
+
+from wharfcart.configuration.instances import BackendInstance
+from wharfcart.routing.backend_choice import BackendChoice, InstanceState
+from wharfcart.routing.load_board import NodeLoad
+
+
+def instance(
+    name: str, zone: str = "z", slots: int = 10, accepting: bool = True
+) -> BackendInstance:
+    return BackendInstance(name, "s", "127.0.0.1", 1, zone, slots, accepting)
+
+
+def choice(*instances: BackendInstance) -> BackendChoice:
+    made = BackendChoice("z", Random(1))
+    for item in instances:
+        made.put(item)
+    return made
+
+
+def chosen(made: BackendChoice, now: float = 0.0, **more) -> str:
+    state = made.choose("s", now, **more)
+    assert state is not None
+    return state.instance.instance_id
+
+
+def state_of(made: BackendChoice, name: str) -> InstanceState:
+    state = made.state(name)
+    assert state is not None
+    return state
+
+
+def test_the_least_loaded_is_chosen() -> None:
+    made = choice(instance("a"), instance("b"))
+    for _ in range(3):
+        made.sent(state_of(made, "a"), 0.0)
+    assert chosen(made) == "b"
+
+
+def test_load_that_other_nodes_report_counts() -> None:
+    made = choice(instance("a"), instance("b"))
+    made.others_reported({"a": NodeLoad("a", 5, 0)}, 0.0)
+    assert chosen(made, 0.1) == "b"
+
+
+def test_old_reports_no_longer_count() -> None:
+    made = choice(instance("a"), instance("b"))
+    made.others_reported({"a": NodeLoad("a", 5, 0)}, 0.0)
+    assert state_of(made, "a").load(5.0) == 0
+
+
+def test_prompts_that_wait_to_be_read_count() -> None:
+    made = choice(instance("a"), instance("b"))
+    made.sent(state_of(made, "a"), 0.0, unread_tokens=20_000)
+    made.sent(state_of(made, "b"), 0.0)
+    made.sent(state_of(made, "b"), 0.0)
+    assert chosen(made) == "b"
+
+
+def test_one_that_drains_is_not_chosen() -> None:
+    made = choice(instance("a"), instance("b"))
+    made.put(instance("a", accepting=False))
+    assert {chosen(made) for _ in range(20)} == {"b"}
+
+
+def test_one_that_is_gone_is_forgotten() -> None:
+    made = choice(instance("a"))
+    made.remove("a")
+    assert made.choose("s", 0.0) is None
+
+
+def test_a_failure_is_avoided_for_a_while_and_longer_each_time() -> None:
+    made = choice(instance("a"), instance("b"))
+    state = state_of(made, "a")
+    first = made.failed(state, 0.0)
+    assert {chosen(made, 0.1) for _ in range(20)} == {"b"}
+    assert made.failed(state, 10.0) > first
+    assert not state.avoided(100.0)
+
+
+def test_silence_is_avoided_until_a_byte_comes() -> None:
+    made = choice(instance("a"), instance("b"))
+    state = state_of(made, "a")
+    use = made.sent(state, 0.0)
+    assert state.avoided(2.0)
+    made.answered(state, use)
+    assert not state.avoided(2.0)
+
+
+def test_if_all_are_avoided_one_is_tried_all_the_same() -> None:
+    made = choice(instance("a"))
+    made.failed(state_of(made, "a"), 0.0)
+    assert chosen(made, 0.1) == "a"
+
+
+def test_a_shared_prompt_goes_where_it_went_before() -> None:
+    made = choice(*(instance(name) for name in "abcdef"))
+    assert len({chosen(made, affinity_key="p1") for _ in range(20)}) == 1
+
+
+def test_a_shared_prompt_moves_on_when_its_place_is_full() -> None:
+    made = choice(*(instance(name) for name in "abcdef"))
+    first = chosen(made, affinity_key="p1")
+    for _ in range(10):
+        made.sent(state_of(made, first), 0.0)
+    assert chosen(made, affinity_key="p1") != first
+
+
+def test_the_own_zone_is_preferred_at_equal_load() -> None:
+    made = choice(instance("far", zone="y"), instance("near"))
+    assert {chosen(made) for _ in range(20)} == {"near"}
--- /dev/null
+++ b/tests/routing/test_event_stream.py
@@ -0,0 +1,40 @@
+"""Cutting of event streams."""
+
+import itertools
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from wharfcart.routing.event_stream import EventSplitter
+
+STREAM = b"".join(f"id: {n}\ndata: part {n}\n\n".encode() for n in range(6))
+
+
+@given(st.lists(st.integers(0, len(STREAM)), max_size=8))
+def test_events_do_not_depend_on_how_the_bytes_come(cuts: list[int]) -> None:
+    splitter = EventSplitter()
+    edges = [0, *sorted(cuts), len(STREAM)]
+    events = [
+        event
+        for start, end in itertools.pairwise(edges)
+        for event in splitter.feed(STREAM[start:end])
+    ]
+    assert [event.number for event in events] == list(range(6))
+    assert b"".join(event.raw for event in events) == STREAM
+    assert splitter.rest == b""
+
+
+def test_half_an_event_is_kept_back() -> None:
+    splitter = EventSplitter()
+    assert splitter.feed(b"id: 1\ndata: x\n") == []
+    assert splitter.rest
+
+
+def test_lines_of_an_event() -> None:
+    (event,) = EventSplitter().feed(b"x-weight-versions: 3\nid: 7\ndata: a\ndata: b\n\n")
+    assert (event.number, event.data) == (7, "a\nb")
+
+
+def test_line_ends_of_both_kinds() -> None:
+    events = EventSplitter().feed(b"id: 1\r\ndata: a\r\n\r\nid: 2\ndata: b\n\n")
+    assert [event.number for event in events] == [1, 2]
--- /dev/null
+++ b/tests/storage/test_job_database.py
@@ -0,0 +1,79 @@
+"""A storage node's disk."""
+
+import sqlite3
+from pathlib import Path
+
+import pytest
+
+from wharfcart.cluster.messages_pb2 import ItemOutcome, JobUpdate, RequestItem, RequestJob
+from wharfcart.storage.job_database import DATABASE_NAME, CorruptJobError, JobDatabase
+
+
+def update(results: int = 0, first: int = 0, epoch: int = 1, whole: bool = True) -> JobUpdate:
+    return JobUpdate(
+        job_id="j",
+        epoch=epoch,
+        job=RequestJob(job_id="j", items=[RequestItem(item_id="0")]) if whole else None,
+        from_result=first,
+        results=[ItemOutcome(item_id=str(n), text=b"x") for n in range(first, first + results)],
+    )
+
+
+def test_what_was_written_is_there_after_a_restart(tmp_path: Path) -> None:
+    database = JobDatabase(tmp_path)
+    identity = database.identity
+    assert database.apply(0, 3, [update(2)])
+    database.close()
+    again = JobDatabase(tmp_path)
+    assert again.identity == identity
+    assert again.promised(0) == 3
+    (loaded,) = again.load(["j"])
+    assert [result.item_id for result in loaded.results] == ["0", "1"]
+    again.close()
+
+
+def test_an_empty_disk_has_another_identity(tmp_path: Path) -> None:
+    assert JobDatabase(tmp_path / "a").identity != JobDatabase(tmp_path / "b").identity
+
+
+def test_a_leader_of_a_lower_epoch_is_refused(tmp_path: Path) -> None:
+    database = JobDatabase(tmp_path)
+    assert database.promise(0, 5)
+    assert not database.apply(0, 4, [update()])
+    assert database.states(0) == []
+    assert not database.promise(0, 4)
+    assert database.apply(0, 5, [update()])
+
+
+def test_results_from_a_position_on_are_replaced(tmp_path: Path) -> None:
+    database = JobDatabase(tmp_path)
+    database.apply(0, 1, [update(3)])
+    database.apply(0, 2, [update(1, first=1, epoch=2, whole=False)])
+    (state,) = database.states(0)
+    assert (state.epoch, state.version) == (2, 3)
+    (loaded,) = database.load(["j"])
+    assert len(loaded.results) == 2
+
+
+def test_a_forgotten_job_leaves_nothing(tmp_path: Path) -> None:
+    database = JobDatabase(tmp_path)
+    database.apply(0, 1, [update(3)])
+    database.apply(0, 1, [JobUpdate(job_id="j", forgotten=True)])
+    assert database.states(0) == [] and database.load(["j"]) == []
+
+
+def test_a_corrupt_record_is_noticed(tmp_path: Path) -> None:
+    database = JobDatabase(tmp_path)
+    database.apply(0, 1, [update(1)])
+    database.close()
+    with sqlite3.connect(tmp_path / DATABASE_NAME) as connection:
+        connection.execute("update result set value = x'00'")
+    connection.close()
+    with pytest.raises(CorruptJobError):
+        JobDatabase(tmp_path).load(["j"])
+
+
+def test_no_shared_memory_file_is_made(tmp_path: Path) -> None:
+    database = JobDatabase(tmp_path)
+    database.apply(0, 1, [update(1)])
+    assert not list(tmp_path.glob("*-shm"))
--- /dev/null
+++ b/tests/storage/test_job_leadership.py
@@ -0,0 +1,136 @@
+"""Rules of a job group's leadership, one by one."""
+
+from wharfcart.cluster.messages_pb2 import ItemOutcome, RequestItem, RequestJob
+from wharfcart.storage.job_leadership import JobLeadership
+from wharfcart.storage.job_records import JobRecord, JobState
+
+MEMBERS = frozenset({"a", "b", "c"})
+
+
+def job(job_id: str = "j", items: int = 5) -> RequestJob:
+    return RequestJob(job_id=job_id, items=[RequestItem(item_id=str(n)) for n in range(items)])
+
+
+def outcome(item: str, text: bytes = b"t") -> ItemOutcome:
+    return ItemOutcome(item_id=item, succeeded=True, text=text)
+
+
+def leadership(epoch: int = 1) -> JobLeadership:
+    made = JobLeadership(epoch, 2, MEMBERS)
+    for identity in MEMBERS:
+        made.replica_joined(identity, [])
+    return made
+
+
+def write(made: JobLeadership, identity: str) -> None:
+    made.replica_wrote(identity, made.updates_for(identity))
+
+
+def test_a_job_counts_with_two_disks() -> None:
+    made = leadership()
+    made.accept(job())
+    write(made, "a")
+    assert made.counted_version("j") == 0
+    write(made, "b")
+    assert made.counted_version("j") == 1
+
+
+def test_a_result_is_shown_only_once_it_counts() -> None:
+    made = leadership()
+    made.accept(job())
+    write(made, "a")
+    write(made, "b")
+    made.append("j", outcome("0"))
+    write(made, "a")
+    assert made.counted_results("j") == []
+    write(made, "c")
+    assert len(made.counted_results("j")) == 0 or made.counted_version("j") == 2
+    assert [result.item_id for result in made.counted_results("j")] == ["0"]
+
+
+def test_an_item_has_one_result() -> None:
+    made = leadership()
+    made.accept(job())
+    assert made.append("j", outcome("0"))
+    assert not made.append("j", outcome("0", b"other"))
+
+
+def test_an_ended_job_takes_no_result() -> None:
+    made = leadership()
+    made.accept(job())
+    made.end("j")
+    assert not made.append("j", outcome("0"))
+
+
+def test_the_same_job_is_taken_once() -> None:
+    made = leadership()
+    first = made.accept(job())
+    assert made.accept(job(items=2)) is first
+
+
+def test_an_inherited_state_counts_only_in_the_new_epoch() -> None:
+    """Otherwise a state on enough disks may yet lose against a newer epoch's (Raft, figure 8)."""
+    made = JobLeadership(4, 2, MEMBERS)
+    made.inherit([JobRecord(job(), 2, [outcome("0")])])
+    made.replica_joined("b", [JobState("j", 2, 2)])
+    made.replica_joined("c", [JobState("j", 2, 2)])
+    assert made.counted_version("j") == 0
+    write(made, "b")
+    write(made, "c")
+    assert made.counted_version("j") == 2
+
+
+def test_a_replica_of_another_epoch_gets_the_whole_job() -> None:
+    made = JobLeadership(4, 2, MEMBERS)
+    made.inherit([JobRecord(job(), 3, [outcome("0", b"right")])])
+    made.replica_joined("b", [JobState("j", 2, 4)])
+    (update,) = made.updates_for("b")
+    assert update.from_result == 0 and update.HasField("job")
+    assert [result.text for result in update.results] == [b"right"]
+
+
+def test_a_longer_state_of_the_same_epoch_is_cut_back() -> None:
+    made = JobLeadership(4, 2, MEMBERS)
+    made.inherit([JobRecord(job(), 3, [outcome("0")])])
+    made.replica_joined("b", [JobState("j", 3, 4)])
+    (update,) = made.updates_for("b")
+    assert update.from_result == 1 and not update.results
+
+
+def test_a_job_that_never_counted_is_removed_from_a_replica_that_has_it() -> None:
+    made = leadership()
+    made.replica_joined("c", [JobState("ghost", 1, 3)])
+    (update,) = made.updates_for("c")
+    assert update.job_id == "ghost" and update.forgotten
+
+
+def test_while_the_set_changes_both_sets_must_have_enough() -> None:
+    made = leadership()
+    made.begin_change(frozenset({"c", "d"}))
+    made.replica_joined("d", [])
+    made.accept(job())
+    write(made, "a")
+    write(made, "b")
+    assert made.counted_version("j") == 0
+    assert not made.change_is_safe()
+    write(made, "c")
+    write(made, "d")
+    assert made.counted_version("j") == 1
+    assert made.change_is_safe()
+
+
+def test_a_replica_that_left_speaks_for_nothing() -> None:
+    made = leadership()
+    made.begin_change(frozenset({"a", "b"}))
+    made.accept(job())
+    write(made, "a")
+    write(made, "b")
+    made.replica_left("b")
+    assert not made.change_is_safe()
+    assert made.counted_version("j") == 1, "what counted once stays"
+
+
+def test_how_many_must_answer_a_new_leader() -> None:
+    assert JobLeadership(1, 2, MEMBERS).fewest_answers == 2
+    assert JobLeadership(1, 2, frozenset({"a", "b"})).fewest_answers == 1
+    assert JobLeadership(1, 3, frozenset("abcde")).fewest_answers == 3
--- /dev/null
+++ b/tests/storage/test_partial_texts.py
@@ -0,0 +1,38 @@
+"""Running texts at the replicas."""
+
+from wharfcart.storage.partial_texts import PartialTexts
+
+
+def test_a_replica_gets_what_it_lacks_and_no_more() -> None:
+    leader, replica = PartialTexts(), PartialTexts()
+    sent: dict[str, int] = {}
+    text = leader.of("j", "i")
+    text.add(0, "a")
+    text.add(1, "b")
+    replica.take(leader.since(sent))
+    assert leader.since(sent) == []
+    text.add(2, "c")
+    (news,) = leader.since(sent)
+    assert list(news.texts) == ["c"]
+    replica.take([news])
+    copy = replica.of("j", "i")
+    assert (copy.last_event, copy.texts) == (2, ["a", "b", "c"])
+
+
+def test_a_part_that_does_not_fit_on_is_left_out() -> None:
+    leader, replica = PartialTexts(), PartialTexts()
+    sent = {"i": 1}
+    text = leader.of("j", "i")
+    text.add(0, "a")
+    text.add(1, "b")
+    replica.take(leader.since(sent))
+    assert replica.of("j", "i").texts == []
+
+
+def test_finished_items_and_ended_jobs_are_dropped() -> None:
+    texts = PartialTexts()
+    texts.of("j", "i").add(0, "a")
+    texts.of("k", "l").add(0, "a")
+    texts.drop("i")
+    texts.drop_job("k")
+    assert texts.since({}) == []
