A request's sends were counted twice when an answer broke off; real processes tested

Finding of the new process tests (a stream cut twice was given up with attempts left): a send that broke off counted as two, so resumable streams with two attempts were never resumed. Test: test_a_cut_stream_is_resumed_under_the_first_head fails on the old count. With it come twenty scenarios of gateways and storage nodes as processes before an emulated metadata store and model servers.

--- a/src/wharfcart/emulator/metadata_store.py
+++ b/src/wharfcart/emulator/metadata_store.py
@@ -57,22 +57,43 @@
         self.history.clear()
 
 
+NODE_KEY = web.AppKey("node", str)
+
+
 class MetadataStoreServer:
-    """One emulated store. ``refused_peers`` names node ports' hosts that are turned away."""
+    """One emulated store, with an address of its own for each node.
+
+    Parameters
+    ----------
+    refused: ids of the nodes that are turned away.
+    silent: ids of the nodes whose calls are never answered.
+    """
 
     def __init__(self, seed: int = 1) -> None:
         self.switch = FaultSwitch(seed)
         self.state = StoreState()
         self.calls = 0
-        self.refused_agents: set[str] = set()
+        self.refused: set[str] = set()
+        self.silent: set[str] = set()
         self._changed = asyncio.Condition()
+        self._servers: list[WebServer] = []
+
+    async def endpoint(self, node_id: str) -> str:
+        """Open an address for one node and return it."""
         app = web.Application()
+        app[NODE_KEY] = node_id
         app.router.add_get(names.READ_KEY, self._key)
         app.router.add_get(names.READ_RANGE, self._range)
         app.router.add_get(names.WATCH, self._watch)
         app.router.add_post(names.TRANSACTION, self._transaction)
-        self.switch.add_routes(app)
-        self.server = WebServer(app)
+        server = WebServer(app)
+        await server.start("127.0.0.1", 0)
+        self._servers.append(server)
+        return server.address
+
+    async def stop(self) -> None:
+        """Close every address."""
+        await asyncio.gather(*(server.stop() for server in self._servers))
 
     async def put(self, key: str, value: object) -> int:
         """Write a JSON value as the operator or a server does."""
@@ -91,7 +112,10 @@
 
     async def _refused(self, request: web.Request) -> web.Response | None:
         self.calls += 1
-        if request.headers.get("x-emulated-node", "") in self.refused_agents:
+        node_id = request.app[NODE_KEY]
+        if node_id in self.silent:
+            await asyncio.sleep(3600)
+        if node_id in self.refused:
             return web.json_response({"error": "refused"}, status=503)
         return await self.switch.before(request)
 
--- /dev/null
+++ b/src/wharfcart/experiments/serving_fleet.py
@@ -0,0 +1,239 @@
+"""Gateways and storage nodes as real processes before emulated servers and metadata store.
+
+The stand-ins run in the caller's event loop; the programs run as shipped, one process each.
+"""
+
+import asyncio
+import os
+import shutil
+import signal
+import subprocess
+import sys
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+
+from wharfcart.emulator.metadata_store import MetadataStoreServer
+from wharfcart.emulator.model_server import ModelServer
+from wharfcart.experiments.dev_fleet import free_endpoint
+from wharfcart.node.fleet_keys import GROUP_PREFIX
+from wharfcart.platform import names
+
+HOST = "svc.example"
+STREAM_SERVICE = "lm"
+PLAIN_SERVICE = "app"
+START_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 15.0
+POLL_S = 0.03
+ZONES = ("a", "b", "c")
+
+
+@dataclass
+class ServingNodeProcess:
+    """One process and its addresses."""
+
+    role: str
+    node_id: str
+    folder: Path
+    settings: Path
+    listen: str
+    readiness: str
+    process: "subprocess.Popen[bytes] | None" = None
+
+    @property
+    def output(self) -> Path:
+        """File with what the process wrote to standard output."""
+        return self.folder / f"{self.node_id}.log"
+
+    @property
+    def data_folder(self) -> Path:
+        """The node's disk."""
+        return self.folder / f"{self.node_id}-data"
+
+
+class ServingFleet:
+    """Emulated platform, gateways and storage nodes."""
+
+    def __init__(self, gateways: int = 2, stores: int = 3, event_s: float = 0.01) -> None:
+        self.folder = Path(tempfile.mkdtemp(prefix="wharfcart-serving-"))
+        self.store = MetadataStoreServer()
+        self.stream_servers = [ModelServer(f"i-lm-{n}", 12, event_s) for n in range(3)]
+        self.plain_servers = [ModelServer(f"i-app-{n}", 0, 0.02) for n in range(2)]
+        self.gateways = [self._plan("gateway", n) for n in range(gateways)]
+        self.stores = [self._plan("storage", n) for n in range(stores)]
+        self.version = 1
+        self.session: aiohttp.ClientSession
+
+    # ---- life ----
+
+    async def start(self) -> None:
+        """Start everything and wait until gateways are ready and jobs have a leader."""
+        self.session = aiohttp.ClientSession()
+        for server in (*self.stream_servers, *self.plain_servers):
+            await server.server.start("127.0.0.1", 0)
+        await self.put_configuration(self.configuration())
+        for server in self.stream_servers:
+            await self.announce(server, STREAM_SERVICE)
+        for server in self.plain_servers:
+            await self.announce(server, PLAIN_SERVICE)
+        for node in (*self.stores, *self.gateways):
+            await self._write_settings(node)
+            self.start_node(node)
+        await self.until(self._all_ready, START_TIMEOUT_S)
+
+    async def stop(self) -> None:
+        """Stop everything and remove the folder."""
+        for node in (*self.gateways, *self.stores):
+            self.signal(node, signal.SIGKILL)
+        await self.session.close()
+        await self.store.stop()
+        for server in (*self.stream_servers, *self.plain_servers):
+            await server.server.stop()
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+    def start_node(self, node: ServingNodeProcess) -> None:
+        """Start a process."""
+        environment = {"PATH": os.environ.get("PATH", ""), "WHARFCART_SETTINGS": str(node.settings)}
+        with node.output.open("ab") as output:
+            node.process = subprocess.Popen(
+                [sys.executable, "-m", "wharfcart.node.process", node.role],
+                env=environment,
+                stdout=output,
+                stderr=output,
+            )
+
+    def signal(self, node: ServingNodeProcess, number: signal.Signals) -> None:
+        """Signal a process that this fleet started; one that is killed is waited for."""
+        if node.process is None or node.process.poll() is not None:
+            return
+        node.process.send_signal(number)
+        if number is signal.SIGKILL:
+            node.process.wait()
+
+    async def stopped(self, node: ServingNodeProcess) -> int:
+        """Wait for a process to end and return its exit code."""
+        assert node.process is not None
+        return await asyncio.to_thread(node.process.wait, STOP_TIMEOUT_S)
+
+    async def until(self, condition: Any, seconds: float) -> None:
+        """Wait for a condition, a function that may be asynchronous.
+
+        Raises
+        ------
+        TimeoutError
+        """
+        async with asyncio.timeout(seconds):
+            while True:
+                result = condition()
+                if asyncio.iscoroutine(result):
+                    result = await result
+                if result:
+                    return
+                await asyncio.sleep(POLL_S)
+
+    async def _all_ready(self) -> bool:
+        if f"{GROUP_PREFIX}0" not in self.store.state.items:
+            return False
+        return all([await self.is_ready(node) for node in self.gateways])
+
+    async def is_ready(self, node: ServingNodeProcess) -> bool:
+        """Whether a gateway calls itself ready."""
+        url = f"http://{node.readiness}{names.READINESS_PATH}"
+        try:
+            async with self.session.get(url) as response:
+                return response.status == 200
+        except aiohttp.ClientError:
+            return False
+
+    # ---- the operator and the servers ----
+
+    def configuration(self, **changes: Any) -> dict[str, Any]:
+        """Return the example configuration, with other routes added by name of prefix."""
+        route = {"hostname": HOST, "priority": 0, "targetLatencyMs": 500}
+        routes = [
+            route
+            | {"name": "chat", "pathPrefix": "/chat/", "kind": "streaming", "timeoutMs": 8000}
+            | {"backend": STREAM_SERVICE, "maxAttempts": 1, "resumable": False},
+            route
+            | {"name": "read", "pathPrefix": "/read/", "kind": "streaming", "timeoutMs": 8000}
+            | {"backend": STREAM_SERVICE, "maxAttempts": 3, "resumable": True},
+            route
+            | {"name": "look", "pathPrefix": "/look/", "kind": "safe", "timeoutMs": 4000}
+            | {"backend": PLAIN_SERVICE, "maxAttempts": 2},
+            route
+            | {"name": "charge", "pathPrefix": "/charge/", "kind": "unsafe", "timeoutMs": 2000}
+            | {"backend": PLAIN_SERVICE, "maxAttempts": 2},
+            route
+            | {"name": "jobs", "pathPrefix": "/jobs/", "kind": "batch", "timeoutMs": 30000}
+            | {"backend": STREAM_SERVICE, "maxAttempts": 3}
+            | {"targetCompletionMs": 20000, "maxWaitS": 60},
+        ]
+        for name, route_changes in changes.items():
+            routes.append(route | {"name": name, "pathPrefix": f"/{name}/"} | route_changes)
+        self.version += 3
+        return {
+            "version": self.version,
+            "routes": routes,
+            "services": [
+                {"name": STREAM_SERVICE, "maxConnections": 100},
+                {"name": PLAIN_SERVICE, "maxConnections": 100},
+            ],
+            "limits": {},
+        }
+
+    async def put_configuration(self, configuration: dict[str, Any]) -> None:
+        """Write a configuration as the operator does."""
+        await self.store.put(names.CONFIGURATION_KEY, configuration)
+
+    async def announce(self, server: ModelServer, service: str, state: str = "ready") -> None:
+        """Write a server's entry."""
+        key = names.SERVER_PREFIX + server.instance_id
+        await self.store.put(key, server.entry(service, "a", state))
+
+    # ---- clients ----
+
+    async def request(
+        self, gateway: int, path: str, request_id: str, deadline_ms: int = 8000, **more: Any
+    ) -> tuple[int, bytes, dict[str, str]]:
+        """Send one request; return status, whole body and lower-case headers.
+
+        Raises
+        ------
+        aiohttp.ClientError: the connection ended before the answer was whole.
+        """
+        headers = {"Host": HOST, names.REQUEST_ID: request_id, names.DEADLINE_MS: str(deadline_ms)}
+        headers |= more.pop("headers", {})
+        url = f"http://{self.gateways[gateway].listen}{path}"
+        method = more.pop("method", "POST")
+        async with self.session.request(method, url, headers=headers, **more) as response:
+            found = {name.lower(): value for name, value in response.headers.items()}
+            return response.status, await response.read(), found
+
+    # ---- inner ----
+
+    def _plan(self, role: str, number: int) -> ServingNodeProcess:
+        node_id = f"{role}-{number}"
+        settings = self.folder / f"{node_id}.toml"
+        return ServingNodeProcess(
+            role, node_id, self.folder, settings, free_endpoint(), free_endpoint()
+        )
+
+    async def _write_settings(self, node: ServingNodeProcess) -> None:
+        number = int(node.node_id.rpartition("-")[2])
+        lines = [
+            f'node_id = "{node.node_id}"',
+            f'zone = "{ZONES[number % len(ZONES)]}"',
+            f'coordination = "{await self.store.endpoint(node.node_id)}"',
+            f'cluster_listen = "{free_endpoint()}"',
+            "first_start = true",
+            "stop_within_s = 8",
+        ]
+        if node.role == "gateway":
+            lines.append(f'listen = "{node.listen}"')
+            lines.append(f'readiness_listen = "{node.readiness}"')
+        else:
+            lines.append(f'data_folder = "{node.data_folder}"')
+        node.settings.write_text("\n".join(lines) + "\n", encoding="utf-8")
--- a/src/wharfcart/routing/forwarder.py
+++ b/src/wharfcart/routing/forwarder.py
@@ -104,7 +104,7 @@
 
 @dataclass
 class _Progress:
-    """What has happened to a request so far."""
+    """What has happened to a request so far; ``sends`` leaves out those that surely did not run."""
 
     tried: set[str] = field(default_factory=set)
     sends: int = 0
@@ -225,7 +225,6 @@
             self._pool.discard(instance, connection)
             if not error.sent:
                 return _Verdict(False, "closed_before_send")
-            progress.sends += 1
             if connection.answered == 0:
                 self._avoid(state, "broken")
             return _Verdict(True, "broken")
@@ -263,6 +262,7 @@
             exchanges.REQUEST_ID_HEADER,
             request.facts.request_id,
         )
+        progress.sends += 1
         head = await connection.read_head()
         self._choice.answered(state, use)
         load = exchanges.reported_load(head)
@@ -270,11 +270,11 @@
             self._choice.reported(state, load.running, load.waiting, monotonic())
         if exchanges.was_not_run(head):
             await connection.read_body()
+            progress.sends -= 1
             progress.refusals += 1
             if head.status == STATUS_UNAVAILABLE:
                 self._choice.full(state, monotonic())
             return _Verdict(False, f"refused_{head.status}")
-        progress.sends += 1
         if not exchanges.is_signed(head) and head.status < 300:
             raise ConnectionBrokenError("answer is not signed")
         if request.route.kind is RouteKind.STREAM and head.status < 300:
--- /dev/null
+++ b/tests/integration/test_serving_fleet.py
@@ -0,0 +1,356 @@
+"""Gateways and storage nodes as processes, before emulated servers and metadata store."""
+
+import asyncio
+import base64
+import json
+import shutil
+import signal
+from collections.abc import Awaitable, Callable
+
+import aiohttp
+import pytest
+
+from wharfcart.experiments.serving_fleet import HOST, PLAIN_SERVICE, STREAM_SERVICE, ServingFleet
+from wharfcart.platform import names
+
+Scenario = Callable[[ServingFleet], Awaitable[None]]
+
+
+def play(scenario: Scenario, **more) -> None:
+    async def run() -> None:
+        fleet = ServingFleet(**more)
+        try:
+            await fleet.start()
+            async with asyncio.timeout(60):
+                await scenario(fleet)
+        finally:
+            await fleet.stop()
+
+    asyncio.run(run())
+
+
+def whole_stream(request_id: str, events: int = 12) -> bytes:
+    return b"".join(f"id: {n}\ndata: {request_id}-{n}\n\n".encode() for n in range(events))
+
+
+def submission(job_id: str, items: int) -> bytes:
+    requests = [
+        {
+            "id": f"{job_id}-{n}",
+            "path": "/jobs/run",
+            "headers": {"X-Model": "m"},
+            "body": base64.b64encode(f"body {n}".encode()).decode(),
+            "tokens": 10,
+        }
+        for n in range(items)
+    ]
+    return json.dumps({"requests": requests}).encode()
+
+
+async def submit(fleet: ServingFleet, job_id: str, items: int, gateway: int = 0) -> int:
+    status, _, _ = await fleet.request(
+        gateway, f"/jobs/{job_id}", job_id, data=submission(job_id, items)
+    )
+    return status
+
+
+async def read_page(fleet: ServingFleet, job_id: str, after: int = 0, gateway: int = 0):
+    status, body, _ = await fleet.request(
+        gateway, f"{names.JOB_PATH}{job_id}?after={after}", "reader", method="GET"
+    )
+    return status, json.loads(body) if status == 200 else {}
+
+
+async def all_results(fleet: ServingFleet, job_id: str, items: int, seconds: float = 25.0):
+    async def done() -> bool:
+        status, page = await read_page(fleet, job_id)
+        return status == 200 and len(page["results"]) == items
+
+    await fleet.until(done, seconds)
+    _, page = await read_page(fleet, job_id)
+    return page["results"]
+
+
+def test_each_kind_of_request_on_a_calm_day() -> None:
+    async def scenario(fleet: ServingFleet) -> None:
+        status, body, headers = await fleet.request(0, "/look/x?q=1", "r1", data=b"ask")
+        assert (status, body) == (200, b"answer to r1")
+        assert headers["x-response-stamp"].startswith("stamp-")
+        status, body, _ = await fleet.request(1, "/chat/x", "r2")
+        assert (status, body) == (200, whole_stream("r2"))
+        status, _, _ = await fleet.request(0, "/none/x", "r3")
+        assert status == 404
+        assert await submit(fleet, "job1", 5) == 202
+        assert await submit(fleet, "job1", 5, gateway=1) == 202
+        results = await all_results(fleet, "job1", 5)
+        assert {result["id"] for result in results} == {f"job1-{n}" for n in range(5)}
+        assert all(result["state"] == "succeeded" for result in results)
+        text = "\n".join(f"job1-0-{n}" for n in range(12))
+        assert text in {result["message"] for result in results}
+        status, page = await read_page(fleet, "job1", after=2, gateway=1)
+        assert page["results"] == results[2:] and page["total"] == 5
+
+    play(scenario)
+
+
+def test_a_configuration_is_in_force_and_never_reverts() -> None:
+    async def scenario(fleet: ServingFleet) -> None:
+        added = {"kind": "safe", "timeoutMs": 2000, "backend": PLAIN_SERVICE, "maxAttempts": 1}
+        old = fleet.configuration()
+        await fleet.put_configuration(fleet.configuration(fresh=added))
+
+        async def in_force() -> bool:
+            answers = [await fleet.request(n, "/fresh/x", "r") for n in range(2)]
+            return all(status == 200 for status, _, _ in answers)
+
+        await fleet.until(in_force, 2.0)
+        await fleet.put_configuration(old)
+        await asyncio.sleep(0.5)
+        assert await in_force()
+
+    play(scenario)
+
+
+def test_a_gateway_that_the_store_refuses_learns_from_its_peer() -> None:
+    async def scenario(fleet: ServingFleet) -> None:
+        fleet.store.refused.add("gateway-0")
+        fleet.store.silent.add("gateway-0")
+        added = {"kind": "safe", "timeoutMs": 2000, "backend": PLAIN_SERVICE, "maxAttempts": 1}
+        await fleet.put_configuration(fleet.configuration(fresh=added))
+
+        async def in_force() -> bool:
+            status, _, _ = await fleet.request(0, "/fresh/x", "r")
+            return status == 200
+
+        await fleet.until(in_force, 6.0)
+
+    play(scenario)
+
+
+def test_a_draining_server_gets_nothing_more() -> None:
+    async def scenario(fleet: ServingFleet) -> None:
+        leaving = fleet.plain_servers[0]
+        await fleet.announce(leaving, PLAIN_SERVICE, "draining")
+        await asyncio.sleep(1.0)
+        before = len(leaving.runs)
+        for number in range(20):
+            status, _, _ = await fleet.request(number % 2, "/look/x", f"r{number}")
+            assert status == 200
+        assert len(leaving.runs) == before
+
+    play(scenario)
+
+
+def test_an_address_that_went_to_another_incarnation_runs_nothing() -> None:
+    async def scenario(fleet: ServingFleet) -> None:
+        fleet.plain_servers[0].instance_id = "i-somebody-else"
+        for number in range(12):
+            status, _, _ = await fleet.request(0, "/charge/x", f"r{number}")
+            assert status == 200
+        assert fleet.plain_servers[0].runs == []
+
+    play(scenario)
+
+
+def test_a_cut_stream_is_resumed_under_the_first_head() -> None:
+    async def scenario(fleet: ServingFleet) -> None:
+        for server in fleet.stream_servers[:2]:
+            server.switch.faults.cut_streams = 1
+        stamps = {}
+        for number in range(8):
+            status, body, headers = await fleet.request(0, "/read/x", f"r{number}")
+            assert (status, body) == (200, whole_stream(f"r{number}"))
+            stamps[f"r{number}"] = headers["x-response-stamp"]
+        runs = [(run, server.instance_id) for server in fleet.stream_servers for run in server.runs]
+        first_runs = {run.request_id: name for run, name in runs if run.first_event == 0}
+        assert len(runs) > len(first_runs) == 8, "some stream was cut and resumed, none run anew"
+        assert stamps == {key: f"stamp-{name}" for key, name in first_runs.items()}
+
+    play(scenario)
+
+
+def test_a_cut_stream_that_may_not_be_resumed_is_seen_to_be_cut() -> None:
+    async def scenario(fleet: ServingFleet) -> None:
+        for server in fleet.stream_servers:
+            server.switch.faults.cut_streams = 1
+        with pytest.raises(aiohttp.ClientError):
+            await fleet.request(0, "/chat/x", "r1")
+        assert sum(len(server.runs) for server in fleet.stream_servers) == 1
+
+    play(scenario)
+
+
+def test_a_charge_whose_answer_was_lost_runs_once_and_is_no_refusal() -> None:
+    async def scenario(fleet: ServingFleet) -> None:
+        for server in fleet.plain_servers:
+            server.switch.faults.lost_answers = 1
+        status, _, _ = await fleet.request(0, "/charge/x", "r1")
+        assert status == 502
+        assert sum(len(server.runs) for server in fleet.plain_servers) == 1
+
+    play(scenario)
+
+
+def test_a_look_up_whose_answer_was_lost_runs_again_elsewhere() -> None:
+    async def scenario(fleet: ServingFleet) -> None:
+        fleet.plain_servers[0].switch.faults.lost_answers = 1
+        fleet.plain_servers[1].switch.faults.lost_answers = 0
+        for number in range(4):
+            status, _, _ = await fleet.request(0, "/look/x", f"r{number}")
+            assert status == 200
+
+    play(scenario)
+
+
+def test_the_routes_time_is_over_at_once_and_for_the_server_too() -> None:
+    async def scenario(fleet: ServingFleet) -> None:
+        for server in fleet.plain_servers:
+            server.silent = True
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        status, _, _ = await fleet.request(0, "/charge/x", "r1", deadline_ms=8000)
+        assert status == 504
+        assert 1.9 < loop.time() - began < 2.5, "the route's time is two seconds"
+
+    play(scenario)
+
+
+def test_a_caller_that_leaves_ends_the_servers_work() -> None:
+    async def scenario(fleet: ServingFleet) -> None:
+        request = asyncio.create_task(fleet.request(0, "/read/x", "r1"))
+        await fleet.until(lambda: any(server.runs for server in fleet.stream_servers), 3.0)
+        request.cancel()
+        await fleet.until(
+            lambda: any(server.abandoned["r1"] for server in fleet.stream_servers), 0.5
+        )
+
+    play(scenario, event_s=0.2)
+
+
+def test_a_stop_cuts_nothing() -> None:
+    async def scenario(fleet: ServingFleet) -> None:
+        running = [
+            asyncio.create_task(fleet.request(0, "/chat/x", f"r{number}")) for number in range(6)
+        ]
+        await fleet.until(lambda: sum(len(s.runs) for s in fleet.stream_servers) == 6, 3.0)
+        fleet.signal(fleet.gateways[0], signal.SIGTERM)
+        for number, task in enumerate(running):
+            status, body, _ = await task
+            assert (status, body) == (200, whole_stream(f"r{number}"))
+        assert not await fleet.is_ready(fleet.gateways[0])
+        assert await fleet.stopped(fleet.gateways[0]) == 0
+
+    play(scenario, event_s=0.15)
+
+
+def test_a_killed_leader_loses_no_job_and_no_item_runs_from_its_start_again() -> None:
+    async def scenario(fleet: ServingFleet) -> None:
+        assert await submit(fleet, "job1", 8) == 202
+        await asyncio.sleep(1.2)
+        leader = min(
+            fleet.stores, key=lambda node: "leadership_taken" not in node.output.read_text()
+        )
+        fleet.signal(leader, signal.SIGKILL)
+        results = await all_results(fleet, "job1", 8)
+        assert all(result["state"] == "succeeded" for result in results)
+        for result in results:
+            assert result["message"] == "\n".join(f"{result['id']}-{n}" for n in range(12))
+
+    play(scenario, event_s=0.2)
+
+
+def test_a_disk_lost_right_after_the_acceptance_loses_nothing() -> None:
+    async def scenario(fleet: ServingFleet) -> None:
+        assert await submit(fleet, "job1", 4) == 202
+        leader = min(
+            fleet.stores, key=lambda node: "leadership_taken" not in node.output.read_text()
+        )
+        fleet.signal(leader, signal.SIGKILL)
+        shutil.rmtree(leader.data_folder)
+        fleet.start_node(leader)
+        assert len(await all_results(fleet, "job1", 4)) == 4
+
+    play(scenario)
+
+
+def test_all_killed_at_once_serve_again() -> None:
+    async def scenario(fleet: ServingFleet) -> None:
+        assert await submit(fleet, "job1", 4) == 202
+        before = await all_results(fleet, "job1", 4)
+        for node in (*fleet.stores, *fleet.gateways):
+            fleet.signal(node, signal.SIGKILL)
+        for node in (*fleet.stores, *fleet.gateways):
+            fleet.start_node(node)
+        await fleet.until(lambda: fleet.is_ready(fleet.gateways[0]), 10.0)
+        assert await all_results(fleet, "job1", 4) == before
+
+    play(scenario)
+
+
+def test_an_ended_job_stops_and_stays_as_it_is() -> None:
+    async def scenario(fleet: ServingFleet) -> None:
+        assert await submit(fleet, "job1", 6) == 202
+        await fleet.until(lambda: any(server.runs for server in fleet.stream_servers), 3.0)
+        status, _, _ = await fleet.request(0, f"{names.JOB_PATH}job1", "x", method="DELETE")
+        assert status == 200
+        runs = sum(len(server.runs) for server in fleet.stream_servers)
+        status, _, _ = await fleet.request(1, f"{names.JOB_PATH}job1", "x", method="DELETE")
+        assert status == 200
+        await asyncio.sleep(1.0)
+        assert sum(len(server.runs) for server in fleet.stream_servers) == runs
+        status, page = await read_page(fleet, "job1")
+        assert status == 200 and page["total"] == 6
+
+    play(scenario, event_s=0.2)
+
+
+def test_items_that_can_not_be_done_are_listed_as_dead() -> None:
+    async def scenario(fleet: ServingFleet) -> None:
+        for server in fleet.stream_servers:
+            server.failing_ids = {"job1-0": 422, "job1-1": 500}
+        assert await submit(fleet, "job1", 3) == 202
+        states = {result["id"]: result["state"] for result in await all_results(fleet, "job1", 3)}
+        assert states == {
+            "job1-0": "dead_letter",
+            "job1-1": "dead_letter",
+            "job1-2": "succeeded",
+        }
+        tries = sum(run.request_id == "job1-1" for s in fleet.stream_servers for run in s.runs)
+        assert tries == 3
+
+    play(scenario)
+
+
+def test_bodies_of_items_and_jobs_that_do_not_exist() -> None:
+    async def scenario(fleet: ServingFleet) -> None:
+        assert await submit(fleet, "job1", 2) == 202
+        path = f"{names.ITEM_BODY_PATH}job1?id=job1-1"
+        status, body, _ = await fleet.request(0, path, "x", method="GET")
+        assert (status, body) == (200, b"body 1")
+        status, _ = await read_page(fleet, "nojob")
+        assert status == 404
+
+    play(scenario, event_s=0.2)
+
+
+def test_no_server_is_a_refusal_that_tells_when_to_come_back() -> None:
+    async def scenario(fleet: ServingFleet) -> None:
+        for server in fleet.plain_servers:
+            await fleet.store.remove(names.SERVER_PREFIX + server.instance_id)
+        await asyncio.sleep(0.5)
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        status, _, headers = await fleet.request(0, "/charge/x", "r1")
+        assert status == 503 and float(headers["retry-after"]) > 0
+        assert loop.time() - began < 0.5
+
+    play(scenario)
+
+
+def test_hosts_are_told_apart_by_header_not_address() -> None:
+    async def scenario(fleet: ServingFleet) -> None:
+        status, _, _ = await fleet.request(0, "/look/x", "r1", headers={"Host": "other.example"})
+        assert status == 404
+        assert HOST != "other.example" and STREAM_SERVICE != PLAIN_SERVICE
+
+    play(scenario)
