--- a/src/wharfcart/cli/main.py
+++ b/src/wharfcart/cli/main.py
@@ -5,7 +5,7 @@
 import typer
 
 import wharfcart
-from wharfcart.cli import batch, config, experiment, journal, processes
+from wharfcart.cli import batch, config, experiment, explain, journal, processes
 from wharfcart.cli.client import Server
 from wharfcart.cli.options import KeyOption, OutputOption, ServerOption
 from wharfcart.cli.output import OutputFormat, print_answer
@@ -23,6 +23,9 @@
 app.command()(processes.emulator)
 app.command()(processes.dev)
 app.command()(processes.demo)
+app.command()(processes.gateway)
+app.command()(processes.storage)
+app.command()(explain.explain)
 
 
 @app.command()
--- a/src/wharfcart/cli/processes.py
+++ b/src/wharfcart/cli/processes.py
@@ -15,6 +15,7 @@
 from wharfcart.experiments.dev_fleet import DevFleet
 from wharfcart.experiments.example_fleets import Profile
 from wharfcart.experiments.main_job import MainJob, Target
+from wharfcart.node import process
 from wharfcart.node.node import Node
 from wharfcart.observability.logs import configure_logs
 from wharfcart.settings.loading import load_settings
@@ -45,6 +46,16 @@
     await running.stop()
 
 
+def gateway(settings: SettingsOption) -> None:
+    """Run one gateway of a fleet on a coordination service, until SIGTERM."""
+    process.run_gateway(settings)
+
+
+def storage(settings: SettingsOption) -> None:
+    """Run one storage node of such a fleet, until SIGTERM."""
+    process.run_storage(settings)
+
+
 def emulator(settings: SettingsOption) -> None:
     """Run stand-ins for the platform and the back ends."""
     checked = _load(EmulatorSettings, settings, {})
--- a/src/wharfcart/node/process.py
+++ b/src/wharfcart/node/process.py
@@ -43,16 +43,24 @@
     role = sys.argv[1] if len(sys.argv) > 1 else ""
     path = Path(os.environ.get(SETTINGS_VARIABLE, "wharfcart.toml"))
     if role == "gateway":
-        gateway_settings = _load(GatewaySettings, path)
-        uvloop.run(_run_gateway(gateway_settings))
+        run_gateway(path)
     elif role == "storage":
-        storage_settings = _load(StorageSettings, path)
-        uvloop.run(_run_storage(storage_settings))
+        run_storage(path)
     else:
         print("usage: process gateway|storage", file=sys.stderr)
         sys.exit(EXIT_SETTINGS)
 
 
+def run_gateway(path: Path) -> None:
+    """Run a gateway with the settings of a file."""
+    uvloop.run(_run_gateway(_load(GatewaySettings, path)))
+
+
+def run_storage(path: Path) -> None:
+    """Run a storage node with the settings of a file."""
+    uvloop.run(_run_storage(_load(StorageSettings, path)))
+
+
 async def _run_gateway(settings: GatewaySettings) -> None:
     from wharfcart.node.gateway_process import GatewayProcess
 
--- /dev/null
+++ b/src/wharfcart/observability/timeline.py
@@ -0,0 +1,115 @@
+"""From a request's, job's or item's id to a timeline of decisions, over the logs of all processes.
+
+Beside the lines that name the id, the timeline holds what was decided at the same time about the
+back ends and nodes that those lines name: that is where most causes stand.
+"""
+
+import json
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+CONTEXT_S = 6.0
+CONTEXT_EVENTS = frozenset(
+    {
+        "started",
+        "stopping",
+        "stopped",
+        "dependency_lost",
+        "dependency_regained",
+        "configuration_taken",
+        "backend_draining",
+        "backend_gone",
+        "backend_avoided",
+        "leadership_taken",
+        "leadership_lost",
+        "replica_set_changed",
+        "replica_failed",
+        "lines_dropped",
+    }
+)
+ID_FIELDS = ("request", "job", "item")
+
+
+@dataclass(frozen=True)
+class LogLine:
+    """One decision; ``direct`` tells that it names the id itself."""
+
+    time: float
+    node: str
+    event: str
+    fields: dict[str, Any]
+    direct: bool
+
+
+@dataclass
+class Timeline:
+    """What the logs tell of one id, in order of time."""
+
+    wanted: str
+    lines: list[LogLine] = field(default_factory=list)
+
+    @property
+    def verdict(self) -> str:
+        """The last outcome that a line states, with its cause."""
+        for line in reversed(self.lines):
+            if not line.direct:
+                continue
+            outcome = line.fields.get("outcome") or line.event
+            cause = line.fields.get("cause")
+            return f"{outcome}: {cause}" if cause else str(outcome)
+        return "no line names this id"
+
+
+def read_lines(texts: Iterable[str]) -> Iterator[dict[str, Any]]:
+    """Yield the decision lines among log lines; a prefix before the JSON object is passed over."""
+    for text in texts:
+        start = text.find('{"time"')
+        if start < 0:
+            continue
+        try:
+            line = json.loads(text[start:])
+        except ValueError:
+            continue
+        if isinstance(line, dict) and "event" in line and "node" in line:
+            yield line
+
+
+def timeline_of(wanted: str, texts: Iterable[str]) -> Timeline:
+    """Gather what the logs tell of an id."""
+    lines = list(read_lines(texts))
+    direct = [line for line in lines if any(line.get(name) == wanted for name in ID_FIELDS)]
+    timeline = Timeline(wanted)
+    if not direct:
+        return timeline
+    first = min(_began(line) for line in direct)
+    last = max(float(line["time"]) for line in direct)
+    nodes = {line["node"] for line in direct}
+    backends = {line["backend"] for line in direct if line.get("backend")}
+    for line in lines:
+        names_it = any(line.get(name) == wanted for name in ID_FIELDS)
+        if names_it or _is_context(line, first, last, nodes, backends):
+            timeline.lines.append(_log_line(line, names_it))
+    timeline.lines.sort(key=lambda line: line.time)
+    return timeline
+
+
+def _began(line: dict[str, Any]) -> float:
+    return float(line["time"]) - float(line.get("seconds") or 0.0)
+
+
+def _is_context(
+    line: dict[str, Any], first: float, last: float, nodes: set[str], backends: set[str]
+) -> bool:
+    if line["event"] not in CONTEXT_EVENTS:
+        return False
+    if not first - CONTEXT_S <= float(line["time"]) <= last + 1.0:
+        return False
+    if line.get("backend"):
+        return line["backend"] in backends
+    return line["node"] in nodes or line["event"].startswith(("leadership", "replica"))
+
+
+def _log_line(line: dict[str, Any], direct: bool) -> LogLine:
+    fields = {name: value for name, value in line.items() if name not in ("time", "node", "event")}
+    return LogLine(float(line["time"]), line["node"], line["event"], fields, direct)
--- /dev/null
+++ b/tests/observability/test_timeline.py
@@ -0,0 +1,34 @@
+"""From an id to its cause."""
+
+import json
+
+from wharfcart.observability.timeline import timeline_of
+
+
+def line(time: float, node: str, event: str, **fields: object) -> str:
+    return "12.3 " + node + " " + json.dumps({"time": time, "node": node, "event": event, **fields})
+
+
+LOGS = [
+    line(100.0, "g1", "backend_gone", backend="i-1", service="s"),
+    line(100.5, "g2", "backend_gone", backend="i-2", service="s"),
+    line(101.0, "g1", "request_ended", request="r1", outcome="cut", cause="broken",
+         backend="i-1", seconds=1.5),
+    line(50.0, "g1", "backend_gone", backend="i-1", service="s"),
+    line(101.0, "g1", "request_ended", request="r2", outcome="answered", backend="i-1"),
+    "not a decision",
+]  # fmt: skip
+
+
+def test_the_timeline_holds_the_id_and_what_happened_to_its_back_end() -> None:
+    timeline = timeline_of("r1", LOGS)
+    assert [(entry.event, entry.direct) for entry in timeline.lines] == [
+        ("backend_gone", False),
+        ("request_ended", True),
+    ]
+    assert timeline.verdict == "cut: broken"
+
+
+def test_an_unknown_id() -> None:
+    timeline = timeline_of("nobody", LOGS)
+    assert timeline.lines == [] and "no line" in timeline.verdict
