--- a/src/wharfcart/node/load_reports.py
+++ b/src/wharfcart/node/load_reports.py
@@ -40,7 +40,7 @@
         """Report until cancelled; seldom while nothing is in flight."""
         idle_reports = 0
         while True:
-            loads = self._choice.own_loads()
+            loads = self._choice.own_loads(monotonic())
             idle_reports = 0 if loads else idle_reports + 1
             await self._report(loads)
             period_s = report_period_s(self._nodes)
@@ -79,7 +79,7 @@
         now = monotonic()
         loads = [_from_message(load) for load in report.loads]
         self._board.report(report.node_id, loads, now)
-        self._board.report(self._node_id, self._choice.own_loads(), now)
+        self._board.report(self._node_id, self._choice.own_loads(now), now)
         self._choice.others_reported(self._board.others(self._node_id, now), now)
         others = self._board.others(report.node_id, now)
         return LoadSummary(
@@ -92,8 +92,9 @@
         instance_id=load.instance_id,
         in_flight=load.in_flight,
         unread_tokens=load.unread_tokens,
+        silent=load.silent,
     )
 
 
 def _from_message(load: InstanceLoad) -> NodeLoad:
-    return NodeLoad(load.instance_id, load.in_flight, load.unread_tokens)
+    return NodeLoad(load.instance_id, load.in_flight, load.unread_tokens, load.silent)
--- a/src/wharfcart/node/serving_node.py
+++ b/src/wharfcart/node/serving_node.py
@@ -69,6 +69,8 @@
         """Listen for peers and begin to follow the coordination service."""
         host, port = split_endpoint(self.settings.cluster_listen)
         await self.transport.start(Address(host, port))
+        if self.settings.metrics_listen is not None:
+            self.metrics.serve(*split_endpoint(self.settings.metrics_listen))
         self.tasks.spawn(self.log.run())
         self.tasks.spawn(self.link.run_watch())
         self.tasks.spawn(self.link.run_pulls())
--- a/src/wharfcart/observability/serving_metrics.py
+++ b/src/wharfcart/observability/serving_metrics.py
@@ -1,6 +1,6 @@
 """Metrics of one serving process, in the Prometheus text format."""
 
-from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client import CollectorRegistry, generate_latest, start_http_server
 from prometheus_client import Counter as PrometheusCounter
 from prometheus_client import Gauge as PrometheusGauge
 from prometheus_client import Histogram as PrometheusHistogram
@@ -52,6 +52,10 @@
         """Return the text format."""
         return generate_latest(self.registry)
 
+    def serve(self, host: str, port: int) -> None:
+        """Serve the text format over HTTP, from a thread of its own."""
+        start_http_server(port, host, self.registry)
+
     def _counter(self, name: str, text: str, label: str) -> LabelledCounter:
         return LabelledCounter(PrometheusCounter(name, text, [label], registry=self.registry))
 
--- a/src/wharfcart/routing/backend_choice.py
+++ b/src/wharfcart/routing/backend_choice.py
@@ -22,7 +22,9 @@
 OTHERS_FRESH_S = 1.0
 AVOID_FIRST_S = 0.5
 AVOID_MOST_S = 4.0
-SILENT_AFTER_S = 1.0
+# No byte of an answer after this time, and longer by what prompts there take to read, is silence.
+SILENT_AFTER_S = 0.35
+READ_TOKENS_A_SECOND = 40_000
 OTHER_ZONE_PENALTY = 0.04
 AFFINITY_TOKENS = 1000
 AFFINITY_MOST_LOAD = 0.9
@@ -72,9 +74,17 @@
 
     def avoided(self, now: float) -> bool:
         """Whether a failure or silence speaks against this incarnation now."""
-        if now < self.avoid_until:
+        if now < self.avoid_until or self.silent(now):
             return True
-        return any(now - sent_at > SILENT_AFTER_S for sent_at in self.waiting_since.values())
+        others = self.others
+        return others is not None and others.silent and now - self.others_at < OTHERS_FRESH_S
+
+    def silent(self, now: float) -> bool:
+        """Whether a request of this node waits too long for the first byte of its answer."""
+        if not self.waiting_since:
+            return False
+        patience_s = SILENT_AFTER_S + self.unread_tokens(now) / READ_TOKENS_A_SECOND
+        return now - min(self.waiting_since.values()) > patience_s
 
 
 @dataclass
@@ -146,10 +156,10 @@
             state.unread[self._next_use] = unread_tokens
         return self._next_use
 
-    def own_loads(self) -> list[NodeLoad]:
+    def own_loads(self, now: float) -> list[NodeLoad]:
         """Return this node's requests by back end, for the load board."""
         return [
-            NodeLoad(instance_id, state.in_flight, sum(state.unread.values()))
+            NodeLoad(instance_id, state.in_flight, sum(state.unread.values()), state.silent(now))
             for instance_id, state in self._states.items()
             if state.in_flight
         ]
--- a/src/wharfcart/routing/forwarder.py
+++ b/src/wharfcart/routing/forwarder.py
@@ -10,11 +10,12 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from time import monotonic
-from typing import Protocol
+from typing import Protocol, TypeVar
 
+from wharfcart.admission.hedging import HedgeBudget
 from wharfcart.backends.connection_pool import ConnectionLimitError, ConnectionPool
 from wharfcart.configuration.serving import Route, RouteKind
 from wharfcart.http.connection import (
@@ -32,6 +33,11 @@
 MOST_REFUSED_SENDS = 3
 MOST_CONNECT_FAILURES = 4
 RETRY_AFTER_FULL_S = 0.2
+# A repeatable request is sent elsewhere when no answer has begun after this part of its objective.
+PATIENCE_OF_OBJECTIVE = 0.55
+FEWEST_PATIENCE_S = 0.06
+# A resumable stream is taken up elsewhere when nothing has come for so long.
+STREAM_PATIENCE_S = 1.6
 RETRY_AFTER_NO_BACKEND_S = 0.4
 STATUS_BAD_GATEWAY = 502
 STATUS_UNAVAILABLE = 503
@@ -39,6 +45,9 @@
 STATUS_SERVER_ERROR = 500
 
 
+Answer = TypeVar("Answer")
+
+
 @dataclass(frozen=True)
 class CallerRequest:
     """A whole request of a caller.
@@ -142,6 +151,7 @@
         self._connection_limit = connection_limit
         self._log = log
         self._metrics = metrics
+        self._hedges = HedgeBudget()
 
     async def forward(self, request: CallerRequest, sink: AnswerSink) -> None:
         """Get the request answered.
@@ -151,6 +161,7 @@
         AnswerCutError: a begun answer can't be finished.
         """
         progress = _Progress()
+        self._hedges.earn()
         try:
             async with asyncio.timeout(request.deadline - monotonic()):
                 await self._try_backends(request, sink, progress)
@@ -263,7 +274,7 @@
             request.facts.request_id,
         )
         progress.sends += 1
-        head = await connection.read_head()
+        head = await self._patiently(request, progress, connection.read_head())
         self._choice.answered(state, use)
         load = exchanges.reported_load(head)
         if load is not None:
@@ -319,7 +330,10 @@
                 after_event=progress.last_event,
             )
         splitter = EventSplitter() if request.route.resumable else None
-        while (part := await connection.read_part()) is not None:
+        while True:
+            part = await self._patiently(request, progress, connection.read_part())
+            if part is None:
+                break
             if splitter is not None:
                 part = _whole_new_events(splitter, part, progress)
             if not part:
@@ -331,6 +345,38 @@
         await self._ensure_started(request, sink, progress, head)
         self._note_end(request, progress, "answered", head.status)
 
+    async def _patiently(
+        self, request: CallerRequest, progress: _Progress, answer: Awaitable[Answer]
+    ) -> Answer:
+        """Wait for a back end, but not for ever where the request may go on elsewhere.
+
+        Raises
+        ------
+        ConnectionBrokenError: it was too slow.
+        """
+        patience_s = self._patience_s(request, progress)
+        if patience_s is None:
+            return await answer
+        try:
+            async with asyncio.timeout(patience_s):
+                return await answer
+        except TimeoutError as error:
+            self._hedges.spend()
+            raise ConnectionBrokenError("too slow") from error
+
+    def _patience_s(self, request: CallerRequest, progress: _Progress) -> float | None:
+        route = request.route
+        if not route.repeatable or progress.sends >= route.most_backends:
+            return None
+        others = len(self._choice.accepting(request.service)) - len(progress.tried)
+        if others < 2:
+            return None
+        if route.kind is RouteKind.STREAM:
+            return STREAM_PATIENCE_S
+        if not self._hedges.available:
+            return None
+        return max(FEWEST_PATIENCE_S, route.objective_s * PATIENCE_OF_OBJECTIVE)
+
     async def _ensure_started(
         self, request: CallerRequest, sink: AnswerSink, progress: _Progress, head: AnswerHead
     ) -> None:
--- a/src/wharfcart/routing/load_board.py
+++ b/src/wharfcart/routing/load_board.py
@@ -20,11 +20,13 @@
     Parameters
     ----------
     unread_tokens: of prompts that were sent and have no answer yet.
+    silent: a request there waits too long for its first byte.
     """
 
     instance_id: str
     in_flight: int
     unread_tokens: int
+    silent: bool = False
 
 
 @dataclass
@@ -50,6 +52,7 @@
                     instance_id,
                     known.in_flight + load.in_flight,
                     known.unread_tokens + load.unread_tokens,
+                    known.silent or load.silent,
                 )
         return sums
 
--- a/tests/integration/test_serving_fleet.py
+++ b/tests/integration/test_serving_fleet.py
@@ -202,6 +202,32 @@
     play(scenario)
 
 
+def test_a_silent_server_costs_a_look_up_part_of_its_objective_only() -> None:
+    """Bench: look-ups that went to a dark server waited until their deadline."""
+
+    async def scenario(fleet: ServingFleet) -> None:
+        fleet.plain_servers[0].silent = True
+        loop = asyncio.get_running_loop()
+        for number in range(6):
+            began = loop.time()
+            status, _, _ = await fleet.request(0, "/look/x", f"r{number}")
+            assert status == 200
+            assert loop.time() - began < 2.0, "the deadline is four seconds"
+
+    play(scenario)
+
+
+def test_a_stream_whose_server_falls_silent_goes_on_elsewhere() -> None:
+    async def scenario(fleet: ServingFleet) -> None:
+        for server in fleet.stream_servers[:2]:
+            server.silent = True
+        for number in range(3):
+            status, body, _ = await fleet.request(0, "/read/x", f"r{number}")
+            assert (status, body) == (200, whole_stream(f"r{number}"))
+
+    play(scenario)
+
+
 def test_the_routes_time_is_over_at_once_and_for_the_server_too() -> None:
     async def scenario(fleet: ServingFleet) -> None:
         for server in fleet.plain_servers:
--- a/tests/routing/test_backend_choice.py
+++ b/tests/routing/test_backend_choice.py
@@ -89,6 +89,20 @@
     assert not state.avoided(2.0)
 
 
+def test_silence_that_another_node_reports_is_avoided() -> None:
+    made = choice(instance("a"), instance("b"))
+    made.others_reported({"a": NodeLoad("a", 0, 0, silent=True), "b": NodeLoad("b", 5, 0)}, 0.0)
+    assert chosen(made, 0.1) == "b"
+
+
+def test_reading_a_long_prompt_is_no_silence() -> None:
+    made = choice(instance("a"))
+    state = state_of(made, "a")
+    made.sent(state, 0.0, unread_tokens=30_000)
+    assert not state.silent(0.9)
+    assert state.silent(1.3)
+
+
 def test_if_all_are_avoided_one_is_tried_all_the_same() -> None:
     made = choice(instance("a"))
     made.failed(state_of(made, "a"), 0.0)
