--- a/src/wharfcart/node/gateway_process.py
+++ b/src/wharfcart/node/gateway_process.py
@@ -12,7 +12,7 @@
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.routing.forwarder import Forwarder
 from wharfcart.settings.schema import split_endpoint
-from wharfcart.settings.serving import GatewaySettings
+from wharfcart.settings.serving import GatewaySettings, ServingSettings
 from wharfcart.storage.group_record import GroupRecord, group_record_from
 from wharfcart.storage.job_client import JobClient
 
@@ -66,9 +66,13 @@
         )
         self._node.tasks.spawn(reporter.run())
 
+    def reload(self, settings: ServingSettings) -> None:
+        """Take changed settings."""
+        self._node.reload(settings)
+
     async def stop(self) -> None:
         """Leave without cutting a request in progress."""
-        stop_at = monotonic() + self._settings.stop_within_s - STOP_MARGIN_S
+        stop_at = monotonic() + self._node.settings.stop_within_s - STOP_MARGIN_S
         self._log.write(Event.STOPPING, in_progress=self._ingress.in_progress)
         self._ingress.drain()
         await asyncio.sleep(UNREADY_LEAD_S)
--- a/src/wharfcart/node/process.py
+++ b/src/wharfcart/node/process.py
@@ -16,6 +16,7 @@
 import uvloop
 from returns.result import Failure
 
+from wharfcart.node.settings_reloader import SettingsReloader
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.observability.logs import configure_logs
 from wharfcart.settings.loading import SETTINGS_VARIABLE, load_settings
@@ -29,6 +30,10 @@
 class Process(Protocol):
     """A serving process."""
 
+    def reload(self, settings: ServingSettings) -> None:
+        """Take settings that may change while the process runs."""
+        ...
+
     async def start(self) -> None:
         """Begin to serve."""
         ...
@@ -53,37 +58,42 @@
 
 def run_gateway(path: Path) -> None:
     """Run a gateway with the settings of a file."""
-    uvloop.run(_run_gateway(_load(GatewaySettings, path)))
+    uvloop.run(_run_gateway(_load(GatewaySettings, path), path))
 
 
 def run_storage(path: Path) -> None:
     """Run a storage node with the settings of a file."""
-    uvloop.run(_run_storage(_load(StorageSettings, path)))
+    uvloop.run(_run_storage(_load(StorageSettings, path), path))
 
 
-async def _run_gateway(settings: GatewaySettings) -> None:
+async def _run_gateway(settings: GatewaySettings, path: Path) -> None:
     from wharfcart.node.gateway_process import GatewayProcess
 
     log = DecisionLog(settings.node_id)
-    await _run(GatewayProcess(settings, log), log)
+    await _run(GatewayProcess(settings, log), log, GatewaySettings, path)
 
 
-async def _run_storage(settings: StorageSettings) -> None:
+async def _run_storage(settings: StorageSettings, path: Path) -> None:
     from wharfcart.node.storage_process import StorageProcess
 
     log = DecisionLog(settings.node_id)
-    await _run(StorageProcess(settings, log), log)
+    await _run(StorageProcess(settings, log), log, StorageSettings, path)
 
 
-async def _run(process: Process, log: DecisionLog) -> None:
+async def _run(
+    process: Process, log: DecisionLog, model: type[ServingSettings], path: Path
+) -> None:
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stopping.set)
     loop.add_signal_handler(signal.SIGINT, stopping.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: log.write(Event.RELOADED))
+    reloader = SettingsReloader(model, path, process.reload, log)
+    loop.add_signal_handler(signal.SIGHUP, reloader.reload)
     await process.start()
     log.write(Event.STARTED)
+    watching = asyncio.create_task(reloader.run())
     await stopping.wait()
+    watching.cancel()
     await process.stop()
     log.flush()
 
--- a/src/wharfcart/node/serving_node.py
+++ b/src/wharfcart/node/serving_node.py
@@ -81,6 +81,11 @@
         await self.transport.stop()
         self.pool.close()
 
+    def reload(self, settings: ServingSettings) -> None:
+        """Take what may change while the process runs: the seeds and the time to stop in."""
+        changed = {"seeds": settings.seeds, "stop_within_s": settings.stop_within_s}
+        self.settings = self.settings.model_copy(update=changed)
+
     async def announce(self, entry: NodeEntry) -> None:
         """Write this node's entry unless it stands there already."""
         while True:
--- /dev/null
+++ b/src/wharfcart/node/settings_reloader.py
@@ -0,0 +1,56 @@
+"""Takes changed settings while a process runs: on SIGHUP, and when the file is seen to differ."""
+
+import asyncio
+import os
+from collections.abc import Callable
+from pathlib import Path
+
+from returns.result import Failure
+
+from wharfcart.observability.decisions import DecisionLog, Event
+from wharfcart.settings.loading import load_settings
+from wharfcart.settings.serving import ServingSettings
+
+LOOK_PERIOD_S = 2.0
+
+
+class SettingsReloader:
+    """Reads a settings file anew; one with findings is passed over and told."""
+
+    def __init__(
+        self,
+        model: type[ServingSettings],
+        path: Path,
+        apply: Callable[[ServingSettings], None],
+        log: DecisionLog,
+    ) -> None:
+        self._model = model
+        self._path = path
+        self._apply = apply
+        self._log = log
+        self._seen = self._state()
+
+    async def run(self) -> None:
+        """Look at the file now and then until cancelled."""
+        while True:
+            await asyncio.sleep(LOOK_PERIOD_S)
+            if self._state() != self._seen:
+                self.reload()
+
+    def reload(self) -> None:
+        """Read the file and hand the settings on."""
+        self._seen = self._state()
+        settings = load_settings(self._model, self._path, os.environ)
+        if isinstance(settings, Failure):
+            findings = [str(finding) for finding in settings.failure()]
+            self._log.write(Event.RELOADED, outcome="refused", findings=findings)
+            return
+        self._apply(settings.unwrap())
+        self._log.write(Event.RELOADED, outcome="taken")
+
+    def _state(self) -> tuple[int, int]:
+        try:
+            found = self._path.stat()
+        except OSError:
+            return (0, 0)
+        return (found.st_mtime_ns, found.st_size)
--- a/src/wharfcart/node/storage_process.py
+++ b/src/wharfcart/node/storage_process.py
@@ -20,7 +20,7 @@
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.platform import documents, names
 from wharfcart.settings.schema import split_endpoint
-from wharfcart.settings.serving import StorageSettings
+from wharfcart.settings.serving import ServingSettings, StorageSettings
 from wharfcart.storage.disk import Disk, DiskFailedError
 from wharfcart.storage.job_client import group_of
 from wharfcart.storage.job_group import GroupContext, JobGroup
@@ -76,6 +76,10 @@
             await group.start()
         self._node.tasks.spawn(self._report_retirements())
 
+    def reload(self, settings: ServingSettings) -> None:
+        """Take changed settings."""
+        self._node.reload(settings)
+
     async def stop(self) -> None:
         """Hand leaderships over and leave."""
         self._log.write(Event.STOPPING, leading=sum(g.leadership is not None for g in self._groups))
--- /dev/null
+++ b/tests/node/test_settings_reloader.py
@@ -0,0 +1,31 @@
+"""Settings that change while a process runs."""
+
+from pathlib import Path
+
+from wharfcart.node.settings_reloader import SettingsReloader
+from wharfcart.observability.decisions import DecisionLog
+from wharfcart.settings.serving import ServingSettings
+
+TEXT = """
+node_id = "n"
+zone = "z"
+coordination = "127.0.0.1:1"
+cluster_listen = "127.0.0.1:2"
+seeds = ["127.0.0.1:3"]
+"""
+
+
+def test_changed_settings_are_taken_and_bad_ones_are_not(tmp_path: Path, capfd) -> None:
+    path = tmp_path / "s.toml"
+    path.write_text(TEXT)
+    taken: list[ServingSettings] = []
+    log = DecisionLog("n")
+    reloader = SettingsReloader(ServingSettings, path, taken.append, log)
+    path.write_text(TEXT.replace(":3", ":4"))
+    reloader.reload()
+    assert taken[-1].seeds == ["127.0.0.1:4"]
+    path.write_text("zone = 3\nunknown = 1")
+    reloader.reload()
+    assert len(taken) == 1
+    log.flush()
+    assert '"outcome": "refused"' in capfd.readouterr().out
