--- a/src/wharfcart/experiments/job_group_simulation.py
+++ b/src/wharfcart/experiments/job_group_simulation.py
@@ -42,8 +42,9 @@
 from wharfcart.experiments.virtual_time import run_virtually, virtual_monotonic
 from wharfcart.observability.decisions import DecisionLog
 from wharfcart.storage.disk import Disk, DiskFailedError
+from wharfcart.storage.group_context import GroupContext
 from wharfcart.storage.job_database import JobDatabase
-from wharfcart.storage.job_group import GroupContext, JobGroup
+from wharfcart.storage.job_group import JobGroup
 from wharfcart.storage.job_records import JobState
 
 GROUP_KEY = "wharfcart/groups/0"
--- a/src/wharfcart/node/storage_process.py
+++ b/src/wharfcart/node/storage_process.py
@@ -22,8 +22,9 @@
 from wharfcart.settings.schema import split_endpoint
 from wharfcart.settings.serving import ServingSettings, StorageSettings
 from wharfcart.storage.disk import Disk, DiskFailedError
+from wharfcart.storage.group_context import GroupContext
 from wharfcart.storage.job_client import group_of
-from wharfcart.storage.job_group import GroupContext, JobGroup
+from wharfcart.storage.job_group import JobGroup
 
 OPEN_RETRY_S = 0.5
 RETIRE_PERIOD_S = 0.3
--- /dev/null
+++ b/src/wharfcart/storage/group_context.py
@@ -0,0 +1,51 @@
+"""What the job groups of one storage node share."""
+
+from collections.abc import Callable
+
+from wharfcart.cluster.coordination import CoordinationService
+from wharfcart.cluster.membership import Address
+from wharfcart.cluster.mirror import Mirror
+from wharfcart.cluster.randomness import RandomSource
+from wharfcart.cluster.transport import Transport
+from wharfcart.observability.decisions import DecisionLog
+from wharfcart.storage.disk import Disk
+
+
+class GroupContext:
+    """What all groups of a node share.
+
+    Parameters
+    ----------
+    identities: storage nodes known, identity to address.
+    retiring: identities that are to be emptied.
+    copies: replicas that must have a write before it counts.
+    """
+
+    def __init__(
+        self,
+        identity: str,
+        disk: Disk,
+        transport: Transport,
+        coordination: CoordinationService,
+        mirror: Mirror,
+        identities: Callable[[], dict[str, Address]],
+        retiring: Callable[[], set[str]],
+        copies: int,
+        log: DecisionLog,
+        random: RandomSource,
+    ) -> None:
+        self.identity = identity
+        self.disk = disk
+        self.transport = transport
+        self.coordination = coordination
+        self.mirror = mirror
+        self.identities = identities
+        self.retiring = retiring
+        self.copies = copies
+        self.log = log
+        self.random = random
+
+    @property
+    def full_size(self) -> int:
+        """Replicas that a group has if there are enough disks: losses borne keep a quorum."""
+        return 2 * self.copies - 1
--- /dev/null
+++ b/src/wharfcart/storage/group_record_store.py
@@ -0,0 +1,81 @@
+"""Reading and swapping one job group's record in the coordination service."""
+
+from dataclasses import replace
+
+from wharfcart.cluster.coordination import (
+    ConditionFailedError,
+    CoordinationService,
+    CoordinationUnavailableError,
+    Transaction,
+)
+from wharfcart.cluster.mirror import Mirror
+from wharfcart.storage.group_record import GroupRecord, RecordInDoubtError, group_record_from
+
+
+class GroupRecordStore:
+    """The record of one group."""
+
+    def __init__(self, key: str, coordination: CoordinationService, mirror: Mirror) -> None:
+        self._key = key
+        self._coordination = coordination
+        self._mirror = mirror
+
+    @property
+    def known(self) -> GroupRecord | None:
+        """The record as this node's mirror has it."""
+        entry = self._mirror.get(self._key)
+        return None if entry is None else group_record_from(entry.value, entry.revision)
+
+    async def read(self) -> GroupRecord | None:
+        """Return the record in force.
+
+        Raises
+        ------
+        CoordinationUnavailableError
+        """
+        entry = await self._coordination.read(self._key)
+        return None if entry is None else group_record_from(entry.value, entry.revision)
+
+    async def swap(self, record: GroupRecord, revision: int) -> GroupRecord | None:
+        """Put a record in place of the one of a revision; None if that surely failed.
+
+        Raises
+        ------
+        RecordInDoubtError: it may have taken effect, or may yet as long as its condition holds.
+        """
+        try:
+            new_revision = await self._coordination.commit(
+                Transaction({self._key: revision}, {self._key: record.to_bytes()})
+            )
+        except ConditionFailedError:
+            return None
+        except CoordinationUnavailableError as error:
+            if error.may_have_taken_effect:
+                raise RecordInDoubtError from error
+            return None
+        return replace(record, revision=new_revision)
+
+    async def swap_members(
+        self, epoch: int, members: frozenset[str], leader: str
+    ) -> GroupRecord | None:
+        """Put another replica set, and perhaps another leader, into force in an epoch.
+
+        Returns the record in force, or None where nothing was changed.
+
+        Raises
+        ------
+        RecordInDoubtError
+        """
+        known = self.known
+        if known is None or known.epoch != epoch:
+            return None
+        new_epoch = known.epoch if leader == known.leader else known.epoch + 1
+        wanted = replace(known, epoch=new_epoch, leader=leader, members=members)
+        written = await self.swap(wanted, known.revision)
+        if written is not None:
+            return written
+        try:
+            found = await self.read()
+        except CoordinationUnavailableError:
+            return None
+        return None if found is None or found.revision == known.revision else found
--- a/src/wharfcart/storage/job_group.py
+++ b/src/wharfcart/storage/job_group.py
@@ -12,12 +12,8 @@
 from time import monotonic
 
 from wharfcart.cluster.coordination import (
-    ConditionFailedError,
-    CoordinationService,
     CoordinationUnavailableError,
-    Transaction,
 )
-from wharfcart.cluster.membership import Address
 from wharfcart.cluster.messages_pb2 import (
     FenceGroup,
     FenceResult,
@@ -26,15 +22,14 @@
     ReplicateJobs,
     ReplicateResult,
 )
-from wharfcart.cluster.mirror import Mirror
-from wharfcart.cluster.randomness import RandomSource
-from wharfcart.cluster.transport import Transport
-from wharfcart.observability.decisions import DecisionLog, Event
+from wharfcart.observability.decisions import Event
 from wharfcart.observability.tasks import BackgroundTasks
-from wharfcart.storage.disk import Disk, DiskFailedError
-from wharfcart.storage.group_record import GroupRecord, RecordInDoubtError, group_record_from
+from wharfcart.storage.disk import DiskFailedError
+from wharfcart.storage.group_context import GroupContext
+from wharfcart.storage.group_record import GroupRecord, RecordInDoubtError
+from wharfcart.storage.group_record_store import GroupRecordStore
 from wharfcart.storage.job_leadership import JobLeadership
-from wharfcart.storage.job_records import JobRecord, JobState, record_from
+from wharfcart.storage.job_records import JobRecord, JobState
 from wharfcart.storage.partial_texts import PartialTexts
 from wharfcart.storage.replica_links import (
     LocalReplicaLink,
@@ -42,12 +37,12 @@
     state_to_message,
 )
 from wharfcart.storage.replica_session import (
-    HigherEpochError,
     ReplicaFailedError,
     ReplicaLink,
     ReplicaSession,
 )
 from wharfcart.storage.replica_set_change import ReplicaSetChanger
+from wharfcart.storage.takeover import Takeover
 
 TICK_S = 0.1
 SILENCE_S = 1.2
@@ -59,52 +54,12 @@
 NEVER = -1e9
 
 
-class GroupContext:
-    """What all groups of a node share.
-
-    Parameters
-    ----------
-    identities: storage nodes known, identity to address.
-    retiring: identities that are to be emptied.
-    copies: replicas that must have a write before it counts.
-    """
-
-    def __init__(
-        self,
-        identity: str,
-        disk: Disk,
-        transport: Transport,
-        coordination: CoordinationService,
-        mirror: Mirror,
-        identities: Callable[[], dict[str, Address]],
-        retiring: Callable[[], set[str]],
-        copies: int,
-        log: DecisionLog,
-        random: RandomSource,
-    ) -> None:
-        self.identity = identity
-        self.disk = disk
-        self.transport = transport
-        self.coordination = coordination
-        self.mirror = mirror
-        self.identities = identities
-        self.retiring = retiring
-        self.copies = copies
-        self.log = log
-        self.random = random
-
-    @property
-    def full_size(self) -> int:
-        """Replicas that a group has if there are enough disks: losses borne keep a quorum."""
-        return 2 * self.copies - 1
-
-
 class JobGroup:
     """Replica and, at times, leader of one group."""
 
     def __init__(self, group: int, key: str, context: GroupContext) -> None:
         self.group = group
-        self.key = key
+        self.records = GroupRecordStore(key, context.coordination, context.mirror)
         self._context = context
         self._tasks = BackgroundTasks()
         self._leader_tasks = BackgroundTasks()
@@ -128,8 +83,7 @@
     @property
     def record(self) -> GroupRecord | None:
         """The group's record as this node knows it."""
-        entry = self._context.mirror.get(self.key)
-        return None if entry is None else group_record_from(entry.value, entry.revision)
+        return self.records.known
 
     @property
     def leads_freshly(self) -> bool:
@@ -285,17 +239,16 @@
             return
         members = frozenset(sorted(known)[: self._context.full_size])
         with suppress(RecordInDoubtError):
-            await self._write_record(GroupRecord(1, self._context.identity, members), 0)
+            await self.records.swap(GroupRecord(1, self._context.identity, members), 0)
 
     async def _contest(self) -> None:
         self._contest_at = monotonic() + CONTEST_RETRY_S * (1 + self._context.random.random())
         if not await self._others_agree():
             return
         try:
-            entry = await self._context.coordination.read(self.key)
+            record = await self.records.read()
         except CoordinationUnavailableError:
             return
-        record = None if entry is None else group_record_from(entry.value, entry.revision)
         known = self.record
         if record is None or known is None or record.epoch > known.epoch:
             return  # another one was faster; the mirror will tell
@@ -303,7 +256,7 @@
             return
         taken = replace(record, epoch=record.epoch + 1, leader=self._context.identity)
         try:
-            written = await self._write_record(taken, record.revision)
+            written = await self.records.swap(taken, record.revision)
         except RecordInDoubtError:
             return  # if it took effect, the mirror will tell
         if written is not None:
@@ -332,66 +285,22 @@
         except ReplicaFailedError:
             return None
 
-    async def _write_record(self, record: GroupRecord, revision: int) -> GroupRecord | None:
-        """Swap the record in; None if that surely failed.
-
-        Raises
-        ------
-        RecordInDoubtError: it may have taken effect, or may yet as long as its condition holds.
-        """
-        try:
-            new_revision = await self._context.coordination.commit(
-                Transaction({self.key: revision}, {self.key: record.to_bytes()})
-            )
-        except ConditionFailedError:
-            return None
-        except CoordinationUnavailableError as error:
-            if error.may_have_taken_effect:
-                raise RecordInDoubtError from error
-            return None
-        return replace(record, revision=new_revision)
-
     async def _lead(self, record: GroupRecord) -> None:
-        """Gather what the replicas hold and begin to lead an epoch that nobody led before."""
+        """Begin to lead an epoch that nobody led before."""
         self._last_led = record.epoch
-        own = LocalReplicaLink(self.group, self._context.disk)
-        try:
-            states = {self._context.identity: await own.fence(record.epoch)}
-        except (ReplicaFailedError, HigherEpochError):
-            return
         began_at = monotonic()
-        needed = len(record.members) - self._context.copies + 1
-        while len(states) < needed:
-            await self._gather_promises(record, states, needed)
-            newest = self.record
-            if self._stopping or (newest is not None and newest.epoch > record.epoch):
-                return
-            if len(states) < needed:
-                await asyncio.sleep(FENCE_RETRY_S)
+        takeover = Takeover(record, self._context.identity, self._context.copies, self._link)
+        if not await takeover.gather(lambda: self._stopping or self._is_over(record)):
+            return
         try:
-            records = await self._newest_records(states)
+            records = await takeover.newest_records()
         except ReplicaFailedError:
-            self._last_led = record.epoch
             return
-        self._begin_leading(record, records, states, began_at)
+        self._begin_leading(record, records, takeover.states, began_at)
 
-    async def _gather_promises(
-        self, record: GroupRecord, states: dict[str, list[JobState]], needed: int
-    ) -> None:
-        """Ask the replicas that have not promised yet; stop once there are enough."""
-        missing = record.members - states.keys()
-        calls = {
-            asyncio.create_task(self._link(identity).fence(record.epoch)): identity
-            for identity in missing
-        }
-        pending = set(calls)
-        while pending and len(states) < needed:
-            done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
-            for call in done:
-                if not isinstance(call.exception(), (ReplicaFailedError, HigherEpochError)):
-                    states[calls[call]] = call.result()
-        for call in pending:
-            call.cancel()
+    def _is_over(self, record: GroupRecord) -> bool:
+        known = self.record
+        return known is not None and known.epoch > record.epoch
 
     async def answering(self, identities: list[str]) -> list[str]:
         """Return those of some disks that answer now."""
@@ -402,24 +311,6 @@
             if answer is not None
         ]
 
-    async def _newest_records(self, states: dict[str, list[JobState]]) -> list[JobRecord]:
-        newest: dict[str, tuple[tuple[int, int], str]] = {}
-        ordered = sorted(states, key=lambda identity: identity != self._context.identity)
-        for identity in ordered:
-            for state in states[identity]:
-                rank = (state.epoch, state.version)
-                if state.job_id not in newest or rank > newest[state.job_id][0]:
-                    newest[state.job_id] = (rank, identity)
-        records = []
-        for identity in ordered:
-            wanted = [job_id for job_id, (_, holder) in newest.items() if holder == identity]
-            if wanted:
-                updates = await self._link(identity).fetch(wanted)
-                if len(updates) != len(wanted):
-                    raise ReplicaFailedError("a job is missing")
-                records += [record_from(update) for update in updates]
-        return records
-
     def _begin_leading(
         self,
         record: GroupRecord,
@@ -481,30 +372,6 @@
         event, self._progress = self._progress, asyncio.Event()
         event.set()
 
-    async def try_write_members(self, members: frozenset[str], leader: str) -> GroupRecord | None:
-        """Put another replica set, and perhaps another leader, into force.
-
-        Returns the record in force, or None where nothing was changed.
-
-        Raises
-        ------
-        RecordInDoubtError
-        """
-        known = self.record
-        if self.leadership is None or known is None or known.epoch != self.leadership.epoch:
-            return None
-        epoch = known.epoch if leader == known.leader else known.epoch + 1
-        wanted = replace(known, epoch=epoch, leader=leader, members=members)
-        written = await self._write_record(wanted, known.revision)
-        if written is not None:
-            return written
-        try:
-            entry = await self._context.coordination.read(self.key)
-        except CoordinationUnavailableError:
-            return None
-        found = None if entry is None else group_record_from(entry.value, entry.revision)
-        return None if found is None or found.revision == known.revision else found
-
     async def _hand_over(self) -> None:
         leadership = self.leadership
         if leadership is None:
@@ -518,7 +385,7 @@
         ]
         if heirs:
             with suppress(RecordInDoubtError):
-                await self.try_write_members(leadership.members, heirs[0])
+                await self.records.swap_members(leadership.epoch, leadership.members, heirs[0])
 
     def _step_down(self, reason: str) -> None:
         leadership = self.leadership
--- a/src/wharfcart/storage/replica_set_change.py
+++ b/src/wharfcart/storage/replica_set_change.py
@@ -12,7 +12,8 @@
 from wharfcart.storage.group_record import RecordInDoubtError
 
 if TYPE_CHECKING:
-    from wharfcart.storage.job_group import GroupContext, JobGroup
+    from wharfcart.storage.group_context import GroupContext
+    from wharfcart.storage.job_group import JobGroup
 
 PERIOD_S = 0.25
 DEAD_S = 1.5
@@ -90,7 +91,9 @@
                 leadership.begin_change(None)
             return
         try:
-            record = await self._group.try_write_members(target, self._leader_for(target))
+            record = await self._group.records.swap_members(
+                leadership.epoch, target, self._leader_for(target)
+            )
         except RecordInDoubtError:
             self._doubtful = target
             return
