--- a/src/wharfcart/batch/job_execution.py
+++ b/src/wharfcart/batch/job_execution.py
@@ -22,9 +22,9 @@
 
 PERIOD_S = 0.1
 # Items start while less than this share of a back end's slots is taken; above the other they yield.
-START_BELOW_LOAD = 0.7
+START_BELOW_LOAD = 0.8
 YIELD_ABOVE_LOAD = 0.92
-MOST_OWN_SHARE = 0.5
+MOST_OWN_SHARE = 0.65
 # An item due within this time starts and stays although the back end is nearly full.
 URGENT_S = 8.0
 URGENT_LOAD = 1.0
