--- a/src/wharfcart/http/connection.py
+++ b/src/wharfcart/http/connection.py
@@ -10,6 +10,7 @@
 """
 
 import asyncio
+import socket
 from collections import deque
 from collections.abc import Iterable
 from typing import cast
@@ -228,10 +229,11 @@
 
     def eof_received(self) -> bool:
         """Complete an answer that ends with its connection; fail any other."""
-        if self._head_ready and not self._complete and self._until_close:
+        ended_in_order = self._socket_error() == 0
+        if ended_in_order and self._head_ready and not self._complete and self._until_close:
             self._complete = True
             self._keep_alive = False
-        self._fail("ended by the peer")
+        self._fail("ended by the peer" if ended_in_order else "reset")
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -292,6 +294,20 @@
 
     # ---- inner ----
 
+    def _socket_error(self) -> int:
+        """Return the error that is pending on the socket, 0 for none.
+
+        libuv tells the end of the stream where a reset came together with the last bytes (it takes
+        the hang-up for the end without another read); only the socket still knows.
+        """
+        if self._transport is None:
+            return 0
+        raw = self._transport.get_extra_info("socket")
+        try:
+            return 0 if raw is None else int(raw.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
+        except OSError as error:
+            return error.errno or 1
+
     def _reset_answer(self) -> None:
         self._status = 0
         self._headers = []
--- a/tests/http/test_connection.py
+++ b/tests/http/test_connection.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable
 
 import pytest
+import uvloop
 
 from wharfcart.http.connection import ConnectFailedError, ConnectionBrokenError, HttpConnection
 
@@ -103,6 +104,28 @@
     play(script, use)
 
 
+def test_a_reset_that_comes_with_the_last_bytes_is_no_end() -> None:
+    """Bench, garble unframed: libuv tells the end of the stream for data and reset at once."""
+    listener = socket.create_server(("127.0.0.1", 0))
+
+    async def scenario() -> None:
+        host, port = listener.getsockname()
+        connection = await HttpConnection.open(host, port, 1.0)
+        peer, _ = listener.accept()
+        send(connection)
+        await asyncio.sleep(0.05)
+        peer.recv(65536)
+        peer.sendall(b"HTTP/1.1 200 OK\r\n\r\npart of it")
+        peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        peer.close()  # both wait for this loop now
+        await connection.read_head()
+        with pytest.raises(ConnectionBrokenError):
+            await connection.read_body()
+
+    with listener:
+        uvloop.run(scenario())
+
+
 def test_a_short_answer_is_not_whole() -> None:
     async def script(reader, writer) -> None:
         await read_request(reader)
