--- a/src/wharfcart/batch/item_run.py
+++ b/src/wharfcart/batch/item_run.py
@@ -50,6 +50,7 @@
     not_before: float = 0.0
     last_backend: str = ""
     sends: int = 0
+    yields: int = 0
 
 
 class ItemRunner:
--- a/src/wharfcart/batch/job_execution.py
+++ b/src/wharfcart/batch/job_execution.py
@@ -29,10 +29,14 @@
 URGENT_S = 8.0
 URGENT_LOAD = 1.0
 URGENT_SHARE = 0.4
+# When online work fills everything, urgent items still get so much of a back end, in its queue.
+RESERVED_SHARE = 0.2
+RESERVED_LOAD = 1.6
+MOST_YIELDS = 12
 RETRY_REFUSED_S = 0.15
 RETRY_BROKEN_S = 0.05
 RETRY_FAILED_S = 0.3
-RETRY_YIELDED_S = 0.3
+RETRY_YIELDED_S = 0.4
 GIVE_UP_MARGIN_S = 0.5
 FORGET_PERIOD_S = 5.0
 
@@ -150,11 +154,7 @@
         if state is None:
             return None
         urgent = scheduled.due_at - now < URGENT_S
-        most_load = URGENT_LOAD if urgent else START_BELOW_LOAD
-        share = URGENT_SHARE if urgent else MOST_OWN_SHARE
-        if state.load(now) >= most_load or state.in_flight >= max(1, state.instance.slots * share):
-            return None
-        return state
+        return state if _has_room(state, urgent, now) else None
 
     def _yield_to_online(self) -> None:
         """Cut items at back ends that online work has filled; they go on after their last event."""
@@ -168,8 +168,10 @@
             if excess[instance_id] <= 0 or scheduled.due_at - now < URGENT_S:
                 continue
             run = self._runs.get(item_id)
-            if run is None:
+            progress = scheduled.progress_of(item_id)
+            if run is None or progress.yields >= MOST_YIELDS:
                 continue
+            progress.yields += 1
             excess[instance_id] -= 1
             self._log.write(
                 Event.ITEM_YIELDED,
@@ -298,6 +300,17 @@
         self._group.wake_sessions()
 
 
+def _has_room(state: InstanceState, urgent: bool, now: float) -> bool:
+    """Whether a back end takes another item beside what online work leaves free."""
+    load = state.load(now)
+    own_share = state.in_flight / max(1, state.instance.slots)
+    if not urgent:
+        return load < START_BELOW_LOAD and own_share < MOST_OWN_SHARE
+    if own_share < RESERVED_SHARE:
+        return load < RESERVED_LOAD
+    return load < URGENT_LOAD and own_share < URGENT_SHARE
+
+
 def _forgettable(leadership: JobLeadership, wall_clock: float, keep_s: float) -> list[str]:
     return [
         job_id
