--- a/src/wharfcart/batch/item_run.py
+++ b/src/wharfcart/batch/item_run.py
@@ -9,6 +9,7 @@
 from wharfcart.backends.connection_pool import ConnectionLimitError, ConnectionPool
 from wharfcart.cluster.messages_pb2 import RequestItem
 from wharfcart.http.connection import (
+    AnswerHead,
     ConnectFailedError,
     ConnectionBrokenError,
     HttpConnection,
@@ -53,6 +54,25 @@
     yields: int = 0
 
 
+@dataclass(frozen=True)
+class ItemSend:
+    """One send of an item.
+
+    Parameters
+    ----------
+    host: of the job's submission.
+    use: number under which the item is already counted in flight at the back end.
+    give_up_at: monotonic time after which nobody waits for the result.
+    """
+
+    item: RequestItem
+    host: str
+    state: InstanceState
+    use: int
+    progress: ItemProgress
+    give_up_at: float
+
+
 class ItemRunner:
     """Sends items to back ends."""
 
@@ -66,47 +86,27 @@
         self._pool = pool
         self._connection_limit = connection_limit
 
-    async def run(
-        self,
-        item: RequestItem,
-        host: str,
-        state: InstanceState,
-        use: int,
-        progress: ItemProgress,
-        give_up_at: float,
-    ) -> RunOutcome:
-        """Send an item once and read its events into ``progress``.
+    async def run(self, send: ItemSend) -> RunOutcome:
+        """Send an item once and read its events into its progress.
 
         Cancelled, it ends the back end's work by closing the connection.
-
-        Parameters
-        ----------
-        use: number under which the item is already counted in flight at the back end.
         """
-        instance = state.instance
-        progress.last_backend = instance.instance_id
+        send.progress.last_backend = send.state.instance.instance_id
         try:
-            return await self._send(item, host, state, use, progress, give_up_at)
-        except (ConnectionLimitError, ConnectFailedError) as error:
-            if isinstance(error, ConnectFailedError):
-                self._choice.failed(state, monotonic())
+            return await self._connect_and_send(send)
+        except ConnectFailedError:
+            self._choice.failed(send.state, monotonic())
+            return RunOutcome.REFUSED
+        except ConnectionLimitError:
             return RunOutcome.REFUSED
         finally:
-            self._choice.ended(state, use)
+            self._choice.ended(send.state, send.use)
 
-    async def _send(
-        self,
-        item: RequestItem,
-        host: str,
-        state: InstanceState,
-        use: int,
-        progress: ItemProgress,
-        give_up_at: float,
-    ) -> RunOutcome:
-        instance = state.instance
+    async def _connect_and_send(self, send: ItemSend) -> RunOutcome:
+        instance = send.state.instance
         connection = await self._pool.take(instance, self._connection_limit(instance.service))
         try:
-            outcome = await self._exchange(connection, item, host, state, progress, give_up_at, use)
+            outcome = await self._exchange(connection, send)
         except (ConnectionBrokenError, TimeoutError):
             self._pool.discard(instance, connection)
             return RunOutcome.BROKEN
@@ -116,50 +116,48 @@
         self._pool.give_back(instance, connection)
         return outcome
 
-    async def _exchange(
-        self,
-        connection: HttpConnection,
-        item: RequestItem,
-        host: str,
-        state: InstanceState,
-        progress: ItemProgress,
-        give_up_at: float,
-        use: int,
-    ) -> RunOutcome:
-        headers = [("host", host), (exchanges.REQUEST_ID_HEADER, item.item_id)]
+    async def _exchange(self, connection: HttpConnection, send: ItemSend) -> RunOutcome:
+        self._write(connection, send)
+        async with asyncio.timeout(SILENCE_LIMIT_S):
+            head = await connection.read_head()
+        self._choice.answered(send.state, send.use)
+        load = exchanges.reported_load(head)
+        if load is not None:
+            self._choice.reported(send.state, load.running, load.waiting, monotonic())
+        if head.status >= 300:
+            await connection.read_body()
+            return self._failure(head, send.state)
+        if not exchanges.is_signed(head):
+            return RunOutcome.BROKEN
+        return await self._read_events(connection, send.progress)
+
+    def _write(self, connection: HttpConnection, send: ItemSend) -> None:
+        item = send.item
+        headers = [("host", send.host), (exchanges.REQUEST_ID_HEADER, item.item_id)]
         headers += [(header.name, header.value) for header in item.headers]
-        progress.sends += 1
+        send.progress.sends += 1
         connection.send(
             "POST",
             item.path,
             exchanges.headers_for_server(
                 headers,
-                state.instance.instance_id,
-                give_up_at - monotonic(),
-                progress.text.last_event,
+                send.state.instance.instance_id,
+                send.give_up_at - monotonic(),
+                send.progress.text.last_event,
             ),
             item.body,
             exchanges.REQUEST_ID_HEADER,
             item.item_id,
         )
-        async with asyncio.timeout(SILENCE_LIMIT_S):
-            head = await connection.read_head()
-        self._choice.answered(state, use)
-        load = exchanges.reported_load(head)
-        if load is not None:
-            self._choice.reported(state, load.running, load.waiting, monotonic())
-        if head.status >= 300:
-            await connection.read_body()
-            if exchanges.was_not_run(head):
-                if head.status == STATUS_UNAVAILABLE:
-                    self._choice.full(state, monotonic())
-                return RunOutcome.REFUSED
-            if head.status == STATUS_IMPOSSIBLE:
-                return RunOutcome.IMPOSSIBLE
-            return RunOutcome.FAILED if head.status == STATUS_FAILED else RunOutcome.BROKEN
-        if not exchanges.is_signed(head):
-            return RunOutcome.BROKEN
-        return await self._read_events(connection, progress)
+
+    def _failure(self, head: AnswerHead, state: InstanceState) -> RunOutcome:
+        if exchanges.was_not_run(head):
+            if head.status == STATUS_UNAVAILABLE:
+                self._choice.full(state, monotonic())
+            return RunOutcome.REFUSED
+        if head.status == STATUS_IMPOSSIBLE:
+            return RunOutcome.IMPOSSIBLE
+        return RunOutcome.FAILED if head.status == STATUS_FAILED else RunOutcome.BROKEN
 
     async def _read_events(self, connection: HttpConnection, progress: ItemProgress) -> RunOutcome:
         splitter = EventSplitter()
--- a/src/wharfcart/batch/job_execution.py
+++ b/src/wharfcart/batch/job_execution.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from time import monotonic, time
 
-from wharfcart.batch.item_run import ItemProgress, ItemRunner, RunOutcome
+from wharfcart.batch.item_run import ItemProgress, ItemRunner, ItemSend, RunOutcome
 from wharfcart.batch.job_scheduler import JobScheduler, ScheduledJob
 from wharfcart.cluster.messages_pb2 import ItemOutcome, RequestItem, RequestJob
 from wharfcart.configuration.serving import Route, ServingConfiguration
@@ -37,7 +37,8 @@
 RETRY_BROKEN_S = 0.05
 RETRY_FAILED_S = 0.3
 RETRY_YIELDED_S = 0.4
-GIVE_UP_MARGIN_S = 0.5
+# Clocks of the gateway that took the job and of a later leader may differ.
+GIVE_UP_MARGIN_S = 6.0
 FORGET_PERIOD_S = 5.0
 
 
@@ -205,9 +206,8 @@
     ) -> None:
         progress = scheduled.progress_of(item.item_id)
         try:
-            outcome = await self._runner.run(
-                item, scheduled.job.host, state, use, progress, scheduled.give_up_at
-            )
+            send = ItemSend(item, scheduled.job.host, state, use, progress, scheduled.give_up_at)
+            outcome = await self._runner.run(send)
         except asyncio.CancelledError:
             if scheduled.job.job_id not in self._scheduler.jobs:
                 raise
