--- a/src/wharfcart/routing/backend_choice.py
+++ b/src/wharfcart/routing/backend_choice.py
@@ -28,6 +28,8 @@
 OTHER_ZONE_PENALTY = 0.04
 AFFINITY_TOKENS = 1000
 AFFINITY_MOST_LOAD = 0.9
+# Reading a long shared prompt anew costs more than waiting a little longer than elsewhere.
+AFFINITY_MOST_ABOVE_LEAST = 0.35
 RANDOM_TIE = 0.02
 # So many prompt tokens that wait to be read weigh as much as all slots taken.
 TOKENS_A_FULL_LOAD = 24_000
@@ -211,7 +213,6 @@
             candidates,
             key=lambda state: xxhash.xxh64_intdigest((key + state.instance.instance_id).encode()),
         )
-        for state in ranked:
-            if state.load(now) < AFFINITY_MOST_LOAD:
-                return state
-        return min(ranked, key=lambda state: state.load(now))
+        least = min(state.load(now) for state in ranked)
+        bound = max(AFFINITY_MOST_LOAD, least + AFFINITY_MOST_ABOVE_LEAST)
+        return next(state for state in ranked if state.load(now) < bound)
--- a/tests/routing/test_backend_choice.py
+++ b/tests/routing/test_backend_choice.py
@@ -122,6 +122,15 @@
     assert chosen(made, affinity_key="p1") != first
 
 
+def test_a_shared_prompt_stays_where_all_places_are_full() -> None:
+    made = choice(*(instance(name) for name in "abc"))
+    first = chosen(made, affinity_key="p1")
+    for name in "abc":
+        for _ in range(11):
+            made.sent(state_of(made, name), 0.0)
+    assert chosen(made, affinity_key="p1") == first
+
+
 def test_the_own_zone_is_preferred_at_equal_load() -> None:
     made = choice(instance("far", zone="y"), instance("near"))
     assert {chosen(made) for _ in range(20)} == {"near"}
