Load board for large fleets: reports count until the next one, summaries are bounded

Reckoned: at 300 gateways a report came each 3.75 s and counted for 1.5 s, so the board knew two fifths of the fleet. Reports now count for four periods, a summary names at most 48 back ends.

--- a/src/wharfcart/node/load_reports.py
+++ b/src/wharfcart/node/load_reports.py
@@ -9,7 +9,7 @@
 from wharfcart.cluster.transport import PeerUnreachableError, TrafficClass, Transport
 from wharfcart.errors import ServingError
 from wharfcart.routing.backend_choice import BackendChoice
-from wharfcart.routing.load_board import LoadBoard, NodeLoad, report_period_s
+from wharfcart.routing.load_board import LoadBoard, NodeLoad, report_kept_s, report_period_s
 
 CALL_TIMEOUT_S = 0.4
 IDLE_PERIOD_S = 1.0
@@ -63,7 +63,7 @@
             return
         self._nodes = summary.nodes
         others = {load.instance_id: _from_message(load) for load in summary.others}
-        self._choice.others_reported(others, monotonic())
+        self._choice.others_reported(others, monotonic(), report_kept_s(self._nodes))
 
 
 class LoadBoardKeeper:
@@ -80,11 +80,12 @@
         loads = [_from_message(load) for load in report.loads]
         self._board.report(report.node_id, loads, now)
         self._board.report(self._node_id, self._choice.own_loads(now), now)
-        self._choice.others_reported(self._board.others(self._node_id, now), now)
-        others = self._board.others(report.node_id, now)
-        return LoadSummary(
-            others=[_to_message(load) for load in others.values()], nodes=self._board.nodes(now)
+        nodes = self._board.nodes(now)
+        self._choice.others_reported(
+            self._board.others(self._node_id, now), now, report_kept_s(nodes)
         )
+        summary = self._board.summary_for(report.node_id, now)
+        return LoadSummary(others=[_to_message(load) for load in summary], nodes=nodes)
 
 
 def _to_message(load: NodeLoad) -> InstanceLoad:
--- a/src/wharfcart/routing/backend_choice.py
+++ b/src/wharfcart/routing/backend_choice.py
@@ -19,7 +19,6 @@
 from wharfcart.routing.load_board import NodeLoad
 
 REPORT_FRESH_S = 1.5
-OTHERS_FRESH_S = 1.0
 AVOID_FIRST_S = 0.5
 AVOID_MOST_S = 4.0
 # No byte of an answer after this time, and longer by what prompts there take to read, is silence.
@@ -43,7 +42,8 @@
     ----------
     waiting_since: for each request in flight without a byte of answer, when it was sent.
     unread: for each of these, the tokens of its prompt that are probably not cached.
-    others: what all other nodes have there, as the load board told at ``others_at``.
+    others: what all other nodes have there, as the load board told at ``others_at``; it counts
+        until ``others_until``.
     """
 
     instance: BackendInstance
@@ -57,11 +57,12 @@
     unread: dict[int, int] = field(default_factory=dict)
     others: NodeLoad | None = None
     others_at: float = -1e9
+    others_until: float = -1e9
 
     def load(self, now: float) -> float:
         """Return the estimated share of slots that are taken; above 1 requests wait."""
         taken = self.in_flight
-        if now - self.others_at < OTHERS_FRESH_S:
+        if now < self.others_until:
             taken += self.others.in_flight if self.others is not None else 0
         elif now - self.reported_at < REPORT_FRESH_S:
             taken = max(taken, self.reported_load + self.in_flight - self.in_flight_at_report)
@@ -70,7 +71,7 @@
     def unread_tokens(self, now: float) -> int:
         """Return the prompt tokens that wait to be read there."""
         tokens = sum(self.unread.values())
-        if self.others is not None and now - self.others_at < OTHERS_FRESH_S:
+        if self.others is not None and now < self.others_until:
             tokens += self.others.unread_tokens
         return tokens
 
@@ -79,7 +80,7 @@
         if now < self.avoid_until or self.silent(now):
             return True
         others = self.others
-        return others is not None and others.silent and now - self.others_at < OTHERS_FRESH_S
+        return others is not None and others.silent and now < self.others_until
 
     def silent(self, now: float) -> bool:
         """Whether a request of this node waits too long for the first byte of its answer."""
@@ -166,11 +167,12 @@
             if state.in_flight
         ]
 
-    def others_reported(self, others: dict[str, NodeLoad], now: float) -> None:
-        """Take what the load board tells of all other nodes."""
+    def others_reported(self, others: dict[str, NodeLoad], now: float, kept_s: float) -> None:
+        """Take what the load board tells of all other nodes; it counts for a while."""
         for instance_id, state in self._states.items():
             state.others = others.get(instance_id)
             state.others_at = now
+            state.others_until = now + kept_s
 
     def answered(self, state: InstanceState, use: int) -> None:
         """Note the first byte of an answer."""
--- a/src/wharfcart/routing/load_board.py
+++ b/src/wharfcart/routing/load_board.py
@@ -8,9 +8,13 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-REPORT_TTL_S = 1.5
 REPORT_PERIOD_S = 0.15
-MOST_REPORTS_A_SECOND = 80
+MOST_REPORTS_A_SECOND = 120
+# Reports count for so many periods, never shorter than this.
+PERIODS_KEPT = 4
+FEWEST_KEPT_S = 1.0
+# A summary names the most loaded back ends: those left out have less.
+MOST_LOADS_A_SUMMARY = 48
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,6 +43,12 @@
         """Take a node's report in place of its last one."""
         self._reports[node_id] = (now, {load.instance_id: load for load in loads})
 
+    def summary_for(self, node_id: str, now: float) -> list[NodeLoad]:
+        """Return what one node is told of all others: the most loaded back ends."""
+        loads = self.others(node_id, now).values()
+        ordered = sorted(loads, key=lambda load: (load.silent, load.in_flight), reverse=True)
+        return ordered[:MOST_LOADS_A_SUMMARY]
+
     def others(self, node_id: str, now: float) -> dict[str, NodeLoad]:
         """Return the sum of all other nodes' reports, by back end."""
         self._expire(now)
@@ -62,7 +72,8 @@
         return len(self._reports)
 
     def _expire(self, now: float) -> None:
-        old = [node for node, (at, _) in self._reports.items() if now - at > REPORT_TTL_S]
+        kept_s = report_kept_s(len(self._reports))
+        old = [node for node, (at, _) in self._reports.items() if now - at > kept_s]
         for node in old:
             del self._reports[node]
 
@@ -70,3 +81,8 @@
 def report_period_s(nodes: int) -> float:
     """Return the time between a node's reports, such that the board's rate stays bounded."""
     return max(REPORT_PERIOD_S, nodes / MOST_REPORTS_A_SECOND)
+
+
+def report_kept_s(nodes: int) -> float:
+    """Return how long a report or a summary counts."""
+    return max(FEWEST_KEPT_S, PERIODS_KEPT * report_period_s(nodes))
--- a/tests/routing/test_backend_choice.py
+++ b/tests/routing/test_backend_choice.py
@@ -41,13 +41,13 @@
 
 def test_load_that_other_nodes_report_counts() -> None:
     made = choice(instance("a"), instance("b"))
-    made.others_reported({"a": NodeLoad("a", 5, 0)}, 0.0)
+    made.others_reported({"a": NodeLoad("a", 5, 0)}, 0.0, 1.0)
     assert chosen(made, 0.1) == "b"
 
 
 def test_old_reports_no_longer_count() -> None:
     made = choice(instance("a"), instance("b"))
-    made.others_reported({"a": NodeLoad("a", 5, 0)}, 0.0)
+    made.others_reported({"a": NodeLoad("a", 5, 0)}, 0.0, 1.0)
     assert state_of(made, "a").load(5.0) == 0
 
 
@@ -91,7 +91,9 @@
 
 def test_silence_that_another_node_reports_is_avoided() -> None:
     made = choice(instance("a"), instance("b"))
-    made.others_reported({"a": NodeLoad("a", 0, 0, silent=True), "b": NodeLoad("b", 5, 0)}, 0.0)
+    made.others_reported(
+        {"a": NodeLoad("a", 0, 0, silent=True), "b": NodeLoad("b", 5, 0)}, 0.0, 1.0
+    )
     assert chosen(made, 0.1) == "b"
 
 
