--- /dev/null
+++ b/src/wharfcart/emulator/operator_documents.py
@@ -0,0 +1,40 @@
+"""Configurations as the users' operator writes them into the metadata store."""
+
+from typing import Any
+
+
+def example_configuration(
+    version: int,
+    host: str,
+    stream_service: str,
+    plain_service: str,
+    added: dict[str, dict[str, Any]],
+) -> dict[str, Any]:
+    """Return a configuration with a route of each kind.
+
+    Parameters
+    ----------
+    added: further routes by name, which is their prefix too; the fields that differ.
+    """
+    common = {"hostname": host, "priority": 0, "targetLatencyMs": 500}
+    streaming = {"kind": "streaming", "timeoutMs": 8000, "backend": stream_service}
+    batch = {"kind": "batch", "timeoutMs": 30_000, "backend": stream_service}
+    plain = {"timeoutMs": 4000, "backend": plain_service, "maxAttempts": 2}
+    routes: dict[str, dict[str, Any]] = {
+        "chat": streaming | {"maxAttempts": 1, "resumable": False},
+        "read": streaming | {"maxAttempts": 3, "resumable": True},
+        "look": plain | {"kind": "safe"},
+        "charge": plain | {"kind": "unsafe", "timeoutMs": 2000},
+        "jobs": batch | {"maxAttempts": 3, "targetCompletionMs": 20_000, "maxWaitS": 60},
+    }
+    return {
+        "version": version,
+        "routes": [
+            common | {"name": name, "pathPrefix": f"/{name}/"} | fields
+            for name, fields in (routes | added).items()
+        ],
+        "services": [
+            {"name": name, "maxConnections": 100} for name in (stream_service, plain_service)
+        ],
+        "limits": {},
+    }
--- a/src/wharfcart/experiments/serving_fleet.py
+++ b/src/wharfcart/experiments/serving_fleet.py
@@ -18,6 +18,7 @@
 
 from wharfcart.emulator.metadata_store import MetadataStoreServer
 from wharfcart.emulator.model_server import ModelServer
+from wharfcart.emulator.operator_documents import example_configuration
 from wharfcart.experiments.dev_fleet import free_endpoint
 from wharfcart.node.fleet_keys import GROUP_PREFIX
 from wharfcart.platform import names
@@ -150,39 +151,10 @@
 
     # ---- the operator and the servers ----
 
-    def configuration(self, **changes: Any) -> dict[str, Any]:
-        """Return the example configuration, with other routes added by name of prefix."""
-        route = {"hostname": HOST, "priority": 0, "targetLatencyMs": 500}
-        routes = [
-            route
-            | {"name": "chat", "pathPrefix": "/chat/", "kind": "streaming", "timeoutMs": 8000}
-            | {"backend": STREAM_SERVICE, "maxAttempts": 1, "resumable": False},
-            route
-            | {"name": "read", "pathPrefix": "/read/", "kind": "streaming", "timeoutMs": 8000}
-            | {"backend": STREAM_SERVICE, "maxAttempts": 3, "resumable": True},
-            route
-            | {"name": "look", "pathPrefix": "/look/", "kind": "safe", "timeoutMs": 4000}
-            | {"backend": PLAIN_SERVICE, "maxAttempts": 2},
-            route
-            | {"name": "charge", "pathPrefix": "/charge/", "kind": "unsafe", "timeoutMs": 2000}
-            | {"backend": PLAIN_SERVICE, "maxAttempts": 2},
-            route
-            | {"name": "jobs", "pathPrefix": "/jobs/", "kind": "batch", "timeoutMs": 30000}
-            | {"backend": STREAM_SERVICE, "maxAttempts": 3}
-            | {"targetCompletionMs": 20000, "maxWaitS": 60},
-        ]
-        for name, route_changes in changes.items():
-            routes.append(route | {"name": name, "pathPrefix": f"/{name}/"} | route_changes)
+    def configuration(self, **added: dict[str, Any]) -> dict[str, Any]:
+        """Return the example configuration with routes added, named like their prefixes."""
         self.version += 3
-        return {
-            "version": self.version,
-            "routes": routes,
-            "services": [
-                {"name": STREAM_SERVICE, "maxConnections": 100},
-                {"name": PLAIN_SERVICE, "maxConnections": 100},
-            ],
-            "limits": {},
-        }
+        return example_configuration(self.version, HOST, STREAM_SERVICE, PLAIN_SERVICE, added)
 
     async def put_configuration(self, configuration: dict[str, Any]) -> None:
         """Write a configuration as the operator does."""
--- a/tests/platform/test_names.py
+++ b/tests/platform/test_names.py
@@ -14,7 +14,12 @@
 FIELDS = ["pathPrefix", "trafficSplit", "targetLatencyMs", "maxAttempts", "expectedRevision",
           "dead_letter", "nextPageToken", "warmupLeftMs", "timeoutMs"]  # fmt: skip
 # Stand-ins speak the platform's own language; generated code holds none of it.
-EXEMPT = ("platform/", "emulator/metadata_store.py", "emulator/model_server.py")
+EXEMPT = (
+    "platform/",
+    "emulator/metadata_store.py",
+    "emulator/model_server.py",
+    "emulator/operator_documents.py",
+)
 # Names that wharfcart's own interface has had for long, under the same spelling.
 OWN = {"x-request-id", "retry-after", "last-event-id"}
 
