--- a/src/wharfcart/node/serving_node.py
+++ b/src/wharfcart/node/serving_node.py
@@ -6,6 +6,7 @@
 import asyncio
 from collections.abc import Callable
 from random import Random
+from time import monotonic
 
 from wharfcart.backends.connection_pool import ConnectionPool
 from wharfcart.cluster.coordination import (
@@ -169,7 +170,7 @@
         known = self.choice.state(instance_id)
         instance = documents.instance_from(change)
         if instance is None:
-            self.choice.remove(instance_id)
+            self.choice.remove(instance_id, monotonic())
             self.pool.drop_instance(instance_id)
             if known is not None:
                 self._log_instance(Event.BACKEND_GONE, instance_id, known.instance.service, change)
--- a/src/wharfcart/routing/backend_choice.py
+++ b/src/wharfcart/routing/backend_choice.py
@@ -25,6 +25,9 @@
 SILENT_AFTER_S = 0.35
 READ_TOKENS_A_SECOND = 40_000
 OTHER_ZONE_PENALTY = 0.04
+# Entries of most of a service that vanish within this time without a drain speak for an outage of
+# discovery, in which entries lapse although the back ends work on.
+VANISHED_KEPT_S = 10.0
 AFFINITY_TOKENS = 1000
 AFFINITY_MOST_LOAD = 0.9
 # Reading a long shared prompt anew costs more than waiting a little longer than elsewhere.
@@ -98,10 +101,12 @@
     random: RandomSource
     _states: dict[str, InstanceState] = field(default_factory=dict)
     _by_service: dict[str, dict[str, InstanceState]] = field(default_factory=dict)
+    _vanished: dict[str, tuple[float, InstanceState]] = field(default_factory=dict)
     _next_use: int = 0
 
     def put(self, instance: BackendInstance) -> None:
         """Take what discovery tells of an incarnation."""
+        self._vanished.pop(instance.instance_id, None)
         state = self._states.get(instance.instance_id)
         if state is None:
             state = InstanceState(instance)
@@ -111,20 +116,35 @@
             state.instance = instance
         self._by_service.setdefault(instance.service, {})[instance.instance_id] = state
 
-    def remove(self, instance_id: str) -> None:
-        """Forget an incarnation that is gone."""
+    def remove(self, instance_id: str, now: float) -> None:
+        """Take an incarnation off the list that discovery no longer tells."""
         state = self._states.pop(instance_id, None)
-        if state is not None:
-            self._by_service.get(state.instance.service, {}).pop(instance_id, None)
+        if state is None:
+            return
+        self._by_service.get(state.instance.service, {}).pop(instance_id, None)
+        if state.instance.accepting:
+            self._vanished[instance_id] = (now, state)
 
     def state(self, instance_id: str) -> InstanceState | None:
         """Return what is known of an incarnation."""
         return self._states.get(instance_id)
 
-    def accepting(self, service: str) -> list[InstanceState]:
-        """Return the incarnations of a service that take new requests."""
+    def accepting(self, service: str, now: float) -> list[InstanceState]:
+        """Return the incarnations of a service that take new requests.
+
+        When more have vanished than are left, those count, too: each send names the incarnation
+        that it means, so that nothing else runs it.
+        """
         states = self._by_service.get(service, {}).values()
-        return [state for state in states if state.instance.accepting]
+        listed = [state for state in states if state.instance.accepting]
+        vanished = self._vanished_of(service, now)
+        return listed + vanished if len(vanished) > len(listed) else listed
+
+    def _vanished_of(self, service: str, now: float) -> list[InstanceState]:
+        old = [key for key, (at, _) in self._vanished.items() if now - at > VANISHED_KEPT_S]
+        for key in old:
+            del self._vanished[key]
+        return [state for _, state in self._vanished.values() if state.instance.service == service]
 
     def choose(
         self,
@@ -141,7 +161,9 @@
         affinity_key: names the shared prompt that decides where to go first; '' for none.
         """
         usable = [
-            state for state in self.accepting(service) if state.instance.instance_id not in excluded
+            state
+            for state in self.accepting(service, now)
+            if state.instance.instance_id not in excluded
         ]
         candidates = [state for state in usable if not state.avoided(now)] or usable
         if not candidates:
--- a/src/wharfcart/routing/forwarder.py
+++ b/src/wharfcart/routing/forwarder.py
@@ -368,7 +368,7 @@
         route = request.route
         if not route.repeatable or progress.sends >= route.most_backends:
             return None
-        others = len(self._choice.accepting(request.service)) - len(progress.tried)
+        others = len(self._choice.accepting(request.service, monotonic())) - len(progress.tried)
         if others < 2:
             return None
         if route.kind is RouteKind.STREAM:
--- a/tests/integration/test_operations.py
+++ b/tests/integration/test_operations.py
@@ -8,7 +8,7 @@
 import pytest
 
 from tests.integration.test_serving_fleet import all_results, play, submit
-from wharfcart.experiments.serving_fleet import ServingFleet
+from wharfcart.experiments.serving_fleet import PLAIN_SERVICE, ServingFleet
 from wharfcart.platform import names
 
 
@@ -40,6 +40,7 @@
 def test_a_request_that_was_refused() -> None:
     async def scenario(fleet: ServingFleet) -> None:
         for server in fleet.plain_servers:
+            await fleet.announce(server, PLAIN_SERVICE, "draining")
             await fleet.store.remove(names.SERVER_PREFIX + server.instance_id)
         await asyncio.sleep(0.5)
         await fleet.request(0, "/charge/x", "r-refused")
--- a/tests/integration/test_serving_fleet.py
+++ b/tests/integration/test_serving_fleet.py
@@ -362,6 +362,7 @@
 def test_no_server_is_a_refusal_that_tells_when_to_come_back() -> None:
     async def scenario(fleet: ServingFleet) -> None:
         for server in fleet.plain_servers:
+            await fleet.announce(server, PLAIN_SERVICE, "draining")
             await fleet.store.remove(names.SERVER_PREFIX + server.instance_id)
         await asyncio.sleep(0.5)
         loop = asyncio.get_running_loop()
@@ -373,6 +374,20 @@
     play(scenario)
 
 
+def test_entries_that_lapse_all_at_once_stop_nothing() -> None:
+    """Incident inc-9857: discovery's entries lapsed while the servers worked on."""
+
+    async def scenario(fleet: ServingFleet) -> None:
+        for server in fleet.plain_servers:
+            await fleet.store.remove(names.SERVER_PREFIX + server.instance_id)
+        await asyncio.sleep(0.5)
+        for number in range(6):
+            status, _, _ = await fleet.request(number % 2, "/charge/x", f"r{number}")
+            assert status == 200
+
+    play(scenario)
+
+
 def test_hosts_are_told_apart_by_header_not_address() -> None:
     async def scenario(fleet: ServingFleet) -> None:
         status, _, _ = await fleet.request(0, "/look/x", "r1", headers={"Host": "other.example"})
