--- a/src/wharfcart/experiments/capacity.py
+++ b/src/wharfcart/experiments/capacity.py
@@ -6,6 +6,7 @@
 
 import json
 from dataclasses import dataclass
+from math import log
 from pathlib import Path
 from typing import Any
 
@@ -70,6 +71,7 @@
         *_scheduler(figures),
         *_configuration(figures),
         *_whole_node(figures),
+        *_serving(figures),
     ]
 
 
@@ -366,6 +368,40 @@
     ]
 
 
+def _serving(figures: dict[str, Any]) -> list[Row]:
+    """Gateways and storage nodes: the busiest process of a sweep, carried on to the size."""
+    serving = figures["serving"]
+
+    def row(role: str, key: str, name: str, unit: str, limit: float | None = None) -> Row:
+        value, power = _carried_on(serving["machines"], serving[key])
+        return Row(
+            role,
+            name,
+            f"busiest at {serving['machines'][-1]} machines x size^{power:.2f}",
+            value,
+            unit,
+            limit,
+            "measured by a sweep of 30, 100, 300; requests, batch and control together",
+        )
+
+    return [
+        row("gateway process", "gateway_cpu_percent", "processor", "% of a core"),
+        row("gateway process", "gateway_memory_mb", "memory, peak", "MB", MEMORY_LIMIT_MB),
+        row("storage process", "storage_cpu_percent", "processor, leader", "% of a core"),
+        row("storage process", "storage_memory_mb", "memory, peak", "MB", MEMORY_LIMIT_MB),
+        row("storage process", "storage_connections", "connections, leader", ""),
+        row("fleet", "configuration_in_force_ms", "configuration in force", "ms", 7000),
+        row("fleet", "serving_after_all_killed_ms", "serving after all were killed", "ms"),
+    ]
+
+
+def _carried_on(sizes: list[int], values: list[float]) -> tuple[float, float]:
+    """Return the value at the size by the power of the last two sizes, and that power."""
+    growth = log(values[-1] / values[-2]) / log(sizes[-1] / sizes[-2])
+    power = min(2.0, max(0.0, growth))
+    return values[-1] * (NODES / sizes[-1]) ** power, power
+
+
 def render_table(rows: list[Row]) -> str:
     """Return the page's table."""
     lines = [
