What vanished unannounced counts only while it still serves, unless discovery was away

Ruled out: the mirror (the removals were taken at once). Now 1.5 s, and 10 s only if the coordination service could not be reached in the 3 s before.

--- a/src/wharfcart/cluster/mirror_link.py
+++ b/src/wharfcart/cluster/mirror_link.py
@@ -23,6 +23,7 @@
 WATCH_S = 28.0
 RETRY_LEAST_S = 0.1
 RETRY_MOST_S = 1.5
+OUTAGE_S = 3.0
 PULL_PERIOD_S = 0.8
 PULL_PERIOD_CUT_OFF_S = 0.25
 DEPENDENCY = "coordination_service"
@@ -54,9 +55,15 @@
         self._log = log
         self._reachable: bool | None = None
         self._confirmed_at = monotonic()
+        self._failed_at = -1e9
         self._watch: asyncio.Task[None] | None = None
         self._watch_is_stale = False
 
+    @property
+    def in_outage(self) -> bool:
+        """Whether the service could not be reached a moment ago."""
+        return monotonic() - self._failed_at < OUTAGE_S
+
     @property
     def age_s(self) -> float:
         """Seconds since the service or a peer last confirmed the mirror."""
@@ -81,6 +88,7 @@
                 # A peer knew more than this watch told: begin anew.
                 self._watch_is_stale = False
             except CoordinationUnavailableError as error:
+                self._failed_at = monotonic()
                 self._note_reachable(False, error.reason)
                 await asyncio.sleep(retry_s * (0.5 + random()))
                 retry_s = min(RETRY_MOST_S, retry_s * 2)
--- a/src/wharfcart/node/serving_node.py
+++ b/src/wharfcart/node/serving_node.py
@@ -170,7 +170,7 @@
         known = self.choice.state(instance_id)
         instance = documents.instance_from(change)
         if instance is None:
-            self.choice.remove(instance_id, monotonic())
+            self.choice.remove(instance_id, monotonic(), self.link.in_outage)
             self.pool.drop_instance(instance_id)
             if known is not None:
                 self._log_instance(Event.BACKEND_GONE, instance_id, known.instance.service, change)
--- a/src/wharfcart/routing/backend_choice.py
+++ b/src/wharfcart/routing/backend_choice.py
@@ -25,9 +25,11 @@
 SILENT_AFTER_S = 0.35
 READ_TOKENS_A_SECOND = 40_000
 OTHER_ZONE_PENALTY = 0.04
-# Entries of most of a service that vanish within this time without a drain speak for an outage of
-# discovery, in which entries lapse although the back ends work on.
-VANISHED_KEPT_S = 10.0
+# Entries of most of a service that vanish without a drain speak for an outage of discovery, in which
+# they lapse although the back ends work on. Without other signs of one they count only as long as a
+# back end that leaves unannounced still serves.
+VANISHED_KEPT_S = 1.5
+VANISHED_KEPT_IN_OUTAGE_S = 10.0
 AFFINITY_TOKENS = 1000
 AFFINITY_MOST_LOAD = 0.9
 # Reading a long shared prompt anew costs more than waiting a little longer than elsewhere.
@@ -101,7 +103,7 @@
     random: RandomSource
     _states: dict[str, InstanceState] = field(default_factory=dict)
     _by_service: dict[str, dict[str, InstanceState]] = field(default_factory=dict)
-    _vanished: dict[str, tuple[float, InstanceState]] = field(default_factory=dict)
+    _vanished: dict[str, tuple[float, InstanceState]] = field(default_factory=dict)  # until when
     _next_use: int = 0
 
     def put(self, instance: BackendInstance) -> None:
@@ -116,14 +118,18 @@
             state.instance = instance
         self._by_service.setdefault(instance.service, {})[instance.instance_id] = state
 
-    def remove(self, instance_id: str, now: float) -> None:
-        """Take an incarnation off the list that discovery no longer tells."""
+    def remove(self, instance_id: str, now: float, in_outage: bool = False) -> None:
+        """Take an incarnation off the list that discovery no longer tells.
+
+        ``in_outage`` tells that discovery itself could not be reached a moment ago.
+        """
         state = self._states.pop(instance_id, None)
         if state is None:
             return
         self._by_service.get(state.instance.service, {}).pop(instance_id, None)
         if state.instance.accepting:
-            self._vanished[instance_id] = (now, state)
+            kept_s = VANISHED_KEPT_IN_OUTAGE_S if in_outage else VANISHED_KEPT_S
+            self._vanished[instance_id] = (now + kept_s, state)
 
     def state(self, instance_id: str) -> InstanceState | None:
         """Return what is known of an incarnation."""
@@ -141,7 +147,7 @@
         return listed + vanished if len(vanished) > len(listed) else listed
 
     def _vanished_of(self, service: str, now: float) -> list[InstanceState]:
-        old = [key for key, (at, _) in self._vanished.items() if now - at > VANISHED_KEPT_S]
+        old = [key for key, (until, _) in self._vanished.items() if now > until]
         for key in old:
             del self._vanished[key]
         return [state for _, state in self._vanished.values() if state.instance.service == service]
