--- a/src/wharfcart/routing/backend_choice.py
+++ b/src/wharfcart/routing/backend_choice.py
@@ -25,9 +25,9 @@
 SILENT_AFTER_S = 0.35
 READ_TOKENS_A_SECOND = 40_000
 OTHER_ZONE_PENALTY = 0.04
-# Entries of most of a service that vanish without a drain speak for an outage of discovery, in which
-# they lapse although the back ends work on. Without other signs of one they count only as long as a
-# back end that leaves unannounced still serves.
+# Entries of most of a service that vanish without a drain speak for an outage of discovery, in
+# which they lapse although the back ends work on. Without other signs of one they count only as
+# long as a back end that leaves unannounced still serves.
 VANISHED_KEPT_S = 1.5
 VANISHED_KEPT_IN_OUTAGE_S = 10.0
 AFFINITY_TOKENS = 1000
--- a/tests/routing/test_backend_choice.py
+++ b/tests/routing/test_backend_choice.py
@@ -91,7 +91,7 @@
 
 
 def test_most_of_a_service_that_leaves_unannounced_gets_nothing_after_its_time() -> None:
-    """Hunt, tulegen mix --seed 214331804298: two of three servers left without a drain (DRAIN 12)."""
+    """Hunt, tulegen mix --seed 214331804298: two of three servers left without a drain."""
     made = choice(instance("a"), instance("b"), instance("c"))
     made.remove("a", 0.0)
     made.remove("b", 0.5)
