Fault soak of real processes: random faults from outside, promises checked by what callers and back ends saw

Change: wharfcart soak draws a plan from a seed (25 kinds: kills, freezes, stops, lost disks, links silent, one-way, delayed or reset by a loopback proxy, full, slow and hanging disks and stepped clocks through hooks on the Python path, the metadata store away, slow, forgetful or refusing single nodes, back ends that lose answers, cut streams or are replaced), loads three gateways and three storage nodes, and judges 13 promises. Nodes may advertise another address than they listen on (cluster_advertise), so that peers pass a proxy. Ruled out: faults inside the programs; the programs know nothing of the hooks.

--- a/src/wharfcart/cli/main.py
+++ b/src/wharfcart/cli/main.py
@@ -5,7 +5,7 @@
 import typer
 
 import wharfcart
-from wharfcart.cli import batch, config, experiment, explain, journal, processes
+from wharfcart.cli import batch, config, experiment, explain, journal, processes, soak
 from wharfcart.cli.client import Server
 from wharfcart.cli.options import KeyOption, OutputOption, ServerOption
 from wharfcart.cli.output import OutputFormat, print_answer
@@ -26,6 +26,7 @@
 app.command()(processes.gateway)
 app.command()(processes.storage)
 app.command()(explain.explain)
+app.command()(soak.soak)
 
 
 @app.command()
--- /dev/null
+++ b/src/wharfcart/cli/soak.py
@@ -0,0 +1,49 @@
+"""The command ``wharfcart soak``."""
+
+import asyncio
+import json
+import random
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from wharfcart.cli.output import ExitCode
+from wharfcart.soak.run import SoakRun, Verdict
+
+MOST_SEED = 10**9
+
+
+def soak(
+    seeds: Annotated[int, typer.Option(min=1, help="How many fresh seeds.")] = 3,
+    seed: Annotated[list[int] | None, typer.Option(help="Play this seed; repeatable.")] = None,
+    load_s: Annotated[float, typer.Option(min=5, help="Seconds of load and faults.")] = 25.0,
+    keep: Annotated[Path, typer.Option(help="Takes the logs of runs that failed.")] = Path(
+        "soak-failures"
+    ),
+) -> None:
+    """Run real processes under random faults and check every promise.
+
+    Prints a JSON line a seed. Exits with 1 if any promise was broken.
+    """
+    chosen = seed or [random.randrange(MOST_SEED) for _ in range(seeds)]
+    failed = False
+    for number in chosen:
+        verdict = asyncio.run(SoakRun(number, load_s, keep).play())
+        failed = failed or bool(verdict.violations)
+        print(json.dumps(_as_line(verdict)), flush=True)
+    raise typer.Exit(int(ExitCode.FAILED if failed else ExitCode.OK))
+
+
+def _as_line(verdict: Verdict) -> dict[str, object]:
+    return {
+        "seed": verdict.seed,
+        "passed": not verdict.violations,
+        "violations": verdict.violations[:20],
+        "faults": len(verdict.plan),
+        "requests": verdict.requests,
+        "answered": verdict.answered,
+        "jobs": verdict.jobs,
+        "seconds": verdict.seconds,
+        "logs": None if verdict.kept is None else str(verdict.kept),
+    }
--- a/src/wharfcart/emulator/fault_proxy.py
+++ b/src/wharfcart/emulator/fault_proxy.py
@@ -24,6 +24,8 @@
     model_config = ConfigDict(extra="forbid")
 
     cut: bool = Field(default=False, description="drop datagrams, stall and refuse connections")
+    silent: bool = Field(default=False, description="connections open, no byte passes either way")
+    one_way: bool = Field(default=False, description="bytes pass to the node, none from it")
     delay_seconds: float = Field(default=0.0, ge=0, description="added each way, with jitter")
     datagram_loss: float = Field(default=0.0, ge=0, le=1, description="part of datagrams dropped")
     datagram_repeat: float = Field(default=0.0, ge=0, le=1, description="part sent twice")
@@ -41,8 +43,10 @@
         self._server: asyncio.Server | None = None
         self._datagrams: asyncio.DatagramTransport | None = None
         self._writers: set[asyncio.StreamWriter] = set()
-        self._open = asyncio.Event()
-        self._open.set()
+        self._towards_open = asyncio.Event()
+        self._back_open = asyncio.Event()
+        self._towards_open.set()
+        self._back_open.set()
 
     async def start(self) -> None:
         """Listen for TCP and UDP."""
@@ -65,10 +69,8 @@
     def set_faults(self, faults: ProxyFaults) -> None:
         """Switch faults."""
         self.faults = faults
-        if faults.cut:
-            self._open.clear()
-        else:
-            self._open.set()
+        _set_event(self._towards_open, not (faults.cut or faults.silent))
+        _set_event(self._back_open, not (faults.cut or faults.silent or faults.one_way))
         for writer in list(self._writers)[: faults.broken_connections]:
             writer.transport.abort()
 
@@ -87,8 +89,8 @@
         self._writers.update(pair)
         try:
             async with asyncio.TaskGroup() as group:
-                group.create_task(self._copy(reader, upstream_writer))
-                group.create_task(self._copy(upstream_reader, writer))
+                group.create_task(self._copy(reader, upstream_writer, self._towards_open))
+                group.create_task(self._copy(upstream_reader, writer, self._back_open))
         except* OSError:
             pass
         finally:
@@ -96,9 +98,11 @@
             for each in pair:
                 each.close()
 
-    async def _copy(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _copy(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, passable: asyncio.Event
+    ) -> None:
         while data := await reader.read(CHUNK_BYTES):
-            await self._open.wait()  # a cut link holds bytes back; nothing is told to the ends
+            await passable.wait()  # a cut link holds bytes back; nothing is told to the ends
             if self.faults.delay_seconds:
                 await asyncio.sleep(self.delay())
             writer.write(data)
@@ -140,6 +144,13 @@
         return self._datagrams
 
 
+def _set_event(event: asyncio.Event, value: bool) -> None:
+    if value:
+        event.set()
+    else:
+        event.clear()
+
+
 def _send(transport: asyncio.DatagramTransport, data: bytes, to: Endpoint) -> None:
     if not transport.is_closing():
         transport.sendto(data, to)
--- a/src/wharfcart/emulator/model_server.py
+++ b/src/wharfcart/emulator/model_server.py
@@ -6,6 +6,7 @@
 import asyncio
 from collections import Counter
 from dataclasses import dataclass
+from time import monotonic
 
 from aiohttp import web
 
@@ -19,11 +20,17 @@
 
 @dataclass(frozen=True)
 class RunRecord:
-    """One run of a request, from an event on."""
+    """One run of a request, from an event on.
+
+    Parameters
+    ----------
+    at: monotonic time at which it began.
+    """
 
     request_id: str
     first_event: int
     deadline_ms: int
+    at: float = 0.0
 
 
 class ModelServer:
@@ -91,7 +98,7 @@
     async def _run(self, request: web.Request, request_id: str) -> web.StreamResponse:
         first = int(request.headers.get(names.LAST_EVENT_ID, "-1")) + 1
         deadline_ms = int(request.headers.get(names.DEADLINE_MS, "0"))
-        self.runs.append(RunRecord(request_id, first, deadline_ms))
+        self.runs.append(RunRecord(request_id, first, deadline_ms, monotonic()))
         if request_id in self.failing_ids:
             return web.Response(status=self.failing_ids[request_id], headers=self._head(request_id))
         if not self._events:
--- a/src/wharfcart/emulator/operator_documents.py
+++ b/src/wharfcart/emulator/operator_documents.py
@@ -38,3 +38,8 @@
         ],
         "limits": {},
     }
+
+
+def repeatable_route(service: str) -> dict[str, Any]:
+    """Return the fields of a further route that may be repeated."""
+    return {"kind": "safe", "timeoutMs": 2000, "backend": service, "maxAttempts": 2}
--- a/src/wharfcart/experiments/serving_fleet.py
+++ b/src/wharfcart/experiments/serving_fleet.py
@@ -42,6 +42,7 @@
     settings: Path
     listen: str
     readiness: str
+    cluster_listen: str
     process: "subprocess.Popen[bytes] | None" = None
 
     @property
@@ -98,6 +99,7 @@
     def start_node(self, node: ServingNodeProcess) -> None:
         """Start a process."""
         environment = {"PATH": os.environ.get("PATH", ""), "WHARFCART_SETTINGS": str(node.settings)}
+        environment |= self.environment_of(node)
         with node.output.open("ab") as output:
             node.process = subprocess.Popen(
                 [sys.executable, "-m", "wharfcart.node.process", node.role],
@@ -163,7 +165,8 @@
     async def announce(self, server: ModelServer, service: str, state: str = "ready") -> None:
         """Write a server's entry."""
         key = names.SERVER_PREFIX + server.instance_id
-        await self.store.put(key, server.entry(service, "a", state))
+        entry = server.entry(service, "a", state) | {"address": self.address_of(server)}
+        await self.store.put(key, entry)
 
     # ---- clients ----
 
@@ -184,13 +187,33 @@
             found = {name.lower(): value for name, value in response.headers.items()}
             return response.status, await response.read(), found
 
+    # ---- for other fleets ----
+
+    def address_of(self, server: ModelServer) -> str:
+        """Return where nodes reach a server."""
+        return server.server.address
+
+    def settings_of(self, node: ServingNodeProcess) -> list[str]:
+        """Return further lines of a node's settings."""
+        return []
+
+    def environment_of(self, node: ServingNodeProcess) -> dict[str, str]:
+        """Return further variables of a node's process."""
+        return {}
+
     # ---- inner ----
 
     def _plan(self, role: str, number: int) -> ServingNodeProcess:
         node_id = f"{role}-{number}"
         settings = self.folder / f"{node_id}.toml"
         return ServingNodeProcess(
-            role, node_id, self.folder, settings, free_endpoint(), free_endpoint()
+            role,
+            node_id,
+            self.folder,
+            settings,
+            free_endpoint(),
+            free_endpoint(),
+            free_endpoint(),
         )
 
     async def _write_settings(self, node: ServingNodeProcess) -> None:
@@ -199,7 +222,8 @@
             f'node_id = "{node.node_id}"',
             f'zone = "{ZONES[number % len(ZONES)]}"',
             f'coordination = "{await self.store.endpoint(node.node_id)}"',
-            f'cluster_listen = "{free_endpoint()}"',
+            f'cluster_listen = "{node.cluster_listen}"',
+            *self.settings_of(node),
             "first_start = true",
             "stop_within_s = 8",
         ]
--- a/src/wharfcart/node/gateway_process.py
+++ b/src/wharfcart/node/gateway_process.py
@@ -55,7 +55,7 @@
         await self._ingress.start(
             split_endpoint(self._settings.listen), split_endpoint(self._settings.readiness_listen)
         )
-        host, port = split_endpoint(self._settings.cluster_listen)
+        host, port = split_endpoint(self._settings.cluster_address)
         entry = NodeEntry(
             self._settings.node_id, NodeKind.GATEWAY.value, host, port, self._settings.zone
         )
--- a/src/wharfcart/node/storage_process.py
+++ b/src/wharfcart/node/storage_process.py
@@ -48,7 +48,7 @@
         """Open the disk, join the fleet, follow the groups."""
         identity = await self._open_disk()
         await self._node.start()
-        host, port = split_endpoint(self._settings.cluster_listen)
+        host, port = split_endpoint(self._settings.cluster_address)
         entry = NodeEntry(
             self._settings.node_id,
             NodeKind.STORAGE.value,
--- a/src/wharfcart/settings/serving.py
+++ b/src/wharfcart/settings/serving.py
@@ -20,6 +20,9 @@
     zone: str = Field(min_length=1, max_length=64)
     coordination: Endpoint = Field(description="the coordination service")
     cluster_listen: Endpoint = Field(description="other nodes, TCP")
+    cluster_advertise: Endpoint | None = Field(
+        None, description="address told to other nodes, where it is not cluster_listen"
+    )
     seeds: list[str] = Field(
         default_factory=list, description="cluster addresses to ask before any peer is known"
     )
@@ -28,6 +31,11 @@
     tolerance: ToleranceSettings = ToleranceSettings()
     metrics_listen: Endpoint | None = Field(None, description="metrics over HTTP")
 
+    @property
+    def cluster_address(self) -> str:
+        """Where other nodes reach this one."""
+        return self.cluster_advertise or self.cluster_listen
+
 
 class GatewaySettings(ServingSettings):
     """One gateway."""
--- /dev/null
+++ b/src/wharfcart/soak/fleet.py
@@ -0,0 +1,150 @@
+"""The fleet of a soak: processes behind proxies, with clocks and disks that can be faulted."""
+
+import json
+import shutil
+import signal
+import sys
+import typing as t
+from pathlib import Path
+
+from wharfcart.emulator.fault_proxy import FaultProxy, ProxyFaults
+from wharfcart.emulator.model_server import ModelServer
+from wharfcart.emulator.operator_documents import repeatable_route
+from wharfcart.experiments.dev_fleet import free_endpoint
+from wharfcart.experiments.serving_fleet import (
+    PLAIN_SERVICE,
+    STREAM_SERVICE,
+    ServingFleet,
+    ServingNodeProcess,
+)
+from wharfcart.settings.schema import split_endpoint
+from wharfcart.soak.hooks import sitecustomize as hooks
+
+HOOKS_FOLDER = Path(hooks.__file__).parent
+
+
+class SoakFleet(ServingFleet):
+    """A fleet whose links, clocks and disks can be faulted from outside.
+
+    Args:
+        seed: of the proxies' jitter.
+        gateways: number of gateways.
+        stores: number of storage nodes.
+    """
+
+    def __init__(self, seed: int, gateways: int, stores: int) -> None:
+        super().__init__(gateways=gateways, stores=stores, event_s=0.02)
+        self._seed = seed
+        self.proxies_by_node: dict[str, FaultProxy] = {}
+        self.proxies_by_server: dict[str, FaultProxy] = {}
+        self._address_by_server: dict[str, str] = {}
+        self._advertised_by_node: dict[str, str] = {}
+        self.retired_servers: list[ModelServer] = []
+        self._next_server = 100
+        self._added_routes: dict[str, dict[str, t.Any]] = {}
+        self.on_route_added: t.Callable[[str], None] = lambda path: None
+
+    # -- life ----------------------------------------------------------
+
+    async def start(self) -> None:
+        """Start proxies, stand-ins and processes."""
+        for node in (*self.gateways, *self.stores):
+            advertised = free_endpoint()
+            self._advertised_by_node[node.node_id] = advertised
+            target = split_endpoint(node.cluster_listen)
+            proxy = FaultProxy(split_endpoint(advertised), target, self._seed)
+            self.proxies_by_node[node.node_id] = proxy
+            await proxy.start()
+            self.control(node, clock_step_s=0.0, disk="")
+        await super().start()
+
+    async def stop(self) -> None:
+        """End every process that this fleet started, and every stand-in."""
+        await super().stop()
+        for server in self.retired_servers:
+            await server.server.stop()
+        for proxy in (*self.proxies_by_node.values(), *self.proxies_by_server.values()):
+            await proxy.stop()
+
+    def settings_of(self, node: ServingNodeProcess) -> list[str]:
+        """Have peers reach the node through its proxy."""
+        return [f'cluster_advertise = "{self._advertised_by_node[node.node_id]}"']
+
+    def environment_of(self, node: ServingNodeProcess) -> dict[str, str]:
+        """Load the hooks for clock and disk."""
+        path = [str(HOOKS_FOLDER), *(entry for entry in sys.path if entry)]
+        return {
+            "PYTHONPATH": ":".join(path),
+            hooks.CONTROL_VARIABLE: str(self._control_file(node)),
+        }
+
+    # -- faults --------------------------------------------------------
+
+    def control(self, node: ServingNodeProcess, **values: t.Any) -> None:
+        """Change what the hooks of one process do."""
+        path = self._control_file(node)
+        known = json.loads(path.read_text()) if path.exists() else {}
+        fresh = path.with_suffix(".new")
+        fresh.write_text(json.dumps(known | values))
+        fresh.replace(path)
+
+    def wipe(self, node: ServingNodeProcess) -> None:
+        """Kill a storage node and lose its disk."""
+        self.signal(node, signal.SIGKILL)
+        shutil.rmtree(node.data_folder, ignore_errors=True)
+
+    def revive(self, node: ServingNodeProcess) -> None:
+        """Start a process again that has ended."""
+        if node.process is not None and node.process.poll() is not None:
+            self.start_node(node)
+
+    async def set_link(self, proxy: FaultProxy, **faults: t.Any) -> None:
+        """Switch the faults of one link."""
+        proxy.set_faults(ProxyFaults(**faults))
+
+    async def replace_server(self, number: int) -> None:
+        """Let one back end drain and leave, and another come."""
+        old = self.stream_servers[number % len(self.stream_servers)]
+        new = ModelServer(f"i-lm-{self._next_server}", 12, 0.02)
+        self._next_server += 1
+        await new.server.start("127.0.0.1", 0)
+        await self._add_server_proxy(new)
+        await self.announce(new, STREAM_SERVICE)
+        await self.announce(old, STREAM_SERVICE, "draining")
+        self.stream_servers[self.stream_servers.index(old)] = new
+        self.retired_servers.append(old)
+
+    async def add_route(self) -> None:
+        """Write a configuration with one more route, as the operator does."""
+        name = f"added-{len(self._added_routes)}"
+        self._added_routes[name] = repeatable_route(PLAIN_SERVICE)
+        await self.put_configuration(self.configuration(**self._added_routes))
+        self.on_route_added(f"/{name}/")
+
+    @property
+    def all_servers(self) -> list[ModelServer]:
+        """Every back end that ever served."""
+        return [*self.stream_servers, *self.plain_servers, *self.retired_servers]
+
+    def address_of(self, server: ModelServer) -> str:
+        """Have nodes reach back ends through their proxies."""
+        return self._address_by_server[server.instance_id]
+
+    async def announce(self, server: ModelServer, service: str, state: str = "ready") -> None:
+        """Write a back end's entry, once its proxy stands."""
+        if server.instance_id not in self._address_by_server:
+            await self._add_server_proxy(server)
+        await super().announce(server, service, state)
+
+    # -- inner ---------------------------------------------------------
+
+    async def _add_server_proxy(self, server: ModelServer) -> None:
+        address = free_endpoint()
+        target = split_endpoint(server.server.address)
+        proxy = FaultProxy(split_endpoint(address), target, self._seed)
+        await proxy.start()
+        self.proxies_by_server[server.instance_id] = proxy
+        self._address_by_server[server.instance_id] = address
+
+    def _control_file(self, node: ServingNodeProcess) -> Path:
+        return self.folder / f"{node.node_id}.control.json"
--- /dev/null
+++ b/src/wharfcart/soak/hooks/__init__.py
@@ -0,0 +1,1 @@
+"""Modules that the soak loads into the processes that it starts."""
--- /dev/null
+++ b/src/wharfcart/soak/workload.py
@@ -0,0 +1,204 @@
+"""Load of a soak: requests of each kind, batch jobs, their readers, and probes of new routes."""
+
+import asyncio
+import base64
+import json
+import random
+import typing as t
+from time import monotonic
+
+import aiohttp
+
+from wharfcart.experiments.serving_fleet import STREAM_SERVICE
+from wharfcart.platform import names
+from wharfcart.soak.fleet import SoakFleet
+from wharfcart.soak.history import History, JobRecord, RequestKind, RequestRecord, RouteRecord
+
+DEADLINE_MS = 3000
+# A caller's connection is given up so long after its deadline.
+CALLER_MARGIN_S = 1.5
+REQUEST_PAUSE_S = 0.12
+JOB_PAUSE_S = 1.0
+MOST_ITEMS = 8
+READ_PAUSE_S = 0.4
+SUBMIT_PAUSE_S = 0.3
+MOST_SUBMISSIONS = 25
+END_CHANCE = 0.15
+MOST_ENDS = 25
+PROBE_PAUSE_S = 0.3
+
+
+class Workload:
+    """Callers of one soak."""
+
+    def __init__(self, fleet: SoakFleet, seed: int) -> None:
+        self.history = History()
+        self._fleet = fleet
+        self._rng = random.Random(f"{seed} load")
+        self._job_tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def now(self) -> float:
+        """Seconds of the soak."""
+        return monotonic() - self.history.began_at
+
+    async def run(self, load_s: float) -> None:
+        """Load the fleet for a while; returns once every caller has its answer."""
+        self.history.began_at = monotonic()
+        async with asyncio.TaskGroup() as group:
+            for kind in RequestKind:
+                group.create_task(self._requests(kind, load_s))
+            group.create_task(self._jobs(load_s))
+            group.create_task(self._probe_routes(load_s))
+        await asyncio.gather(*self._job_tasks)
+
+    def route_added(self, path: str) -> None:
+        """Begin to probe a route whose configuration was just acknowledged."""
+        self.history.routes.append(RouteRecord(path, self.now))
+
+    # -- requests ------------------------------------------------------
+
+    async def _requests(self, kind: RequestKind, load_s: float) -> None:
+        number = 0
+        async with asyncio.TaskGroup() as group:
+            while self.now < load_s:
+                number += 1
+                gateway = self._rng.randrange(len(self._fleet.gateways))
+                group.create_task(self.request(f"{kind.value}-{number}", kind, gateway))
+                await asyncio.sleep(REQUEST_PAUSE_S * self._rng.uniform(0.5, 1.5))
+
+    async def request(self, request_id: str, kind: RequestKind, gateway: int) -> RequestRecord:
+        """Send one request and record how it ends."""
+        record = RequestRecord(request_id, kind, gateway, self.now)
+        self.history.requests.append(record)
+        try:
+            async with asyncio.timeout(DEADLINE_MS / 1000 + CALLER_MARGIN_S):
+                record.status, record.body, _ = await self._fleet.request(
+                    gateway, f"/{kind.value}/x", request_id, DEADLINE_MS
+                )
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            record.status = None
+        record.ended_at = self.now
+        return record
+
+    # -- batch jobs ----------------------------------------------------
+
+    async def _jobs(self, load_s: float) -> None:
+        number = 0
+        while self.now < load_s:
+            number += 1
+            job = JobRecord(f"job-{number}", self._rng.randint(1, MOST_ITEMS))
+            self.history.jobs_by_id[job.job_id] = job
+            ends = self._rng.random() < END_CHANCE
+            self._job_tasks.add(asyncio.create_task(self._follow(job, ends, load_s)))
+            await asyncio.sleep(JOB_PAUSE_S * self._rng.uniform(0.5, 1.5))
+
+    async def _follow(self, job: JobRecord, ends: bool, load_s: float) -> None:
+        await self._submit(job)
+        if job.accepted_at is None:
+            return
+        ends_at = self.now + self._rng.uniform(0.1, 2.0)
+        while not job.complete and self.now < load_s:
+            await self.read_page(job, self._gateway(), self._rng.choice([0, len(job.results)]))
+            if ends and self.now > ends_at:
+                await self._end(job)
+                return
+            await asyncio.sleep(READ_PAUSE_S)
+
+    async def _submit(self, job: JobRecord) -> None:
+        body = _submission(job)
+        for _ in range(MOST_SUBMISSIONS):
+            status = await self._call(self._gateway(), "POST", f"/jobs/{job.job_id}", job, body)
+            job.statuses.append(status)
+            if status == 202:
+                job.accepted_at = self.now
+                return
+            await asyncio.sleep(SUBMIT_PAUSE_S)
+
+    async def _end(self, job: JobRecord) -> None:
+        for _ in range(MOST_ENDS):
+            path = names.JOB_PATH + job.job_id
+            if await self._call(self._gateway(), "DELETE", path, job) == 200:
+                job.ended_at = self.now
+                return
+            await asyncio.sleep(SUBMIT_PAUSE_S)
+
+    async def _call(
+        self, gateway: int, method: str, path: str, job: JobRecord, body: bytes | None = None
+    ) -> int | None:
+        try:
+            async with asyncio.timeout(DEADLINE_MS / 1000 + CALLER_MARGIN_S):
+                status, _, _ = await self._fleet.request(
+                    gateway, path, job.job_id, method=method, data=body
+                )
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return None
+        return status
+
+    async def read_page(self, job: JobRecord, gateway: int, after: int) -> int | None:
+        """Read results from a position on; returns the status."""
+        path = f"{names.JOB_PATH}{job.job_id}?after={after}"
+        try:
+            async with asyncio.timeout(DEADLINE_MS / 1000):
+                status, body, _ = await self._fleet.request(gateway, path, "reader", method="GET")
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return None
+        if status in (404, 410):
+            job.missing.append(self.now)
+        if status != 200:
+            return status
+        page = json.loads(body)
+        if page["total"] != job.items:
+            job.conflicts.append(f"total {page['total']}, not {job.items}")
+        for offset, result in enumerate(page["results"]):
+            entry = (result["id"], result["state"], result["message"])
+            job.read(after + offset, entry, f"at gateway {gateway}")
+        return status
+
+    # -- routes --------------------------------------------------------
+
+    async def _probe_routes(self, load_s: float) -> None:
+        while self.now < load_s:
+            for route in list(self.history.routes):
+                for gateway in range(len(self._fleet.gateways)):
+                    await self.probe(route, gateway)
+            await asyncio.sleep(PROBE_PAUSE_S)
+
+    async def probe(self, route: RouteRecord, gateway: int) -> int | None:
+        """Ask one gateway for a route that was added; returns the status."""
+        process = self._fleet.gateways[gateway].process
+        life = f"{gateway}:{None if process is None else process.pid}"
+        try:
+            async with asyncio.timeout(0.5):
+                status, _, _ = await self._fleet.request(
+                    gateway, f"{route.path}x", f"probe-{self.now:.6f}", DEADLINE_MS
+                )
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return None
+        if status == 404 and life in route.served_by:
+            route.denied_after_served.append(life)
+        if status == 200:
+            route.served_by.add(life)
+        return status
+
+    def _gateway(self) -> int:
+        return self._rng.randrange(len(self._fleet.gateways))
+
+
+def item_id(job: JobRecord, number: int) -> str:
+    """Return the id of one item."""
+    return f"{job.job_id}-{number}"
+
+
+def _submission(job: JobRecord) -> bytes:
+    requests: list[dict[str, t.Any]] = [
+        {
+            "id": item_id(job, number),
+            "path": "/jobs/run",
+            "headers": {names.MODEL: STREAM_SERVICE},
+            "body": base64.b64encode(f"body {number}".encode()).decode(),
+            "tokens": 10,
+        }
+        for number in range(job.items)
+    ]
+    return json.dumps({"requests": requests}).encode()
--- /dev/null
+++ b/tests/soak/test_promises.py
@@ -0,0 +1,118 @@
+"""The soak's verdict: each promise, broken in a history made by hand."""
+
+from wharfcart.emulator.model_server import ModelServer, RunRecord
+from wharfcart.soak.history import History, JobRecord, RequestKind, RequestRecord, RouteRecord
+from wharfcart.soak.promises import EVENTS, broken_promises
+
+
+def whole(request_id: str) -> bytes:
+    return b"".join(f"id: {n}\ndata: {request_id}-{n}\n\n".encode() for n in range(EVENTS))
+
+
+def text(item: str) -> str:
+    return "\n".join(f"{item}-{n}" for n in range(EVENTS))
+
+
+def judged(
+    runs: list[str], *requests: RequestRecord, jobs: tuple[JobRecord, ...] = ()
+) -> list[str]:
+    server = ModelServer("i", EVENTS, 0.0)
+    server.runs = [RunRecord(run, 0, 1000) for run in runs]
+    history = History(requests=list(requests), jobs_by_id={job.job_id: job for job in jobs})
+    return broken_promises(history, [server])
+
+
+def request(kind: RequestKind, status: int | None, body: bytes = b"") -> RequestRecord:
+    return RequestRecord("r", kind, 0, 0.0, 0.1, status, body)
+
+
+def finished_job() -> JobRecord:
+    job = JobRecord("j", 2, [202], accepted_at=1.0, readable_at_end=True)
+    job.read(0, ("j-1", "succeeded", text("j-1")), "")
+    job.read(1, ("j-0", "succeeded", text("j-0")), "")
+    return job
+
+
+def test_what_is_well_breaks_nothing() -> None:
+    assert judged(["r"], request(RequestKind.STREAM, 200, whole("r"))) == []
+    assert judged(["r", "r"], request(RequestKind.REPEATABLE, 200, b"answer to r")) == []
+    assert judged(["j-0", "j-1", "j-1"], jobs=(finished_job(),)) == []
+
+
+def test_an_answer_that_is_not_whole() -> None:
+    assert judged(["r"], request(RequestKind.STREAM, 200, whole("r")[:-9]))
+
+
+def test_an_answer_of_another_request() -> None:
+    assert judged(["r"], request(RequestKind.REPEATABLE, 200, b"answer to q"))
+
+
+def test_a_refusal_that_is_not_true() -> None:
+    assert judged(["r"], request(RequestKind.AT_MOST_ONCE, 503))
+    assert judged([], request(RequestKind.AT_MOST_ONCE, 503)) == []
+
+
+def test_a_request_that_ran_twice() -> None:
+    assert judged(["r", "r"], request(RequestKind.AT_MOST_ONCE, None))
+    assert judged(["r", "r"], request(RequestKind.STREAM, None))
+
+
+def test_more_back_ends_than_the_route_allows() -> None:
+    assert judged(["r"] * 3, request(RequestKind.REPEATABLE, 200, b"answer to r"))
+
+
+def test_a_route_denied() -> None:
+    assert judged([], request(RequestKind.REPEATABLE, 404))
+
+
+def test_a_job_refused_that_ran() -> None:
+    assert judged(["j-0"], jobs=(JobRecord("j", 1, [503, 503]),))
+    assert judged(["j-0"], jobs=(JobRecord("j", 1, [503, None]),)) == []
+
+
+def test_a_job_that_is_lost() -> None:
+    job = finished_job()
+    job.readable_at_end = False
+    assert judged([], jobs=(job,))
+    job = finished_job()
+    job.missing = [3.0]
+    assert judged([], jobs=(job,))
+
+
+def test_an_item_without_a_result() -> None:
+    job = finished_job()
+    del job.results[1]
+    assert judged([], jobs=(job,))
+    job.ended_at = 2.0
+    assert judged([], jobs=(job,)) == []
+
+
+def test_an_item_that_ran_long_after_its_job_was_ended() -> None:
+    job = finished_job()
+    job.ended_at = 2.0
+    server = ModelServer("i", EVENTS, 0.0)
+    history = History(began_at=100.0, jobs_by_id={"j": job})
+    server.runs = [RunRecord("j-0", 0, 1000, at=104.0)]
+    assert broken_promises(history, [server]) == []
+    server.runs = [RunRecord("j-0", 0, 1000, at=106.0)]
+    assert broken_promises(history, [server])
+
+
+def test_a_result_that_changed() -> None:
+    job = finished_job()
+    job.read(1, ("j-0", "succeeded", text("j-0")[:-1]), "at gateway 1")
+    assert judged([], jobs=(job,))
+
+
+def test_an_item_listed_twice_or_not_whole() -> None:
+    job = finished_job()
+    job.read(2, ("j-0", "succeeded", text("j-0")), "")
+    assert judged([], jobs=(job,))
+    job = JobRecord("j", 1, [202], accepted_at=1.0, readable_at_end=True)
+    job.read(0, ("j-0", "succeeded", text("j-0")[:-1]), "")
+    assert judged([], jobs=(job,))
+
+
+def test_a_route_that_went_back() -> None:
+    history = History(routes=[RouteRecord("/added-0/", 1.0, denied_after_served=["0:17"])])
+    assert broken_promises(history, [])
