Few nodes read the coordination service; requests spread over an old picture of the load

Change: nodes follow two of a few readers (cluster/news_sources.py, cluster/mirror_link.py): calls that wait for news, an age on each answer, readers are whoever is followed; a node that finds no fresh peer watches itself. Gateways no longer announce themselves. A node begins with a stale read. A mirror that began with a listing tells everything to peers that lag behind it (a removal could be missed; test first red), and removals carry the last value, so that a drain is not taken for a lapse. Requests are placed by water-filling (routing/spreading.py): each node fills the emptiest servers with what the fleet sends before the picture changes, and draws. Batch keeps headroom for the same. The board's sums are kept incrementally. Ruled out: watches of 28 s as before at few readers: a silent cut would hide a change for longer than 2 s.

--- a/src/wharfcart/batch/job_execution.py
+++ b/src/wharfcart/batch/job_execution.py
@@ -24,6 +24,7 @@
 # Items start while less than this share of a back end's slots is taken; above the other they yield.
 START_BELOW_LOAD = 0.8
 YIELD_ABOVE_LOAD = 0.92
+FEWEST_START_LOAD = 0.35
 MOST_OWN_SHARE = 0.65
 # An item due within this time starts and stays although the back end is nearly full.
 URGENT_S = 8.0
@@ -155,7 +156,8 @@
         if state is None:
             return None
         urgent = scheduled.due_at - now < URGENT_S
-        return state if _has_room(state, urgent, now) else None
+        headroom = self._choice.headroom(service, now)
+        return state if _has_room(state, urgent, headroom, now) else None
 
     def _yield_to_online(self) -> None:
         """Cut items at back ends that online work has filled; they go on after their last event."""
@@ -300,12 +302,19 @@
         self._group.wake_sessions()
 
 
-def _has_room(state: InstanceState, urgent: bool, now: float) -> bool:
-    """Whether a back end takes another item beside what online work leaves free."""
+def _has_room(state: InstanceState, urgent: bool, headroom: float, now: float) -> bool:
+    """Whether a back end takes another item beside what online work leaves free.
+
+    Parameters
+    ----------
+    headroom: slots to be kept for online work that is not seen yet.
+    """
     load = state.load(now)
-    own_share = state.in_flight / max(1, state.instance.slots)
+    slots = max(1, state.instance.slots)
+    own_share = state.in_flight / slots
     if not urgent:
-        return load < START_BELOW_LOAD and own_share < MOST_OWN_SHARE
+        start_below = max(FEWEST_START_LOAD, min(START_BELOW_LOAD, 1 - headroom / slots))
+        return load < start_below and own_share < MOST_OWN_SHARE
     if own_share < RESERVED_SHARE:
         return load < RESERVED_LOAD
     return load < URGENT_LOAD and own_share < URGENT_SHARE
--- a/src/wharfcart/cluster/coordination.py
+++ b/src/wharfcart/cluster/coordination.py
@@ -10,11 +10,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Change:
-    """A key as it was written at a revision; ``value`` None means that it was removed."""
+    """A key as it was written at a revision; ``value`` None means that it was removed.
+
+    ``last`` is the value that a removed key had, where that is known.
+    """
 
     key: str
     revision: int
     value: bytes | None
+    last: bytes | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,9 +70,11 @@
 class CoordinationService(Protocol):
     """What wharfcart asks of the service."""
 
-    async def read_all(self) -> Changes:
+    async def read_all(self, stale: bool = False) -> Changes:
         """Return every key.
 
+        ``stale`` allows an answer that is seconds old, which costs the service little.
+
         Raises
         ------
         CoordinationUnavailableError
--- a/src/wharfcart/cluster/mirror.py
+++ b/src/wharfcart/cluster/mirror.py
@@ -5,7 +5,7 @@
 a peer that lags can be brought up to date by changes alone.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from wharfcart.cluster.coordination import Change, Changes
 
@@ -18,7 +18,7 @@
 
     at: int = 0
     _entries: dict[str, Change] = field(default_factory=dict)
-    _removed: dict[str, int] = field(default_factory=dict)
+    _removed: dict[str, Change] = field(default_factory=dict)
     _removed_horizon: int = 0
 
     @property
@@ -41,6 +41,9 @@
         news = [change for change in batch.changes if self._take(change)]
         if batch.complete:
             news += self._remove_unlisted({change.key for change in batch.changes}, batch.at)
+            # A key that came and went before this listing is not known here: whoever is complete
+            # up to an older revision only may still hold it.
+            self._removed_horizon = max(self._removed_horizon, batch.at)
         self.at = max(self.at, batch.at)
         return news
 
@@ -49,22 +52,19 @@
         if after < self._removed_horizon or after == 0:
             return Changes(tuple(self._entries.values()), self.at, complete=True)
         changed = [entry for entry in self._entries.values() if entry.revision > after]
-        removed = [
-            Change(key, revision, None)
-            for key, revision in self._removed.items()
-            if revision > after
-        ]
+        removed = [change for change in self._removed.values() if change.revision > after]
         return Changes(tuple(changed + removed), self.at)
 
     def _take(self, change: Change) -> bool:
         known = self._entries.get(change.key)
         if known is not None and known.revision >= change.revision:
             return False
-        if self._removed.get(change.key, 0) >= change.revision:
+        removed = self._removed.get(change.key)
+        if removed is not None and removed.revision >= change.revision:
             return False
         if change.value is None:
             self._entries.pop(change.key, None)
-            self._remember_removed(change.key, change.revision)
+            self._remember_removed(_with_last_value(change, known))
             return known is not None
         self._entries[change.key] = change
         self._removed.pop(change.key, None)
@@ -73,18 +73,24 @@
     def _remove_unlisted(self, listed: set[str], at: int) -> list[Change]:
         # A key written after `at` is not in an answer as of `at`, and yet exists.
         gone = [
-            key
+            Change(key, at, None, entry.value)
             for key, entry in self._entries.items()
             if key not in listed and entry.revision <= at
         ]
-        for key in gone:
-            del self._entries[key]
-            self._remember_removed(key, at)
-        return [Change(key, at, None) for key in gone]
-
-    def _remember_removed(self, key: str, revision: int) -> None:
-        self._removed.pop(key, None)
-        self._removed[key] = revision
+        for change in gone:
+            del self._entries[change.key]
+            self._remember_removed(change)
+        return gone
+
+    def _remember_removed(self, change: Change) -> None:
+        self._removed.pop(change.key, None)
+        self._removed[change.key] = change
         if len(self._removed) > MOST_REMOVED_KEPT:
             oldest = next(iter(self._removed))
-            self._removed_horizon = max(self._removed_horizon, self._removed.pop(oldest))
+            self._removed_horizon = max(self._removed_horizon, self._removed.pop(oldest).revision)
+
+
+def _with_last_value(removal: Change, known: Change | None) -> Change:
+    if removal.last is not None or known is None:
+        return removal
+    return replace(removal, last=known.value)
--- a/src/wharfcart/cluster/transport.py
+++ b/src/wharfcart/cluster/transport.py
@@ -231,9 +231,12 @@
             return
         self._tasks.spawn(self._connect_and_send(address, frame))
 
-    def drop(self, address: Address) -> None:
-        """Close the connections to a peer that has fallen silent; the next call connects anew."""
-        for traffic in TrafficClass:
+    def drop(self, address: Address, only: TrafficClass | None = None) -> None:
+        """Close the connections to a peer that has fallen silent; the next call connects anew.
+
+        ``only`` names the one class whose connection is closed.
+        """
+        for traffic in TrafficClass if only is None else (only,):
             connection = self._connections.pop((address, traffic), None)
             if connection is not None:
                 connection.protocol.close()
--- a/src/wharfcart/node/gateway_process.py
+++ b/src/wharfcart/node/gateway_process.py
@@ -6,7 +6,7 @@
 from wharfcart.cluster.membership import Address
 from wharfcart.gateway.ingress import Ingress
 from wharfcart.gateway.job_calls import JobCalls
-from wharfcart.node.fleet_keys import GROUP_PREFIX, LOAD_BOARD_GROUP, NodeEntry, NodeKind
+from wharfcart.node.fleet_keys import GROUP_PREFIX, LOAD_BOARD_GROUP
 from wharfcart.node.load_reports import LoadReporter
 from wharfcart.node.serving_node import ServingNode
 from wharfcart.observability.decisions import DecisionLog, Event
@@ -55,15 +55,11 @@
         await self._ingress.start(
             split_endpoint(self._settings.listen), split_endpoint(self._settings.readiness_listen)
         )
-        host, port = split_endpoint(self._settings.cluster_address)
-        entry = NodeEntry(
-            self._settings.node_id, NodeKind.GATEWAY.value, host, port, self._settings.zone
-        )
-        self._node.tasks.spawn(self._node.announce(entry))
         self._node.tasks.spawn(self._become_ready())
         reporter = LoadReporter(
             self._settings.node_id, self._node.choice, self._node.transport, self._board_address
         )
+        self._node.fleet_size = reporter.fleet_size
         self._node.tasks.spawn(reporter.run())
 
     def reload(self, settings: ServingSettings) -> None:
--- a/src/wharfcart/node/load_reports.py
+++ b/src/wharfcart/node/load_reports.py
@@ -36,6 +36,10 @@
         self._board_address = board_address
         self._nodes = 1
 
+    def fleet_size(self) -> int:
+        """Return how many nodes report their load."""
+        return self._nodes
+
     async def run(self) -> None:
         """Report until cancelled; seldom while nothing is in flight."""
         idle_reports = 0
@@ -50,7 +54,11 @@
         address = self._board_address()
         if address is None:
             return
-        report = LoadReport(node_id=self._node_id, loads=[_to_message(load) for load in loads])
+        report = LoadReport(
+            node_id=self._node_id,
+            loads=[_to_message(load) for load in loads],
+            sends_per_s=self._choice.own_rates(monotonic()),
+        )
         try:
             async with asyncio.timeout(CALL_TIMEOUT_S):
                 answer = await self._transport.call(
@@ -63,7 +71,13 @@
             return
         self._nodes = summary.nodes
         others = {load.instance_id: _from_message(load) for load in summary.others}
-        self._choice.others_reported(others, monotonic(), report_kept_s(self._nodes))
+        self._choice.others_reported(
+            others,
+            monotonic(),
+            report_kept_s(self._nodes),
+            dict(summary.sends_per_s),
+            self._nodes,
+        )
 
 
 class LoadBoardKeeper:
@@ -78,14 +92,23 @@
         """Take a report; tell the reporter the load of all others, this node's items included."""
         now = monotonic()
         loads = [_from_message(load) for load in report.loads]
-        self._board.report(report.node_id, loads, now)
-        self._board.report(self._node_id, self._choice.own_loads(now), now)
+        self._board.report(report.node_id, loads, now, dict(report.sends_per_s))
+        own_rates = self._choice.own_rates(now)
+        self._board.report(self._node_id, self._choice.own_loads(now), now, own_rates)
         nodes = self._board.nodes(now)
         self._choice.others_reported(
-            self._board.others(self._node_id, now), now, report_kept_s(nodes)
+            self._board.others(self._node_id, now),
+            now,
+            report_kept_s(nodes),
+            self._board.others_rates(self._node_id, now),
+            nodes,
         )
         summary = self._board.summary_for(report.node_id, now)
-        return LoadSummary(others=[_to_message(load) for load in summary], nodes=nodes)
+        return LoadSummary(
+            others=[_to_message(load) for load in summary],
+            nodes=nodes,
+            sends_per_s=self._board.others_rates(report.node_id, now),
+        )
 
 
 def _to_message(load: NodeLoad) -> InstanceLoad:
--- a/src/wharfcart/node/serving_node.py
+++ b/src/wharfcart/node/serving_node.py
@@ -11,23 +11,18 @@
 from wharfcart.backends.connection_pool import ConnectionPool
 from wharfcart.cluster.coordination import (
     Change,
-    Changes,
     ConditionFailedError,
     CoordinationUnavailableError,
     Transaction,
 )
 from wharfcart.cluster.membership import Address
-from wharfcart.cluster.messages_pb2 import (
-    CoordinationChange,
-    CoordinationChanges,
-    CoordinationPull,
-    Frame,
-)
+from wharfcart.cluster.messages_pb2 import Frame
 from wharfcart.cluster.mirror import Mirror
 from wharfcart.cluster.mirror_link import MirrorLink
-from wharfcart.cluster.transport import Handler, PeerUnreachableError, Responder, Transport
+from wharfcart.cluster.news_sources import NewsSources, Peer
+from wharfcart.cluster.peer_news import PeerNewsCalls, news_to_message
+from wharfcart.cluster.transport import Handler, Responder, Transport
 from wharfcart.configuration.serving import ServingConfiguration
-from wharfcart.errors import ServingError
 from wharfcart.node.fleet_keys import NODE_PREFIX, NodeEntry, node_entry_from
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.observability.serving_metrics import ServingMetrics
@@ -38,9 +33,10 @@
 from wharfcart.settings.schema import split_endpoint
 from wharfcart.settings.serving import ServingSettings
 
-PULL_TIMEOUT_S = 0.6
 ANNOUNCE_RETRY_S = 0.5
 FEWEST_CONNECTIONS = 2
+# Until it is known how many nodes there are.
+FEWEST_NODES = 8
 
 
 class ServingNode:
@@ -59,12 +55,19 @@
         self.tasks = BackgroundTasks()
         host, port = split_endpoint(settings.coordination)
         self.coordination = MetadataStore(host, port, self.metrics.coordination_calls)
+        self.transport = Transport(self.handle)
+        self._sources = NewsSources(settings.node_id, settings.zone)
         self.link = MirrorLink(
-            self.mirror, self.coordination, self._pull_from_peer, self._on_changes, log
+            self.mirror,
+            self.coordination,
+            self._sources,
+            PeerNewsCalls(self.transport),
+            self._on_changes,
+            log,
         )
-        self.transport = Transport(self.handle)
         self.listeners: list[Callable[[list[Change]], None]] = []
         self.handle_other: Handler = _ignore
+        self.fleet_size: Callable[[], int] = lambda: len(self.nodes)
 
     async def start(self) -> None:
         """Listen for peers and begin to follow the coordination service."""
@@ -73,8 +76,7 @@
         if self.settings.metrics_listen is not None:
             self.metrics.serve(*split_endpoint(self.settings.metrics_listen))
         self.tasks.spawn(self.log.run())
-        self.tasks.spawn(self.link.run_watch())
-        self.tasks.spawn(self.link.run_pulls())
+        self.tasks.spawn(self.link.run())
 
     async def stop(self) -> None:
         """Close everything."""
@@ -107,38 +109,19 @@
         if self.configuration is None or service not in self.configuration.services:
             return FEWEST_CONNECTIONS
         whole = self.configuration.services[service].connection_limit
-        return max(FEWEST_CONNECTIONS, whole // max(1, len(self.nodes)))
+        return max(FEWEST_CONNECTIONS, whole // max(FEWEST_NODES, self.fleet_size()))
 
     async def handle(self, frame: Frame, respond: Responder) -> None:
         """Answer a peer's call."""
         if frame.WhichOneof("body") == "coordination_pull":
-            changes = self.mirror.since(frame.coordination_pull.after)
-            await respond(Frame(last=True, coordination_changes=_changes_to_message(changes)))
+            pull = frame.coordination_pull
+            news = await self.link.answer(pull.after, pull.wait_ms / 1000)
+            await respond(Frame(last=True, coordination_changes=news_to_message(news)))
             return
         await self.handle_other(frame, respond)
 
     # ---- mirror ----
 
-    async def _pull_from_peer(self, after: int) -> Changes | None:
-        address = self._random_peer()
-        if address is None:
-            return None
-        frame = Frame(coordination_pull=CoordinationPull(after=after))
-        try:
-            async with asyncio.timeout(PULL_TIMEOUT_S):
-                answer = await self.transport.call(address, frame)
-        except (TimeoutError, PeerUnreachableError, ServingError):
-            return None
-        return _changes_from_message(answer.coordination_changes)
-
-    def _random_peer(self) -> Address | None:
-        peers = [
-            entry.address for entry in self.nodes.values() if entry.node_id != self.settings.node_id
-        ]
-        if not peers:
-            peers = [Address(*split_endpoint(seed)) for seed in self.settings.seeds]
-        return self.random.choice(peers) if peers else None
-
     def _on_changes(self, news: list[Change]) -> None:
         for change in news:
             if change.key == names.CONFIGURATION_KEY:
@@ -170,7 +153,8 @@
         known = self.choice.state(instance_id)
         instance = documents.instance_from(change)
         if instance is None:
-            self.choice.remove(instance_id, monotonic(), self.link.in_outage)
+            drained = documents.was_accepting(change) is False
+            self.choice.remove(instance_id, monotonic(), self.link.in_outage, drained)
             self.pool.drop_instance(instance_id)
             if known is not None:
                 self._log_instance(Event.BACKEND_GONE, instance_id, known.instance.service, change)
@@ -190,31 +174,10 @@
             self.nodes.pop(change.key.removeprefix(NODE_PREFIX), None)
         else:
             self.nodes[entry.node_id] = entry
+        self._sources.set_peers(
+            {key: Peer(key, node.zone, node.address) for key, node in self.nodes.items()}
+        )
 
 
 async def _ignore(_frame: Frame, _respond: Responder) -> None:
     return
-
-
-def _changes_to_message(changes: Changes) -> CoordinationChanges:
-    return CoordinationChanges(
-        at=changes.at,
-        complete=changes.complete,
-        changes=[
-            CoordinationChange(
-                key=change.key,
-                revision=change.revision,
-                value=change.value or b"",
-                removed=change.value is None,
-            )
-            for change in changes.changes
-        ],
-    )
-
-
-def _changes_from_message(message: CoordinationChanges) -> Changes:
-    changes = tuple(
-        Change(change.key, change.revision, None if change.removed else change.value)
-        for change in message.changes
-    )
-    return Changes(changes, message.at, message.complete)
--- a/src/wharfcart/platform/documents.py
+++ b/src/wharfcart/platform/documents.py
@@ -1,6 +1,7 @@
 """What the operator and the servers write into the metadata store, in the product's terms."""
 
 import json
+from dataclasses import replace
 from typing import Any
 
 from wharfcart.cluster.coordination import Change
@@ -73,6 +74,14 @@
         return None
 
 
+def was_accepting(removal: Change) -> bool | None:
+    """Tell whether a server whose entry was removed took requests; None if that is not known."""
+    if removal.last is None:
+        return None
+    instance = instance_from(replace(removal, value=removal.last))
+    return None if instance is None else instance.accepting
+
+
 def retire_status(state: str) -> bytes:
     """Write how far the emptying of a storage machine has come."""
     return json.dumps({"state": state}).encode()
--- a/src/wharfcart/platform/metadata_store.py
+++ b/src/wharfcart/platform/metadata_store.py
@@ -37,13 +37,14 @@
         self._calls = calls
         self._idle: list[HttpConnection] = []
 
-    async def read_all(self) -> Changes:
-        """Return every key, a page at a time."""
+    async def read_all(self, stale: bool = False) -> Changes:
+        """Return every key, a page at a time; ``stale`` ones may be seconds old."""
         found: list[Change] = []
         after = ""
         at = 0
         while True:
             query = f"?pathPrefix=&after={quote(after, safe='')}" if after else "?pathPrefix="
+            query += "&stale=1" if stale else ""
             page = await self._call("GET", names.READ_RANGE + query)
             # Pages are no snapshot: only the first one's revision is sure to be complete.
             at = at or int(page["at"])
--- a/src/wharfcart/routing/backend_choice.py
+++ b/src/wharfcart/routing/backend_choice.py
@@ -9,14 +9,17 @@
 Pure: time and randomness are handed in.
 """
 
-from collections.abc import Collection, Iterable
+import math
+from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass, field
 
 import xxhash
 
 from wharfcart.cluster.randomness import RandomSource
 from wharfcart.configuration.instances import BackendInstance
-from wharfcart.routing.load_board import NodeLoad
+from wharfcart.routing.load_board import NodeLoad, report_period_s
+from wharfcart.routing.send_rates import SendRates
+from wharfcart.routing.spreading import draw_below, fill_level
 
 REPORT_FRESH_S = 1.5
 AVOID_FIRST_S = 0.5
@@ -34,7 +37,10 @@
 AFFINITY_MOST_LOAD = 0.9
 # Reading a long shared prompt anew costs more than waiting a little longer than elsewhere.
 AFFINITY_MOST_ABOVE_LEAST = 0.35
-RANDOM_TIE = 0.02
+# Where nobody else sends, only back ends that are equally empty are drawn from.
+LEAST_SPREAD = 0.05
+# The picture of the others' load counts as no older than this, however old it is.
+MOST_PICTURE_AGE_S = 1.0
 # So many prompt tokens that wait to be read weigh as much as all slots taken.
 TOKENS_A_FULL_LOAD = 24_000
 
@@ -105,6 +111,10 @@
     _by_service: dict[str, dict[str, InstanceState]] = field(default_factory=dict)
     _vanished: dict[str, tuple[float, InstanceState]] = field(default_factory=dict)  # until when
     _next_use: int = 0
+    _sends: SendRates = field(default_factory=SendRates)
+    _others_rates: dict[str, float] = field(default_factory=dict)
+    _others_at: float = -1e9
+    _nodes: int = 1
 
     def put(self, instance: BackendInstance) -> None:
         """Take what discovery tells of an incarnation."""
@@ -118,16 +128,21 @@
             state.instance = instance
         self._by_service.setdefault(instance.service, {})[instance.instance_id] = state
 
-    def remove(self, instance_id: str, now: float, in_outage: bool = False) -> None:
+    def remove(
+        self, instance_id: str, now: float, in_outage: bool = False, drained: bool = False
+    ) -> None:
         """Take an incarnation off the list that discovery no longer tells.
 
-        ``in_outage`` tells that discovery itself could not be reached a moment ago.
+        Parameters
+        ----------
+        in_outage: discovery itself could not be reached a moment ago.
+        drained: it had said that it leaves, even if this node did not hear of that.
         """
         state = self._states.pop(instance_id, None)
         if state is None:
             return
         self._by_service.get(state.instance.service, {}).pop(instance_id, None)
-        if state.instance.accepting:
+        if state.instance.accepting and not drained:
             kept_s = VANISHED_KEPT_IN_OUTAGE_S if in_outage else VANISHED_KEPT_S
             self._vanished[instance_id] = (now + kept_s, state)
 
@@ -176,11 +191,30 @@
             return None
         if affinity_key:
             return self._by_affinity(candidates, affinity_key, now)
-        return min(candidates, key=lambda state: self._cost(state, now))
+        return self._spread(service, candidates, now)
+
+    def sends_by_others(self, service: str, now: float) -> float:
+        """Return how many requests other nodes have probably sent since the load picture."""
+        age_s = min(MOST_PICTURE_AGE_S, now - self._others_at + report_period_s(self._nodes) / 2)
+        return self._others_rates.get(service, 0.0) * age_s
+
+    def headroom(self, service: str, now: float) -> float:
+        """Return the slots of each back end that online work may need before it is seen there.
+
+        That is the mean of what comes before the next picture of the load, and two standard
+        deviations.
+        """
+        mean = self.sends_by_others(service, now) / max(1, len(self.accepting(service, now)))
+        return mean + 2 * math.sqrt(mean)
+
+    def own_rates(self, now: float) -> dict[str, float]:
+        """Return this node's requests a second by service, for the load board."""
+        return self._sends.rates(now)
 
     def sent(self, state: InstanceState, now: float, unread_tokens: int = 0) -> int:
         """Note a request sent; return its number for :meth:`answered` and :meth:`ended`."""
         self._next_use += 1
+        self._sends.sent(state.instance.service, now)
         state.in_flight += 1
         state.waiting_since[self._next_use] = now
         if unread_tokens:
@@ -195,8 +229,25 @@
             if state.in_flight
         ]
 
-    def others_reported(self, others: dict[str, NodeLoad], now: float, kept_s: float) -> None:
-        """Take what the load board tells of all other nodes; it counts for a while."""
+    def others_reported(
+        self,
+        others: dict[str, NodeLoad],
+        now: float,
+        kept_s: float,
+        rates: dict[str, float] | None = None,
+        nodes: int = 1,
+    ) -> None:
+        """Take what the load board tells of all other nodes; it counts for a while.
+
+        Parameters
+        ----------
+        others: sum of the others' requests by incarnation.
+        rates: sum of the others' requests a second by service.
+        nodes: how many nodes report.
+        """
+        self._others_rates = rates or {}
+        self._others_at = now
+        self._nodes = nodes
         for instance_id, state in self._states.items():
             state.others = others.get(instance_id)
             state.others_at = now
@@ -231,10 +282,19 @@
         """Note that an incarnation turned a request away since it is full."""
         self.reported(state, state.instance.slots * 2, 0, now)
 
+    def _spread(
+        self, service: str, candidates: Sequence[InstanceState], now: float
+    ) -> InstanceState:
+        costs = [self._cost(state, now) for state in candidates]
+        slots = [state.instance.slots for state in candidates]
+        amount = max(LEAST_SPREAD, self.sends_by_others(service, now))
+        level = fill_level(costs, slots, amount)
+        return candidates[draw_below(costs, slots, level, self.random)]
+
     def _cost(self, state: InstanceState, now: float) -> float:
         other_zone = OTHER_ZONE_PENALTY if state.instance.zone != self.zone else 0.0
         unread = state.unread_tokens(now) / TOKENS_A_FULL_LOAD
-        return state.load(now) + unread + other_zone + self.random.random() * RANDOM_TIE
+        return state.load(now) + unread + other_zone
 
     def _by_affinity(
         self, candidates: Iterable[InstanceState], key: str, now: float
--- a/src/wharfcart/routing/load_board.py
+++ b/src/wharfcart/routing/load_board.py
@@ -9,10 +9,11 @@
 from dataclasses import dataclass, field
 
 REPORT_PERIOD_S = 0.15
-MOST_REPORTS_A_SECOND = 120
+MOST_REPORTS_A_SECOND = 200
 # Reports count for so many periods, never shorter than this.
 PERIODS_KEPT = 4
 FEWEST_KEPT_S = 1.0
+EXPIRE_PERIOD_S = 0.1
 # A summary names the most loaded back ends: those left out have less.
 MOST_LOADS_A_SUMMARY = 48
 
@@ -34,14 +35,60 @@
 
 
 @dataclass
-class LoadBoard:
-    """The latest report of each node."""
+class _Total:
+    """Sum of all reports of one back end."""
+
+    in_flight: int = 0
+    unread_tokens: int = 0
+    silent: int = 0
+
+    def add(self, load: NodeLoad, sign: int) -> None:
+        self.in_flight += sign * load.in_flight
+        self.unread_tokens += sign * load.unread_tokens
+        self.silent += sign * load.silent
+
+
+@dataclass(frozen=True)
+class _Report:
+    """What one node told."""
+
+    at: float
+    loads: dict[str, NodeLoad]
+    rates: dict[str, float]
 
-    _reports: dict[str, tuple[float, dict[str, NodeLoad]]] = field(default_factory=dict)
 
-    def report(self, node_id: str, loads: Iterable[NodeLoad], now: float) -> None:
-        """Take a node's report in place of its last one."""
-        self._reports[node_id] = (now, {load.instance_id: load for load in loads})
+_NOTHING = _Report(0.0, {}, {})
+
+
+@dataclass
+class LoadBoard:
+    """The latest report of each node, and their sums, kept up to date with each report."""
+
+    _reports: dict[str, _Report] = field(default_factory=dict)
+    _totals: dict[str, _Total] = field(default_factory=dict)
+    _rates: dict[str, float] = field(default_factory=dict)
+    _expire_at: float = -1e9
+
+    def report(
+        self,
+        node_id: str,
+        loads: Iterable[NodeLoad],
+        now: float,
+        rates: dict[str, float] | None = None,
+    ) -> None:
+        """Take a node's report in place of its last one.
+
+        Parameters
+        ----------
+        rates: requests a second that the node sends, by service.
+        """
+        self._drop(node_id)
+        report = _Report(now, {load.instance_id: load for load in loads}, rates or {})
+        self._reports[node_id] = report
+        for load in report.loads.values():
+            self._totals.setdefault(load.instance_id, _Total()).add(load, 1)
+        for service, rate in report.rates.items():
+            self._rates[service] = self._rates.get(service, 0.0) + rate
 
     def summary_for(self, node_id: str, now: float) -> list[NodeLoad]:
         """Return what one node is told of all others: the most loaded back ends."""
@@ -52,30 +99,57 @@
     def others(self, node_id: str, now: float) -> dict[str, NodeLoad]:
         """Return the sum of all other nodes' reports, by back end."""
         self._expire(now)
-        sums: dict[str, NodeLoad] = {}
-        for reporter, (_, loads) in self._reports.items():
-            if reporter == node_id:
-                continue
-            for instance_id, load in loads.items():
-                known = sums.get(instance_id, NodeLoad(instance_id, 0, 0))
-                sums[instance_id] = NodeLoad(
-                    instance_id,
-                    known.in_flight + load.in_flight,
-                    known.unread_tokens + load.unread_tokens,
-                    known.silent or load.silent,
-                )
-        return sums
+        own = self._reports.get(node_id, _NOTHING).loads
+        found = {}
+        for instance_id, total in self._totals.items():
+            load = _without(instance_id, total, own.get(instance_id))
+            if load.in_flight > 0 or load.silent:
+                found[instance_id] = load
+        return found
+
+    def others_rates(self, node_id: str, now: float) -> dict[str, float]:
+        """Return the sum of all other nodes' sends a second, by service."""
+        self._expire(now)
+        own = self._reports.get(node_id, _NOTHING).rates
+        rates = {service: rate - own.get(service, 0.0) for service, rate in self._rates.items()}
+        return {service: rate for service, rate in rates.items() if rate > 0}
 
     def nodes(self, now: float) -> int:
         """Return the number of nodes whose report still counts."""
         self._expire(now)
         return len(self._reports)
 
+    def _drop(self, node_id: str) -> None:
+        report = self._reports.pop(node_id, None)
+        if report is None:
+            return
+        for load in report.loads.values():
+            total = self._totals[load.instance_id]
+            total.add(load, -1)
+            if not total.in_flight and not total.silent:
+                del self._totals[load.instance_id]
+        for service, rate in report.rates.items():
+            self._rates[service] -= rate
+
     def _expire(self, now: float) -> None:
+        if now < self._expire_at:
+            return
+        self._expire_at = now + EXPIRE_PERIOD_S
         kept_s = report_kept_s(len(self._reports))
-        old = [node for node, (at, _) in self._reports.items() if now - at > kept_s]
+        old = [node for node, report in self._reports.items() if now - report.at > kept_s]
         for node in old:
-            del self._reports[node]
+            self._drop(node)
+
+
+def _without(instance_id: str, total: _Total, own: NodeLoad | None) -> NodeLoad:
+    if own is None:
+        return NodeLoad(instance_id, total.in_flight, total.unread_tokens, total.silent > 0)
+    return NodeLoad(
+        instance_id,
+        total.in_flight - own.in_flight,
+        total.unread_tokens - own.unread_tokens,
+        total.silent - own.silent > 0,
+    )
 
 
 def report_period_s(nodes: int) -> float:
--- a/tests/cluster/test_mirror.py
+++ b/tests/cluster/test_mirror.py
@@ -80,3 +80,24 @@
     for part in parts:
         other.apply(part)
     assert sorted(other.under(""), key=str) == sorted(whole.under(""), key=str)
+
+
+def test_who_lags_behind_a_listing_is_told_everything() -> None:
+    # A key that was removed before the listing is not known to the peer that began with it.
+    peer = Mirror()
+    peer.apply(Changes((change("a", 2),), 9, complete=True))
+    lagging = Mirror()
+    lagging.apply(Changes((change("a", 2), change("gone", 3)), 4, complete=True))
+    lagging.apply(peer.since(lagging.at))
+    assert lagging.at == 9
+    assert lagging.get("gone") is None
+
+
+def test_a_peer_that_missed_a_change_before_a_removal_is_told_the_last_value() -> None:
+    peer = Mirror()
+    peer.apply(Changes((change("a", 2, b"ready"),), 2, complete=True))
+    lagging = Mirror()
+    lagging.apply(peer.since(0))
+    peer.apply(Changes((change("a", 5, b"draining"), change("a", 6, None)), 6))
+    (removal,) = lagging.apply(peer.since(2))
+    assert removal.value is None and removal.last == b"draining"
--- /dev/null
+++ b/tests/cluster/test_mirror_link.py
@@ -0,0 +1,174 @@
+"""How a node's mirror stays up to date: peers first, the service where no peer is fresh."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from wharfcart.cluster import mirror_link
+from wharfcart.cluster.coordination import Change, Changes, CoordinationUnavailableError
+from wharfcart.cluster.membership import Address
+from wharfcart.cluster.mirror import Mirror
+from wharfcart.cluster.mirror_link import MirrorLink, PeerNews
+from wharfcart.cluster.news_sources import NewsSources, Peer
+from wharfcart.experiments.virtual_time import run_virtually, virtual_monotonic
+from wharfcart.observability.decisions import DecisionLog
+
+
+@pytest.fixture(autouse=True)
+def virtual_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(mirror_link, "monotonic", virtual_monotonic)
+
+
+class Service:
+    """A coordination service; its calls are counted."""
+
+    def __init__(self) -> None:
+        self.entries: dict[str, Change] = {}
+        self.revision = 1
+        self.stale_reads = 0
+        self.calls = 0
+        self.refuses = False
+        self._changed = asyncio.Event()
+
+    def put(self, key: str) -> None:
+        self.revision += 1
+        self.entries[key] = Change(key, self.revision, b"v")
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+    async def read_all(self, stale: bool = False) -> Changes:
+        self.stale_reads += stale
+        self.calls += not stale
+        return Changes(tuple(self.entries.values()), self.revision, complete=True)
+
+    async def wait_for_changes(self, after: int, wait_s: float) -> Changes:
+        self.calls += 1
+        if self.refuses:
+            raise CoordinationUnavailableError("refused")
+        try:
+            async with asyncio.timeout(wait_s):
+                while self.revision <= after:
+                    await self._changed.wait()
+        except TimeoutError:
+            pass
+        news = tuple(entry for entry in self.entries.values() if entry.revision > after)
+        return Changes(news, self.revision)
+
+
+class Peers:
+    """Calls to other links, by node id; those in ``silent`` never answer."""
+
+    def __init__(self) -> None:
+        self.links: dict[str, MirrorLink] = {}
+        self.silent: set[str] = set()
+
+    async def ask(self, peer: Peer, after: int, wait_s: float) -> PeerNews | None:
+        if peer.node_id in self.silent:
+            await asyncio.sleep(3600)
+        return await self.links[peer.node_id].answer(after, wait_s)
+
+    def drop(self, peer: Peer) -> None:
+        """Nothing to close."""
+
+
+class Fleet:
+    """Storage nodes s0..s4 and gateways, each with a link of its own."""
+
+    def __init__(self, gateways: int = 20) -> None:
+        self.shared = Service()
+        self.peers = Peers()
+        self.services: dict[str, Service] = {}
+        known = {f"s{n}": Peer(f"s{n}", "a", Address("", n)) for n in range(5)}
+        self.links: dict[str, MirrorLink] = {}
+        for node_id in [*known, *(f"g{n}" for n in range(gateways))]:
+            sources = NewsSources(node_id, "a")
+            sources.set_peers(known)
+            self.links[node_id] = MirrorLink(
+                Mirror(), self.shared, sources, self.peers, lambda news: None, DecisionLog(node_id)
+            )
+        self.peers.links = {key: self.links[key] for key in known}
+
+    async def run(self, scenario: Callable[[], Awaitable[None]]) -> None:
+        tasks = [asyncio.create_task(link.run()) for link in self.links.values()]
+        try:
+            await scenario()
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    def know(self, key: str) -> set[str]:
+        return {name for name, link in self.links.items() if link.mirror.get(key) is not None}
+
+
+def play(scenario: Callable[[Fleet], Awaitable[None]]) -> None:
+    async def run() -> None:
+        fleet = Fleet()
+        await fleet.run(lambda: scenario(fleet))
+
+    run_virtually(run())
+
+
+def test_a_change_is_known_everywhere_at_once_and_few_read_the_service() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        await asyncio.sleep(5)
+        before = fleet.shared.calls
+        await asyncio.sleep(10)
+        # Two readers, each with a watch that ends about once a second.
+        assert fleet.shared.calls - before < 2 * 12
+        fleet.shared.put("news")
+        await asyncio.sleep(0.3)
+        assert fleet.know("news") == set(fleet.links)
+
+    play(scenario)
+
+
+def test_a_start_of_all_asks_the_service_for_old_answers_only() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        await asyncio.sleep(1.0)
+        assert fleet.shared.stale_reads == len(fleet.links)
+        assert fleet.shared.calls < 10
+
+    play(scenario)
+
+
+def test_readers_that_fall_silent_hide_a_change_for_less_than_two_seconds() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        await asyncio.sleep(5)
+        fleet.peers.silent = {"s0", "s1", "s2", "s3", "s4"}
+        fleet.shared.put("news")
+        await asyncio.sleep(1.9)
+        assert fleet.know("news") == set(fleet.links)
+
+    play(scenario)
+
+
+def test_a_node_that_the_service_refuses_follows_its_peers() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        refused = fleet.links["s0"]
+        own = Service()
+        own.refuses = True
+        refused._service = own
+        await asyncio.sleep(5)
+        fleet.shared.put("news")
+        await asyncio.sleep(1.9)
+        assert fleet.know("news") == set(fleet.links)
+        assert not refused.in_outage
+
+    play(scenario)
+
+
+def test_an_outage_is_known_to_every_node() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        await asyncio.sleep(5)
+        assert not any(link.in_outage for link in fleet.links.values())
+        fleet.shared.refuses = True
+        await asyncio.sleep(4)
+        assert all(link.in_outage for link in fleet.links.values())
+        fleet.shared.refuses = False
+        fleet.shared.put("news")
+        await asyncio.sleep(2.5)
+        assert fleet.know("news") == set(fleet.links)
+
+    play(scenario)
--- a/tests/routing/test_backend_choice.py
+++ b/tests/routing/test_backend_choice.py
@@ -169,3 +169,23 @@
 def test_the_own_zone_is_preferred_at_equal_load() -> None:
     made = choice(instance("far", zone="y"), instance("near"))
     assert {chosen(made) for _ in range(20)} == {"near"}
+
+
+def test_nodes_with_the_same_old_picture_do_not_all_choose_the_same_back_end() -> None:
+    servers = [f"s{n}" for n in range(36)]
+    loads = {name: NodeLoad(name, n % 6, 0) for n, name in enumerate(servers)}
+    arrivals = dict.fromkeys(servers, 0)
+    for node in range(76):
+        made = BackendChoice("z", Random(node))
+        for name in servers:
+            made.put(instance(name, slots=9))
+        made.others_reported(loads, 0.0, 2.0, {"s": 90.0}, 76)
+        arrivals[chosen(made, 0.3)] += 1
+    assert max(arrivals[name] + loads[name].in_flight for name in servers) <= 9
+
+
+def test_batch_leaves_room_for_what_comes_before_the_next_picture() -> None:
+    made = choice(instance("a"), instance("b"))
+    made.others_reported({}, 0.0, 2.0, {"s": 8.0}, 100)
+    assert made.headroom("s", 0.25) == 2 + 2 * 2**0.5
+    assert made.headroom("other", 0.25) == 0
--- a/tests/routing/test_load_board.py
+++ b/tests/routing/test_load_board.py
@@ -1,5 +1,7 @@
 """The load board."""
 
+import random
+
 from wharfcart.routing.load_board import (
     MOST_LOADS_A_SUMMARY,
     MOST_REPORTS_A_SECOND,
@@ -46,3 +48,22 @@
     summary = board.summary_for("me", 0.0)
     assert len(summary) == MOST_LOADS_A_SUMMARY
     assert summary[0].in_flight == 999
+
+
+def test_sums_stay_right_over_many_reports() -> None:
+    rng = random.Random(3)
+    board = LoadBoard()
+    last: dict[str, list[NodeLoad]] = {}
+    for step in range(500):
+        node = f"g{rng.randrange(6)}"
+        last[node] = [
+            NodeLoad(server, rng.randint(1, 4), rng.randrange(100), rng.random() < 0.1)
+            for server in rng.sample("abcd", rng.randint(0, 4))
+        ]
+        board.report(node, last[node], step / 1000, {"lm": 1.0})
+    told = board.others("g0", 0.5)
+    for server in "abcd":
+        others = [load for node, loads in last.items() if node != "g0" for load in loads]
+        in_flight = sum(load.in_flight for load in others if load.instance_id == server)
+        assert told[server].in_flight == in_flight
+    assert board.others_rates("g0", 0.5) == {"lm": 5.0}
