--- a/src/wharfcart/batch/item_run.py
+++ b/src/wharfcart/batch/item_run.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 from time import monotonic
 
@@ -43,11 +43,13 @@
     ----------
     text: the events that it has given so far, perhaps under an earlier leader.
     failures: answers that said that it failed.
+    failed_at: incarnations that gave these.
     not_before: monotonic time of the next send.
     """
 
     text: RunningText
     failures: int = 0
+    failed_at: set[str] = field(default_factory=set)
     not_before: float = 0.0
     last_backend: str = ""
     sends: int = 0
--- a/src/wharfcart/batch/job_execution.py
+++ b/src/wharfcart/batch/job_execution.py
@@ -11,6 +11,7 @@
 
 from wharfcart.batch.item_run import ItemProgress, ItemRunner, ItemSend, RunOutcome
 from wharfcart.batch.job_scheduler import JobScheduler, ScheduledJob
+from wharfcart.batch.retry_policy import has_failed_for_good
 from wharfcart.cluster.messages_pb2 import ItemOutcome, RequestItem, RequestJob
 from wharfcart.configuration.serving import Route, ServingConfiguration
 from wharfcart.observability.decisions import DecisionLog, Event
@@ -24,7 +25,7 @@
 # Items start while less than this share of a back end's slots is taken; above the other they yield.
 START_BELOW_LOAD = 0.8
 YIELD_ABOVE_LOAD = 0.92
-FEWEST_START_LOAD = 0.35
+FEWEST_START_LOAD = 0.45
 MOST_OWN_SHARE = 0.65
 # An item due within this time starts and stays although the back end is nearly full.
 URGENT_S = 8.0
@@ -150,9 +151,10 @@
         self, route: Route, scheduled: ScheduledJob, item: RequestItem, now: float
     ) -> InstanceState | None:
         progress = scheduled.progress_of(item.item_id)
-        excluded = (progress.last_backend,) if progress.last_backend else ()
+        excluded = progress.failed_at | {progress.last_backend}
         service = route.shares[0].service
-        state = self._choice.choose(service, now, excluded) or self._choice.choose(service, now)
+        state = self._choice.choose_emptiest(service, now, excluded)
+        state = state or self._choice.choose_emptiest(service, now)
         if state is None:
             return None
         urgent = scheduled.due_at - now < URGENT_S
@@ -221,9 +223,39 @@
             self._runs.pop(item.item_id, None)
             self._placed.pop(item.item_id, None)
         self._metrics.items.add(outcome.value)
+        self._judge_backends(progress, state, outcome)
         self._take_outcome(scheduled, item, progress, outcome)
         self._work.set()
 
+    def _judge_backends(
+        self, progress: ItemProgress, state: InstanceState, outcome: RunOutcome
+    ) -> None:
+        """Note what an outcome says of back ends.
+
+        An item that fails may itself be at fault: the back ends where it failed are to blame only
+        once it has succeeded elsewhere.
+        """
+        now = monotonic()
+        if outcome is RunOutcome.FAILED:
+            progress.failures += 1
+            progress.failed_at.add(state.instance.instance_id)
+        elif outcome is RunOutcome.BROKEN:
+            self._choice.turned_out(state, False, now)
+        elif outcome is RunOutcome.SUCCEEDED:
+            self._choice.turned_out(state, True, now)
+            for failed in map(self._choice.state, progress.failed_at):
+                if failed is not None:
+                    self._choice.turned_out(failed, False, now)
+
+    def _has_failed_for_good(self, scheduled: ScheduledJob, progress: ItemProgress) -> bool:
+        """Whether an item failed often enough, at back ends that do well otherwise."""
+        now = monotonic()
+        states = [self._choice.state(failed) for failed in progress.failed_at]
+        trusted = sum(state is not None and not state.suspect(now) for state in states)
+        return has_failed_for_good(
+            progress.failures, len(states), trusted, scheduled.job.most_attempts
+        )
+
     def _take_outcome(
         self,
         scheduled: ScheduledJob,
@@ -234,12 +266,10 @@
         if outcome is RunOutcome.SUCCEEDED:
             self._finish(scheduled, item, True, "\n".join(progress.text.texts), "succeeded")
             return
-        if outcome is RunOutcome.FAILED:
-            progress.failures += 1
         if outcome is RunOutcome.IMPOSSIBLE:
             self._finish(scheduled, item, False, "", "impossible")
             return
-        if progress.failures >= scheduled.job.most_attempts:
+        if outcome is RunOutcome.FAILED and self._has_failed_for_good(scheduled, progress):
             self._finish(scheduled, item, False, "", f"failed {progress.failures} times")
             return
         delays = {RunOutcome.REFUSED: RETRY_REFUSED_S, RunOutcome.FAILED: RETRY_FAILED_S}
--- a/src/wharfcart/emulator/model_server.py
+++ b/src/wharfcart/emulator/model_server.py
@@ -50,6 +50,7 @@
         self.finished: Counter[str] = Counter()
         self.abandoned: Counter[str] = Counter()
         self.failing_ids: dict[str, int] = {}
+        self.fails_with: int | None = None  # status of every answer
         self.silent = False
         self.switch = FaultSwitch(1)
         self._events = events
@@ -99,6 +100,8 @@
         first = int(request.headers.get(names.LAST_EVENT_ID, "-1")) + 1
         deadline_ms = int(request.headers.get(names.DEADLINE_MS, "0"))
         self.runs.append(RunRecord(request_id, first, deadline_ms, monotonic()))
+        if self.fails_with is not None:
+            return web.Response(status=self.fails_with, headers=self._head(request_id))
         if request_id in self.failing_ids:
             return web.Response(status=self.failing_ids[request_id], headers=self._head(request_id))
         if not self._events:
--- a/src/wharfcart/node/load_reports.py
+++ b/src/wharfcart/node/load_reports.py
@@ -117,8 +117,12 @@
         in_flight=load.in_flight,
         unread_tokens=load.unread_tokens,
         silent=load.silent,
+        good=load.good,
+        bad=load.bad,
     )
 
 
 def _from_message(load: InstanceLoad) -> NodeLoad:
-    return NodeLoad(load.instance_id, load.in_flight, load.unread_tokens, load.silent)
+    return NodeLoad(
+        load.instance_id, load.in_flight, load.unread_tokens, load.silent, load.good, load.bad
+    )
--- a/src/wharfcart/routing/backend_choice.py
+++ b/src/wharfcart/routing/backend_choice.py
@@ -17,7 +17,8 @@
 
 from wharfcart.cluster.randomness import RandomSource
 from wharfcart.configuration.instances import BackendInstance
-from wharfcart.routing.load_board import NodeLoad, report_period_s
+from wharfcart.routing.load_board import LEAST_COUNT, NodeLoad, report_period_s
+from wharfcart.routing.outcome_record import OutcomeRecord, is_suspect
 from wharfcart.routing.send_rates import SendRates
 from wharfcart.routing.spreading import draw_below, fill_level
 
@@ -39,6 +40,8 @@
 AFFINITY_MOST_ABOVE_LEAST = 0.35
 # Where nobody else sends, only back ends that are equally empty are drawn from.
 LEAST_SPREAD = 0.05
+# When more than the rest seem to fail, it is something else that fails.
+LEAST_SHARE_LEFT = 0.2
 # The picture of the others' load counts as no older than this, however old it is.
 MOST_PICTURE_AGE_S = 1.0
 # So many prompt tokens that wait to be read weigh as much as all slots taken.
@@ -69,6 +72,7 @@
     others: NodeLoad | None = None
     others_at: float = -1e9
     others_until: float = -1e9
+    outcomes: OutcomeRecord = field(default_factory=OutcomeRecord)
 
     def load(self, now: float) -> float:
         """Return the estimated share of slots that are taken; above 1 requests wait."""
@@ -87,12 +91,20 @@
         return tokens
 
     def avoided(self, now: float) -> bool:
-        """Whether a failure or silence speaks against this incarnation now."""
-        if now < self.avoid_until or self.silent(now):
+        """Whether failures or silence speak against this incarnation now."""
+        if now < self.avoid_until or self.silent(now) or self.suspect(now):
             return True
         others = self.others
         return others is not None and others.silent and now < self.others_until
 
+    def suspect(self, now: float) -> bool:
+        """Whether too many of its answers failed lately, at this node and all others."""
+        good, bad = self.outcomes.counts(now)
+        if self.others is not None and now < self.others_until:
+            good += self.others.good
+            bad += self.others.bad
+        return is_suspect(good, bad)
+
     def silent(self, now: float) -> bool:
         """Whether a request of this node waits too long for the first byte of its answer."""
         if not self.waiting_since:
@@ -181,18 +193,36 @@
         excluded: incarnations that this request was already sent to.
         affinity_key: names the shared prompt that decides where to go first; '' for none.
         """
-        usable = [
-            state
-            for state in self.accepting(service, now)
-            if state.instance.instance_id not in excluded
-        ]
-        candidates = [state for state in usable if not state.avoided(now)] or usable
+        candidates = self._candidates(service, now, excluded)
         if not candidates:
             return None
         if affinity_key:
             return self._by_affinity(candidates, affinity_key, now)
         return self._spread(service, candidates, now)
 
+    def choose_emptiest(
+        self, service: str, now: float, excluded: Collection[str] = ()
+    ) -> InstanceState | None:
+        """Return the incarnation with the most room, for the one node that places batch items.
+
+        If there is no room, there is none elsewhere either.
+        """
+        candidates = self._candidates(service, now, excluded)
+        return min(candidates, key=lambda state: self._cost(state, now), default=None)
+
+    def _candidates(
+        self, service: str, now: float, excluded: Collection[str]
+    ) -> list[InstanceState]:
+        usable = [
+            state
+            for state in self.accepting(service, now)
+            if state.instance.instance_id not in excluded
+        ]
+        candidates = [state for state in usable if not state.avoided(now)]
+        if len(candidates) < len(usable) * LEAST_SHARE_LEFT:
+            candidates = usable
+        return candidates
+
     def sends_by_others(self, service: str, now: float) -> float:
         """Return how many requests other nodes have probably sent since the load picture."""
         age_s = min(MOST_PICTURE_AGE_S, now - self._others_at + report_period_s(self._nodes) / 2)
@@ -201,11 +231,11 @@
     def headroom(self, service: str, now: float) -> float:
         """Return the slots of each back end that online work may need before it is seen there.
 
-        That is the mean of what comes before the next picture of the load, and two standard
-        deviations.
+        That is the mean of what comes before the next picture of the load, and a standard
+        deviation.
         """
         mean = self.sends_by_others(service, now) / max(1, len(self.accepting(service, now)))
-        return mean + 2 * math.sqrt(mean)
+        return mean + math.sqrt(mean)
 
     def own_rates(self, now: float) -> dict[str, float]:
         """Return this node's requests a second by service, for the load board."""
@@ -223,11 +253,8 @@
 
     def own_loads(self, now: float) -> list[NodeLoad]:
         """Return this node's requests by back end, for the load board."""
-        return [
-            NodeLoad(instance_id, state.in_flight, sum(state.unread.values()), state.silent(now))
-            for instance_id, state in self._states.items()
-            if state.in_flight
-        ]
+        loads = (_own_load(state, now) for state in self._states.values())
+        return [load for load in loads if load.in_flight or load.bad > LEAST_COUNT]
 
     def others_reported(
         self,
@@ -259,6 +286,10 @@
         state.unread.pop(use, None)
         state.failures = 0
 
+    def turned_out(self, state: InstanceState, good: bool, now: float) -> None:
+        """Note whether an answer was well, or failed on the back end's part."""
+        state.outcomes.add(good, now)
+
     def reported(self, state: InstanceState, running: int, waiting: int, now: float) -> None:
         """Note the load that an answer told."""
         state.reported_load = running + waiting
@@ -306,3 +337,15 @@
         least = min(state.load(now) for state in ranked)
         bound = max(AFFINITY_MOST_LOAD, least + AFFINITY_MOST_ABOVE_LEAST)
         return next(state for state in ranked if state.load(now) < bound)
+
+
+def _own_load(state: InstanceState, now: float) -> NodeLoad:
+    good, bad = state.outcomes.counts(now)
+    return NodeLoad(
+        state.instance.instance_id,
+        state.in_flight,
+        sum(state.unread.values()),
+        state.silent(now),
+        good,
+        bad,
+    )
--- a/src/wharfcart/routing/forwarder.py
+++ b/src/wharfcart/routing/forwarder.py
@@ -125,6 +125,7 @@
     last_backend: str = ""
     first_byte_s: float | None = None
     cause: str = ""
+    well: bool = True  # what the last back end answered speaks for it
 
 
 class _Verdict:
@@ -220,6 +221,7 @@
         """Send once; None when the request has its final answer."""
         instance = state.instance
         progress.last_backend = instance.instance_id
+        progress.well = True
         try:
             connection = await self._pool.take(instance, self._connection_limit(instance.service))
         except ConnectionLimitError:
@@ -236,6 +238,7 @@
             self._pool.discard(instance, connection)
             if not error.sent:
                 return _Verdict(False, "closed_before_send")
+            self._choice.turned_out(state, False, monotonic())
             if connection.answered == 0:
                 self._avoid(state, "broken")
             return _Verdict(True, "broken")
@@ -246,6 +249,8 @@
         finally:
             self._choice.ended(state, use)
         self._pool.give_back(instance, connection)
+        if verdict is None or verdict.ran:
+            self._choice.turned_out(state, verdict is None and progress.well, monotonic())
         return verdict
 
     async def _exchange(
@@ -303,6 +308,7 @@
     ) -> _Verdict | None:
         body = await connection.read_body()
         failed = head.status >= STATUS_SERVER_ERROR
+        progress.well = not failed or head.status == STATUS_TIMEOUT
         if failed and progress.started:
             raise ConnectionBrokenError("resumption failed")
         if failed and request.route.repeatable and progress.sends < request.route.most_backends:
--- a/src/wharfcart/routing/load_board.py
+++ b/src/wharfcart/routing/load_board.py
@@ -14,6 +14,8 @@
 PERIODS_KEPT = 4
 FEWEST_KEPT_S = 1.0
 EXPIRE_PERIOD_S = 0.1
+# Faded counts below this are not worth telling.
+LEAST_COUNT = 0.2
 # A summary names the most loaded back ends: those left out have less.
 MOST_LOADS_A_SUMMARY = 48
 
@@ -26,12 +28,15 @@
     ----------
     unread_tokens: of prompts that were sent and have no answer yet.
     silent: a request there waits too long for its first byte.
+    good, bad: faded numbers of answers that were well and that failed.
     """
 
     instance_id: str
     in_flight: int
     unread_tokens: int
     silent: bool = False
+    good: float = 0.0
+    bad: float = 0.0
 
 
 @dataclass
@@ -41,11 +46,20 @@
     in_flight: int = 0
     unread_tokens: int = 0
     silent: int = 0
+    good: float = 0.0
+    bad: float = 0.0
 
     def add(self, load: NodeLoad, sign: int) -> None:
         self.in_flight += sign * load.in_flight
         self.unread_tokens += sign * load.unread_tokens
         self.silent += sign * load.silent
+        self.good += sign * load.good
+        self.bad += sign * load.bad
+
+    @property
+    def says_something(self) -> bool:
+        """Whether any report speaks of this back end."""
+        return bool(self.in_flight or self.silent or self.bad > LEAST_COUNT)
 
 
 @dataclass(frozen=True)
@@ -93,7 +107,9 @@
     def summary_for(self, node_id: str, now: float) -> list[NodeLoad]:
         """Return what one node is told of all others: the most loaded back ends."""
         loads = self.others(node_id, now).values()
-        ordered = sorted(loads, key=lambda load: (load.silent, load.in_flight), reverse=True)
+        ordered = sorted(
+            loads, key=lambda load: (load.silent, load.bad >= 1, load.in_flight), reverse=True
+        )
         return ordered[:MOST_LOADS_A_SUMMARY]
 
     def others(self, node_id: str, now: float) -> dict[str, NodeLoad]:
@@ -103,7 +119,7 @@
         found = {}
         for instance_id, total in self._totals.items():
             load = _without(instance_id, total, own.get(instance_id))
-            if load.in_flight > 0 or load.silent:
+            if load.in_flight > 0 or load.silent or load.bad > LEAST_COUNT:
                 found[instance_id] = load
         return found
 
@@ -126,7 +142,7 @@
         for load in report.loads.values():
             total = self._totals[load.instance_id]
             total.add(load, -1)
-            if not total.in_flight and not total.silent:
+            if not total.says_something:
                 del self._totals[load.instance_id]
         for service, rate in report.rates.items():
             self._rates[service] -= rate
@@ -143,12 +159,14 @@
 
 def _without(instance_id: str, total: _Total, own: NodeLoad | None) -> NodeLoad:
     if own is None:
-        return NodeLoad(instance_id, total.in_flight, total.unread_tokens, total.silent > 0)
+        own = NodeLoad(instance_id, 0, 0)
     return NodeLoad(
         instance_id,
         total.in_flight - own.in_flight,
         total.unread_tokens - own.unread_tokens,
         total.silent - own.silent > 0,
+        max(0.0, total.good - own.good),
+        max(0.0, total.bad - own.bad),
     )
 
 
--- a/tests/integration/test_serving_fleet.py
+++ b/tests/integration/test_serving_fleet.py
@@ -374,6 +374,23 @@
     play(scenario)
 
 
+def test_a_server_that_fails_everything_at_once_draws_no_work_to_itself() -> None:
+    """Trial 5e9fa130, tulegen-grown trouble-1: its health was good, its answers were all 500."""
+
+    async def scenario(fleet: ServingFleet) -> None:
+        fleet.stream_servers[0].fails_with = 500
+        failed = 0
+        for number in range(60):
+            status, _, _ = await fleet.request(number % 2, "/chat/x", f"r{number}")
+            failed += status != 200
+        assert failed <= 8
+        assert await submit(fleet, "job1", 12) == 202
+        results = await all_results(fleet, "job1", 12)
+        assert all(result["state"] == "succeeded" for result in results)
+
+    play(scenario)
+
+
 def test_entries_that_lapse_all_at_once_stop_nothing() -> None:
     """Incident inc-9857: discovery's entries lapsed while the servers worked on."""
 
