Elections wait for no dead leader, and one lost leader gives one election

Change: enough answers end the vote after 0.15 s more; a replica gives its try up when another has taken an epoch or leads since it began; silence 1.0 s. Items due within 10 s (8 before) may use the reserve. At its start a node no longer logs a lost dependency.

--- a/src/wharfcart/batch/job_execution.py
+++ b/src/wharfcart/batch/job_execution.py
@@ -28,7 +28,7 @@
 FEWEST_START_LOAD = 0.45
 MOST_OWN_SHARE = 0.65
 # An item due within this time starts and stays although the back end is nearly full.
-URGENT_S = 8.0
+URGENT_S = 10.0
 URGENT_LOAD = 1.0
 URGENT_SHARE = 0.4
 # When online work fills everything, urgent items still get so much of a back end, in its queue.
--- a/src/wharfcart/cluster/mirror_link.py
+++ b/src/wharfcart/cluster/mirror_link.py
@@ -114,7 +114,7 @@
         self._followed_at = -1e9
         self._alone_until = -1e9
         self._watch_confirmed_at = -1e9
-        self._reachable: bool | None = None
+        self._reachable = True
         self._followed: set[str] = set()
         self._progress = asyncio.Event()
 
@@ -292,10 +292,11 @@
             await asyncio.sleep(CHECK_S)
             if self._sources.is_stale(monotonic()):
                 self._stale_at = monotonic()
-            reachable = self.age_s < LOST_AFTER_S
+            # At first the state is as old as the process.
+            age_s = min(self.age_s, monotonic() - self._began_at)
+            reachable = age_s < LOST_AFTER_S
             if reachable == self._reachable:
                 continue
-            known_before = self._reachable is not None
             self._reachable = reachable
             if not reachable:
                 self._log.write(
@@ -303,9 +304,9 @@
                     dependency=DEPENDENCY,
                     reason=self._failure,
                     at=self.mirror.at,
-                    age_s=round(min(self.age_s, 999), 2),
+                    age_s=round(age_s, 2),
                 )
-            elif known_before:
+            else:
                 self._log.write(Event.DEPENDENCY_REGAINED, dependency=DEPENDENCY, at=self.mirror.at)
 
 
--- a/src/wharfcart/storage/job_group.py
+++ b/src/wharfcart/storage/job_group.py
@@ -45,8 +45,10 @@
 from wharfcart.storage.takeover import Takeover
 
 TICK_S = 0.1
-SILENCE_S = 1.2
-SILENCE_SPREAD_S = 0.4
+SILENCE_S = 1.0
+SILENCE_SPREAD_S = 0.3
+# Replicas that have not answered when enough others have are waited for so long.
+STRAGGLERS_S = 0.15
 GATHER_S = 1.5
 FRESH_S = 0.75
 FENCE_RETRY_S = 0.15
@@ -242,16 +244,19 @@
             await self.records.swap(GroupRecord(1, self._context.identity, members), 0)
 
     async def _contest(self) -> None:
-        self._contest_at = monotonic() + CONTEST_RETRY_S * (1 + self._context.random.random())
-        if not await self._others_agree():
+        began_at = monotonic()
+        self._contest_at = began_at + CONTEST_RETRY_S * (1 + self._context.random.random())
+        known = self.record
+        if known is None or not await self._others_agree(known):
             return
         try:
             record = await self.records.read()
         except CoordinationUnavailableError:
             return
-        known = self.record
-        if record is None or known is None or record.epoch > known.epoch:
+        if record is None or record.epoch > known.epoch:
             return  # another one was faster; the mirror will tell
+        if self._heard_leader_at > began_at:
+            return  # the other one leads already
         if self._context.identity not in record.members:
             return
         taken = replace(record, epoch=record.epoch + 1, leader=self._context.identity)
@@ -262,21 +267,31 @@
         if written is not None:
             await self._lead(written)
 
-    async def _others_agree(self) -> bool:
+    async def _others_agree(self, record: GroupRecord) -> bool:
         """Whether enough replicas answer, none of which hears a leader.
 
         Without this a replica that is cut off from the others, but not from the coordination
-        service, would unseat a leader whom it can't replace.
+        service, would unseat a leader whom it can't replace. The lost leader itself does not
+        answer: once there are enough answers, the rest get only a moment more.
         """
-        record = self.record
-        if record is None:
-            return False
         others = record.members - {self._context.identity}
-        answers = await asyncio.gather(*(self._ask_one(identity) for identity in others))
-        if any(answer is False for answer in answers):
-            return False
-        answered = 1 + sum(answer is True for answer in answers)
-        return answered >= len(record.members) - self._context.copies + 1
+        needed = len(record.members) - self._context.copies
+        pending = {asyncio.create_task(self._ask_one(identity)) for identity in others}
+        agreed = 0
+        denied = False
+        while pending and not denied:
+            limit_s = STRAGGLERS_S if agreed >= needed else None
+            done, pending = await asyncio.wait(
+                pending, timeout=limit_s, return_when=asyncio.FIRST_COMPLETED
+            )
+            if not done:
+                break
+            answers = [call.result() for call in done]
+            denied = False in answers
+            agreed += answers.count(True)
+        for call in pending:
+            call.cancel()
+        return agreed >= needed and not denied
 
     async def _ask_one(self, identity: str) -> bool | None:
         link = self._link(identity)
--- a/tests/storage/test_job_group.py
+++ b/tests/storage/test_job_group.py
@@ -250,3 +250,54 @@
     simulation.run()
     assert simulation.accepted > 10
     assert simulation.reads > 100
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_a_leader_that_went_dark_is_replaced_within_two_seconds(seed: int) -> None:
+    """Trial 14d82763: calls to the lost leader hung, and the election waited for them."""
+
+    async def scenario() -> None:
+        fleet = Fleet(seed=seed)
+        await fleet.start()
+        leader = fleet.leader
+        assert leader is not None
+        dark = leader.number
+        others = [number for number in fleet.nodes if number != dark]
+        fleet.simulation.cuts |= {(dark, other) for other in others}
+        fleet.simulation.cuts |= {(other, dark) for other in others}
+        await fleet.until(lambda: fleet.leader is not None and fleet.leader.number != dark, 2.0)
+
+    play(scenario)
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_one_lost_leader_gives_one_election_while_the_service_is_slow(seed: int) -> None:
+    """Trial 14d82763: two replicas took the next epochs one after the other."""
+
+    async def scenario() -> None:
+        fleet = Fleet(seed=seed)
+        await fleet.start()
+        slow_down(fleet, 0.2)
+        epoch = fleet.record.epoch
+        leader = fleet.leader
+        assert leader is not None
+        leader.kill()
+        await fleet.until(lambda: fleet.record.epoch > epoch, 4.0)
+        await asyncio.sleep(3)
+        assert fleet.record.epoch == epoch + 1
+
+    play(scenario)
+
+
+def slow_down(fleet: Fleet, seconds: float) -> None:
+    service = fleet.simulation.coordination
+    for name in ("read", "commit"):
+        call = getattr(service, name)
+
+        async def slowly(argument, call=call):
+            await asyncio.sleep(seconds / 2)
+            answer = await call(argument)
+            await asyncio.sleep(seconds / 2)
+            return answer
+
+        setattr(service, name, slowly)
