--- a/src/wharfcart/batch/job_execution.py
+++ b/src/wharfcart/batch/job_execution.py
@@ -118,6 +118,7 @@
             self._yield_to_online()
             self._start_items()
             self._metrics.open_items.set(self._scheduler.open_items)
+            self._metrics.replicas_behind.set(self._group.replicas_behind)
             self._forget_old()
             try:
                 async with asyncio.timeout(PERIOD_S if self._scheduler.jobs else 1.0):
--- a/src/wharfcart/node/serving_node.py
+++ b/src/wharfcart/node/serving_node.py
@@ -35,6 +35,7 @@
 
 ANNOUNCE_RETRY_S = 0.5
 FEWEST_CONNECTIONS = 2
+MOST_AGE_S = 1e6  # told while nothing was ever confirmed
 # Until it is known how many nodes there are.
 FEWEST_NODES = 8
 
@@ -65,7 +66,7 @@
             self._on_changes,
             log,
         )
-        self.listeners: list[Callable[[list[Change]], None]] = []
+        self.metrics.mirror_age.set_function(lambda: min(self.link.age_s, MOST_AGE_S))
         self.handle_other: Handler = _ignore
         self.fleet_size: Callable[[], int] = lambda: len(self.nodes)
 
@@ -130,8 +131,6 @@
                 self._take_instance(change)
             elif change.key.startswith(NODE_PREFIX):
                 self._take_node(change)
-        for listener in self.listeners:
-            listener(news)
 
     def _take_configuration(self, change: Change) -> None:
         if change.value is None:
--- a/src/wharfcart/storage/disk.py
+++ b/src/wharfcart/storage/disk.py
@@ -12,7 +12,6 @@
 from wharfcart.storage.job_records import JobState
 
 Answer = TypeVar("Answer")
-CORRUPT_SUFFIX = ".corrupt"
 
 
 class DiskFailedError(Exception):
--- a/src/wharfcart/storage/job_group.py
+++ b/src/wharfcart/storage/job_group.py
@@ -106,6 +106,14 @@
         )
         return fresh >= leadership.copies
 
+    @property
+    def replicas_behind(self) -> int:
+        """Replicas of the set that lack anything; 0 on a node that does not lead."""
+        leadership = self.leadership
+        if leadership is None:
+            return 0
+        return sum(leadership.behind(identity) for identity in leadership.members)
+
     async def wait_progress(self, timeout_s: float) -> bool:
         """Wait until more counts, the leadership changes, or the time is over."""
         event = self._progress
--- a/tests/storage/test_job_group.py
+++ b/tests/storage/test_job_group.py
@@ -301,3 +301,19 @@
             return answer
 
         setattr(service, name, slowly)
+
+
+def test_a_leader_tells_how_many_replicas_lack_something() -> None:
+    async def scenario() -> None:
+        fleet = Fleet()
+        await fleet.start()
+        leader = fleet.leader
+        assert leader is not None and leader.group is not None
+        await fleet.submit("a")
+        group = leader.group
+        await fleet.until(lambda: group.replicas_behind == 0, 2.0)
+        lost = next(node for node in fleet.nodes.values() if node is not leader)
+        lost.kill()
+        await fleet.until(lambda: group.replicas_behind == 1, 4.0)
+
+    play(scenario)
