--- a/src/wharfcart/cluster/mirror_link.py
+++ b/src/wharfcart/cluster/mirror_link.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import logging
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
@@ -49,6 +50,8 @@
 FIRST_PEERS_POLL_S = 0.5
 DEPENDENCY = "coordination_service"
 
+logger = logging.getLogger(__name__)
+
 
 @dataclass(frozen=True)
 class PeerNews:
@@ -148,7 +151,15 @@
     # -- following -----------------------------------------------------
 
     async def run(self) -> None:
-        """Keep the mirror up to date until cancelled."""
+        """Keep the mirror up to date until cancelled; a defect begins it anew."""
+        while True:
+            try:
+                await self._run_once()
+            except Exception:
+                logger.exception("following failed")
+                await _sleep_about(RETRY_MOST_S)
+
+    async def _run_once(self) -> None:
         await self._load()
         self._loaded_at = monotonic()
         async with asyncio.TaskGroup() as group:
--- a/src/wharfcart/cluster/peer_news.py
+++ b/src/wharfcart/cluster/peer_news.py
@@ -1,5 +1,7 @@
 """Messages by which nodes tell each other the coordination service's state."""
 
+import zlib
+
 from wharfcart.cluster.coordination import Change, Changes
 from wharfcart.cluster.messages_pb2 import (
     CoordinationChange,
@@ -13,6 +15,9 @@
 from wharfcart.errors import ServingError
 
 MOST_AGE_MS = 10**9
+# Smaller values are not worth compressing. Servers' entries are far below, configurations above.
+FEWEST_DEFLATED_BYTES = 2048
+DEFLATE_LEVEL = 1
 
 
 class PeerNewsCalls:
@@ -37,22 +42,39 @@
         self._transport.drop(peer.address, TrafficClass.ONLINE)
 
 
-def news_to_message(news: PeerNews) -> CoordinationChanges:
-    """Return news as they travel."""
-    return CoordinationChanges(
-        at=news.changes.at,
-        complete=news.changes.complete,
-        changes=[
-            CoordinationChange(
-                key=change.key,
-                revision=change.revision,
-                value=(change.last if change.value is None else change.value) or b"",
-                removed=change.value is None,
-            )
-            for change in news.changes.changes
-        ],
-        age_ms=int(min(news.age_s * 1000, MOST_AGE_MS)),
-    )
+class NewsWriter:
+    """Writes news as they travel; large values are compressed, once for all followers."""
+
+    def __init__(self) -> None:
+        self._deflated_by_key: dict[str, tuple[int, bytes]] = {}
+
+    def message(self, news: PeerNews) -> CoordinationChanges:
+        """Return news as they travel."""
+        return CoordinationChanges(
+            at=news.changes.at,
+            complete=news.changes.complete,
+            changes=[self._change(change) for change in news.changes.changes],
+            age_ms=int(min(news.age_s * 1000, MOST_AGE_MS)),
+        )
+
+    def _change(self, change: Change) -> CoordinationChange:
+        removed = change.value is None
+        value = (change.last if removed else change.value) or b""
+        deflated = len(value) >= FEWEST_DEFLATED_BYTES
+        return CoordinationChange(
+            key=change.key,
+            revision=change.revision,
+            value=self._deflate(change, value) if deflated else value,
+            removed=removed,
+            deflated=deflated,
+        )
+
+    def _deflate(self, change: Change, value: bytes) -> bytes:
+        known = self._deflated_by_key.get(change.key)
+        if known is None or known[0] != change.revision:
+            known = (change.revision, zlib.compress(value, DEFLATE_LEVEL))
+            self._deflated_by_key[change.key] = known
+        return known[1]
 
 
 def news_from_message(message: CoordinationChanges) -> PeerNews:
@@ -62,6 +84,7 @@
 
 
 def _change_from(message: CoordinationChange) -> Change:
+    value = zlib.decompress(message.value) if message.deflated else message.value
     if message.removed:
-        return Change(message.key, message.revision, None, message.value or None)
-    return Change(message.key, message.revision, message.value)
+        return Change(message.key, message.revision, None, value or None)
+    return Change(message.key, message.revision, value)
--- a/src/wharfcart/node/serving_node.py
+++ b/src/wharfcart/node/serving_node.py
@@ -20,7 +20,7 @@
 from wharfcart.cluster.mirror import Mirror
 from wharfcart.cluster.mirror_link import MirrorLink
 from wharfcart.cluster.news_sources import NewsSources, Peer
-from wharfcart.cluster.peer_news import PeerNewsCalls, news_to_message
+from wharfcart.cluster.peer_news import NewsWriter, PeerNewsCalls
 from wharfcart.cluster.transport import Handler, Responder, Transport
 from wharfcart.configuration.serving import ServingConfiguration
 from wharfcart.node.fleet_keys import NODE_PREFIX, NodeEntry, node_entry_from
@@ -57,6 +57,7 @@
         host, port = split_endpoint(settings.coordination)
         self.coordination = MetadataStore(host, port, self.metrics.coordination_calls)
         self.transport = Transport(self.handle)
+        self._news_writer = NewsWriter()
         self._sources = NewsSources(settings.node_id, settings.zone)
         self.link = MirrorLink(
             self.mirror,
@@ -117,7 +118,8 @@
         if frame.WhichOneof("body") == "coordination_pull":
             pull = frame.coordination_pull
             news = await self.link.answer(pull.after, pull.wait_ms / 1000)
-            await respond(Frame(last=True, coordination_changes=news_to_message(news)))
+            message = self._news_writer.message(news)
+            await respond(Frame(last=True, coordination_changes=message))
             return
         await self.handle_other(frame, respond)
 
--- a/tests/cluster/test_mirror_link.py
+++ b/tests/cluster/test_mirror_link.py
@@ -172,3 +172,23 @@
         assert fleet.know("news") == set(fleet.links)
 
     play(scenario)
+
+
+def test_an_answer_that_cannot_be_read_does_not_end_the_following() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        await asyncio.sleep(5)
+        watch = fleet.shared.wait_for_changes
+        broken = iter([True] * 4)
+
+        async def odd(after: int, wait_s: float) -> Changes:
+            if next(broken, False):
+                raise ValueError("not an answer")
+            return await watch(after, wait_s)
+
+        fleet.shared.wait_for_changes = odd  # type: ignore[method-assign]
+        await asyncio.sleep(5)
+        fleet.shared.put("news")
+        await asyncio.sleep(1)
+        assert fleet.know("news") == set(fleet.links)
+
+    play(scenario)
