--- a/src/wharfcart/node/serving_node.py
+++ b/src/wharfcart/node/serving_node.py
@@ -158,16 +158,27 @@
             self.choice.remove(instance_id, monotonic(), self.link.in_outage, drained)
             self.pool.drop_instance(instance_id)
             if known is not None:
-                self._log_instance(Event.BACKEND_GONE, instance_id, known.instance.service, change)
+                service = known.instance.service
+                self._log_instance(Event.BACKEND_GONE, instance_id, service, change, drained)
             return
+        was_accepting = known is not None and known.instance.accepting
         self.choice.put(instance)
         if known is None:
             self._log_instance(Event.BACKEND_SEEN, instance_id, instance.service, change)
-        elif known.instance.accepting and not instance.accepting:
+        elif was_accepting and not instance.accepting:
             self._log_instance(Event.BACKEND_DRAINING, instance_id, instance.service, change)
 
-    def _log_instance(self, event: Event, instance_id: str, service: str, change: Change) -> None:
-        self.log.write(event, backend=instance_id, service=service, revision=change.revision)
+    def _log_instance(
+        self, event: Event, instance_id: str, service: str, change: Change, drained: bool = False
+    ) -> None:
+        self.log.write(
+            event,
+            backend=instance_id,
+            service=service,
+            revision=change.revision,
+            drained=drained,
+            age_s=round(self.link.age_s, 2),
+        )
 
     def _take_node(self, change: Change) -> None:
         entry = node_entry_from(change.value)
