--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,7 @@
 
 soak: install
 	$(BIN)/python benchmarks/journal_soak.py
+	$(BIN)/python benchmarks/fault_soak.py
 
 proto: install
 	cd src && ../$(BIN)/python -m grpc_tools.protoc -I. --python_out=. --pyi_out=. wharfcart/cluster/messages.proto
