--- a/src/wharfcart/experiments/job_group_simulation.py
+++ b/src/wharfcart/experiments/job_group_simulation.py
@@ -8,48 +8,34 @@
 
 import asyncio
 import random
-from collections.abc import Coroutine, Iterator, Sequence
+from collections.abc import Coroutine, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from typing import Any, cast
 from unittest import mock
 
-from wharfcart.batch.job_execution import JobExecution
 from wharfcart.batch.job_service import JobService
 from wharfcart.cluster.coordination import (
-    Change,
     Changes,
-    ConditionFailedError,
-    CoordinationService,
-    CoordinationUnavailableError,
-    Transaction,
 )
-from wharfcart.cluster.membership import Address
 from wharfcart.cluster.messages_pb2 import (
     DONE,
     NOT_FOUND,
     EndJob,
-    Frame,
     ItemOutcome,
-    JobUpdate,
     ReadResults,
     RequestItem,
     RequestJob,
     SubmitJob,
 )
-from wharfcart.cluster.mirror import Mirror
-from wharfcart.cluster.transport import PeerUnreachableError, TrafficClass, Transport
+from wharfcart.experiments.simulated_storage import (
+    RETIRE_PREFIX,
+    RefusingCoordination,
+    SimulatedCoordination,
+    SimulatedNode,
+)
 from wharfcart.experiments.virtual_time import run_virtually, virtual_monotonic
-from wharfcart.observability.decisions import DecisionLog
-from wharfcart.storage.disk import Disk, DiskFailedError
-from wharfcart.storage.group_context import GroupContext
-from wharfcart.storage.job_database import JobDatabase
-from wharfcart.storage.job_group import JobGroup
-from wharfcart.storage.job_records import JobState
-
-GROUP_KEY = "wharfcart/groups/0"
-RETIRE_PREFIX = "retire/"
-COPIES = 2
+
 QUIET_S = 8.0
 CLOCK_USERS = (
     "wharfcart.storage.job_group",
@@ -63,243 +49,6 @@
     """A promise did not hold."""
 
 
-@dataclass
-class SimulatedDisk:
-    """A disk that outlives its process; ``database`` is replaced when the disk is lost."""
-
-    random: random.Random
-    database: JobDatabase
-    full: bool = False
-    slow_s: float = 0.002
-    generation: int = 0
-
-    async def promised(self, group: int) -> int:
-        """Return the promised epoch."""
-        await self._wait()
-        return self.database.promised(group)
-
-    async def promise(self, group: int, epoch: int) -> bool:
-        """Promise an epoch."""
-        await self._wait(writes=True)
-        return self.database.promise(group, epoch)
-
-    async def states(self, group: int) -> list[JobState]:
-        """Return the states."""
-        await self._wait()
-        return self.database.states(group)
-
-    async def apply(self, group: int, epoch: int, updates: Sequence[JobUpdate]) -> bool:
-        """Write updates."""
-        await self._wait(writes=True)
-        return self.database.apply(group, epoch, updates)
-
-    async def load(self, job_ids: Sequence[str]) -> list[JobUpdate]:
-        """Return records."""
-        await self._wait()
-        return self.database.load(job_ids)
-
-    async def _wait(self, writes: bool = False) -> None:
-        generation = self.generation
-        await asyncio.sleep(self.slow_s * self.random.uniform(0.5, 2.0))
-        if generation != self.generation or (writes and self.full):
-            raise DiskFailedError("simulated")
-
-
-@dataclass
-class SimulatedCoordination:
-    """The coordination service: linearizable, at times away, at times without an answer."""
-
-    random: random.Random
-    entries: dict[str, Change] = field(default_factory=dict)
-    revision: int = 0
-    down: bool = False
-    lost_part: float = 0.0
-
-    def put(self, key: str, value: bytes) -> None:
-        """Write a key as the operator or a node's announcement does."""
-        self.revision += 1
-        self.entries[key] = Change(key, self.revision, value)
-
-    async def read(self, key: str) -> Change | None:
-        """Return a key."""
-        await self._call()
-        return self.entries.get(key)
-
-    async def commit(self, transaction: Transaction) -> int:
-        """Carry out a transaction, perhaps late, perhaps without an answer."""
-        await self._call()
-        if self.random.random() < self.lost_part:
-            if self.random.random() < 0.5:
-                asyncio.get_running_loop().call_later(
-                    self.random.uniform(0.5, 4.0), self._apply_late, transaction
-                )
-            else:
-                self._apply_late(transaction)
-            raise CoordinationUnavailableError("answer lost", True)
-        return self._apply(transaction)
-
-    async def _call(self) -> None:
-        await asyncio.sleep(self.random.uniform(0.001, 0.02))
-        if self.down:
-            raise CoordinationUnavailableError("down")
-
-    def _apply(self, transaction: Transaction) -> int:
-        for key, revision in transaction.expected.items():
-            entry = self.entries.get(key)
-            if (0 if entry is None else entry.revision) != revision:
-                raise ConditionFailedError
-        for key, value in transaction.put.items():
-            self.put(key, value)
-        return self.revision
-
-    def _apply_late(self, transaction: Transaction) -> None:
-        try:
-            self._apply(transaction)
-        except ConditionFailedError:
-            return
-
-
-class NullExecution:
-    """Stands in for the items' execution: the simulation appends results itself."""
-
-    def job_accepted(self, job: RequestJob) -> None:
-        """Do nothing."""
-
-    def job_ended(self, job_id: str) -> None:
-        """Do nothing."""
-
-
-class SimulatedNode:
-    """A storage node: a process on a disk."""
-
-    def __init__(self, simulation: "JobGroupSimulation", number: int) -> None:
-        self.simulation = simulation
-        self.number = number
-        self.address = Address("node", number)
-        self.disk = SimulatedDisk(simulation.random, new_database())
-        self.mirror = Mirror()
-        self.group: JobGroup | None = None
-        self.service: JobService | None = None
-        self.refused = False
-
-    @property
-    def identity(self) -> str:
-        """Identity of the disk."""
-        return self.disk.database.identity
-
-    async def start(self) -> None:
-        """Start the process."""
-        self.mirror = Mirror()
-        self.simulation.coordination.put(f"nodes/{self.number}", self.identity.encode())
-        log = DecisionLog(str(self.number))
-        context = GroupContext(
-            self.identity,
-            cast(Disk, self.disk),
-            cast(Transport, SimulatedTransport(self.simulation, self)),
-            cast(CoordinationService, self.simulation.coordination_of(self)),
-            self.mirror,
-            self._identities,
-            self._retiring,
-            COPIES,
-            log,
-            self.simulation.random,
-        )
-        self.group = JobGroup(0, GROUP_KEY, context)
-        self.service = JobService(self.group, cast(JobExecution, NullExecution()), log)
-        await self.group.start()
-
-    def kill(self) -> None:
-        """Kill the process; the disk stays as it is."""
-        if self.group is not None:
-            self.group.abandon()
-        self.group = None
-        self.service = None
-        self.disk.generation += 1
-
-    def lose_disk(self) -> None:
-        """Lose the disk; the next start finds an empty one."""
-        self.disk = SimulatedDisk(self.simulation.random, new_database())
-
-    async def answer(self, frame: Frame) -> Frame | None:
-        """Answer a call of another node."""
-        group = self.group
-        if group is None:
-            return None
-        match frame.WhichOneof("body"):
-            case "fence_group":
-                return Frame(fence_result=await group.answer_fence(frame.fence_group))
-            case "replicate_jobs":
-                return Frame(replicate_result=await group.answer_replicate(frame.replicate_jobs))
-            case "fetch_jobs":
-                return Frame(job_updates=await group.answer_fetch(frame.fetch_jobs))
-        return None
-
-    def _identities(self) -> dict[str, Address]:
-        return {
-            (change.value or b"").decode(): Address("node", int(change.key.partition("/")[2]))
-            for change in self.mirror.under("nodes/")
-        }
-
-    def _retiring(self) -> set[str]:
-        numbers = {
-            change.key.removeprefix(RETIRE_PREFIX) for change in self.mirror.under(RETIRE_PREFIX)
-        }
-        return {
-            (change.value or b"").decode()
-            for change in self.mirror.under("nodes/")
-            if change.key.removeprefix("nodes/") in numbers
-        }
-
-
-class RefusingCoordination(SimulatedCoordination):
-    """The view of a node that the service may refuse."""
-
-    def __init__(self, whole: SimulatedCoordination, node: SimulatedNode) -> None:
-        super().__init__(whole.random)
-        self._whole = whole
-        self._node = node
-
-    async def read(self, key: str) -> Change | None:
-        """Return a key unless refused."""
-        self._check()
-        return await self._whole.read(key)
-
-    async def commit(self, transaction: Transaction) -> int:
-        """Carry out a transaction unless refused."""
-        self._check()
-        return await self._whole.commit(transaction)
-
-    def _check(self) -> None:
-        if self._node.refused:
-            raise CoordinationUnavailableError("refused")
-
-
-class SimulatedTransport:
-    """Calls of one node."""
-
-    def __init__(self, simulation: "JobGroupSimulation", node: SimulatedNode) -> None:
-        self._simulation = simulation
-        self._node = node
-
-    async def call(
-        self, address: Address, frame: Frame, traffic: TrafficClass = TrafficClass.BULK
-    ) -> Frame:
-        """Carry a call there and its answer back."""
-        simulation = self._simulation
-        await simulation.travel(self._node.number, address.port)
-        target = simulation.nodes.get(address.port)
-        if target is None or target.group is None:
-            raise PeerUnreachableError(address, sent=False)
-        answer = await target.answer(Frame.FromString(frame.SerializeToString()))
-        await simulation.travel(address.port, self._node.number)
-        if answer is None:
-            raise PeerUnreachableError(address, sent=True)
-        return answer
-
-    def drop(self, address: Address) -> None:
-        """Do nothing: connections are not simulated."""
-
-
 @dataclass
 class KnownJob:
     """What clients were told of a job."""
@@ -637,11 +386,6 @@
                 raise BrokenPromiseError(f"{job_id}: results are gone")
 
 
-def new_database() -> JobDatabase:
-    """Return an empty database in memory."""
-    return JobDatabase(None)
-
-
 @contextmanager
 def simulated_clock() -> Iterator[None]:
     """Have the drivers read the virtual clock."""
--- a/tests/storage/test_job_group.py
+++ b/tests/storage/test_job_group.py
@@ -12,12 +12,8 @@
     RequestJob,
     SubmitJob,
 )
-from wharfcart.experiments.job_group_simulation import (
-    GROUP_KEY,
-    JobGroupSimulation,
-    SimulatedNode,
-    simulated_clock,
-)
+from wharfcart.experiments.job_group_simulation import JobGroupSimulation, simulated_clock
+from wharfcart.experiments.simulated_storage import GROUP_KEY, SimulatedNode
 from wharfcart.experiments.virtual_time import run_virtually
 from wharfcart.storage.group_record import GroupRecord, group_record_from
 
