--- /dev/null
+++ b/src/wharfcart/experiments/journal_clients.py
@@ -0,0 +1,190 @@
+"""Clients of the journal's simulation: what they ask for, and what they record of the answers."""
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from wharfcart.cluster.messages_pb2 import (
+    Command,
+    FileAppend,
+    FileSeal,
+    ItemResult,
+    ItemsComplete,
+    ItemsLease,
+    JobCancel,
+    JobCreate,
+    KeyFinish,
+    KeyStart,
+    ProposeResult,
+)
+from wharfcart.experiments.history import History, Operation
+from wharfcart.experiments.simulated_journal_disk import SimulatedMachine
+from wharfcart.storage.shard import LOST_LEADERSHIP, Shard
+from wharfcart.storage.shard_state import ItemState
+
+if TYPE_CHECKING:
+    from wharfcart.experiments.journal_simulation import JournalSimulation
+
+CLIENT_TIMEOUT_S = 0.3
+CLIENT_PAUSE_S = 0.02
+ROWS_A_JOB = 150
+KEYS = 60
+JOB = "job"
+FILE = "file"
+
+
+def record_reads(history: History, shard: Shard, begun: float, ended: float) -> None:
+    """Record what a reader sees of every key and item."""
+    for number in range(KEYS):
+        record = shard.state.keys.get(f"key-{number}")
+        value = None if record is None else (record.start.request_id, record.state)
+        history.add(Operation("read_key", f"key-{number}", begun, ended, value))
+    job = shard.state.jobs.get(JOB)
+    if job is None:
+        return
+    if job.summarized:
+        history.add(Operation("read_counts", JOB, begun, ended, job.record.completed))
+    for row, state in enumerate(job.states):
+        history.add(Operation("read_item", str(row), begun, ended, ItemState(state).name))
+    history.add(Operation("read_cancelled", JOB, begun, ended, job.cancelled))
+
+
+class JournalClient:
+    """Does one thing after another through whichever machine it believes leads."""
+
+    def __init__(self, simulation: "JournalSimulation", number: int) -> None:
+        self.simulation = simulation
+        self.number = number
+        self.stopped = False
+        self._step = 0
+        self._attempt = 0
+        self._cancelled = False
+
+    def next_step(self) -> None:
+        """Do the next thing, unless the run is over."""
+        if self.stopped:
+            return
+        self._step += 1
+        simulation = self.simulation
+        roll = simulation.random.random()
+        if self.number == 0 and self._step <= 3:
+            self._prepare_job()
+        elif roll < 0.25:
+            self._read()
+        elif roll < 0.55:
+            self._use_key()
+        elif roll < 0.97 or simulation.now < simulation.plan.seconds * 0.6:
+            self._run_items()
+        else:
+            cancel = Command(job_cancel=JobCancel(job_id=JOB, tenant="t"))
+            self._propose("cancel", JOB, cancel, None)
+
+    def _prepare_job(self) -> None:
+        commands = [
+            Command(
+                file_append=FileAppend(
+                    file_id=FILE,
+                    tenant="t",
+                    lines=[b"{}"] * ROWS_A_JOB,
+                    classes=bytes(ROWS_A_JOB),
+                    service_names=["s"],
+                )
+            ),
+            Command(file_seal=FileSeal(file_id=FILE, tenant="t", rows=ROWS_A_JOB)),
+            Command(job_create=JobCreate(job_id=JOB, tenant="t", file_id=FILE)),
+        ]
+        command = commands[self._step - 1]
+        self._propose("prepare", str(self._step), command, None, until_done=True)
+
+    def _use_key(self) -> None:
+        name = f"key-{self.simulation.random.randrange(KEYS)}"
+        request_id = f"c{self.number}-{self._step}"
+        start = KeyStart(key=name, digest="d", request_id=request_id)
+
+        def started(result: ProposeResult | None) -> None:
+            if result is None or result.code != "ok":
+                self.simulation.later(CLIENT_PAUSE_S, self.next_step)
+            else:
+                finish = KeyFinish(
+                    key=name, request_id=request_id, state="completed", response=b"answer"
+                )
+                self._propose("finish", name, Command(key_finish=finish), request_id)
+
+        self._propose("start", name, Command(key_start=start), request_id, started)
+
+    def _run_items(self) -> None:
+        row = self.simulation.random.randrange(ROWS_A_JOB)
+        lease_id = f"c{self.number}-{self._step}"
+        lease = ItemsLease(lease_id=lease_id, job_id=JOB, holder=str(self.number), rows=[row])
+
+        def leased(result: ProposeResult | None) -> None:
+            # A completion is tried even without a lease, as a holder that lost it would.
+            outcome = ItemResult(row=row, body=lease_id.encode())
+            complete = ItemsComplete(job_id=JOB, lease_id=lease_id, results=[outcome])
+            self._propose("complete", str(row), Command(items_complete=complete), lease_id)
+
+        self._propose("lease", str(row), Command(items_lease=lease), lease_id, leased)
+
+    def _read(self) -> None:
+        begun = self.simulation.now
+        simulation = self.simulation
+
+        def seen(shard: Shard | None) -> None:
+            if shard is not None:
+                record_reads(simulation.history, shard, begun, simulation.now)
+
+        simulation.read(self._machine(), seen)
+        simulation.later(CLIENT_PAUSE_S, self.next_step)
+
+    def _machine(self) -> SimulatedMachine:
+        machines = self.simulation.machines
+        leaders = [m for m in machines if m.shard is not None and m.shard.leads]
+        if leaders and self.simulation.random.random() < 0.8:
+            return self.simulation.random.choice(leaders)
+        return self.simulation.random.choice(machines)
+
+    def _propose(
+        self,
+        kind: str,
+        target: str,
+        command: Command,
+        value: str | None,
+        then: Callable[[ProposeResult | None], None] | None = None,
+        until_done: bool = False,
+    ) -> None:
+        simulation = self.simulation
+        # The wall clock steps back and forth: nothing may rest on it.
+        command.at_ms = max(1, int(1e6 + simulation.random.uniform(-5e5, 5e5)))
+        begun = simulation.now
+        self._attempt += 1
+        attempt = self._attempt
+
+        def done(result: ProposeResult | None) -> None:
+            if attempt != self._attempt:
+                return
+            self._attempt += 1
+            unknown = result is None or result.code == LOST_LEADERSHIP
+            if not unknown and result is not None:
+                self._record(kind, target, begun, value, result)
+            if unknown and until_done:
+                self._step -= 1
+            if then is not None and not unknown:
+                then(result)
+            else:
+                simulation.later(CLIENT_PAUSE_S, self.next_step)
+
+        def timed_out() -> None:
+            if attempt == self._attempt:
+                self._attempt += 1
+                if until_done:
+                    self._step -= 1
+                simulation.later(CLIENT_PAUSE_S, self.next_step)
+
+        simulation.propose(self._machine(), command, done)
+        simulation.later(CLIENT_TIMEOUT_S, timed_out)
+
+    def _record(
+        self, kind: str, target: str, begun: float, value: str | None, result: ProposeResult
+    ) -> None:
+        seen: object = (result.code, result.key_record.start.request_id, result.accepted)
+        operation = Operation(kind, target, begun, self.simulation.now, seen, value)
+        self.simulation.history.add(operation)
--- a/src/wharfcart/experiments/journal_simulation.py
+++ b/src/wharfcart/experiments/journal_simulation.py
@@ -9,30 +9,24 @@
 import heapq
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from wharfcart.cluster.messages_pb2 import (
     Command,
-    FileAppend,
-    FileSeal,
-    ItemResult,
-    ItemsComplete,
-    ItemsLease,
-    JobCancel,
-    JobCreate,
-    KeyFinish,
-    KeyStart,
-    LogEntry,
     ProposeResult,
     ReplicaMessage,
     ReplicaSet,
-    Row,
 )
-from wharfcart.experiments.history import History, Operation
+from wharfcart.experiments.history import History
+from wharfcart.experiments.journal_clients import JournalClient, record_reads
+from wharfcart.experiments.simulated_journal_disk import (
+    SimulatedJournalDisk,
+    SimulatedMachine,
+)
 from wharfcart.storage.replica import NotLeaderError
 from wharfcart.storage.replica_actions import HardState
-from wharfcart.storage.shard import LOST_LEADERSHIP, ReadSnapshotRows, Shard
-from wharfcart.storage.shard_state import ItemState, RowKind
+from wharfcart.storage.shard import ReadSnapshotRows, Shard
+from wharfcart.storage.shard_state import RowKind
 from wharfcart.storage.writes import ShardRecord, ShardWrites
 
 TICK_S = 0.05
@@ -40,15 +34,9 @@
 DELAY_LEAST_S = 0.0005
 DELAY_MOST_S = 0.02
 MEMBERSHIP_LAG_S = 1.0
-CLIENT_TIMEOUT_S = 0.3
-CLIENT_PAUSE_S = 0.02
 CLIENTS = 6
 SNAPSHOT_ROWS = 16
 LOG_ENTRIES = 40
-ROWS_A_JOB = 150
-KEYS = 60
-JOB = "job"
-FILE = "file"
 
 
 @dataclass(frozen=True)
@@ -68,85 +56,6 @@
     spares: int = 1
 
 
-@dataclass
-class _Disk:
-    """What one disk holds, as :class:`wharfcart.storage.database.Database` would."""
-
-    identity: str
-    record: ShardRecord | None = None
-    rows: dict[tuple[str, str, int], Row] = field(default_factory=dict)
-
-    def write(self, writes: ShardWrites) -> None:
-        record = self.record
-        assert record is not None
-        log = {entry.index: entry for entry in record.log}
-        base = (record.base_index, record.base_epoch, record.base_set)
-        applied = record.applied_index
-        installing = record.installing
-        if writes.begin_install:
-            log, self.rows, applied, installing = {}, {}, 0, True
-            base = (0, 0, record.base_set)
-        if writes.entries:
-            first = writes.entries[0].index
-            log = {index: entry for index, entry in log.items() if index < first}
-            log.update({entry.index: entry for entry in writes.entries})
-        self._write_rows(writes)
-        if writes.applied_index is not None:
-            applied = writes.applied_index
-        if writes.compact_to is not None:
-            base = self._compact(log, base, min(writes.compact_to, applied))
-        if writes.end_install is not None:
-            end = writes.end_install
-            base = (end.index, end.epoch, end.replica_set)
-            applied, installing = end.index, False
-        self.record = ShardRecord(
-            0,
-            writes.hard_state or record.hard_state,
-            *base,
-            applied,
-            installing,
-            [log[index] for index in sorted(log) if index > base[0]],
-        )
-
-    def _write_rows(self, writes: ShardWrites) -> None:
-        for row in writes.rows:
-            self.rows[(row.kind, row.id, row.number)] = row
-        for row in writes.deleted_rows:
-            self.rows.pop((row.kind, row.id, row.number), None)
-
-    def _compact(
-        self, log: dict[int, LogEntry], base: tuple[int, int, ReplicaSet], index: int
-    ) -> tuple[int, int, ReplicaSet]:
-        if index not in log:
-            return base
-        replica_set = base[2]
-        for number in sorted(log):
-            if number > index:
-                break
-            command = Command.FromString(log[number].command)
-            if command.WhichOneof("body") == "replica_set":
-                replica_set = command.replica_set
-        return (index, log[index].epoch, replica_set)
-
-
-@dataclass
-class _Machine:
-    """One machine: a disk that lasts and a process that does not."""
-
-    name: str
-    disk: _Disk
-    shard: Shard | None = None
-    paused: bool = False
-    generation: int = 0
-    backlog: list[Callable[[], None]] = field(default_factory=list)
-    writing: bool = False
-    gathering: ShardWrites | None = None
-    after_write: list[ReplicaMessage] = field(default_factory=list)
-    mark: tuple[int, int] | None = None
-    reload: bool = False
-    reads: list[ReadSnapshotRows] = field(default_factory=list)
-
-
 class JournalSimulation:
     """One run."""
 
@@ -162,7 +71,9 @@
         self._cut: set[frozenset[str]] = set()
         self._healing = False
         count = 3 + plan.spares
-        self.machines = [_Machine(f"m{n}", _Disk(f"m{n}-0")) for n in range(count)]
+        self.machines = [
+            SimulatedMachine(f"m{n}", SimulatedJournalDisk(f"m{n}-0")) for n in range(count)
+        ]
         voters = [machine.disk.identity for machine in self.machines[:3]]
         for machine in self.machines[:3]:
             self._new_record(machine, voters)
@@ -171,7 +82,7 @@
         self.later(TICK_S, self._tick_all)
         self.later(0.5, self._tell_members)
         self.later(0.5, self._next_fault)
-        self._clients = [_Client(self, number) for number in range(CLIENTS)]
+        self._clients = [JournalClient(self, number) for number in range(CLIENTS)]
         for client in self._clients:
             self.later(1.5 + 0.01 * client.number, client.next_step)
 
@@ -201,7 +112,7 @@
             work()
         self.now = end
 
-    def _on(self, machine: _Machine, work: Callable[[], None]) -> None:
+    def _on(self, machine: SimulatedMachine, work: Callable[[], None]) -> None:
         """Run ``work`` on a machine: later if it is paused, never if it restarted meanwhile."""
         if machine.paused:
             machine.backlog.append(work)
@@ -210,11 +121,11 @@
 
     # ---- machines ----
 
-    def _new_record(self, machine: _Machine, voters: list[str]) -> None:
+    def _new_record(self, machine: SimulatedMachine, voters: list[str]) -> None:
         base = ReplicaSet(voters=voters, in_sync=voters)
         machine.disk.record = ShardRecord(0, HardState(0, ""), 0, 0, base, 0, False, [])
 
-    def _start(self, machine: _Machine) -> None:
+    def _start(self, machine: SimulatedMachine) -> None:
         machine.generation += 1
         machine.writing = False
         machine.gathering = None
@@ -232,18 +143,18 @@
             machine.disk.record, rows, machine.disk.identity, self.random, self.now, LOG_ENTRIES
         )
 
-    def crash(self, machine: _Machine) -> None:
+    def crash(self, machine: SimulatedMachine) -> None:
         """End a machine's process; its disk stays."""
         machine.generation += 1
         machine.shard = None
         machine.paused = False
         machine.backlog = []
 
-    def _lose_disk(self, machine: _Machine) -> None:
+    def _lose_disk(self, machine: SimulatedMachine) -> None:
         self.crash(machine)
-        machine.disk = _Disk(self._new_identity(machine))
+        machine.disk = SimulatedJournalDisk(self._new_identity(machine))
 
-    def _new_identity(self, machine: _Machine) -> str:
+    def _new_identity(self, machine: SimulatedMachine) -> str:
         base, number = machine.disk.identity.rsplit("-", 1)
         return f"{base}-{int(number) + 1}"
 
@@ -273,7 +184,7 @@
 
     # ---- disk and network ----
 
-    def _collect(self, machine: _Machine) -> None:
+    def _collect(self, machine: SimulatedMachine) -> None:
         shard = machine.shard
         assert shard is not None
         output = shard.take_output()
@@ -292,7 +203,7 @@
         machine.reads.extend(output.reads)
         self._write(machine)
 
-    def _write(self, machine: _Machine) -> None:
+    def _write(self, machine: SimulatedMachine) -> None:
         if machine.writing or machine.gathering is None:
             return
         writes, messages, mark, reload = (
@@ -320,7 +231,7 @@
 
     def _written(
         self,
-        machine: _Machine,
+        machine: SimulatedMachine,
         generation: int,
         messages: list[ReplicaMessage],
         mark: tuple[int, int] | None,
@@ -339,7 +250,7 @@
             machine.shard.written(mark, self.now)
         self._collect(machine)
 
-    def _read_snapshot(self, machine: _Machine, read: ReadSnapshotRows) -> None:
+    def _read_snapshot(self, machine: SimulatedMachine, read: ReadSnapshotRows) -> None:
         generation = machine.generation
 
         def answer() -> None:
@@ -352,7 +263,7 @@
 
         self.later(0.005, lambda: self._on(machine, answer))
 
-    def _send(self, sender: _Machine, message: ReplicaMessage) -> None:
+    def _send(self, sender: SimulatedMachine, message: ReplicaMessage) -> None:
         if self._lost():
             return
         copies = 2 if self.random.random() < self.plan.repeat and not self._healing else 1
@@ -373,7 +284,7 @@
             if machine.shard is not None:
                 self._on(machine, lambda m=machine: self._receive(m, message))  # type: ignore[misc]
 
-    def _receive(self, machine: _Machine, message: ReplicaMessage) -> None:
+    def _receive(self, machine: SimulatedMachine, message: ReplicaMessage) -> None:
         if machine.shard is not None:
             machine.shard.receive(message, self.now)
             self._collect(machine)
@@ -398,7 +309,7 @@
                 fault()
         self.later(0.5, self._next_fault)
 
-    def _victim(self) -> _Machine:
+    def _victim(self) -> SimulatedMachine:
         return self.random.choice(self.machines)
 
     def _duration(self) -> float:
@@ -410,7 +321,7 @@
         generation = machine.generation
         self.later(self._duration(), lambda: self._restart(machine, generation))
 
-    def _restart(self, machine: _Machine, generation: int) -> None:
+    def _restart(self, machine: SimulatedMachine, generation: int) -> None:
         if machine.generation == generation:
             self._start(machine)
 
@@ -422,7 +333,7 @@
         generation = machine.generation
         self.later(self._duration(), lambda: self._resume(machine, generation))
 
-    def _resume(self, machine: _Machine, generation: int) -> None:
+    def _resume(self, machine: SimulatedMachine, generation: int) -> None:
         if machine.generation != generation or not machine.paused:
             return
         machine.paused = False
@@ -445,7 +356,7 @@
         self._lose_disk(machine)
         self._start(machine)
 
-    def _may_lose(self, machine: _Machine) -> bool:
+    def _may_lose(self, machine: SimulatedMachine) -> bool:
         """Whether a majority of the newest committed voters keeps its disk."""
         leaders = [m for m in self.machines if m.shard is not None and m.shard.leads]
         if not leaders:
@@ -471,7 +382,10 @@
     # ---- clients' access ----
 
     def propose(
-        self, machine: _Machine, command: Command, done: Callable[[ProposeResult | None], None]
+        self,
+        machine: SimulatedMachine,
+        command: Command,
+        done: Callable[[ProposeResult | None], None],
     ) -> None:
         """Send a command to a machine; ``done`` gets the answer, or None if it cannot lead."""
         if self._lost():
@@ -494,7 +408,7 @@
         delay = self.random.uniform(DELAY_LEAST_S, DELAY_MOST_S)
         self.later(delay, lambda: self._on(machine, arrive))
 
-    def read(self, machine: _Machine, done: Callable[[Shard | None], None]) -> None:
+    def read(self, machine: SimulatedMachine, done: Callable[[Shard | None], None]) -> None:
         """Read a machine's memory if it holds the lease; ``done`` gets the shard or None."""
 
         def arrive() -> None:
@@ -520,160 +434,3 @@
             shard = machine.shard
             if shard is not None and shard.replica.lease_valid(self.now):
                 record_reads(self.history, shard, self.now, self.now)
-
-
-def record_reads(history: History, shard: Shard, begun: float, ended: float) -> None:
-    """Record what a reader sees of every key and item."""
-    for number in range(KEYS):
-        record = shard.state.keys.get(f"key-{number}")
-        value = None if record is None else (record.start.request_id, record.state)
-        history.add(Operation("read_key", f"key-{number}", begun, ended, value))
-    job = shard.state.jobs.get(JOB)
-    if job is None:
-        return
-    if job.summarized:
-        history.add(Operation("read_counts", JOB, begun, ended, job.record.completed))
-    for row, state in enumerate(job.states):
-        history.add(Operation("read_item", str(row), begun, ended, ItemState(state).name))
-    history.add(Operation("read_cancelled", JOB, begun, ended, job.cancelled))
-
-
-class _Client:
-    """Does one thing after another through whichever machine it believes leads."""
-
-    def __init__(self, simulation: JournalSimulation, number: int) -> None:
-        self.simulation = simulation
-        self.number = number
-        self.stopped = False
-        self._step = 0
-        self._attempt = 0
-        self._cancelled = False
-
-    def next_step(self) -> None:
-        if self.stopped:
-            return
-        self._step += 1
-        simulation = self.simulation
-        roll = simulation.random.random()
-        if self.number == 0 and self._step <= 3:
-            self._prepare_job()
-        elif roll < 0.25:
-            self._read()
-        elif roll < 0.55:
-            self._use_key()
-        elif roll < 0.97 or simulation.now < simulation.plan.seconds * 0.6:
-            self._run_items()
-        else:
-            cancel = Command(job_cancel=JobCancel(job_id=JOB, tenant="t"))
-            self._propose("cancel", JOB, cancel, None)
-
-    def _prepare_job(self) -> None:
-        commands = [
-            Command(
-                file_append=FileAppend(
-                    file_id=FILE,
-                    tenant="t",
-                    lines=[b"{}"] * ROWS_A_JOB,
-                    classes=bytes(ROWS_A_JOB),
-                    service_names=["s"],
-                )
-            ),
-            Command(file_seal=FileSeal(file_id=FILE, tenant="t", rows=ROWS_A_JOB)),
-            Command(job_create=JobCreate(job_id=JOB, tenant="t", file_id=FILE)),
-        ]
-        command = commands[self._step - 1]
-        self._propose("prepare", str(self._step), command, None, until_done=True)
-
-    def _use_key(self) -> None:
-        name = f"key-{self.simulation.random.randrange(KEYS)}"
-        request_id = f"c{self.number}-{self._step}"
-        start = KeyStart(key=name, digest="d", request_id=request_id)
-
-        def started(result: ProposeResult | None) -> None:
-            if result is None or result.code != "ok":
-                self.simulation.later(CLIENT_PAUSE_S, self.next_step)
-            else:
-                finish = KeyFinish(
-                    key=name, request_id=request_id, state="completed", response=b"answer"
-                )
-                self._propose("finish", name, Command(key_finish=finish), request_id)
-
-        self._propose("start", name, Command(key_start=start), request_id, started)
-
-    def _run_items(self) -> None:
-        row = self.simulation.random.randrange(ROWS_A_JOB)
-        lease_id = f"c{self.number}-{self._step}"
-        lease = ItemsLease(lease_id=lease_id, job_id=JOB, holder=str(self.number), rows=[row])
-
-        def leased(result: ProposeResult | None) -> None:
-            # A completion is tried even without a lease, as a holder that lost it would.
-            outcome = ItemResult(row=row, body=lease_id.encode())
-            complete = ItemsComplete(job_id=JOB, lease_id=lease_id, results=[outcome])
-            self._propose("complete", str(row), Command(items_complete=complete), lease_id)
-
-        self._propose("lease", str(row), Command(items_lease=lease), lease_id, leased)
-
-    def _read(self) -> None:
-        begun = self.simulation.now
-        simulation = self.simulation
-
-        def seen(shard: Shard | None) -> None:
-            if shard is not None:
-                record_reads(simulation.history, shard, begun, simulation.now)
-
-        simulation.read(self._machine(), seen)
-        simulation.later(CLIENT_PAUSE_S, self.next_step)
-
-    def _machine(self) -> _Machine:
-        machines = self.simulation.machines
-        leaders = [m for m in machines if m.shard is not None and m.shard.leads]
-        if leaders and self.simulation.random.random() < 0.8:
-            return self.simulation.random.choice(leaders)
-        return self.simulation.random.choice(machines)
-
-    def _propose(
-        self,
-        kind: str,
-        target: str,
-        command: Command,
-        value: str | None,
-        then: Callable[[ProposeResult | None], None] | None = None,
-        until_done: bool = False,
-    ) -> None:
-        simulation = self.simulation
-        # The wall clock steps back and forth: nothing may rest on it.
-        command.at_ms = max(1, int(1e6 + simulation.random.uniform(-5e5, 5e5)))
-        begun = simulation.now
-        self._attempt += 1
-        attempt = self._attempt
-
-        def done(result: ProposeResult | None) -> None:
-            if attempt != self._attempt:
-                return
-            self._attempt += 1
-            unknown = result is None or result.code == LOST_LEADERSHIP
-            if not unknown and result is not None:
-                self._record(kind, target, begun, value, result)
-            if unknown and until_done:
-                self._step -= 1
-            if then is not None and not unknown:
-                then(result)
-            else:
-                simulation.later(CLIENT_PAUSE_S, self.next_step)
-
-        def timed_out() -> None:
-            if attempt == self._attempt:
-                self._attempt += 1
-                if until_done:
-                    self._step -= 1
-                simulation.later(CLIENT_PAUSE_S, self.next_step)
-
-        simulation.propose(self._machine(), command, done)
-        simulation.later(CLIENT_TIMEOUT_S, timed_out)
-
-    def _record(
-        self, kind: str, target: str, begun: float, value: str | None, result: ProposeResult
-    ) -> None:
-        seen: object = (result.code, result.key_record.start.request_id, result.accepted)
-        operation = Operation(kind, target, begun, self.simulation.now, seen, value)
-        self.simulation.history.add(operation)
