--- a/src/wharfcart/soak/faults.py
+++ b/src/wharfcart/soak/faults.py
@@ -85,6 +85,29 @@
         self.fleet.wipe(self.node)
 
 
+class LeaderCutAndWipedFault(Fault):
+    """The leader reaches no other replica for a while, then loses its disk.
+
+    What it acknowledged meanwhile on fewer disks than it must would be gone.
+    """
+
+    async def begin(self) -> None:
+        """Strike."""
+        self._leader = self.fleet.leader() or self.node
+        for node in self._others():
+            await self.fleet.set_link(self.fleet.proxies_by_node[node.node_id], silent=True)
+
+    async def end(self) -> None:
+        """Undo it."""
+        self.fleet.wipe(self._leader)
+        for node in self._others():
+            await self.fleet.set_link(self.fleet.proxies_by_node[node.node_id])
+        self.fleet.revive(self._leader)
+
+    def _others(self) -> list[ServingNodeProcess]:
+        return [node for node in self.fleet.stores if node is not self._leader]
+
+
 class KillAllFault(Fault):
     """Every process is killed at the same moment."""
 
@@ -244,6 +267,7 @@
     FaultKind.TERMINATE: TerminateFault,
     FaultKind.WIPE_DISK: WipeFault,
     FaultKind.KILL_ALL: KillAllFault,
+    FaultKind.LEADER_CUT_AND_WIPED: LeaderCutAndWipedFault,
     FaultKind.LINK_SILENT: LinkFault,
     FaultKind.LINK_ONE_WAY: LinkFault,
     FaultKind.LINK_DELAYED: LinkFault,
--- a/src/wharfcart/soak/fleet.py
+++ b/src/wharfcart/soak/fleet.py
@@ -17,8 +17,10 @@
     ServingFleet,
     ServingNodeProcess,
 )
+from wharfcart.node.fleet_keys import GROUP_PREFIX, NODE_PREFIX, node_entry_from
 from wharfcart.settings.schema import split_endpoint
 from wharfcart.soak.hooks import sitecustomize as hooks
+from wharfcart.storage.group_record import group_record_from
 
 HOOKS_FOLDER = Path(hooks.__file__).parent
 
@@ -102,6 +104,18 @@
         """Switch the faults of one link."""
         proxy.set_faults(ProxyFaults(**faults))
 
+    def leader(self) -> ServingNodeProcess | None:
+        """Return the storage node that leads the first job group, as the store tells."""
+        items = self.store.state.items
+        item = items.get(f"{GROUP_PREFIX}0")
+        record = None if item is None else group_record_from(item.value, item.revision)
+        for node in self.stores:
+            entry = items.get(f"{NODE_PREFIX}{node.node_id}")
+            known = None if entry is None else node_entry_from(entry.value)
+            if record is not None and known is not None and known.identity == record.leader:
+                return node
+        return None
+
     async def replace_server(self, number: int) -> None:
         """Let one back end drain and leave, and another come."""
         old = self.stream_servers[number % len(self.stream_servers)]
--- a/src/wharfcart/soak/plan.py
+++ b/src/wharfcart/soak/plan.py
@@ -17,6 +17,7 @@
     TERMINATE = "terminate"
     WIPE_DISK = "wipe_disk"
     KILL_ALL = "kill_all"
+    LEADER_CUT_AND_WIPED = "leader_cut_and_wiped"
     LINK_SILENT = "link_silent"
     LINK_ONE_WAY = "link_one_way"
     LINK_DELAYED = "link_delayed"
@@ -44,6 +45,8 @@
     FaultKind.FREEZE,
     FaultKind.TERMINATE,
     FaultKind.WIPE_DISK,
+    FaultKind.LEADER_CUT_AND_WIPED,
+    FaultKind.LEADER_CUT_AND_WIPED,
     FaultKind.LINK_SILENT,
     FaultKind.LINK_ONE_WAY,
     FaultKind.LINK_DELAYED,
