A node that starts while the service does not answer it begins with a seed's state

Cause (read in the code): since nodes follow peers, a start waited for the service alone; a machine restarted during an outage, or that the service turns away, stayed without a configuration until the service came back. Change: the service and, a quarter of a second later, the seeds are asked; the first state that comes is taken. Tests: in virtual time and by processes, both red with the seeds never asked.

--- a/src/wharfcart/cluster/mirror_link.py
+++ b/src/wharfcart/cluster/mirror_link.py
@@ -7,10 +7,10 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from contextlib import suppress
 from dataclasses import dataclass
-from random import random
+from random import random, sample
 from time import monotonic
 from typing import Protocol
 
@@ -45,6 +45,9 @@
 CHECK_S = 0.1
 OUTAGE_S = 3.0
 LOST_AFTER_S = 3.0
+# A starting node asks its seeds if the service has not answered by then.
+SEEDS_DELAY_S = 0.25
+SEED_S = 0.5
 # At the first start of a fleet peers announce themselves within this time.
 FIRST_PEERS_S = 4.0
 FIRST_PEERS_POLL_S = 0.5
@@ -93,6 +96,7 @@
         calls: how they are asked.
         on_changes: called with changes that were news.
         log: the decision log.
+        seeds: peers to ask at the start, when the service does not answer.
     """
 
     def __init__(
@@ -103,6 +107,7 @@
         calls: PeerCalls,
         on_changes: Callable[[list[Change]], None],
         log: DecisionLog,
+        seeds: Sequence[Peer] = (),
     ) -> None:
         self.mirror = mirror
         self._service = service
@@ -110,6 +115,7 @@
         self._calls = calls
         self._on_changes = on_changes
         self._log = log
+        self._seeds = seeds
         self._began_at = monotonic()
         self._stale_at = -1e9
         self._failure = ""
@@ -172,19 +178,50 @@
         """Begin with a state that may be seconds old; peers tell what has come since."""
         retry_s = RETRY_LEAST_S
         while True:
-            try:
-                self._take(await self._service.read_all(stale=True))
-            except CoordinationUnavailableError as error:
-                self._failure = error.reason
+            changes = await self._first_state()
+            if changes is None:
                 await _sleep_about(retry_s)
                 retry_s = min(RETRY_MOST_S, retry_s * 2)
                 continue
+            self._take(changes)
             if self._sources.choose(monotonic(), ()) is not None:
                 return
             if monotonic() - self._began_at > FIRST_PEERS_S:
                 return
             await _sleep_about(FIRST_PEERS_POLL_S)
 
+    async def _first_state(self) -> Changes | None:
+        """Return the state that the service tells, or a seed if the service takes long."""
+        pending = {
+            asyncio.create_task(self._read_old_state()),
+            asyncio.create_task(self._ask_seeds()),
+        }
+        try:
+            while pending:
+                done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+                for task in done:
+                    if (changes := task.result()) is not None:
+                        return changes
+            return None
+        finally:
+            for task in pending:
+                task.cancel()
+
+    async def _read_old_state(self) -> Changes | None:
+        try:
+            return await self._service.read_all(stale=True)
+        except CoordinationUnavailableError as error:
+            self._failure = error.reason
+            return None
+
+    async def _ask_seeds(self) -> Changes | None:
+        await asyncio.sleep(SEEDS_DELAY_S)
+        for seed in sample(self._seeds, len(self._seeds)):
+            news = await self._ask(seed, SEED_S)
+            if news is not None and news.changes.at > 0:
+                return news.changes
+        return None
+
     async def _follow(self) -> None:
         """Follow one peer after the other."""
         while True:
--- a/src/wharfcart/experiments/serving_fleet.py
+++ b/src/wharfcart/experiments/serving_fleet.py
@@ -30,6 +30,7 @@
 STOP_TIMEOUT_S = 15.0
 POLL_S = 0.03
 ZONES = ("a", "b", "c")
+MOST_SEEDS = 3
 
 
 @dataclass
@@ -218,12 +219,14 @@
 
     async def _write_settings(self, node: ServingNodeProcess) -> None:
         number = int(node.node_id.rpartition("-")[2])
+        seeds = ", ".join(f'"{gateway.cluster_listen}"' for gateway in self.gateways[:MOST_SEEDS])
         lines = [
             f'node_id = "{node.node_id}"',
             f'zone = "{ZONES[number % len(ZONES)]}"',
             f'coordination = "{await self.store.endpoint(node.node_id)}"',
             f'cluster_listen = "{node.cluster_listen}"',
             *self.settings_of(node),
+            f"seeds = [{seeds}]",
             "first_start = true",
             "stop_within_s = 8",
         ]
--- a/src/wharfcart/node/serving_node.py
+++ b/src/wharfcart/node/serving_node.py
@@ -66,6 +66,7 @@
             PeerNewsCalls(self.transport),
             self._on_changes,
             log,
+            _seed_peers(settings),
         )
         self.metrics.mirror_age.set_function(lambda: min(self.link.age_s, MOST_AGE_S))
         self.handle_other: Handler = _ignore
@@ -193,3 +194,9 @@
 
 async def _ignore(_frame: Frame, _respond: Responder) -> None:
     return
+
+
+def _seed_peers(settings: ServingSettings) -> list[Peer]:
+    """Return the seeds but this node itself; their zones are not known."""
+    others = [seed for seed in settings.seeds if seed != settings.cluster_address]
+    return [Peer(seed, "", Address(*split_endpoint(seed))) for seed in others]
--- a/tests/cluster/test_mirror_link.py
+++ b/tests/cluster/test_mirror_link.py
@@ -192,3 +192,39 @@
         assert fleet.know("news") == set(fleet.links)
 
     play(scenario)
+
+
+def test_a_node_that_starts_while_the_service_is_silent_learns_from_a_seed() -> None:
+    """Read in the code: a start during an outage waited for the service to come back."""
+
+    async def scenario(fleet: Fleet) -> None:
+        await asyncio.sleep(5)
+        fleet.shared.put("before")
+        await asyncio.sleep(0.5)
+        silent = Service()
+
+        async def never(*_arguments: object, **_options: object) -> Changes:
+            await asyncio.sleep(3600)
+            raise AssertionError
+
+        silent.read_all = silent.wait_for_changes = never  # type: ignore[method-assign]
+        known = {f"s{n}": Peer(f"s{n}", "a", Address("", n)) for n in range(5)}
+        sources = NewsSources("new", "a")
+        seeds = [Peer("gone", "", Address("", 9)), known["s3"]]
+        fleet.peers.silent.add("gone")
+
+        def on_changes(_news: list[Change]) -> None:
+            sources.set_peers(known)
+
+        started = MirrorLink(
+            Mirror(), silent, sources, fleet.peers, on_changes, DecisionLog("new"), seeds
+        )
+        task = asyncio.create_task(started.run())
+        await asyncio.sleep(1.5)
+        assert started.mirror.get("before") is not None
+        fleet.shared.put("news")
+        await asyncio.sleep(1.0)
+        assert started.mirror.get("news") is not None
+        task.cancel()
+
+    play(scenario)
--- a/tests/integration/test_serving_fleet.py
+++ b/tests/integration/test_serving_fleet.py
@@ -127,6 +127,19 @@
     play(scenario)
 
 
+def test_a_gateway_that_starts_while_the_store_is_silent_to_it_serves() -> None:
+    async def scenario(fleet: ServingFleet) -> None:
+        gateway = fleet.gateways[0]
+        fleet.signal(gateway, signal.SIGKILL)
+        fleet.store.silent.add("gateway-0")
+        fleet.start_node(gateway)
+        await fleet.until(lambda: fleet.is_ready(gateway), 8.0)
+        status, _, _ = await fleet.request(0, "/look/x", "r")
+        assert status == 200
+
+    play(scenario)
+
+
 def test_a_draining_server_gets_nothing_more() -> None:
     async def scenario(fleet: ServingFleet) -> None:
         leaving = fleet.plain_servers[0]
