Soak: a stop waits for the process that it asked; seeds are printed before they are played

Finding: the fifth of six seeds broke off, since a gateway had not ended 15 s after SIGTERM. The seed was not printed and is lost. Cause, shown with a plan of two faults made by hand: a kill within the time to stop starts another process in its place, for which the soak waited. Ruled out: a gateway that does not stop; with the plan, the asked one ends. A process that outlives its time is a violation now.

--- a/src/wharfcart/cli/soak.py
+++ b/src/wharfcart/cli/soak.py
@@ -29,6 +29,7 @@
     chosen = seed or [random.randrange(MOST_SEED) for _ in range(seeds)]
     failed = False
     for number in chosen:
+        typer.echo(f"seed {number}", err=True)
         verdict = asyncio.run(SoakRun(number, load_s, keep).play())
         failed = failed or bool(verdict.violations)
         print(json.dumps(_as_line(verdict)), flush=True)
--- a/src/wharfcart/soak/faults.py
+++ b/src/wharfcart/soak/faults.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+import subprocess
 import typing as t
 from abc import ABC, abstractmethod
 
@@ -11,6 +12,8 @@
 from wharfcart.soak.plan import FaultKind, PlannedFault
 
 CLOCK_STEP_S = 3.0
+# A process ends within its time to stop, and that of a freeze beside it.
+STOP_LIMIT_S = 15.0
 LINK_DELAY_S = 0.15
 STORE_DELAY_S = 0.2
 LOST_STORE_WRITES = 3
@@ -69,12 +72,22 @@
 
     async def begin(self) -> None:
         """Strike."""
+        # Another fault may kill the process meanwhile and start the next one in its place.
+        self._process = self.node.process
         self.fleet.signal(self.node, signal.SIGTERM)
 
     async def end(self) -> None:
         """Undo it."""
-        await self.fleet.stopped(self.node)
-        self.fleet.revive(self.node)
+        if self._process is None:
+            return
+        try:
+            await asyncio.to_thread(self._process.wait, STOP_LIMIT_S)
+        except subprocess.TimeoutExpired:
+            self.fleet.violations.append(f"{self.node.node_id} did not stop on SIGTERM")
+            self._process.kill()
+            self._process.wait()
+        if self.node.process is self._process:
+            self.fleet.revive(self.node)
 
 
 class WipeFault(KillFault):
--- a/src/wharfcart/soak/fleet.py
+++ b/src/wharfcart/soak/fleet.py
@@ -43,6 +43,7 @@
         self._advertised_by_node: dict[str, str] = {}
         self.retired_servers: list[ModelServer] = []
         self._next_server = 100
+        self.violations: list[str] = []
         self._added_routes: dict[str, dict[str, t.Any]] = {}
         self.on_route_added: t.Callable[[str], None] = lambda path: None
 
--- a/src/wharfcart/soak/run.py
+++ b/src/wharfcart/soak/run.py
@@ -73,7 +73,7 @@
                 group.create_task(self._workload.run(self.load_s))
                 for planned in self.plan:
                     group.create_task(play_fault(self._fleet, planned))
-            violations = await self._recover()
+            violations = self._fleet.violations + await self._recover()
             violations += broken_promises(self._workload.history, self._fleet.all_servers)
             kept = self._keep_logs(violations) if violations else None
         finally:
