--- a/tests/storage/test_job_group.py
+++ b/tests/storage/test_job_group.py
@@ -250,7 +250,7 @@
 
 @pytest.mark.parametrize("seed", range(8))
 def test_a_leader_that_went_dark_is_replaced_within_two_seconds(seed: int) -> None:
-    """Trial 14d82763: calls to the lost leader hung, and the election waited for them."""
+    """Run 9cbb3a13: calls to the lost leader hung, and the election waited for them."""
 
     async def scenario() -> None:
         fleet = Fleet(seed=seed)
@@ -268,7 +268,7 @@
 
 @pytest.mark.parametrize("seed", range(8))
 def test_one_lost_leader_gives_one_election_while_the_service_is_slow(seed: int) -> None:
-    """Trial 14d82763: two replicas took the next epochs one after the other."""
+    """Run 9cbb3a13: two replicas took the next epochs one after the other."""
 
     async def scenario() -> None:
         fleet = Fleet(seed=seed)
