Slots are granted by the node that runs batch items; an item leaves at once for a request

Cause: on the new customer's site, load comes in waves of 2.8 s at 1.84 times the mean. At each front requests met batch items in every slot: gateways chose by a picture 0.3 to 0.9 s old, the leader cut items by a period of 0.1 s, and an item due within 10 s (over half of this customer's 18 s) never left.

Change: a gateway asks the leader for a slot (one call, 40 ms at most, else its own choice as before). The leader knows its own items exactly and the gateways' requests by their reports, which now follow each ended request within 10 ms, and by its grants since. Where no slot is free an item leaves in the same step. An item is urgent when what it probably still runs, learnt from finished items, no longer fits; the limits of 12 yields and 0.4 s, the share of 0.65 and the headroom by picture age go. A free slot is not filled if online work needs it sooner than a restart pays off.

Left: when online work alone is more than the slots, servers' queues make everybody late; overdue items pass for urgent.

--- a/src/wharfcart/batch/item_run.py
+++ b/src/wharfcart/batch/item_run.py
@@ -45,6 +45,7 @@
     failures: answers that said that it failed.
     failed_at: incarnations that gave these.
     not_before: monotonic time of the next send.
+    ran_s: sum of the times of its sends.
     """
 
     text: RunningText
@@ -54,6 +55,7 @@
     last_backend: str = ""
     sends: int = 0
     yields: int = 0
+    ran_s: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/src/wharfcart/batch/job_execution.py
+++ b/src/wharfcart/batch/job_execution.py
@@ -7,44 +7,57 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 from time import monotonic, time
 
 from wharfcart.batch.item_run import ItemProgress, ItemRunner, ItemSend, RunOutcome
 from wharfcart.batch.job_scheduler import JobScheduler, ScheduledJob
 from wharfcart.batch.retry_policy import has_failed_for_good
+from wharfcart.batch.run_estimate import RunEstimate
 from wharfcart.cluster.messages_pb2 import ItemOutcome, RequestItem, RequestJob
 from wharfcart.configuration.serving import Route, ServingConfiguration
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.observability.serving_metrics import ServingMetrics
 from wharfcart.observability.tasks import BackgroundTasks
 from wharfcart.routing.backend_choice import BackendChoice, InstanceState
+from wharfcart.routing.preemption import Preemption
 from wharfcart.storage.job_group import JobGroup
 from wharfcart.storage.job_leadership import JobLeadership
 
 PERIOD_S = 0.1
-# Items start while less than this share of a back end's slots is taken; above the other they yield.
-START_BELOW_LOAD = 0.8
+# Above this share of a back end's slots its items yield, though nobody asked for a slot.
 YIELD_ABOVE_LOAD = 1.0
-FEWEST_START_LOAD = 0.45
-MOST_OWN_SHARE = 0.65
-# An item due within this time starts and stays although the back end is nearly full.
-URGENT_S = 10.0
-URGENT_LOAD = 1.0
-URGENT_SHARE = 0.4
+# An item that must leave within this time has cost more than it has done.
+RESTART_COST_S = 0.06
+# An item is urgent once so little time is left beside what it probably still runs.
+LEAST_SLACK_S = 1.0
 # When online work fills everything, urgent items still get so much of a back end, in its queue.
 RESERVED_SHARE = 0.2
 RESERVED_LOAD = 1.6
-MOST_YIELDS = 12
 RETRY_REFUSED_S = 0.15
 RETRY_BROKEN_S = 0.05
 RETRY_FAILED_S = 0.3
-RETRY_YIELDED_S = 0.4
+RETRY_YIELDED_S = 0.05
 # Clocks of the gateway that took the job and of a later leader may differ.
 GIVE_UP_MARGIN_S = 6.0
 FORGET_PERIOD_S = 5.0
 
 
-class JobExecution:
+@dataclass(frozen=True)
+class PlacedItem:
+    """An item that runs at a back end."""
+
+    scheduled: ScheduledJob
+    item: RequestItem
+    state: InstanceState
+
+    @property
+    def instance_id(self) -> str:
+        """Incarnation of the back end."""
+        return self.state.instance.instance_id
+
+
+class JobExecution(Preemption):
     """Items of one group's jobs, on its leader."""
 
     def __init__(
@@ -65,9 +78,10 @@
         self._log = log
         self._metrics = metrics
         self._scheduler = JobScheduler(group.partial_texts)
+        self._estimates: dict[str, RunEstimate] = {}  # by service
         self._tasks = BackgroundTasks()
         self._runs: dict[str, asyncio.Task[None]] = {}
-        self._placed: dict[str, tuple[ScheduledJob, InstanceState]] = {}
+        self._placed: dict[str, PlacedItem] = {}
         self._work = asyncio.Event()
         self._forget_at = 0.0
         group.on_leading = self._begin
@@ -92,6 +106,47 @@
             if run is not None:
                 run.cancel()
 
+    # ---- room for online requests ----
+
+    def items_at(self, instance_id: str) -> int:
+        """Return how many items at a back end would leave for an online request."""
+        return len(self._preemptible(instance_id, monotonic()))
+
+    def make_room(self, instance_id: str) -> bool:
+        """Have the item leave that has the most time left; False if none does."""
+        now = monotonic()
+        preemptible = self._preemptible(instance_id, now)
+        if not preemptible:
+            return False
+        self._yield(max(preemptible, key=lambda placed: self._slack_s(placed, now)), "granted")
+        return True
+
+    def slots_changed(self) -> None:
+        """Note that the load of back ends has changed."""
+        self._work.set()
+
+    def _preemptible(self, instance_id: str, now: float) -> list[PlacedItem]:
+        """Return the items at a back end that yield: all but a few that are urgent."""
+        placed = [one for one in self._placed.values() if one.instance_id == instance_id]
+        urgent = [one for one in placed if self._slack_s(one, now) < LEAST_SLACK_S]
+        if not urgent:
+            return placed
+        kept = max(1, int(urgent[0].state.instance.slots * RESERVED_SHARE))
+        urgent.sort(key=lambda one: self._slack_s(one, now))
+        return [one for one in placed if one not in urgent[:kept]]
+
+    def _slack_s(self, placed: PlacedItem, now: float) -> float:
+        """Return the time that is left beside what an item still runs."""
+        return self._slack_of(placed.scheduled, placed.item, placed.state.instance.service, now)
+
+    def _slack_of(
+        self, scheduled: ScheduledJob, item: RequestItem, service: str, now: float
+    ) -> float:
+        estimate = self._estimates.setdefault(service, RunEstimate())
+        done = len(scheduled.progress_of(item.item_id).text.texts)
+        remaining_s = estimate.remaining_s(done, scheduled.job.objective_s)
+        return scheduled.due_at - now - remaining_s
+
     # ---- leadership ----
 
     def _begin(self) -> None:
@@ -155,38 +210,56 @@
         excluded = progress.failed_at | {progress.last_backend}
         service = route.shares[0].service
         state = self._choice.choose_emptiest(service, now, excluded)
-        state = state or self._choice.choose_emptiest(service, now)
+        if state is None or state.load(now) >= 1:
+            state = self._choice.choose_emptiest(service, now)
         if state is None:
             return None
-        urgent = scheduled.due_at - now < URGENT_S
-        headroom = self._choice.headroom(service, now)
-        return state if _has_room(state, urgent, headroom, now) else None
+        slots = max(1, state.instance.slots)
+        if self._slack_of(scheduled, item, service, now) < LEAST_SLACK_S:
+            if state.in_flight / slots < RESERVED_SHARE:
+                return state if state.load(now) < RESERVED_LOAD else None
+            return state if state.load(now) + 1 / slots <= 1 else None
+        if state.load(now) + 1 / slots > 1:
+            return None
+        return state if self._worth_starting(service, now) else None
+
+    def _worth_starting(self, service: str, now: float) -> bool:
+        """Whether the last free slot is probably not needed before a start has paid off."""
+        needed_soon = self._choice.rate_of_others(service) * RESTART_COST_S
+        return self._choice.free_slots(service, now) >= 1 + needed_soon
 
     def _yield_to_online(self) -> None:
-        """Cut items at back ends that online work has filled; they go on after their last event."""
+        """Cut items at back ends that are fuller than thought; they go on where they stopped."""
         now = monotonic()
-        excess: dict[str, int] = {}
-        for item_id, (scheduled, state) in list(self._placed.items()):
-            instance_id = state.instance.instance_id
-            if instance_id not in excess:
-                above = state.load(now) - YIELD_ABOVE_LOAD
-                excess[instance_id] = round(above * state.instance.slots)
-            if excess[instance_id] <= 0 or scheduled.due_at - now < URGENT_S:
-                continue
-            run = self._runs.get(item_id)
-            progress = scheduled.progress_of(item_id)
-            if run is None or progress.yields >= MOST_YIELDS:
+        for state in {
+            placed.instance_id: placed.state for placed in self._placed.values()
+        }.values():
+            excess = round((state.load(now) - YIELD_ABOVE_LOAD) * state.instance.slots)
+            if excess <= 0:
                 continue
-            progress.yields += 1
-            excess[instance_id] -= 1
-            self._log.write(
-                Event.ITEM_YIELDED,
-                item=item_id,
-                job=scheduled.job.job_id,
-                backend=instance_id,
-                load=round(state.load(now), 2),
-                load_age_s=round(now - state.others_at, 2),
-            )
+            preemptible = self._preemptible(state.instance.instance_id, now)
+            preemptible.sort(key=lambda placed: self._slack_s(placed, now), reverse=True)
+            for placed in preemptible[:excess]:
+                self._yield(placed, "overfull")
+
+    def _yield(self, placed: PlacedItem, cause: str) -> None:
+        now = monotonic()
+        item_id = placed.item.item_id
+        self._placed.pop(item_id, None)
+        progress = placed.scheduled.progress_of(item_id)
+        progress.yields += 1
+        self._log.write(
+            Event.ITEM_YIELDED,
+            item=item_id,
+            job=placed.scheduled.job.job_id,
+            backend=placed.instance_id,
+            cause=cause,
+            load=round(placed.state.load(now), 2),
+            load_age_s=round(now - placed.state.others_at, 2),
+            slack_s=round(self._slack_s(placed, now), 2),
+        )
+        run = self._runs.get(item_id)
+        if run is not None:
             run.cancel()
 
     def _start(self, scheduled: ScheduledJob, item: RequestItem, state: InstanceState) -> None:
@@ -195,7 +268,7 @@
         use = self._choice.sent(state, monotonic())
         task = self._tasks.spawn(self._run_item(scheduled, item, state, use))
         self._runs[item.item_id] = task
-        self._placed[item.item_id] = (scheduled, state)
+        self._placed[item.item_id] = PlacedItem(scheduled, item, state)
         self._log.write(
             Event.ITEM_STARTED,
             item=item.item_id,
@@ -210,6 +283,7 @@
         self, scheduled: ScheduledJob, item: RequestItem, state: InstanceState, use: int
     ) -> None:
         progress = scheduled.progress_of(item.item_id)
+        began_at = monotonic()
         try:
             send = ItemSend(item, scheduled.job.host, state, use, progress, scheduled.give_up_at)
             outcome = await self._runner.run(send)
@@ -220,11 +294,15 @@
             self._scheduler.put_back(scheduled, item)
             return
         finally:
+            progress.ran_s += monotonic() - began_at
             scheduled.running.discard(item.item_id)
             self._runs.pop(item.item_id, None)
             self._placed.pop(item.item_id, None)
         self._metrics.items.add(outcome.value)
         self._judge_backends(progress, state, outcome)
+        if outcome is RunOutcome.SUCCEEDED:
+            estimate = self._estimates.setdefault(state.instance.service, RunEstimate())
+            estimate.finished(len(progress.text.texts), progress.ran_s)
         self._take_outcome(scheduled, item, progress, outcome)
         self._work.set()
 
@@ -333,24 +411,6 @@
         self._group.wake_sessions()
 
 
-def _has_room(state: InstanceState, urgent: bool, headroom: float, now: float) -> bool:
-    """Whether a back end takes another item beside what online work leaves free.
-
-    Parameters
-    ----------
-    headroom: slots to be kept for online work that is not seen yet.
-    """
-    load = state.load(now)
-    slots = max(1, state.instance.slots)
-    own_share = state.in_flight / slots
-    if not urgent:
-        start_below = max(FEWEST_START_LOAD, min(START_BELOW_LOAD, 1 - headroom / slots))
-        return load < start_below and own_share < MOST_OWN_SHARE
-    if own_share < RESERVED_SHARE:
-        return load < RESERVED_LOAD
-    return load < URGENT_LOAD and own_share < URGENT_SHARE
-
-
 def _forgettable(leadership: JobLeadership, wall_clock: float, keep_s: float) -> list[str]:
     return [
         job_id
--- /dev/null
+++ b/src/wharfcart/batch/run_estimate.py
@@ -0,0 +1,55 @@
+"""How long an item still has to run, learnt from the items that have finished.
+
+Pure: times are handed in as seconds.
+"""
+
+from dataclasses import dataclass
+
+# Each finished item moves the means by this part.
+LEARNING_RATE = 0.1
+# Items differ: one that has given as many events as the mean may give some more.
+LEAST_SHARE_LEFT = 0.2
+# Longer items than the mean are planned for.
+SIZE_MARGIN = 1.3
+# Before any item has finished, a run is taken to need this part of its job's objective.
+UNKNOWN_SHARE_OF_OBJECTIVE = 0.4
+
+
+@dataclass
+class RunEstimate:
+    """Means over the items of one service.
+
+    Attributes:
+        events: events of a whole item; 0 while none has finished.
+        seconds_an_event: running time, waits for a slot left out.
+    """
+
+    events: float = 0.0
+    seconds_an_event: float = 0.0
+
+    def finished(self, events: int, ran_s: float) -> None:
+        """Learn from an item that has succeeded.
+
+        Args:
+            events: that it gave in all its runs.
+            ran_s: sum of the times of its runs.
+        """
+        if events <= 0:
+            return
+        if not self.events:
+            self.events, self.seconds_an_event = events, ran_s / events
+            return
+        self.events += LEARNING_RATE * (events - self.events)
+        self.seconds_an_event += LEARNING_RATE * (ran_s / events - self.seconds_an_event)
+
+    def remaining_s(self, events_done: int, objective_s: float) -> float:
+        """Return how long an item probably still runs if nothing cuts it.
+
+        Args:
+            events_done: events that it has given so far.
+            objective_s: of its job, for the time before anything is known.
+        """
+        if not self.events:
+            return objective_s * UNKNOWN_SHARE_OF_OBJECTIVE
+        planned = self.events * SIZE_MARGIN - events_done
+        return max(planned, self.events * LEAST_SHARE_LEFT) * self.seconds_an_event
--- a/src/wharfcart/configuration/serving.py
+++ b/src/wharfcart/configuration/serving.py
@@ -95,6 +95,16 @@
             by_host.setdefault(route.host, {})[route.path_prefix] = route
         object.__setattr__(self, "_by_host", by_host)
 
+    @property
+    def batch_services(self) -> frozenset[str]:
+        """Services that run items of batch jobs."""
+        return frozenset(
+            share.service
+            for route in self.routes
+            if route.kind is RouteKind.BATCH
+            for share in route.shares
+        )
+
     def route_for(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of the path, or None.
 
--- a/src/wharfcart/node/gateway_process.py
+++ b/src/wharfcart/node/gateway_process.py
@@ -11,6 +11,7 @@
 from wharfcart.node.serving_node import ServingNode
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.routing.forwarder import Forwarder
+from wharfcart.routing.placement import GrantedPlacement
 from wharfcart.settings.schema import split_endpoint
 from wharfcart.settings.serving import GatewaySettings, ServingSettings
 from wharfcart.storage.group_record import GroupRecord, group_record_from
@@ -29,8 +30,12 @@
         self._settings = settings
         self._log = log
         self._node = ServingNode(settings, log)
+        self._placement = GrantedPlacement(
+            settings.node_id, self._node.choice, self._node.transport, self._board_address
+        )
         forwarder = Forwarder(
             self._node.choice,
+            self._placement,
             self._node.pool,
             self._node.connection_limit,
             log,
@@ -57,7 +62,11 @@
         )
         self._node.tasks.spawn(self._become_ready())
         reporter = LoadReporter(
-            self._settings.node_id, self._node.choice, self._node.transport, self._board_address
+            self._settings.node_id,
+            self._node.choice,
+            self._node.transport,
+            self._board_address,
+            self._placement,
         )
         self._node.fleet_size = reporter.fleet_size
         self._node.tasks.spawn(reporter.run())
--- a/src/wharfcart/node/load_reports.py
+++ b/src/wharfcart/node/load_reports.py
@@ -5,11 +5,26 @@
 from time import monotonic
 
 from wharfcart.cluster.membership import Address
-from wharfcart.cluster.messages_pb2 import Frame, InstanceLoad, LoadReport, LoadSummary
+from wharfcart.cluster.messages_pb2 import (
+    Frame,
+    InstanceLoad,
+    LoadReport,
+    LoadSummary,
+    SlotGrant,
+    SlotRequest,
+)
 from wharfcart.cluster.transport import PeerUnreachableError, TrafficClass, Transport
 from wharfcart.errors import ServingError
 from wharfcart.routing.backend_choice import BackendChoice
-from wharfcart.routing.load_board import LoadBoard, NodeLoad, report_kept_s, report_period_s
+from wharfcart.routing.load_board import (
+    LoadBoard,
+    NodeLoad,
+    brief_report_gap_s,
+    report_kept_s,
+    report_period_s,
+)
+from wharfcart.routing.placement import GrantedPlacement
+from wharfcart.routing.preemption import Preemption
 
 CALL_TIMEOUT_S = 0.4
 IDLE_PERIOD_S = 1.0
@@ -21,6 +36,7 @@
     Parameters
     ----------
     board_address: where the board is kept now, or None.
+    placement: asks that node for slots.
     """
 
     def __init__(
@@ -29,28 +45,45 @@
         choice: BackendChoice,
         transport: Transport,
         board_address: Callable[[], Address | None],
+        placement: GrantedPlacement,
     ) -> None:
         self._node_id = node_id
         self._choice = choice
         self._transport = transport
         self._board_address = board_address
+        self._placement = placement
+        self._slot_freed = asyncio.Event()
         self._nodes = 1
+        placement.wake_reports = self._slot_freed.set
 
     def fleet_size(self) -> int:
         """Return how many nodes report their load."""
         return self._nodes
 
     async def run(self) -> None:
-        """Report until cancelled; seldom while nothing is in flight."""
+        """Report until cancelled: each period, and soon after a granted slot has come free."""
         idle_reports = 0
         while True:
             loads = self._choice.own_loads(monotonic())
             idle_reports = 0 if loads else idle_reports + 1
             await self._report(loads)
             period_s = report_period_s(self._nodes)
-            await asyncio.sleep(IDLE_PERIOD_S if idle_reports > 2 else period_s)
-
-    async def _report(self, loads: list[NodeLoad]) -> None:
+            await self._report_freed_slots(IDLE_PERIOD_S if idle_reports > 2 else period_s)
+
+    async def _report_freed_slots(self, seconds: float) -> None:
+        """Send brief reports, as slots come free, until the next whole one is due."""
+        until = monotonic() + seconds
+        while (left_s := until - monotonic()) > 0:
+            try:
+                async with asyncio.timeout(left_s):
+                    await self._slot_freed.wait()
+            except TimeoutError:
+                return
+            self._slot_freed.clear()
+            await self._report(self._choice.own_loads(monotonic()), brief=True)
+            await asyncio.sleep(brief_report_gap_s(self._nodes))
+
+    async def _report(self, loads: list[NodeLoad], brief: bool = False) -> None:
         address = self._board_address()
         if address is None:
             return
@@ -58,6 +91,8 @@
             node_id=self._node_id,
             loads=[_to_message(load) for load in loads],
             sends_per_s=self._choice.own_rates(monotonic()),
+            grants_seen=self._placement.grants_seen,
+            brief=brief,
         )
         try:
             async with asyncio.timeout(CALL_TIMEOUT_S):
@@ -66,7 +101,11 @@
                 )
         except (TimeoutError, PeerUnreachableError, ServingError):
             return
-        summary = answer.load_summary
+        if not brief:
+            self._take_summary(answer.load_summary)
+
+    def _take_summary(self, summary: LoadSummary) -> None:
+        self._placement.granting = frozenset(summary.granting)
         if not summary.nodes:
             return
         self._nodes = summary.nodes
@@ -81,18 +120,39 @@
 
 
 class LoadBoardKeeper:
-    """The board at the node that runs batch items."""
+    """The board at the node that runs batch items, and grants the slots of their services.
+
+    Args:
+        node_id: of this node.
+        choice: what this node knows of the back ends; kept up to date with each report and grant.
+        granting: the services whose slots are granted here.
+        preemption: makes batch items leave their slots.
+    """
 
-    def __init__(self, node_id: str, choice: BackendChoice) -> None:
+    def __init__(
+        self,
+        node_id: str,
+        choice: BackendChoice,
+        granting: Callable[[], frozenset[str]],
+        preemption: Preemption,
+    ) -> None:
         self._node_id = node_id
         self._choice = choice
+        self._granting = granting
+        self._preemption = preemption
         self._board = LoadBoard()
 
     def take(self, report: LoadReport) -> LoadSummary:
         """Take a report; tell the reporter the load of all others, this node's items included."""
         now = monotonic()
         loads = [_from_message(load) for load in report.loads]
-        self._board.report(report.node_id, loads, now, dict(report.sends_per_s))
+        touched = self._board.taken_by(report.node_id)
+        self._board.report(report.node_id, loads, now, dict(report.sends_per_s), report.grants_seen)
+        touched |= self._board.taken_by(report.node_id)
+        if report.brief:
+            self._update_choice(touched, now)
+            self._preemption.slots_changed()
+            return LoadSummary()
         own_rates = self._choice.own_rates(now)
         self._board.report(self._node_id, self._choice.own_loads(now), now, own_rates)
         nodes = self._board.nodes(now)
@@ -103,12 +163,42 @@
             self._board.others_rates(self._node_id, now),
             nodes,
         )
+        self._preemption.slots_changed()
         summary = self._board.summary_for(report.node_id, now)
         return LoadSummary(
             others=[_to_message(load) for load in summary],
             nodes=nodes,
             sends_per_s=self._board.others_rates(report.node_id, now),
+            granting=sorted(self._granting()),
+        )
+
+    def grant(self, request: SlotRequest) -> SlotGrant:
+        """Grant a slot to a gateway's request; a batch item leaves it if none is free."""
+        if request.service not in self._granting():
+            return SlotGrant()
+        now = monotonic()
+        state = self._choice.choose_by_exact_load(
+            request.service,
+            now,
+            request.zone,
+            self._preemption.items_at,
+            request.excluded,
+            request.affinity_key,
         )
+        if state is None:
+            return SlotGrant()
+        instance_id = state.instance.instance_id
+        if state.load(now) + 1 / max(1, state.instance.slots) > 1:
+            self._preemption.make_room(instance_id)
+        number = self._board.grant(request.node_id, instance_id, now)
+        self._update_choice({instance_id}, now)
+        return SlotGrant(instance_id=instance_id, number=number)
+
+    def _update_choice(self, instance_ids: set[str], now: float) -> None:
+        kept_s = report_kept_s(self._board.nodes(now))
+        for instance_id in instance_ids:
+            load = self._board.other(self._node_id, instance_id)
+            self._choice.other_reported(load, now, kept_s)
 
 
 def _to_message(load: NodeLoad) -> InstanceLoad:
--- a/src/wharfcart/node/storage_process.py
+++ b/src/wharfcart/node/storage_process.py
@@ -12,7 +12,7 @@
     Transaction,
 )
 from wharfcart.cluster.membership import Address
-from wharfcart.cluster.messages_pb2 import Frame, LoadSummary
+from wharfcart.cluster.messages_pb2 import Frame, LoadSummary, SlotGrant
 from wharfcart.cluster.transport import Responder
 from wharfcart.node.fleet_keys import GROUP_PREFIX, LOAD_BOARD_GROUP, NodeEntry, NodeKind
 from wharfcart.node.load_reports import LoadBoardKeeper
@@ -42,7 +42,7 @@
         self._disk = Disk(settings.data_folder)
         self._groups: list[JobGroup] = []
         self._services: list[JobService] = []
-        self._board = LoadBoardKeeper(settings.node_id, self._node.choice)
+        self._board: LoadBoardKeeper | None = None
 
     async def start(self) -> None:
         """Open the disk, join the fleet, follow the groups."""
@@ -103,9 +103,20 @@
             self._log,
             self._node.metrics,
         )
+        if number == LOAD_BOARD_GROUP:
+            self._board = LoadBoardKeeper(
+                self._settings.node_id, self._node.choice, self._batch_services, execution
+            )
         self._groups.append(group)
         self._services.append(JobService(group, execution, self._log))
 
+    def _batch_services(self) -> frozenset[str]:
+        """Return the services that run batch items beside online requests."""
+        configuration = self._node.configuration
+        if configuration is None:
+            return frozenset()
+        return configuration.batch_services
+
     async def _open_disk(self) -> str:
         while True:
             try:
@@ -151,9 +162,13 @@
                 fetch = frame.fetch_jobs
                 return Frame(job_updates=await self._groups[fetch.group].answer_fetch(fetch))
             case "load_report":
-                if self._groups[LOAD_BOARD_GROUP].leadership is None:
-                    return Frame(load_summary=LoadSummary())
-                return Frame(load_summary=self._board.take(frame.load_report))
+                board = self._led_board()
+                summary = LoadSummary() if board is None else board.take(frame.load_report)
+                return Frame(load_summary=summary)
+            case "slot_request":
+                board = self._led_board()
+                grant = SlotGrant() if board is None else board.grant(frame.slot_request)
+                return Frame(slot_grant=grant)
             case "submit_job":
                 service = self._service(frame.submit_job.job.job_id)
                 return Frame(job_answer=await service.submit(frame.submit_job))
@@ -168,6 +183,11 @@
                 return Frame(job_answer=await service.end(frame.end_job))
         return None
 
+    def _led_board(self) -> LoadBoardKeeper | None:
+        """Return the load board while this node keeps it."""
+        leads = self._groups[LOAD_BOARD_GROUP].leadership is not None
+        return self._board if leads else None
+
     def _service(self, job_id: str) -> JobService:
         return self._services[group_of(job_id, len(self._services))]
 
--- a/src/wharfcart/routing/backend_choice.py
+++ b/src/wharfcart/routing/backend_choice.py
@@ -9,8 +9,7 @@
 Pure: time and randomness are handed in.
 """
 
-import math
-from collections.abc import Collection, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from dataclasses import dataclass, field
 
 import xxhash
@@ -197,7 +196,7 @@
         if not candidates:
             return None
         if affinity_key:
-            return self._by_affinity(candidates, affinity_key, now)
+            return _by_affinity(candidates, affinity_key, lambda state: state.load(now))
         return self._spread(service, candidates, now)
 
     def choose_emptiest(
@@ -210,6 +209,58 @@
         candidates = self._candidates(service, now, excluded)
         return min(candidates, key=lambda state: self._cost(state, now), default=None)
 
+    def choose_by_exact_load(
+        self,
+        service: str,
+        now: float,
+        zone: str,
+        items_at: Callable[[str], int],
+        excluded: Collection[str] = (),
+        affinity_key: str = "",
+    ) -> InstanceState | None:
+        """Return the incarnation for a request of another node, where every load is known.
+
+        A free slot is taken first, then one that a batch item gives up, then the shortest queue.
+
+        Args:
+            service: whose back ends are asked.
+            now: monotonic time in seconds.
+            zone: of the node that sends the request.
+            items_at: batch items at an incarnation that would make room.
+            excluded: incarnations that the request was already sent to.
+            affinity_key: names the shared prompt that decides where to go first; '' for none.
+        """
+        candidates = self._candidates(service, now, excluded)
+        if not candidates:
+            return None
+
+        def load_without_items(state: InstanceState) -> float:
+            items = items_at(state.instance.instance_id)
+            return state.load(now) - items / max(1, state.instance.slots)
+
+        if affinity_key:
+            return _by_affinity(candidates, affinity_key, load_without_items)
+
+        def rank(state: InstanceState) -> tuple[int, float]:
+            slots = max(1, state.instance.slots)
+            load = state.load(now)
+            other_zone = OTHER_ZONE_PENALTY if state.instance.zone != zone else 0.0
+            extra = other_zone + state.unread_tokens(now) / TOKENS_A_FULL_LOAD
+            if load + 1 / slots <= 1:
+                return 0, load + extra
+            if items_at(state.instance.instance_id):
+                return 1, load_without_items(state) + extra
+            return 2, load + extra
+
+        return min(candidates, key=rank)
+
+    def free_slots(self, service: str, now: float) -> float:
+        """Return how many slots of a service nobody has taken."""
+        return sum(
+            max(0.0, 1 - state.load(now)) * state.instance.slots
+            for state in self._candidates(service, now, ())
+        )
+
     def _candidates(
         self, service: str, now: float, excluded: Collection[str]
     ) -> list[InstanceState]:
@@ -228,14 +279,9 @@
         age_s = min(MOST_PICTURE_AGE_S, now - self._others_at + report_period_s(self._nodes) / 2)
         return self._others_rates.get(service, 0.0) * age_s
 
-    def headroom(self, service: str, now: float) -> float:
-        """Return the slots of each back end that online work may need before it is seen there.
-
-        That is the mean of what comes before the next picture of the load, and a standard
-        deviation.
-        """
-        mean = self.sends_by_others(service, now) / max(1, len(self.accepting(service, now)))
-        return mean + math.sqrt(mean)
+    def rate_of_others(self, service: str) -> float:
+        """Return how many requests a second other nodes send to a service."""
+        return self._others_rates.get(service, 0.0)
 
     def own_rates(self, now: float) -> dict[str, float]:
         """Return this node's requests a second by service, for the load board."""
@@ -280,6 +326,14 @@
             state.others_at = now
             state.others_until = now + kept_s
 
+    def other_reported(self, load: NodeLoad, now: float, kept_s: float) -> None:
+        """Take what the load board tells of all other nodes at one back end."""
+        state = self._states.get(load.instance_id)
+        if state is not None:
+            state.others = load
+            state.others_at = now
+            state.others_until = now + kept_s
+
     def answered(self, state: InstanceState, use: int) -> None:
         """Note the first byte of an answer."""
         state.waiting_since.pop(use, None)
@@ -327,16 +381,17 @@
         unread = state.unread_tokens(now) / TOKENS_A_FULL_LOAD
         return state.load(now) + unread + other_zone
 
-    def _by_affinity(
-        self, candidates: Iterable[InstanceState], key: str, now: float
-    ) -> InstanceState:
-        ranked = sorted(
-            candidates,
-            key=lambda state: xxhash.xxh64_intdigest((key + state.instance.instance_id).encode()),
-        )
-        least = min(state.load(now) for state in ranked)
-        bound = max(AFFINITY_MOST_LOAD, least + AFFINITY_MOST_ABOVE_LEAST)
-        return next(state for state in ranked if state.load(now) < bound)
+
+def _by_affinity(
+    candidates: Iterable[InstanceState], key: str, load_of: Callable[[InstanceState], float]
+) -> InstanceState:
+    ranked = sorted(
+        candidates,
+        key=lambda state: xxhash.xxh64_intdigest((key + state.instance.instance_id).encode()),
+    )
+    loads = [load_of(state) for state in ranked]
+    bound = max(AFFINITY_MOST_LOAD, min(loads) + AFFINITY_MOST_ABOVE_LEAST)
+    return next(state for state, load in zip(ranked, loads, strict=True) if load < bound)
 
 
 def _own_load(state: InstanceState, now: float) -> NodeLoad:
--- a/src/wharfcart/routing/forwarder.py
+++ b/src/wharfcart/routing/forwarder.py
@@ -29,6 +29,7 @@
 from wharfcart.platform import exchanges
 from wharfcart.routing.backend_choice import AFFINITY_TOKENS, BackendChoice, InstanceState
 from wharfcart.routing.event_stream import EventSplitter
+from wharfcart.routing.placement import Placement, PlacementRequest
 
 MOST_REFUSED_SENDS = 3
 MOST_CONNECT_FAILURES = 4
@@ -142,12 +143,14 @@
     def __init__(
         self,
         choice: BackendChoice,
+        placement: Placement,
         pool: ConnectionPool,
         connection_limit: Callable[[str], int],
         log: DecisionLog,
         metrics: ServingMetrics,
     ) -> None:
         self._choice = choice
+        self._placement = placement
         self._pool = pool
         self._connection_limit = connection_limit
         self._log = log
@@ -177,8 +180,7 @@
         self, request: CallerRequest, sink: AnswerSink, progress: _Progress
     ) -> None:
         while True:
-            now = monotonic()
-            state = self._choice.choose(request.service, now, progress.tried, request.affinity_key)
+            state = await self._placement.place(_placement_request(request, progress))
             if state is None:
                 progress.cause = progress.cause or "no_backend"
                 await self._give_up(request, sink, progress, STATUS_BAD_GATEWAY)
@@ -219,9 +221,25 @@
         state: InstanceState,
     ) -> _Verdict | None:
         """Send once; None when the request has its final answer."""
-        instance = state.instance
-        progress.last_backend = instance.instance_id
+        progress.last_backend = state.instance.instance_id
         progress.well = True
+        # Counted before the connection is made, so that a slot that was granted is seen as taken.
+        use = self._choice.sent(state, monotonic(), request.unread_tokens)
+        try:
+            return await self._connect_and_send(request, sink, progress, state, use)
+        finally:
+            self._choice.ended(state, use)
+            self._placement.slot_freed(state.instance.service)
+
+    async def _connect_and_send(
+        self,
+        request: CallerRequest,
+        sink: AnswerSink,
+        progress: _Progress,
+        state: InstanceState,
+        use: int,
+    ) -> _Verdict | None:
+        instance = state.instance
         try:
             connection = await self._pool.take(instance, self._connection_limit(instance.service))
         except ConnectionLimitError:
@@ -231,7 +249,6 @@
             progress.connect_failures += 1
             self._avoid(state, "connect")
             return _Verdict(False, "connect")
-        use = self._choice.sent(state, monotonic(), request.unread_tokens)
         try:
             verdict = await self._exchange(request, sink, progress, state, connection, use)
         except ConnectionBrokenError as error:
@@ -246,8 +263,6 @@
             # The caller left or the time is over: closing ends the back end's work.
             self._pool.discard(instance, connection)
             raise
-        finally:
-            self._choice.ended(state, use)
         self._pool.give_back(instance, connection)
         if verdict is None or verdict.ran:
             self._choice.turned_out(state, verdict is None and progress.well, monotonic())
@@ -451,6 +466,12 @@
         )
 
 
+def _placement_request(request: CallerRequest, progress: _Progress) -> PlacementRequest:
+    return PlacementRequest(
+        request.service, frozenset(progress.tried), request.affinity_key, request.unread_tokens
+    )
+
+
 def _whole_new_events(splitter: EventSplitter, data: bytes, progress: _Progress) -> bytes:
     passed = []
     for event in splitter.feed(data):
--- a/src/wharfcart/routing/load_board.py
+++ b/src/wharfcart/routing/load_board.py
@@ -14,6 +14,9 @@
 PERIODS_KEPT = 4
 FEWEST_KEPT_S = 1.0
 EXPIRE_PERIOD_S = 0.1
+# Reports between the periodic ones tell of slots that have come free.
+MOST_BRIEF_REPORTS_A_SECOND = 800
+FEWEST_BRIEF_GAP_S = 0.01
 # Faded counts below this are not worth telling.
 LEAST_COUNT = 0.2
 # A summary names the most loaded back ends: those left out have less.
@@ -74,11 +77,24 @@
 _NOTHING = _Report(0.0, {}, {})
 
 
+@dataclass(frozen=True)
+class _Grant:
+    """A slot that was granted to a node whose reports do not include it yet."""
+
+    instance_id: str
+    at: float
+
+
 @dataclass
 class LoadBoard:
-    """The latest report of each node, and their sums, kept up to date with each report."""
+    """The latest report of each node, and their sums, kept up to date with each report.
+
+    Slots granted to a node since its latest report count as taken.
+    """
 
     _reports: dict[str, _Report] = field(default_factory=dict)
+    _grants: dict[str, dict[int, _Grant]] = field(default_factory=dict)  # by node and number
+    _last_grants: dict[str, int] = field(default_factory=dict)  # by node
     _totals: dict[str, _Total] = field(default_factory=dict)
     _rates: dict[str, float] = field(default_factory=dict)
     _expire_at: float = -1e9
@@ -89,14 +105,17 @@
         loads: Iterable[NodeLoad],
         now: float,
         rates: dict[str, float] | None = None,
+        grants_seen: int = 0,
     ) -> None:
         """Take a node's report in place of its last one.
 
         Parameters
         ----------
         rates: requests a second that the node sends, by service.
+        grants_seen: number of the last grant that the report includes.
         """
         self._drop(node_id)
+        self._drop_grants(node_id, grants_seen)
         report = _Report(now, {load.instance_id: load for load in loads}, rates or {})
         self._reports[node_id] = report
         for load in report.loads.values():
@@ -104,6 +123,20 @@
         for service, rate in report.rates.items():
             self._rates[service] = self._rates.get(service, 0.0) + rate
 
+    def grant(self, node_id: str, instance_id: str, now: float) -> int:
+        """Count a slot as taken by a node; return the number of the grant."""
+        number = self._last_grants.get(node_id, 0) + 1
+        self._last_grants[node_id] = number
+        self._grants.setdefault(node_id, {})[number] = _Grant(instance_id, now)
+        self._totals.setdefault(instance_id, _Total()).add(_taken(instance_id), 1)
+        return number
+
+    def taken_by(self, node_id: str) -> set[str]:
+        """Return the back ends where a node has requests in flight or slots granted."""
+        report = self._reports.get(node_id, _NOTHING)
+        grants = self._grants.get(node_id, {}).values()
+        return report.loads.keys() | {grant.instance_id for grant in grants}
+
     def summary_for(self, node_id: str, now: float) -> list[NodeLoad]:
         """Return what one node is told of all others: the most loaded back ends."""
         loads = self.others(node_id, now).values()
@@ -140,13 +173,28 @@
         if report is None:
             return
         for load in report.loads.values():
-            total = self._totals[load.instance_id]
-            total.add(load, -1)
-            if not total.says_something:
-                del self._totals[load.instance_id]
+            self._drop_load(load)
         for service, rate in report.rates.items():
             self._rates[service] -= rate
 
+    def other(self, node_id: str, instance_id: str) -> NodeLoad:
+        """Return the sum of all other nodes' reports of one back end."""
+        own = self._reports.get(node_id, _NOTHING).loads.get(instance_id)
+        return _without(instance_id, self._totals.get(instance_id, _Total()), own)
+
+    def _drop_grants(self, node_id: str, seen: int) -> None:
+        grants = self._grants.get(node_id, {})
+        for number in [number for number in grants if number <= seen]:
+            self._drop_load(_taken(grants.pop(number).instance_id))
+
+    def _drop_load(self, load: NodeLoad) -> None:
+        total = self._totals.get(load.instance_id)
+        if total is None:
+            return
+        total.add(load, -1)
+        if not total.says_something:
+            del self._totals[load.instance_id]
+
     def _expire(self, now: float) -> None:
         if now < self._expire_at:
             return
@@ -155,6 +203,10 @@
         old = [node for node, report in self._reports.items() if now - report.at > kept_s]
         for node in old:
             self._drop(node)
+        for grants in self._grants.values():
+            lost = [number for number, grant in grants.items() if now - grant.at > kept_s]
+            for number in lost:
+                self._drop_load(_taken(grants.pop(number).instance_id))
 
 
 def _without(instance_id: str, total: _Total, own: NodeLoad | None) -> NodeLoad:
@@ -170,6 +222,15 @@
     )
 
 
+def _taken(instance_id: str) -> NodeLoad:
+    return NodeLoad(instance_id, 1, 0)
+
+
+def brief_report_gap_s(nodes: int) -> float:
+    """Return the least time between a node's reports of slots that have come free."""
+    return max(FEWEST_BRIEF_GAP_S, nodes / MOST_BRIEF_REPORTS_A_SECOND)
+
+
 def report_period_s(nodes: int) -> float:
     """Return the time between a node's reports, such that the board's rate stays bounded."""
     return max(REPORT_PERIOD_S, nodes / MOST_REPORTS_A_SECOND)
--- /dev/null
+++ b/tests/batch/test_run_estimate.py
@@ -0,0 +1,23 @@
+"""How long an item still runs."""
+
+from wharfcart.batch.run_estimate import LEAST_SHARE_LEFT, RunEstimate
+
+
+def test_before_anything_is_known_the_objective_decides() -> None:
+    assert RunEstimate().remaining_s(0, 20.0) == 8.0
+
+
+def test_an_item_needs_less_the_more_events_it_has_given() -> None:
+    estimate = RunEstimate()
+    estimate.finished(100, 2.0)
+    assert estimate.remaining_s(0, 20.0) > 2.0
+    assert estimate.remaining_s(60, 20.0) < estimate.remaining_s(0, 20.0) / 1.5
+    assert estimate.remaining_s(500, 20.0) == 2.0 * LEAST_SHARE_LEFT
+
+
+def test_slower_back_ends_are_learnt() -> None:
+    estimate = RunEstimate()
+    estimate.finished(100, 2.0)
+    for _ in range(60):
+        estimate.finished(100, 6.0)
+    assert 7.0 < estimate.remaining_s(0, 20.0) < 8.0
