A batch route's limit of waiting tokens is kept over all nodes

Change: the leader of a job group counts the tokens of items without a result (kept up to date with each result, end and takeover) and refuses a job that would exceed its route's limit, by 429 with a time to come back; a job that comes again is not counted twice, and a node that may no longer lead does not refuse. With several groups each keeps its share.

Tests: tests/batch/test_job_service.py, tests/storage/test_job_leadership.py.

--- a/src/wharfcart/batch/job_service.py
+++ b/src/wharfcart/batch/job_service.py
@@ -3,6 +3,7 @@
 A node that does not lead, or can't be sure that it still does, says so; the gateway asks elsewhere.
 """
 
+from collections.abc import Callable
 from time import monotonic
 
 from wharfcart.batch.job_execution import JobExecution
@@ -10,6 +11,7 @@
     DONE,
     NOT_FOUND,
     NOT_LEADING,
+    REFUSED,
     UNSURE,
     EndJob,
     ItemBody,
@@ -18,9 +20,11 @@
     JobStatus,
     ReadItemBody,
     ReadResults,
+    RequestJob,
     ResultPage,
     SubmitJob,
 )
+from wharfcart.configuration.serving import ServingConfiguration
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.storage.job_group import JobGroup
 from wharfcart.storage.job_leadership import JobLeadership
@@ -33,9 +37,18 @@
 class JobService:
     """Calls on one job group."""
 
-    def __init__(self, group: JobGroup, execution: JobExecution, log: DecisionLog) -> None:
+    def __init__(
+        self,
+        group: JobGroup,
+        execution: JobExecution,
+        configuration: Callable[[], ServingConfiguration | None],
+        groups: int,
+        log: DecisionLog,
+    ) -> None:
         self._group = group
         self._execution = execution
+        self._configuration = configuration
+        self._groups = groups
         self._log = log
 
     async def submit(self, message: SubmitJob) -> JobAnswer:
@@ -45,6 +58,11 @@
             return JobAnswer(status=NOT_LEADING, leader=self._leader())
         job = message.job
         known = job.job_id in leadership.jobs
+        if not known and not self._fits(leadership, job):
+            # One that no longer leads would refuse a job by what once waited.
+            if not await self._sure():
+                return JobAnswer(status=self._unsure_status(), leader=self._leader())
+            return JobAnswer(status=REFUSED)
         record = leadership.accept(job)
         self._group.wake_sessions()
         if not await self._counted(leadership, job.job_id, 1):
@@ -109,6 +127,37 @@
 
     # ---- inner ----
 
+    def _fits(self, leadership: JobLeadership, job: RequestJob) -> bool:
+        """Whether a new job keeps the limit of tokens that wait on its route.
+
+        Jobs are spread over the groups by their ids, and each group keeps its share of the limit.
+        """
+        configuration = self._configuration()
+        if configuration is None:
+            return True
+        route = configuration.route_for(job.host, job.path)
+        if route is None or not route.most_waiting_tokens:
+            return True
+        waiting = sum(
+            leadership.waiting_tokens(job_id)
+            for job_id, record in leadership.jobs.items()
+            if configuration.route_for(record.job.host, record.job.path) is route
+        )
+        tokens = sum(item.tokens for item in job.items)
+        limit = route.most_waiting_tokens / max(1, self._groups)
+        if waiting + tokens <= limit:
+            return True
+        self._log.write(
+            Event.JOB_REFUSED,
+            job=job.job_id,
+            route=route.name,
+            tokens=tokens,
+            waiting=waiting,
+            limit=limit,
+            configuration=configuration.version,
+        )
+        return False
+
     async def _counted(self, leadership: JobLeadership, job_id: str, version: int) -> bool:
         until = monotonic() + WRITE_TIMEOUT_S
         while leadership.counted_version(job_id) < version:
--- a/src/wharfcart/experiments/simulated_storage.py
+++ b/src/wharfcart/experiments/simulated_storage.py
@@ -183,7 +183,9 @@
             self.simulation.random,
         )
         self.group = JobGroup(0, GROUP_KEY, context)
-        self.service = JobService(self.group, cast(JobExecution, NullExecution()), log)
+        self.service = JobService(
+            self.group, cast(JobExecution, NullExecution()), lambda: None, 1, log
+        )
         await self.group.start()
 
     def kill(self) -> None:
--- a/src/wharfcart/gateway/job_calls.py
+++ b/src/wharfcart/gateway/job_calls.py
@@ -8,6 +8,7 @@
 from wharfcart.cluster.messages_pb2 import (
     DONE,
     NOT_FOUND,
+    REFUSED,
     EndJob,
     Frame,
     ReadItemBody,
@@ -27,7 +28,8 @@
 READ_TRY_MARGIN_S = 0.7
 END_TIMEOUT_S = 3.0
 MOST_WAIT_S = 1.0
-RETRY_AFTER_S = 0.3
+# Items take seconds each: room for a job comes later than a leader.
+RETRY_AFTER_BY_STATUS_S = {503: 0.3, 429: 1.0}
 JSON_TYPE = ("content-type", "application/json")
 
 
@@ -64,6 +66,8 @@
         if isinstance(answer, JobCallFailure):
             status = 504 if answer.sent else 503
             return self._refused(job_id, "submit", status, answer.cause)
+        if answer.job_answer.status == REFUSED:
+            return self._refused(job_id, "submit", 429, "too many tokens wait")
         return plain_answer(202 if answer.job_answer.status == DONE else 503)
 
     async def handle(self, request: Request) -> HTTPResponse:
@@ -132,7 +136,8 @@
         self._log.write(
             Event.REQUEST_REFUSED, request=job_id, call=call, status=status, cause=cause
         )
-        retry = [(names.RETRY_AFTER, f"{RETRY_AFTER_S:g}")] if status == 503 else []
+        retry_after_s = RETRY_AFTER_BY_STATUS_S.get(status)
+        retry = [] if retry_after_s is None else [(names.RETRY_AFTER, f"{retry_after_s:g}")]
         return plain_answer(status, retry)
 
 
--- a/src/wharfcart/storage/job_leadership.py
+++ b/src/wharfcart/storage/job_leadership.py
@@ -59,6 +59,7 @@
     _inherited: dict[str, JobState] = field(default_factory=dict)
     _replicas: dict[str, ReplicaProgress] = field(default_factory=dict)
     _counted: dict[str, int] = field(default_factory=dict)
+    _waiting_tokens: dict[str, int] = field(default_factory=dict)  # by job
 
     # ---- taking over ----
 
@@ -74,6 +75,7 @@
             self._inherited[job_id] = JobState(job_id, record.epoch, record.version)
             record.epoch = self.epoch
             self.jobs[job_id] = record
+            self._waiting_tokens[job_id] = record.waiting_tokens()
 
     # ---- replicas ----
 
@@ -168,8 +170,13 @@
             return known
         record = JobRecord(job, self.epoch)
         self.jobs[job.job_id] = record
+        self._waiting_tokens[job.job_id] = record.waiting_tokens()
         return record
 
+    def waiting_tokens(self, job_id: str) -> int:
+        """Return the tokens of a job's items without a result; 0 once it has ended."""
+        return self._waiting_tokens.get(job_id, 0)
+
     def append(self, job_id: str, outcome: ItemOutcome) -> bool:
         """Add a result; False if the job takes none any more or has one of that item."""
         record = self.jobs.get(job_id)
@@ -178,6 +185,7 @@
         if any(known.item_id == outcome.item_id for known in record.results):
             return False
         record.results.append(outcome)
+        self._waiting_tokens[job_id] -= record.tokens_of(outcome.item_id)
         return True
 
     def end(self, job_id: str) -> JobRecord | None:
@@ -185,6 +193,7 @@
         record = self.jobs.get(job_id)
         if record is not None:
             record.ended = True
+            self._waiting_tokens[job_id] = 0
         return record
 
     def forget(self, job_id: str) -> None:
@@ -193,6 +202,7 @@
             return
         self._counted.pop(job_id, None)
         self._inherited.pop(job_id, None)
+        self._waiting_tokens.pop(job_id, None)
         for progress in self._replicas.values():
             progress.forget.add(job_id)
             progress.base.pop(job_id, None)
--- a/src/wharfcart/storage/job_records.py
+++ b/src/wharfcart/storage/job_records.py
@@ -36,6 +36,17 @@
         """Whether every item has its result."""
         return len(self.results) >= len(self.job.items)
 
+    def tokens_of(self, item_id: str) -> int:
+        """Return the tokens of one of its items."""
+        return next((item.tokens for item in self.job.items if item.item_id == item_id), 0)
+
+    def waiting_tokens(self) -> int:
+        """Return the tokens of the items without a result; 0 once it has ended."""
+        if self.ended:
+            return 0
+        done = {result.item_id for result in self.results}
+        return sum(item.tokens for item in self.job.items if item.item_id not in done)
+
     def update_since(self, version: int) -> JobUpdate:
         """Return what a replica lacks that holds this history up to a version; 0 means nothing."""
         first = min(max(0, version - 1), len(self.results))
--- /dev/null
+++ b/tests/batch/test_job_service.py
@@ -0,0 +1,117 @@
+"""The limit of tokens that wait on a route."""
+
+import asyncio
+from types import SimpleNamespace
+
+from wharfcart.batch.job_service import JobService
+from wharfcart.cluster.messages_pb2 import (
+    DONE,
+    NOT_LEADING,
+    REFUSED,
+    EndJob,
+    ItemOutcome,
+    JobStatus,
+    RequestItem,
+    RequestJob,
+    SubmitJob,
+)
+from wharfcart.configuration.serving import Route, RouteKind, ServingConfiguration, TrafficShare
+from wharfcart.observability.decisions import DecisionLog
+from wharfcart.storage.job_leadership import JobLeadership
+
+MEMBERS = frozenset({"a"})
+
+
+class Group:
+    """A group of one replica, which has everything on its disk at once."""
+
+    def __init__(self) -> None:
+        self.leadership: JobLeadership | None = JobLeadership(1, 1, MEMBERS)
+        self.leadership.replica_joined("a", [])
+        self.leads_freshly = True
+        self.record = None
+
+    def wake_sessions(self) -> None:
+        assert self.leadership is not None
+        self.leadership.replica_wrote("a", self.leadership.updates_for("a"))
+
+    async def wait_progress(self, _timeout_s: float) -> bool:
+        await asyncio.sleep(0)
+        return True
+
+
+def configuration(limit: int) -> ServingConfiguration:
+    shares = (TrafficShare("s", 1.0),)
+    routes = tuple(
+        Route(
+            name,
+            "h",
+            f"/{name}/",
+            RouteKind.BATCH,
+            shares,
+            30.0,
+            0.4,
+            most_waiting_tokens=limit if name == "jobs" else 0,
+        )
+        for name in ("jobs", "other")
+    )
+    return ServingConfiguration(1, routes, {})
+
+
+class Jobs:
+    """A job service before its caller."""
+
+    def __init__(self, limit: int, groups: int = 1) -> None:
+        self.group = Group()
+        execution = SimpleNamespace(job_accepted=lambda _job: None, job_ended=lambda _job: None)
+        self.service = JobService(
+            self.group, execution, lambda: configuration(limit), groups, DecisionLog("test")
+        )
+
+    def submit(self, job_id: str, tokens: int, route: str = "jobs") -> JobStatus:
+        items = [RequestItem(item_id=f"{job_id}-{n}", tokens=tokens // 2) for n in range(2)]
+        job = RequestJob(job_id=job_id, host="h", path=f"/{route}/{job_id}", items=items)
+        return asyncio.run(self.service.submit(SubmitJob(job=job))).status
+
+
+def test_a_job_that_does_not_fit_is_refused_and_one_that_does_is_taken() -> None:
+    jobs = Jobs(100)
+    assert jobs.submit("a", 60) == DONE
+    assert jobs.submit("b", 60) == REFUSED
+    assert jobs.submit("c", 40) == DONE
+
+
+def test_a_job_that_comes_again_is_not_counted_twice() -> None:
+    jobs = Jobs(100)
+    assert jobs.submit("a", 100) == DONE
+    assert jobs.submit("a", 100) == DONE
+
+
+def test_results_and_ends_make_room() -> None:
+    jobs = Jobs(100)
+    jobs.submit("a", 60)
+    jobs.submit("b", 40)
+    jobs.group.leadership.append("a", ItemOutcome(item_id="a-0", succeeded=True))
+    assert jobs.submit("c", 30) == DONE
+    asyncio.run(jobs.service.end(EndJob(job_id="b")))
+    assert jobs.submit("d", 40) == DONE
+
+
+def test_another_route_and_no_limit_at_all() -> None:
+    jobs = Jobs(100)
+    jobs.submit("a", 100)
+    assert jobs.submit("b", 1000, route="other") == DONE
+    assert Jobs(0).submit("a", 10_000_000) == DONE
+
+
+def test_each_of_several_groups_keeps_its_share_of_the_limit() -> None:
+    jobs = Jobs(100, groups=2)
+    assert jobs.submit("a", 60) == REFUSED
+    assert jobs.submit("b", 50) == DONE
+
+
+def test_a_node_that_may_no_longer_lead_does_not_refuse() -> None:
+    jobs = Jobs(100)
+    jobs.submit("a", 100)
+    jobs.group.leadership = None
+    assert jobs.submit("b", 60) == NOT_LEADING
--- a/tests/storage/test_job_leadership.py
+++ b/tests/storage/test_job_leadership.py
@@ -134,3 +134,26 @@
     assert JobLeadership(1, 2, MEMBERS).fewest_answers == 2
     assert JobLeadership(1, 2, frozenset({"a", "b"})).fewest_answers == 1
     assert JobLeadership(1, 3, frozenset("abcde")).fewest_answers == 3
+
+
+def test_tokens_wait_until_their_item_has_a_result_or_the_job_ends() -> None:
+    made = leadership()
+    items = [RequestItem(item_id=str(n), tokens=10) for n in range(3)]
+    made.accept(RequestJob(job_id="j", items=items))
+    made.append("j", outcome("0"))
+    made.append("j", outcome("0"))
+    assert made.waiting_tokens("j") == 20
+    made.end("j")
+    assert made.waiting_tokens("j") == 0
+
+
+def test_a_new_leader_knows_what_waits() -> None:
+    record = JobRecord(
+        RequestJob(job_id="j", items=[RequestItem(item_id=str(n), tokens=10) for n in range(3)]), 1
+    )
+    record.results.append(outcome("2"))
+    made = JobLeadership(2, 2, MEMBERS)
+    made.inherit([record])
+    assert made.waiting_tokens("j") == 20
+    made.append("j", outcome("1"))
+    assert made.waiting_tokens("j") == 10
