A silent leader of a job group is left as soon as another one leads

Cause: a gateway waited up to 2 s for a leader that had lost power, though the record named a new one by then; a submission's 202 counts only within its objective.

Change: while a call waits, the group's record is looked at 20 times a second.

--- a/src/wharfcart/storage/job_client.py
+++ b/src/wharfcart/storage/job_client.py
@@ -15,6 +15,8 @@
 
 RETRY_S = 0.1
 FEWEST_CALL_S = 0.05
+# While a node is waited for, this often is looked whether another one leads now.
+LEADER_CHECK_S = 0.05
 
 
 @dataclass(frozen=True)
@@ -69,7 +71,7 @@
             hint = ""
             if address is not None:
                 answer, cause, may_have_acted = await self._ask(
-                    address, frame, answer_field, min(left_s, try_s)
+                    group, address, frame, answer_field, min(left_s, try_s)
                 )
                 sent = sent or may_have_acted
                 if answer is not None:
@@ -83,24 +85,41 @@
         return JobCallFailure(sent, cause)
 
     async def _ask(
-        self, address: Address, frame: Frame, answer_field: str, timeout_s: float
+        self, group: int, address: Address, frame: Frame, answer_field: str, timeout_s: float
     ) -> tuple[Frame | None, str, bool]:
+        """Ask one node; return its answer or None, the cause, and whether it may have acted.
+
+        A node that falls silent is left as soon as another one leads.
+        """
         request = Frame()
         request.CopyFrom(frame)
+        epoch = self._epoch(group)
+        until = monotonic() + timeout_s
+        call = asyncio.create_task(self._transport.call(address, request))
         try:
-            async with asyncio.timeout(timeout_s):
-                answer = await self._transport.call(address, request)
-        except TimeoutError:
-            self._transport.drop(address)
-            return None, "timeout", True
+            while not call.done() and self._epoch(group) == epoch:
+                left_s = until - monotonic()
+                if left_s <= 0:
+                    self._transport.drop(address)
+                    return None, "timeout", True
+                await asyncio.wait((call,), timeout=min(LEADER_CHECK_S, left_s))
+            if not call.done():
+                return None, "leader_changed", True
+            answer = call.result()
         except PeerUnreachableError as error:
             return None, "unreachable", error.sent
         except ServingError as error:
             return None, error.code, True
+        finally:
+            call.cancel()
         if answer.WhichOneof("body") != answer_field:
             return None, "odd_answer", True
         return answer, "", False
 
+    def _epoch(self, group: int) -> int:
+        record = self._record_of(group)
+        return 0 if record is None else record.epoch
+
     def _leader_address(self, group: int, hint: str) -> Address | None:
         record = self._record_of(group)
         leader = hint or (record.leader if record is not None else "")
