Each choice of a back end is told when it is made; explain tells of a killed gateway

Cause: a stream cut when its gateway was killed left no line, so explain knew nothing of its id. Change: request_placed is written before each send, with what decided it and its age; a request of which nothing else is told is explained so. Test: test_a_request_whose_gateway_was_killed. Ruled out: writing at the end only (the killed process never does).

--- a/src/wharfcart/observability/decisions.py
+++ b/src/wharfcart/observability/decisions.py
@@ -41,6 +41,7 @@
     BACKEND_DRAINING = "backend_draining"
     BACKEND_GONE = "backend_gone"
     BACKEND_AVOIDED = "backend_avoided"
+    REQUEST_PLACED = "request_placed"
     REQUEST_ENDED = "request_ended"
     REQUEST_REFUSED = "request_refused"
     REQUEST_RETRIED = "request_retried"
--- a/src/wharfcart/observability/timeline.py
+++ b/src/wharfcart/observability/timeline.py
@@ -55,6 +55,8 @@
         for line in reversed(self.lines):
             if not line.direct:
                 continue
+            if line.event == "request_placed":
+                return "placed, and no end is told: its gateway was killed or cut off"
             outcome = line.fields.get("outcome") or line.event
             cause = line.fields.get("cause")
             return f"{outcome}: {cause}" if cause else str(outcome)
--- a/src/wharfcart/routing/forwarder.py
+++ b/src/wharfcart/routing/forwarder.py
@@ -42,6 +42,8 @@
 RETRY_AFTER_NO_BACKEND_S = 0.4
 # A slot is waited for until this part of the caller's patience is over.
 WAIT_SHARE_OF_PATIENCE = 0.5
+# Ages above this are told as this.
+MOST_AGE_S = 999.0
 STATUS_BAD_GATEWAY = 502
 STATUS_UNAVAILABLE = 503
 STATUS_TIMEOUT = 504
@@ -194,6 +196,7 @@
                 progress.cause = progress.cause or "no_backend"
                 await self._give_up(request, sink, progress, STATUS_BAD_GATEWAY)
                 return
+            self._note_placed(request, progress, state)
             verdict = await self._send(request, sink, progress, state)
             if verdict is None:
                 return
@@ -436,6 +439,22 @@
         self._note_end(request, progress, "refused", STATUS_UNAVAILABLE)
         await sink.whole(STATUS_UNAVAILABLE, [("retry-after", f"{retry_after_s:g}")], b"")
 
+    def _note_placed(
+        self, request: CallerRequest, progress: _Progress, state: InstanceState
+    ) -> None:
+        """Tell where a request goes before it is sent: a process that is killed tells no end."""
+        now = monotonic()
+        self._log.write(
+            Event.REQUEST_PLACED,
+            request=request.facts.request_id,
+            backend=state.instance.instance_id,
+            waited_s=round(now - request.received_at, 4),
+            sends=progress.sends,
+            load=round(state.load(now), 2),
+            load_age_s=round(min(now - state.others_at, MOST_AGE_S), 2),
+            deadline_left_s=round(request.deadline - now, 3),
+        )
+
     def _avoid(self, state: InstanceState, cause: str) -> None:
         seconds = self._choice.failed(state, monotonic())
         self._log.write(
@@ -470,7 +489,9 @@
             connect_failures=progress.connect_failures,
             last_event=progress.last_event,
             load=None if state is None else round(state.load(now), 2),
-            load_age_s=None if state is None else round(min(now - state.reported_at, 999), 2),
+            load_age_s=None
+            if state is None
+            else round(min(now - state.reported_at, MOST_AGE_S), 2),
             first_byte_s=progress.first_byte_s and round(progress.first_byte_s, 4),
             seconds=round(now - request.received_at, 4),
             deadline_left_s=round(request.deadline - now, 3),
--- a/tests/observability/test_timeline.py
+++ b/tests/observability/test_timeline.py
@@ -32,3 +32,13 @@
 def test_an_unknown_id() -> None:
     timeline = timeline_of("nobody", LOGS)
     assert timeline.lines == [] and "no line" in timeline.verdict
+
+
+def test_a_request_whose_gateway_was_killed() -> None:
+    logs = [
+        line(100.0, "g1", "request_placed", request="r1", backend="i-1", waited_s=0.01),
+        line(100.4, "g1", "started"),
+    ]
+    timeline = timeline_of("r1", logs)
+    assert "gateway was killed" in timeline.verdict
+    assert [entry.event for entry in timeline.lines] == ["request_placed", "started"]
