A silent leader is replaced after half a second; counting of items by back end

And: who decides on a slot went through every item that runs, for each back end.

Items are kept by back end, urgent ones counted ten times a second.

--- a/src/wharfcart/batch/job_execution.py
+++ b/src/wharfcart/batch/job_execution.py
@@ -25,6 +25,7 @@
 from wharfcart.storage.job_leadership import JobLeadership
 
 PERIOD_S = 0.1
+FEWEST_PERIOD_S = 0.005
 # Above this share of a back end's slots its items yield, though nobody asked for a slot.
 YIELD_ABOVE_LOAD = 1.0
 # An item that must leave within this time has cost more than it has done.
@@ -99,8 +100,11 @@
         self._estimates: dict[str, RunEstimate] = {}  # by service
         self._tasks = BackgroundTasks()
         self._placed: dict[str, PlacedItem] = {}  # by item
+        self._placed_at: dict[str, dict[str, PlacedItem]] = {}  # by back end and item
+        self._urgent_at: dict[str, int] = {}  # by back end, as counted last
         self._work = asyncio.Event()
         self._forget_at = 0.0
+        self._count_urgent_at = 0.0
         self.online_waiting: Callable[[str], int] = lambda _service: 0
         self.on_slot_freed: Callable[[], None] = lambda: None
         group.on_leading = self._begin
@@ -129,7 +133,11 @@
 
     def items_at(self, instance_id: str) -> int:
         """Return how many items at a back end would leave for an online request."""
-        return len(self._preemptible(instance_id, monotonic()))
+        placed = self._placed_at.get(instance_id)
+        if not placed:
+            return 0
+        staying = min(self._urgent_at.get(instance_id, 0), _kept_items(placed))
+        return max(0, sum(not one.stopped for one in placed.values()) - staying)
 
     def make_room(self, instance_id: str) -> bool:
         """Have the item leave that loses least by it; False if none does."""
@@ -150,11 +158,8 @@
         That are those that come too late anyway, then those with the most time left; a few urgent
         ones stay.
         """
-        placed = [
-            one
-            for one in self._placed.values()
-            if one.instance_id == instance_id and not one.stopped
-        ]
+        all_placed = self._placed_at.get(instance_id, {})
+        placed = [one for one in all_placed.values() if not one.stopped]
         if not placed:
             return placed
         urgencies = {
@@ -162,9 +167,10 @@
             for one in placed
         }
         placed.sort(key=lambda one: urgencies[one.item.item_id].order)
-        kept = max(1, int(placed[0].state.instance.slots * RESERVED_SHARE))
         urgent = [one for one in placed if urgencies[one.item.item_id].urgent]
-        return [one for one in placed if one not in urgent[-kept:]]
+        self._urgent_at[instance_id] = len(urgent)
+        staying = urgent[-_kept_items(all_placed) :]
+        return [one for one in placed if one not in staying]
 
     def _urgency(
         self, scheduled: ScheduledJob, item: RequestItem, service: str, now: float
@@ -196,6 +202,8 @@
         self._tasks.cancel()
         self._scheduler = JobScheduler(self._group.partial_texts)
         self._placed = {}
+        self._placed_at = {}
+        self._urgent_at = {}
 
     def _add(self, job: RequestJob, done: set[str]) -> None:
         age_s = max(0.0, time() - job.accepted_ms / 1000)
@@ -204,6 +212,7 @@
     async def _run(self) -> None:
         while True:
             self._work.clear()
+            self._count_urgent()
             self._yield_to_online()
             self._start_items()
             self._metrics.open_items.set(self._scheduler.open_items)
@@ -214,6 +223,8 @@
                     await self._work.wait()
             except TimeoutError:
                 continue
+            # Reports come many at a time on a large fleet.
+            await asyncio.sleep(FEWEST_PERIOD_S)
 
     def _start_items(self) -> None:
         now = monotonic()
@@ -264,16 +275,23 @@
     def _yield_to_online(self) -> None:
         """Cut items at back ends that are fuller than thought; they go on where they stopped."""
         now = monotonic()
-        for state in {
-            placed.instance_id: placed.state for placed in self._placed.values()
-        }.values():
+        for instance_id, placed_there in list(self._placed_at.items()):
+            state = next(iter(placed_there.values())).state
             excess = round((state.load(now) - YIELD_ABOVE_LOAD) * state.instance.slots)
             if excess <= 0:
                 continue
-            preemptible = self._preemptible(state.instance.instance_id, now)
-            for placed in preemptible[:excess]:
+            for placed in self._preemptible(instance_id, now)[:excess]:
                 self._yield(placed, "overfull")
 
+    def _count_urgent(self) -> None:
+        """Count the urgent items at each back end; from one count to the next little changes."""
+        now = monotonic()
+        if now < self._count_urgent_at:
+            return
+        self._count_urgent_at = now + PERIOD_S
+        for instance_id in self._placed_at:
+            self._preemptible(instance_id, now)
+
     def _yield(self, placed: PlacedItem, cause: str) -> None:
         now = monotonic()
         item_id = placed.item.item_id
@@ -298,6 +316,7 @@
         use = self._choice.sent(state, monotonic())
         placed = PlacedItem(scheduled, item, state, use)
         self._placed[item.item_id] = placed
+        self._placed_at.setdefault(placed.instance_id, {})[item.item_id] = placed
         placed.task = self._tasks.spawn(self._run_item(placed))
         self._log.write(
             Event.ITEM_STARTED,
@@ -325,6 +344,7 @@
             progress.ran_s += monotonic() - began_at
             scheduled.running.discard(item.item_id)
             self._placed.pop(item.item_id, None)
+            self._left(placed)
             self.on_slot_freed()
         self._metrics.items.add(outcome.value)
         self._judge_backends(progress, state, outcome)
@@ -334,6 +354,13 @@
         self._take_outcome(scheduled, item, progress, outcome)
         self._work.set()
 
+    def _left(self, placed: PlacedItem) -> None:
+        placed_there = self._placed_at.get(placed.instance_id, {})
+        placed_there.pop(placed.item.item_id, None)
+        if not placed_there:
+            self._placed_at.pop(placed.instance_id, None)
+            self._urgent_at.pop(placed.instance_id, None)
+
     async def _run_once(self, placed: PlacedItem, progress: ItemProgress) -> RunOutcome:
         if placed.stopped:
             self._choice.ended(placed.state, placed.use)
@@ -450,6 +477,12 @@
         self._group.wake_sessions()
 
 
+def _kept_items(placed: dict[str, PlacedItem]) -> int:
+    """Return how many urgent items keep their slots at the back end where these are."""
+    slots = next(iter(placed.values())).state.instance.slots
+    return max(1, int(slots * RESERVED_SHARE))
+
+
 def _forgettable(leadership: JobLeadership, wall_clock: float, keep_s: float) -> list[str]:
     return [
         job_id
--- a/src/wharfcart/routing/backend_choice.py
+++ b/src/wharfcart/routing/backend_choice.py
@@ -245,17 +245,17 @@
         if affinity_key:
             return _by_affinity(candidates, affinity_key, load_without_items)
 
-        def rank(state: InstanceState) -> tuple[int, float]:
-            load = state.load(now)
+        def cost(state: InstanceState, load: float) -> float:
             other_zone = OTHER_ZONE_PENALTY if state.instance.zone != zone else 0.0
-            extra = other_zone + state.unread_tokens(now) / TOKENS_A_FULL_LOAD
-            if state.has_free_slot(now):
-                return 0, load + extra
-            if items_at(state.instance.instance_id):
-                return 1, load_without_items(state) + extra
-            return 2, load + extra
-
-        return min(candidates, key=rank)
+            return load + other_zone + state.unread_tokens(now) / TOKENS_A_FULL_LOAD
+
+        free = [state for state in candidates if state.has_free_slot(now)]
+        if free:
+            return min(free, key=lambda state: cost(state, state.load(now)))
+        with_items = [state for state in candidates if items_at(state.instance.instance_id)]
+        if with_items:
+            return min(with_items, key=lambda state: cost(state, load_without_items(state)))
+        return min(candidates, key=lambda state: cost(state, state.load(now)))
 
     def free_slots(self, service: str, now: float) -> float:
         """Return how many slots of a service nobody has taken."""
--- a/src/wharfcart/storage/job_group.py
+++ b/src/wharfcart/storage/job_group.py
@@ -44,9 +44,10 @@
 from wharfcart.storage.replica_set_change import ReplicaSetChanger
 from wharfcart.storage.takeover import Takeover
 
-TICK_S = 0.1
-SILENCE_S = 1.0
-SILENCE_SPREAD_S = 0.3
+TICK_S = 0.05
+# Three heartbeats that did not come; others must have missed them, too.
+SILENCE_S = 0.5
+SILENCE_SPREAD_S = 0.15
 # Replicas that have not answered when enough others have are waited for so long.
 STRAGGLERS_S = 0.15
 GATHER_S = 1.5
@@ -69,6 +70,8 @@
         self._heard_leader_at = NEVER
         self._contest_at = NEVER
         self._started_at = monotonic()
+        self._known_epoch = 0
+        self._epoch_since = NEVER
         self._promised_at_start = 0
         self._last_led = 0
         self._stopping = False
@@ -214,6 +217,9 @@
         while True:
             await asyncio.sleep(TICK_S)
             record = self.record
+            if record is not None and record.epoch > self._known_epoch:
+                self._known_epoch = record.epoch
+                self._epoch_since = monotonic()
             if record is None:
                 await self._maybe_begin_group()
             elif self.leadership is not None:
@@ -236,7 +242,8 @@
         if record.leader == self._context.identity:
             silence_s = TICK_S  # an earlier life of this process led
         now = monotonic()
-        silent_since = max(self._heard_leader_at, self._started_at)
+        # Whoever has just been elected needs a moment to be heard.
+        silent_since = max(self._heard_leader_at, self._started_at, self._epoch_since)
         return now - silent_since > silence_s and now >= self._contest_at
 
     async def _maybe_begin_group(self) -> None:
--- a/src/wharfcart/storage/replica_links.py
+++ b/src/wharfcart/storage/replica_links.py
@@ -61,6 +61,9 @@
         except DiskFailedError as error:
             raise ReplicaFailedError(str(error)) from error
 
+    def drop(self) -> None:
+        """There is no connection."""
+
 
 class RemoteReplicaLink:
     """Another node's disk."""
@@ -116,6 +119,12 @@
         answer = await self._call(Frame(fetch_jobs=message))
         return list(answer.job_updates.updates)
 
+    def drop(self) -> None:
+        """Leave the connection, which may have died without a word."""
+        address = self._address(self._target)
+        if address is not None:
+            self._transport.drop(address)
+
     def _refusal(self, promised: int, epoch: int) -> Exception:
         if promised > epoch:
             return HigherEpochError(promised)
--- a/src/wharfcart/storage/replica_session.py
+++ b/src/wharfcart/storage/replica_session.py
@@ -15,7 +15,10 @@
 from wharfcart.storage.job_records import JobState
 from wharfcart.storage.partial_texts import PartialTexts
 
-HEARTBEAT_S = 0.3
+HEARTBEAT_S = 0.15
+# A heartbeat that was lost is followed by another one within the replica's patience.
+HEARTBEAT_TIMEOUT_S = 0.2
+MOST_SILENCE_S = 0.9
 RETRY_S = 0.25
 
 
@@ -55,6 +58,10 @@
         """Return whole records."""
         ...
 
+    def drop(self) -> None:
+        """Leave the connection, which may have died without a word; the next call makes one."""
+        ...
+
 
 class ReplicaSession:
     """Keeps one replica up to date for as long as the epoch lasts."""
@@ -126,13 +133,29 @@
                 return
             sent_at = monotonic()
         texts = self._partial_texts.since(self._sent_events)
-        await self._link.replicate(epoch, updates, texts)
+        if not updates:
+            if not await _within(self._link.replicate(epoch, [], texts), HEARTBEAT_TIMEOUT_S):
+                self._note_missed_heartbeat()
+                return
+        else:
+            await self._link.replicate(epoch, updates, texts)
         self.confirmed_at = sent_at
         self._note_success()
         self._leadership.replica_wrote(self.identity, updates)
         if updates:
             self._on_progress()
 
+    def _note_missed_heartbeat(self) -> None:
+        """Try again at once, before the replica takes its leader for lost.
+
+        Raises:
+            ReplicaFailedError: it has been silent for too long.
+        """
+        self._sent_events = {}
+        if self.silent_s(monotonic()) > MOST_SILENCE_S:
+            self._link.drop()
+            raise ReplicaFailedError("no answer in time")
+
     def _note_failure(self, reason: str) -> None:
         if not self._failing:
             self._failing = True
--- a/tests/batch/test_job_execution.py
+++ b/tests/batch/test_job_execution.py
@@ -100,7 +100,7 @@
 
     async def settle(self) -> None:
         for _ in range(20):
-            await asyncio.sleep(0)
+            await asyncio.sleep(job_execution.FEWEST_PERIOD_S / 5)
 
 
 def play(scenario: Callable[[Bench], Awaitable[None]], **more: int) -> None:
