Who waits for a slot leaves a node that no longer grants

Cause, read in the code: a node that was deposed heard of no more freed slots, yet told those who waited with it that it lived, until they were given up; and who joined the queue while a slot was free waited for the next report. Ruled out: a call to the deposed node's queue (it may be cut off from its gateways). Change: a gateway that waits looks whether the same node still keeps the board; a joining request has the queue looked at. Test: test_a_node_that_no_longer_grants_is_left_by_those_who_wait, red before.

--- a/src/wharfcart/routing/placement.py
+++ b/src/wharfcart/routing/placement.py
@@ -177,6 +177,8 @@
                         answer = await anext(answers)
                     if not answer.slot_grant.waiting:
                         return self._take(address, answer.slot_grant)
+                    if self._board_address() != address:
+                        return None  # another node grants now; this one would grant nothing more
                     timeout_s = SIGN_OF_LIFE_TIMEOUT_S
         except (TimeoutError, PeerUnreachableError, ServingError, StopAsyncIteration):
             self._paused_until = monotonic() + PAUSE_AFTER_SILENCE_S
--- a/src/wharfcart/routing/slot_granting.py
+++ b/src/wharfcart/routing/slot_granting.py
@@ -81,6 +81,7 @@
         answer: asyncio.Future[SlotGrant] = asyncio.get_running_loop().create_future()
         self._answers[waiting.number] = answer
         self._requests[waiting.number] = request
+        self.slots_changed()
         try:
             await self._wait(waiting, answer, respond)
         finally:
--- a/tests/routing/test_slot_grants.py
+++ b/tests/routing/test_slot_grants.py
@@ -284,6 +284,16 @@
     assert placed == ["a"]
 
 
+def test_a_node_that_no_longer_grants_is_left_by_those_who_wait() -> None:
+    waiting = SlotGrant(waiting=True)
+    placement = GrantedPlacement("g1", choice("a"), Peer(*(waiting,) * 50), lambda: leaders.pop())
+    leaders = [Address("127.0.0.1", 7001), LEADER, LEADER]
+    placement.granting = frozenset({"s"})
+    state = asyncio.run(placement.place(REQUEST))
+    assert state is not None and state.instance.instance_id == "a"
+    assert leaders == []
+
+
 def test_a_refusal_tells_when_to_come_back() -> None:
     with pytest.raises(NoSlotError) as raised:
         place(Peer(SlotGrant(refused=True, retry_after_ms=300)), choice("a"))
