--- a/src/wharfcart/batch/job_execution.py
+++ b/src/wharfcart/batch/job_execution.py
@@ -215,6 +215,7 @@
         progress = placed.scheduled.progress_of(item_id)
         progress.yields += 1
         urgency = self._placed.urgency(placed.scheduled, placed.item, placed.service, now)
+        self._metrics.items_yielded.add(cause)
         self._log.write(
             Event.ITEM_YIELDED,
             item=item_id,
--- a/src/wharfcart/node/gateway_process.py
+++ b/src/wharfcart/node/gateway_process.py
@@ -31,7 +31,11 @@
         self._log = log
         self._node = ServingNode(settings, log)
         self._placement = GrantedPlacement(
-            settings.node_id, self._node.choice, self._node.transport, self._board_address
+            settings.node_id,
+            self._node.choice,
+            self._node.transport,
+            self._board_address,
+            self._node.metrics.placements,
         )
         forwarder = Forwarder(
             self._node.choice,
--- a/src/wharfcart/node/load_reports.py
+++ b/src/wharfcart/node/load_reports.py
@@ -14,6 +14,7 @@
 from wharfcart.cluster.transport import PeerUnreachableError, TrafficClass, Transport
 from wharfcart.errors import ServingError
 from wharfcart.observability.decisions import DecisionLog
+from wharfcart.observability.serving_metrics import Gauge
 from wharfcart.routing.backend_choice import BackendChoice
 from wharfcart.routing.load_board import (
     LoadBoard,
@@ -128,6 +129,7 @@
         granting: the services whose slots are granted here.
         preemption: makes batch items leave their slots.
         log: takes the decisions on requests that wait for a slot.
+        requests_waiting: shows how many wait.
     """
 
     def __init__(
@@ -137,13 +139,16 @@
         granting: Callable[[], frozenset[str]],
         preemption: Preemption,
         log: DecisionLog,
+        requests_waiting: Gauge,
     ) -> None:
         self._node_id = node_id
         self._choice = choice
         self._granting = granting
         self._preemption = preemption
         self._board = LoadBoard()
-        self.slots = SlotGranting(node_id, choice, self._board, granting, preemption, log)
+        self.slots = SlotGranting(
+            node_id, choice, self._board, granting, preemption, log, requests_waiting
+        )
 
     def take(self, report: LoadReport) -> LoadSummary:
         """Take a report; tell the reporter the load of all others, this node's items included."""
--- a/src/wharfcart/node/storage_process.py
+++ b/src/wharfcart/node/storage_process.py
@@ -110,6 +110,7 @@
                 self._batch_services,
                 execution,
                 self._log,
+                self._node.metrics.requests_waiting,
             )
             execution.online_waiting = self._board.slots.waiting
             execution.on_slot_freed = self._board.slots.slots_changed
--- a/src/wharfcart/observability/serving_metrics.py
+++ b/src/wharfcart/observability/serving_metrics.py
@@ -1,5 +1,7 @@
 """Metrics of one serving process, in the Prometheus text format."""
 
+from typing import Protocol
+
 from prometheus_client import CollectorRegistry, generate_latest, start_http_server
 from prometheus_client import Counter as PrometheusCounter
 from prometheus_client import Gauge as PrometheusGauge
@@ -19,6 +21,14 @@
         self._counter.labels(label).inc()
 
 
+class Gauge(Protocol):
+    """A value that rises and falls."""
+
+    def set(self, value: float) -> None:
+        """Show a value."""
+        ...
+
+
 class ServingMetrics:
     """Counters, gauges and histograms of a gateway or storage process."""
 
@@ -29,6 +39,9 @@
         self.coordination_calls = self._counter(
             "wharfcart_coordination_calls", "Calls to the coordination service", "call"
         )
+        self.placements = self._counter(
+            "wharfcart_placements", "Choices of a back end, by who made them", "by"
+        )
         self.items = self._counter("wharfcart_items", "Runs of batch items", "outcome")
         self.first_byte = PrometheusHistogram(
             "wharfcart_first_byte_seconds",
@@ -44,6 +57,12 @@
             "wharfcart_coordination_age_seconds", "Time since coordination state was last confirmed"
         )
         self.open_items = self._gauge("wharfcart_open_items", "Batch items not finished, if leader")
+        self.items_yielded = self._counter(
+            "wharfcart_items_yielded", "Items that left a slot for online requests", "cause"
+        )
+        self.requests_waiting = self._gauge(
+            "wharfcart_requests_waiting", "Requests that wait for a slot, at the node that grants"
+        )
         self.replicas_behind = self._gauge(
             "wharfcart_replicas_behind", "Replicas that lack acknowledged state, if leader"
         )
--- a/src/wharfcart/routing/placement.py
+++ b/src/wharfcart/routing/placement.py
@@ -17,6 +17,7 @@
 from wharfcart.cluster.messages_pb2 import Frame, SlotGrant, SlotRequest
 from wharfcart.cluster.transport import PeerUnreachableError, TrafficClass, Transport
 from wharfcart.errors import ServingError
+from wharfcart.observability.decisions import Counter
 from wharfcart.routing.backend_choice import BackendChoice, InstanceState
 from wharfcart.routing.running_quantile import RunningQuantile
 
@@ -111,6 +112,13 @@
 class GrantedPlacement(Placement):
     """Asks the node that grants the slots of a service; chooses locally where it grants none.
 
+    Args:
+        node_id: of this gateway.
+        choice: what it knows of the back ends.
+        transport: reaches the node that grants.
+        board_address: where that is now, or None.
+        counter: counts who chose: ``grant`` or ``own_choice``.
+
     Attributes:
         granting: services whose slots are granted, as the load board told last.
         wake_reports: called when a slot has come free that was granted.
@@ -122,8 +130,10 @@
         choice: BackendChoice,
         transport: Transport,
         board_address: Callable[[], Address | None],
+        counter: Counter,
     ) -> None:
         self._node_id = node_id
+        self._counter = counter
         self._choice = choice
         self._transport = transport
         self._board_address = board_address
@@ -151,7 +161,9 @@
         if asks and address is not None:
             granted = await self._ask(address, request)
             if granted is not None:
+                self._counter.add("grant")
                 return granted
+        self._counter.add("own_choice")
         return await self._local.place(request)
 
     def answer_begun(self, route_name: str, seconds: float) -> None:
--- a/src/wharfcart/routing/slot_granting.py
+++ b/src/wharfcart/routing/slot_granting.py
@@ -11,6 +11,7 @@
 
 from wharfcart.cluster.messages_pb2 import SlotGrant, SlotRequest
 from wharfcart.observability.decisions import DecisionLog, Event
+from wharfcart.observability.serving_metrics import Gauge
 from wharfcart.routing.backend_choice import BackendChoice, InstanceState
 from wharfcart.routing.load_board import LoadBoard, report_kept_s
 from wharfcart.routing.preemption import Preemption
@@ -34,7 +35,8 @@
         board: the load of all nodes; grants are counted there.
         granting: the services whose slots are granted here.
         preemption: makes batch items leave their slots.
-        log: tells which requests had to wait, and which were given up.
+        log: tells which requests were given up.
+        requests_waiting: shows how many wait.
     """
 
     def __init__(
@@ -45,6 +47,7 @@
         granting: Callable[[], frozenset[str]],
         preemption: Preemption,
         log: DecisionLog,
+        requests_waiting: Gauge,
     ) -> None:
         self._node_id = node_id
         self._choice = choice
@@ -52,6 +55,7 @@
         self._granting = granting
         self._preemption = preemption
         self._log = log
+        self._requests_waiting = requests_waiting
         self._queue = SlotQueue()
         self._answers: dict[int, asyncio.Future[SlotGrant]] = {}  # by number in the queue
         self._requests: dict[int, SlotRequest] = {}  # by number in the queue
@@ -81,6 +85,7 @@
         answer: asyncio.Future[SlotGrant] = asyncio.get_running_loop().create_future()
         self._answers[waiting.number] = answer
         self._requests[waiting.number] = request
+        self._requests_waiting.set(self._queue.total())
         self.slots_changed()
         try:
             await self._wait(waiting, answer, respond)
@@ -119,6 +124,7 @@
         self._queue.remove(waiting)
         self._answers.pop(waiting.number, None)
         self._requests.pop(waiting.number, None)
+        self._requests_waiting.set(self._queue.total())
 
     def _must_wait(self, request: SlotRequest) -> bool:
         """Whether others wait already, or no slot can be had."""
--- a/src/wharfcart/routing/slot_queue.py
+++ b/src/wharfcart/routing/slot_queue.py
@@ -63,6 +63,10 @@
         """Return how many requests wait for a service."""
         return len(self._by_service.get(service, {}))
 
+    def total(self) -> int:
+        """Return how many requests wait."""
+        return sum(map(len, self._by_service.values()))
+
     def services(self) -> list[str]:
         """Return the services that requests wait for."""
         return [service for service, waiting in self._by_service.items() if waiting]
--- a/tests/routing/test_slot_grants.py
+++ b/tests/routing/test_slot_grants.py
@@ -12,11 +12,13 @@
 from wharfcart.configuration.instances import BackendInstance
 from wharfcart.node.load_reports import LoadBoardKeeper
 from wharfcart.observability.decisions import DecisionLog
+from wharfcart.observability.serving_metrics import ServingMetrics
 from wharfcart.routing.backend_choice import BackendChoice
 from wharfcart.routing.load_board import LoadBoard, NodeLoad
 from wharfcart.routing.placement import GrantedPlacement, NoSlotError, PlacementRequest
 from wharfcart.routing.preemption import Preemption
 
+METRICS = ServingMetrics()
 LEADER = Address("127.0.0.1", 7000)
 
 
@@ -47,7 +49,10 @@
 
 def keeper(made: BackendChoice, items: Items, *services: str) -> LoadBoardKeeper:
     granting = frozenset(services or ("s",))
-    return LoadBoardKeeper("leader", made, lambda: granting, items, DecisionLog("test"))
+    metrics = ServingMetrics()
+    return LoadBoardKeeper(
+        "leader", made, lambda: granting, items, DecisionLog("test"), metrics.requests_waiting
+    )
 
 
 def ask(node: str = "g1", in_time_s: float = 9.0, waits_s: float = 9.0) -> SlotRequest:
@@ -249,7 +254,7 @@
 
 
 def place(peer: Peer, made: BackendChoice, times: int = 1) -> tuple[list[str], GrantedPlacement]:
-    placement = GrantedPlacement("g1", made, peer, lambda: LEADER)
+    placement = GrantedPlacement("g1", made, peer, lambda: LEADER, METRICS.placements)
     placement.granting = frozenset({"s"})
 
     async def run() -> list[str]:
@@ -286,7 +291,8 @@
 
 def test_a_node_that_no_longer_grants_is_left_by_those_who_wait() -> None:
     waiting = SlotGrant(waiting=True)
-    placement = GrantedPlacement("g1", choice("a"), Peer(*(waiting,) * 50), lambda: leaders.pop())
+    peer = Peer(*(waiting,) * 50)
+    placement = GrantedPlacement("g1", choice("a"), peer, lambda: leaders.pop(), METRICS.placements)
     leaders = [Address("127.0.0.1", 7001), LEADER, LEADER]
     placement.granting = frozenset({"s"})
     state = asyncio.run(placement.place(REQUEST))
