Experiment waves: the granting of slots in virtual time, beside three baselines

Change: `wharfcart experiment run waves` plays the product's own placement, granting, load board and job execution before servers of 8 slots with first-in-first-out queues, on the same square-wave arrivals as gateways choosing by an old picture, the same without yielding, and online work alone. Variants of sites for the trouble matrix: small-queue, slow-engines, steady, few-slots of 5. No oracle that knows the arrivals yet.

--- a/benchmarks/trouble_matrix.py
+++ b/benchmarks/trouble_matrix.py
@@ -102,7 +102,15 @@
     "whole": [(r"\nthin = [\d.]+", "\nthin = 1.0")],
     "slow-disk": [(r"sync_ms = [\d.]+", "sync_ms = 15.0")],
     "small": [(r"memory_mb = \d+", "memory_mb = 110")],
-    "few-slots": [(r"slots = 19,|slots = 12,", "slots = 8,"), (r"batch = \d+,", "batch = 8,")],
+    "few-slots": [
+        (r"slots = 8,", "slots = 5,"),
+        (r"slots = 19,|slots = 12,", "slots = 8,"),
+        (r"batch = 8,", "batch = 5,"),
+        (r"batch = (?:19|12),", "batch = 8,"),
+    ],
+    "small-queue": [(r"most = \d+", "most = 60000")],
+    "slow-engines": [(r"step_ms = [\d.]+", "step_ms = 5.9")],
+    "steady": [(r'shape = \{ kind = "steps", steps = \[.*?\]\] \}', 'shape = { kind = "steady" }')],
 }
 
 
--- a/src/wharfcart/cli/experiment.py
+++ b/src/wharfcart/cli/experiment.py
@@ -21,6 +21,7 @@
     BURSTS = "bursts"
     FLOODING = "flooding"
     SLOW_BACKEND = "slow-backend"
+    WAVES = "waves"
 
 
 @app.callback()
@@ -45,7 +46,12 @@
     # Imported here: numpy and matplotlib would cost every node tens of megabytes.
     from wharfcart.experiments.heaps import Variant, run_heaps
     from wharfcart.experiments.scale import run_scale
+    from wharfcart.experiments.waves import run_waves
 
+    if name is Experiment.WAVES:
+        found = run_waves(seed, output_folder)
+        print_answer(found, output, ["figure", "value"], found.items())
+        return
     if name is not Experiment.SCALE:
         found = run_heaps(profile, Variant(name.value), seed, output_folder)
         print_answer(found, output, ["figure", "value"], found.items())
--- /dev/null
+++ b/src/wharfcart/experiments/simulated_slots.py
@@ -0,0 +1,326 @@
+"""A small fleet in virtual time: gateways, the node that grants slots, model servers.
+
+The decisions are the product's own (placement, granting, load board, job execution); the servers
+are slots with a queue, first in first out, as the users' engines are. Messages take one way's time.
+"""
+
+import asyncio
+from collections.abc import AsyncGenerator, Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from random import Random
+from time import time
+from types import SimpleNamespace
+from typing import Any, cast
+from unittest import mock
+
+from wharfcart.batch.item_run import ItemRunner, ItemSend, RunOutcome
+from wharfcart.batch.job_execution import JobExecution
+from wharfcart.cluster.membership import Address
+from wharfcart.cluster.messages_pb2 import (
+    Frame,
+    ItemOutcome,
+    RequestItem,
+    RequestJob,
+    SlotGrant,
+)
+from wharfcart.cluster.transport import TrafficClass, Transport
+from wharfcart.configuration.instances import BackendInstance
+from wharfcart.configuration.serving import (
+    Route,
+    RouteKind,
+    ServiceSpec,
+    ServingConfiguration,
+    TrafficShare,
+)
+from wharfcart.experiments.virtual_time import virtual_monotonic
+from wharfcart.node.load_reports import LoadBoardKeeper, LoadReporter
+from wharfcart.observability.decisions import DecisionLog
+from wharfcart.observability.serving_metrics import ServingMetrics
+from wharfcart.routing.backend_choice import BackendChoice
+from wharfcart.routing.placement import GrantedPlacement, NoSlotError, PlacementRequest
+from wharfcart.storage.job_group import JobGroup
+from wharfcart.storage.partial_texts import PartialTexts
+
+SERVICE = "writing"
+HOST = "batch.example"
+ZONE = "a"
+LEADER = Address("10.0.0.1", 7000)
+ONE_WAY_S = 0.001
+# Of a model server: time to the first token, tokens read a second, time between two events.
+FIRST_TOKEN_S = 0.03
+READ_TOKENS_A_SECOND = 51_200
+EVENT_S = 0.018
+CLOCK_USERS = (
+    "wharfcart.routing.placement",
+    "wharfcart.routing.slot_granting",
+    "wharfcart.node.load_reports",
+    "wharfcart.batch.job_execution",
+)
+
+
+class SlotServer:
+    """A model server: so many requests run, the others wait in the order in which they came."""
+
+    def __init__(self, slots: int) -> None:
+        self._slots = asyncio.Semaphore(slots)
+
+    async def run(self, prompt_tokens: int, events: int, on_event: Callable[[], None]) -> None:
+        """Run a request; cancelled, it frees its slot at once."""
+        async with self._slots:
+            await asyncio.sleep(FIRST_TOKEN_S + prompt_tokens / READ_TOKENS_A_SECOND)
+            on_event()
+            for _ in range(events - 1):
+                await asyncio.sleep(EVENT_S)
+                on_event()
+
+
+class ServerItemRunner:
+    """Runs batch items at the servers, each one from where it was cut."""
+
+    def __init__(self, choice: BackendChoice, servers: dict[str, SlotServer]) -> None:
+        self._choice = choice
+        self._servers = servers
+        self.events_by_item: dict[str, int] = {}
+
+    async def run(self, send: ItemSend) -> RunOutcome:
+        """Run an item to its end; cancelled, it keeps the events that it has."""
+        text = send.progress.text
+        left = self.events_by_item[send.item.item_id] - len(text.texts)
+        server = self._servers[send.state.instance.instance_id]
+        prompt_tokens = send.item.tokens + 5 * len(text.texts)
+
+        def on_event() -> None:
+            self._choice.answered(send.state, send.use)
+            text.add(len(text.texts), "")
+
+        try:
+            await server.run(prompt_tokens, left, on_event)
+        finally:
+            self._choice.ended(send.state, send.use)
+        return RunOutcome.SUCCEEDED
+
+
+@dataclass
+class JobRecords:
+    """Stands in for a job group's leadership: results count at once."""
+
+    due_at: dict[str, float] = field(default_factory=dict)
+    done_at: dict[str, float] = field(default_factory=dict)  # by item
+    jobs: dict[str, Any] = field(default_factory=dict)
+    epoch: int = 1
+
+    def append(self, job_id: str, outcome: ItemOutcome) -> bool:
+        """Take a result."""
+        self.done_at[outcome.item_id] = virtual_monotonic()
+        self.jobs[job_id].results.append(outcome)
+        return True
+
+    def forget(self, job_id: str) -> None:
+        """Drop a job."""
+        self.jobs.pop(job_id, None)
+
+
+class LoopbackTransport:
+    """Calls to the leader, one way's time each."""
+
+    def __init__(self, keeper: LoadBoardKeeper) -> None:
+        self._keeper = keeper
+
+    async def call(self, _address: Address, frame: Frame, _traffic: TrafficClass) -> Frame:
+        """Tell a load report."""
+        await asyncio.sleep(ONE_WAY_S)
+        summary = self._keeper.take(frame.load_report)
+        await asyncio.sleep(ONE_WAY_S)
+        return Frame(load_summary=summary)
+
+    async def stream(
+        self, _address: Address, frame: Frame, _traffic: TrafficClass
+    ) -> AsyncGenerator[Frame, None]:
+        """Ask for a slot."""
+        grants: asyncio.Queue[SlotGrant] = asyncio.Queue()
+
+        async def answer(grant: SlotGrant) -> None:
+            grants.put_nowait(grant)
+
+        await asyncio.sleep(ONE_WAY_S)
+        serving = asyncio.create_task(self._keeper.slots.serve(frame.slot_request, answer))
+        try:
+            while True:
+                grant = await grants.get()
+                await asyncio.sleep(ONE_WAY_S)
+                yield Frame(slot_grant=grant)
+        finally:
+            serving.cancel()
+
+
+class SlotFleet:
+    """Gateways, servers and the leader of one run.
+
+    Args:
+        seed: of every choice.
+        grants: slots are granted; otherwise gateways choose by their own picture of the load.
+        yields: items leave for online requests.
+    """
+
+    def __init__(
+        self, seed: int, gateways: int, servers: int, slots: int, grants: bool, yields: bool
+    ) -> None:
+        self._rng = Random(seed)
+        self._servers = {f"server-{n}": SlotServer(slots) for n in range(servers)}
+        self._instances = [
+            BackendInstance(name, SERVICE, "10.0.1.1", 1, ZONE, slots, True)
+            for name in self._servers
+        ]
+        self._metrics = ServingMetrics()
+        self._log = DecisionLog("experiment")
+        self.records = JobRecords()
+        self._leader_choice = self._choice()
+        self._runner = ServerItemRunner(self._leader_choice, self._servers)
+        self._execution = self._make_execution(yields)
+        granted = frozenset({SERVICE}) if grants else frozenset()
+        keeper = LoadBoardKeeper(
+            "leader",
+            self._leader_choice,
+            lambda: granted,
+            self._execution,
+            self._log,
+            self._metrics.requests_waiting,
+        )
+        self._execution.online_waiting = keeper.slots.waiting
+        self._execution.on_slot_freed = keeper.slots.slots_changed
+        self._transport = cast(Transport, LoopbackTransport(keeper))
+        self._gateways = [self._make_gateway(n) for n in range(gateways)]
+
+    def start(self) -> list[asyncio.Task[None]]:
+        """Begin to report; returns the tasks that do."""
+        self._group.on_leading()
+        return [
+            asyncio.create_task(
+                LoadReporter(
+                    f"gateway-{n}", choice, self._transport, lambda: LEADER, placement
+                ).run()
+            )
+            for n, (choice, placement) in enumerate(self._gateways)
+        ]
+
+    async def ask(
+        self, request_id: str, prompt_tokens: int, events: int, objective_s: float
+    ) -> float | None:
+        """Play one online request; return the time to its first event, None if it was refused."""
+        choice, placement = self._rng.choice(self._gateways)
+        began_at = virtual_monotonic()
+        request = PlacementRequest(
+            service=SERVICE,
+            excluded=frozenset(),
+            affinity_key="",
+            unread_tokens=prompt_tokens,
+            request_id=request_id,
+            route_name="online",
+            in_time_until=began_at + objective_s,
+            leave_at=began_at + 1.0,
+            priority=0,
+        )
+        try:
+            state = await placement.place(request)
+        except NoSlotError:
+            return None
+        assert state is not None
+        use = choice.sent(state, virtual_monotonic(), prompt_tokens)
+        sent_at = virtual_monotonic()
+        first_s: list[float] = []
+
+        def on_event() -> None:
+            if not first_s:
+                choice.answered(state, use)
+                placement.answer_begun("online", virtual_monotonic() - sent_at)
+                first_s.append(virtual_monotonic() - began_at)
+
+        await asyncio.sleep(ONE_WAY_S)
+        await self._servers[state.instance.instance_id].run(prompt_tokens, events, on_event)
+        choice.ended(state, use)
+        placement.slot_freed(SERVICE)
+        return first_s[0]
+
+    def submit(self, job_id: str, prompt_tokens: int, events: list[int], due_s: float) -> None:
+        """Accept a batch job whose items give so many events each."""
+        items = [
+            RequestItem(item_id=f"{job_id}-{n}", tokens=prompt_tokens) for n in range(len(events))
+        ]
+        for item, count in zip(items, events, strict=True):
+            self._runner.events_by_item[item.item_id] = count
+            self.records.due_at[item.item_id] = virtual_monotonic() + due_s
+        job = RequestJob(
+            job_id=job_id,
+            host=HOST,
+            path=f"/jobs/{job_id}",
+            accepted_ms=int(time() * 1000),
+            objective_s=due_s,
+            give_up_after_s=10 * due_s,
+            items=items,
+        )
+        record = SimpleNamespace(job=job, results=[], ended=False, complete=False)
+        self.records.jobs[job_id] = record
+        self._execution.job_accepted(job)
+
+    def _choice(self) -> BackendChoice:
+        choice = BackendChoice(ZONE, Random(self._rng.random()))
+        for instance in self._instances:
+            choice.put(instance)
+        return choice
+
+    def _make_execution(self, yields: bool) -> JobExecution:
+        self._group = SimpleNamespace(
+            partial_texts=PartialTexts(),
+            leadership=self.records,
+            replicas_behind=0,
+            wake_sessions=lambda: None,
+        )
+        route = Route(
+            "jobs", HOST, "/jobs/", RouteKind.BATCH, (TrafficShare(SERVICE, 1.0),), 30.0, 0.4
+        )
+        configuration = ServingConfiguration(1, (route,), {SERVICE: ServiceSpec(SERVICE, 100)})
+        kind = JobExecution if yields else _KeepsItems
+        return kind(
+            cast(JobGroup, self._group),
+            cast(ItemRunner, self._runner),
+            self._leader_choice,
+            lambda: configuration,
+            3600.0,
+            self._log,
+            self._metrics,
+        )
+
+    def _make_gateway(self, number: int) -> tuple[BackendChoice, GrantedPlacement]:
+        choice = self._choice()
+        placement = GrantedPlacement(
+            f"gateway-{number}",
+            choice,
+            self._transport,
+            lambda: LEADER,
+            self._metrics.placements,
+        )
+        return choice, placement
+
+
+class _KeepsItems(JobExecution):
+    """Items stay where they are until they are done."""
+
+    def items_at(self, _instance_id: str) -> int:
+        return 0
+
+    def _yield_to_online(self) -> None:
+        return
+
+
+@contextmanager
+def simulated_clock() -> Iterator[None]:
+    """Have the drivers read the virtual clock."""
+    patches = [mock.patch(f"{module}.monotonic", virtual_monotonic) for module in CLOCK_USERS]
+    for patch in patches:
+        patch.start()
+    try:
+        yield
+    finally:
+        for patch in patches:
+            patch.stop()
--- /dev/null
+++ b/src/wharfcart/experiments/waves.py
@@ -0,0 +1,185 @@
+"""Experiment ``waves``: online load in square waves beside batch jobs, by policy.
+
+Policies, each on the same arrivals:
+
+* ``grants``: the product as it is;
+* ``own_choice``: gateways choose by an old picture of the load, items leave once it shows them;
+* ``no_yielding``: the same, and items stay until they are done;
+* ``online_alone``: the product without batch: the bound for online work.
+"""
+
+import asyncio
+import json
+from dataclasses import dataclass, field
+from enum import StrEnum
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from wharfcart.experiments.simulated_slots import SlotFleet, simulated_clock
+from wharfcart.experiments.virtual_time import run_virtually
+
+WARM_UP_S = 2.0
+
+
+class Policy(StrEnum):
+    """What decides."""
+
+    GRANTS = "grants"
+    OWN_CHOICE = "own_choice"
+    NO_YIELDING = "no_yielding"
+    ONLINE_ALONE = "online_alone"
+
+
+@dataclass(frozen=True)
+class WaveLoad:
+    """A load and the fleet before it; rates a second, times in seconds."""
+
+    seconds: float = 40.0
+    online_rate: float = 28.0
+    low: float = 0.38
+    high: float = 1.84
+    low_s: float = 3.8
+    high_s: float = 2.8
+    online_prompt_tokens: int = 250
+    online_events: int = 39
+    objective_s: float = 0.3
+    job_rate: float = 0.34
+    job_items: int = 10
+    item_prompt_tokens: int = 350
+    item_events: int = 268
+    job_due_s: float = 18.0
+    gateways: int = 6
+    servers: int = 6
+    slots: int = 8
+
+    def rate_at(self, at: float) -> float:
+        """Return the online requests a second at a time."""
+        low = at % (self.low_s + self.high_s) < self.low_s
+        return self.online_rate * (self.low if low else self.high)
+
+
+@dataclass
+class WaveOutcome:
+    """What a policy gave.
+
+    Attributes:
+        first_events: when each online request came, and how long its first event took; None if
+            it was refused.
+    """
+
+    first_events: list[tuple[float, float | None]] = field(default_factory=list)
+    items: int = 0
+    items_in_time: int = 0
+
+    def online_in_time(self, objective_s: float) -> float:
+        """Return the share of online requests that began in time."""
+        in_time = sum(first is not None and first <= objective_s for _, first in self.first_events)
+        return in_time / max(1, len(self.first_events))
+
+
+@dataclass(frozen=True)
+class Arrivals:
+    """What comes: the same for every policy."""
+
+    online: list[tuple[float, int]]  # at, events
+    jobs: list[tuple[float, list[int]]]  # at, events of each item
+
+
+def draw_arrivals(load: WaveLoad, seed: int) -> Arrivals:
+    """Draw the arrivals of a run."""
+    rng = Random(seed)
+
+    def size(mean: int) -> int:
+        return max(1, round(mean * rng.uniform(0.7, 1.3)))
+
+    online: list[tuple[float, int]] = []
+    at = 0.0
+    while (at := at + rng.expovariate(load.online_rate * load.high)) < load.seconds:
+        if rng.random() < load.rate_at(at) / (load.online_rate * load.high):
+            online.append((at, size(load.online_events)))
+    jobs: list[tuple[float, list[int]]] = []
+    at = 0.0
+    while (at := at + rng.expovariate(load.job_rate)) < load.seconds:
+        jobs.append((at, [size(load.item_events) for _ in range(size(load.job_items))]))
+    return Arrivals(online, jobs)
+
+
+def play(policy: Policy, load: WaveLoad, seed: int) -> WaveOutcome:
+    """Play a policy in virtual time."""
+    arrivals = draw_arrivals(load, seed)
+    with simulated_clock():
+        return run_virtually(_play(policy, load, arrivals, seed))
+
+
+async def _play(policy: Policy, load: WaveLoad, arrivals: Arrivals, seed: int) -> WaveOutcome:
+    grants = policy in (Policy.GRANTS, Policy.ONLINE_ALONE)
+    yields = policy is not Policy.NO_YIELDING
+    fleet = SlotFleet(seed, load.gateways, load.servers, load.slots, grants, yields)
+    outcome = WaveOutcome()
+    background = fleet.start()
+
+    async def ask(number: int, at: float, events: int) -> None:
+        await asyncio.sleep(WARM_UP_S + at)
+        first_s = await fleet.ask(f"r{number}", load.online_prompt_tokens, events, load.objective_s)
+        outcome.first_events.append((at, first_s))
+
+    async def submit(number: int, at: float, events: list[int]) -> None:
+        await asyncio.sleep(WARM_UP_S + at)
+        fleet.submit(f"j{number}", load.item_prompt_tokens, events, load.job_due_s)
+
+    asked = [asyncio.create_task(ask(n, *one)) for n, one in enumerate(arrivals.online)]
+    if policy is not Policy.ONLINE_ALONE:
+        asked += [asyncio.create_task(submit(n, *one)) for n, one in enumerate(arrivals.jobs)]
+    await asyncio.gather(*asked)
+    await asyncio.sleep(load.job_due_s)
+    for task in background:
+        task.cancel()
+    done_at = fleet.records.done_at
+    outcome.items = len(fleet.records.due_at)
+    outcome.items_in_time = sum(
+        done_at.get(item, float("inf")) <= due for item, due in fleet.records.due_at.items()
+    )
+    return outcome
+
+
+def run_waves(seed: int, output: Path, load: WaveLoad | None = None) -> dict[str, Any]:
+    """Play every policy on the same arrivals; write figures and a plot."""
+    load = load or WaveLoad()
+    output.mkdir(parents=True, exist_ok=True)
+    outcomes = {policy: play(policy, load, seed) for policy in Policy}
+    figures: dict[str, Any] = {"experiment": "waves", "seed": seed}
+    for policy, outcome in outcomes.items():
+        figures[f"{policy}_online_in_time"] = round(outcome.online_in_time(load.objective_s), 4)
+        figures[f"{policy}_items_in_time"] = f"{outcome.items_in_time} of {outcome.items}"
+    (output / "waves.json").write_text(json.dumps(figures, indent=2) + "\n", encoding="utf-8")
+    _plot(outcomes, load, output / "waves.png")
+    return figures
+
+
+def _plot(outcomes: dict[Policy, WaveOutcome], load: WaveLoad, path: Path) -> None:
+    import matplotlib
+
+    matplotlib.use("Agg")
+    import matplotlib.pyplot as plt
+
+    figure, axes = plt.subplots(figsize=(9, 4))
+    seconds = range(int(load.seconds))
+    for policy, outcome in outcomes.items():
+        axes.plot(seconds, [_share(outcome, load, at) for at in seconds], label=policy.value)
+    axes.set_xlabel("second")
+    axes.set_ylabel("online requests in time")
+    axes.set_ylim(0, 1.05)
+    axes.legend(loc="lower right")
+    figure.tight_layout()
+    figure.savefig(path, dpi=90)
+    plt.close(figure)
+
+
+def _share(outcome: WaveOutcome, load: WaveLoad, second: int) -> float:
+    def came_then(at: float) -> bool:
+        return second <= at < second + 1
+
+    found = [first for at, first in outcome.first_events if came_then(at)]
+    in_time = sum(first is not None and first <= load.objective_s for first in found)
+    return in_time / len(found) if found else 1.0
