--- a/src/wharfcart/experiments/virtual_time.py
+++ b/src/wharfcart/experiments/virtual_time.py
@@ -5,8 +5,10 @@
 
 import asyncio
 import selectors
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Iterable, Iterator
+from contextlib import contextmanager
 from typing import Any, TypeVar
+from unittest import mock
 
 Answer = TypeVar("Answer")
 
@@ -53,3 +55,16 @@
 def virtual_monotonic() -> float:
     """Stand in for :func:`time.monotonic` inside the loop."""
     return asyncio.get_event_loop().time()
+
+
+@contextmanager
+def virtual_clock(modules: Iterable[str]) -> Iterator[None]:
+    """Have modules that import ``monotonic`` by name read the virtual clock."""
+    patches = [mock.patch(f"{module}.monotonic", virtual_monotonic) for module in modules]
+    for patch in patches:
+        patch.start()
+    try:
+        yield
+    finally:
+        for patch in patches:
+            patch.stop()
--- a/src/wharfcart/experiments/waves.py
+++ b/src/wharfcart/experiments/waves.py
@@ -16,8 +16,8 @@
 from random import Random
 from typing import Any
 
-from wharfcart.experiments.simulated_slots import SlotFleet, simulated_clock
-from wharfcart.experiments.virtual_time import run_virtually
+from wharfcart.experiments.simulated_slots import CLOCK_USERS, SlotFleet
+from wharfcart.experiments.virtual_time import run_virtually, virtual_clock
 
 WARM_UP_S = 2.0
 
@@ -108,7 +108,7 @@
 def play(policy: Policy, load: WaveLoad, seed: int) -> WaveOutcome:
     """Play a policy in virtual time."""
     arrivals = draw_arrivals(load, seed)
-    with simulated_clock():
+    with virtual_clock(CLOCK_USERS):
         return run_virtually(_play(policy, load, arrivals, seed))
 
 
--- a/src/wharfcart/gateway/ingress.py
+++ b/src/wharfcart/gateway/ingress.py
@@ -14,7 +14,8 @@
 from wharfcart.gateway.traffic_shares import TrafficSplitter
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.platform import exchanges, names
-from wharfcart.routing.forwarder import AnswerCutError, CallerRequest, Forwarder
+from wharfcart.routing.caller_request import AnswerCutError, CallerRequest
+from wharfcart.routing.forwarder import Forwarder
 
 METHODS = ("GET", "POST", "PUT", "DELETE", "PATCH", "HEAD", "OPTIONS")
 REQUEST_TIMEOUT_S = 60
--- /dev/null
+++ b/src/wharfcart/routing/caller_request.py
@@ -0,0 +1,71 @@
+"""A caller's request as it is passed on, and where its answer goes."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from wharfcart.configuration.serving import Route
+from wharfcart.platform import exchanges
+from wharfcart.routing.backend_choice import AFFINITY_TOKENS
+
+
+@dataclass(frozen=True)
+class CallerRequest:
+    """A whole request of a caller.
+
+    Parameters
+    ----------
+    target: path and query as they came.
+    received_at: monotonic time at which the request was whole.
+    """
+
+    method: str
+    target: str
+    headers: list[tuple[str, str]]
+    body: bytes
+    facts: exchanges.RequestFacts
+    route: Route
+    service: str
+    received_at: float
+
+    @property
+    def deadline(self) -> float:
+        """Monotonic time by which the caller must have its final answer."""
+        limit_s = self.route.time_limit_s
+        if self.facts.deadline_s is not None:
+            limit_s = min(limit_s, self.facts.deadline_s)
+        return self.received_at + limit_s
+
+    @property
+    def affinity_key(self) -> str:
+        """Name of the long shared prompt that decides where to go first, or ''."""
+        shared = self.facts.prompt[:-1]
+        if sum(part.tokens for part in shared) < AFFINITY_TOKENS:
+            return ""
+        return ",".join(part.part_id for part in shared)
+
+    @property
+    def unread_tokens(self) -> int:
+        """Tokens that the back end must read if it keeps nothing of the prompt but long parts."""
+        if not self.affinity_key:
+            return sum(part.tokens for part in self.facts.prompt)
+        return sum(part.tokens for part in self.facts.prompt[-1:])
+
+
+class AnswerSink(Protocol):
+    """Where an answer goes. After an error that is raised, the caller's connection is cut."""
+
+    async def whole(self, status: int, headers: list[tuple[str, str]], body: bytes) -> None:
+        """Give a whole answer."""
+        ...
+
+    async def start(self, status: int, headers: list[tuple[str, str]]) -> None:
+        """Begin an answer of unknown length."""
+        ...
+
+    async def send(self, data: bytes) -> None:
+        """Pass bytes of a begun answer on."""
+        ...
+
+
+class AnswerCutError(Exception):
+    """A begun answer can't be finished: the caller must see it broken off."""
