A lease that is revoked before its grant arrives runs nothing

A run of the demo with the steps printed shows it: cancel at 0 s, the revocation reaches the runner at 0.545 s, the grant of the lease that it names is taken at 0.596 s. The runner ignored revocations of leases that it did not hold, took the lease and ran its items until the next renewal (every 1.0 s) told again, at 0.898 s; the job stopped after 1.44 s. A grant is read from the disk line by line before it is sent, so that the window grows on a busy machine. Ruled out: waiting for calls in progress (18 to 41 ms).

Change: a runner remembers revocations of leases that it does not hold; such a lease is wound down when its grant arrives. Items that wait leave the queue in the step that revokes their lease: one that a free slot took between the two was given back as unknown though it had not run.

Before: both new tests fail.

--- a/src/wharfcart/batch/held_leases.py
+++ b/src/wharfcart/batch/held_leases.py
@@ -21,6 +21,8 @@
 POLL_TIMEOUT_S = 4.0
 FLUSH_S = 0.05
 FLUSH_ITEMS = 64
+# A revocation goes to all runners of a node and may overtake the grant; so many are remembered.
+MOST_EARLY_REVOCATIONS = 256
 
 logger = logging.getLogger(__name__)
 
@@ -46,15 +48,27 @@
         self._backend_id = backend_id
         self._journal = journal
         self._leases: dict[str, HeldLease] = {}
+        self._revoked_early: dict[str, None] = {}  # ids of leases that were not held, oldest first
         self._flush = asyncio.Event()
 
-    def add(self, lease: HeldLease) -> None:
-        """Hold a lease that was granted."""
+    def add(self, lease: HeldLease) -> bool:
+        """Hold a lease that was granted; False if it was revoked before its grant arrived."""
+        lease.revoked = lease.lease_id in self._revoked_early
         self._leases[lease.lease_id] = lease
+        return not lease.revoked
 
-    def find(self, lease_id: str) -> HeldLease | None:
-        """Return a held lease."""
-        return self._leases.get(lease_id)
+    def revoke(self, lease_id: str) -> HeldLease | None:
+        """Mark a lease as revoked; return it if it is held and was not revoked before."""
+        lease = self._leases.get(lease_id)
+        if lease is None:
+            self._revoked_early[lease_id] = None
+            if len(self._revoked_early) > MOST_EARLY_REVOCATIONS:
+                del self._revoked_early[next(iter(self._revoked_early))]
+            return None
+        if lease.revoked:
+            return None
+        lease.revoked = True
+        return lease
 
     def held(self) -> list[HeldLease]:
         """Return all held leases."""
--- a/src/wharfcart/batch/runner.py
+++ b/src/wharfcart/batch/runner.py
@@ -182,7 +182,7 @@
         service = self._find_service(granted.tenant, name)
         repeatable = service is not None and service.repeatable
         held = HeldLease(lease.lease_id, shard, lease.job_id, repeatable, set(lease.rows))
-        self._leases.add(held)
+        still_wanted = self._leases.add(held)
         rows = zip(lease.rows, granted.lines, granted.previous_backends, strict=True)
         for row, line, previous in rows:
             if service is None:
@@ -191,6 +191,8 @@
                 continue
             known_there = previous == self.owned.backend.backend_id
             self._waiting.append(_Item(held, row, service, line, known_there=known_there))
+        if not still_wanted:
+            self._begin_wind_down(held)
         return len(lease.rows)
 
     # ---- items ----
@@ -264,16 +266,18 @@
     def revoke(self, lease_ids: list[str]) -> None:
         """Drop leases that ended or whose job was cancelled."""
         for lease_id in lease_ids:
-            lease = self._leases.find(lease_id)
-            if lease is None or lease.revoked:
-                continue
-            lease.revoked = True
-            task = asyncio.get_running_loop().create_task(self._wind_down(lease))
-            self._winding_down.add(task)
-            task.add_done_callback(self._winding_down.discard)
+            lease = self._leases.revoke(lease_id)
+            if lease is not None:
+                self._begin_wind_down(lease)
 
-    async def _wind_down(self, lease: HeldLease) -> None:
+    def _begin_wind_down(self, lease: HeldLease) -> None:
+        # Taken off the queue in this step: a slot that comes free now must not begin any of them.
         dropped = self._take_waiting(lambda item: item.lease is lease)
+        task = asyncio.get_running_loop().create_task(self._wind_down(lease, dropped))
+        self._winding_down.add(task)
+        task.add_done_callback(self._winding_down.discard)
+
+    async def _wind_down(self, lease: HeldLease, dropped: list[_Item]) -> None:
         running = [
             task
             for row in lease.open_rows
--- /dev/null
+++ b/tests/batch/test_runner.py
@@ -0,0 +1,140 @@
+"""Leases that end before or while their items run."""
+
+import asyncio
+import json
+from typing import cast
+
+import pytest
+
+from wharfcart.admission.backend_gate import BackendGate
+from wharfcart.backends.interface import BackendClient, BackendPart, BackendRequest
+from wharfcart.batch.runner import BatchRunner
+from wharfcart.cluster.messages_pb2 import (
+    Command,
+    Frame,
+    GrantedLease,
+    Lease,
+    LeaseGrant,
+    ProposeResult,
+)
+from wharfcart.cluster.placement import PlacementMap
+from wharfcart.configuration.schema import YieldingPolicy
+from wharfcart.configuration.services import Service
+from wharfcart.observability.metrics import Metrics
+from wharfcart.routing.owner import APPLICATION_CAPACITY, OwnedBackend, Owner
+from wharfcart.routing.router import Backend, BackendKind
+from wharfcart.storage.client import JournalClient
+
+ROWS = [0, 1, 2]
+
+
+class _Journal:
+    """Grants one lease, once the test lets it, and takes what is proposed."""
+
+    def __init__(self) -> None:
+        self.placement = PlacementMap()
+        self.granted = asyncio.Event()
+        self.asked = asyncio.Event()
+        self.proposed: list[Command] = []
+        self._lease: GrantedLease | None = _granted_lease()
+
+    async def ask_leader(self, _shard: int, _frame: Frame, _timeout_s: float) -> Frame:
+        self.asked.set()
+        await self.granted.wait()
+        lease, self._lease = self._lease, None
+        return Frame(lease_grant=LeaseGrant(leases=[] if lease is None else [lease]))
+
+    async def propose(
+        self, _shard: int, command: Command, _timeout_s: float = 0.0
+    ) -> ProposeResult:
+        self.proposed.append(command)
+        return ProposeResult(code="ok")
+
+
+class _Owner:
+    """Runs nothing: notes what it is given."""
+
+    def __init__(self) -> None:
+        self.run: list[str] = []
+
+    async def run_batch(self, _owned: OwnedBackend, request: BackendRequest) -> BackendPart:
+        self.run.append(request.request_id)
+        await asyncio.Event().wait()
+        raise AssertionError
+
+
+def _granted_lease() -> GrantedLease:
+    line = json.dumps({"method": "GET", "url": "/v1/services/status/1", "body": {}}).encode()
+    return GrantedLease(
+        lease=Lease(lease_id="lease", job_id="job", holder="node", rows=ROWS),
+        tenant="tenant",
+        lines=[line for _ in ROWS],
+        previous_backends=["" for _ in ROWS],
+    )
+
+
+def _service(_tenant: str, _name: str) -> Service | None:
+    return cast(Service, _FakeService())
+
+
+class _FakeService:
+    repeatable = False
+
+
+def _runner(journal: _Journal, owner: _Owner, monkeypatch: pytest.MonkeyPatch) -> BatchRunner:
+    monkeypatch.setattr(
+        "wharfcart.batch.runner.batch_request",
+        lambda _service, _line, request_id: BackendRequest(request_id, "GET", "/", {}, b"", False),
+    )
+    backend = Backend("backend", BackendKind.APPLICATION, "127.0.0.1:1", "zone", frozenset({"t"}))
+    gate = BackendGate("backend", APPLICATION_CAPACITY, YieldingPolicy.TAIL)
+    owned = OwnedBackend(backend, gate, cast(BackendClient, None))
+    return BatchRunner(
+        "node", owned, cast(Owner, owner), cast(JournalClient, journal), _service, Metrics()
+    )
+
+
+def test_a_lease_that_is_revoked_before_its_grant_arrives_runs_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario() -> tuple[list[Command], list[str]]:
+        journal, owner = _Journal(), _Owner()
+        runner = _runner(journal, owner, monkeypatch)
+        polling = asyncio.create_task(runner._poll_shard(0))
+        await journal.asked.wait()
+        runner.revoke(["lease"])
+        journal.granted.set()
+        await polling
+        await _settle()
+        return journal.proposed, owner.run
+
+    proposed, run = asyncio.run(scenario())
+    (command,) = proposed
+    assert command.lease_end.lease_id == "lease"
+    assert list(command.lease_end.not_run) == ROWS
+    assert not run
+
+
+def test_items_that_had_not_begun_when_their_lease_ended_are_given_back_as_not_run(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario() -> list[Command]:
+        journal, owner = _Journal(), _Owner()
+        runner = _runner(journal, owner, monkeypatch)
+        journal.granted.set()
+        await runner._poll_shard(0)
+        runner.revoke(["lease"])
+        # A slot comes free before the lease is wound down.
+        if runner._waiting:
+            runner._start(runner._waiting.popleft())
+        await _settle()
+        return journal.proposed
+
+    (command,) = asyncio.run(scenario())
+    assert list(command.lease_end.not_run) == ROWS
+
+
+async def _settle() -> None:
+    """Let every task that can go on do so."""
+    for _ in range(20):
+        await asyncio.sleep(0)
