Gateways listen before they are loaded when the whole fleet starts anew

Change: a gateway whose seeds do not answer opens its sockets before anything else is imported; while a single gateway starts callers still go elsewhere. Callers are served once there is a configuration, or after 1 s without one: a refusal for want of a configuration used up a try, too. Addresses and the base of settings are modules of their own, so that a process loads less.

Test that fails before (3 of 3): test_a_caller_that_comes_while_all_gateways_start_is_served.

--- a/src/wharfcart/admission/limiter.py
+++ b/src/wharfcart/admission/limiter.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from wharfcart.admission.limits import BucketHome, TakenTokens, tokens_to_take
-from wharfcart.cluster.membership import Address
+from wharfcart.cluster.address import Address
 from wharfcart.cluster.messages_pb2 import Frame, TakeTokens, TokensTaken
 from wharfcart.cluster.ownership import choose_owner
 from wharfcart.cluster.transport import PeerUnreachableError, TrafficClass, Transport
--- a/src/wharfcart/cluster/gossip.py
+++ b/src/wharfcart/cluster/gossip.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable, Sequence
 from typing import cast
 
+from wharfcart.cluster.address import Address
 from wharfcart.cluster.membership import (
-    Address,
     MemberChanged,
     Membership,
     MembershipAction,
--- a/src/wharfcart/cluster/membership.py
+++ b/src/wharfcart/cluster/membership.py
@@ -17,6 +17,7 @@
 
 import xxhash
 
+from wharfcart.cluster.address import Address
 from wharfcart.cluster.messages_pb2 import (
     ACK,
     ALIVE,
@@ -65,14 +66,6 @@
         ...
 
 
-@dataclass(frozen=True)
-class Address:
-    """Where a node listens, TCP and UDP alike."""
-
-    host: str
-    port: int
-
-
 @dataclass(frozen=True)
 class SendGossip:
     """Action: send one datagram."""
--- a/src/wharfcart/cluster/news_sources.py
+++ b/src/wharfcart/cluster/news_sources.py
@@ -13,7 +13,7 @@
 
 import xxhash
 
-from wharfcart.cluster.membership import Address
+from wharfcart.cluster.address import Address
 
 FEWEST_READERS = 2
 PEERS_A_READER = 5
--- a/src/wharfcart/cluster/transport.py
+++ b/src/wharfcart/cluster/transport.py
@@ -14,7 +14,7 @@
 from enum import StrEnum
 from typing import cast
 
-from wharfcart.cluster.membership import Address
+from wharfcart.cluster.address import Address
 from wharfcart.cluster.messages_pb2 import CallError, Cancel, Frame
 from wharfcart.errors import Outcome, ServingError
 from wharfcart.observability.tasks import BackgroundTasks
--- a/src/wharfcart/emulator/fault_proxy.py
+++ b/src/wharfcart/emulator/fault_proxy.py
@@ -12,7 +12,8 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from wharfcart.emulator.web_server import WebServer
-from wharfcart.settings.schema import ProxySettings, split_endpoint
+from wharfcart.settings.base import split_endpoint
+from wharfcart.settings.schema import ProxySettings
 
 CHUNK_BYTES = 64 * 1024
 Endpoint = tuple[str, int]
--- a/src/wharfcart/experiments/dev_fleet.py
+++ b/src/wharfcart/experiments/dev_fleet.py
@@ -14,7 +14,8 @@
 from wharfcart.emulator.fleet import EmulatedFleet
 from wharfcart.experiments.example_fleets import Profile, example_document, example_emulator
 from wharfcart.node.node import Node
-from wharfcart.settings.schema import NodeSettings, split_endpoint
+from wharfcart.settings.base import split_endpoint
+from wharfcart.settings.schema import NodeSettings
 
 ADMIN_KEY = "admin-key"
 STORAGE_NODES = 3
--- a/src/wharfcart/experiments/hollow_fleet.py
+++ b/src/wharfcart/experiments/hollow_fleet.py
@@ -10,8 +10,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from wharfcart.cluster.address import Address
 from wharfcart.cluster.membership import (
-    Address,
     MemberChanged,
     Membership,
     MembershipAction,
--- a/src/wharfcart/experiments/simulated_slots.py
+++ b/src/wharfcart/experiments/simulated_slots.py
@@ -14,7 +14,7 @@
 
 from wharfcart.batch.item_run import ItemRunner, ItemSend, RunOutcome
 from wharfcart.batch.job_execution import JobExecution
-from wharfcart.cluster.membership import Address
+from wharfcart.cluster.address import Address
 from wharfcart.cluster.messages_pb2 import (
     Frame,
     ItemOutcome,
--- a/src/wharfcart/experiments/simulated_storage.py
+++ b/src/wharfcart/experiments/simulated_storage.py
@@ -11,6 +11,7 @@
 
 from wharfcart.batch.job_execution import JobExecution
 from wharfcart.batch.job_service import JobService
+from wharfcart.cluster.address import Address
 from wharfcart.cluster.coordination import (
     Change,
     ConditionFailedError,
@@ -18,7 +19,6 @@
     CoordinationUnavailableError,
     Transaction,
 )
-from wharfcart.cluster.membership import Address
 from wharfcart.cluster.messages_pb2 import (
     Frame,
     JobUpdate,
--- a/src/wharfcart/gateway/ingress.py
+++ b/src/wharfcart/gateway/ingress.py
@@ -1,6 +1,7 @@
 """HTTP ingress of a gateway: requests of callers come in here and are passed through unchanged."""
 
 from collections.abc import Awaitable, Callable
+from socket import socket
 from time import monotonic
 from typing import Any
 
@@ -25,9 +26,12 @@
 MOST_HEADER_BYTES = 16_384
 MOST_BODY_BYTES = 64 * 1024 * 1024
 RETRY_AFTER_UNCONFIGURED_S = 0.3
+# Connections that wait to be accepted; a caller whose connection is dropped tries again after 1 s.
+BACKLOG = 1024
 
 BatchHandler = Callable[[Request, Route], Awaitable[HTTPResponse]]
 JobCallHandler = Callable[[Request], Awaitable[HTTPResponse]]
+Endpoint = tuple[str, int] | socket
 
 
 class _SanicSink:
@@ -92,19 +96,27 @@
         """Number of requests without a final answer."""
         return self._in_progress
 
-    async def start(self, front: tuple[str, int], readiness: tuple[str, int]) -> None:
-        """Listen on both addresses."""
-        for host, port in (front, readiness):
-            server: Any = await self.app.create_server(
-                host=host, port=port, return_asyncio_server=True
-            )
+    async def start(self, front: Endpoint, readiness: Endpoint) -> None:
+        """Serve on both; a socket listens already, at an address listening begins now."""
+        for endpoint in (front, readiness):
+            server: Any = await self._create_server(endpoint)
             if server is None:
-                raise OSError(f"can't listen on {host}:{port}")
+                raise OSError(f"can't listen on {endpoint}")
             if not self._servers:
                 await server.startup()
             await server.start_serving()
             self._servers.append(server)
 
+    async def _create_server(self, endpoint: Endpoint) -> Any:
+        if isinstance(endpoint, socket):
+            return await self.app.create_server(
+                sock=endpoint, return_asyncio_server=True, backlog=BACKLOG
+            )
+        host, port = endpoint
+        return await self.app.create_server(
+            host=host, port=port, return_asyncio_server=True, backlog=BACKLOG
+        )
+
     def drain(self) -> None:
         """Call not ready, and close each connection once no request is on it."""
         self.draining = True
--- a/src/wharfcart/node/fleet_keys.py
+++ b/src/wharfcart/node/fleet_keys.py
@@ -4,7 +4,7 @@
 from dataclasses import asdict, dataclass
 from enum import StrEnum
 
-from wharfcart.cluster.membership import Address
+from wharfcart.cluster.address import Address
 
 NODE_PREFIX = "wharfcart/nodes/"
 GROUP_PREFIX = "wharfcart/groups/"
--- a/src/wharfcart/node/gateway_process.py
+++ b/src/wharfcart/node/gateway_process.py
@@ -1,10 +1,13 @@
 """A gateway: takes callers' requests and passes them on. It keeps nothing."""
 
 import asyncio
+import math
+from collections.abc import Mapping
+from socket import socket
 from time import monotonic
 
-from wharfcart.cluster.membership import Address
-from wharfcart.gateway.ingress import Ingress
+from wharfcart.cluster.address import Address
+from wharfcart.gateway.ingress import Endpoint, Ingress
 from wharfcart.gateway.job_calls import JobCalls
 from wharfcart.node.fleet_keys import GROUP_PREFIX, LOAD_BOARD_GROUP
 from wharfcart.node.load_reports import LoadReporter
@@ -12,7 +15,7 @@
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.routing.forwarder import Forwarder
 from wharfcart.routing.placement import GrantedPlacement
-from wharfcart.settings.schema import split_endpoint
+from wharfcart.settings.base import split_endpoint
 from wharfcart.settings.serving import GatewaySettings, ServingSettings
 from wharfcart.storage.group_record import GroupRecord, group_record_from
 from wharfcart.storage.job_client import JobClient
@@ -21,14 +24,24 @@
 UNREADY_LEAD_S = 2.6
 STOP_MARGIN_S = 0.7
 IDLE_CLOSE_PERIOD_S = 0.1
+CONFIGURATION_POLL_S = 0.02
+# A start that has no configuration yet leaves callers to other gateways for so long; then it tells
+# them that it can't serve.
+MOST_UNCONFIGURED_S = 1.0
 
 
 class GatewayProcess:
     """One gateway from start to stop."""
 
-    def __init__(self, settings: GatewaySettings, log: DecisionLog) -> None:
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        log: DecisionLog,
+        sockets: Mapping[str, socket] | None = None,
+    ) -> None:
         self._settings = settings
         self._log = log
+        self._sockets = sockets or {}  # that listen already, by endpoint
         self._node = ServingNode(settings, log)
         self._placement = GrantedPlacement(
             settings.node_id,
@@ -61,8 +74,9 @@
     async def start(self) -> None:
         """Begin to serve; ready once a configuration is known."""
         await self._node.start()
+        await self._wait_for_configuration(MOST_UNCONFIGURED_S)
         await self._ingress.start(
-            split_endpoint(self._settings.listen), split_endpoint(self._settings.readiness_listen)
+            self._endpoint(self._settings.listen), self._endpoint(self._settings.readiness_listen)
         )
         self._node.tasks.spawn(self._become_ready())
         reporter = LoadReporter(
@@ -94,11 +108,18 @@
         await self._node.stop()
         self._log.write(Event.STOPPED, in_progress=self._ingress.in_progress)
 
+    def _endpoint(self, address: str) -> Endpoint:
+        return self._sockets.get(address) or split_endpoint(address)
+
     async def _become_ready(self) -> None:
-        while self._node.configuration is None:
-            await asyncio.sleep(0.02)
+        await self._wait_for_configuration(math.inf)
         self._ingress.ready = not self._ingress.draining
 
+    async def _wait_for_configuration(self, seconds: float) -> None:
+        until = monotonic() + seconds
+        while self._node.configuration is None and monotonic() < until:
+            await asyncio.sleep(CONFIGURATION_POLL_S)
+
     def _group_count(self) -> int:
         return len(self._node.mirror.under(GROUP_PREFIX))
 
--- a/src/wharfcart/node/load_reports.py
+++ b/src/wharfcart/node/load_reports.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from time import monotonic
 
-from wharfcart.cluster.membership import Address
+from wharfcart.cluster.address import Address
 from wharfcart.cluster.messages_pb2 import (
     Frame,
     InstanceLoad,
--- a/src/wharfcart/node/node.py
+++ b/src/wharfcart/node/node.py
@@ -15,8 +15,9 @@
 from wharfcart.batch.jobs import JobService
 from wharfcart.batch.leader import BatchLeader
 from wharfcart.batch.runner import BatchRunner
+from wharfcart.cluster.address import Address
 from wharfcart.cluster.gossip import GossipDriver
-from wharfcart.cluster.membership import Address, PeerRevision
+from wharfcart.cluster.membership import PeerRevision
 from wharfcart.cluster.messages_pb2 import (
     ALIVE,
     LEFT,
@@ -48,7 +49,8 @@
 from wharfcart.routing.dispatcher import Dispatcher, NodeView
 from wharfcart.routing.owner import OwnedBackend, Owner
 from wharfcart.routing.router import Router
-from wharfcart.settings.schema import NodeSettings, split_endpoint
+from wharfcart.settings.base import split_endpoint
+from wharfcart.settings.schema import NodeSettings
 from wharfcart.storage.client import JournalClient
 from wharfcart.storage.database import open_database
 from wharfcart.storage.journal import Journal
--- a/src/wharfcart/node/process.py
+++ b/src/wharfcart/node/process.py
@@ -1,111 +1,47 @@
 """Entry of the serving processes: ``python -m wharfcart.node.process gateway|storage``.
 
-Apart from the command line of operators, so that a process loads only what its role needs.
+Apart from the command line of operators, so that a process loads only what its role needs. A
+gateway may have to listen before anything else is loaded: this module imports what that takes, and
+everything else once it is done.
 """
 
-import asyncio
 import os
-import signal
 import sys
 from pathlib import Path
-from typing import Protocol, TypeVar
 
-# libuv opens an io_uring otherwise (docs/design/0001); it must stand before the loop is made.
-os.environ.setdefault("UV_USE_IO_URING", "0")
+from wharfcart.node.early_listening import open_if_alone
 
-import uvloop
-from returns.result import Failure
-
-from wharfcart.node.settings_reloader import SettingsReloader
-from wharfcart.observability.decisions import DecisionLog, Event
-from wharfcart.observability.logs import configure_logs
-from wharfcart.settings.loading import SETTINGS_VARIABLE, load_settings
-from wharfcart.settings.serving import GatewaySettings, ServingSettings, StorageSettings
-
-EXIT_SETTINGS = 2
-
-Settings = TypeVar("Settings", bound=ServingSettings)
-
-
-class Process(Protocol):
-    """A serving process."""
-
-    def reload(self, settings: ServingSettings) -> None:
-        """Take settings that may change while the process runs."""
-        ...
-
-    async def start(self) -> None:
-        """Begin to serve."""
-        ...
-
-    async def stop(self) -> None:
-        """Leave without cutting anything."""
-        ...
+SETTINGS_VARIABLE = "WHARFCART_SETTINGS"  # names the settings file
+DEFAULT_SETTINGS = "wharfcart.toml"
+EXIT_USAGE = 2
 
 
 def main() -> None:
     """Run the role named by the first argument until SIGTERM."""
     role = sys.argv[1] if len(sys.argv) > 1 else ""
-    path = Path(os.environ.get(SETTINGS_VARIABLE, "wharfcart.toml"))
+    path = Path(os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS))
     if role == "gateway":
         run_gateway(path)
     elif role == "storage":
         run_storage(path)
     else:
         print("usage: process gateway|storage", file=sys.stderr)
-        sys.exit(EXIT_SETTINGS)
+        sys.exit(EXIT_USAGE)
 
 
 def run_gateway(path: Path) -> None:
     """Run a gateway with the settings of a file."""
-    uvloop.run(_run_gateway(_load(GatewaySettings, path), path))
+    sockets = open_if_alone(path, os.environ)
+    from wharfcart.node import roles
+
+    roles.run_gateway(path, sockets)
 
 
 def run_storage(path: Path) -> None:
     """Run a storage node with the settings of a file."""
-    uvloop.run(_run_storage(_load(StorageSettings, path), path))
-
-
-async def _run_gateway(settings: GatewaySettings, path: Path) -> None:
-    from wharfcart.node.gateway_process import GatewayProcess
-
-    log = DecisionLog(settings.node_id)
-    await _run(GatewayProcess(settings, log), log, GatewaySettings, path)
-
-
-async def _run_storage(settings: StorageSettings, path: Path) -> None:
-    from wharfcart.node.storage_process import StorageProcess
-
-    log = DecisionLog(settings.node_id)
-    await _run(StorageProcess(settings, log), log, StorageSettings, path)
-
-
-async def _run(
-    process: Process, log: DecisionLog, model: type[ServingSettings], path: Path
-) -> None:
-    stopping = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, stopping.set)
-    loop.add_signal_handler(signal.SIGINT, stopping.set)
-    reloader = SettingsReloader(model, path, process.reload, log)
-    loop.add_signal_handler(signal.SIGHUP, reloader.reload)
-    await process.start()
-    log.write(Event.STARTED)
-    watching = asyncio.create_task(reloader.run())
-    await stopping.wait()
-    watching.cancel()
-    await process.stop()
-    log.flush()
-
+    from wharfcart.node import roles
 
-def _load(model: type[Settings], path: Path) -> Settings:
-    settings = load_settings(model, path, os.environ)
-    if isinstance(settings, Failure):
-        for finding in settings.failure():
-            print(finding, file=sys.stderr)
-        sys.exit(EXIT_SETTINGS)
-    configure_logs("info", settings.unwrap().node_id)
-    return settings.unwrap()
+    roles.run_storage(path)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/src/wharfcart/node/roles.py
@@ -0,0 +1,101 @@
+"""Runs a gateway or a storage node: settings, logs, signals, start and stop."""
+
+import asyncio
+import os
+import signal
+import sys
+from collections.abc import Mapping
+from pathlib import Path
+from socket import socket
+from typing import Protocol, TypeVar
+
+# libuv opens an io_uring otherwise (docs/design/0001); it must stand before the loop is made.
+os.environ.setdefault("UV_USE_IO_URING", "0")
+
+import uvloop
+from returns.result import Failure
+
+from wharfcart.node.settings_reloader import SettingsReloader
+from wharfcart.observability.decisions import DecisionLog, Event
+from wharfcart.observability.logs import configure_logs
+from wharfcart.settings.loading import load_settings
+from wharfcart.settings.serving import GatewaySettings, ServingSettings, StorageSettings
+
+EXIT_SETTINGS = 2
+
+Settings = TypeVar("Settings", bound=ServingSettings)
+
+
+class Process(Protocol):
+    """A serving process."""
+
+    def reload(self, settings: ServingSettings) -> None:
+        """Take settings that may change while the process runs."""
+        ...
+
+    async def start(self) -> None:
+        """Begin to serve."""
+        ...
+
+    async def stop(self) -> None:
+        """Leave without cutting anything."""
+        ...
+
+
+def run_gateway(path: Path, sockets: Mapping[str, socket]) -> None:
+    """Run a gateway with the settings of a file.
+
+    Args:
+        path: of the settings file.
+        sockets: that listen already, by endpoint.
+    """
+    uvloop.run(_run_gateway(_load(GatewaySettings, path), path, sockets))
+
+
+def run_storage(path: Path) -> None:
+    """Run a storage node with the settings of a file."""
+    uvloop.run(_run_storage(_load(StorageSettings, path), path))
+
+
+async def _run_gateway(
+    settings: GatewaySettings, path: Path, sockets: Mapping[str, socket]
+) -> None:
+    from wharfcart.node.gateway_process import GatewayProcess
+
+    log = DecisionLog(settings.node_id)
+    await _run(GatewayProcess(settings, log, sockets), log, GatewaySettings, path)
+
+
+async def _run_storage(settings: StorageSettings, path: Path) -> None:
+    from wharfcart.node.storage_process import StorageProcess
+
+    log = DecisionLog(settings.node_id)
+    await _run(StorageProcess(settings, log), log, StorageSettings, path)
+
+
+async def _run(
+    process: Process, log: DecisionLog, model: type[ServingSettings], path: Path
+) -> None:
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stopping.set)
+    loop.add_signal_handler(signal.SIGINT, stopping.set)
+    reloader = SettingsReloader(model, path, process.reload, log)
+    loop.add_signal_handler(signal.SIGHUP, reloader.reload)
+    await process.start()
+    log.write(Event.STARTED)
+    watching = asyncio.create_task(reloader.run())
+    await stopping.wait()
+    watching.cancel()
+    await process.stop()
+    log.flush()
+
+
+def _load(model: type[Settings], path: Path) -> Settings:
+    settings = load_settings(model, path, os.environ)
+    if isinstance(settings, Failure):
+        for finding in settings.failure():
+            print(finding, file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    configure_logs("info", settings.unwrap().node_id)
+    return settings.unwrap()
--- a/src/wharfcart/node/serving_node.py
+++ b/src/wharfcart/node/serving_node.py
@@ -9,13 +9,13 @@
 from time import monotonic
 
 from wharfcart.backends.connection_pool import ConnectionPool
+from wharfcart.cluster.address import Address
 from wharfcart.cluster.coordination import (
     Change,
     ConditionFailedError,
     CoordinationUnavailableError,
     Transaction,
 )
-from wharfcart.cluster.membership import Address
 from wharfcart.cluster.messages_pb2 import Frame
 from wharfcart.cluster.mirror import Mirror
 from wharfcart.cluster.mirror_link import MirrorLink
@@ -30,7 +30,7 @@
 from wharfcart.platform import documents, names
 from wharfcart.platform.metadata_store import MetadataStore
 from wharfcart.routing.backend_choice import BackendChoice
-from wharfcart.settings.schema import split_endpoint
+from wharfcart.settings.base import split_endpoint
 from wharfcart.settings.serving import ServingSettings
 
 ANNOUNCE_RETRY_S = 0.5
--- a/src/wharfcart/node/spreading.py
+++ b/src/wharfcart/node/spreading.py
@@ -14,8 +14,9 @@
 from typing import Any
 
 from wharfcart.admin.acceptance import ConfigurationStore
+from wharfcart.cluster.address import Address
 from wharfcart.cluster.gossip import GossipDriver
-from wharfcart.cluster.membership import Address, PeerRevision
+from wharfcart.cluster.membership import PeerRevision
 from wharfcart.cluster.messages_pb2 import (
     CONFIGURATION,
     DIRECTORY,
--- a/src/wharfcart/node/storage_process.py
+++ b/src/wharfcart/node/storage_process.py
@@ -6,12 +6,12 @@
 from wharfcart.batch.item_run import ItemRunner
 from wharfcart.batch.job_execution import JobExecution
 from wharfcart.batch.job_service import JobService
+from wharfcart.cluster.address import Address
 from wharfcart.cluster.coordination import (
     ConditionFailedError,
     CoordinationUnavailableError,
     Transaction,
 )
-from wharfcart.cluster.membership import Address
 from wharfcart.cluster.messages_pb2 import Frame, LoadSummary, SlotGrant, SlotRequest
 from wharfcart.cluster.transport import Responder
 from wharfcart.node.fleet_keys import GROUP_PREFIX, LOAD_BOARD_GROUP, NodeEntry, NodeKind
@@ -19,7 +19,7 @@
 from wharfcart.node.serving_node import ServingNode
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.platform import documents, names
-from wharfcart.settings.schema import split_endpoint
+from wharfcart.settings.base import split_endpoint
 from wharfcart.settings.serving import ServingSettings, StorageSettings
 from wharfcart.storage.disk import Disk, DiskFailedError
 from wharfcart.storage.group_context import GroupContext
--- a/src/wharfcart/routing/dispatcher.py
+++ b/src/wharfcart/routing/dispatcher.py
@@ -13,7 +13,7 @@
 
 from wharfcart.admission.limits import RetryBudget
 from wharfcart.backends.interface import BackendError, BackendPart, BackendRequest
-from wharfcart.cluster.membership import Address
+from wharfcart.cluster.address import Address
 from wharfcart.cluster.messages_pb2 import Dispatch, DispatchPart, Frame, Header
 from wharfcart.cluster.ownership import rendezvous_order
 from wharfcart.cluster.transport import PeerUnreachableError, TrafficClass, Transport
--- a/src/wharfcart/routing/placement.py
+++ b/src/wharfcart/routing/placement.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 from time import monotonic
 
-from wharfcart.cluster.membership import Address
+from wharfcart.cluster.address import Address
 from wharfcart.cluster.messages_pb2 import Frame, SlotGrant, SlotRequest
 from wharfcart.cluster.transport import PeerUnreachableError, TrafficClass, Transport
 from wharfcart.errors import ServingError
--- a/src/wharfcart/settings/schema.py
+++ b/src/wharfcart/settings/schema.py
@@ -1,26 +1,20 @@
 """Settings of the processes: what a machine must be told before it can join."""
 
 from pathlib import Path
-from typing import Annotated, Literal
+from typing import Literal
 
-from pydantic import BaseModel, ConfigDict, Field
+from pydantic import Field
 
-Endpoint = Annotated[str, Field(pattern=r"^[0-9a-fA-F.:\[\]]+:\d{1,5}$")]
+from wharfcart.settings.base import Endpoint, StrictSettings
 
 
-class _Strict(BaseModel):
-    """Unknown keys are findings."""
-
-    model_config = ConfigDict(extra="forbid")
-
-
-class LogSettings(_Strict):
+class LogSettings(StrictSettings):
     """Logs."""
 
     level: Literal["debug", "info", "warning", "error"] = "info"
 
 
-class JournalSettings(_Strict):
+class JournalSettings(StrictSettings):
     """First placement of the journal; taken by the node that writes it, ignored afterwards."""
 
     shards: int = Field(3, ge=1, le=1024, description="shards of the journal, fixed for good")
@@ -28,7 +22,7 @@
     retention_hours: float = Field(24.0, gt=0, description="how long ended work stays readable")
 
 
-class NodeSettings(_Strict):
+class NodeSettings(StrictSettings):
     """One node."""
 
     node_id: str = Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")
@@ -50,7 +44,7 @@
     most_line_bytes: int = Field(1_000_000, ge=1024)
 
 
-class EngineSettings(_Strict):
+class EngineSettings(StrictSettings):
     """Emulated engines of one zone."""
 
     zone: str
@@ -58,7 +52,7 @@
     models: list[str] = Field(default_factory=list, description="loaded at the start")
 
 
-class ApplicationSettings(_Strict):
+class ApplicationSettings(StrictSettings):
     """Emulated application servers of one zone."""
 
     zone: str
@@ -66,7 +60,7 @@
     count: int = Field(1, ge=0, le=64)
 
 
-class ProxySettings(_Strict):
+class ProxySettings(StrictSettings):
     """Fault-injecting proxy before one node's cluster address."""
 
     name: str
@@ -74,7 +68,7 @@
     target: Endpoint
 
 
-class EmulatorSettings(_Strict):
+class EmulatorSettings(StrictSettings):
     """Stand-ins for the platform and the back ends, in one process."""
 
     listen_host: str = "127.0.0.1"
@@ -87,9 +81,3 @@
     key_value_calls_per_second: float = Field(200.0, gt=0)
     seed: int = 1
     log: LogSettings = LogSettings()
-
-
-def split_endpoint(endpoint: str) -> tuple[str, int]:
-    """Return host and port."""
-    host, port = endpoint.rsplit(":", 1)
-    return host.strip("[]"), int(port)
--- a/src/wharfcart/settings/serving.py
+++ b/src/wharfcart/settings/serving.py
@@ -4,16 +4,16 @@
 
 from pydantic import Field
 
-from wharfcart.settings.schema import Endpoint, _Strict
+from wharfcart.settings.base import Endpoint, StrictSettings
 
 
-class ToleranceSettings(_Strict):
+class ToleranceSettings(StrictSettings):
     """What may be lost at once while every promise is kept."""
 
     storage_nodes: int = Field(1, ge=0, le=8, description="storage nodes with their disks")
 
 
-class ServingSettings(_Strict):
+class ServingSettings(StrictSettings):
     """One serving process."""
 
     node_id: str = Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")
--- a/src/wharfcart/soak/fleet.py
+++ b/src/wharfcart/soak/fleet.py
@@ -18,7 +18,7 @@
     ServingNodeProcess,
 )
 from wharfcart.node.fleet_keys import GROUP_PREFIX, NODE_PREFIX, node_entry_from
-from wharfcart.settings.schema import split_endpoint
+from wharfcart.settings.base import split_endpoint
 from wharfcart.soak.hooks import sitecustomize as hooks
 from wharfcart.storage.group_record import group_record_from
 
--- a/src/wharfcart/storage/client.py
+++ b/src/wharfcart/storage/client.py
@@ -7,7 +7,7 @@
 import asyncio
 from collections.abc import AsyncIterator, Callable
 
-from wharfcart.cluster.membership import Address
+from wharfcart.cluster.address import Address
 from wharfcart.cluster.messages_pb2 import (
     Command,
     Frame,
--- a/src/wharfcart/storage/group_context.py
+++ b/src/wharfcart/storage/group_context.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Callable
 
+from wharfcart.cluster.address import Address
 from wharfcart.cluster.coordination import CoordinationService
-from wharfcart.cluster.membership import Address
 from wharfcart.cluster.mirror import Mirror
 from wharfcart.cluster.randomness import RandomSource
 from wharfcart.cluster.transport import Transport
--- a/src/wharfcart/storage/job_client.py
+++ b/src/wharfcart/storage/job_client.py
@@ -7,7 +7,7 @@
 
 import xxhash
 
-from wharfcart.cluster.membership import Address
+from wharfcart.cluster.address import Address
 from wharfcart.cluster.messages_pb2 import NOT_LEADING, UNSURE, Frame
 from wharfcart.cluster.transport import PeerUnreachableError, Transport
 from wharfcart.errors import ServingError
--- a/src/wharfcart/storage/replica_links.py
+++ b/src/wharfcart/storage/replica_links.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable, Sequence
 
-from wharfcart.cluster.membership import Address
+from wharfcart.cluster.address import Address
 from wharfcart.cluster.messages_pb2 import (
     FenceGroup,
     FetchJobs,
--- a/tests/admission/test_limiter.py
+++ b/tests/admission/test_limiter.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from wharfcart.admission.limiter import Limiter
-from wharfcart.cluster.membership import Address
+from wharfcart.cluster.address import Address
 from wharfcart.cluster.transport import Transport
 from wharfcart.configuration.schema import Limits
 from wharfcart.errors import Outcome, ServingError
--- a/tests/cluster/test_membership.py
+++ b/tests/cluster/test_membership.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from wharfcart.cluster.membership import Address, Membership
+from wharfcart.cluster.address import Address
+from wharfcart.cluster.membership import Membership
 from wharfcart.cluster.messages_pb2 import ACK, ALIVE, DEAD, PING, SUSPECT, Gossip, Member
 from wharfcart.experiments.hollow_fleet import HollowFleet
 
--- a/tests/cluster/test_mirror_link.py
+++ b/tests/cluster/test_mirror_link.py
@@ -6,8 +6,8 @@
 import pytest
 
 from wharfcart.cluster import mirror_link
+from wharfcart.cluster.address import Address
 from wharfcart.cluster.coordination import Change, Changes, CoordinationUnavailableError
-from wharfcart.cluster.membership import Address
 from wharfcart.cluster.mirror import Mirror
 from wharfcart.cluster.mirror_link import MirrorLink, PeerNews
 from wharfcart.cluster.news_sources import NewsSources, Peer
--- a/tests/cluster/test_news_sources.py
+++ b/tests/cluster/test_news_sources.py
@@ -1,6 +1,6 @@
 """Which peers a node follows."""
 
-from wharfcart.cluster.membership import Address
+from wharfcart.cluster.address import Address
 from wharfcart.cluster.news_sources import AVOID_S, STALE_S, NewsSources, Peer
 
 ZONES = ("a", "b", "c")
--- a/tests/integration/test_serving_fleet.py
+++ b/tests/integration/test_serving_fleet.py
@@ -326,6 +326,26 @@
     play(scenario)
 
 
+def test_a_caller_that_comes_while_all_gateways_start_is_served() -> None:
+    async def first_answer(fleet: ServingFleet, gateway: int) -> int:
+        while True:
+            try:
+                status, _, _ = await fleet.request(gateway, "/look/x", f"early-{gateway}", data=b"")
+                return status
+            except aiohttp.ClientConnectorError:
+                await asyncio.sleep(0.005)
+
+    async def scenario(fleet: ServingFleet) -> None:
+        for gateway in fleet.gateways:
+            fleet.signal(gateway, signal.SIGKILL)
+        for gateway in fleet.gateways:
+            fleet.start_node(gateway)
+        answers = [first_answer(fleet, number) for number in range(len(fleet.gateways))]
+        assert await asyncio.gather(*answers) == [200] * len(fleet.gateways)
+
+    play(scenario)
+
+
 def test_an_ended_job_stops_and_stays_as_it_is() -> None:
     async def scenario(fleet: ServingFleet) -> None:
         assert await submit(fleet, "job1", 6) == 202
--- a/tests/routing/test_slot_grants.py
+++ b/tests/routing/test_slot_grants.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from wharfcart.cluster.membership import Address
+from wharfcart.cluster.address import Address
 from wharfcart.cluster.messages_pb2 import Frame, InstanceLoad, LoadReport, SlotGrant, SlotRequest
 from wharfcart.cluster.transport import PeerUnreachableError
 from wharfcart.configuration.instances import BackendInstance
--- a/tests/storage/test_job_client.py
+++ b/tests/storage/test_job_client.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from wharfcart.cluster.membership import Address
+from wharfcart.cluster.address import Address
 from wharfcart.cluster.messages_pb2 import DONE, Frame, JobAnswer, SubmitJob
 from wharfcart.cluster.transport import PeerUnreachableError
 from wharfcart.experiments.virtual_time import run_virtually, virtual_monotonic
