A result costs the same however many jobs and results there are

Cause, read in the code: for each result the leader looked through all results of the job (append), and for each message to a replica through all jobs (updates_for, behind); which version counts was sought one by one.

Change: a record knows what has no result yet, a replica's progress what it lacks, and the version that counts is the copies-th greatest that the replicas have written. Results are read from a position on.

--- a/src/wharfcart/batch/job_service.py
+++ b/src/wharfcart/batch/job_service.py
@@ -90,7 +90,7 @@
                 status = self._missing_status(leadership, message.job_id)
                 return ResultPage(status=status, leader=self._leader())
             record = leadership.jobs[message.job_id]
-            results = leadership.counted_results(message.job_id)[message.after :]
+            results = leadership.counted_results(message.job_id, message.after)
             left_s = until - monotonic()
             if results or left_s <= 0 or record.ended or message.after >= len(record.job.items):
                 return _page(len(record.job.items), results)
@@ -139,8 +139,8 @@
         if route is None or not route.most_waiting_tokens:
             return True
         waiting = sum(
-            leadership.waiting_tokens(job_id)
-            for job_id, record in leadership.jobs.items()
+            record.waiting_tokens
+            for record in leadership.jobs.values()
             if configuration.route_for(record.job.host, record.job.path) is route
         )
         tokens = sum(item.tokens for item in job.items)
--- a/src/wharfcart/storage/job_leadership.py
+++ b/src/wharfcart/storage/job_leadership.py
@@ -33,11 +33,14 @@
     ----------
     base: job to the version up to which the replica's history is a prefix of the leader's.
     written: job to the version that the replica wrote in this epoch; only this counts.
+    forget: jobs that the replica must drop.
+    lacking: jobs of which it has not written everything, the longest waiting first.
     """
 
     base: dict[str, int] = field(default_factory=dict)
     written: dict[str, int] = field(default_factory=dict)
     forget: set[str] = field(default_factory=set)
+    lacking: dict[str, None] = field(default_factory=dict)
 
 
 @dataclass
@@ -59,7 +62,6 @@
     _inherited: dict[str, JobState] = field(default_factory=dict)
     _replicas: dict[str, ReplicaProgress] = field(default_factory=dict)
     _counted: dict[str, int] = field(default_factory=dict)
-    _waiting_tokens: dict[str, int] = field(default_factory=dict)  # by job
 
     # ---- taking over ----
 
@@ -75,7 +77,6 @@
             self._inherited[job_id] = JobState(job_id, record.epoch, record.version)
             record.epoch = self.epoch
             self.jobs[job_id] = record
-            self._waiting_tokens[job_id] = record.waiting_tokens()
 
     # ---- replicas ----
 
@@ -92,6 +93,9 @@
                 progress.base[state.job_id] = progress.written[state.job_id] = state.version
             else:
                 progress.base[state.job_id] = self._common_version(state)
+        for job_id, record in self.jobs.items():
+            if progress.written.get(job_id, 0) < record.version:
+                progress.lacking[job_id] = None
         self._count_all()
 
     def replica_left(self, identity: str) -> None:
@@ -105,10 +109,8 @@
             return []
         updates = [JobUpdate(job_id=job_id, forgotten=True) for job_id in progress.forget]
         size = 0
-        for job_id, record in self.jobs.items():
-            if progress.written.get(job_id, 0) >= record.version:
-                continue
-            update = record.update_since(progress.base.get(job_id, 0))
+        for job_id in progress.lacking:
+            update = self.jobs[job_id].update_since(progress.base.get(job_id, 0))
             updates.append(update)
             size += update.ByteSize()
             if size > MOST_UPDATE_BYTES or len(updates) >= MOST_UPDATES:
@@ -127,6 +129,9 @@
                 continue
             version = 1 + update.from_result + len(update.results) + int(update.ended)
             progress.base[update.job_id] = progress.written[update.job_id] = version
+            record = self.jobs.get(update.job_id)
+            if record is None or version >= record.version:
+                progress.lacking.pop(update.job_id, None)
             if self._count(update.job_id):
                 changed.append(update.job_id)
         return changed
@@ -136,9 +141,7 @@
         progress = self._replicas.get(identity)
         if progress is None:
             return True
-        return any(
-            progress.written.get(job_id, 0) < record.version for job_id, record in self.jobs.items()
-        )
+        return bool(progress.lacking)
 
     # ---- the replica set ----
 
@@ -151,7 +154,7 @@
         if self.target is None:
             return False
         return all(
-            self._copies_of(job_id, record.version, self.target) >= self.copies
+            self._version_with_copies(job_id, self.target) >= record.version
             for job_id, record in self.jobs.items()
         )
 
@@ -170,30 +173,23 @@
             return known
         record = JobRecord(job, self.epoch)
         self.jobs[job.job_id] = record
-        self._waiting_tokens[job.job_id] = record.waiting_tokens()
+        self._changed(job.job_id)
         return record
 
-    def waiting_tokens(self, job_id: str) -> int:
-        """Return the tokens of a job's items without a result; 0 once it has ended."""
-        return self._waiting_tokens.get(job_id, 0)
-
     def append(self, job_id: str, outcome: ItemOutcome) -> bool:
         """Add a result; False if the job takes none any more or has one of that item."""
         record = self.jobs.get(job_id)
-        if record is None or record.ended:
-            return False
-        if any(known.item_id == outcome.item_id for known in record.results):
+        if record is None or not record.append(outcome):
             return False
-        record.results.append(outcome)
-        self._waiting_tokens[job_id] -= record.tokens_of(outcome.item_id)
+        self._changed(job_id)
         return True
 
     def end(self, job_id: str) -> JobRecord | None:
         """End a job on its caller's word; None if there is no such job."""
         record = self.jobs.get(job_id)
         if record is not None:
-            record.ended = True
-            self._waiting_tokens[job_id] = 0
+            record.end()
+            self._changed(job_id)
         return record
 
     def forget(self, job_id: str) -> None:
@@ -202,53 +198,59 @@
             return
         self._counted.pop(job_id, None)
         self._inherited.pop(job_id, None)
-        self._waiting_tokens.pop(job_id, None)
         for progress in self._replicas.values():
             progress.forget.add(job_id)
             progress.base.pop(job_id, None)
             progress.written.pop(job_id, None)
+            progress.lacking.pop(job_id, None)
 
     def counted_version(self, job_id: str) -> int:
         """Return the version of a job that has enough copies; 0 for none."""
         return self._counted.get(job_id, 0)
 
-    def counted_results(self, job_id: str) -> list[ItemOutcome]:
-        """Return the results that may be shown."""
+    def counted_results(self, job_id: str, after: int = 0) -> list[ItemOutcome]:
+        """Return the results that may be shown, from a position on."""
         record = self.jobs[job_id]
-        return record.results[: max(0, self.counted_version(job_id) - 1)]
+        return record.results[after : max(after, self.counted_version(job_id) - 1)]
 
     # ---- inner ----
 
+    def _changed(self, job_id: str) -> None:
+        for progress in self._replicas.values():
+            progress.lacking[job_id] = None
+
     def _common_version(self, state: JobState) -> int:
         inherited = self._inherited.get(state.job_id)
         if inherited is None or inherited.epoch != state.epoch:
             return 0
         return min(inherited.version, state.version)
 
-    def _copies_of(self, job_id: str, version: int, replicas: frozenset[str]) -> int:
-        return sum(
-            1
-            for identity in replicas
-            if (progress := self._replicas.get(identity)) is not None
-            and progress.written.get(job_id, 0) >= version
+    def _version_with_copies(self, job_id: str, replicas: frozenset[str]) -> int:
+        """Return the newest version that enough of some replicas have written; 0 for none."""
+        written = sorted(
+            (
+                progress.written.get(job_id, 0)
+                for identity in replicas
+                if (progress := self._replicas.get(identity)) is not None
+            ),
+            reverse=True,
         )
+        return written[self.copies - 1] if len(written) >= self.copies else 0
 
     def _count(self, job_id: str) -> bool:
+        """Count what has enough copies now; whether that is more than before."""
         record = self.jobs.get(job_id)
         if record is None:
             return False
-        known = self._counted.get(job_id, 0)
-        for version in range(record.version, known, -1):
-            if self._has_enough(job_id, version):
-                self._counted[job_id] = version
-                return True
-        return False
+        version = self._version_with_copies(job_id, self.members)
+        if self.target is not None:
+            version = min(version, self._version_with_copies(job_id, self.target))
+        version = min(version, record.version)
+        if version <= self._counted.get(job_id, 0):
+            return False
+        self._counted[job_id] = version
+        return True
 
     def _count_all(self) -> None:
         for job_id in self.jobs:
             self._count(job_id)
-
-    def _has_enough(self, job_id: str, version: int) -> bool:
-        if self._copies_of(job_id, version, self.members) < self.copies:
-            return False
-        return self.target is None or self._copies_of(job_id, version, self.target) >= self.copies
--- a/src/wharfcart/storage/job_records.py
+++ b/src/wharfcart/storage/job_records.py
@@ -13,18 +13,28 @@
 
 @dataclass
 class JobRecord:
-    """One job.
+    """One job. Its results and its end are changed through its methods alone.
 
     Parameters
     ----------
     epoch: of the leader that last wrote it.
     ended: the caller ended it; nothing is appended any more.
+    waiting_tokens: of the items without a result; 0 once it has ended.
     """
 
     job: RequestJob
     epoch: int
     results: list[ItemOutcome] = field(default_factory=list)
     ended: bool = False
+    waiting_tokens: int = field(init=False)
+    _tokens_without_result: dict[str, int] = field(init=False, repr=False)  # by item
+
+    def __post_init__(self) -> None:
+        self._tokens_without_result = {item.item_id: item.tokens for item in self.job.items}
+        for result in self.results:
+            self._tokens_without_result.pop(result.item_id, None)
+        waiting = 0 if self.ended else sum(self._tokens_without_result.values())
+        self.waiting_tokens = waiting
 
     @property
     def version(self) -> int:
@@ -36,16 +46,18 @@
         """Whether every item has its result."""
         return len(self.results) >= len(self.job.items)
 
-    def tokens_of(self, item_id: str) -> int:
-        """Return the tokens of one of its items."""
-        return next((item.tokens for item in self.job.items if item.item_id == item_id), 0)
-
-    def waiting_tokens(self) -> int:
-        """Return the tokens of the items without a result; 0 once it has ended."""
-        if self.ended:
-            return 0
-        done = {result.item_id for result in self.results}
-        return sum(item.tokens for item in self.job.items if item.item_id not in done)
+    def append(self, outcome: ItemOutcome) -> bool:
+        """Add a result; False if the job has ended or has one of that item."""
+        if self.ended or outcome.item_id not in self._tokens_without_result:
+            return False
+        self.results.append(outcome)
+        self.waiting_tokens -= self._tokens_without_result.pop(outcome.item_id)
+        return True
+
+    def end(self) -> None:
+        """End the job: it takes no result any more."""
+        self.ended = True
+        self.waiting_tokens = 0
 
     def update_since(self, version: int) -> JobUpdate:
         """Return what a replica lacks that holds this history up to a version; 0 means nothing."""
--- a/tests/storage/test_job_leadership.py
+++ b/tests/storage/test_job_leadership.py
@@ -1,5 +1,7 @@
 """Rules of a job group's leadership, one by one."""
 
+import pytest
+
 from wharfcart.cluster.messages_pb2 import ItemOutcome, RequestItem, RequestJob
 from wharfcart.storage.job_leadership import JobLeadership
 from wharfcart.storage.job_records import JobRecord, JobState
@@ -142,18 +144,65 @@
     made.accept(RequestJob(job_id="j", items=items))
     made.append("j", outcome("0"))
     made.append("j", outcome("0"))
-    assert made.waiting_tokens("j") == 20
+    assert made.jobs["j"].waiting_tokens == 20
     made.end("j")
-    assert made.waiting_tokens("j") == 0
+    assert made.jobs["j"].waiting_tokens == 0
 
 
 def test_a_new_leader_knows_what_waits() -> None:
     record = JobRecord(
         RequestJob(job_id="j", items=[RequestItem(item_id=str(n), tokens=10) for n in range(3)]), 1
     )
-    record.results.append(outcome("2"))
+    assert record.append(outcome("2"))
     made = JobLeadership(2, 2, MEMBERS)
     made.inherit([record])
-    assert made.waiting_tokens("j") == 20
+    assert made.jobs["j"].waiting_tokens == 20
     made.append("j", outcome("1"))
-    assert made.waiting_tokens("j") == 10
+    assert made.jobs["j"].waiting_tokens == 10
+
+
+def test_a_result_that_comes_while_an_update_is_under_way_is_sent_next() -> None:
+    made = leadership()
+    made.accept(job())
+    write(made, "a")
+    made.append("j", outcome("0"))
+    under_way = made.updates_for("a")
+    made.append("j", outcome("1"))
+    made.replica_wrote("a", under_way)
+    assert made.behind("a")
+    (update,) = made.updates_for("a")
+    assert [result.item_id for result in update.results] == ["1"]
+    made.replica_wrote("a", [update])
+    assert not made.behind("a") and not made.updates_for("a")
+
+
+def test_a_result_of_an_item_that_the_job_does_not_have_is_not_taken() -> None:
+    made = leadership()
+    made.accept(job())
+    assert not made.append("j", outcome("elsewhere"))
+
+
+def test_one_result_costs_the_same_however_many_jobs_and_results_there_are(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    made = leadership()
+    for number in range(500):
+        made.accept(job(f"j{number}"))
+    made.accept(job("large", items=3000))
+    for item in range(2000):
+        made.append("large", outcome(str(item)))
+    for identity in MEMBERS:
+        while made.behind(identity):
+            write(made, identity)
+    looked_at = []
+    version = JobRecord.version.fget
+    assert version is not None
+    monkeypatch.setattr(
+        JobRecord, "version", property(lambda self: looked_at.append(1) or version(self))
+    )
+    made.append("large", outcome("2000"))
+    for identity in MEMBERS:
+        write(made, identity)
+        made.behind(identity)
+    assert made.counted_version("large") == 2002
+    assert len(looked_at) <= 10
