--- a/src/wharfcart/batch/item_run.py
+++ b/src/wharfcart/batch/item_run.py
@@ -54,7 +54,6 @@
     not_before: float = 0.0
     last_backend: str = ""
     sends: int = 0
-    yields: int = 0
     ran_s: float = 0.0
 
 
--- a/src/wharfcart/batch/job_execution.py
+++ b/src/wharfcart/batch/job_execution.py
@@ -1,34 +1,40 @@
 """Runs the items of a group's jobs while this node leads the group.
 
-Items go only into slots that the servers are seen to have free, so that online work finds its
-share; an item that was cut is taken up after its last event. Results are appended in the order in
-which they come and count once enough disks have them.
+Items run in slots that the granting nodes offer, and leave them when they are told to, so that
+online work finds its share; an item that was cut is taken up after its last event. Results are
+appended in the order in which they come and count once enough disks have them.
 """
 
 import asyncio
 from collections.abc import Callable
+from itertools import islice
 from time import monotonic, time
 
 from wharfcart.batch.item_run import ItemProgress, ItemRunner, ItemSend, RunOutcome
 from wharfcart.batch.job_scheduler import JobScheduler, ScheduledJob
 from wharfcart.batch.placed_items import PlacedItem, PlacedItems
 from wharfcart.batch.retry_policy import has_failed_for_good
+from wharfcart.batch.run_estimate import RunEstimate
 from wharfcart.cluster.messages_pb2 import ItemOutcome, RequestItem, RequestJob
 from wharfcart.configuration.serving import Route, ServingConfiguration
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.observability.serving_metrics import ServingMetrics
 from wharfcart.observability.tasks import BackgroundTasks
 from wharfcart.routing.backend_choice import BackendChoice, InstanceState
-from wharfcart.routing.preemption import Preemption
+from wharfcart.slots.events import LeaveCause, Verdict
+from wharfcart.slots.item_slots import ItemDemand, ItemSlot, ItemSlots
+from wharfcart.slots.session import HeldSlot
+from wharfcart.slots.urgency import Urgency
 from wharfcart.storage.job_group import JobGroup
 from wharfcart.storage.job_leadership import JobLeadership
 
+# Waiting items are told anew so often, and at most so often when much happens.
 PERIOD_S = 0.1
 FEWEST_PERIOD_S = 0.005
-# Above this share of a back end's slots its items yield, though nobody asked for a slot.
-YIELD_ABOVE_LOAD = 1.0
-# An item that must leave within this time has cost more than it has done.
-RESTART_COST_S = 0.06
+# Waiting items are counted up to this number; more slots never come free at once.
+MOST_COUNTED = 256
+# With no more items than this it is looked for back ends that none of them takes.
+FEW_ITEMS = 8
 RETRY_REFUSED_S = 0.15
 RETRY_BROKEN_S = 0.05
 RETRY_FAILED_S = 0.3
@@ -38,8 +44,19 @@
 FORGET_PERIOD_S = 5.0
 
 
-class JobExecution(Preemption):
-    """Items of one group's jobs, on its leader."""
+class JobExecution:
+    """Items of one group's jobs, on its leader.
+
+    Args:
+        group: whose jobs they are.
+        runner: sends an item to a back end.
+        choice: what this node knows of the back ends.
+        configuration: the configuration in force, or None.
+        slots: offers slots for items and tells which items must leave.
+        keep_jobs_s: how long an ended job stays readable.
+        log: takes each decision on an item.
+        metrics: counts items.
+    """
 
     def __init__(
         self,
@@ -47,6 +64,7 @@
         runner: ItemRunner,
         choice: BackendChoice,
         configuration: Callable[[], ServingConfiguration | None],
+        slots: ItemSlots,
         keep_jobs_s: float,
         log: DecisionLog,
         metrics: ServingMetrics,
@@ -55,18 +73,19 @@
         self._runner = runner
         self._choice = choice
         self._configuration = configuration
+        self._slots = slots
         self._keep_jobs_s = keep_jobs_s
         self._log = log
         self._metrics = metrics
         self._scheduler = JobScheduler(group.partial_texts)
         self._placed = PlacedItems()
+        self._estimates_by_service: dict[str, RunEstimate] = {}
+        self._services_with_demand: set[str] = set()
         self._tasks = BackgroundTasks()
         self._work = asyncio.Event()
         self._forget_at = 0.0
-        self.online_waiting: Callable[[str], int] = lambda _service: 0
-        self.on_slot_freed: Callable[[], None] = lambda: None
-        group.on_leading = self._begin
-        group.on_deposed = self._end
+        slots.on_offer = self._take_offer
+        slots.on_leave = self._have_leave
 
     # ---- calls of the job service ----
 
@@ -87,36 +106,110 @@
             if placed is not None:
                 placed.stop()
 
-    # ---- room for online requests ----
-
-    def items_at(self, instance_id: str) -> int:
-        """Return how many items at a back end would leave for an online request."""
-        return self._placed.yielding_at(instance_id)
-
-    def make_room(self, instance_id: str) -> bool:
-        """Have the item leave that loses least by it; False if none does."""
-        yielding = self._placed.in_order_of_yielding(instance_id, monotonic())
-        if not yielding:
-            return False
-        self._yield(yielding[0], "granted")
-        return True
+    # ---- slots ----
 
-    def slots_changed(self) -> None:
-        """Note that the load of back ends has changed."""
+    def _take_offer(self, slot: ItemSlot) -> None:
+        """Run the item that goes first in a slot that is offered, or give the slot back."""
+        state = self._choice.state(slot.instance_id)
+        found = self._next_item(slot.service, slot.instance_id)
+        if state is None or not state.instance.accepting or found is None:
+            self._slots.release(slot)
+            return
+        scheduled, item = found
+        self._start(scheduled, item, state, slot)
         self._work.set()
 
-    def _makes_it(self, scheduled: ScheduledJob) -> bool:
-        """Whether the next item of a job may still be done in time."""
-        route = self._route_of(scheduled.job)
-        if route is None:
-            return False
-        service = route.shares[0].service
-        item = scheduled.waiting[0]
-        return not self._placed.urgency(scheduled, item, service, monotonic()).too_late
+    def _have_leave(self, slot: HeldSlot, cause: LeaveCause) -> None:
+        """Have an item leave; it goes on later where it stopped."""
+        placed = self._placed.in_slot(slot)
+        if placed is None or placed.stopped:
+            return
+        urgency = self._urgency(placed.scheduled, placed.item, placed.slot.service)
+        self._metrics.items_yielded.add(cause.value)
+        self._log.write(
+            Event.ITEM_YIELDED,
+            item=placed.item.item_id,
+            job=placed.scheduled.job.job_id,
+            backend=placed.slot.instance_id,
+            cause=cause.value,
+            group=slot.group,
+            slack_s=round(urgency.slack_s, 2),
+        )
+        placed.stop()
+
+    def _next_item(self, service: str, instance_id: str) -> tuple[ScheduledJob, RequestItem] | None:
+        """Return the item that goes first at a back end."""
+        now = monotonic()
+        for scheduled in self._jobs_in_order(service):
+            for item in self._scheduler.startable(scheduled, now):
+                if instance_id not in self._excluded(scheduled, item, service, now):
+                    return scheduled, item
+        return None
+
+    def _jobs_in_order(self, service: str) -> list[ScheduledJob]:
+        """Return the jobs of a service with items that wait, the one that goes first in front."""
+
+        def makes_it(scheduled: ScheduledJob) -> bool:
+            item = next(iter(scheduled.waiting.values()))
+            return not self._urgency(scheduled, item, service).too_late
+
+        jobs = [
+            scheduled
+            for scheduled in self._scheduler.waiting()
+            if self._service_of(scheduled.job) == service
+        ]
+        return self._scheduler.in_order(jobs, makes_it)
+
+    def _excluded(
+        self, scheduled: ScheduledJob, item: RequestItem, service: str, now: float
+    ) -> set[str]:
+        """Return the back ends that an item does not go to, unless there is no other."""
+        progress = scheduled.progress_of(item.item_id)
+        excluded = progress.failed_at | ({progress.last_backend} - {""})
+        if excluded and not self._choice.usable(service, now, excluded):
+            return set()
+        return excluded
+
+    def _tell_demand(self) -> None:
+        """Tell the granting nodes which items wait."""
+        services = {self._service_of(scheduled.job) for scheduled in self._scheduler.waiting()}
+        for service in (services | self._services_with_demand) - {None, ""}:
+            assert service is not None
+            self._slots.items_wait(service, self._demand(service))
+        self._services_with_demand = {service for service in services if service}
+
+    def _demand(self, service: str) -> ItemDemand:
+        now = monotonic()
+        startable = (
+            (scheduled, item)
+            for scheduled in self._jobs_in_order(service)
+            for item in self._scheduler.startable(scheduled, now)
+        )
+        found = list(islice(startable, MOST_COUNTED))
+        if not found:
+            return ItemDemand(0, 0, Urgency(0.0, 0.0))
+        urgencies = [self._urgency(scheduled, item, service) for scheduled, item in found]
+        excluded: set[str] = set()
+        if len(found) <= FEW_ITEMS:
+            excluded = set.intersection(
+                *(self._excluded(scheduled, item, service, now) for scheduled, item in found)
+            )
+        urgent = sum(urgency.urgent for urgency in urgencies)
+        return ItemDemand(len(found), urgent, urgencies[0], frozenset(excluded))
+
+    def _urgency(self, scheduled: ScheduledJob, item: RequestItem, service: str) -> Urgency:
+        """Return how an item stands against its due time."""
+        done = len(scheduled.progress_of(item.item_id).text.texts)
+        remaining_s = self._estimate(service).remaining_s(done, scheduled.job.objective_s)
+        return Urgency(scheduled.due_at - monotonic(), remaining_s)
+
+    def _estimate(self, service: str) -> RunEstimate:
+        return self._estimates_by_service.setdefault(service, RunEstimate())
 
     # ---- leadership ----
 
-    def _begin(self) -> None:
+    def begin(self) -> None:
+        """Begin to run the items of the jobs that this leader took over."""
         leadership = self._group.leadership
         assert leadership is not None
         for record in leadership.jobs.values():
@@ -124,9 +217,11 @@
                 self._add(record.job, {result.item_id for result in record.results})
         self._tasks.spawn(self._run())
 
-    def _end(self) -> None:
+    def end(self) -> None:
+        """Stop every item: another node leads, or none."""
         self._tasks.cancel()
         self._scheduler = JobScheduler(self._group.partial_texts)
+        self._services_with_demand = set()
         for placed in self._placed.clear():
             if not placed.begun:
                 self._choice.ended(placed.state, placed.use)
@@ -138,9 +233,8 @@
     async def _run(self) -> None:
         while True:
             self._work.clear()
-            self._placed.count_urgent(monotonic())
-            self._yield_to_online()
-            self._start_items()
+            self._give_up_old()
+            self._tell_demand()
             self._metrics.open_items.set(self._scheduler.open_items)
             self._metrics.replicas_behind.set(self._group.replicas_behind)
             self._forget_old()
@@ -149,24 +243,14 @@
                     await self._work.wait()
             except TimeoutError:
                 continue
-            # Reports come many at a time on a large fleet.
+            # Much happens at a time on a large fleet.
             await asyncio.sleep(FEWEST_PERIOD_S)
 
-    def _start_items(self) -> None:
+    def _give_up_old(self) -> None:
         now = monotonic()
-        for scheduled in self._scheduler.in_order(self._makes_it):
-            route = self._route_of(scheduled.job)
+        for scheduled in self._scheduler.waiting():
             if now > scheduled.give_up_at + GIVE_UP_MARGIN_S:
                 self._give_up_all(scheduled)
-                continue
-            if route is None:
-                continue
-            for item in self._scheduler.startable(scheduled, now):
-                state = self._free_backend(route, scheduled, item, now)
-                if state is None:
-                    self._scheduler.put_back(scheduled, item)
-                    break
-                self._start(scheduled, item, state)
 
     def _route_of(self, job: RequestJob) -> Route | None:
         configuration = self._configuration()
@@ -174,83 +258,39 @@
             return None
         return configuration.route_for(job.host, job.path)
 
-    def _free_backend(
-        self, route: Route, scheduled: ScheduledJob, item: RequestItem, now: float
-    ) -> InstanceState | None:
-        progress = scheduled.progress_of(item.item_id)
-        excluded = progress.failed_at | {progress.last_backend}
-        service = route.shares[0].service
-        state = self._choice.choose_emptiest(service, now, excluded)
-        if state is None or state.load(now) >= 1:
-            state = self._choice.choose_emptiest(service, now)
-        if state is None:
-            return None
-        if not state.has_free_slot(now):
-            return None
-        if self._placed.urgency(scheduled, item, service, now).urgent:
-            return state
-        if self.online_waiting(service):
-            return None
-        return state if self._worth_starting(service, now) else None
-
-    def _worth_starting(self, service: str, now: float) -> bool:
-        """Whether the last free slot is probably not needed before a start has paid off."""
-        needed_soon = self._choice.rate_of_others(service) * RESTART_COST_S
-        return self._choice.free_slots(service, now) >= 1 + needed_soon
-
-    def _yield_to_online(self) -> None:
-        """Cut items at back ends that are fuller than thought; they go on where they stopped."""
-        now = monotonic()
-        for state in self._placed.backends():
-            excess = round((state.load(now) - YIELD_ABOVE_LOAD) * state.instance.slots)
-            if excess <= 0:
-                continue
-            yielding = self._placed.in_order_of_yielding(state.instance.instance_id, now)
-            for placed in yielding[:excess]:
-                self._yield(placed, "overfull")
-
-    def _yield(self, placed: PlacedItem, cause: str) -> None:
-        now = monotonic()
-        item_id = placed.item.item_id
-        progress = placed.scheduled.progress_of(item_id)
-        progress.yields += 1
-        urgency = self._placed.urgency(placed.scheduled, placed.item, placed.service, now)
-        self._metrics.items_yielded.add(cause)
-        self._log.write(
-            Event.ITEM_YIELDED,
-            item=item_id,
-            job=placed.scheduled.job.job_id,
-            backend=placed.instance_id,
-            cause=cause,
-            load=round(placed.state.load(now), 2),
-            load_age_s=round(now - placed.state.others_at, 2),
-            slack_s=round(urgency.slack_s, 2),
-        )
-        placed.stop()
+    def _service_of(self, job: RequestJob) -> str | None:
+        """Return the service that runs a job's items; None while no route leads to one."""
+        route = self._route_of(job)
+        return None if route is None else route.shares[0].service
 
-    def _start(self, scheduled: ScheduledJob, item: RequestItem, state: InstanceState) -> None:
-        scheduled.running.add(item.item_id)
-        # Counted before the task runs, so that the next choice sees it.
-        use = self._choice.sent(state, monotonic())
-        placed = PlacedItem(scheduled, item, state, use)
+    def _start(
+        self, scheduled: ScheduledJob, item: RequestItem, state: InstanceState, slot: ItemSlot
+    ) -> None:
+        urgency = self._urgency(scheduled, item, slot.service)
+        self._scheduler.take(scheduled, item)
+        placed = PlacedItem(scheduled, item, state, self._choice.sent(state, monotonic()), slot)
         self._placed.add(placed)
+        self._slots.begun(slot, urgency)
         placed.task = self._tasks.spawn(self._run_item(placed))
         self._log.write(
             Event.ITEM_STARTED,
             item=item.item_id,
             job=scheduled.job.job_id,
             backend=state.instance.instance_id,
-            load=round(state.load(monotonic()), 2),
+            group=slot.group,
             after_event=scheduled.progress_of(item.item_id).text.last_event,
-            due_in_s=round(scheduled.due_at - monotonic(), 2),
+            due_in_s=round(urgency.left_s, 2),
+            slack_s=round(urgency.slack_s, 2),
         )
 
     async def _run_item(self, placed: PlacedItem) -> None:
-        scheduled, item, state = placed.scheduled, placed.item, placed.state
+        scheduled, item = placed.scheduled, placed.item
         progress = scheduled.progress_of(item.item_id)
         began_at = monotonic()
+        verdict = Verdict.UNKNOWN
         try:
             outcome = await self._run_once(placed, progress)
+            verdict = self._judge_backends(progress, placed.slot.instance_id, outcome)
         except asyncio.CancelledError:
             if scheduled.job.job_id not in self._scheduler.jobs:
                 raise
@@ -261,14 +301,13 @@
             progress.ran_s += monotonic() - began_at
             scheduled.running.discard(item.item_id)
             self._placed.remove(placed)
-            self.on_slot_freed()
+            self._slots.release(placed.slot, verdict)
+            self._work.set()
         self._metrics.items.add(outcome.value)
-        self._judge_backends(progress, state, outcome)
         if outcome is RunOutcome.SUCCEEDED:
             events = len(progress.text.texts)
-            self._placed.estimate(placed.service).finished(events, progress.ran_s)
+            self._estimate(placed.slot.service).finished(events, progress.ran_s)
         self._take_outcome(scheduled, item, progress, outcome)
-        self._work.set()
 
     async def _run_once(self, placed: PlacedItem, progress: ItemProgress) -> RunOutcome:
         if placed.stopped:
@@ -282,32 +321,29 @@
         )
 
     def _judge_backends(
-        self, progress: ItemProgress, state: InstanceState, outcome: RunOutcome
-    ) -> None:
-        """Note what an outcome says of back ends.
+        self, progress: ItemProgress, instance_id: str, outcome: RunOutcome
+    ) -> Verdict:
+        """Return what an outcome says of its back end; blame others that failed the item before.
 
         An item that fails may itself be at fault: the back ends where it failed are to blame only
         once it has succeeded elsewhere.
         """
-        now = monotonic()
         if outcome is RunOutcome.FAILED:
             progress.failures += 1
-            progress.failed_at.add(state.instance.instance_id)
+            progress.failed_at.add(instance_id)
         elif outcome is RunOutcome.BROKEN:
-            self._choice.turned_out(state, False, now)
+            return Verdict.BAD
         elif outcome is RunOutcome.SUCCEEDED:
-            self._choice.turned_out(state, True, now)
-            for failed in map(self._choice.state, progress.failed_at):
-                if failed is not None:
-                    self._choice.turned_out(failed, False, now)
+            for failed in progress.failed_at:
+                self._slots.blame(failed)
+            return Verdict.GOOD
+        return Verdict.UNKNOWN
 
     def _has_failed_for_good(self, scheduled: ScheduledJob, progress: ItemProgress) -> bool:
         """Whether an item failed often enough, at back ends that do well otherwise."""
-        now = monotonic()
-        states = [self._choice.state(failed) for failed in progress.failed_at]
-        trusted = sum(state is not None and not state.suspect(now) for state in states)
+        trusted = sum(not self._slots.is_avoided(failed) for failed in progress.failed_at)
         return has_failed_for_good(
-            progress.failures, len(states), trusted, scheduled.job.most_attempts
+            progress.failures, len(progress.failed_at), trusted, scheduled.job.most_attempts
         )
 
     def _take_outcome(
@@ -373,7 +409,8 @@
 
     def _give_up_all(self, scheduled: ScheduledJob) -> None:
         while scheduled.waiting:
-            self._finish(scheduled, scheduled.waiting.popleft(), False, "", "too old")
+            _, item = scheduled.waiting.popitem(last=False)
+            self._finish(scheduled, item, False, "", "too old")
 
     def _forget_old(self) -> None:
         leadership = self._group.leadership
--- a/src/wharfcart/batch/job_scheduler.py
+++ b/src/wharfcart/batch/job_scheduler.py
@@ -3,7 +3,7 @@
 Pure: time is handed in as seconds.
 """
 
-from collections import deque
+from collections import OrderedDict
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
@@ -19,13 +19,13 @@
     Parameters
     ----------
     due_at, give_up_at: monotonic times.
-    waiting: items that are not running and have no result.
+    waiting: items that are not running and have no result, by id, the next one first.
     """
 
     job: RequestJob
     due_at: float
     give_up_at: float
-    waiting: deque[RequestItem]
+    waiting: OrderedDict[str, RequestItem]
     partial_texts: PartialTexts
     progress: dict[str, ItemProgress] = field(default_factory=dict)
     running: set[str] = field(default_factory=set)
@@ -52,7 +52,7 @@
             job,
             accepted_at + job.objective_s,
             accepted_at + job.give_up_after_s,
-            deque(item for item in job.items if item.item_id not in done),
+            OrderedDict((item.item_id, item) for item in job.items if item.item_id not in done),
             self.partial_texts,
         )
         self.jobs[job.job_id] = scheduled
@@ -62,29 +62,39 @@
         """Drop a job that has ended."""
         return self.jobs.pop(job_id, None)
 
-    def in_order(self, makes_it: Callable[[ScheduledJob], bool]) -> list[ScheduledJob]:
-        """Return the jobs with items that wait, the one due first at the front.
+    def waiting(self) -> list[ScheduledJob]:
+        """Return the jobs with items that wait."""
+        return [job for job in self.jobs.values() if job.waiting]
+
+    def in_order(
+        self, jobs: list[ScheduledJob], makes_it: Callable[[ScheduledJob], bool]
+    ) -> list[ScheduledJob]:
+        """Return jobs with items that wait, the one due first at the front.
 
         Jobs that can't be done in time come last: what they lose is lost, others must not follow.
 
         Args:
+            jobs: that are put in order.
             makes_it: whether the next item of a job may still be done in time.
         """
-        waiting = [job for job in self.jobs.values() if job.waiting]
-        return sorted(waiting, key=lambda job: (not makes_it(job), job.due_at))
+        return sorted(jobs, key=lambda job: (not makes_it(job), job.due_at))
 
     def startable(self, scheduled: ScheduledJob, now: float) -> Iterator[RequestItem]:
-        """Yield items of a job that may be sent now; each one yielded is taken off the queue."""
-        for _ in range(len(scheduled.waiting)):
-            item = scheduled.waiting.popleft()
-            if scheduled.progress_of(item.item_id).not_before > now:
-                scheduled.waiting.append(item)
-                continue
-            yield item
+        """Yield the items of a job that may be sent now, the first one first."""
+        for item in scheduled.waiting.values():
+            if scheduled.progress_of(item.item_id).not_before <= now:
+                yield item
+
+    def take(self, scheduled: ScheduledJob, item: RequestItem) -> None:
+        """Take an item off the queue, to run it."""
+        del scheduled.waiting[item.item_id]
+        scheduled.running.add(item.item_id)
 
     def put_back(self, scheduled: ScheduledJob, item: RequestItem) -> None:
         """Queue an item again, before those that were not begun."""
-        scheduled.waiting.appendleft(item)
+        scheduled.running.discard(item.item_id)
+        scheduled.waiting[item.item_id] = item
+        scheduled.waiting.move_to_end(item.item_id, last=False)
 
     @property
     def open_items(self) -> int:
--- a/src/wharfcart/batch/job_service.py
+++ b/src/wharfcart/batch/job_service.py
@@ -3,6 +3,7 @@
 A node that does not lead, or can't be sure that it still does, says so; the gateway asks elsewhere.
 """
 
+import asyncio
 from collections.abc import Callable
 from time import monotonic
 
@@ -13,7 +14,9 @@
     NOT_LEADING,
     REFUSED,
     UNSURE,
+    CountWaitingTokens,
     EndJob,
+    Frame,
     ItemBody,
     ItemOutcome,
     JobAnswer,
@@ -23,15 +26,55 @@
     RequestJob,
     ResultPage,
     SubmitJob,
+    WaitingTokens,
 )
-from wharfcart.configuration.serving import ServingConfiguration
+from wharfcart.configuration.serving import Route, ServingConfiguration
 from wharfcart.observability.decisions import DecisionLog, Event
+from wharfcart.storage.job_client import JobCallFailure, JobClient
 from wharfcart.storage.job_group import JobGroup
 from wharfcart.storage.job_leadership import JobLeadership
 
 WRITE_TIMEOUT_S = 3.0
 SURE_TIMEOUT_S = 0.8
 MOST_PAGE_BYTES = 700_000
+# A submission has to be answered within a part of a second; a leader answers in milliseconds.
+COUNT_TIMEOUT_S = 0.15
+
+
+class OtherGroups:
+    """What one group's leader asks of the leaders of all other groups.
+
+    Args:
+        numbers: the other groups.
+        client: calls their leaders.
+    """
+
+    def __init__(self, numbers: Callable[[], list[int]], client: JobClient) -> None:
+        self._numbers = numbers
+        self._client = client
+
+    async def waiting_tokens(self, host: str, path: str, limit: int) -> int:
+        """Return the tokens that wait on a route at all other groups.
+
+        A group whose leader does not answer counts as having its equal share of the limit.
+        """
+        numbers = self._numbers()
+        counts = await asyncio.gather(*(self._count(group, host, path) for group in numbers))
+        share = limit // (1 + len(numbers))
+        return sum(share if count is None else count for count in counts)
+
+    async def _count(self, group: int, host: str, path: str) -> int | None:
+        message = CountWaitingTokens(group=group, host=host, path=path)
+        answer = await self._client.call_group(
+            group,
+            Frame(count_waiting_tokens=message),
+            "waiting_tokens",
+            COUNT_TIMEOUT_S,
+            COUNT_TIMEOUT_S,
+        )
+        if isinstance(answer, JobCallFailure) or answer.waiting_tokens.status != DONE:
+            return None
+        return answer.waiting_tokens.tokens
 
 
 class JobService:
@@ -42,13 +85,13 @@
         group: JobGroup,
         execution: JobExecution,
         configuration: Callable[[], ServingConfiguration | None],
-        groups: int,
+        others: OtherGroups,
         log: DecisionLog,
     ) -> None:
         self._group = group
         self._execution = execution
         self._configuration = configuration
-        self._groups = groups
+        self._others = others
         self._log = log
 
     async def submit(self, message: SubmitJob) -> JobAnswer:
@@ -58,7 +101,7 @@
             return JobAnswer(status=NOT_LEADING, leader=self._leader())
         job = message.job
         known = job.job_id in leadership.jobs
-        if not known and not self._fits(leadership, job):
+        if not known and not await self._fits(leadership, job):
             # One that no longer leads would refuse a job by what once waited.
             if not await self._sure():
                 return JobAnswer(status=self._unsure_status(), leader=self._leader())
@@ -127,10 +170,20 @@
 
     # ---- inner ----
 
-    def _fits(self, leadership: JobLeadership, job: RequestJob) -> bool:
-        """Whether a new job keeps the limit of tokens that wait on its route.
+    def count(self, message: CountWaitingTokens) -> WaitingTokens:
+        """Tell another leader how many tokens wait here on a route."""
+        leadership = self._group.leadership
+        configuration = self._configuration()
+        if leadership is None or configuration is None:
+            return WaitingTokens(status=NOT_LEADING, leader=self._leader())
+        route = configuration.route_for(message.host, message.path)
+        tokens = 0 if route is None else self._waiting_tokens(leadership, configuration, route)
+        return WaitingTokens(status=DONE, tokens=tokens)
 
-        Jobs are spread over the groups by their ids, and each group keeps its share of the limit.
+    async def _fits(self, leadership: JobLeadership, job: RequestJob) -> bool:
+        """Whether a new job keeps the limit of tokens that wait on its route, over all groups.
+
+        Jobs that come to several groups within the time of one call may together exceed it.
         """
         configuration = self._configuration()
         if configuration is None:
@@ -138,13 +191,10 @@
         route = configuration.route_for(job.host, job.path)
         if route is None or not route.most_waiting_tokens:
             return True
-        waiting = sum(
-            record.waiting_tokens
-            for record in leadership.jobs.values()
-            if configuration.route_for(record.job.host, record.job.path) is route
-        )
+        limit = route.most_waiting_tokens
+        elsewhere = await self._others.waiting_tokens(job.host, job.path, limit)
+        waiting = elsewhere + self._waiting_tokens(leadership, configuration, route)
         tokens = sum(item.tokens for item in job.items)
-        limit = route.most_waiting_tokens / max(1, self._groups)
         if waiting + tokens <= limit:
             return True
         self._log.write(
@@ -153,11 +203,21 @@
             route=route.name,
             tokens=tokens,
             waiting=waiting,
+            elsewhere=elsewhere,
             limit=limit,
             configuration=configuration.version,
         )
         return False
 
+    def _waiting_tokens(
+        self, leadership: JobLeadership, configuration: ServingConfiguration, route: Route
+    ) -> int:
+        return sum(
+            record.waiting_tokens
+            for record in leadership.jobs.values()
+            if configuration.route_for(record.job.host, record.job.path) is route
+        )
+
     async def _counted(self, leadership: JobLeadership, job_id: str, version: int) -> bool:
         until = monotonic() + WRITE_TIMEOUT_S
         while leadership.counted_version(job_id) < version:
--- a/src/wharfcart/batch/run_estimate.py
+++ b/src/wharfcart/batch/run_estimate.py
@@ -1,4 +1,4 @@
-"""How long an item still has to run, learnt from finished items, and how urgent that makes it.
+"""How long an item still has to run, learnt from finished items.
 
 Pure: times are handed in as seconds.
 """
@@ -13,43 +13,6 @@
 SIZE_MARGIN = 1.3
 # Before any item has finished, a run is taken to need this part of its job's objective.
 UNKNOWN_SHARE_OF_OBJECTIVE = 0.4
-# An item is urgent once so little time is left beside what it probably still runs.
-LEAST_SLACK_S = 1.0
-# With less time left than this part of what it probably still runs it comes too late.
-HOPELESS_SHARE = 0.5
-
-
-@dataclass(frozen=True)
-class Urgency:
-    """How an item stands against its due time.
-
-    Attributes:
-        left_s: until the item is due; below 0 afterwards.
-        remaining_s: that it probably still runs.
-    """
-
-    left_s: float
-    remaining_s: float
-
-    @property
-    def slack_s(self) -> float:
-        """Time that it may still wait."""
-        return self.left_s - self.remaining_s
-
-    @property
-    def too_late(self) -> bool:
-        """Whether it can't be done in time any more."""
-        return self.left_s < self.remaining_s * HOPELESS_SHARE
-
-    @property
-    def urgent(self) -> bool:
-        """Whether it is done in time only if it runs from now on."""
-        return not self.too_late and self.slack_s < LEAST_SLACK_S
-
-    @property
-    def order(self) -> tuple[bool, float]:
-        """Sorts first what loses least if it waits."""
-        return not self.too_late, -self.slack_s
 
 
 @dataclass
--- a/src/wharfcart/cluster/transport.py
+++ b/src/wharfcart/cluster/transport.py
@@ -31,6 +31,7 @@
     """Calls of different classes never share a connection."""
 
     ONLINE = "online"
+    SLOTS = "slots"
     BULK = "bulk"
 
 
@@ -223,13 +224,15 @@
                     raise _serving_error(answer.error)
                 yield answer
 
-    def send(self, address: Address, frame: Frame) -> None:
+    def send(
+        self, address: Address, frame: Frame, traffic: TrafficClass = TrafficClass.BULK
+    ) -> None:
         """Send without an answer; dropped when the peer cannot be reached at once."""
-        connection = self._connections.get((address, TrafficClass.BULK))
+        connection = self._connections.get((address, traffic))
         if connection is not None and not connection.lost:
             connection.protocol.write(frame)
             return
-        self._tasks.spawn(self._connect_and_send(address, frame))
+        self._tasks.spawn(self._connect_and_send(address, frame, traffic))
 
     def drop(self, address: Address, only: TrafficClass | None = None) -> None:
         """Close the connections to a peer that has fallen silent; the next call connects anew.
@@ -241,9 +244,11 @@
             if connection is not None:
                 connection.protocol.close()
 
-    async def _connect_and_send(self, address: Address, frame: Frame) -> None:
+    async def _connect_and_send(
+        self, address: Address, frame: Frame, traffic: TrafficClass
+    ) -> None:
         try:
-            connection = await self._connect(address, TrafficClass.BULK)
+            connection = await self._connect(address, traffic)
         except PeerUnreachableError:
             return
         connection.protocol.write(frame)
--- a/src/wharfcart/experiments/job_group_simulation.py
+++ b/src/wharfcart/experiments/job_group_simulation.py
@@ -37,6 +37,7 @@
 
 QUIET_S = 8.0
 CLOCK_USERS = (
+    "wharfcart.storage.founding",
     "wharfcart.storage.job_group",
     "wharfcart.storage.replica_session",
     "wharfcart.storage.replica_set_change",
--- a/src/wharfcart/node/fleet_keys.py
+++ b/src/wharfcart/node/fleet_keys.py
@@ -8,7 +8,12 @@
 
 NODE_PREFIX = "wharfcart/nodes/"
 GROUP_PREFIX = "wharfcart/groups/"
-LOAD_BOARD_GROUP = 0  # its leader keeps the load board
+LAYOUT_KEY = "wharfcart/layout"
+
+
+def group_key(group: int) -> str:
+    """Return the key of a job group's record."""
+    return f"{GROUP_PREFIX}{group}"
 
 
 class NodeKind(StrEnum):
--- a/src/wharfcart/node/gateway_process.py
+++ b/src/wharfcart/node/gateway_process.py
@@ -6,18 +6,17 @@
 from socket import socket
 from time import monotonic
 
-from wharfcart.cluster.address import Address
 from wharfcart.gateway.ingress import Endpoint, Ingress
 from wharfcart.gateway.job_calls import JobCalls
-from wharfcart.node.fleet_keys import GROUP_PREFIX, LOAD_BOARD_GROUP
-from wharfcart.node.load_reports import LoadReporter
 from wharfcart.node.serving_node import ServingNode
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.routing.forwarder import Forwarder
-from wharfcart.routing.placement import GrantedPlacement
 from wharfcart.settings.base import split_endpoint
 from wharfcart.settings.serving import GatewaySettings, ServingSettings
-from wharfcart.storage.group_record import GroupRecord, group_record_from
+from wharfcart.slots.events import HolderId
+from wharfcart.slots.fleet_load import FleetLoad
+from wharfcart.slots.granted_placement import GrantedPlacement
+from wharfcart.slots.sessions import SlotSessions
 from wharfcart.storage.job_client import JobClient
 
 # The entry looks at readiness each second and needs two misses; until then connections still come.
@@ -43,16 +42,26 @@
         self._log = log
         self._sockets = sockets or {}  # that listen already, by endpoint
         self._node = ServingNode(settings, log)
-        self._placement = GrantedPlacement(
-            settings.node_id,
+        self._sessions = SlotSessions(
+            HolderId(settings.node_id),
             self._node.choice,
             self._node.transport,
-            self._board_address,
+            lambda: self._node.groups,
+            self._node.leader_address,
+            self._node.group_of_instance,
+            FleetLoad(self._node.choice),
+            log,
+        )
+        self._node.fleet_size = self._sessions.holders
+        placement = GrantedPlacement(
+            self._node.choice,
+            self._sessions,
+            self._node.is_own_group,
             self._node.metrics.placements,
         )
         forwarder = Forwarder(
             self._node.choice,
-            self._placement,
+            placement,
             self._node.pool,
             self._node.connection_limit,
             log,
@@ -61,9 +70,9 @@
         jobs = JobCalls(
             JobClient(
                 self._node.transport,
-                self._group_count,
-                self._group_record,
-                self._storage_address,
+                lambda: self._node.groups,
+                self._node.records_by_group.get,
+                self._node.storage_address,
             ),
             log,
         )
@@ -74,20 +83,12 @@
     async def start(self) -> None:
         """Begin to serve; ready once a configuration is known."""
         await self._node.start()
+        self._node.tasks.spawn(self._sessions.run())
         await self._wait_for_configuration(MOST_UNCONFIGURED_S)
         await self._ingress.start(
             self._endpoint(self._settings.listen), self._endpoint(self._settings.readiness_listen)
         )
         self._node.tasks.spawn(self._become_ready())
-        reporter = LoadReporter(
-            self._settings.node_id,
-            self._node.choice,
-            self._node.transport,
-            self._board_address,
-            self._placement,
-        )
-        self._node.fleet_size = reporter.fleet_size
-        self._node.tasks.spawn(reporter.run())
 
     def reload(self, settings: ServingSettings) -> None:
         """Take changed settings."""
@@ -119,20 +120,3 @@
         until = monotonic() + seconds
         while self._node.configuration is None and monotonic() < until:
             await asyncio.sleep(CONFIGURATION_POLL_S)
-
-    def _group_count(self) -> int:
-        return len(self._node.mirror.under(GROUP_PREFIX))
-
-    def _group_record(self, group: int) -> GroupRecord | None:
-        entry = self._node.mirror.get(f"{GROUP_PREFIX}{group}")
-        return None if entry is None else group_record_from(entry.value, entry.revision)
-
-    def _board_address(self) -> Address | None:
-        record = self._group_record(LOAD_BOARD_GROUP)
-        return None if record is None else self._storage_address(record.leader)
-
-    def _storage_address(self, identity: str) -> Address | None:
-        for entry in self._node.nodes.values():
-            if entry.identity == identity:
-                return entry.address
-        return None
--- /dev/null
+++ b/src/wharfcart/node/led_group.py
@@ -0,0 +1,111 @@
+"""One job group on one storage node, with what its leader does besides: items, calls, slots."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from wharfcart.batch.item_run import ItemRunner
+from wharfcart.batch.job_execution import JobExecution
+from wharfcart.batch.job_service import JobService, OtherGroups
+from wharfcart.node.fleet_keys import group_key
+from wharfcart.node.serving_node import ServingNode
+from wharfcart.observability.tasks import BackgroundTasks
+from wharfcart.slots.events import HolderId
+from wharfcart.slots.item_slots import ItemSlots
+from wharfcart.slots.service import SlotService
+from wharfcart.slots.sessions import SlotSessions
+from wharfcart.storage.group_context import GroupContext
+from wharfcart.storage.job_client import JobClient
+from wharfcart.storage.job_group import JobGroup
+
+
+@dataclass(frozen=True)
+class GroupParts:
+    """What a node's groups are made of.
+
+    Attributes:
+        runner: sends items to back ends.
+        jobs: calls of this node to the leaders of other groups.
+        keep_jobs_s: how long an ended job stays readable.
+    """
+
+    node: ServingNode
+    context: GroupContext
+    runner: ItemRunner
+    jobs: JobClient
+    keep_jobs_s: float
+
+
+class LedGroup:
+    """A job group; while this node leads it, its items run and its back ends' slots are granted.
+
+    Args:
+        number: of the group.
+        parts: what it is made of.
+    """
+
+    def __init__(self, number: int, parts: GroupParts) -> None:
+        node = parts.node
+        self._node = node
+        self.replica = JobGroup(number, group_key(number), parts.context)
+        self.slots = SlotService(
+            number,
+            node.choice,
+            lambda instance: node.layout is not None and node.layout.group_of(instance) == number,
+            node.log,
+            node.metrics.requests_waiting,
+        )
+        self._item_slots = ItemSlots()
+        self._execution = JobExecution(
+            self.replica,
+            parts.runner,
+            node.choice,
+            lambda: node.configuration,
+            self._item_slots,
+            parts.keep_jobs_s,
+            node.log,
+            node.metrics,
+        )
+        self.service = JobService(
+            self.replica,
+            self._execution,
+            lambda: node.configuration,
+            OtherGroups(_other_groups(number, node), parts.jobs),
+            node.log,
+        )
+        self._tasks = BackgroundTasks()
+        self.replica.on_leading = self._begin
+        self.replica.on_deposed = self._end
+
+    @property
+    def leads(self) -> bool:
+        """Whether this node leads the group."""
+        return self.replica.leadership is not None
+
+    def _begin(self) -> None:
+        leadership = self.replica.leadership
+        assert leadership is not None
+        node = self._node
+        sessions = SlotSessions(
+            HolderId(f"{node.settings.node_id}/{self.replica.group}"),
+            node.choice,
+            node.transport,
+            lambda: node.groups,
+            node.leader_address,
+            node.group_of_instance,
+            self._item_slots,
+            node.log,
+        )
+        self._item_slots.begin(sessions)
+        self.slots.begin(leadership.epoch)
+        self._tasks.spawn(self.slots.run())
+        self._tasks.spawn(sessions.run())
+        self._execution.begin()
+
+    def _end(self) -> None:
+        self._execution.end()
+        self.slots.end()
+        self._tasks.cancel()
+
+
+def _other_groups(number: int, node: ServingNode) -> Callable[[], list[int]]:
+    return lambda: [group for group in range(node.groups) if group != number]
--- a/src/wharfcart/node/serving_node.py
+++ b/src/wharfcart/node/serving_node.py
@@ -23,7 +23,14 @@
 from wharfcart.cluster.peer_news import NewsWriter, PeerNewsCalls
 from wharfcart.cluster.transport import Handler, Responder, Transport
 from wharfcart.configuration.serving import ServingConfiguration
-from wharfcart.node.fleet_keys import NODE_PREFIX, NodeEntry, node_entry_from
+from wharfcart.node.fleet_keys import (
+    GROUP_PREFIX,
+    LAYOUT_KEY,
+    NODE_PREFIX,
+    NodeEntry,
+    NodeKind,
+    node_entry_from,
+)
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.observability.serving_metrics import ServingMetrics
 from wharfcart.observability.tasks import BackgroundTasks
@@ -32,6 +39,8 @@
 from wharfcart.routing.backend_choice import BackendChoice
 from wharfcart.settings.base import split_endpoint
 from wharfcart.settings.serving import ServingSettings
+from wharfcart.storage.group_record import GroupRecord, group_record_from
+from wharfcart.storage.layout import Layout, layout_from
 
 ANNOUNCE_RETRY_S = 0.5
 FEWEST_CONNECTIONS = 2
@@ -53,6 +62,9 @@
         self.choice = BackendChoice(settings.zone, self.random)
         self.configuration: ServingConfiguration | None = None
         self.nodes: dict[str, NodeEntry] = {}
+        self.storage_by_identity: dict[str, NodeEntry] = {}
+        self.layout: Layout | None = None
+        self.records_by_group: dict[int, GroupRecord] = {}
         self.tasks = BackgroundTasks()
         host, port = split_endpoint(settings.coordination)
         self.coordination = MetadataStore(host, port, self.metrics.coordination_calls)
@@ -114,6 +126,34 @@
         whole = self.configuration.services[service].connection_limit
         return max(FEWEST_CONNECTIONS, whole // max(FEWEST_NODES, self.fleet_size()))
 
+    # ---- the job groups ----
+
+    @property
+    def groups(self) -> int:
+        """Number of job groups; 0 while it is not known."""
+        return 0 if self.layout is None else self.layout.groups
+
+    def leader_address(self, group: int) -> Address | None:
+        """Return where a group's leader is reached, as far as this node knows."""
+        record = self.records_by_group.get(group)
+        return None if record is None else self.storage_address(record.leader)
+
+    def storage_address(self, identity: str) -> Address | None:
+        """Return where the disk of an identity is reached."""
+        entry = self.storage_by_identity.get(identity)
+        return None if entry is None else entry.address
+
+    def group_of_instance(self, instance_id: str) -> int | None:
+        """Return the group that grants a back end's slots; None while that is not known."""
+        state = self.choice.state(instance_id)
+        if self.layout is None or state is None:
+            return None
+        return self.layout.group_of(state.instance)
+
+    def is_own_group(self, group: int) -> bool:
+        """Whether a group grants slots of this node's zone."""
+        return self.layout is not None and self.layout.is_own(group, self.settings.zone)
+
     async def handle(self, frame: Frame, respond: Responder) -> None:
         """Answer a peer's call."""
         if frame.WhichOneof("body") == "coordination_pull":
@@ -134,6 +174,10 @@
                 self._take_instance(change)
             elif change.key.startswith(NODE_PREFIX):
                 self._take_node(change)
+            elif change.key.startswith(GROUP_PREFIX):
+                self._take_record(change)
+            elif change.key == LAYOUT_KEY and change.value is not None:
+                self.layout = layout_from(change.value)
 
     def _take_configuration(self, change: Change) -> None:
         if change.value is None:
@@ -181,12 +225,25 @@
             age_s=round(self.link.age_s, 2),
         )
 
+    def _take_record(self, change: Change) -> None:
+        group = int(change.key.removeprefix(GROUP_PREFIX))
+        record = group_record_from(change.value, change.revision)
+        if record is None:
+            self.records_by_group.pop(group, None)
+        else:
+            self.records_by_group[group] = record
+
     def _take_node(self, change: Change) -> None:
         entry = node_entry_from(change.value)
         if entry is None:
             self.nodes.pop(change.key.removeprefix(NODE_PREFIX), None)
         else:
             self.nodes[entry.node_id] = entry
+        self.storage_by_identity = {
+            node.identity: node
+            for node in self.nodes.values()
+            if node.kind == NodeKind.STORAGE and node.identity
+        }
         self._sources.set_peers(
             {key: Peer(key, node.zone, node.address) for key, node in self.nodes.items()}
         )
--- a/src/wharfcart/node/storage_process.py
+++ b/src/wharfcart/node/storage_process.py
@@ -4,7 +4,6 @@
 from time import monotonic
 
 from wharfcart.batch.item_run import ItemRunner
-from wharfcart.batch.job_execution import JobExecution
 from wharfcart.batch.job_service import JobService
 from wharfcart.cluster.address import Address
 from wharfcart.cluster.coordination import (
@@ -12,20 +11,22 @@
     CoordinationUnavailableError,
     Transaction,
 )
-from wharfcart.cluster.messages_pb2 import Frame, LoadSummary, SlotGrant, SlotRequest
+from wharfcart.cluster.messages_pb2 import Frame
 from wharfcart.cluster.transport import Responder
-from wharfcart.node.fleet_keys import GROUP_PREFIX, LOAD_BOARD_GROUP, NodeEntry, NodeKind
-from wharfcart.node.load_reports import LoadBoardKeeper
+from wharfcart.errors import ServingError
+from wharfcart.node.fleet_keys import LAYOUT_KEY, NodeEntry, NodeKind, group_key
+from wharfcart.node.led_group import GroupParts, LedGroup
 from wharfcart.node.serving_node import ServingNode
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.platform import documents, names
 from wharfcart.settings.base import split_endpoint
 from wharfcart.settings.serving import ServingSettings, StorageSettings
 from wharfcart.storage.disk import Disk, DiskFailedError
+from wharfcart.storage.founding import Founder
 from wharfcart.storage.group_context import GroupContext
-from wharfcart.storage.job_client import group_of
-from wharfcart.storage.job_group import JobGroup
+from wharfcart.storage.job_client import JobClient, group_of
 
+LAYOUT_POLL_S = 0.02
 OPEN_RETRY_S = 0.5
 RETIRE_PERIOD_S = 0.3
 STOP_LINGER_S = 0.3
@@ -40,9 +41,7 @@
         self._node = ServingNode(settings, log)
         self._node.handle_other = self._handle
         self._disk = Disk(settings.data_folder)
-        self._groups: list[JobGroup] = []
-        self._services: list[JobService] = []
-        self._board: LoadBoardKeeper | None = None
+        self._groups: list[LedGroup] = []
 
     async def start(self) -> None:
         """Open the disk, join the fleet, follow the groups."""
@@ -70,11 +69,9 @@
             self._log,
             self._node.random,
         )
-        runner = ItemRunner(self._node.choice, self._node.pool, self._node.connection_limit)
-        for number in range(self._settings.job_groups):
-            self._add_group(number, context, runner)
-        for group in self._groups:
-            await group.start()
+        founder = Founder(context, LAYOUT_KEY, group_key, self._zones_by_identity)
+        self._node.tasks.spawn(founder.run())
+        self._node.tasks.spawn(self._open_groups(context))
         self._node.tasks.spawn(self._report_retirements())
 
     def reload(self, settings: ServingSettings) -> None:
@@ -83,54 +80,35 @@
 
     async def stop(self) -> None:
         """Hand leaderships over and leave."""
-        self._log.write(Event.STOPPING, leading=sum(g.leadership is not None for g in self._groups))
+        self._log.write(Event.STOPPING, leading=sum(group.leads for group in self._groups))
         began_at = monotonic()
-        for group in self._groups:
-            await group.stop()
+        await asyncio.gather(*(group.replica.stop() for group in self._groups))
         await asyncio.sleep(max(0.0, STOP_LINGER_S - (monotonic() - began_at)))
         await self._node.stop()
         await self._disk.close()
         self._log.write(Event.STOPPED)
 
-    def _add_group(self, number: int, context: GroupContext, runner: ItemRunner) -> None:
-        group = JobGroup(number, f"{GROUP_PREFIX}{number}", context)
-        execution = JobExecution(
-            group,
-            runner,
-            self._node.choice,
-            lambda: self._node.configuration,
+    async def _open_groups(self, context: GroupContext) -> None:
+        """Follow the groups, once it is known how many there are."""
+        while self._node.layout is None:
+            await asyncio.sleep(LAYOUT_POLL_S)
+        node = self._node
+        parts = GroupParts(
+            node,
+            context,
+            ItemRunner(node.choice, node.pool, node.connection_limit),
+            JobClient(
+                node.transport,
+                lambda: node.groups,
+                node.records_by_group.get,
+                node.storage_address,
+            ),
             self._settings.keep_jobs_s,
-            self._log,
-            self._node.metrics,
-        )
-        if number == LOAD_BOARD_GROUP:
-            self._board = LoadBoardKeeper(
-                self._settings.node_id,
-                self._node.choice,
-                self._batch_services,
-                execution,
-                self._log,
-                self._node.metrics.requests_waiting,
-            )
-            execution.online_waiting = self._board.slots.waiting
-            execution.on_slot_freed = self._board.slots.slots_changed
-        self._groups.append(group)
-        self._services.append(
-            JobService(
-                group,
-                execution,
-                lambda: self._node.configuration,
-                self._settings.job_groups,
-                self._log,
-            )
         )
-
-    def _batch_services(self) -> frozenset[str]:
-        """Return the services that run batch items beside online requests."""
-        configuration = self._node.configuration
-        if configuration is None:
-            return frozenset()
-        return configuration.batch_services
+        groups = [LedGroup(number, parts) for number in range(node.groups)]
+        for group in groups:
+            await group.replica.start()
+        self._groups = groups
 
     async def _open_disk(self) -> str:
         while True:
@@ -143,11 +121,12 @@
     # ---- views of the fleet ----
 
     def _identities(self) -> dict[str, Address]:
-        return {
-            entry.identity: entry.address
-            for entry in self._node.nodes.values()
-            if entry.kind == NodeKind.STORAGE and entry.identity
-        }
+        nodes = self._node.storage_by_identity
+        return {identity: entry.address for identity, entry in nodes.items()}
+
+    def _zones_by_identity(self) -> dict[str, str]:
+        nodes = self._node.storage_by_identity
+        return {identity: entry.zone for identity, entry in nodes.items()}
 
     def _retiring(self) -> set[str]:
         ordered = {
@@ -159,30 +138,35 @@
     # ---- calls of other nodes ----
 
     async def _handle(self, frame: Frame, respond: Responder) -> None:
-        if frame.WhichOneof("body") == "slot_request":
-            await self._grant_slot(frame.slot_request, respond)
-            return
-        answer = await self._answer(frame)
-        if answer is not None:
-            answer.last = True
-            await respond(answer)
+        match frame.WhichOneof("body"):
+            case "slot_events":
+                self._group(frame.slot_events.group).slots.take_events(frame.slot_events)
+            case "slot_request":
+                request = frame.slot_request
+                await self._group(request.group).slots.serve_request(request, respond)
+            case "open_slot_session":
+                session = frame.open_slot_session
+                await self._group(session.group).slots.serve_session(session, respond)
+            case _:
+                answer = await self._answer(frame)
+                if answer is not None:
+                    answer.last = True
+                    await respond(answer)
 
     async def _answer(self, frame: Frame) -> Frame | None:
         match frame.WhichOneof("body"):
             case "fence_group":
                 fence = frame.fence_group
-                return Frame(fence_result=await self._groups[fence.group].answer_fence(fence))
+                result = await self._group(fence.group).replica.answer_fence(fence)
+                return Frame(fence_result=result)
             case "replicate_jobs":
                 write = frame.replicate_jobs
-                result = await self._groups[write.group].answer_replicate(write)
-                return Frame(replicate_result=result)
+                written = await self._group(write.group).replica.answer_replicate(write)
+                return Frame(replicate_result=written)
             case "fetch_jobs":
                 fetch = frame.fetch_jobs
-                return Frame(job_updates=await self._groups[fetch.group].answer_fetch(fetch))
-            case "load_report":
-                board = self._led_board()
-                summary = LoadSummary() if board is None else board.take(frame.load_report)
-                return Frame(load_summary=summary)
+                updates = await self._group(fetch.group).replica.answer_fetch(fetch)
+                return Frame(job_updates=updates)
             case "submit_job":
                 service = self._service(frame.submit_job.job.job_id)
                 return Frame(job_answer=await service.submit(frame.submit_job))
@@ -195,25 +179,28 @@
             case "end_job":
                 service = self._service(frame.end_job.job_id)
                 return Frame(job_answer=await service.end(frame.end_job))
+            case "count_waiting_tokens":
+                count = frame.count_waiting_tokens
+                return Frame(waiting_tokens=self._group(count.group).service.count(count))
         return None
 
-    async def _grant_slot(self, request: SlotRequest, respond: Responder) -> None:
-        async def give(grant: SlotGrant) -> None:
-            await respond(Frame(slot_grant=grant, last=not grant.waiting))
+    def _group(self, number: int) -> LedGroup:
+        """Return a group of this node.
 
-        board = self._led_board()
-        if board is None:
-            await give(SlotGrant())
-        else:
-            await board.slots.serve(request, give)
-
-    def _led_board(self) -> LoadBoardKeeper | None:
-        """Return the load board while this node keeps it."""
-        leads = self._groups[LOAD_BOARD_GROUP].leadership is not None
-        return self._board if leads else None
+        Raises:
+            ServingError: this node does not know the fleet's groups yet.
+        """
+        if number >= len(self._groups):
+            raise ServingError("starting", "the groups are not known yet", 503)
+        return self._groups[number]
 
     def _service(self, job_id: str) -> JobService:
-        return self._services[group_of(job_id, len(self._services))]
+        """Return the service of a job's group.
+
+        Raises:
+            ServingError: this node does not know the fleet's groups yet.
+        """
+        return self._group(group_of(job_id, len(self._groups))).service
 
     # ---- emptied nodes ----
 
@@ -221,14 +208,14 @@
         """As leader of the first group, tell the operator how far each emptying has come."""
         while True:
             await asyncio.sleep(RETIRE_PERIOD_S)
-            if self._groups[0].leadership is None:
+            if not self._groups or not self._groups[0].leads:
                 continue
             for order in self._node.mirror.under(names.RETIRE_PREFIX):
                 await self._report_one(order.key.removeprefix(names.RETIRE_PREFIX))
 
     async def _report_one(self, node_id: str) -> None:
         entry = self._node.nodes.get(node_id)
-        records = [group.record for group in self._groups]
+        records = [group.replica.record for group in self._groups]
         holds = entry is not None and any(
             record is None or entry.identity in record.members for record in records
         )
--- a/src/wharfcart/routing/backend_choice.py
+++ b/src/wharfcart/routing/backend_choice.py
@@ -1,22 +1,22 @@
 """Choice core: which incarnation of a service's back ends a request goes to.
 
-Each node judges by what it sees itself: its own requests in flight, the load that answers tell,
-connections that failed, answers that stay away. Load is counted as the share of slots that are
-taken. Long shared prompts go where they were read before, as long as that back end is not
-overloaded (rendezvous hashing with bounded load); everything else goes to the least loaded, in the
-zone first.
+Slots are granted (:mod:`wharfcart.slots`); a node chooses by itself where nobody grants any. It
+judges by what it sees itself: its own requests in flight, the load that answers tell, connections
+that failed, answers that stay away; and by the last picture of the load that the granting nodes
+told. Load is counted as the share of slots that are taken. Long shared prompts go where they were
+read before, as long as that back end is not overloaded (rendezvous hashing with bounded load);
+everything else goes to the least loaded, in the zone first.
 
 Pure: time and randomness are handed in.
 """
 
-from collections.abc import Callable, Collection, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 import xxhash
 
 from wharfcart.cluster.randomness import RandomSource
 from wharfcart.configuration.instances import BackendInstance
-from wharfcart.routing.load_board import LEAST_COUNT, NodeLoad, report_period_s
 from wharfcart.routing.outcome_record import OutcomeRecord, is_suspect
 from wharfcart.routing.send_rates import SendRates
 from wharfcart.routing.spreading import draw_below, fill_level
@@ -41,8 +41,10 @@
 LEAST_SPREAD = 0.05
 # When more than the rest seem to fail, it is something else that fails.
 LEAST_SHARE_LEFT = 0.2
-# The picture of the others' load counts as no older than this, however old it is.
+# The picture of the load counts as no older than this, however old it is.
 MOST_PICTURE_AGE_S = 1.0
+# A picture counts for so long after it came, as a rough guess at what others do.
+PICTURE_KEPT_S = 3.0
 # So many prompt tokens that wait to be read weigh as much as all slots taken.
 TOKENS_A_FULL_LOAD = 24_000
 
@@ -55,8 +57,9 @@
     ----------
     waiting_since: for each request in flight without a byte of answer, when it was sent.
     unread: for each of these, the tokens of its prompt that are probably not cached.
-    others: what all other nodes have there, as the load board told at ``others_at``; it counts
-        until ``others_until``.
+    others_in_flight: what all other nodes had there by the last picture, taken ``others_at``.
+    others_unread: tokens of their prompts that were not read yet.
+    others_avoid: the node that grants its slots leaves it out.
     """
 
     instance: BackendInstance
@@ -68,45 +71,35 @@
     failures: int = 0
     waiting_since: dict[int, float] = field(default_factory=dict)
     unread: dict[int, int] = field(default_factory=dict)
-    others: NodeLoad | None = None
+    others_in_flight: int = 0
+    others_unread: int = 0
+    others_avoid: bool = False
     others_at: float = -1e9
-    others_until: float = -1e9
     outcomes: OutcomeRecord = field(default_factory=OutcomeRecord)
 
     def load(self, now: float) -> float:
         """Return the estimated share of slots that are taken; above 1 requests wait."""
         taken = self.in_flight
-        if now < self.others_until:
-            taken += self.others.in_flight if self.others is not None else 0
+        if self._picture_counts(now):
+            taken += self.others_in_flight
         elif now - self.reported_at < REPORT_FRESH_S:
             taken = max(taken, self.reported_load + self.in_flight - self.in_flight_at_report)
         return taken / max(1, self.instance.slots)
 
-    def has_free_slot(self, now: float) -> bool:
-        """Whether one more request would run at once."""
-        return self.load(now) + 1 / max(1, self.instance.slots) <= 1
-
     def unread_tokens(self, now: float) -> int:
         """Return the prompt tokens that wait to be read there."""
         tokens = sum(self.unread.values())
-        if self.others is not None and now < self.others_until:
-            tokens += self.others.unread_tokens
-        return tokens
+        return tokens + self.others_unread if self._picture_counts(now) else tokens
 
     def avoided(self, now: float) -> bool:
         """Whether failures or silence speak against this incarnation now."""
         if now < self.avoid_until or self.silent(now) or self.suspect(now):
             return True
-        others = self.others
-        return others is not None and others.silent and now < self.others_until
+        return self.others_avoid and self._picture_counts(now)
 
     def suspect(self, now: float) -> bool:
-        """Whether too many of its answers failed lately, at this node and all others."""
-        good, bad = self.outcomes.counts(now)
-        if self.others is not None and now < self.others_until:
-            good += self.others.good
-            bad += self.others.bad
-        return is_suspect(good, bad)
+        """Whether too many of its answers that this node knows of failed lately."""
+        return is_suspect(*self.outcomes.counts(now))
 
     def silent(self, now: float) -> bool:
         """Whether a request of this node waits too long for the first byte of its answer."""
@@ -115,6 +108,9 @@
         patience_s = SILENT_AFTER_S + self.unread_tokens(now) / READ_TOKENS_A_SECOND
         return now - min(self.waiting_since.values()) > patience_s
 
+    def _picture_counts(self, now: float) -> bool:
+        return now - self.others_at < PICTURE_KEPT_S
+
 
 @dataclass
 class BackendChoice:
@@ -127,9 +123,8 @@
     _vanished: dict[str, tuple[float, InstanceState]] = field(default_factory=dict)  # until when
     _next_use: int = 0
     _sends: SendRates = field(default_factory=SendRates)
-    _others_rates: dict[str, float] = field(default_factory=dict)
-    _others_at: float = -1e9
-    _nodes: int = 1
+    _fleet_rates: dict[str, float] = field(default_factory=dict)  # by service
+    _fleet_rates_at: float = -1e9
 
     def put(self, instance: BackendInstance) -> None:
         """Take what discovery tells of an incarnation."""
@@ -165,6 +160,10 @@
         """Return what is known of an incarnation."""
         return self._states.get(instance_id)
 
+    def states(self) -> Collection[InstanceState]:
+        """Return all incarnations that discovery tells of."""
+        return self._states.values()
+
     def accepting(self, service: str, now: float) -> list[InstanceState]:
         """Return the incarnations of a service that take new requests.
 
@@ -200,96 +199,45 @@
         if not candidates:
             return None
         if affinity_key:
-            return _by_affinity(candidates, affinity_key, lambda state: state.load(now))
+            return by_affinity(candidates, affinity_key, lambda state: state.load(now))
         return self._spread(service, candidates, now)
 
-    def choose_emptiest(
-        self, service: str, now: float, excluded: Collection[str] = ()
-    ) -> InstanceState | None:
-        """Return the incarnation with the most room, for the one node that places batch items.
-
-        If there is no room, there is none elsewhere either.
-        """
-        candidates = self.usable(service, now, excluded)
-        return min(candidates, key=lambda state: self._cost(state, now), default=None)
-
-    def choose_by_exact_load(
+    def usable(
         self,
         service: str,
         now: float,
-        zone: str,
-        items_at: Callable[[str], int],
         excluded: Collection[str] = (),
-        affinity_key: str = "",
-    ) -> InstanceState | None:
-        """Return the incarnation for a request of another node, where every load is known.
-
-        A free slot is taken first, then one that a batch item gives up, then the shortest queue.
+        among: Callable[[BackendInstance], bool] = lambda _instance: True,
+        silent: Callable[[str], bool] = lambda _instance_id: False,
+    ) -> list[InstanceState]:
+        """Return the incarnations that a request may go to, those that seem to fail left out.
 
         Args:
             service: whose back ends are asked.
             now: monotonic time in seconds.
-            zone: of the node that sends the request.
-            items_at: batch items at an incarnation that would make room.
             excluded: incarnations that the request was already sent to.
-            affinity_key: names the shared prompt that decides where to go first; '' for none.
+            among: whether a back end is asked for at all.
+            silent: whether an incarnation is known to be silent beyond what this core knows.
         """
-        candidates = self.usable(service, now, excluded)
-        if not candidates:
-            return None
-
-        def load_without_items(state: InstanceState) -> float:
-            items = items_at(state.instance.instance_id)
-            return state.load(now) - items / max(1, state.instance.slots)
-
-        if affinity_key:
-            return _by_affinity(candidates, affinity_key, load_without_items)
-
-        def cost(state: InstanceState, load: float) -> float:
-            other_zone = OTHER_ZONE_PENALTY if state.instance.zone != zone else 0.0
-            return load + other_zone + state.unread_tokens(now) / TOKENS_A_FULL_LOAD
-
-        free = [state for state in candidates if state.has_free_slot(now)]
-        if free:
-            return min(free, key=lambda state: cost(state, state.load(now)))
-        with_items = [state for state in candidates if items_at(state.instance.instance_id)]
-        if with_items:
-            return min(with_items, key=lambda state: cost(state, load_without_items(state)))
-        return min(candidates, key=lambda state: cost(state, state.load(now)))
-
-    def free_slots(self, service: str, now: float) -> float:
-        """Return how many slots of a service nobody has taken."""
-        return sum(
-            max(0.0, 1 - state.load(now)) * state.instance.slots
-            for state in self.usable(service, now)
-        )
-
-    def usable(
-        self, service: str, now: float, excluded: Collection[str] = ()
-    ) -> list[InstanceState]:
-        """Return the incarnations that a request may go to, those that seem to fail left out."""
         usable = [
             state
             for state in self.accepting(service, now)
-            if state.instance.instance_id not in excluded
+            if state.instance.instance_id not in excluded and among(state.instance)
+        ]
+        candidates = [
+            state
+            for state in usable
+            if not state.avoided(now) and not silent(state.instance.instance_id)
         ]
-        candidates = [state for state in usable if not state.avoided(now)]
         if len(candidates) < len(usable) * LEAST_SHARE_LEFT:
             candidates = usable
         return candidates
 
     def sends_by_others(self, service: str, now: float) -> float:
         """Return how many requests other nodes have probably sent since the load picture."""
-        age_s = min(MOST_PICTURE_AGE_S, now - self._others_at + report_period_s(self._nodes) / 2)
-        return self._others_rates.get(service, 0.0) * age_s
-
-    def rate_of_others(self, service: str) -> float:
-        """Return how many requests a second other nodes send to a service."""
-        return self._others_rates.get(service, 0.0)
-
-    def own_rates(self, now: float) -> dict[str, float]:
-        """Return this node's requests a second by service, for the load board."""
-        return self._sends.rates(now)
+        age_s = min(MOST_PICTURE_AGE_S, now - self._fleet_rates_at)
+        by_others = self._fleet_rates.get(service, 0.0) - self._sends.rate(service, now)
+        return max(0.0, by_others) * age_s
 
     def sent(self, state: InstanceState, now: float, unread_tokens: int = 0) -> int:
         """Note a request sent; return its number for :meth:`answered` and :meth:`ended`."""
@@ -301,42 +249,34 @@
             state.unread[self._next_use] = unread_tokens
         return self._next_use
 
-    def own_loads(self, now: float) -> list[NodeLoad]:
-        """Return this node's requests by back end, for the load board."""
-        loads = (_own_load(state, now) for state in self._states.values())
-        return [load for load in loads if load.in_flight or load.bad > LEAST_COUNT]
+    def silent_instances(self, now: float) -> set[str]:
+        """Return the incarnations that keep a request of this node waiting too long."""
+        return {key for key, state in self._states.items() if state.silent(now)}
 
-    def others_reported(
-        self,
-        others: dict[str, NodeLoad],
-        now: float,
-        kept_s: float,
-        rates: dict[str, float] | None = None,
-        nodes: int = 1,
+    def load_told(
+        self, instance_id: str, in_use: int, unread_tokens: int, avoid: bool, now: float
     ) -> None:
-        """Take what the load board tells of all other nodes; it counts for a while.
+        """Take what a granting node tells of one back end.
 
-        Parameters
-        ----------
-        others: sum of the others' requests by incarnation.
-        rates: sum of the others' requests a second by service.
-        nodes: how many nodes report.
+        Args:
+            instance_id: of the back end.
+            in_use: slots that are taken there, this node's own included.
+            unread_tokens: of prompts that wait to be read there, this node's own included.
+            avoid: that node leaves it out.
+            now: monotonic time in seconds.
         """
-        self._others_rates = rates or {}
-        self._others_at = now
-        self._nodes = nodes
-        for instance_id, state in self._states.items():
-            state.others = others.get(instance_id)
-            state.others_at = now
-            state.others_until = now + kept_s
-
-    def other_reported(self, load: NodeLoad, now: float, kept_s: float) -> None:
-        """Take what the load board tells of all other nodes at one back end."""
-        state = self._states.get(load.instance_id)
-        if state is not None:
-            state.others = load
-            state.others_at = now
-            state.others_until = now + kept_s
+        state = self._states.get(instance_id)
+        if state is None:
+            return
+        state.others_in_flight = max(0, in_use - state.in_flight)
+        state.others_unread = max(0, unread_tokens - sum(state.unread.values()))
+        state.others_avoid = avoid
+        state.others_at = now
+
+    def rates_told(self, sends_per_s: Mapping[str, float], now: float) -> None:
+        """Take how many requests a second the whole fleet sends, by service."""
+        self._fleet_rates = dict(sends_per_s)
+        self._fleet_rates_at = now
 
     def answered(self, state: InstanceState, use: int) -> None:
         """Note the first byte of an answer."""
@@ -386,9 +326,16 @@
         return state.load(now) + unread + other_zone
 
 
-def _by_affinity(
+def by_affinity(
     candidates: Iterable[InstanceState], key: str, load_of: Callable[[InstanceState], float]
 ) -> InstanceState:
+    """Return where a shared prompt goes: to the same back end unless that one is overloaded.
+
+    Args:
+        candidates: back ends that may take it.
+        key: names the prompt.
+        load_of: share of a back end's slots that is taken.
+    """
     ranked = sorted(
         candidates,
         key=lambda state: xxhash.xxh64_intdigest((key + state.instance.instance_id).encode()),
@@ -396,15 +343,3 @@
     loads = [load_of(state) for state in ranked]
     bound = max(AFFINITY_MOST_LOAD, min(loads) + AFFINITY_MOST_ABOVE_LEAST)
     return next(state for state, load in zip(ranked, loads, strict=True) if load < bound)
-
-
-def _own_load(state: InstanceState, now: float) -> NodeLoad:
-    good, bad = state.outcomes.counts(now)
-    return NodeLoad(
-        state.instance.instance_id,
-        state.in_flight,
-        sum(state.unread.values()),
-        state.silent(now),
-        good,
-        bad,
-    )
--- a/src/wharfcart/routing/forwarder.py
+++ b/src/wharfcart/routing/forwarder.py
@@ -30,7 +30,13 @@
 from wharfcart.routing.backend_choice import BackendChoice, InstanceState
 from wharfcart.routing.caller_request import AnswerCutError, AnswerSink, CallerRequest
 from wharfcart.routing.event_stream import EventSplitter
-from wharfcart.routing.placement import NoSlotError, Placement, PlacementRequest
+from wharfcart.routing.placement import (
+    NoSlotError,
+    Placed,
+    Placement,
+    PlacementRequest,
+    SendVerdict,
+)
 
 MOST_REFUSED_SENDS = 3
 MOST_CONNECT_FAILURES = 4
@@ -70,6 +76,7 @@
     cause: str = ""
     retry_after_s: float = RETRY_AFTER_FULL_S
     well: bool = True  # what the last back end answered speaks for it
+    told: SendVerdict = SendVerdict.UNKNOWN  # what the last send told of its back end
 
 
 class _Verdict:
@@ -124,18 +131,19 @@
     ) -> None:
         while True:
             try:
-                state = await self._placement.place(_placement_request(request, progress))
+                placed = await self._placement.place(_placement_request(request, progress))
             except NoSlotError as error:
                 progress.cause = "no_slot"
                 progress.retry_after_s = error.retry_after_s
                 await self._give_up(request, sink, progress, STATUS_BAD_GATEWAY)
                 return
-            if state is None:
+            if placed is None:
                 progress.cause = progress.cause or "no_backend"
                 await self._give_up(request, sink, progress, STATUS_BAD_GATEWAY)
                 return
+            state = placed.state
             self._note_placed(request, progress, state)
-            verdict = await self._send(request, sink, progress, state)
+            verdict = await self._send(request, sink, progress, placed)
             if verdict is None:
                 return
             progress.cause = verdict.cause
@@ -168,18 +176,20 @@
         request: CallerRequest,
         sink: AnswerSink,
         progress: _Progress,
-        state: InstanceState,
+        placed: Placed,
     ) -> _Verdict | None:
         """Send once; None when the request has its final answer."""
+        state = placed.state
         progress.last_backend = state.instance.instance_id
         progress.well = True
+        progress.told = SendVerdict.UNKNOWN
         # Counted before the connection is made, so that a slot that was granted is seen as taken.
         use = self._choice.sent(state, monotonic(), request.unread_tokens)
         try:
             return await self._connect_and_send(request, sink, progress, state, use)
         finally:
             self._choice.ended(state, use)
-            self._placement.slot_freed(state.instance.service)
+            self._placement.ended(placed, progress.told)
 
     async def _connect_and_send(
         self,
@@ -197,6 +207,7 @@
             return _Verdict(False, "connection_limit")
         except ConnectFailedError:
             progress.connect_failures += 1
+            progress.told = SendVerdict.BAD
             self._avoid(state, "connect")
             return _Verdict(False, "connect")
         try:
@@ -205,7 +216,7 @@
             self._pool.discard(instance, connection)
             if not error.sent:
                 return _Verdict(False, "closed_before_send")
-            self._choice.turned_out(state, False, monotonic())
+            self._turned_out(state, progress, False)
             if connection.answered == 0:
                 self._avoid(state, "broken")
             return _Verdict(True, "broken")
@@ -215,9 +226,13 @@
             raise
         self._pool.give_back(instance, connection)
         if verdict is None or verdict.ran:
-            self._choice.turned_out(state, verdict is None and progress.well, monotonic())
+            self._turned_out(state, progress, verdict is None and progress.well)
         return verdict
 
+    def _turned_out(self, state: InstanceState, progress: _Progress, good: bool) -> None:
+        progress.told = SendVerdict.GOOD if good else SendVerdict.BAD
+        self._choice.turned_out(state, good, monotonic())
+
     async def _exchange(
         self,
         request: CallerRequest,
--- /dev/null
+++ b/src/wharfcart/slots/events.py
@@ -0,0 +1,256 @@
+"""What the granting of slots is told, and what it answers: typed events and instructions.
+
+A *holder* is a gateway, or the leader of a job group: whoever sends work to back ends. It has a
+*session* with the node that grants the slots of some back ends. Within a session every slot has a
+number: of one that was asked for, drawn by the holder; of one that was offered to a batch item,
+drawn by the granting node.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import NewType
+
+from wharfcart.slots.urgency import Urgency
+
+HolderId = NewType("HolderId", str)
+SlotNumber = NewType("SlotNumber", int)
+
+
+@dataclass(frozen=True, slots=True)
+class SessionKey:
+    """One session of a holder; each that it opens has another number."""
+
+    holder: HolderId
+    number: int
+
+
+class Manner(Enum):
+    """How far a request for a slot goes.
+
+    Attributes:
+        FREE: takes a slot that nobody has.
+        YIELDED: takes one that a batch item gives up, too.
+        WAIT: waits for one.
+    """
+
+    FREE = 1
+    YIELDED = 2
+    WAIT = 3
+
+
+class Verdict(Enum):
+    """What a run told about its back end."""
+
+    UNKNOWN = 0
+    GOOD = 1
+    BAD = 2
+
+
+class RefusalCause(Enum):
+    """Why a request that waited for a slot is refused."""
+
+    QUEUE_FULL = "queue_full"
+    WAITED = "waited"
+
+
+class LeaveCause(Enum):
+    """Why a batch item must leave its slot."""
+
+    GRANTED = "granted"
+    OVERFULL = "overfull"
+
+
+@dataclass(frozen=True, slots=True)
+class SlotUse:
+    """A slot that a holder has taken.
+
+    Attributes:
+        unread_tokens: of a prompt that the back end must probably read first.
+        item: how the batch item stands that runs there; None for an online request.
+    """
+
+    number: SlotNumber
+    instance_id: str
+    unread_tokens: int = 0
+    item: Urgency | None = None
+
+
+# ---- events ----
+
+
+@dataclass(frozen=True, slots=True)
+class SessionOpened:
+    """A holder begins a session and tells every slot that it has taken."""
+
+    session: SessionKey
+    zone: str
+    uses: tuple[SlotUse, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class SessionClosed:
+    """A holder's session has ended, and what it had taken is free."""
+
+    session: SessionKey
+
+
+@dataclass(frozen=True, slots=True)
+class SlotAsked:
+    """A gateway asks for a slot.
+
+    Attributes:
+        affinity_key: names a long shared prompt that goes where it was read before; '' for none.
+        excluded: incarnations that the request was already sent to.
+        in_time_until: monotonic time until which a slot lets it answer in time.
+        leave_at: monotonic time at which it is given up.
+        priority: 0 is the most urgent.
+        request_id: its caller's id.
+    """
+
+    session: SessionKey
+    number: SlotNumber
+    service: str
+    in_time_until: float
+    leave_at: float
+    manner: Manner = Manner.WAIT
+    affinity_key: str = ""
+    excluded: frozenset[str] = frozenset()
+    unread_tokens: int = 0
+    priority: int = 0
+    request_id: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class SlotTaken:
+    """A holder sends to a back end of its own choice."""
+
+    session: SessionKey
+    use: SlotUse
+
+
+@dataclass(frozen=True, slots=True)
+class SlotReleased:
+    """A holder needs a slot no longer, or no longer waits for one."""
+
+    session: SessionKey
+    number: SlotNumber
+    verdict: Verdict = Verdict.UNKNOWN
+
+
+@dataclass(frozen=True, slots=True)
+class SilenceChanged:
+    """A back end has become silent to a holder, or speaks again."""
+
+    session: SessionKey
+    instance_id: str
+    silent: bool
+
+
+@dataclass(frozen=True, slots=True)
+class BackendBlamed:
+    """A back end was at fault for a run that had ended before."""
+
+    session: SessionKey
+    instance_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class ItemsWaiting:
+    """Batch items of a holder wait for slots of a service.
+
+    Attributes:
+        count: how many.
+        urgent: how many of them are done in time only if they run from now on.
+        first: how the one stands that goes first.
+        excluded: incarnations that none of them takes.
+        offers_seen: slots of the service that were offered in this session before.
+    """
+
+    session: SessionKey
+    service: str
+    count: int
+    urgent: int
+    first: Urgency
+    excluded: frozenset[str] = frozenset()
+    offers_seen: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ItemBegun:
+    """An item runs in a slot that was offered."""
+
+    session: SessionKey
+    number: SlotNumber
+    urgency: Urgency
+
+
+SlotEvent = (
+    SessionOpened
+    | SessionClosed
+    | SlotAsked
+    | SlotTaken
+    | SlotReleased
+    | SilenceChanged
+    | BackendBlamed
+    | ItemsWaiting
+    | ItemBegun
+)
+
+# ---- instructions ----
+
+
+@dataclass(frozen=True, slots=True)
+class Granted:
+    """A request has its slot."""
+
+    session: SessionKey
+    number: SlotNumber
+    instance_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class NoneHere:
+    """There is no slot in the manner asked for, or no back end at all."""
+
+    session: SessionKey
+    number: SlotNumber
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """A request has waited long enough, or too many wait.
+
+    Attributes:
+        retry_after_s: when a slot is likely to be free.
+        waiting: requests that wait beside it.
+        slots: of the service, at the back ends that are granted here.
+    """
+
+    session: SessionKey
+    number: SlotNumber
+    cause: RefusalCause
+    retry_after_s: float
+    waiting: int
+    slots: int
+
+
+@dataclass(frozen=True, slots=True)
+class ItemOffered:
+    """A slot is kept for a batch item, whichever its leader chooses."""
+
+    session: SessionKey
+    number: SlotNumber
+    service: str
+    instance_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class ItemMustLeave:
+    """A batch item gives its slot up."""
+
+    session: SessionKey
+    number: SlotNumber
+    cause: LeaveCause
+
+
+SlotInstruction = Granted | NoneHere | Refused | ItemOffered | ItemMustLeave
--- /dev/null
+++ b/src/wharfcart/slots/granted_placement.py
@@ -0,0 +1,146 @@
+"""A gateway's placement: asks the nodes that grant slots; chooses by itself where none answers."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from time import monotonic
+
+from wharfcart.cluster.messages_pb2 import SlotGrant
+from wharfcart.observability.decisions import Counter
+from wharfcart.routing.backend_choice import BackendChoice
+from wharfcart.routing.placement import (
+    LocalPlacement,
+    NoSlotError,
+    Placed,
+    Placement,
+    PlacementRequest,
+    SendVerdict,
+)
+from wharfcart.routing.running_quantile import RunningQuantile
+from wharfcart.slots.asking_order import Step, asking_order, asking_order_by_affinity
+from wharfcart.slots.events import Manner, SlotAsked, SlotUse, Verdict
+from wharfcart.slots.session import HeldSlot, SlotSession
+from wharfcart.slots.sessions import SlotSessions
+
+# Part of the requests whose answers begin within the time that is planned for it.
+FIRST_BYTE_SHARE = 0.8
+
+_VERDICTS = {
+    SendVerdict.UNKNOWN: Verdict.UNKNOWN,
+    SendVerdict.GOOD: Verdict.GOOD,
+    SendVerdict.BAD: Verdict.BAD,
+}
+
+
+@dataclass(frozen=True, eq=False)
+class PlacedInSlot(Placed):
+    """A request in a slot that counts at the node that grants it."""
+
+    slot: HeldSlot
+
+
+class GrantedPlacement(Placement):
+    """Asks for slots.
+
+    Args:
+        choice: what this gateway knows of the back ends.
+        sessions: with the nodes that grant.
+        is_own: whether a group's back ends are in this gateway's zone.
+        counter: counts who chose: ``grant`` or ``own_choice``.
+    """
+
+    def __init__(
+        self,
+        choice: BackendChoice,
+        sessions: SlotSessions,
+        is_own: Callable[[int], bool],
+        counter: Counter,
+    ) -> None:
+        self._choice = choice
+        self._sessions = sessions
+        self._is_own = is_own
+        self._counter = counter
+        self._local = LocalPlacement(choice)
+        self._first_byte_by_route: dict[str, RunningQuantile] = {}
+
+    async def place(self, request: PlacementRequest) -> Placed | None:
+        """Return where to send a request, or None where there is no back end.
+
+        Raises:
+            NoSlotError: every slot is taken, and the request has waited long enough.
+        """
+        for group, manner in self._steps(request):
+            session = self._sessions.by_group[group]
+            if not session.answers(monotonic()):
+                continue
+            placed = await self._ask(session, request, manner)
+            if placed is not None:
+                self._counter.add("grant")
+                return placed
+        self._counter.add("own_choice")
+        return await self._place_by_own_choice(request)
+
+    def ended(self, placed: Placed, verdict: SendVerdict) -> None:
+        """Note that a request is no longer at its back end, and what the send told of that."""
+        if isinstance(placed, PlacedInSlot):
+            session = self._sessions.by_group[placed.slot.group]
+            session.release(placed.slot.number, _VERDICTS[verdict])
+
+    def answer_begun(self, route_name: str, seconds: float) -> None:
+        """Note how long after it was sent a request's answer began."""
+        self._first_byte_s(route_name).observe(seconds)
+
+    # ---- inner ----
+
+    def _steps(self, request: PlacementRequest) -> list[Step]:
+        rooms = self._sessions.rooms(request.service)
+        if request.affinity_key:
+            return asking_order_by_affinity(rooms, request.affinity_key)
+        return asking_order(rooms, [group for group in rooms if self._is_own(group)])
+
+    async def _ask(
+        self, session: SlotSession, request: PlacementRequest, manner: Manner
+    ) -> Placed | None:
+        asked = self._asked(session, request, manner)
+        grant = await session.ask(asked)
+        return None if grant is None else self._take(session, asked, grant)
+
+    def _asked(self, session: SlotSession, request: PlacementRequest, manner: Manner) -> SlotAsked:
+        return SlotAsked(
+            session=session.key,
+            number=session.new_number(),
+            service=request.service,
+            in_time_until=request.in_time_until - self._first_byte_s(request.route_name).value,
+            leave_at=request.leave_at,
+            manner=manner,
+            affinity_key=request.affinity_key,
+            excluded=request.excluded,
+            unread_tokens=request.unread_tokens,
+            priority=request.priority,
+            request_id=request.request_id,
+        )
+
+    def _take(self, session: SlotSession, asked: SlotAsked, grant: SlotGrant) -> Placed | None:
+        if grant.refused:
+            raise NoSlotError(grant.retry_after_ms / 1000)
+        if not grant.instance_id:
+            return None
+        slot = session.hold(SlotUse(asked.number, grant.instance_id, asked.unread_tokens))
+        state = self._choice.state(grant.instance_id)
+        if state is None or not state.instance.accepting or state.avoided(monotonic()):
+            session.release(slot.number)
+            return None
+        return PlacedInSlot(state, slot)
+
+    async def _place_by_own_choice(self, request: PlacementRequest) -> Placed | None:
+        placed = await self._local.place(request)
+        if placed is None:
+            return None
+        instance_id = placed.state.instance.instance_id
+        session = self._sessions.of_instance(instance_id)
+        if session is None:
+            return placed
+        use = SlotUse(session.new_number(), instance_id, request.unread_tokens)
+        return PlacedInSlot(placed.state, session.take(use))
+
+    def _first_byte_s(self, route_name: str) -> RunningQuantile:
+        return self._first_byte_by_route.setdefault(route_name, RunningQuantile(FIRST_BYTE_SHARE))
--- /dev/null
+++ b/src/wharfcart/slots/granter.py
@@ -0,0 +1,480 @@
+"""Granting core: which request gets which slot, which batch item leaves for it, and who waits.
+
+One node grants the slots of some back ends. It knows each of them exactly: what it granted and
+was not given back is taken. A free slot goes to the request that waits and can still be in time;
+then to the batch items, unless online requests need it sooner than the start of an item pays off.
+Where no slot is free, the item leaves that loses least by it.
+
+Pure: time and randomness are handed in; events in, instructions out.
+"""
+
+from collections.abc import Callable, Collection, Iterator
+from dataclasses import dataclass, field, replace
+
+from wharfcart.configuration.instances import BackendInstance
+from wharfcart.routing.backend_choice import (
+    OTHER_ZONE_PENALTY,
+    TOKENS_A_FULL_LOAD,
+    BackendChoice,
+    InstanceState,
+    by_affinity,
+)
+from wharfcart.routing.send_rates import SendRates
+from wharfcart.slots.events import (
+    BackendBlamed,
+    Granted,
+    ItemBegun,
+    ItemMustLeave,
+    ItemOffered,
+    ItemsWaiting,
+    LeaveCause,
+    Manner,
+    NoneHere,
+    RefusalCause,
+    Refused,
+    SessionClosed,
+    SessionKey,
+    SessionOpened,
+    SilenceChanged,
+    SlotAsked,
+    SlotEvent,
+    SlotInstruction,
+    SlotNumber,
+    SlotReleased,
+    SlotTaken,
+    SlotUse,
+    Verdict,
+)
+from wharfcart.slots.ledger import SlotLedger, TakenSlot
+from wharfcart.slots.picture import BackendLoad, ServiceRoom, SlotPicture
+from wharfcart.slots.queue import SlotQueue, Waiting
+from wharfcart.slots.urgency import Urgency
+
+# Urgent items that run keep so much of a back end, whatever online work comes.
+RESERVED_SHARE = 0.2
+# An item that must leave within this time has cost more than it has done.
+RESTART_COST_S = 0.06
+# A slot is taken for about so long: tells when one is likely to come free.
+SLOT_TURNOVER_S = 0.5
+FEWEST_RETRY_AFTER_S = 0.2
+MOST_RETRY_AFTER_S = 1.5
+# A picture names the most loaded back ends: those left out have less.
+MOST_BACKENDS_A_PICTURE = 48
+# Slots that are offered to items have numbers from here on; holders draw theirs below.
+FIRST_OFFER = 1 << 40
+
+
+@dataclass
+class _Demand:
+    """Items of one holder that wait for one service.
+
+    Attributes:
+        told_at: when it was told last.
+        offered: slots that were offered since.
+    """
+
+    told: ItemsWaiting
+    told_at: float
+    offered: int = 0
+
+    @property
+    def count(self) -> int:
+        return self.told.count - self.offered
+
+    @property
+    def urgent(self) -> bool:
+        return self.told.urgent > self.offered
+
+    def first(self, now: float) -> Urgency:
+        return self.told.first.after_waiting(now - self.told_at)
+
+
+@dataclass
+class SlotGranter:
+    """Grants the slots of the back ends that it owns.
+
+    Attributes:
+        choice: what is known of all back ends.
+        owns: which of them are granted here.
+    """
+
+    choice: BackendChoice
+    owns: Callable[[BackendInstance], bool]
+    _ledger: SlotLedger = field(default_factory=SlotLedger)
+    _queue: SlotQueue = field(default_factory=SlotQueue)
+    _asked_by_place: dict[int, SlotAsked] = field(default_factory=dict)  # by place in the queue
+    _waiting_by_slot: dict[tuple[SessionKey, SlotNumber], Waiting] = field(default_factory=dict)
+    _demands: dict[tuple[SessionKey, str], _Demand] = field(default_factory=dict)
+    _offers: dict[tuple[SessionKey, str], int] = field(default_factory=dict)
+    _next_offer: int = FIRST_OFFER
+    _rates: SendRates = field(default_factory=SendRates)
+
+    # ---- events ----
+
+    def handle(self, event: SlotEvent, now: float) -> list[SlotInstruction]:
+        """Take an event; return what follows from it."""
+        match event:
+            case SessionOpened():
+                self._open(event, now)
+            case SessionClosed():
+                self._close(event.session)
+            case SlotAsked():
+                return self._ask(event, now)
+            case SlotTaken():
+                self._take(event, now)
+                return []
+            case SlotReleased():
+                self._release(event, now)
+            case SilenceChanged():
+                self._ledger.silence(event.session, event.instance_id, event.silent)
+            case BackendBlamed():
+                self._judge(event.instance_id, Verdict.BAD, now)
+                return []
+            case ItemsWaiting():
+                self._note_demand(event, now)
+            case ItemBegun():
+                self._note_item(event)
+                return []
+        return self._hand_out(now)
+
+    def tick(self, now: float) -> list[SlotInstruction]:
+        """Do what time alone brings: refuse who waited long enough, try again what was avoided."""
+        refused = [
+            self._refuse(asked, RefusalCause.WAITED, now)
+            for asked in list(self._asked_by_place.values())
+            if now >= asked.leave_at
+        ]
+        return [*refused, *self._relieve(now), *self._hand_out(now)]
+
+    def is_open(self, session: SessionKey) -> bool:
+        """Whether a session is open."""
+        return self._ledger.is_open(session)
+
+    def waiting(self, service: str) -> int:
+        """Return how many requests wait for a slot of a service."""
+        return self._queue.count(service)
+
+    def total_waiting(self) -> int:
+        """Return how many requests wait."""
+        return self._queue.total()
+
+    def picture(self, now: float) -> SlotPicture:
+        """Return what the holders are told: the load of each back end, and where there is room."""
+        states = [state for state in self.choice.states() if self.owns(state.instance)]
+        services = {state.instance.service for state in states}
+        loads = sorted(
+            (self._load_of(state, now) for state in states),
+            key=lambda load: (load.avoided, load.in_use),
+            reverse=True,
+        )
+        return SlotPicture(
+            backends=tuple(loads[:MOST_BACKENDS_A_PICTURE]),
+            rooms=tuple(self._room_of(service, now) for service in sorted(services)),
+            sends_per_s=self._rates.rates(now),
+            holders=self._ledger.holders,
+        )
+
+    def avoided(self, now: float) -> frozenset[str]:
+        """Return the back ends that are left out for now."""
+        return frozenset(
+            state.instance.instance_id
+            for state in self.choice.states()
+            if self.owns(state.instance) and self._is_avoided(state, now)
+        )
+
+    # ---- sessions and slots ----
+
+    def _open(self, event: SessionOpened, now: float) -> None:
+        older = self._ledger.session_of(event.session.holder)
+        if older is not None:
+            self._close(older)
+        self._ledger.open(event.session, event.zone, event.uses, now)
+        offered_elsewhere = [use.number + 1 for use in event.uses if use.number >= FIRST_OFFER]
+        self._next_offer = max([self._next_offer, *offered_elsewhere])
+
+    def _close(self, session: SessionKey) -> None:
+        self._ledger.close(session)
+        for key, waiting in list(self._waiting_by_slot.items()):
+            if key[0] == session:
+                self._leave_queue(key, waiting)
+        for demand in [key for key in self._demands if key[0] == session]:
+            del self._demands[demand]
+        for offers in [key for key in self._offers if key[0] == session]:
+            del self._offers[offers]
+
+    def _take(self, event: SlotTaken, now: float) -> None:
+        state = self.choice.state(event.use.instance_id)
+        if state is not None:
+            self._rates.sent(state.instance.service, now)
+        self._ledger.take(event.session, event.use, now)
+
+    def _release(self, event: SlotReleased, now: float) -> None:
+        key = (event.session, event.number)
+        waiting = self._waiting_by_slot.get(key)
+        if waiting is not None:
+            self._leave_queue(key, waiting)
+            return
+        taken = self._ledger.release(event.session, event.number)
+        if taken is not None:
+            self._judge(taken.use.instance_id, event.verdict, now)
+
+    def _judge(self, instance_id: str, verdict: Verdict, now: float) -> None:
+        state = self.choice.state(instance_id)
+        if state is not None and verdict is not Verdict.UNKNOWN:
+            self.choice.turned_out(state, verdict is Verdict.GOOD, now)
+
+    # ---- online requests ----
+
+    def _ask(self, asked: SlotAsked, now: float) -> list[SlotInstruction]:
+        candidates = self._candidates(asked.service, asked.excluded, now)
+        if not candidates or not self._ledger.is_open(asked.session):
+            return [NoneHere(asked.session, asked.number)]
+        others_wait = self._queue.count(asked.service) > 0
+        if not others_wait and self._has_room(candidates, asked.manner, now):
+            return self._grant(asked, candidates, now)
+        if asked.manner is not Manner.WAIT:
+            return [NoneHere(asked.session, asked.number)]
+        waiting = self._queue.add(
+            asked.service, asked.in_time_until, asked.leave_at, asked.priority
+        )
+        if waiting is None:
+            return [self._refuse(asked, RefusalCause.QUEUE_FULL, now)]
+        self._asked_by_place[waiting.number] = asked
+        self._waiting_by_slot[asked.session, asked.number] = waiting
+        return self._hand_out(now)
+
+    def _has_room(self, candidates: list[InstanceState], manner: Manner, now: float) -> bool:
+        if any(self._has_free_slot(state) for state in candidates):
+            return True
+        if manner is Manner.FREE:
+            return False
+        return any(self._yielding(state, now) for state in candidates)
+
+    def _grant(
+        self, asked: SlotAsked, candidates: list[InstanceState], now: float
+    ) -> list[SlotInstruction]:
+        """Give a request the best slot; an item leaves where none is free."""
+        state = self._best(asked, candidates, now)
+        instructions: list[SlotInstruction] = []
+        if not self._has_free_slot(state):
+            leaving = next(iter(self._yielding(state, now)), None)
+            if leaving is not None:
+                instructions.append(self._have_leave(leaving, LeaveCause.GRANTED))
+        use = SlotUse(asked.number, state.instance.instance_id, asked.unread_tokens)
+        self._ledger.take(asked.session, use, now)
+        self._rates.sent(asked.service, now)
+        instructions.append(Granted(asked.session, asked.number, use.instance_id))
+        return instructions
+
+    def _best(self, asked: SlotAsked, candidates: list[InstanceState], now: float) -> InstanceState:
+        """Return where a request goes: a free slot, then one that an item gives up, then any."""
+        if asked.affinity_key:
+            return by_affinity(
+                candidates, asked.affinity_key, lambda state: self._load_without_items(state, now)
+            )
+        zone = self._ledger.zone(asked.session)
+
+        def cost(state: InstanceState) -> float:
+            return self._cost(state, zone, now)
+
+        free = [state for state in candidates if self._has_free_slot(state)]
+        if free:
+            return min(free, key=cost)
+        yielding = [state for state in candidates if self._yielding(state, now)]
+        return min(yielding or candidates, key=cost)
+
+    def _refuse(self, asked: SlotAsked, cause: RefusalCause, now: float) -> Refused:
+        key = (asked.session, asked.number)
+        waiting = self._waiting_by_slot.get(key)
+        if waiting is not None:
+            self._leave_queue(key, waiting)
+        slots = sum(
+            state.instance.slots for state in self._candidates(asked.service, frozenset(), now)
+        )
+        others = self._queue.count(asked.service)
+        retry_after_s = SLOT_TURNOVER_S * (1 + others) / max(1, slots)
+        retry_after_s = min(MOST_RETRY_AFTER_S, max(FEWEST_RETRY_AFTER_S, retry_after_s))
+        return Refused(asked.session, asked.number, cause, retry_after_s, others, slots)
+
+    def _leave_queue(self, key: tuple[SessionKey, SlotNumber], waiting: Waiting) -> None:
+        self._queue.remove(waiting)
+        del self._asked_by_place[waiting.number]
+        del self._waiting_by_slot[key]
+
+    # ---- what has come free ----
+
+    def _hand_out(self, now: float) -> list[SlotInstruction]:
+        """Give slots that are free to the requests that wait, then to batch items."""
+        return [*self._serve_queue(now), *self._offer_to_items(now)]
+
+    def _serve_queue(self, now: float) -> Iterator[SlotInstruction]:
+        for service in self._queue.services():
+            while (waiting := self._queue.next(service, now)) is not None:
+                asked = self._asked_by_place[waiting.number]
+                candidates = self._candidates(service, asked.excluded, now)
+                if not self._has_room(candidates, Manner.WAIT, now):
+                    break
+                self._leave_queue((asked.session, asked.number), waiting)
+                yield from self._grant(asked, candidates, now)
+
+    # ---- batch items ----
+
+    def _note_demand(self, event: ItemsWaiting, now: float) -> None:
+        key = (event.session, event.service)
+        if not self._ledger.is_open(event.session):
+            return
+        if event.count <= 0:
+            self._demands.pop(key, None)
+            return
+        # Offers that were on their way when it was told are not in its count yet.
+        on_their_way = self._offers.get(key, 0) - event.offers_seen
+        self._demands[key] = _Demand(event, now, max(0, on_their_way))
+
+    def _note_item(self, event: ItemBegun) -> None:
+        taken = self._ledger.find(event.session, event.number)
+        if taken is not None:
+            taken.use = replace(taken.use, item=event.urgency)
+
+    def _offer_to_items(self, now: float) -> Iterator[SlotInstruction]:
+        for service in {service for _, service in self._demands}:
+            while (offer := self._next_item_offer(service, now)) is not None:
+                yield offer
+
+    def _next_item_offer(self, service: str, now: float) -> ItemOffered | None:
+        """Offer a free slot to the items that go first, if it is worth starting one."""
+        waiting = self._in_order(service, now)
+        if not waiting:
+            return None
+        candidates = self._candidates(service, frozenset(), now)
+        free = [state for state in candidates if self._has_free_slot(state)]
+        if not free:
+            return None
+        held_back = bool(self._queue.count(service)) or not self._worth_starting(service, now)
+        for key, demand in waiting:
+            if held_back and not demand.urgent:
+                continue
+            state = self._emptiest(free, demand.told.excluded, now)
+            if state is not None:
+                return self._offer(key, demand, state, now)
+        return None
+
+    def _in_order(self, service: str, now: float) -> list[tuple[tuple[SessionKey, str], _Demand]]:
+        waiting = [
+            (key, demand)
+            for key, demand in self._demands.items()
+            if key[1] == service and demand.count > 0
+        ]
+
+        def order(entry: tuple[tuple[SessionKey, str], _Demand]) -> tuple[bool, float]:
+            first = entry[1].first(now)
+            return first.too_late, first.left_s
+
+        return sorted(waiting, key=order)
+
+    def _emptiest(
+        self, free: list[InstanceState], excluded: Collection[str], now: float
+    ) -> InstanceState | None:
+        usable = [state for state in free if state.instance.instance_id not in excluded]
+        return min(usable, key=lambda state: self._cost(state, "", now), default=None)
+
+    def _offer(
+        self, key: tuple[SessionKey, str], demand: _Demand, state: InstanceState, now: float
+    ) -> ItemOffered:
+        session, service = key
+        number = SlotNumber(self._next_offer)
+        self._next_offer += 1
+        use = SlotUse(number, state.instance.instance_id, item=demand.first(now))
+        self._ledger.take(session, use, now)
+        demand.offered += 1
+        self._offers[key] = self._offers.get(key, 0) + 1
+        return ItemOffered(session, number, service, use.instance_id)
+
+    def _worth_starting(self, service: str, now: float) -> bool:
+        """Whether the last free slot is probably not needed before a start has paid off."""
+        needed_soon = self._rates.rates(now).get(service, 0.0) * RESTART_COST_S
+        return self._free_slots(service, now) >= 1 + needed_soon
+
+    def _yielding(self, state: InstanceState, now: float) -> list[TakenSlot]:
+        """Return the items at a back end that leave if asked to, first what loses least by it.
+
+        That are those that come too late anyway, then those with the most time left; a few urgent
+        ones stay.
+        """
+        stood = [
+            (urgency, slot)
+            for slot in self._ledger.items(state.instance.instance_id)
+            if (urgency := slot.urgency(now)) is not None
+        ]
+        stood.sort(key=lambda entry: entry[0].order)
+        most_staying = max(1, int(state.instance.slots * RESERVED_SHARE))
+        urgent = [slot for urgency, slot in stood if urgency.urgent]
+        staying = {id(slot) for slot in urgent[-most_staying:]}
+        return [slot for _, slot in stood if id(slot) not in staying]
+
+    def _relieve(self, now: float) -> Iterator[SlotInstruction]:
+        """Have items leave back ends that are fuller than they can be."""
+        for instance_id in self._ledger.instances():
+            state = self.choice.state(instance_id)
+            if state is None:
+                continue
+            staying = self._ledger.in_use(instance_id) - self._ledger.leaving(instance_id)
+            excess = staying - state.instance.slots
+            for slot in self._yielding(state, now)[: max(0, excess)]:
+                yield self._have_leave(slot, LeaveCause.OVERFULL)
+
+    def _have_leave(self, slot: TakenSlot, cause: LeaveCause) -> ItemMustLeave:
+        slot.leaving = True
+        return ItemMustLeave(slot.session, slot.use.number, cause)
+
+    # ---- load ----
+
+    def _candidates(
+        self, service: str, excluded: Collection[str], now: float
+    ) -> list[InstanceState]:
+        """Return the back ends that a request may go to, those that seem to fail left out."""
+        return self.choice.usable(service, now, excluded, self.owns, self._ledger.is_silent)
+
+    def _load(self, state: InstanceState) -> float:
+        return self._ledger.in_use(state.instance.instance_id) / max(1, state.instance.slots)
+
+    def _load_without_items(self, state: InstanceState, now: float) -> float:
+        items = len(self._yielding(state, now))
+        return self._load(state) - items / max(1, state.instance.slots)
+
+    def _has_free_slot(self, state: InstanceState) -> bool:
+        return self._ledger.in_use(state.instance.instance_id) < state.instance.slots
+
+    def _free_slots(self, service: str, now: float) -> int:
+        return sum(
+            max(0, state.instance.slots - self._ledger.in_use(state.instance.instance_id))
+            for state in self._candidates(service, frozenset(), now)
+        )
+
+    def _cost(self, state: InstanceState, zone: str, now: float) -> float:
+        """Return how little a back end suits a request from a zone; '' for no zone."""
+        other_zone = OTHER_ZONE_PENALTY if zone and state.instance.zone != zone else 0.0
+        unread = self._ledger.unread_tokens(state.instance.instance_id, now)
+        return self._load(state) + other_zone + unread / TOKENS_A_FULL_LOAD
+
+    def _load_of(self, state: InstanceState, now: float) -> BackendLoad:
+        instance_id = state.instance.instance_id
+        return BackendLoad(
+            instance_id,
+            self._ledger.in_use(instance_id),
+            self._ledger.unread_tokens(instance_id, now),
+            self._is_avoided(state, now),
+        )
+
+    def _is_avoided(self, state: InstanceState, now: float) -> bool:
+        return state.avoided(now) or self._ledger.is_silent(state.instance.instance_id)
+
+    def _room_of(self, service: str, now: float) -> ServiceRoom:
+        candidates = self._candidates(service, frozenset(), now)
+        yielding = sum(len(self._yielding(state, now)) for state in candidates)
+        return ServiceRoom(
+            service,
+            sum(state.instance.slots for state in candidates),
+            self._free_slots(service, now),
+            yielding,
+            self._queue.count(service),
+        )
--- /dev/null
+++ b/src/wharfcart/slots/item_slots.py
@@ -0,0 +1,206 @@
+"""Slots for the batch items of one job group's leader, from all nodes that grant any."""
+
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
+from time import monotonic
+
+from wharfcart.cluster.messages_pb2 import SlotNews
+from wharfcart.slots.events import (
+    BackendBlamed,
+    ItemBegun,
+    ItemsWaiting,
+    LeaveCause,
+    SlotNumber,
+    SlotUse,
+    Verdict,
+)
+from wharfcart.slots.picture import ServiceRoom, SlotPicture
+from wharfcart.slots.session import HeldSlot, SlotNewsTaker
+from wharfcart.slots.sessions import SlotSessions
+from wharfcart.slots.urgency import Urgency
+
+# Demand is told anew once the first item's slack has moved by so much: the granting node itself
+# counts the time that passes.
+LEAST_CHANGE_S = 0.5
+
+
+@dataclass(frozen=True)
+class ItemSlot(HeldSlot):
+    """A slot that was offered to a leader's items.
+
+    Attributes:
+        instance_id: incarnation of the back end.
+    """
+
+    service: str
+    instance_id: str
+
+
+@dataclass(frozen=True)
+class ItemDemand:
+    """Items of one service that wait for slots.
+
+    Attributes:
+        count: how many.
+        urgent: how many of them are done in time only if they run from now on.
+        first: how the one stands that goes first.
+        excluded: incarnations that none of them takes.
+    """
+
+    count: int
+    urgent: int
+    first: Urgency
+    excluded: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True)
+class _Told:
+    """What a granting node was told, and what it makes of it as time passes and slots are offered.
+
+    Attributes:
+        at: monotonic time at which it was told.
+        offers_seen: slots that had been offered before.
+    """
+
+    demand: ItemDemand
+    at: float
+    offers_seen: int
+
+    def differs(self, demand: ItemDemand, now: float, offers_seen: int) -> bool:
+        """Whether the demand is another by now than the granting node reckons."""
+        offered = offers_seen - self.offers_seen
+        reckoned = (
+            max(0, self.demand.count - offered),
+            max(0, self.demand.urgent - offered),
+            self.demand.excluded,
+        )
+        if reckoned != (demand.count, demand.urgent, demand.excluded):
+            return True
+        if not demand.count:
+            return False
+        slack_s = self.demand.first.after_waiting(now - self.at).slack_s
+        return abs(slack_s - demand.first.slack_s) > LEAST_CHANGE_S
+
+
+class ItemSlots(SlotNewsTaker):
+    """Asks for slots for items, and tells of offers and of items that must leave.
+
+    Attributes:
+        sessions: with the granting nodes, of the present leadership.
+        on_offer: called with a slot that is kept for an item.
+        on_leave: called with a slot whose item must leave.
+    """
+
+    def __init__(self) -> None:
+        self.sessions: SlotSessions
+        self.on_offer: Callable[[ItemSlot], None] = lambda _slot: None
+        self.on_leave: Callable[[HeldSlot, LeaveCause], None] = lambda _slot, _cause: None
+        self._told: dict[tuple[int, str], _Told] = {}  # by group and service
+        self._offers_seen: dict[tuple[int, str], int] = {}
+        self._avoided_by_group: dict[int, frozenset[str]] = {}
+
+    def begin(self, sessions: SlotSessions) -> None:
+        """Begin a leadership: nothing was told in these sessions yet."""
+        self.sessions = sessions
+        self._told.clear()
+        self._offers_seen.clear()
+
+    def is_avoided(self, instance_id: str) -> bool:
+        """Whether the node that grants a back end's slots leaves it out."""
+        return any(instance_id in avoided for avoided in self._avoided_by_group.values())
+
+    # ---- what the leader tells ----
+
+    def items_wait(self, service: str, demand: ItemDemand) -> None:
+        """Tell the granting nodes how many items wait; each is told its part."""
+        rooms = self._rooms(service)
+        for group, count in _parts(demand.count, rooms).items():
+            urgent = min(count, demand.urgent)
+            part = ItemDemand(count, urgent, demand.first, demand.excluded)
+            self._tell_demand(group, service, part)
+
+    def begun(self, slot: ItemSlot, urgency: Urgency) -> None:
+        """Tell that an item runs in a slot, and how it stands."""
+        session = self.sessions.by_group[slot.group]
+        session.hold(SlotUse(slot.number, slot.instance_id, item=urgency))
+        session.tell(ItemBegun(session.key, slot.number, urgency))
+
+    def release(self, slot: HeldSlot, verdict: Verdict = Verdict.UNKNOWN) -> None:
+        """Give a slot back."""
+        self.sessions.by_group[slot.group].release(slot.number, verdict)
+
+    def blame(self, instance_id: str) -> None:
+        """Tell that a back end was at fault for a run that had ended before."""
+        session = self.sessions.of_instance(instance_id)
+        if session is not None:
+            session.tell(BackendBlamed(session.key, instance_id))
+
+    # ---- news ----
+
+    def picture_told(self, group: int, picture: SlotPicture) -> None:
+        """Take which back ends are avoided."""
+        self._avoided_by_group[group] = frozenset(
+            load.instance_id for load in picture.backends if load.avoided
+        )
+
+    def session_opened(self, group: int) -> None:
+        """Note that a session has begun: demand is told anew there."""
+        for key in [key for key in self._told if key[0] == group]:
+            del self._told[key]
+        for key in [key for key in self._offers_seen if key[0] == group]:
+            del self._offers_seen[key]
+
+    def items_told(self, group: int, news: SlotNews) -> None:
+        """Take slots that are offered to items, and items that must leave."""
+        for offer in news.offers:
+            key = (group, offer.service)
+            self._offers_seen[key] = self._offers_seen.get(key, 0) + 1
+            number = SlotNumber(offer.number)
+            self.on_offer(ItemSlot(group, number, offer.service, offer.instance_id))
+        for leaving in news.leaving:
+            slot = HeldSlot(group, SlotNumber(leaving.number))
+            self.on_leave(slot, LeaveCause(leaving.cause))
+
+    # ---- inner ----
+
+    def _rooms(self, service: str) -> dict[int, ServiceRoom]:
+        rooms = {}
+        for group, session in self.sessions.by_group.items():
+            room = session.picture.room(service) if session.is_open else None
+            if room is not None:
+                rooms[group] = room
+        return rooms
+
+    def _tell_demand(self, group: int, service: str, demand: ItemDemand) -> None:
+        now = monotonic()
+        key = (group, service)
+        offers_seen = self._offers_seen.get(key, 0)
+        told = self._told.get(key)
+        if told is None and not demand.count:
+            return
+        if told is not None and not told.differs(demand, now, offers_seen):
+            return
+        self._told[key] = _Told(demand, now, offers_seen)
+        session = self.sessions.by_group[group]
+        session.tell(
+            ItemsWaiting(
+                session.key,
+                service,
+                demand.count,
+                demand.urgent,
+                demand.first,
+                demand.excluded,
+                offers_seen,
+            )
+        )
+
+
+def _parts(count: int, rooms_by_group: dict[int, ServiceRoom]) -> dict[int, int]:
+    """Divide items over groups by their free slots; a group without any still hears of some.
+
+    Parts are rounded up: an offer too many is given back.
+    """
+    weights = {group: 1 + room.free for group, room in rooms_by_group.items()}
+    total = sum(weights.values())
+    return {group: math.ceil(count * weight / total) for group, weight in weights.items()}
--- /dev/null
+++ b/src/wharfcart/slots/ledger.py
@@ -0,0 +1,168 @@
+"""Ledger core: which slots are taken, by session; exact as far as messages have come.
+
+Nothing here lapses by time: a slot is free once its holder releases it or the session ends.
+
+Pure: time is handed in as seconds.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from wharfcart.slots.events import HolderId, SessionKey, SlotNumber, SlotUse
+from wharfcart.slots.urgency import Urgency
+
+# A back end reads a prompt at least this fast, in tokens a second, and begins within a moment.
+READ_TOKENS_A_SECOND = 40_000
+BEGIN_S = 0.05
+
+
+@dataclass(slots=True)
+class TakenSlot:
+    """A slot that is taken.
+
+    Attributes:
+        since: monotonic time since which it counts.
+        leaving: its batch item was told to leave.
+    """
+
+    session: SessionKey
+    use: SlotUse
+    since: float
+    leaving: bool = False
+
+    def urgency(self, now: float) -> Urgency | None:
+        """Return how the batch item stands that runs there; None for an online request."""
+        item = self.use.item
+        return None if item is None else item.after_running(now - self.since)
+
+    def unread_tokens(self, now: float) -> int:
+        """Return the tokens of its prompt if they are probably not read yet."""
+        tokens = self.use.unread_tokens
+        return tokens if now < self.since + BEGIN_S + tokens / READ_TOKENS_A_SECOND else 0
+
+
+@dataclass
+class _Session:
+    zone: str
+    taken_by_number: dict[SlotNumber, TakenSlot] = field(default_factory=dict)
+    silent: set[str] = field(default_factory=set)
+
+
+@dataclass
+class SlotLedger:
+    """Sessions and what they have taken."""
+
+    _sessions_by_key: dict[SessionKey, _Session] = field(default_factory=dict)
+    _key_by_holder: dict[HolderId, SessionKey] = field(default_factory=dict)
+    _taken_by_instance: dict[str, dict[int, TakenSlot]] = field(default_factory=dict)
+    _silent_to: dict[str, set[SessionKey]] = field(default_factory=dict)  # by incarnation
+
+    @property
+    def holders(self) -> int:
+        """Number of sessions."""
+        return len(self._sessions_by_key)
+
+    def open(self, key: SessionKey, zone: str, uses: Iterable[SlotUse], now: float) -> None:
+        """Begin a session; an older one of the same holder ends."""
+        older = self._key_by_holder.get(key.holder)
+        if older is not None:
+            self.close(older)
+        self._sessions_by_key[key] = _Session(zone)
+        self._key_by_holder[key.holder] = key
+        for use in uses:
+            self.take(key, use, now)
+
+    def close(self, key: SessionKey) -> bool:
+        """End a session and free what it had taken; False if it is not open."""
+        session = self._sessions_by_key.get(key)
+        if session is None:
+            return False
+        for number in list(session.taken_by_number):
+            self.release(key, number)
+        for instance_id in list(session.silent):
+            self.silence(key, instance_id, False)
+        del self._sessions_by_key[key]
+        if self._key_by_holder.get(key.holder) == key:
+            del self._key_by_holder[key.holder]
+        return True
+
+    def session_of(self, holder: HolderId) -> SessionKey | None:
+        """Return a holder's session that is open."""
+        return self._key_by_holder.get(holder)
+
+    def is_open(self, key: SessionKey) -> bool:
+        """Whether a session is open."""
+        return key in self._sessions_by_key
+
+    def zone(self, key: SessionKey) -> str:
+        """Return the zone of a session's holder."""
+        return self._sessions_by_key[key].zone
+
+    def take(self, key: SessionKey, use: SlotUse, now: float) -> None:
+        """Count a slot as taken; a session that is not open takes none."""
+        session = self._sessions_by_key.get(key)
+        if session is None:
+            return
+        self.release(key, use.number)
+        taken = TakenSlot(key, use, now)
+        session.taken_by_number[use.number] = taken
+        self._taken_by_instance.setdefault(use.instance_id, {})[id(taken)] = taken
+
+    def release(self, key: SessionKey, number: SlotNumber) -> TakenSlot | None:
+        """Free a slot; return what it was, or None if it was not taken."""
+        session = self._sessions_by_key.get(key)
+        taken = None if session is None else session.taken_by_number.pop(number, None)
+        if taken is None:
+            return None
+        there = self._taken_by_instance[taken.use.instance_id]
+        del there[id(taken)]
+        if not there:
+            del self._taken_by_instance[taken.use.instance_id]
+        return taken
+
+    def find(self, key: SessionKey, number: SlotNumber) -> TakenSlot | None:
+        """Return a slot that is taken."""
+        session = self._sessions_by_key.get(key)
+        return None if session is None else session.taken_by_number.get(number)
+
+    def in_use(self, instance_id: str) -> int:
+        """Return how many slots of a back end are taken."""
+        return len(self._taken_by_instance.get(instance_id, ()))
+
+    def unread_tokens(self, instance_id: str, now: float) -> int:
+        """Return the prompt tokens that probably wait to be read at a back end."""
+        taken = self._taken_by_instance.get(instance_id, {}).values()
+        return sum(slot.unread_tokens(now) for slot in taken)
+
+    def items(self, instance_id: str) -> list[TakenSlot]:
+        """Return the slots of a back end where batch items run that were not told to leave."""
+        taken = self._taken_by_instance.get(instance_id, {}).values()
+        return [slot for slot in taken if slot.use.item is not None and not slot.leaving]
+
+    def leaving(self, instance_id: str) -> int:
+        """Return how many batch items at a back end were told to leave and have not left yet."""
+        return sum(slot.leaving for slot in self._taken_by_instance.get(instance_id, {}).values())
+
+    def instances(self) -> list[str]:
+        """Return the back ends where any slot is taken."""
+        return list(self._taken_by_instance)
+
+    def silence(self, key: SessionKey, instance_id: str, silent: bool) -> None:
+        """Note that a back end is silent to a holder, or speaks again."""
+        session = self._sessions_by_key.get(key)
+        if session is None:
+            return
+        if silent:
+            session.silent.add(instance_id)
+            self._silent_to.setdefault(instance_id, set()).add(key)
+            return
+        session.silent.discard(instance_id)
+        told_by = self._silent_to.get(instance_id)
+        if told_by is not None:
+            told_by.discard(key)
+            if not told_by:
+                del self._silent_to[instance_id]
+
+    def is_silent(self, instance_id: str) -> bool:
+        """Whether a back end is silent to any holder."""
+        return instance_id in self._silent_to
--- /dev/null
+++ b/src/wharfcart/slots/picture.py
@@ -0,0 +1,57 @@
+"""What the node that grants slots tells its holders of the back ends, now and then."""
+
+from dataclasses import dataclass, field
+
+
+@dataclass(frozen=True, slots=True)
+class BackendLoad:
+    """Load of one back end.
+
+    Attributes:
+        in_use: slots that are taken, by whomever.
+        unread_tokens: of prompts that probably wait to be read there.
+        avoided: its failures or its silence speak against it.
+    """
+
+    instance_id: str
+    in_use: int
+    unread_tokens: int = 0
+    avoided: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceRoom:
+    """Room for requests of one service at the back ends that one node grants.
+
+    Attributes:
+        slots: of all back ends that may be used.
+        free: slots that nobody has.
+        yielding: slots of batch items that would leave for a request.
+        waiting: requests that wait for a slot.
+    """
+
+    service: str
+    slots: int
+    free: int
+    yielding: int = 0
+    waiting: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class SlotPicture:
+    """State of all slots that one node grants.
+
+    Attributes:
+        backends: the most loaded ones, those that are avoided first.
+        sends_per_s: requests a second that all holders send, by service.
+        holders: how many sessions are open.
+    """
+
+    backends: tuple[BackendLoad, ...] = ()
+    rooms: tuple[ServiceRoom, ...] = ()
+    sends_per_s: dict[str, float] = field(default_factory=dict)
+    holders: int = 0
+
+    def room(self, service: str) -> ServiceRoom | None:
+        """Return the room for a service; None if none of its back ends are granted there."""
+        return next((room for room in self.rooms if room.service == service), None)
--- /dev/null
+++ b/src/wharfcart/slots/service.py
@@ -0,0 +1,266 @@
+"""The node that grants slots: sessions, requests and events of holders, carried to the core.
+
+It grants for as long as it leads the job group of the same number. A holder whose connection ends
+has left: what it had taken is free at once.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass, field
+from time import monotonic
+
+from wharfcart.cluster.messages_pb2 import (
+    Frame,
+    ItemLeave,
+    ItemOffer,
+    OpenSlotSession,
+    SlotEvents,
+    SlotGrant,
+    SlotNews,
+    SlotRequest,
+)
+from wharfcart.configuration.instances import BackendInstance
+from wharfcart.observability.decisions import DecisionLog, Event
+from wharfcart.observability.serving_metrics import Gauge
+from wharfcart.routing.backend_choice import BackendChoice
+from wharfcart.slots.events import (
+    Granted,
+    HolderId,
+    ItemMustLeave,
+    ItemOffered,
+    NoneHere,
+    Refused,
+    SessionClosed,
+    SessionKey,
+    SessionOpened,
+    SlotEvent,
+    SlotInstruction,
+    SlotNumber,
+    SlotReleased,
+)
+from wharfcart.slots.granter import SlotGranter
+from wharfcart.slots.messages import (
+    asked_from_message,
+    event_from_message,
+    picture_to_message,
+    use_from_message,
+)
+
+# What time alone brings is looked at so often: who has waited long enough, who is avoided no more.
+TICK_S = 0.05
+# A holder that waits for a slot hears at least so often that it still waits.
+SIGN_OF_LIFE_S = 0.1
+# Holders hear of the load so often, more seldom where they are many: rate of pictures, all holders.
+PICTURE_S = 0.25
+MOST_PICTURES_A_SECOND = 400
+# A back end that must be avoided is told at once, but no more often than this.
+FEWEST_PICTURE_GAP_S = 0.05
+
+Respond = Callable[[Frame], Awaitable[None]]
+
+
+@dataclass
+class _Outbox:
+    """News for one session that were not sent yet."""
+
+    news: SlotNews = field(default_factory=SlotNews)
+    wake: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def take(self) -> SlotNews:
+        """Return the news, and begin anew."""
+        news, self.news = self.news, SlotNews()
+        self.wake.clear()
+        return news
+
+
+class SlotService:
+    """Grants the slots of one group of back ends while this node leads the job group.
+
+    Args:
+        group: number of the group.
+        choice: what this node knows of the back ends.
+        owns: which of them belong to the group.
+        log: tells which requests were refused.
+        requests_waiting: shows how many wait.
+    """
+
+    def __init__(
+        self,
+        group: int,
+        choice: BackendChoice,
+        owns: Callable[[BackendInstance], bool],
+        log: DecisionLog,
+        requests_waiting: Gauge,
+    ) -> None:
+        self.group = group
+        self._choice = choice
+        self._owns = owns
+        self._log = log
+        self._requests_waiting = requests_waiting
+        self._granter: SlotGranter | None = None
+        self._outboxes: dict[SessionKey, _Outbox] = {}
+        self._answers: dict[tuple[SessionKey, SlotNumber], asyncio.Future[SlotInstruction]] = {}
+        self._picture_at = 0.0
+        self._avoided: frozenset[str] = frozenset()
+
+    @property
+    def granter(self) -> SlotGranter | None:
+        """The decisions, while this node grants."""
+        return self._granter
+
+    def begin(self, epoch: int) -> None:
+        """Begin to grant, knowing nothing: holders tell what they have taken."""
+        self._granter = self.new_granter()
+        self._log.write(Event.GRANTING_BEGUN, group=self.group, epoch=epoch)
+
+    def new_granter(self) -> SlotGranter:
+        """Return the decisions of a new leadership."""
+        return SlotGranter(self._choice, self._owns)
+
+    def end(self) -> None:
+        """Grant no longer: another node does."""
+        if self._granter is None:
+            return
+        self._granter = None
+        self._log.write(Event.GRANTING_ENDED, group=self.group, sessions=len(self._outboxes))
+        for outbox in self._outboxes.values():
+            outbox.wake.set()
+        for (session, number), answer in list(self._answers.items()):
+            if not answer.done():
+                answer.set_result(NoneHere(session, number))
+
+    async def run(self) -> None:
+        """Do what time brings until cancelled."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            granter = self._granter
+            if granter is None:
+                continue
+            now = monotonic()
+            self._carry_out(granter.tick(now))
+            self._requests_waiting.set(granter.total_waiting())
+            self._tell_picture(granter, now)
+
+    # ---- calls of holders ----
+
+    async def serve_session(self, message: OpenSlotSession, respond: Respond) -> None:
+        """Hold a session until its holder leaves; cancelled if the connection ends."""
+        granter = self._granter
+        if granter is None:
+            await respond(Frame(slot_news=SlotNews(refused=True), last=True))
+            return
+        key = SessionKey(HolderId(message.holder), message.session)
+        outbox = _Outbox()
+        self._outboxes[key] = outbox
+        uses = tuple(use_from_message(use) for use in message.uses)
+        self._apply(granter, SessionOpened(key, message.zone, uses))
+        outbox.news.picture.CopyFrom(picture_to_message(granter.picture(monotonic())))
+        try:
+            while self._granter is granter and granter.is_open(key):
+                await respond(Frame(slot_news=outbox.take()))
+                await outbox.wake.wait()
+            await respond(Frame(slot_news=SlotNews(refused=True), last=True))
+        finally:
+            del self._outboxes[key]
+            if self._granter is granter:
+                self._apply(granter, SessionClosed(key))
+
+    async def serve_request(self, message: SlotRequest, respond: Respond) -> None:
+        """Answer a gateway that asks for a slot; cancelled if it wants none any more."""
+        granter = self._granter
+        key = SessionKey(HolderId(message.holder), message.session)
+        if granter is None or not granter.is_open(key):
+            await respond(Frame(slot_grant=SlotGrant(no_session=True), last=True))
+            return
+        asked = asked_from_message(key, message, monotonic())
+        answer: asyncio.Future[SlotInstruction] = asyncio.get_running_loop().create_future()
+        self._answers[key, asked.number] = answer
+        told = False
+        try:
+            self._apply(granter, asked)
+            while not answer.done():
+                await respond(Frame(slot_grant=SlotGrant(waiting=True)))
+                await asyncio.wait((answer,), timeout=SIGN_OF_LIFE_S)
+            self._note_refusal(asked.service, asked.request_id, answer.result())
+            await respond(Frame(slot_grant=_grant_message(answer.result()), last=True))
+            told = True
+        finally:
+            del self._answers[key, asked.number]
+            if not told and self._granter is granter:
+                self._apply(granter, SlotReleased(key, asked.number))
+
+    def take_events(self, message: SlotEvents) -> None:
+        """Take what a holder tells within its session; a session that has ended tells nothing."""
+        granter = self._granter
+        key = SessionKey(HolderId(message.holder), message.session)
+        if granter is None or not granter.is_open(key):
+            return
+        for event in message.events:
+            self._apply(granter, event_from_message(key, event))
+
+    # ---- inner ----
+
+    def _apply(self, granter: SlotGranter, event: SlotEvent) -> None:
+        self._carry_out(granter.handle(event, monotonic()))
+
+    def _carry_out(self, instructions: Iterable[SlotInstruction]) -> None:
+        for instruction in instructions:
+            match instruction:
+                case Granted() | NoneHere() | Refused():
+                    answer = self._answers.get((instruction.session, instruction.number))
+                    if answer is not None and not answer.done():
+                        answer.set_result(instruction)
+                case ItemOffered():
+                    offer = ItemOffer(
+                        number=instruction.number,
+                        service=instruction.service,
+                        instance_id=instruction.instance_id,
+                    )
+                    self._tell(instruction.session, SlotNews(offers=[offer]))
+                case ItemMustLeave():
+                    leave = ItemLeave(number=instruction.number, cause=instruction.cause.value)
+                    self._tell(instruction.session, SlotNews(leaving=[leave]))
+
+    def _tell(self, session: SessionKey, news: SlotNews) -> None:
+        outbox = self._outboxes.get(session)
+        if outbox is not None:
+            outbox.news.MergeFrom(news)
+            outbox.wake.set()
+
+    def _tell_picture(self, granter: SlotGranter, now: float) -> None:
+        """Tell all holders of the load, from time to time or when what is avoided has changed."""
+        age_s = now - self._picture_at
+        period_s = max(PICTURE_S, len(self._outboxes) / MOST_PICTURES_A_SECOND)
+        if age_s < FEWEST_PICTURE_GAP_S:
+            return
+        avoided = granter.avoided(now)
+        if age_s < period_s and avoided == self._avoided:
+            return
+        self._picture_at = now
+        self._avoided = avoided
+        picture = picture_to_message(granter.picture(now))
+        for outbox in self._outboxes.values():
+            outbox.news.picture.CopyFrom(picture)
+            outbox.wake.set()
+
+    def _note_refusal(self, service: str, request_id: str, answer: SlotInstruction) -> None:
+        if isinstance(answer, Refused):
+            self._log.write(
+                Event.SLOT_REFUSED,
+                request=request_id,
+                service=service,
+                group=self.group,
+                cause=answer.cause.value,
+                waiting=answer.waiting,
+                slots=answer.slots,
+                retry_after_s=round(answer.retry_after_s, 2),
+            )
+
+
+def _grant_message(answer: SlotInstruction) -> SlotGrant:
+    match answer:
+        case Granted():
+            return SlotGrant(instance_id=answer.instance_id)
+        case Refused():
+            return SlotGrant(refused=True, retry_after_ms=int(answer.retry_after_s * 1000))
+    return SlotGrant()
--- /dev/null
+++ b/src/wharfcart/slots/session.py
@@ -0,0 +1,295 @@
+"""A holder's session with the node that grants the slots of one group of back ends.
+
+Everything that the holder has taken there is told when the session opens, and every change within
+it. A session that breaks is opened anew, with the whole list; nothing lapses by time.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from contextlib import aclosing
+from dataclasses import dataclass
+from random import getrandbits, random
+from time import monotonic
+
+from wharfcart.cluster.address import Address
+from wharfcart.cluster.messages_pb2 import (
+    Frame,
+    OpenSlotSession,
+    SlotEvents,
+    SlotGrant,
+    SlotNews,
+)
+from wharfcart.cluster.transport import PeerUnreachableError, TrafficClass, Transport
+from wharfcart.errors import ServingError
+from wharfcart.observability.decisions import DecisionLog, Event
+from wharfcart.slots.events import (
+    HolderId,
+    SessionKey,
+    SlotAsked,
+    SlotEvent,
+    SlotNumber,
+    SlotReleased,
+    SlotTaken,
+    SlotUse,
+    Verdict,
+)
+from wharfcart.slots.messages import (
+    asked_to_message,
+    event_to_message,
+    picture_from_message,
+    use_to_message,
+)
+from wharfcart.slots.picture import SlotPicture
+
+# A grant takes two messages and a look-up; one that takes longer is not worth waiting for.
+GRANT_TIMEOUT_S = 0.04
+# After a grant that did not come, the node is not asked again for so long.
+PAUSE_AFTER_SILENCE_S = 0.5
+# A node that has a request wait tells that it lives more often than this.
+SIGN_OF_LIFE_TIMEOUT_S = 0.25
+# A node that grants tells the load more often than this, however many holders there are.
+NEWS_TIMEOUT_S = 2.0
+# So often it is looked whether another node grants now.
+ADDRESS_CHECK_S = 0.1
+RETRY_S = 0.1
+
+
+@dataclass(frozen=True)
+class HeldSlot:
+    """A slot that this holder has taken, by the group that grants it."""
+
+    group: int
+    number: SlotNumber
+
+
+class SlotNewsTaker:
+    """What a holder does with news of its sessions; this one does nothing."""
+
+    def picture_told(self, group: int, picture: SlotPicture) -> None:
+        """Take the load of a group's back ends."""
+
+    def items_told(self, group: int, news: SlotNews) -> None:
+        """Take slots that are offered to batch items, and items that must leave."""
+
+    def session_opened(self, group: int) -> None:
+        """Note that a session has begun: what was told within the last one is forgotten there."""
+
+
+class SlotSession:
+    """The session with one group's granting node.
+
+    Args:
+        group: number of the group.
+        holder: whose session it is.
+        zone: of the holder.
+        transport: reaches the node.
+        address: where it is now, or None.
+        taker: is told of news.
+        log: tells when the node is found and lost.
+
+    Attributes:
+        picture: the load as it was told last.
+    """
+
+    def __init__(
+        self,
+        group: int,
+        holder: HolderId,
+        zone: str,
+        transport: Transport,
+        address: Callable[[int], Address | None],
+        taker: SlotNewsTaker,
+        log: DecisionLog,
+    ) -> None:
+        self.group = group
+        self._holder = holder
+        self._zone = zone
+        self._transport = transport
+        self._address = address
+        self._taker = taker
+        self._log = log
+        self._uses_by_number: dict[SlotNumber, SlotUse] = {}
+        self._next_number = 1
+        self._session = 0
+        self._at: Address | None = None  # where the open session is held
+        self._opening = False
+        self._untold: list[SlotEvent] = []
+        self._flushing = False
+        self._paused_until = 0.0
+        self.picture = SlotPicture()
+
+    @property
+    def key(self) -> SessionKey:
+        """Name of the session that is open or was open last."""
+        return SessionKey(self._holder, self._session)
+
+    @property
+    def uses(self) -> list[SlotUse]:
+        """Return the slots that the holder has taken."""
+        return list(self._uses_by_number.values())
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the granting node knows this session."""
+        return self._at is not None
+
+    def answers(self, now: float) -> bool:
+        """Whether the granting node may be asked for a slot."""
+        return self.is_open and now >= self._paused_until
+
+    # ---- slots ----
+
+    def new_number(self) -> SlotNumber:
+        """Return a number for a slot that is asked for or taken."""
+        self._next_number += 1
+        return SlotNumber(self._next_number)
+
+    def take(self, use: SlotUse) -> HeldSlot:
+        """Note a slot that is taken without having been asked for, and tell of it."""
+        self._uses_by_number[use.number] = use
+        self.tell(SlotTaken(self.key, use))
+        return HeldSlot(self.group, use.number)
+
+    def hold(self, use: SlotUse) -> HeldSlot:
+        """Note a slot that the granting node gave and so knows of."""
+        self._uses_by_number[use.number] = use
+        return HeldSlot(self.group, use.number)
+
+    def release(self, number: SlotNumber, verdict: Verdict = Verdict.UNKNOWN) -> None:
+        """Give a slot back."""
+        self._uses_by_number.pop(number, None)
+        self.tell(SlotReleased(self.key, number, verdict))
+
+    def tell(self, event: SlotEvent) -> None:
+        """Tell the granting node of an event within the session.
+
+        While a session opens it is kept: the list of what is taken may have left without it.
+        """
+        if self.is_open or self._opening:
+            self._untold.append(event)
+        if self.is_open and not self._flushing:
+            self._flushing = True
+            asyncio.get_running_loop().call_soon(self._flush)
+
+    async def ask(self, asked: SlotAsked) -> SlotGrant | None:
+        """Ask for a slot; None if the granting node does not answer or no longer grants.
+
+        Cancelled, or without an answer in time, the request is withdrawn.
+        """
+        address = self._at
+        if address is None:
+            return None
+        frame = Frame(slot_request=asked_to_message(self.group, asked, monotonic()))
+        timeout_s = GRANT_TIMEOUT_S
+        answered = False
+        answers = self._transport.stream(address, frame, TrafficClass.SLOTS)
+        try:
+            async with aclosing(answers):
+                while True:
+                    async with asyncio.timeout(timeout_s):
+                        answer = (await anext(answers)).slot_grant
+                    if self._session != asked.session.number or answer.no_session:
+                        return None
+                    if not answer.waiting:
+                        answered = True
+                        return answer
+                    timeout_s = SIGN_OF_LIFE_TIMEOUT_S
+        except (TimeoutError, PeerUnreachableError, ServingError, StopAsyncIteration):
+            self._paused_until = monotonic() + PAUSE_AFTER_SILENCE_S
+            return None
+        finally:
+            if not answered:
+                # A grant may be on its way that nobody waits for any more.
+                self.release(asked.number)
+
+    # ---- the session ----
+
+    async def run(self) -> None:
+        """Keep a session open until cancelled."""
+        while True:
+            address = self._address(self.group)
+            if address is not None:
+                reason = await self._hold_session(address)
+                self._opening = False
+                if self.is_open:
+                    self._at = None
+                    self._log.write(Event.GRANTER_LOST, group=self.group, reason=reason)
+            await asyncio.sleep(RETRY_S * (0.5 + random()))
+
+    async def _hold_session(self, address: Address) -> str:
+        """Open a session and take its news; return why it ended."""
+        self._session = getrandbits(63)
+        self._untold.clear()
+        self._opening = True
+        frame = Frame(
+            open_slot_session=OpenSlotSession(
+                group=self.group,
+                holder=self._holder,
+                session=self._session,
+                zone=self._zone,
+                uses=[use_to_message(use) for use in self._uses_by_number.values()],
+            )
+        )
+        answers = self._transport.stream(address, frame, TrafficClass.SLOTS)
+        try:
+            async with aclosing(answers):
+                while True:
+                    answer = await self._next(anext(answers), address)
+                    if answer is None:
+                        return "another node grants"
+                    if answer.slot_news.refused:
+                        return "refused"
+                    self._take_news(address, answer.slot_news)
+        except TimeoutError:
+            self._transport.drop(address, TrafficClass.SLOTS)
+            return "silent"
+        except (PeerUnreachableError, ServingError, StopAsyncIteration) as error:
+            return f"{type(error).__name__}: {error}"
+
+    async def _next(self, answer: Awaitable[Frame], address: Address) -> Frame | None:
+        """Return the next news; None if another node grants now.
+
+        Raises:
+            TimeoutError: the node tells nothing.
+        """
+        until = monotonic() + NEWS_TIMEOUT_S
+        waiting = asyncio.ensure_future(answer)
+        try:
+            while not waiting.done():
+                if self._address(self.group) != address:
+                    return None
+                if monotonic() > until:
+                    raise TimeoutError
+                await asyncio.wait((waiting,), timeout=ADDRESS_CHECK_S)
+            return waiting.result()
+        finally:
+            if not waiting.done():
+                # It must have ended before the stream that it reads can be closed.
+                waiting.cancel()
+                await asyncio.wait((waiting,))
+
+    def _take_news(self, address: Address, news: SlotNews) -> None:
+        if not self.is_open:
+            self._at = address
+            self._opening = False
+            self._paused_until = 0.0
+            self._log.write(Event.GRANTER_FOUND, group=self.group, slots=len(self._uses_by_number))
+            self._flush()
+            self._taker.session_opened(self.group)
+        if news.HasField("picture"):
+            self.picture = picture_from_message(news.picture)
+            self._taker.picture_told(self.group, self.picture)
+        if news.offers or news.leaving:
+            self._taker.items_told(self.group, news)
+
+    def _flush(self) -> None:
+        self._flushing = False
+        address = self._at
+        if address is None or not self._untold:
+            return
+        events = [event_to_message(event) for event in self._untold]
+        self._untold.clear()
+        message = SlotEvents(
+            group=self.group, holder=self._holder, session=self._session, events=events
+        )
+        self._transport.send(address, Frame(slot_events=message), TrafficClass.SLOTS)
--- /dev/null
+++ b/src/wharfcart/slots/sessions.py
@@ -0,0 +1,119 @@
+"""All slot sessions of one holder: one with each group's granting node."""
+
+import asyncio
+from collections.abc import Callable
+from time import monotonic
+
+from wharfcart.cluster.address import Address
+from wharfcart.cluster.transport import Transport
+from wharfcart.observability.decisions import DecisionLog
+from wharfcart.observability.tasks import BackgroundTasks
+from wharfcart.routing.backend_choice import BackendChoice
+from wharfcart.slots.events import HolderId, SilenceChanged
+from wharfcart.slots.picture import ServiceRoom
+from wharfcart.slots.session import SlotNewsTaker, SlotSession
+
+# So often it is looked for groups that are new, and for back ends that have fallen silent.
+CHECK_S = 0.05
+
+
+class SlotSessions:
+    """Sessions by group.
+
+    Args:
+        holder: whose sessions they are.
+        choice: what the holder knows of the back ends.
+        transport: reaches the granting nodes.
+        groups: how many groups there are; 0 while that is not known.
+        address: where a group's slots are granted now, or None.
+        group_of: the group whose node grants an incarnation's slots, or None.
+        taker: is told of news.
+        log: tells when a granting node is found and lost.
+    """
+
+    def __init__(
+        self,
+        holder: HolderId,
+        choice: BackendChoice,
+        transport: Transport,
+        groups: Callable[[], int],
+        address: Callable[[int], Address | None],
+        group_of: Callable[[str], int | None],
+        taker: SlotNewsTaker,
+        log: DecisionLog,
+    ) -> None:
+        self._holder = holder
+        self._choice = choice
+        self._transport = transport
+        self._groups = groups
+        self._address = address
+        self._group_of = group_of
+        self._taker = taker
+        self._log = log
+        self._tasks = BackgroundTasks()
+        self._silent: set[str] = set()
+        self._silence_told_in: dict[int, int] = {}  # session by group
+        self.by_group: dict[int, SlotSession] = {}
+
+    async def run(self) -> None:
+        """Keep all sessions open until cancelled."""
+        try:
+            while True:
+                self._open_missing()
+                self._tell_silence()
+                await asyncio.sleep(CHECK_S)
+        finally:
+            self._tasks.cancel()
+
+    def of_instance(self, instance_id: str) -> SlotSession | None:
+        """Return the session with the node that grants a back end's slots, open or not."""
+        group = self._group_of(instance_id)
+        return None if group is None else self.by_group.get(group)
+
+    def rooms(self, service: str) -> dict[int, ServiceRoom]:
+        """Return the room for a service, by group whose node may be asked now."""
+        now = monotonic()
+        rooms = {}
+        for group, session in self.by_group.items():
+            room = session.picture.room(service) if session.answers(now) else None
+            if room is not None and room.slots > 0:
+                rooms[group] = room
+        return rooms
+
+    def holders(self) -> int:
+        """Return how many holders the granting nodes know of."""
+        known = [session.picture.holders for session in self.by_group.values()]
+        return max(known, default=0)
+
+    def _open_missing(self) -> None:
+        for group in range(len(self.by_group), self._groups()):
+            session = SlotSession(
+                group,
+                self._holder,
+                self._choice.zone,
+                self._transport,
+                self._address,
+                self._taker,
+                self._log,
+            )
+            self.by_group[group] = session
+            self._tasks.spawn(session.run())
+
+    def _tell_silence(self) -> None:
+        """Tell of back ends that keep a request waiting too long, and of those that spoke again."""
+        silent = self._choice.silent_instances(monotonic())
+        for instance_id in silent ^ self._silent:
+            self._tell_silence_of(instance_id, instance_id in silent)
+        for group, session in self.by_group.items():
+            if session.is_open and self._silence_told_in.get(group) != session.key.number:
+                # A new session knows of none.
+                self._silence_told_in[group] = session.key.number
+                for instance_id in silent & self._silent:
+                    if self._group_of(instance_id) == group:
+                        self._tell_silence_of(instance_id, True)
+        self._silent = silent
+
+    def _tell_silence_of(self, instance_id: str, silent: bool) -> None:
+        session = self.of_instance(instance_id)
+        if session is not None:
+            session.tell(SilenceChanged(session.key, instance_id, silent))
--- a/src/wharfcart/storage/group_record_store.py
+++ b/src/wharfcart/storage/group_record_store.py
@@ -19,12 +19,17 @@
         self._key = key
         self._coordination = coordination
         self._mirror = mirror
+        self._known: GroupRecord | None = None  # as it was read last
 
     @property
     def known(self) -> GroupRecord | None:
         """The record as this node's mirror has it."""
         entry = self._mirror.get(self._key)
-        return None if entry is None else group_record_from(entry.value, entry.revision)
+        if entry is None:
+            return None
+        if self._known is None or self._known.revision != entry.revision:
+            self._known = group_record_from(entry.value, entry.revision)
+        return self._known
 
     async def read(self) -> GroupRecord | None:
         """Return the record in force.
--- a/src/wharfcart/storage/job_client.py
+++ b/src/wharfcart/storage/job_client.py
@@ -62,7 +62,19 @@
         try_s: the longest that one node is waited for.
         """
         until = monotonic() + timeout_s
-        group = group_of(job_id, self._groups())
+        while not (groups := self._groups()):
+            if monotonic() > until:
+                return JobCallFailure(False, "no_groups")
+            await asyncio.sleep(RETRY_S)
+        return await self.call_group(
+            group_of(job_id, groups), frame, answer_field, until - monotonic(), try_s
+        )
+
+    async def call_group(
+        self, group: int, frame: Frame, answer_field: str, timeout_s: float, try_s: float
+    ) -> Frame | JobCallFailure:
+        """Ask the leader of a group; the arguments are those of :meth:`call`."""
+        until = monotonic() + timeout_s
         sent = False
         cause = "no_leader"
         hint = ""
@@ -127,5 +139,5 @@
 
 
 def group_of(job_id: str, groups: int) -> int:
-    """Return the group that a job belongs to."""
+    """Return the group that a job belongs to, of one group or more."""
     return xxhash.xxh64_intdigest(job_id.encode()) % max(1, groups)
--- a/src/wharfcart/storage/job_group.py
+++ b/src/wharfcart/storage/job_group.py
@@ -50,7 +50,6 @@
 SILENCE_SPREAD_S = 0.15
 # Replicas that have not answered when enough others have are waited for so long.
 STRAGGLERS_S = 0.15
-GATHER_S = 1.5
 FRESH_S = 0.75
 FENCE_RETRY_S = 0.15
 CONTEST_RETRY_S = 0.3
@@ -221,8 +220,8 @@
                 self._known_epoch = record.epoch
                 self._epoch_since = monotonic()
             if record is None:
-                await self._maybe_begin_group()
-            elif self.leadership is not None:
+                continue
+            if self.leadership is not None:
                 self._check_still_leading(record)
             elif record.leader == self._context.identity and record.epoch > self._last_led:
                 await self._lead(record)
@@ -246,18 +245,6 @@
         silent_since = max(self._heard_leader_at, self._started_at, self._epoch_since)
         return now - silent_since > silence_s and now >= self._contest_at
 
-    async def _maybe_begin_group(self) -> None:
-        known = self._context.identities()
-        if self._context.identity not in known or len(known) < self._context.copies:
-            return
-        if len(known) < self._context.full_size and monotonic() - self._started_at < GATHER_S:
-            return
-        if self._context.mirror.at == 0 or min(known) != self._context.identity:
-            return
-        members = frozenset(sorted(known)[: self._context.full_size])
-        with suppress(RecordInDoubtError):
-            await self.records.swap(GroupRecord(1, self._context.identity, members), 0)
-
     async def _contest(self) -> None:
         began_at = monotonic()
         self._contest_at = began_at + CONTEST_RETRY_S * (1 + self._context.random.random())
--- a/tests/batch/test_run_estimate.py
+++ b/tests/batch/test_run_estimate.py
@@ -1,6 +1,7 @@
 """How long an item still runs."""
 
-from wharfcart.batch.run_estimate import LEAST_SHARE_LEFT, RunEstimate, Urgency
+from wharfcart.batch.run_estimate import LEAST_SHARE_LEFT, RunEstimate
+from wharfcart.slots.urgency import Urgency
 
 
 def test_before_anything_is_known_the_objective_decides() -> None:
