--- /dev/null
+++ b/tests/slots/network.py
@@ -0,0 +1,225 @@
+"""Granting nodes, gateways and leaders in virtual time, and a network between them that fails."""
+
+import asyncio
+from collections.abc import AsyncGenerator, Awaitable, Callable
+from random import Random
+from typing import cast
+
+from wharfcart.cluster.address import Address
+from wharfcart.cluster.messages_pb2 import Frame, SlotEvents
+from wharfcart.cluster.transport import PeerUnreachableError, TrafficClass, Transport
+from wharfcart.configuration.instances import BackendInstance
+from wharfcart.experiments.simulated_slots import CLOCK_USERS
+from wharfcart.experiments.virtual_time import run_virtually, virtual_clock
+from wharfcart.observability.decisions import DecisionLog
+from wharfcart.observability.serving_metrics import ServingMetrics
+from wharfcart.routing.backend_choice import BackendChoice
+from wharfcart.routing.placement import PlacementRequest
+from wharfcart.slots.events import HolderId
+from wharfcart.slots.fleet_load import FleetLoad
+from wharfcart.slots.granted_placement import GrantedPlacement
+from wharfcart.slots.item_slots import ItemSlots
+from wharfcart.slots.service import SlotService
+from wharfcart.slots.session import SlotNewsTaker
+from wharfcart.slots.sessions import SlotSessions
+
+METRICS = ServingMetrics()
+ONE_WAY_S = 0.001
+SETTLE_S = 0.2
+
+
+class Node:
+    """A node that may grant slots of groups."""
+
+    def __init__(self, number: int, choice: BackendChoice) -> None:
+        self.address = Address("node", number)
+        self.choice = choice
+        self.service = SlotService(
+            0, choice, lambda _instance: True, DecisionLog("test"), METRICS.requests_waiting
+        )
+
+
+class Network:
+    """Calls between holders and nodes. A connection is one holder's way to one node."""
+
+    def __init__(self) -> None:
+        self.nodes: dict[Address, Node] = {}
+        self.dark: set[Address] = set()  # what goes there and comes from there waits
+        self.serving: dict[tuple[str, Address], set[asyncio.Task[None]]] = {}
+        self.broken: dict[tuple[str, Address], asyncio.Event] = {}
+
+    async def reach(self, address: Address) -> None:
+        """Take one way's time, and longer while the node is dark."""
+        await asyncio.sleep(ONE_WAY_S)
+        while address in self.dark:
+            await asyncio.sleep(ONE_WAY_S)
+
+    def break_connection(self, holder: str, node: Node, told: bool = True) -> None:
+        """End a holder's connection; the node is told of it at once, or never."""
+        key = (holder, node.address)
+        if told:
+            for task in self.serving.pop(key, set()):
+                task.cancel()
+        self.broken.pop(key, asyncio.Event()).set()
+
+
+class HolderTransport:
+    """One holder's side of the network."""
+
+    def __init__(self, network: Network, holder: str) -> None:
+        self._network = network
+        self._holder = holder
+        self._sent: dict[tuple[str, Address], asyncio.Task[None]] = {}
+
+    async def stream(
+        self, address: Address, frame: Frame, _traffic: TrafficClass
+    ) -> AsyncGenerator[Frame, None]:
+        """Open a session or ask for a slot."""
+        network = self._network
+        key = (self._holder, address)
+        broken = network.broken.setdefault(key, asyncio.Event())
+        answers: asyncio.Queue[Frame] = asyncio.Queue()
+
+        async def answer(frame: Frame) -> None:
+            answers.put_nowait(Frame.FromString(frame.SerializeToString()))
+
+        await network.reach(address)
+        service = network.nodes[address].service
+        if frame.WhichOneof("body") == "slot_request":
+            work = service.serve_request(frame.slot_request, answer)
+        else:
+            work = service.serve_session(frame.open_slot_session, answer)
+        task = asyncio.create_task(work)
+        network.serving.setdefault(key, set()).add(task)
+        try:
+            while True:
+                got = asyncio.create_task(answers.get())
+                lost = asyncio.create_task(broken.wait())
+                await asyncio.wait((got, lost), return_when=asyncio.FIRST_COMPLETED)
+                lost.cancel()
+                if not got.done():
+                    got.cancel()
+                    raise PeerUnreachableError(address, sent=True)
+                await network.reach(address)
+                yield got.result()
+        finally:
+            if not broken.is_set():
+                asyncio.get_running_loop().call_later(ONE_WAY_S, task.cancel)
+
+    def send(self, address: Address, frame: Frame, _traffic: TrafficClass) -> None:
+        """Tell what happens within a session."""
+        events = Frame.FromString(frame.SerializeToString()).slot_events
+        key = (self._holder, address)
+        before = self._sent.get(key)
+        self._sent[key] = asyncio.create_task(self._deliver(address, events, before))
+
+    async def _deliver(
+        self, address: Address, events: SlotEvents, before: asyncio.Task[None] | None
+    ) -> None:
+        await self._network.reach(address)
+        if before is not None:
+            await before  # a connection keeps the order
+        self._network.nodes[address].service.take_events(events)
+
+    def drop(self, address: Address, _traffic: TrafficClass) -> None:
+        """Close the connection."""
+        self._network.break_connection(self._holder, self._network.nodes[address], told=False)
+
+
+class Holder:
+    """A gateway, or a leader with items."""
+
+    def __init__(self, fleet: "Fleet", name: str, taker: SlotNewsTaker | None = None) -> None:
+        self.name = name
+        self.choice = fleet.new_choice()
+        self.sessions = SlotSessions(
+            HolderId(name),
+            self.choice,
+            cast(Transport, HolderTransport(fleet.network, name)),
+            lambda: 1,
+            lambda _group: fleet.leader.address,
+            lambda _instance_id: 0,
+            taker or FleetLoad(self.choice),
+            DecisionLog(name),
+        )
+        self.placement = GrantedPlacement(
+            self.choice, self.sessions, lambda _group: True, METRICS.placements
+        )
+        self.task = asyncio.create_task(self.sessions.run())
+
+
+class Fleet:
+    """Back ends, two nodes of which one grants, and holders."""
+
+    def __init__(self, servers: int = 2, slots: int = 2) -> None:
+        self.servers = servers
+        self.slots = slots
+        self.rng = Random(1)
+        self.network = Network()
+        self.nodes = [Node(number, self.new_choice()) for number in range(2)]
+        for node in self.nodes:
+            self.network.nodes[node.address] = node
+        self.leader = self.nodes[0]
+        self.leader.service.begin(1)
+        self.tasks = [asyncio.create_task(node.service.run()) for node in self.nodes]
+        self.holders: dict[str, Holder] = {}
+
+    def new_choice(self) -> BackendChoice:
+        choice = BackendChoice("z", self.rng)
+        for n in range(self.servers):
+            choice.put(BackendInstance(f"i{n}", "s", "127.0.0.1", 1, "z", self.slots, True))
+        return choice
+
+    async def gateway(self, name: str) -> Holder:
+        """Begin a gateway and wait for its session."""
+        self.holders[name] = Holder(self, name)
+        await asyncio.sleep(SETTLE_S)
+        return self.holders[name]
+
+    async def items(self, name: str = "leader/0") -> ItemSlots:
+        """Begin a leader with items and wait for its session."""
+        slots = ItemSlots()
+        self.holders[name] = Holder(self, name, slots)
+        slots.begin(self.holders[name].sessions)
+        await asyncio.sleep(SETTLE_S)
+        return slots
+
+    def change_leader(self) -> None:
+        """Let the other node grant; the first one knows."""
+        self.leader.service.end()
+        self.leader = self.nodes[1 - self.nodes.index(self.leader)]
+        self.leader.service.begin(2)
+
+    def in_use(self) -> int:
+        """Return how many slots are taken as the granting node knows."""
+        granter = self.leader.service.granter
+        assert granter is not None
+        now = asyncio.get_running_loop().time()
+        return sum(load.in_use for load in granter.picture(now).backends)
+
+
+def request(waits_s: float = 5.0, **more: object) -> PlacementRequest:
+    now = asyncio.get_running_loop().time()
+    values = {
+        "service": "s",
+        "excluded": frozenset(),
+        "affinity_key": "",
+        "unread_tokens": 0,
+        "request_id": "r",
+        "route_name": "route",
+        "in_time_until": now + 1.0,
+        "leave_at": now + waits_s,
+        "priority": 0,
+    }
+    return PlacementRequest(**(values | more))
+
+
+def play(scenario: Callable[[Fleet], Awaitable[None]], **more: int) -> None:
+    async def run() -> None:
+        fleet = Fleet(**more)
+        await scenario(fleet)
+        for task in [*fleet.tasks, *(holder.task for holder in fleet.holders.values())]:
+            task.cancel()
+
+    with virtual_clock(CLOCK_USERS):
+        run_virtually(run())
--- /dev/null
+++ b/tests/slots/test_asking_order.py
@@ -0,0 +1,53 @@
+"""Whom a gateway asks for a slot."""
+
+from wharfcart.slots.asking_order import asking_order, asking_order_by_affinity
+from wharfcart.slots.events import Manner
+from wharfcart.slots.picture import ServiceRoom
+
+
+def room(free: int, yielding: int = 0, waiting: int = 0, slots: int = 8) -> ServiceRoom:
+    return ServiceRoom("s", slots, free, yielding, waiting)
+
+
+def test_the_only_node_is_asked_once_and_waited_for() -> None:
+    assert asking_order({0: room(0)}, [0]) == [(0, Manner.WAIT)]
+    assert asking_order({}, []) == []
+
+
+def test_a_free_slot_in_the_own_zone_comes_first() -> None:
+    order = asking_order({0: room(8), 1: room(1), 2: room(5)}, [1])
+    assert order[:2] == [(1, Manner.FREE), (0, Manner.FREE)]
+
+
+def test_a_free_slot_elsewhere_comes_before_one_that_an_item_gives_up() -> None:
+    order = asking_order({0: room(3), 1: room(0, yielding=4)}, [1])
+    assert order[:2] == [(0, Manner.FREE), (1, Manner.YIELDED)]
+
+
+def test_slots_that_others_wait_for_are_no_room() -> None:
+    order = asking_order({0: room(1, waiting=3), 1: room(1)}, [0])
+    assert order[0] == (1, Manner.FREE)
+
+
+def test_who_finds_nothing_waits_where_the_queue_is_shortest() -> None:
+    order = asking_order({0: room(0, waiting=9), 1: room(0, waiting=2), 2: room(0, waiting=4)}, [0])
+    assert order == [(1, Manner.WAIT), (2, Manner.WAIT), (0, Manner.WAIT)]
+
+
+def test_every_node_is_asked_in_the_end() -> None:
+    order = asking_order({group: room(group) for group in range(5)}, [0])
+    assert {group for group, manner in order if manner is Manner.WAIT} == set(range(5))
+
+
+def test_a_shared_prompt_goes_to_the_same_node_as_long_as_that_has_room() -> None:
+    rooms = {group: room(4) for group in range(5)}
+    first = asking_order_by_affinity(rooms, "prompt")[0][0]
+    assert all(asking_order_by_affinity(rooms, "prompt")[0][0] == first for _ in range(3))
+    rooms[first] = room(0, waiting=1)
+    assert asking_order_by_affinity(rooms, "prompt")[0][0] != first
+
+
+def test_shared_prompts_are_spread_over_the_nodes() -> None:
+    rooms = {group: room(4) for group in range(5)}
+    firsts = {asking_order_by_affinity(rooms, f"prompt {n}")[0][0] for n in range(100)}
+    assert firsts == set(range(5))
--- /dev/null
+++ b/tests/slots/test_sessions.py
@@ -0,0 +1,405 @@
+"""Slots between gateways, leaders and the node that grants, over a network that fails."""
+
+import asyncio
+from random import Random
+
+import pytest
+
+from tests.slots.network import ONE_WAY_S, SETTLE_S, Fleet, play, request
+from wharfcart.routing.placement import NoSlotError, Placed, SendVerdict
+from wharfcart.slots.events import LeaveCause
+from wharfcart.slots.item_slots import ItemDemand, ItemSlot, ItemSlots
+from wharfcart.slots.service import MOST_PICTURES_A_SECOND, PICTURE_S
+from wharfcart.slots.session import GRANT_TIMEOUT_S, PAUSE_AFTER_SILENCE_S, HeldSlot
+from wharfcart.slots.urgency import Urgency
+
+PATIENT = Urgency(left_s=15.0, remaining_s=4.0)
+
+
+def name_of(placed: Placed | None) -> str:
+    assert placed is not None
+    return placed.state.instance.instance_id
+
+
+def test_a_gateway_sends_where_it_was_granted_a_slot_and_gives_it_back() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        gateway = await fleet.gateway("g1")
+        placed = [await gateway.placement.place(request()) for _ in range(4)]
+        assert sorted(map(name_of, placed)) == ["i0", "i0", "i1", "i1"]
+        assert fleet.in_use() == 4
+        for one in placed:
+            gateway.placement.ended(one, SendVerdict.GOOD)
+        await asyncio.sleep(2 * ONE_WAY_S)
+        assert fleet.in_use() == 0
+
+    play(scenario)
+
+
+def test_a_gateway_waits_while_it_hears_that_the_request_waits() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        gateway = await fleet.gateway("g1")
+        first = await gateway.placement.place(request())
+        waiting = asyncio.create_task(gateway.placement.place(request()))
+        await asyncio.sleep(1.0)
+        assert not waiting.done()
+        gateway.placement.ended(first, SendVerdict.GOOD)
+        assert name_of(await waiting) == "i0"
+        assert fleet.in_use() == 1
+
+    play(scenario, servers=1, slots=1)
+
+
+def test_a_refusal_tells_when_to_come_back() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        gateway = await fleet.gateway("g1")
+        await gateway.placement.place(request())
+        with pytest.raises(NoSlotError) as raised:
+            await gateway.placement.place(request(waits_s=0.3))
+        assert raised.value.retry_after_s > 0
+        assert fleet.in_use() == 1
+
+    play(scenario, servers=1, slots=1)
+
+
+def test_a_caller_that_leaves_while_it_waits_takes_no_slot() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        gateway = await fleet.gateway("g1")
+        first = await gateway.placement.place(request())
+        leaver = asyncio.create_task(gateway.placement.place(request()))
+        await asyncio.sleep(0.5)
+        leaver.cancel()
+        await asyncio.sleep(0.1)
+        gateway.placement.ended(first, SendVerdict.GOOD)
+        await asyncio.sleep(0.1)
+        assert fleet.in_use() == 0
+
+    play(scenario, servers=1, slots=1)
+
+
+def test_a_gateway_that_hears_nothing_chooses_itself_and_does_not_ask_at_once_again() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        gateway = await fleet.gateway("g1")
+        fleet.network.dark.add(fleet.leader.address)
+        began_at = asyncio.get_running_loop().time()
+        for _ in range(5):
+            assert name_of(await gateway.placement.place(request()))
+        assert asyncio.get_running_loop().time() - began_at < 2 * GRANT_TIMEOUT_S
+
+    play(scenario)
+
+
+def test_a_node_that_falls_silent_while_a_request_waits_is_not_waited_for() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        gateway = await fleet.gateway("g1")
+        await gateway.placement.place(request())
+        waiting = asyncio.create_task(gateway.placement.place(request()))
+        await asyncio.sleep(0.5)
+        fleet.network.dark.add(fleet.leader.address)
+        async with asyncio.timeout(0.5):
+            assert name_of(await waiting) == "i0"
+
+    play(scenario, servers=1, slots=1)
+
+
+def test_a_node_that_no_longer_grants_is_left_by_those_who_wait() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        gateway = await fleet.gateway("g1")
+        await gateway.placement.place(request())
+        waiting = asyncio.create_task(gateway.placement.place(request()))
+        await asyncio.sleep(0.5)
+        fleet.change_leader()
+        async with asyncio.timeout(0.5):
+            assert name_of(await waiting) == "i0"
+
+    play(scenario, servers=1, slots=1)
+
+
+def test_a_grant_of_a_back_end_that_has_left_is_given_back() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        gateway = await fleet.gateway("g1")
+        gateway.choice.remove("i0", 0.0, drained=True)
+        placed = [await gateway.placement.place(request()) for _ in range(2)]
+        assert list(map(name_of, placed)) == ["i1", "i1"]
+        await asyncio.sleep(SETTLE_S)
+        assert fleet.in_use() == 2
+
+    play(scenario)
+
+
+def test_slots_taken_while_nobody_grants_are_told_once_the_node_is_found_again() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        gateway = await fleet.gateway("g1")
+        fleet.network.dark.add(fleet.leader.address)
+        fleet.network.break_connection("g1", fleet.leader)
+        await asyncio.sleep(0.1)
+        placed = await gateway.placement.place(request())
+        fleet.network.dark.clear()
+        await asyncio.sleep(1.0)
+        assert fleet.in_use() == 1
+        gateway.placement.ended(placed, SendVerdict.GOOD)
+        await asyncio.sleep(0.1)
+        assert fleet.in_use() == 0
+
+    play(scenario)
+
+
+def test_slots_of_a_killed_gateway_are_free_within_half_a_second() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        gateway = await fleet.gateway("g1")
+        await gateway.placement.place(request())
+        other = await fleet.gateway("g2")
+        waiting = asyncio.create_task(other.placement.place(request()))
+        await asyncio.sleep(0.1)
+        gateway.task.cancel()
+        fleet.network.break_connection("g1", fleet.leader)
+        async with asyncio.timeout(0.5):
+            assert name_of(await waiting) == "i0"
+
+    play(scenario, servers=1, slots=1)
+
+
+def test_a_gateway_whose_connection_broke_tells_what_it_still_has() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        gateway = await fleet.gateway("g1")
+        placed = [await gateway.placement.place(request()) for _ in range(3)]
+        fleet.network.break_connection("g1", fleet.leader)
+        gateway.placement.ended(placed[0], SendVerdict.GOOD)
+        await asyncio.sleep(SETTLE_S)
+        assert fleet.in_use() == 2
+
+    play(scenario)
+
+
+def test_a_connection_of_which_the_node_never_hears_again_counts_nothing_twice() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        gateway = await fleet.gateway("g1")
+        await gateway.placement.place(request())
+        fleet.network.break_connection("g1", fleet.leader, told=False)
+        await asyncio.sleep(SETTLE_S)
+        assert fleet.in_use() == 1
+
+    play(scenario)
+
+
+def test_the_next_granting_node_knows_all_slots_within_a_fraction_of_a_second() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        gateways = [await fleet.gateway(f"g{n}") for n in range(3)]
+        for gateway in gateways:
+            await gateway.placement.place(request())
+        fleet.change_leader()
+        await asyncio.sleep(0.4)
+        assert fleet.in_use() == 3
+        assert name_of(await gateways[0].placement.place(request()))
+        assert fleet.in_use() == 4
+
+    play(scenario)
+
+
+def test_a_node_that_thinks_it_still_grants_harms_nobody() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        gateway = await fleet.gateway("g1")
+        old = fleet.leader
+        fleet.leader = fleet.nodes[1]
+        fleet.leader.service.begin(2)
+        await asyncio.sleep(0.4)
+        placed = await gateway.placement.place(request())
+        assert fleet.in_use() == 1
+        assert old.service.granter.picture(0.0).holders == 0
+        gateway.placement.ended(placed, SendVerdict.GOOD)
+
+    play(scenario)
+
+
+def test_a_grant_that_comes_too_late_is_given_back() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        gateway = await fleet.gateway("g1")
+        asking = asyncio.create_task(gateway.placement.place(request()))
+        await asyncio.sleep(1.5 * ONE_WAY_S)
+        fleet.network.dark.add(fleet.leader.address)
+        placed = await asking
+        fleet.network.dark.clear()
+        await asyncio.sleep(SETTLE_S)
+        assert fleet.in_use() == 1, "its own choice, not the grant that came later"
+        gateway.placement.ended(placed, SendVerdict.GOOD)
+        await asyncio.sleep(SETTLE_S)
+        assert fleet.in_use() == 0
+
+    play(scenario)
+
+
+def test_a_back_end_silent_to_one_gateway_is_spared_by_all_at_once() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        first, second = await fleet.gateway("g1"), await fleet.gateway("g2")
+        loop = asyncio.get_running_loop()
+        first.choice.sent(first.choice.state("i0"), loop.time() - 1.0)
+        await asyncio.sleep(0.1)
+        placed = [await second.placement.place(request()) for _ in range(2)]
+        assert list(map(name_of, placed)) == ["i1", "i1"]
+        # Told with the next picture, which an avoided back end brings about.
+        await asyncio.sleep(0.1)
+        assert second.choice.state("i0").avoided(loop.time())
+
+    play(scenario)
+
+
+def test_what_runs_told_of_a_back_end_reaches_everybody() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        first, second = await fleet.gateway("g1"), await fleet.gateway("g2")
+        for _ in range(2):
+            placed = await first.placement.place(request(excluded=frozenset({"i1"})))
+            first.placement.ended(placed, SendVerdict.BAD)
+        await asyncio.sleep(0.1)
+        assert second.choice.state("i0").avoided(asyncio.get_running_loop().time())
+
+    play(scenario)
+
+
+def test_the_rate_of_pictures_is_bounded() -> None:
+    for holders in (1, 10, 100, 410, 5000):
+        period_s = max(PICTURE_S, holders / MOST_PICTURES_A_SECOND)
+        assert holders / period_s <= MOST_PICTURES_A_SECOND + 0.001
+
+
+class Items:
+    """Items that run until they are stopped."""
+
+    def __init__(self, slots: ItemSlots, waiting: int) -> None:
+        self.slots = slots
+        self.waiting = waiting
+        self.running: dict[tuple[int, int], ItemSlot] = {}
+        slots.on_offer = self._take
+        slots.on_leave = self._leave
+
+    def tell(self) -> None:
+        self.slots.items_wait("s", ItemDemand(self.waiting, 0, PATIENT))
+
+    def _take(self, slot: ItemSlot) -> None:
+        if not self.waiting:
+            self.slots.release(slot)
+            return
+        self.waiting -= 1
+        self.running[slot.group, slot.number] = slot
+        self.slots.begun(slot, PATIENT)
+
+    def _leave(self, slot: HeldSlot, _cause: LeaveCause) -> None:
+        if self.running.pop((slot.group, slot.number), None) is not None:
+            self.waiting += 1
+            self.slots.release(slot)
+
+
+def test_items_are_offered_slots_and_leave_them() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        items = Items(await fleet.items(), 9)
+        gateway = await fleet.gateway("g1")
+        items.tell()
+        await asyncio.sleep(0.1)
+        assert len(items.running) == 4
+        assert name_of(await gateway.placement.place(request()))
+        await asyncio.sleep(0.01)
+        assert len(items.running) == 3
+        assert fleet.in_use() == 4
+
+    play(scenario)
+
+
+def test_items_go_on_under_the_next_granting_node() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        items = Items(await fleet.items(), 3)
+        gateway = await fleet.gateway("g1")
+        items.tell()
+        await asyncio.sleep(0.1)
+        fleet.change_leader()
+        await asyncio.sleep(0.4)
+        items.tell()
+        await asyncio.sleep(0.1)
+        assert len(items.running) == 3
+        assert fleet.in_use() == 3
+        for _ in range(2):
+            await gateway.placement.place(request())
+        await asyncio.sleep(0.01)
+        assert len(items.running) == 2
+
+    play(scenario)
+
+
+def test_offers_beyond_what_waits_are_given_back() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        items = Items(await fleet.items(), 2)
+        items.tell()
+        items.waiting = 1
+        await asyncio.sleep(0.1)
+        assert len(items.running) == 1
+        assert fleet.in_use() == 1
+
+    play(scenario)
+
+
+def test_a_leader_that_is_killed_leaves_no_item_behind() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        items = Items(await fleet.items(), 3)
+        items.tell()
+        await asyncio.sleep(0.1)
+        assert fleet.in_use() == 3
+        fleet.holders["leader/0"].task.cancel()
+        fleet.network.break_connection("leader/0", fleet.leader)
+        await asyncio.sleep(0.1)
+        assert fleet.in_use() == 0
+
+    play(scenario)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_after_any_faults_the_granting_node_knows_exactly_what_is_taken(seed: int) -> None:
+    rng = Random(seed)
+
+    async def gateway_at_work(fleet: Fleet, name: str, held: list[Placed], until: float) -> None:
+        holder = fleet.holders[name]
+        loop = asyncio.get_running_loop()
+        while loop.time() < until:
+            await asyncio.sleep(rng.uniform(0.001, 0.05))
+            if held and rng.random() < 0.5:
+                held.remove(gone := rng.choice(held))
+                holder.placement.ended(gone, rng.choice(list(SendVerdict)[:2]))
+                continue
+            try:
+                placed = await holder.placement.place(request(waits_s=0.2))
+            except NoSlotError:
+                continue
+            if placed is not None:
+                held.append(placed)
+
+    async def faults(fleet: Fleet, until: float) -> None:
+        loop = asyncio.get_running_loop()
+        while loop.time() < until - PAUSE_AFTER_SILENCE_S:
+            await asyncio.sleep(rng.uniform(0.05, 0.6))
+            name = rng.choice(list(fleet.holders))
+            match rng.randrange(4):
+                case 0:
+                    fleet.network.break_connection(name, fleet.leader)
+                case 1:
+                    fleet.network.break_connection(name, fleet.leader, told=False)
+                case 2:
+                    fleet.change_leader()
+                case 3:
+                    fleet.network.dark.add(fleet.leader.address)
+                    await asyncio.sleep(rng.uniform(0.01, 0.1))
+                    fleet.network.dark.clear()
+
+    async def scenario(fleet: Fleet) -> None:
+        held: dict[str, list[Placed]] = {}
+        for n in range(4):
+            await fleet.gateway(f"g{n}")
+            held[f"g{n}"] = []
+        until = asyncio.get_running_loop().time() + 10.0
+        work = [gateway_at_work(fleet, name, taken, until) for name, taken in held.items()]
+        await asyncio.gather(*work, faults(fleet, until))
+        await asyncio.sleep(3.0)
+        for name, taken in held.items():
+            session = fleet.holders[name].sessions.by_group[0]
+            assert session.is_open
+            assert len(session.uses) == len(taken)
+        assert fleet.in_use() == sum(
+            len(fleet.holders[name].sessions.by_group[0].uses) for name in held
+        )
+
+    play(scenario, servers=4, slots=3)
