What waited for a start goes behind fresh requests, in the order of the granting nodes

Change: the first request of a connection that had waited counts as received when the socket was opened, so that it goes behind those that can still be in time; a start waits up to 0.3 s for its slot sessions. A connection between nodes whose bytes are not acknowledged for 2.5 s ends.

--- a/src/wharfcart/cluster/transport.py
+++ b/src/wharfcart/cluster/transport.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import socket
 import struct
 from collections.abc import AsyncGenerator, Awaitable, Callable
 from contextlib import aclosing
@@ -23,6 +24,9 @@
 MOST_FRAME_BYTES = 32 * 1024 * 1024
 MOST_BUFFERED_BYTES = 16 * 1024 * 1024
 CONNECT_TIMEOUT_S = 1.0
+# A peer whose machine is gone says nothing: a connection ends once bytes were not acknowledged for
+# so long. A machine that stands still for less is waited for.
+UNACKNOWLEDGED_MS = 2500
 
 logger = logging.getLogger(__name__)
 
@@ -78,6 +82,9 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # uvloop's transports are no subclasses of asyncio's.
         self.transport = cast(asyncio.Transport, transport)
+        raw = transport.get_extra_info("socket")
+        if raw is not None:
+            raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
--- a/src/wharfcart/gateway/ingress.py
+++ b/src/wharfcart/gateway/ingress.py
@@ -9,6 +9,7 @@
 from sanic.compat import Header
 from sanic.request import Request
 from sanic.response import HTTPResponse
+from sanic.server.protocols.http_protocol import HttpProtocol
 
 from wharfcart.configuration.serving import Route, RouteKind, ServingConfiguration
 from wharfcart.gateway.answers import plain_answer
@@ -28,12 +29,30 @@
 RETRY_AFTER_UNCONFIGURED_S = 0.3
 # Connections that wait to be accepted; a caller whose connection is dropped tries again after 1 s.
 BACKLOG = 1024
+# Connections that waited are accepted within this time, in a few steps of the loop.
+ACCEPT_S = 0.02
 
 BatchHandler = Callable[[Request, Route], Awaitable[HTTPResponse]]
 JobCallHandler = Callable[[Request], Awaitable[HTTPResponse]]
 Endpoint = tuple[str, int] | socket
 
 
+class _Connection(HttpProtocol):
+    """A caller's connection that knows when it was accepted."""
+
+    __slots__ = ("_had_request", "accepted_at")
+
+    def connection_made(self, transport: Any) -> None:
+        self.accepted_at = monotonic()
+        self._had_request = False
+        super().connection_made(transport)  # type: ignore[no-untyped-call]
+
+    def take_first(self) -> bool:
+        """Whether this is asked for the first time."""
+        first, self._had_request = not self._had_request, True
+        return first
+
+
 class _SanicSink:
     """Answers on the connection that a request came on."""
 
@@ -86,6 +105,8 @@
         self._log = log
         self._splitter = TrafficSplitter()
         self._servers: list[Any] = []
+        self._listening_since: float | None = None
+        self._serving_since = 0.0
         self._in_progress = 0
         self.ready = False
         self.draining = False
@@ -96,25 +117,33 @@
         """Number of requests without a final answer."""
         return self._in_progress
 
-    async def start(self, front: Endpoint, readiness: Endpoint) -> None:
-        """Serve on both; a socket listens already, at an address listening begins now."""
+    async def start(
+        self, front: Endpoint, readiness: Endpoint, listening_since: float | None = None
+    ) -> None:
+        """Serve on both; a socket listens already, at an address listening begins now.
+
+        Args:
+            front: where callers come in.
+            readiness: where readiness is asked for.
+            listening_since: monotonic time since which a socket has listened.
+        """
         for endpoint in (front, readiness):
             server: Any = await self._create_server(endpoint)
             if server is None:
                 raise OSError(f"can't listen on {endpoint}")
             if not self._servers:
                 await server.startup()
+            self._listening_since = listening_since
+            self._serving_since = monotonic()
             await server.start_serving()
             self._servers.append(server)
 
     async def _create_server(self, endpoint: Endpoint) -> Any:
-        if isinstance(endpoint, socket):
-            return await self.app.create_server(
-                sock=endpoint, return_asyncio_server=True, backlog=BACKLOG
-            )
-        host, port = endpoint
+        where: dict[str, Any] = {"sock": endpoint}
+        if not isinstance(endpoint, socket):
+            where = {"host": endpoint[0], "port": endpoint[1]}
         return await self.app.create_server(
-            host=host, port=port, return_asyncio_server=True, backlog=BACKLOG
+            **where, protocol=_Connection, return_asyncio_server=True, backlog=BACKLOG
         )
 
     def drain(self) -> None:
@@ -202,7 +231,7 @@
             facts=facts,
             route=route,
             service=self._splitter.service_for(route),
-            received_at=monotonic(),
+            received_at=self._received_at(request),
         )
         sink = _SanicSink(request)
         try:
@@ -214,6 +243,19 @@
             _end_with_answer(request)
         return await sink.finish()
 
+    def _received_at(self, request: Request) -> float:
+        """Return when a request came; what waited for this process to start came before that.
+
+        How long before is not known. Taken for as old as it can be, it goes behind those that can
+        still be answered in time.
+        """
+        stream: Any = request.stream
+        connection = None if stream is None else stream.protocol
+        if self._listening_since is None or not isinstance(connection, _Connection):
+            return monotonic()
+        waited = connection.take_first() and connection.accepted_at < self._serving_since + ACCEPT_S
+        return self._listening_since if waited else monotonic()
+
     def _refuse(self, request: Request, status: int, cause: str) -> HTTPResponse:
         self._log.write(
             Event.REQUEST_REFUSED,
--- a/src/wharfcart/node/early_listening.py
+++ b/src/wharfcart/node/early_listening.py
@@ -12,6 +12,7 @@
 import socket
 import tomllib
 from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
 from pathlib import Path
 from time import monotonic
 from typing import cast
@@ -24,8 +25,21 @@
 VARIABLE_PREFIX = "WHARFCART_"
 
 
-def open_if_alone(path: Path, environment: Mapping[str, str]) -> dict[str, socket.socket]:
-    """Return listening sockets by endpoint if no seed answers; none otherwise.
+@dataclass(frozen=True)
+class EarlySockets:
+    """Sockets that listen.
+
+    Attributes:
+        by_endpoint: the sockets, none if callers are to go elsewhere.
+        since: monotonic time at which they were opened.
+    """
+
+    by_endpoint: dict[str, socket.socket]
+    since: float
+
+
+def open_if_alone(path: Path, environment: Mapping[str, str]) -> EarlySockets:
+    """Return listening sockets if no seed answers; none otherwise.
 
     Settings that can't be read are left to the check that follows, which tells every finding.
 
@@ -36,19 +50,19 @@
     try:
         values = tomllib.loads(path.read_text(encoding="utf-8"))
     except (OSError, tomllib.TOMLDecodeError, UnicodeDecodeError):
-        return {}
+        return EarlySockets({}, monotonic())
     endpoints = [
         environment.get(VARIABLE_PREFIX + key.upper(), values.get(key)) for key in LISTEN_KEYS
     ]
     seeds = values.get("seeds")
     if not isinstance(seeds, list) or not seeds or _any_answers(map(str, seeds)):
-        return {}
+        return EarlySockets({}, monotonic())
     opened = {}
     for endpoint in endpoints:
         listening = _listen(endpoint) if isinstance(endpoint, str) else None
         if listening is not None:
             opened[str(endpoint)] = listening
-    return opened
+    return EarlySockets(opened, monotonic())
 
 
 def _any_answers(endpoints: Iterable[str]) -> bool:
--- a/src/wharfcart/node/gateway_process.py
+++ b/src/wharfcart/node/gateway_process.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import math
-from collections.abc import Mapping
-from socket import socket
+from collections.abc import Callable
 from time import monotonic
 
 from wharfcart.gateway.ingress import Endpoint, Ingress
 from wharfcart.gateway.job_calls import JobCalls
+from wharfcart.node.early_listening import EarlySockets
 from wharfcart.node.serving_node import ServingNode
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.routing.forwarder import Forwarder
@@ -23,10 +23,13 @@
 UNREADY_LEAD_S = 2.6
 STOP_MARGIN_S = 0.7
 IDLE_CLOSE_PERIOD_S = 0.1
-CONFIGURATION_POLL_S = 0.02
+POLL_S = 0.02
 # A start that has no configuration yet leaves callers to other gateways for so long; then it tells
 # them that it can't serve.
 MOST_UNCONFIGURED_S = 1.0
+# What waited for a start comes in at once: it is worth a moment that the granting nodes put it in
+# order, rather than have it fill the back ends' queues.
+MOST_WITHOUT_SLOTS_S = 0.3
 
 
 class GatewayProcess:
@@ -36,11 +39,11 @@
         self,
         settings: GatewaySettings,
         log: DecisionLog,
-        sockets: Mapping[str, socket] | None = None,
+        sockets: EarlySockets,
     ) -> None:
         self._settings = settings
         self._log = log
-        self._sockets = sockets or {}  # that listen already, by endpoint
+        self._sockets = sockets
         self._node = ServingNode(settings, log)
         self._sessions = SlotSessions(
             HolderId(settings.node_id),
@@ -85,8 +88,11 @@
         await self._node.start()
         self._node.tasks.spawn(self._sessions.run())
         await self._wait_for_configuration(MOST_UNCONFIGURED_S)
+        await _until(lambda: self._sessions.all_open, MOST_WITHOUT_SLOTS_S)
         await self._ingress.start(
-            self._endpoint(self._settings.listen), self._endpoint(self._settings.readiness_listen)
+            self._endpoint(self._settings.listen),
+            self._endpoint(self._settings.readiness_listen),
+            self._sockets.since if self._sockets.by_endpoint else None,
         )
         self._node.tasks.spawn(self._become_ready())
 
@@ -110,13 +116,18 @@
         self._log.write(Event.STOPPED, in_progress=self._ingress.in_progress)
 
     def _endpoint(self, address: str) -> Endpoint:
-        return self._sockets.get(address) or split_endpoint(address)
+        return self._sockets.by_endpoint.get(address) or split_endpoint(address)
 
     async def _become_ready(self) -> None:
         await self._wait_for_configuration(math.inf)
         self._ingress.ready = not self._ingress.draining
 
     async def _wait_for_configuration(self, seconds: float) -> None:
-        until = monotonic() + seconds
-        while self._node.configuration is None and monotonic() < until:
-            await asyncio.sleep(CONFIGURATION_POLL_S)
+        await _until(lambda: self._node.configuration is not None, seconds)
+
+
+async def _until(condition: Callable[[], bool], seconds: float) -> None:
+    """Wait for a condition, or until the time is over."""
+    until = monotonic() + seconds
+    while not condition() and monotonic() < until:
+        await asyncio.sleep(POLL_S)
--- a/src/wharfcart/node/roles.py
+++ b/src/wharfcart/node/roles.py
@@ -4,9 +4,7 @@
 import os
 import signal
 import sys
-from collections.abc import Mapping
 from pathlib import Path
-from socket import socket
 from typing import Protocol, TypeVar
 
 # libuv opens an io_uring otherwise (docs/design/0001); it must stand before the loop is made.
@@ -15,6 +13,7 @@
 import uvloop
 from returns.result import Failure
 
+from wharfcart.node.early_listening import EarlySockets
 from wharfcart.node.settings_reloader import SettingsReloader
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.observability.logs import configure_logs
@@ -42,12 +41,12 @@
         ...
 
 
-def run_gateway(path: Path, sockets: Mapping[str, socket]) -> None:
+def run_gateway(path: Path, sockets: EarlySockets) -> None:
     """Run a gateway with the settings of a file.
 
     Args:
         path: of the settings file.
-        sockets: that listen already, by endpoint.
+        sockets: that listen already.
     """
     uvloop.run(_run_gateway(_load(GatewaySettings, path), path, sockets))
 
@@ -57,9 +56,7 @@
     uvloop.run(_run_storage(_load(StorageSettings, path), path))
 
 
-async def _run_gateway(
-    settings: GatewaySettings, path: Path, sockets: Mapping[str, socket]
-) -> None:
+async def _run_gateway(settings: GatewaySettings, path: Path, sockets: EarlySockets) -> None:
     from wharfcart.node.gateway_process import GatewayProcess
 
     log = DecisionLog(settings.node_id)
--- a/src/wharfcart/slots/sessions.py
+++ b/src/wharfcart/slots/sessions.py
@@ -65,6 +65,11 @@
         finally:
             self._tasks.cancel()
 
+    @property
+    def all_open(self) -> bool:
+        """Whether every group's granting node knows this holder."""
+        return bool(self.by_group) and all(session.is_open for session in self.by_group.values())
+
     def of_instance(self, instance_id: str) -> SlotSession | None:
         """Return the session with the node that grants a back end's slots, open or not."""
         group = self._group_of(instance_id)
--- a/tests/node/test_early_listening.py
+++ b/tests/node/test_early_listening.py
@@ -30,7 +30,7 @@
 
 def test_a_gateway_that_finds_nobody_keeps_callers_until_it_serves(tmp_path: Path) -> None:
     path, endpoints = settings(tmp_path, [free_endpoint(), free_endpoint()])
-    opened = open_if_alone(path, {})
+    opened = open_if_alone(path, {}).by_endpoint
     try:
         assert list(opened) == endpoints
         for endpoint in endpoints:
@@ -46,7 +46,7 @@
         peer.listen()
         seed = f"127.0.0.1:{peer.getsockname()[1]}"
         path, endpoints = settings(tmp_path, [free_endpoint(), seed])
-        assert open_if_alone(path, {}) == {}
+        assert open_if_alone(path, {}).by_endpoint == {}
         for endpoint in endpoints:
             with pytest.raises(ConnectionRefusedError):
                 connect(endpoint)
@@ -55,7 +55,7 @@
 def test_a_variable_goes_before_the_file(tmp_path: Path) -> None:
     path, endpoints = settings(tmp_path, [free_endpoint()])
     other = free_endpoint()
-    opened = open_if_alone(path, {"WHARFCART_LISTEN": other})
+    opened = open_if_alone(path, {"WHARFCART_LISTEN": other}).by_endpoint
     try:
         assert list(opened) == [other, endpoints[1]]
     finally:
@@ -67,5 +67,5 @@
 def test_settings_that_do_not_tell_enough_open_nothing(tmp_path: Path, text: str) -> None:
     path = tmp_path / "gateway.toml"
     path.write_text(text, encoding="utf-8")
-    assert open_if_alone(path, {}) == {}
-    assert open_if_alone(tmp_path / "missing.toml", {}) == {}
+    assert open_if_alone(path, {}).by_endpoint == {}
+    assert open_if_alone(tmp_path / "missing.toml", {}).by_endpoint == {}
