Where an item failed is known to the next leader

Cause, read in the code: answers of 500 were counted in the leader's memory alone; each change of leader began anew, so that an item that can never be done took slots again, twice its attempts each time.

Change: what is told to the replicas of running items holds where they failed. Tests fail before.

--- a/src/wharfcart/batch/item_run.py
+++ b/src/wharfcart/batch/item_run.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import StrEnum
 from time import monotonic
 
@@ -41,21 +41,27 @@
 
     Parameters
     ----------
-    text: the events that it has given so far, perhaps under an earlier leader.
-    failures: answers that said that it failed.
-    failed_at: incarnations that gave these.
+    text: the events that it has given so far and where it failed, perhaps under an earlier leader.
     not_before: monotonic time of the next send.
     ran_s: sum of the times of its sends.
     """
 
     text: RunningText
-    failures: int = 0
-    failed_at: set[str] = field(default_factory=set)
     not_before: float = 0.0
     last_backend: str = ""
     sends: int = 0
     ran_s: float = 0.0
 
+    @property
+    def failures(self) -> int:
+        """Number of answers that said that it failed."""
+        return len(self.text.failed_at)
+
+    @property
+    def failed_at(self) -> set[str]:
+        """Incarnations that gave these."""
+        return set(self.text.failed_at)
+
 
 @dataclass(frozen=True)
 class ItemSend:
--- a/src/wharfcart/batch/job_execution.py
+++ b/src/wharfcart/batch/job_execution.py
@@ -329,8 +329,7 @@
         once it has succeeded elsewhere.
         """
         if outcome is RunOutcome.FAILED:
-            progress.failures += 1
-            progress.failed_at.add(instance_id)
+            progress.text.failed_at.append(instance_id)
         elif outcome is RunOutcome.BROKEN:
             return Verdict.BAD
         elif outcome is RunOutcome.SUCCEEDED:
--- a/src/wharfcart/storage/partial_texts.py
+++ b/src/wharfcart/storage/partial_texts.py
@@ -1,10 +1,10 @@
-"""Texts of items that still run: at the leader as they come, at the replicas a moment later.
+"""What is known of items that still run: at the leader as it comes, at the replicas a moment later.
 
 Kept in memory only: losing one costs a run, not a result. A new leader goes on after the last
-event.
+event, and does not try an item anew that has failed often enough.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 
 from wharfcart.cluster.messages_pb2 import PartialText
@@ -14,11 +14,18 @@
 
 @dataclass
 class RunningText:
-    """Data of an item's events so far; ``last_event`` is the number of the last one, if any."""
+    """Data of an item's events so far, and where it failed.
+
+    Parameters
+    ----------
+    last_event: number of the last event, if any.
+    failed_at: incarnations that answered that it failed, once for each answer.
+    """
 
     job_id: str
     last_event: int | None = None
     texts: list[str] = field(default_factory=list)
+    failed_at: list[str] = field(default_factory=list)
 
     def add(self, number: int, text: str) -> None:
         """Add the next event."""
@@ -26,6 +33,20 @@
         self.texts.append(text)
 
 
+@dataclass
+class SentParts:
+    """How much of each item a replica was sent: events and failures, by item."""
+
+    events: dict[str, int] = field(default_factory=dict)
+    failures: dict[str, int] = field(default_factory=dict)
+
+    def forget_all_but(self, item_ids: Collection[str]) -> None:
+        """Forget the items that no longer run."""
+        for sent in (self.events, self.failures):
+            for item_id in sent.keys() - item_ids:
+                del sent[item_id]
+
+
 @dataclass
 class PartialTexts:
     """Running texts of one job group, by item."""
@@ -46,35 +67,38 @@
         for item_id in over:
             del self._texts[item_id]
 
-    def since(self, sent: dict[str, int]) -> list[PartialText]:
-        """Return what a replica lacks that has so many events of each item, and note it as sent."""
+    def since(self, sent: SentParts) -> list[PartialText]:
+        """Return what a replica lacks that was sent so much, and note it as sent."""
         news = []
         size = 0
         for item_id, text in self._texts.items():
-            known = sent.get(item_id, 0)
-            if len(text.texts) <= known or text.last_event is None:
+            events = sent.events.get(item_id, 0)
+            failures = sent.failures.get(item_id, 0)
+            if len(text.texts) <= events and len(text.failed_at) <= failures:
                 continue
             message = PartialText(
                 job_id=text.job_id,
                 item_id=item_id,
-                from_event=known,
+                from_event=events,
                 last_event=text.last_event,
-                texts=text.texts[known:],
+                texts=text.texts[events:],
+                failed_at=text.failed_at,
             )
-            sent[item_id] = len(text.texts)
+            sent.events[item_id] = len(text.texts)
+            sent.failures[item_id] = len(text.failed_at)
             news.append(message)
             size += message.ByteSize()
             if size > MOST_BYTES_A_MESSAGE:
                 break
-        for item_id in sent.keys() - self._texts.keys():
-            del sent[item_id]
+        sent.forget_all_but(self._texts.keys())
         return news
 
     def take(self, news: Iterable[PartialText]) -> None:
-        """Take what the leader sent; a part that does not fit on is left out."""
+        """Take what the leader sent; events that do not fit on are left out."""
         for message in news:
             text = self.of(message.job_id, message.item_id)
-            if message.from_event > len(text.texts):
+            text.failed_at = list(message.failed_at)
+            if message.from_event > len(text.texts) or not message.HasField("last_event"):
                 continue
             text.texts[message.from_event :] = list(message.texts)
             text.last_event = message.last_event
--- a/src/wharfcart/storage/replica_session.py
+++ b/src/wharfcart/storage/replica_session.py
@@ -13,7 +13,7 @@
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.storage.job_leadership import JobLeadership
 from wharfcart.storage.job_records import JobState
-from wharfcart.storage.partial_texts import PartialTexts
+from wharfcart.storage.partial_texts import PartialTexts, SentParts
 
 HEARTBEAT_S = 0.15
 # A heartbeat that was lost is followed by another one within the replica's patience.
@@ -80,7 +80,7 @@
         self._link = link
         self._leadership = leadership
         self._partial_texts = partial_texts
-        self._sent_events: dict[str, int] = {}
+        self._sent_parts = SentParts()
         self._on_progress = on_progress
         self._on_deposed = on_deposed
         self._log = log
@@ -115,7 +115,7 @@
             except ReplicaFailedError as error:
                 self._note_failure(str(error))
                 self._joined = False
-                self._sent_events = {}
+                self._sent_parts = SentParts()
                 self._leadership.replica_left(self.identity)
                 await asyncio.sleep(RETRY_S)
 
@@ -132,7 +132,7 @@
             if await _within(self._work.wait(), HEARTBEAT_S):
                 return
             sent_at = monotonic()
-        texts = self._partial_texts.since(self._sent_events)
+        texts = self._partial_texts.since(self._sent_parts)
         if not updates:
             if not await _within(self._link.replicate(epoch, [], texts), HEARTBEAT_TIMEOUT_S):
                 self._note_missed_heartbeat()
@@ -151,7 +151,7 @@
         Raises:
             ReplicaFailedError: it has been silent for too long.
         """
-        self._sent_events = {}
+        self._sent_parts = SentParts()
         if self.silent_s(monotonic()) > MOST_SILENCE_S:
             self._link.drop()
             raise ReplicaFailedError("no answer in time")
--- a/tests/batch/test_job_execution.py
+++ b/tests/batch/test_job_execution.py
@@ -9,7 +9,7 @@
 from wharfcart.batch import job_execution
 from wharfcart.batch.item_run import ItemSend, RunOutcome
 from wharfcart.batch.job_execution import JobExecution
-from wharfcart.cluster.messages_pb2 import RequestItem, RequestJob
+from wharfcart.cluster.messages_pb2 import ItemOutcome, RequestItem, RequestJob
 from wharfcart.configuration.instances import BackendInstance
 from wharfcart.configuration.serving import (
     Route,
@@ -134,6 +134,21 @@
             self.on_leave(HeldSlot(0, instruction.number), instruction.cause)
 
 
+class Records:
+    """Stands in for the group's leadership: results count at once."""
+
+    epoch = 1
+
+    def __init__(self) -> None:
+        self.jobs: dict[str, SimpleNamespace] = {}
+        self.outcomes: list[ItemOutcome] = []
+
+    def append(self, job_id: str, outcome: ItemOutcome) -> bool:
+        self.outcomes.append(outcome)
+        self.jobs.setdefault(job_id, SimpleNamespace(results=[], complete=False))
+        return True
+
+
 class Bench:
     """A job execution before back ends that run items for ever."""
 
@@ -143,6 +158,7 @@
             self.choice.put(BackendInstance(f"i{n}", "s", "127.0.0.1", 1, "z", slots, True))
         self.slots = GrantedSlots(self.choice)
         self.runner = Runner(self.choice)
+        self.records = Records()
         route = Route(
             "jobs",
             "h",
@@ -156,7 +172,7 @@
         configuration = ServingConfiguration(1, (route,), {"s": ServiceSpec("s", 100)})
         self.group = SimpleNamespace(
             partial_texts=PartialTexts(),
-            leadership=SimpleNamespace(jobs={}, forget=lambda _job: None),
+            leadership=self.records,
             replicas_behind=0,
             wake_sessions=lambda: None,
         )
@@ -349,3 +365,16 @@
         assert bench.choice.state("i0").in_flight == 0
 
     play(scenario)
+
+
+def test_an_item_that_has_failed_often_enough_is_not_tried_by_the_next_leader() -> None:
+    async def scenario(bench: Bench) -> None:
+        known = bench.group.partial_texts.of("j", "j-0")
+        known.failed_at += ["i0", "i1", "i2"]
+        bench.submit("j", 1)
+        await bench.settle()
+        bench.runner.fail("j-0")
+        await bench.settle()
+        assert [outcome.succeeded for outcome in bench.records.outcomes] == [False]
+
+    play(scenario, servers=4)
--- a/tests/storage/test_partial_texts.py
+++ b/tests/storage/test_partial_texts.py
@@ -1,11 +1,11 @@
 """Running texts at the replicas."""
 
-from wharfcart.storage.partial_texts import PartialTexts
+from wharfcart.storage.partial_texts import PartialTexts, SentParts
 
 
 def test_a_replica_gets_what_it_lacks_and_no_more() -> None:
     leader, replica = PartialTexts(), PartialTexts()
-    sent: dict[str, int] = {}
+    sent = SentParts()
     text = leader.of("j", "i")
     text.add(0, "a")
     text.add(1, "b")
@@ -21,7 +21,7 @@
 
 def test_a_part_that_does_not_fit_on_is_left_out() -> None:
     leader, replica = PartialTexts(), PartialTexts()
-    sent = {"i": 1}
+    sent = SentParts(events={"i": 1})
     text = leader.of("j", "i")
     text.add(0, "a")
     text.add(1, "b")
@@ -35,4 +35,16 @@
     texts.of("k", "l").add(0, "a")
     texts.drop("i")
     texts.drop_job("k")
-    assert texts.since({}) == []
+    assert texts.since(SentParts()) == []
+
+
+def test_a_replica_knows_where_an_item_failed_though_it_gave_no_event() -> None:
+    leader, replica = PartialTexts(), PartialTexts()
+    sent = SentParts()
+    leader.of("j", "i").failed_at += ["a", "b"]
+    replica.take(leader.since(sent))
+    assert leader.since(sent) == []
+    leader.of("j", "i").failed_at.append("a")
+    replica.take(leader.since(sent))
+    copy = replica.of("j", "i")
+    assert (copy.failed_at, copy.last_event, copy.texts) == (["a", "b", "a"], None, [])
