News of many back ends at once are told in one line

Changes that come together are one line for each event and service, with all ids; explain finds them.

--- /dev/null
+++ b/src/wharfcart/node/backend_news.py
@@ -0,0 +1,102 @@
+"""What discovery tells of back ends: taken over into the choice and the pool, and logged.
+
+Changes that come together are told in one line for each event and service: on a large fleet a
+start, a release or an outage changes many back ends for every node at once.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from time import monotonic
+
+from wharfcart.backends.connection_pool import ConnectionPool
+from wharfcart.cluster.coordination import Change
+from wharfcart.observability.decisions import DecisionLog, Event
+from wharfcart.platform import documents, names
+from wharfcart.routing.backend_choice import BackendChoice
+
+# So many back ends get a line each; more are told together.
+MOST_SINGLE_LINES = 2
+
+
+@dataclass(frozen=True)
+class _BackendEvent:
+    event: Event
+    instance_id: str
+    service: str
+    revision: int
+    drained: bool = False
+
+
+class BackendNews:
+    """Takes the entries of back ends.
+
+    Args:
+        choice: what this node knows of them.
+        pool: connections to them.
+        in_outage: whether neither the coordination service nor a peer confirmed anything lately.
+        age_s: seconds since the state was last confirmed.
+        log: takes a line for each back end that is seen, drains or has gone.
+    """
+
+    def __init__(
+        self,
+        choice: BackendChoice,
+        pool: ConnectionPool,
+        in_outage: Callable[[], bool],
+        age_s: Callable[[], float],
+        log: DecisionLog,
+    ) -> None:
+        self._choice = choice
+        self._pool = pool
+        self._in_outage = in_outage
+        self._age_s = age_s
+        self._log = log
+        self._untold: list[_BackendEvent] = []
+
+    def take(self, change: Change) -> None:
+        """Take a change of one back end's entry."""
+        instance_id = change.key.removeprefix(names.SERVER_PREFIX)
+        known = self._choice.state(instance_id)
+        instance = documents.instance_from(change)
+        if instance is None:
+            drained = documents.was_accepting(change) is False
+            self._choice.remove(instance_id, monotonic(), self._in_outage(), drained)
+            self._pool.drop_instance(instance_id)
+            if known is not None:
+                service = known.instance.service
+                self._note(Event.BACKEND_GONE, instance_id, service, change, drained)
+            return
+        was_accepting = known is not None and known.instance.accepting
+        self._choice.put(instance)
+        if known is None:
+            self._note(Event.BACKEND_SEEN, instance_id, instance.service, change)
+        elif was_accepting and not instance.accepting:
+            self._note(Event.BACKEND_DRAINING, instance_id, instance.service, change)
+
+    def tell(self) -> None:
+        """Log what was taken since this was called last."""
+        untold, self._untold = self._untold, []
+        by_kind: dict[tuple[Event, str, bool], list[_BackendEvent]] = {}
+        for one in untold:
+            by_kind.setdefault((one.event, one.service, one.drained), []).append(one)
+        for alike in by_kind.values():
+            if len(alike) <= MOST_SINGLE_LINES:
+                for one in alike:
+                    self._write(one, {"backend": one.instance_id})
+            else:
+                self._write(alike[-1], {"backends": [one.instance_id for one in alike]})
+
+    def _note(
+        self, event: Event, instance_id: str, service: str, change: Change, drained: bool = False
+    ) -> None:
+        self._untold.append(_BackendEvent(event, instance_id, service, change.revision, drained))
+
+    def _write(self, one: _BackendEvent, named: dict[str, object]) -> None:
+        self._log.write(
+            one.event,
+            **named,
+            service=one.service,
+            revision=one.revision,
+            drained=one.drained,
+            age_s=round(self._age_s(), 2),
+        )
--- a/src/wharfcart/node/serving_node.py
+++ b/src/wharfcart/node/serving_node.py
@@ -6,7 +6,6 @@
 import asyncio
 from collections.abc import Callable
 from random import Random
-from time import monotonic
 
 from wharfcart.backends.connection_pool import ConnectionPool
 from wharfcart.cluster.address import Address
@@ -23,6 +22,7 @@
 from wharfcart.cluster.peer_news import NewsWriter, PeerNewsCalls
 from wharfcart.cluster.transport import Handler, Responder, Transport
 from wharfcart.configuration.serving import ServingConfiguration
+from wharfcart.node.backend_news import BackendNews
 from wharfcart.node.fleet_keys import (
     GROUP_PREFIX,
     LAYOUT_KEY,
@@ -80,6 +80,9 @@
             log,
             _seed_peers(settings),
         )
+        self._backend_news = BackendNews(
+            self.choice, self.pool, lambda: self.link.in_outage, lambda: self.link.age_s, log
+        )
         self.metrics.mirror_age.set_function(lambda: min(self.link.age_s, MOST_AGE_S))
         self.handle_other: Handler = _ignore
         self.fleet_size: Callable[[], int] = lambda: len(self.nodes)
@@ -171,13 +174,14 @@
             if change.key == names.CONFIGURATION_KEY:
                 self._take_configuration(change)
             elif change.key.startswith(names.SERVER_PREFIX):
-                self._take_instance(change)
+                self._backend_news.take(change)
             elif change.key.startswith(NODE_PREFIX):
                 self._take_node(change)
             elif change.key.startswith(GROUP_PREFIX):
                 self._take_record(change)
             elif change.key == LAYOUT_KEY and change.value is not None:
                 self.layout = layout_from(change.value)
+        self._backend_news.tell()
 
     def _take_configuration(self, change: Change) -> None:
         if change.value is None:
@@ -194,37 +198,6 @@
             routes=len(configuration.routes),
         )
 
-    def _take_instance(self, change: Change) -> None:
-        instance_id = change.key.removeprefix(names.SERVER_PREFIX)
-        known = self.choice.state(instance_id)
-        instance = documents.instance_from(change)
-        if instance is None:
-            drained = documents.was_accepting(change) is False
-            self.choice.remove(instance_id, monotonic(), self.link.in_outage, drained)
-            self.pool.drop_instance(instance_id)
-            if known is not None:
-                service = known.instance.service
-                self._log_instance(Event.BACKEND_GONE, instance_id, service, change, drained)
-            return
-        was_accepting = known is not None and known.instance.accepting
-        self.choice.put(instance)
-        if known is None:
-            self._log_instance(Event.BACKEND_SEEN, instance_id, instance.service, change)
-        elif was_accepting and not instance.accepting:
-            self._log_instance(Event.BACKEND_DRAINING, instance_id, instance.service, change)
-
-    def _log_instance(
-        self, event: Event, instance_id: str, service: str, change: Change, drained: bool = False
-    ) -> None:
-        self.log.write(
-            event,
-            backend=instance_id,
-            service=service,
-            revision=change.revision,
-            drained=drained,
-            age_s=round(self.link.age_s, 2),
-        )
-
     def _take_record(self, change: Change) -> None:
         group = int(change.key.removeprefix(GROUP_PREFIX))
         record = group_record_from(change.value, change.revision)
--- a/src/wharfcart/observability/timeline.py
+++ b/src/wharfcart/observability/timeline.py
@@ -21,6 +21,10 @@
         "backend_draining",
         "backend_gone",
         "backend_avoided",
+        "granter_found",
+        "granter_lost",
+        "granting_begun",
+        "granting_ended",
         "leadership_taken",
         "leadership_lost",
         "replica_set_changed",
@@ -109,7 +113,9 @@
         return False
     if line.get("backend"):
         return line["backend"] in backends
-    return line["node"] in nodes or line["event"].startswith(("leadership", "replica"))
+    if line.get("backends"):
+        return not backends.isdisjoint(line["backends"])
+    return line["node"] in nodes or line["event"].startswith(("leadership", "granting", "replica"))
 
 
 def _log_line(line: dict[str, Any], direct: bool) -> LogLine:
--- a/tests/node/test_serving_node.py
+++ b/tests/node/test_serving_node.py
@@ -19,9 +19,9 @@
         self.lines.append((event, fields))
 
 
-def entry(revision: int, state: str) -> Change:
+def entry(revision: int, state: str, instance_id: str = "i-1") -> Change:
     value = {"backend": "lm", "address": "127.0.0.1:1", "slots": 4, "state": state}
-    return Change(names.SERVER_PREFIX + "i-1", revision, json.dumps(value).encode())
+    return Change(names.SERVER_PREFIX + instance_id, revision, json.dumps(value).encode())
 
 
 def node_and_log() -> tuple[ServingNode, RecordingLog]:
@@ -46,6 +46,15 @@
     assert [fields["revision"] for _, fields in log.lines] == [1, 2, 3]
 
 
+def test_many_back_ends_that_change_at_once_are_told_in_one_line() -> None:
+    node, log = node_and_log()
+    node._on_changes([entry(n, "ready", f"i-{n}") for n in range(1, 85)])
+    assert len(log.lines) == 1
+    event, fields = log.lines[0]
+    assert event is Event.BACKEND_SEEN
+    assert fields["backends"] == [f"i-{n}" for n in range(1, 85)]
+
+
 def test_a_back_end_that_left_unseen_after_a_drain_is_told_from_one_that_lapsed() -> None:
     for last, drained in ((b'{"state": "draining"}', False), (entry(2, "draining").value, True)):
         node, log = node_and_log()
--- a/tests/observability/test_timeline.py
+++ b/tests/observability/test_timeline.py
@@ -42,3 +42,13 @@
     timeline = timeline_of("r1", logs)
     assert "gateway was killed" in timeline.verdict
     assert [entry.event for entry in timeline.lines] == ["request_placed", "started"]
+
+
+def test_a_line_that_tells_of_many_back_ends_counts_for_each_of_them() -> None:
+    logs = [
+        line(100.0, "g1", "backend_gone", backends=["i-1", "i-2", "i-3"], service="s"),
+        line(100.0, "g1", "backend_gone", backends=["i-4", "i-5"], service="s"),
+        line(100.4, "g1", "request_ended", request="r1", outcome="cut", backend="i-2", seconds=1.0),
+    ]
+    timeline = timeline_of("r1", logs)
+    assert [entry.event for entry in timeline.lines] == ["backend_gone", "request_ended"]
