Topology, residence and eligibility: what the parts of the two new customers share

Cause: settings know a zone and no region; nothing reads an operator's order to empty a zone, what a cold back end bears, or the regions that a route or tenant names.

Change: cluster/topology.py (region of a zone, distance in three steps), configuration/residence.py (where data may be; both bind; a residence without any region stays bound as it travels), routing/eligibility.py (one place that rules a back end out). A node takes orders to empty a zone from its mirror and logs begin and end; its own choice and the candidates of grants leave these back ends out. Settings name the zones with their regions.

Not yet: items, granted slots that were given before, queues by residence, jobs; cold back ends.

--- a/src/wharfcart/configuration/instances.py
+++ b/src/wharfcart/configuration/instances.py
@@ -11,6 +11,7 @@
     ----------
     slots: requests that it works on at once.
     accepting: False while it drains.
+    cold_for_s: how much longer it is cold after a start, as it told when the entry was written.
     """
 
     instance_id: str
@@ -20,3 +21,4 @@
     zone: str
     slots: int
     accepting: bool
+    cold_for_s: float = 0.0
--- a/src/wharfcart/configuration/serving.py
+++ b/src/wharfcart/configuration/serving.py
@@ -9,6 +9,7 @@
 from enum import StrEnum
 
 from wharfcart.configuration.api_keys import KeyDigest, KeyIndex
+from wharfcart.configuration.residence import ANYWHERE, Residence
 
 DEFAULT_PATIENCE_S = 2.0
 
@@ -47,6 +48,7 @@
     resumable: a broken stream may be taken up at another back end.
     give_up_after_s: batch: age of a job at which its items may be given up.
     public: callers need no key.
+    residence: where the data of its requests may be.
     """
 
     name: str
@@ -64,6 +66,7 @@
     patience_s: float = DEFAULT_PATIENCE_S
     most_waiting_tokens: int = 0
     public: bool = False
+    residence: Residence = ANYWHERE
 
     @property
     def repeatable(self) -> bool:
@@ -73,13 +76,33 @@
         )
 
 
+@dataclass(frozen=True, slots=True)
+class ColdLimit:
+    """What a back end of a service bears while it is cold.
+
+    Attributes:
+        requests_per_s: from all callers together; it fails at well above that.
+        lasts_s: how long it stays cold after a start.
+    """
+
+    requests_per_s: float
+    lasts_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class ServiceSpec:
-    """A service: a group of back ends that are copies of each other."""
+    """A service: a group of back ends that are copies of each other.
+
+    Attributes:
+        connection_limit: connections that one back end takes from all callers.
+        slots: requests that a model server works on at once; 0 for other back ends.
+        cold: what one bears while it is cold; None where that is no less than usual.
+    """
 
     name: str
     connection_limit: int
     slots: int = 0
+    cold: ColdLimit | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,12 +126,14 @@
         keys: digests of its API keys.
         priority: 0 is the most urgent; None leaves it to the route.
         limit: of its requests, or None.
+        residence: where the data of its requests may be.
     """
 
     name: str
     keys: tuple[KeyDigest, ...] = ()
     priority: int | None = None
     limit: RequestLimit | None = None
+    residence: Residence = ANYWHERE
 
 
 class TenantIndex:
@@ -172,6 +197,19 @@
             for share in route.shares
         )
 
+    def residence_of(self, route: Route, tenant: str) -> Residence:
+        """Return where the data of a tenant's requests on a route may be; both bind."""
+        found = None if self.tenants is None else self.tenants.by_name.get(tenant)
+        return route.residence if found is None else route.residence.within(found.residence)
+
+    @property
+    def binds_residence(self) -> bool:
+        """Whether the data of any request must stay in some regions."""
+        tenants = () if self.tenants is None else self.tenants.by_name.values()
+        return any(route.residence.is_bound for route in self.routes) or any(
+            tenant.residence.is_bound for tenant in tenants
+        )
+
     def limit_of(self, tenant: str) -> RequestLimit | None:
         """Return the limit of a tenant's requests; None for no limit or no such tenant."""
         found = None if self.tenants is None else self.tenants.by_name.get(tenant)
--- a/src/wharfcart/node/serving_node.py
+++ b/src/wharfcart/node/serving_node.py
@@ -20,6 +20,7 @@
 from wharfcart.cluster.mirror_link import MirrorLink
 from wharfcart.cluster.news_sources import NewsSources, Peer
 from wharfcart.cluster.peer_news import NewsWriter, PeerNewsCalls
+from wharfcart.cluster.topology import RegionName, Topology
 from wharfcart.cluster.transport import Handler, Responder, Transport
 from wharfcart.configuration.serving import RequestLimit, ServingConfiguration
 from wharfcart.node.backend_news import BackendNews
@@ -37,6 +38,7 @@
 from wharfcart.platform import documents, names
 from wharfcart.platform.metadata_store import MetadataStore
 from wharfcart.routing.backend_choice import BackendChoice
+from wharfcart.routing.eligibility import Eligibility
 from wharfcart.settings.base import split_endpoint
 from wharfcart.settings.serving import ServingSettings
 from wharfcart.storage.group_record import GroupRecord, group_record_from
@@ -59,7 +61,10 @@
         self.random = Random()
         self.mirror = Mirror()
         self.pool = ConnectionPool()
-        self.choice = BackendChoice(settings.zone, self.random)
+        self.topology = Topology(
+            {zone: RegionName(region) for zone, region in settings.regions_by_zone.items()}
+        )
+        self.choice = BackendChoice(settings.zone, self.random, Eligibility(self.topology))
         self.configuration: ServingConfiguration | None = None
         self.nodes: dict[str, NodeEntry] = {}
         self.storage_by_identity: dict[str, NodeEntry] = {}
@@ -188,6 +193,8 @@
                 self._take_configuration(change)
             elif change.key.startswith(names.SERVER_PREFIX):
                 self._backend_news.take(change)
+            elif change.key.startswith(names.EVACUATE_PREFIX):
+                self._take_evacuation(change)
             elif change.key.startswith(NODE_PREFIX):
                 self._take_node(change)
             elif change.key.startswith(GROUP_PREFIX):
@@ -211,6 +218,21 @@
             routes=len(configuration.routes),
         )
 
+    def _take_evacuation(self, change: Change) -> None:
+        """Take an operator's order to empty a zone, or that it was taken back."""
+        zone = change.key.removeprefix(names.EVACUATE_PREFIX)
+        eligibility = self.choice.eligibility
+        before = eligibility.evacuated_zones
+        ended = change.value is None
+        eligibility.evacuated_zones = before - {zone} if ended else before | {zone}
+        if eligibility.evacuated_zones != before:
+            self.log.write(
+                Event.EVACUATION_ENDED if ended else Event.EVACUATION_BEGUN,
+                zone=zone,
+                revision=change.revision,
+                age_s=round(self.link.age_s, 2),
+            )
+
     def _take_record(self, change: Change) -> None:
         group = int(change.key.removeprefix(GROUP_PREFIX))
         record = group_record_from(change.value, change.revision)
--- a/src/wharfcart/observability/decisions.py
+++ b/src/wharfcart/observability/decisions.py
@@ -40,6 +40,8 @@
     BACKEND_SEEN = "backend_seen"
     BACKEND_DRAINING = "backend_draining"
     BACKEND_GONE = "backend_gone"
+    EVACUATION_BEGUN = "evacuation_begun"
+    EVACUATION_ENDED = "evacuation_ended"
     BACKEND_AVOIDED = "backend_avoided"
     REQUEST_PLACED = "request_placed"
     REQUEST_ENDED = "request_ended"
--- a/src/wharfcart/platform/documents.py
+++ b/src/wharfcart/platform/documents.py
@@ -7,9 +7,11 @@
 from wharfcart.cluster.coordination import Change
 from wharfcart.configuration.api_keys import digest_of
 from wharfcart.configuration.instances import BackendInstance
+from wharfcart.configuration.residence import residence_in
 from wharfcart.configuration.serving import (
     DEFAULT_PATIENCE_S,
     CallerLimits,
+    ColdLimit,
     RequestLimit,
     Route,
     RouteKind,
@@ -45,14 +47,7 @@
     return ServingConfiguration(
         version=int(document["version"]),
         routes=tuple(_route(route) for route in document["routes"]),
-        services={
-            service["name"]: ServiceSpec(
-                service["name"],
-                int(service.get("maxConnections") or DEFAULT_CONNECTION_LIMIT),
-                int(service.get("engine", {}).get("slots", 0)),
-            )
-            for service in document["services"]
-        },
+        services={service["name"]: _service(service) for service in document["services"]},
         limits=CallerLimits(
             int(limits.get("maxHeaderBytes", defaults.header_bytes)),
             int(limits.get("maxBodyBytes", defaults.body_bytes)),
@@ -77,6 +72,7 @@
             zone=entry.get("zone", ""),
             slots=int(entry.get("slots", 1)),
             accepting=entry.get("state") == "ready",
+            cold_for_s=float(entry.get("warmupLeftMs") or 0) / 1000,
         )
     except (ValueError, LookupError, TypeError, AttributeError):
         return None
@@ -99,6 +95,18 @@
 RETIRE_DONE = retire_status("succeeded")
 
 
+def _service(service: dict[str, Any]) -> ServiceSpec:
+    # 0 and a missing field both stand for no limit.
+    cold_per_s = float(service.get("coldPerS") or 0)
+    cold_s = float(service.get("warmupS") or 0)
+    return ServiceSpec(
+        service["name"],
+        int(service.get("maxConnections") or DEFAULT_CONNECTION_LIMIT),
+        int(service.get("engine", {}).get("slots", 0)),
+        ColdLimit(cold_per_s, cold_s) if cold_per_s > 0 else None,
+    )
+
+
 def _tenants(entries: list[dict[str, Any]] | None) -> TenantIndex | None:
     return None if entries is None else TenantIndex(_tenant(entry) for entry in entries)
 
@@ -112,6 +120,7 @@
         keys=tuple(digest_of(api_key) for api_key in entry.get("apiKeys") or ()),
         priority=None if priority is None else int(priority),
         limit=RequestLimit(per_s, float(entry.get("burst") or 0)) if per_s > 0 else None,
+        residence=residence_in(entry.get("allowedRegions")),
     )
 
 
@@ -144,4 +153,5 @@
         patience_s=_patience_s(route),
         most_waiting_tokens=int(route.get("maxQueuedTokens") or 0),
         public=bool(route.get("public", False)),
+        residence=residence_in(route.get("allowedRegions")),
     )
--- a/src/wharfcart/platform/names.py
+++ b/src/wharfcart/platform/names.py
@@ -32,6 +32,7 @@
 
 # ---- keys of the metadata store ----
 CONFIGURATION_KEY = "op/config"
+EVACUATE_PREFIX = "op/evacuate/"
 RETIRE_PREFIX = "op/retire/"
 RETIRE_STATUS_PREFIX = "status/retire/"
 SERVER_PREFIX = "servers/"
--- a/src/wharfcart/routing/backend_choice.py
+++ b/src/wharfcart/routing/backend_choice.py
@@ -17,6 +17,8 @@
 
 from wharfcart.cluster.randomness import RandomSource
 from wharfcart.configuration.instances import BackendInstance
+from wharfcart.configuration.residence import ANYWHERE, Residence
+from wharfcart.routing.eligibility import Eligibility
 from wharfcart.routing.outcome_record import OutcomeRecord, is_suspect
 from wharfcart.routing.send_rates import SendRates
 from wharfcart.routing.spreading import draw_below, fill_level
@@ -122,6 +124,7 @@
 
     zone: str
     random: RandomSource
+    eligibility: Eligibility = field(default_factory=Eligibility)
     _states: dict[str, InstanceState] = field(default_factory=dict)
     _by_service: dict[str, dict[str, InstanceState]] = field(default_factory=dict)
     _vanished: dict[str, tuple[float, InstanceState]] = field(default_factory=dict)  # until when
@@ -168,17 +171,26 @@
         """Return all incarnations that discovery tells of."""
         return self._states.values()
 
-    def accepting(self, service: str, now: float) -> list[InstanceState]:
-        """Return the incarnations of a service that take new requests.
+    def accepting(
+        self, service: str, now: float, residence: Residence = ANYWHERE
+    ) -> list[InstanceState]:
+        """Return the incarnations of a service that take new requests of a residence.
 
         When more have vanished than are left, those count, too: each send names the incarnation
         that it means, so that nothing else runs it.
         """
         states = self._by_service.get(service, {}).values()
-        listed = [state for state in states if state.instance.accepting]
-        vanished = self._vanished_of(service, now)
+        listed = [state for state in states if self._is_eligible(state, residence)]
+        vanished = [
+            state
+            for state in self._vanished_of(service, now)
+            if self._is_eligible(state, residence)
+        ]
         return listed + vanished if len(vanished) > len(listed) else listed
 
+    def _is_eligible(self, state: InstanceState, residence: Residence) -> bool:
+        return self.eligibility.ruled_out(state.instance, residence) is None
+
     def _vanished_of(self, service: str, now: float) -> list[InstanceState]:
         old = [key for key, (until, _) in self._vanished.items() if now > until]
         for key in old:
@@ -191,6 +203,7 @@
         now: float,
         excluded: Collection[str] = (),
         affinity_key: str = "",
+        residence: Residence = ANYWHERE,
     ) -> InstanceState | None:
         """Return the incarnation to ask, or None where there is none.
 
@@ -198,8 +211,9 @@
         ----------
         excluded: incarnations that this request was already sent to.
         affinity_key: names the shared prompt that decides where to go first; '' for none.
+        residence: where the request's data may be.
         """
-        candidates = self.usable(service, now, excluded)
+        candidates = self.usable(service, now, excluded, residence=residence)
         if not candidates:
             return None
         if affinity_key:
@@ -213,6 +227,7 @@
         excluded: Collection[str] = (),
         among: Callable[[BackendInstance], bool] = lambda _instance: True,
         silent: Callable[[str], bool] = lambda _instance_id: False,
+        residence: Residence = ANYWHERE,
     ) -> list[InstanceState]:
         """Return the incarnations that a request may go to, those that seem to fail left out.
 
@@ -222,10 +237,11 @@
             excluded: incarnations that the request was already sent to.
             among: whether a back end is asked for at all.
             silent: whether an incarnation is known to be silent beyond what this core knows.
+            residence: where the request's data may be.
         """
         usable = [
             state
-            for state in self.accepting(service, now)
+            for state in self.accepting(service, now, residence)
             if state.instance.instance_id not in excluded and among(state.instance)
         ]
         candidates = [
--- a/src/wharfcart/routing/caller_request.py
+++ b/src/wharfcart/routing/caller_request.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from wharfcart.configuration.residence import Residence
 from wharfcart.configuration.serving import Route, ServedTenant
 from wharfcart.platform import exchanges
 from wharfcart.routing.backend_choice import AFFINITY_TOKENS
@@ -34,6 +35,12 @@
         """Name of the tenant, or ''."""
         return "" if self.tenant is None else self.tenant.name
 
+    @property
+    def residence(self) -> Residence:
+        """Where its data may be: both its route and its tenant bind."""
+        own = self.route.residence
+        return own if self.tenant is None else own.within(self.tenant.residence)
+
     @property
     def priority(self) -> int:
         """Rank among requests that wait, 0 first: the tenant's, else the route's."""
--- a/src/wharfcart/routing/forwarder.py
+++ b/src/wharfcart/routing/forwarder.py
@@ -405,6 +405,7 @@
         priority=request.priority,
         tenant=request.tenant_name,
         limit=None if request.tenant is None or progress.placed else request.tenant.limit,
+        residence=request.residence,
     )
 
 
--- a/src/wharfcart/routing/placement.py
+++ b/src/wharfcart/routing/placement.py
@@ -5,6 +5,7 @@
 from enum import Enum
 from time import monotonic
 
+from wharfcart.configuration.residence import ANYWHERE, Residence
 from wharfcart.configuration.serving import RequestLimit
 from wharfcart.routing.backend_choice import BackendChoice, InstanceState
 
@@ -26,6 +27,7 @@
         tenant: whose request it is, or ''.
         limit: of the tenant's requests, towards which this one counts; None if it does not, or was
             counted before.
+        residence: where its data may be.
     """
 
     service: str
@@ -39,6 +41,7 @@
     priority: int
     tenant: str = ""
     limit: RequestLimit | None = None
+    residence: Residence = ANYWHERE
 
 
 class SendVerdict(Enum):
@@ -119,7 +122,11 @@
     async def place(self, request: PlacementRequest) -> Placed | None:
         """Return where to send a request, or None where there is no back end."""
         state = self._choice.choose(
-            request.service, monotonic(), request.excluded, request.affinity_key
+            request.service,
+            monotonic(),
+            request.excluded,
+            request.affinity_key,
+            request.residence,
         )
         return None if state is None else Placed(state, granted=False)
 
--- a/src/wharfcart/settings/serving.py
+++ b/src/wharfcart/settings/serving.py
@@ -1,8 +1,9 @@
 """Settings of the serving processes: gateways and storage nodes of one fleet."""
 
 from pathlib import Path
+from typing import Self
 
-from pydantic import Field
+from pydantic import Field, model_validator
 
 from wharfcart.settings.base import Endpoint, StrictSettings
 
@@ -11,6 +12,7 @@
     """What may be lost at once while every promise is kept."""
 
     storage_nodes: int = Field(1, ge=0, le=8, description="storage nodes with their disks")
+    zones: int = Field(0, ge=0, le=8, description="zones, with all nodes and back ends there")
 
 
 class ServingSettings(StrictSettings):
@@ -18,6 +20,9 @@
 
     node_id: str = Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")
     zone: str = Field(min_length=1, max_length=64)
+    regions_by_zone: dict[str, str] = Field(
+        default_factory=dict, description="region of each zone of the fleet"
+    )
     coordination: Endpoint = Field(description="the coordination service")
     cluster_listen: Endpoint = Field(description="other nodes, TCP")
     cluster_advertise: Endpoint | None = Field(
@@ -31,6 +36,12 @@
     tolerance: ToleranceSettings = ToleranceSettings()
     metrics_listen: Endpoint | None = Field(None, description="metrics over HTTP")
 
+    @model_validator(mode="after")
+    def _check_zone(self) -> Self:
+        if self.regions_by_zone and self.zone not in self.regions_by_zone:
+            raise ValueError(f"zone {self.zone!r} is not in regions_by_zone")
+        return self
+
     @property
     def cluster_address(self) -> str:
         """Where other nodes reach this one."""
--- a/src/wharfcart/slots/events.py
+++ b/src/wharfcart/slots/events.py
@@ -10,6 +10,7 @@
 from enum import Enum
 from typing import NewType
 
+from wharfcart.configuration.residence import ANYWHERE, Residence
 from wharfcart.slots.urgency import Urgency
 
 HolderId = NewType("HolderId", str)
@@ -106,6 +107,7 @@
         leave_at: monotonic time at which it is given up.
         priority: 0 is the most urgent.
         request_id: its caller's id.
+        residence: where its data may be.
     """
 
     session: SessionKey
@@ -120,6 +122,7 @@
     unread_tokens: int = 0
     priority: int = 0
     request_id: str = ""
+    residence: Residence = ANYWHERE
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wharfcart/slots/granted_placement.py
+++ b/src/wharfcart/slots/granted_placement.py
@@ -136,6 +136,7 @@
             unread_tokens=request.unread_tokens,
             priority=request.priority,
             request_id=request.request_id,
+            residence=request.residence,
         )
 
     def _connected_of(self, group: int, service: str) -> frozenset[str]:
--- a/src/wharfcart/slots/messages.py
+++ b/src/wharfcart/slots/messages.py
@@ -5,6 +5,7 @@
 
 from wharfcart.admission.tenant_limits import TenantSend, TenantUsage
 from wharfcart.cluster import messages_pb2 as pb
+from wharfcart.configuration.residence import residence_from_message, residence_to_message
 from wharfcart.slots.events import (
     BackendBlamed,
     ItemBegun,
@@ -144,6 +145,7 @@
         request_id=asked.request_id,
         manner=_MANNERS[asked.manner],
         tenant=tenant,
+        residence=residence_to_message(asked.residence),
     )
 
 
@@ -162,6 +164,7 @@
         unread_tokens=message.unread_tokens,
         priority=message.priority,
         request_id=message.request_id,
+        residence=residence_from_message(message),
     )
 
 
