Online requests and items that are bound to regions get slots there alone

Cause: the granting node looked for back ends by service alone, and a gateway asked groups in any region: a request whose route names regions went to any of them.

Change: candidates, lines of the queue and demand of items by service and residence; a line whose regions are full holds up no other, and an item is kept from a slot only by requests that may use it. Gateways and leaders ask only groups that may grant in the regions (Layout.grants_in) and check a granted back end once more. A request without any eligible back end is refused at once (cause outside_residence). An offer tells for which items it is; the residence that a job was taken with and what its route and tenant name now both bind its items.

Not measured yet.

--- a/src/wharfcart/batch/job_execution.py
+++ b/src/wharfcart/batch/job_execution.py
@@ -16,6 +16,7 @@
 from wharfcart.batch.retry_policy import has_failed_for_good
 from wharfcart.batch.run_estimate import RunEstimate
 from wharfcart.cluster.messages_pb2 import ItemOutcome, RequestItem, RequestJob
+from wharfcart.configuration.residence import Residence, residence_from_message
 from wharfcart.configuration.serving import Route, ServingConfiguration
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.observability.serving_metrics import ServingMetrics
@@ -80,7 +81,7 @@
         self._scheduler = JobScheduler(group.partial_texts)
         self._placed = PlacedItems()
         self._estimates_by_service: dict[str, RunEstimate] = {}
-        self._services_with_demand: set[str] = set()
+        self._with_demand: set[tuple[str, Residence]] = set()
         self._tasks = BackgroundTasks()
         self._work = asyncio.Event()
         self._forget_at = 0.0
@@ -111,7 +112,7 @@
     def _take_offer(self, slot: ItemSlot) -> None:
         """Run the item that goes first in a slot that is offered, or give the slot back."""
         state = self._choice.state(slot.instance_id)
-        found = self._next_item(slot.service, slot.instance_id)
+        found = None if state is None else self._next_item(slot.service, state)
         if state is None or not state.instance.accepting or found is None:
             self._slots.release(slot)
             return
@@ -137,10 +138,16 @@
         )
         placed.stop()
 
-    def _next_item(self, service: str, instance_id: str) -> tuple[ScheduledJob, RequestItem] | None:
-        """Return the item that goes first at a back end."""
+    def _next_item(
+        self, service: str, state: InstanceState
+    ) -> tuple[ScheduledJob, RequestItem] | None:
+        """Return the item that goes first at a back end, of the jobs that may go there."""
         now = monotonic()
+        instance_id = state.instance.instance_id
         for scheduled in self._jobs_in_order(service):
+            residence = self._residence_of(scheduled.job)
+            if self._choice.eligibility.ruled_out(state.instance, residence) is not None:
+                continue
             for item in self._scheduler.startable(scheduled, now):
                 if instance_id not in self._excluded(scheduled, item, service, now):
                     return scheduled, item
@@ -166,23 +173,29 @@
         """Return the back ends that an item does not go to, unless there is no other."""
         progress = scheduled.progress_of(item.item_id)
         excluded = progress.failed_at | ({progress.last_backend} - {""})
-        if excluded and not self._choice.usable(service, now, excluded):
-            return set()
-        return excluded
+        if not excluded:
+            return excluded
+        residence = self._residence_of(scheduled.job)
+        usable = self._choice.usable(service, now, excluded, residence=residence)
+        return excluded if usable else set()
 
     def _tell_demand(self) -> None:
-        """Tell the granting nodes which items wait."""
-        services = {self._service_of(scheduled.job) for scheduled in self._scheduler.waiting()}
-        for service in (services | self._services_with_demand) - {None, ""}:
-            assert service is not None
-            self._slots.items_wait(service, self._demand(service))
-        self._services_with_demand = {service for service in services if service}
-
-    def _demand(self, service: str) -> ItemDemand:
+        """Tell the granting nodes which items wait, by where they may run."""
+        with_demand = {
+            (service, self._residence_of(scheduled.job))
+            for scheduled in self._scheduler.waiting()
+            if (service := self._service_of(scheduled.job))
+        }
+        for service, residence in with_demand | self._with_demand:
+            self._slots.items_wait(service, self._demand(service, residence), residence)
+        self._with_demand = with_demand
+
+    def _demand(self, service: str, residence: Residence) -> ItemDemand:
         now = monotonic()
         startable = (
             (scheduled, item)
             for scheduled in self._jobs_in_order(service)
+            if self._residence_of(scheduled.job) == residence
             for item in self._scheduler.startable(scheduled, now)
         )
         found = list(islice(startable, MOST_COUNTED))
@@ -221,7 +234,7 @@
         """Stop every item: another node leads, or none."""
         self._tasks.cancel()
         self._scheduler = JobScheduler(self._group.partial_texts)
-        self._services_with_demand = set()
+        self._with_demand = set()
         for placed in self._placed.clear():
             if not placed.begun:
                 self._choice.ended(placed.state, placed.use)
@@ -263,6 +276,18 @@
         route = self._route_of(job)
         return None if route is None else route.shares[0].service
 
+    def _residence_of(self, job: RequestJob) -> Residence:
+        """Return where a job's items may run.
+
+        What was settled when it was taken, and what its route and tenant name now, both bind.
+        """
+        settled = residence_from_message(job)
+        configuration = self._configuration()
+        route = self._route_of(job)
+        if configuration is None or route is None:
+            return settled
+        return settled.within(configuration.residence_of(route, job.tenant))
+
     def _start(
         self, scheduled: ScheduledJob, item: RequestItem, state: InstanceState, slot: ItemSlot
     ) -> None:
--- a/src/wharfcart/configuration/residence.py
+++ b/src/wharfcart/configuration/residence.py
@@ -51,7 +51,9 @@
     return pb.Residence(regions=sorted(residence.regions))
 
 
-def residence_from_message(bearer: pb.SlotRequest | pb.RequestJob) -> Residence:
+def residence_from_message(
+    bearer: pb.SlotRequest | pb.RequestJob | pb.WaitingItems | pb.ItemOffer,
+) -> Residence:
     """Read the residence that a message bears, if any."""
     if not bearer.HasField("residence"):
         return ANYWHERE
--- a/src/wharfcart/node/gateway_process.py
+++ b/src/wharfcart/node/gateway_process.py
@@ -60,6 +60,7 @@
             log,
             self._node.stand_in_addresses,
             settings.cluster_address,
+            self._node.grants_in,
         )
         self._node.fleet_size = self._sessions.holders
         self._relays = PermitRelays(self._node.transport, self._sessions.relays)
--- a/src/wharfcart/node/led_group.py
+++ b/src/wharfcart/node/led_group.py
@@ -98,6 +98,7 @@
             node.group_of_instance,
             self._item_slots,
             node.log,
+            grants_in=node.grants_in,
         )
         self._item_slots.begin(sessions)
         self.slots.begin(leadership.epoch)
--- a/src/wharfcart/node/serving_node.py
+++ b/src/wharfcart/node/serving_node.py
@@ -22,6 +22,7 @@
 from wharfcart.cluster.peer_news import NewsWriter, PeerNewsCalls
 from wharfcart.cluster.topology import RegionName, Topology
 from wharfcart.cluster.transport import Handler, Responder, Transport
+from wharfcart.configuration.residence import Residence
 from wharfcart.configuration.serving import RequestLimit, ServingConfiguration
 from wharfcart.node.backend_news import BackendNews
 from wharfcart.node.fleet_keys import (
@@ -175,6 +176,10 @@
         """Whether a group grants slots of this node's zone."""
         return self.layout is not None and self.layout.is_own(group, self.settings.zone)
 
+    def grants_in(self, group: int, residence: Residence) -> bool:
+        """Whether a group may grant slots of back ends in the regions of a residence."""
+        return self.layout is None or self.layout.grants_in(group, residence, self.topology)
+
     async def handle(self, frame: Frame, respond: Responder) -> None:
         """Answer a peer's call."""
         if frame.WhichOneof("body") == "coordination_pull":
--- a/src/wharfcart/routing/forwarder.py
+++ b/src/wharfcart/routing/forwarder.py
@@ -28,6 +28,7 @@
 from wharfcart.platform import exchanges
 from wharfcart.routing.backend_choice import BackendChoice, InstanceState
 from wharfcart.routing.caller_request import AnswerCutError, AnswerSink, CallerRequest
+from wharfcart.routing.eligibility import RuledOut
 from wharfcart.routing.event_stream import EventSplitter
 from wharfcart.routing.placement import (
     NoSlotError,
@@ -48,6 +49,9 @@
 # A resumable stream is taken up elsewhere when nothing has come for so long.
 STREAM_PATIENCE_S = 1.6
 RETRY_AFTER_NO_BACKEND_S = 0.4
+# There are back ends, but all of them are in regions where the request's data may not be.
+OUTSIDE_RESIDENCE = RuledOut.OUTSIDE_RESIDENCE.value
+NO_BACKEND_CAUSES = ("no_backend", OUTSIDE_RESIDENCE)
 # A slot is waited for until this part of the caller's patience is over.
 WAIT_SHARE_OF_PATIENCE = 0.5
 STATUS_TOO_MANY = 429
@@ -121,7 +125,7 @@
                 await self._refuse_over_limit(request, sink, progress, error)
                 return
             if placed is None:
-                progress.cause = progress.cause or "no_backend"
+                progress.cause = progress.cause or self._cause_of_none(request)
                 await self._give_up(request, sink, progress, STATUS_BAD_GATEWAY)
                 return
             state = placed.state
@@ -137,6 +141,13 @@
                 return
             self._told.retried(request, progress)
 
+    def _cause_of_none(self, request: CallerRequest) -> str:
+        """Return why a request has no back end to go to."""
+        elsewhere = request.residence.is_bound and self._choice.accepting(
+            request.service, monotonic()
+        )
+        return OUTSIDE_RESIDENCE if elsewhere else "no_backend"
+
     def _may_repeat(
         self, request: CallerRequest, progress: RequestProgress, verdict: _Verdict
     ) -> bool:
@@ -329,7 +340,8 @@
         route = request.route
         if not route.repeatable or progress.sends >= route.most_backends:
             return None
-        others = len(self._choice.accepting(request.service, monotonic())) - len(progress.tried)
+        accepting = self._choice.accepting(request.service, monotonic(), request.residence)
+        others = len(accepting) - len(progress.tried)
         if others < 2:
             return None
         if route.kind is RouteKind.STREAM:
@@ -360,7 +372,7 @@
             await sink.whole(status, [], b"")
             return
         retry_after_s = progress.retry_after_s
-        if progress.cause == "no_backend":
+        if progress.cause in NO_BACKEND_CAUSES:
             retry_after_s = RETRY_AFTER_NO_BACKEND_S
         self._told.ended(request, progress, "refused", STATUS_UNAVAILABLE)
         retry_after = (exchanges.RETRY_AFTER_HEADER, f"{retry_after_s:g}")
--- a/src/wharfcart/slots/events.py
+++ b/src/wharfcart/slots/events.py
@@ -168,7 +168,8 @@
         urgent: how many of them are done in time only if they run from now on.
         first: how the one stands that goes first.
         excluded: incarnations that none of them takes.
-        offers_seen: slots of the service that were offered in this session before.
+        offers_seen: slots that were offered to such items in this session before.
+        residence: where the data of each of them may be.
     """
 
     session: SessionKey
@@ -178,6 +179,7 @@
     first: Urgency
     excluded: frozenset[str] = frozenset()
     offers_seen: int = 0
+    residence: Residence = ANYWHERE
 
 
 @dataclass(frozen=True, slots=True)
@@ -250,12 +252,13 @@
 
 @dataclass(frozen=True, slots=True)
 class ItemOffered:
-    """A slot is kept for a batch item, whichever its leader chooses."""
+    """A slot is kept for a batch item of a residence, whichever its leader chooses."""
 
     session: SessionKey
     number: SlotNumber
     service: str
     instance_id: str
+    residence: Residence = ANYWHERE
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wharfcart/slots/granted_placement.py
+++ b/src/wharfcart/slots/granted_placement.py
@@ -6,7 +6,7 @@
 
 from wharfcart.cluster.messages_pb2 import SlotGrant
 from wharfcart.observability.decisions import Counter
-from wharfcart.routing.backend_choice import BackendChoice
+from wharfcart.routing.backend_choice import BackendChoice, InstanceState
 from wharfcart.routing.placement import (
     LocalPlacement,
     NoSlotError,
@@ -104,7 +104,7 @@
     # ---- inner ----
 
     def _steps(self, request: PlacementRequest) -> list[Step]:
-        rooms = self._sessions.rooms(request.service)
+        rooms = self._sessions.rooms(request.service, request.residence)
         if request.affinity_key:
             return asking_order_by_affinity(rooms, request.affinity_key)
         return asking_order(rooms, [group for group in rooms if self._is_own(group)])
@@ -161,11 +161,15 @@
         permit.taken()
         slot = session.hold(SlotUse(asked.number, grant.instance_id, asked.unread_tokens))
         state = self._choice.state(grant.instance_id)
-        if state is None or not state.instance.accepting or state.failed_lately(monotonic()):
+        if state is None or state.failed_lately(monotonic()) or self._ruled_out(state, asked):
             session.release(slot.number)
             return None
         return PlacedInSlot(state, True, slot)
 
+    def _ruled_out(self, state: InstanceState, asked: SlotAsked) -> bool:
+        """Whether this gateway itself knows that a request must not go to a back end."""
+        return self._choice.eligibility.ruled_out(state.instance, asked.residence) is not None
+
     async def _place_by_own_choice(self, request: PlacementRequest) -> Placed | None:
         placed = await self._local.place(request)
         if placed is None:
--- a/src/wharfcart/slots/granter.py
+++ b/src/wharfcart/slots/granter.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 
 from wharfcart.configuration.instances import BackendInstance
+from wharfcart.configuration.residence import ANYWHERE, Residence
 from wharfcart.routing.backend_choice import (
     OTHER_ZONE_PENALTY,
     TOKENS_A_FULL_LOAD,
@@ -69,9 +70,13 @@
 FIRST_OFFER = 1 << 40
 
 
+# Whose items wait, for which service, and where their data may be.
+DemandKey = tuple[SessionKey, str, Residence]
+
+
 @dataclass
 class _Demand:
-    """Items of one holder that wait for one service.
+    """Items of one holder and one residence that wait for one service.
 
     Attributes:
         told_at: when it was told last.
@@ -109,11 +114,14 @@
     _queue: SlotQueue = field(default_factory=SlotQueue)
     _asked_by_place: dict[int, SlotAsked] = field(default_factory=dict)  # by place in the queue
     _waiting_by_slot: dict[tuple[SessionKey, SlotNumber], Waiting] = field(default_factory=dict)
-    _demands: dict[tuple[SessionKey, str], _Demand] = field(default_factory=dict)
-    _offers: dict[tuple[SessionKey, str], int] = field(default_factory=dict)
+    _demands: dict[DemandKey, _Demand] = field(default_factory=dict)
+    _offers: dict[DemandKey, int] = field(default_factory=dict)
     _next_offer: int = FIRST_OFFER
     _rates: SendRates = field(default_factory=SendRates)
-    _usable_by_service: dict[str, tuple[float, list[InstanceState]]] = field(default_factory=dict)
+    # By service and residence, of which a configuration names few.
+    _usable: dict[tuple[str, Residence], tuple[float, list[InstanceState]]] = field(
+        default_factory=dict
+    )
 
     # ---- events ----
 
@@ -132,7 +140,7 @@
             case SlotReleased():
                 self._release(event, now)
             case SilenceChanged():
-                self._usable_by_service.clear()
+                self._usable.clear()
                 self._ledger.silence(event.session, event.instance_id, event.silent)
             case BackendBlamed():
                 self._judge(event.instance_id, Verdict.BAD, now)
@@ -209,7 +217,7 @@
 
     def _close(self, session: SessionKey) -> None:
         self._ledger.close(session)
-        self._usable_by_service.clear()
+        self._usable.clear()
         for key, waiting in list(self._waiting_by_slot.items()):
             if key[0] == session:
                 self._leave_queue(key, waiting)
@@ -237,23 +245,23 @@
     def _judge(self, instance_id: str, verdict: Verdict, now: float) -> None:
         state = self.choice.state(instance_id)
         if verdict is Verdict.BAD:
-            self._usable_by_service.clear()
+            self._usable.clear()
         if state is not None and verdict is not Verdict.UNKNOWN:
             self.choice.turned_out(state, verdict is Verdict.GOOD, now)
 
     # ---- online requests ----
 
     def _ask(self, asked: SlotAsked, now: float) -> list[SlotInstruction]:
-        candidates = self._candidates(asked.service, asked.excluded, now)
+        candidates = self._candidates(asked.service, asked.residence, now, asked.excluded)
         if not candidates or not self._ledger.is_open(asked.session):
             return [NoneHere(asked.session, asked.number)]
-        others_wait = self._queue.count(asked.service) > 0
+        others_wait = self._queue.count_in(asked.service, asked.residence) > 0
         if not others_wait and self._has_room(candidates, asked.manner, now):
             return self._grant(asked, candidates, now)
         if asked.manner is not Manner.WAIT:
             return [NoneHere(asked.session, asked.number)]
         waiting = self._queue.add(
-            asked.service, asked.in_time_until, asked.leave_at, asked.priority
+            asked.service, asked.in_time_until, asked.leave_at, asked.priority, asked.residence
         )
         if waiting is None:
             return [self._refuse(asked, RefusalCause.QUEUE_FULL, now)]
@@ -308,9 +316,9 @@
         if waiting is not None:
             self._leave_queue(key, waiting)
         slots = sum(
-            state.instance.slots for state in self._candidates(asked.service, frozenset(), now)
+            state.instance.slots for state in self._candidates(asked.service, asked.residence, now)
         )
-        others = self._queue.count(asked.service)
+        others = self._queue.count_in(asked.service, asked.residence)
         retry_after_s = SLOT_TURNOVER_S * (1 + others) / max(1, slots)
         retry_after_s = min(MOST_RETRY_AFTER_S, max(FEWEST_RETRY_AFTER_S, retry_after_s))
         return Refused(asked.session, asked.number, cause, retry_after_s, others, slots)
@@ -328,18 +336,20 @@
 
     def _serve_queue(self, now: float) -> Iterator[SlotInstruction]:
         for service in self._queue.services():
-            while (waiting := self._queue.next(service, now)) is not None:
+            full: set[Residence] = set()
+            while (waiting := self._queue.next(service, now, full)) is not None:
                 asked = self._asked_by_place[waiting.number]
-                candidates = self._candidates(service, asked.excluded, now)
+                candidates = self._candidates(service, asked.residence, now, asked.excluded)
                 if not self._has_room(candidates, Manner.WAIT, now):
-                    break
+                    full.add(asked.residence)
+                    continue
                 self._leave_queue((asked.session, asked.number), waiting)
                 yield from self._grant(asked, candidates, now)
 
     # ---- batch items ----
 
     def _note_demand(self, event: ItemsWaiting, now: float) -> None:
-        key = (event.session, event.service)
+        key = (event.session, event.service, event.residence)
         if not self._ledger.is_open(event.session):
             return
         if event.count <= 0:
@@ -353,36 +363,47 @@
         self._ledger.item_begun(event.session, event.number, event.urgency)
 
     def _offer_to_items(self, now: float) -> Iterator[SlotInstruction]:
-        for service in {service for _, service in self._demands}:
+        for service in {service for _, service, _ in self._demands}:
             while (offer := self._next_item_offer(service, now)) is not None:
                 yield offer
 
     def _next_item_offer(self, service: str, now: float) -> ItemOffered | None:
         """Offer a free slot to the items that go first, if it is worth starting one."""
-        waiting = self._in_order(service, now)
-        if not waiting:
-            return None
-        candidates = self._candidates(service, frozenset(), now)
-        free = [state for state in candidates if self._has_free_slot(state)]
-        if not free:
-            return None
-        held_back = bool(self._queue.count(service)) or not self._worth_starting(service, now)
-        for key, demand in waiting:
-            if held_back and not demand.urgent:
+        for key, demand in self._in_order(service, now):
+            residence = key[2]
+            candidates = self._candidates(service, residence, now)
+            free = [state for state in candidates if self._has_free_slot(state)]
+            if not free:
+                continue
+            if self._held_back(service, residence, free, now) and not demand.urgent:
                 continue
             state = self._emptiest(free, demand.told.excluded, now)
             if state is not None:
                 return self._offer(key, demand, state, now)
         return None
 
-    def _in_order(self, service: str, now: float) -> list[tuple[tuple[SessionKey, str], _Demand]]:
+    def _held_back(
+        self, service: str, residence: Residence, free: list[InstanceState], now: float
+    ) -> bool:
+        """Whether free slots are kept from items that have time left, for online requests.
+
+        A request that waits for other regions has no use of them.
+        """
+        free_ids = {state.instance.instance_id for state in free}
+        for waits_in in self._queue.residences(service):
+            usable = self._candidates(service, waits_in, now)
+            if any(state.instance.instance_id in free_ids for state in usable):
+                return True
+        return not self._worth_starting(service, residence, now)
+
+    def _in_order(self, service: str, now: float) -> list[tuple[DemandKey, _Demand]]:
         waiting = [
             (key, demand)
             for key, demand in self._demands.items()
             if key[1] == service and demand.count > 0
         ]
 
-        def order(entry: tuple[tuple[SessionKey, str], _Demand]) -> tuple[bool, float]:
+        def order(entry: tuple[DemandKey, _Demand]) -> tuple[bool, float]:
             first = entry[1].first(now)
             return first.too_late, first.left_s
 
@@ -395,21 +416,21 @@
         return min(usable, key=lambda state: self._cost(state, "", now), default=None)
 
     def _offer(
-        self, key: tuple[SessionKey, str], demand: _Demand, state: InstanceState, now: float
+        self, key: DemandKey, demand: _Demand, state: InstanceState, now: float
     ) -> ItemOffered:
-        session, service = key
+        session, service, residence = key
         number = SlotNumber(self._next_offer)
         self._next_offer += 1
         use = SlotUse(number, state.instance.instance_id, item=demand.first(now))
         self._ledger.take(session, use, now)
         demand.offered += 1
         self._offers[key] = self._offers.get(key, 0) + 1
-        return ItemOffered(session, number, service, use.instance_id)
+        return ItemOffered(session, number, service, use.instance_id, residence)
 
-    def _worth_starting(self, service: str, now: float) -> bool:
+    def _worth_starting(self, service: str, residence: Residence, now: float) -> bool:
         """Whether the last free slot is probably not needed before a start has paid off."""
         needed_soon = self._rates.rates(now).get(service, 0.0) * RESTART_COST_S
-        return self._free_slots(service, now) >= 1 + needed_soon
+        return self._free_slots(service, residence, now) >= 1 + needed_soon
 
     def _has_yielding(self, state: InstanceState) -> bool:
         """Whether any item at a back end leaves if asked to."""
@@ -446,22 +467,22 @@
     # ---- load ----
 
     def _candidates(
-        self, service: str, excluded: Collection[str], now: float
+        self, service: str, residence: Residence, now: float, excluded: Collection[str] = ()
     ) -> list[InstanceState]:
         """Return the back ends that a request may go to, those that seem to fail left out."""
-        usable = self._usable(service, now)
+        usable = self._usable_in(service, residence, now)
         if not excluded:
             return usable
         left = [state for state in usable if state.instance.instance_id not in excluded]
         if left:
             return left
-        return self.choice.usable(service, now, excluded, self.owns, self._is_silent)
+        return self.choice.usable(service, now, excluded, self.owns, self._is_silent, residence)
 
-    def _usable(self, service: str, now: float) -> list[InstanceState]:
-        looked_at, usable = self._usable_by_service.get(service, (-USABLE_KEPT_S, []))
+    def _usable_in(self, service: str, residence: Residence, now: float) -> list[InstanceState]:
+        looked_at, usable = self._usable.get((service, residence), (-USABLE_KEPT_S, []))
         if now - looked_at >= USABLE_KEPT_S:
-            usable = self.choice.usable(service, now, (), self.owns, self._is_silent)
-            self._usable_by_service[service] = (now, usable)
+            usable = self.choice.usable(service, now, (), self.owns, self._is_silent, residence)
+            self._usable[service, residence] = (now, usable)
         return usable
 
     def _load(self, state: InstanceState) -> float:
@@ -474,10 +495,10 @@
     def _has_free_slot(self, state: InstanceState) -> bool:
         return self._ledger.in_use(state.instance.instance_id) < state.instance.slots
 
-    def _free_slots(self, service: str, now: float) -> int:
+    def _free_slots(self, service: str, residence: Residence, now: float) -> int:
         return sum(
             max(0, state.instance.slots - self._ledger.in_use(state.instance.instance_id))
-            for state in self._candidates(service, frozenset(), now)
+            for state in self._candidates(service, residence, now)
         )
 
     def _cost(self, state: InstanceState, zone: str, now: float) -> float:
@@ -509,14 +530,14 @@
         return self._ledger.is_silent(instance_id)
 
     def _room_of(self, service: str, now: float) -> ServiceRoom:
-        candidates = self._candidates(service, frozenset(), now)
+        candidates = self._candidates(service, ANYWHERE, now)
         yielding = sum(
             self._ledger.staying_items(state.instance.instance_id) for state in candidates
         )
         return ServiceRoom(
             service,
             sum(state.instance.slots for state in candidates),
-            self._free_slots(service, now),
+            self._free_slots(service, ANYWHERE, now),
             yielding,
             self._queue.count(service),
         )
--- a/src/wharfcart/slots/item_slots.py
+++ b/src/wharfcart/slots/item_slots.py
@@ -6,6 +6,7 @@
 from time import monotonic
 
 from wharfcart.cluster.messages_pb2 import SlotNews
+from wharfcart.configuration.residence import ANYWHERE, Residence, residence_from_message
 from wharfcart.slots.events import (
     BackendBlamed,
     ItemBegun,
@@ -54,6 +55,10 @@
     excluded: frozenset[str] = frozenset()
 
 
+# Which group was told, of items of which service, and where their data may be.
+_ToldKey = tuple[int, str, Residence]
+
+
 @dataclass(frozen=True)
 class _Told:
     """What a granting node was told, and what it makes of it as time passes and slots are offered.
@@ -96,8 +101,8 @@
         self.sessions: SlotSessions
         self.on_offer: Callable[[ItemSlot], None] = lambda _slot: None
         self.on_leave: Callable[[HeldSlot, LeaveCause], None] = lambda _slot, _cause: None
-        self._told: dict[tuple[int, str], _Told] = {}  # by group and service
-        self._offers_seen: dict[tuple[int, str], int] = {}
+        self._told: dict[_ToldKey, _Told] = {}
+        self._offers_seen: dict[_ToldKey, int] = {}
         self._avoided_by_group: dict[int, frozenset[str]] = {}
 
     def begin(self, sessions: SlotSessions) -> None:
@@ -112,13 +117,16 @@
 
     # ---- what the leader tells ----
 
-    def items_wait(self, service: str, demand: ItemDemand) -> None:
-        """Tell the granting nodes how many items wait; each is told its part."""
-        rooms = self._rooms(service)
+    def items_wait(self, service: str, demand: ItemDemand, residence: Residence = ANYWHERE) -> None:
+        """Tell the granting nodes how many items of a residence wait; each is told its part.
+
+        Those that grant nothing in these regions hear nothing.
+        """
+        rooms = self.sessions.rooms_told(service, residence)
         for group, count in _parts(demand.count, rooms).items():
             urgent = min(count, demand.urgent)
             part = ItemDemand(count, urgent, demand.first, demand.excluded)
-            self._tell_demand(group, service, part)
+            self._tell_demand(group, service, residence, part)
 
     def begun(self, slot: ItemSlot, urgency: Urgency) -> None:
         """Tell that an item runs in a slot, and how it stands."""
@@ -154,7 +162,7 @@
     def items_told(self, group: int, news: SlotNews) -> None:
         """Take slots that are offered to items, and items that must leave."""
         for offer in news.offers:
-            key = (group, offer.service)
+            key = (group, offer.service, residence_from_message(offer))
             self._offers_seen[key] = self._offers_seen.get(key, 0) + 1
             number = SlotNumber(offer.number)
             self.on_offer(ItemSlot(group, number, offer.service, offer.instance_id))
@@ -164,17 +172,11 @@
 
     # ---- inner ----
 
-    def _rooms(self, service: str) -> dict[int, ServiceRoom]:
-        rooms = {}
-        for group, session in self.sessions.by_group.items():
-            room = session.picture.room(service) if session.is_open else None
-            if room is not None:
-                rooms[group] = room
-        return rooms
-
-    def _tell_demand(self, group: int, service: str, demand: ItemDemand) -> None:
+    def _tell_demand(
+        self, group: int, service: str, residence: Residence, demand: ItemDemand
+    ) -> None:
         now = monotonic()
-        key = (group, service)
+        key = (group, service, residence)
         offers_seen = self._offers_seen.get(key, 0)
         told = self._told.get(key)
         if told is None and not demand.count:
@@ -192,6 +194,7 @@
                 demand.first,
                 demand.excluded,
                 offers_seen,
+                residence,
             )
         )
 
--- a/src/wharfcart/slots/messages.py
+++ b/src/wharfcart/slots/messages.py
@@ -229,6 +229,7 @@
         first=urgency_to_message(event.first),
         excluded=event.excluded,
         offers_seen=event.offers_seen,
+        residence=residence_to_message(event.residence),
     )
 
 
@@ -241,6 +242,7 @@
         first=urgency_from_message(message.first),
         excluded=frozenset(message.excluded),
         offers_seen=message.offers_seen,
+        residence=residence_from_message(message),
     )
 
 
--- a/src/wharfcart/slots/queue.py
+++ b/src/wharfcart/slots/queue.py
@@ -7,10 +7,13 @@
 Pure: time is handed in as seconds.
 """
 
+from collections.abc import Collection
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
 
-# So many requests wait for one service, no more.
+from wharfcart.configuration.residence import ANYWHERE, Residence
+
+# So many requests wait for one service in the same regions, no more.
 MOST_WAITING = 400
 
 
@@ -23,6 +26,7 @@
         in_time_until: monotonic time until which a slot lets it answer in time.
         leave_at: monotonic time at which it is given up.
         priority: 0 is the most urgent.
+        residence: where its data may be.
     """
 
     number: int
@@ -30,6 +34,7 @@
     in_time_until: float
     leave_at: float
     priority: int = 0
+    residence: Residence = ANYWHERE
 
     @property
     def order(self) -> tuple[int, float, int]:
@@ -41,10 +46,16 @@
         """Sorts a request that can't be in time any more, behind all that can."""
         return self.priority, self.leave_at, self.number
 
+    def rank(self, now: float) -> tuple[bool, tuple[int, float, int]]:
+        """Sorts requests of several lines, those that can still be in time first."""
+        if now <= self.in_time_until:
+            return False, self.order
+        return True, self.late_order
+
 
 @dataclass
 class _Line:
-    """Requests that wait for one service.
+    """Requests that wait for one service and may go to the same back ends.
 
     Attributes:
         waiting_by_number: all of them; who is not here has left, and is passed over in the heaps.
@@ -77,43 +88,69 @@
 
 @dataclass
 class SlotQueue:
-    """Requests that wait, by service."""
+    """Requests that wait, by service and residence.
+
+    Requests that may go to the same back ends stand in one line: one whose regions are full holds
+    up no other. Residences are few, as a configuration names them.
+    """
 
-    _line_by_service: dict[str, _Line] = field(default_factory=dict)
+    _lines_by_service: dict[str, dict[Residence, _Line]] = field(default_factory=dict)
     _next_number: int = 0
 
     def add(
-        self, service: str, in_time_until: float, leave_at: float, priority: int
+        self,
+        service: str,
+        in_time_until: float,
+        leave_at: float,
+        priority: int,
+        residence: Residence = ANYWHERE,
     ) -> Waiting | None:
         """Take a request in; None if too many wait already."""
-        line = self._line_by_service.setdefault(service, _Line())
+        line = self._lines_by_service.setdefault(service, {}).setdefault(residence, _Line())
         if len(line.waiting_by_number) >= MOST_WAITING:
             return None
         self._next_number += 1
-        waiting = Waiting(self._next_number, service, in_time_until, leave_at, priority)
+        waiting = Waiting(self._next_number, service, in_time_until, leave_at, priority, residence)
         line.add(waiting)
         return waiting
 
     def remove(self, waiting: Waiting) -> None:
         """Drop a request that has its slot, or waits no longer."""
-        line = self._line_by_service.get(waiting.service)
+        line = self._lines_by_service.get(waiting.service, {}).get(waiting.residence)
         if line is not None:
             line.waiting_by_number.pop(waiting.number, None)
 
     def count(self, service: str) -> int:
         """Return how many requests wait for a service."""
-        line = self._line_by_service.get(service)
+        lines = self._lines_by_service.get(service, {}).values()
+        return sum(len(line.waiting_by_number) for line in lines)
+
+    def count_in(self, service: str, residence: Residence) -> int:
+        """Return how many requests of one residence wait for a service."""
+        line = self._lines_by_service.get(service, {}).get(residence)
         return 0 if line is None else len(line.waiting_by_number)
 
     def total(self) -> int:
         """Return how many requests wait."""
-        return sum(map(self.count, self._line_by_service))
+        return sum(map(self.count, self._lines_by_service))
 
     def services(self) -> list[str]:
         """Return the services that requests wait for."""
-        return [service for service in self._line_by_service if self.count(service)]
+        return [service for service in self._lines_by_service if self.count(service)]
 
-    def next(self, service: str, now: float) -> Waiting | None:
-        """Return the request that goes next."""
-        line = self._line_by_service.get(service)
-        return None if line is None else line.first(now)
+    def residences(self, service: str) -> list[Residence]:
+        """Return the residences of the requests that wait for a service."""
+        lines = self._lines_by_service.get(service, {})
+        return [residence for residence, line in lines.items() if line.waiting_by_number]
+
+    def next(
+        self, service: str, now: float, passed_over: Collection[Residence] = ()
+    ) -> Waiting | None:
+        """Return the request that goes next, of all lines but those passed over."""
+        lines = self._lines_by_service.get(service, {})
+        heads = [
+            head
+            for residence, line in lines.items()
+            if residence not in passed_over and (head := line.first(now)) is not None
+        ]
+        return min(heads, key=lambda head: head.rank(now), default=None)
--- a/src/wharfcart/slots/service.py
+++ b/src/wharfcart/slots/service.py
@@ -24,6 +24,7 @@
     SlotRequest,
 )
 from wharfcart.configuration.instances import BackendInstance
+from wharfcart.configuration.residence import residence_to_message
 from wharfcart.configuration.serving import RequestLimit
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.observability.serving_metrics import Gauge
@@ -353,6 +354,7 @@
                         number=instruction.number,
                         service=instruction.service,
                         instance_id=instruction.instance_id,
+                        residence=residence_to_message(instruction.residence),
                     )
                     self._tell(instruction.session, SlotNews(offers=[offer]))
                 case ItemMustLeave():
--- a/src/wharfcart/slots/sessions.py
+++ b/src/wharfcart/slots/sessions.py
@@ -7,6 +7,7 @@
 from wharfcart.admission.tenant_limits import TenantSend, TenantSends
 from wharfcart.cluster.address import Address
 from wharfcart.cluster.transport import Transport
+from wharfcart.configuration.residence import ANYWHERE, Residence
 from wharfcart.observability.decisions import DecisionLog
 from wharfcart.observability.tasks import BackgroundTasks
 from wharfcart.routing.backend_choice import BackendChoice
@@ -34,6 +35,7 @@
         stand_ins: which nodes keep the limits of a group's tenants, one after the other, while the
             granting node is not reached; none for holders that need no permits.
         own_address: where other gateways reach this one; '' if it is none.
+        grants_in: whether a group may grant slots of back ends in the regions of a residence.
 
     Attributes:
         group_of: the group whose node grants an incarnation's slots, or None.
@@ -53,6 +55,7 @@
         log: DecisionLog,
         stand_ins: Callable[[int], list[Address]] | None = None,
         own_address: str = "",
+        grants_in: Callable[[int, Residence], bool] = lambda _group, _residence: True,
     ) -> None:
         self._holder = holder
         self._choice = choice
@@ -64,6 +67,7 @@
         self._log = log
         self._stand_ins = stand_ins
         self.own_address = own_address
+        self._grants_in = grants_in
         self._stand_in_sessions: dict[int, SlotSession] = {}
         self._stand_in_tries: dict[int, int] = {}  # by group
         self._tasks = BackgroundTasks()
@@ -106,13 +110,30 @@
         group = self._home_group(tenant)
         return group in self.by_group and self._stand_in_address(group) is not None
 
-    def rooms(self, service: str) -> dict[int, ServiceRoom]:
-        """Return the room for a service, by group whose node may be asked now."""
+    def rooms(self, service: str, residence: Residence = ANYWHERE) -> dict[int, ServiceRoom]:
+        """Return the room for a service, by group whose node may be asked now.
+
+        Groups that grant no slots in the regions of a residence are left out.
+        """
         now = monotonic()
+        told = self.rooms_told(service, residence)
+        return {
+            group: room
+            for group, room in told.items()
+            if room.slots > 0 and self.by_group[group].answers(now)
+        }
+
+    def rooms_told(self, service: str, residence: Residence = ANYWHERE) -> dict[int, ServiceRoom]:
+        """Return the room for a service as it was told last, by group with an open session.
+
+        Groups that grant no slots in the regions of a residence are left out.
+        """
         rooms = {}
         for group, session in self.by_group.items():
-            room = session.picture.room(service) if session.answers(now) else None
-            if room is not None and room.slots > 0:
+            if not session.is_open or not self._grants_in(group, residence):
+                continue
+            room = session.picture.room(service)
+            if room is not None:
                 rooms[group] = room
         return rooms
 
--- a/src/wharfcart/storage/layout.py
+++ b/src/wharfcart/storage/layout.py
@@ -14,7 +14,9 @@
 
 import xxhash
 
+from wharfcart.cluster.topology import Topology
 from wharfcart.configuration.instances import BackendInstance
+from wharfcart.configuration.residence import Residence
 from wharfcart.storage.group_record import GroupRecord
 
 # So many storage nodes come to one group: five replicas that bear the loss of two, and a spare.
@@ -53,6 +55,20 @@
         sharing = sharing or list(range(self.groups))
         return sharing[xxhash.xxh64_intdigest(instance.instance_id.encode()) % len(sharing)]
 
+    def grants_in(self, group: int, residence: Residence, topology: Topology) -> bool:
+        """Whether a group may grant slots of back ends in the regions of a residence.
+
+        Those of a zone that no group names may belong to any group.
+        """
+        if not residence.is_bound:
+            return True
+        named = {zone for zones in self.zones_by_group for zone in zones}
+        unnamed = topology.region_by_zone.keys() - named
+        return any(
+            residence.allows(topology.region(zone))
+            for zone in (*self.zones_by_group[group], *unnamed)
+        )
+
     def is_own(self, group: int, zone: str) -> bool:
         """Whether a group grants slots of a zone."""
         return zone in self.zones_by_group[group]
--- a/tests/batch/test_job_execution.py
+++ b/tests/batch/test_job_execution.py
@@ -1,6 +1,7 @@
 """Which items a leader starts, and which one leaves when an online request needs its slot."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from random import Random
 from time import time
@@ -11,6 +12,7 @@
 from wharfcart.batch.job_execution import JobExecution
 from wharfcart.cluster.messages_pb2 import ItemOutcome, RequestItem, RequestJob
 from wharfcart.configuration.instances import BackendInstance
+from wharfcart.configuration.residence import ANYWHERE, Residence
 from wharfcart.configuration.serving import (
     Route,
     RouteKind,
@@ -76,7 +78,7 @@
     def __init__(self, choice: BackendChoice) -> None:
         super().__init__()
         self.granter = SlotGranter(choice, lambda _instance: True)
-        self._offers = 0
+        self._offers: Counter[Residence] = Counter()
         self._numbers = 0
         for key in (LEADER, GATEWAY):
             self.tell(SessionOpened(key, "z"))
@@ -86,7 +88,7 @@
         for instruction in self.granter.handle(event, loop.time()):
             match instruction:
                 case ItemOffered():
-                    self._offers += 1
+                    self._offers[instruction.residence] += 1
                     slot = ItemSlot(0, instruction.number, "s", instruction.instance_id)
                     loop.call_soon(self.on_offer, slot)
                 case ItemMustLeave():
@@ -109,7 +111,7 @@
     def free(self, number: SlotNumber) -> None:
         self.tell(SlotReleased(GATEWAY, number))
 
-    def items_wait(self, service: str, demand: ItemDemand) -> None:
+    def items_wait(self, service: str, demand: ItemDemand, residence: Residence = ANYWHERE) -> None:
         self.tell(
             ItemsWaiting(
                 LEADER,
@@ -118,7 +120,8 @@
                 demand.urgent,
                 demand.first,
                 demand.excluded,
-                self._offers,
+                self._offers[residence],
+                residence,
             )
         )
 
