Batch jobs stay on disks in their regions

Cause: which group keeps a job was decided by its id alone, and a group's disks are anywhere.

Change: a submission bears the residence of its route and tenant and goes only to a group all of whose disks are there (storage/job_residence.py), by the same hash over these groups; the body is sent to no leader elsewhere, whoever is said to lead. The leader looks once more, at the set in force, the one to come and spares that it feeds, and refuses without running anything; a group with such a job, or one that can hold jobs of a residence the configuration names, takes no disk elsewhere (JobGroup.may_hold). No such group: 503 at once, logged, counted. Reads, bodies and ends ask the groups that the id gives now, then all others; 404 only if every group says so. A submission sent again after a change is found at the other groups. A region that no zone is in is a finding.

--- a/src/wharfcart/batch/job_service.py
+++ b/src/wharfcart/batch/job_service.py
@@ -4,14 +4,17 @@
 """
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 from time import monotonic
 
 from wharfcart.batch.job_execution import JobExecution
 from wharfcart.cluster.messages_pb2 import (
     DONE,
+    MAYBE_ELSEWHERE,
     NOT_FOUND,
     NOT_LEADING,
+    OUTSIDE_RESIDENCE,
     REFUSED,
     TAKEN,
     UNSURE,
@@ -29,18 +32,22 @@
     SubmitJob,
     WaitingTokens,
 )
+from wharfcart.configuration.residence import residence_from_message, residence_to_message
 from wharfcart.configuration.serving import Route, ServingConfiguration
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.storage.job_client import JobCallFailure, JobClient
 from wharfcart.storage.job_group import JobGroup
 from wharfcart.storage.job_leadership import JobLeadership
 from wharfcart.storage.job_records import JobRecord
+from wharfcart.storage.job_residence import RegionOf, all_in
 
 WRITE_TIMEOUT_S = 3.0
 SURE_TIMEOUT_S = 0.8
 MOST_PAGE_BYTES = 700_000
 # A submission has to be answered within a part of a second; a leader answers in milliseconds.
 COUNT_TIMEOUT_S = 0.15
+# A position from which on no job has results: an answer tells only that the job is there.
+BEYOND_ALL_RESULTS = 2**32 - 1
 
 
 class OtherGroups:
@@ -65,6 +72,22 @@
         share = limit // (1 + len(numbers))
         return sum(share if count is None else count for count in counts)
 
+    async def status_of(self, job: RequestJob) -> JobStatus:
+        """Return whether another group has a job: DONE, NOT_FOUND, or UNSURE if one can't say."""
+        statuses = await asyncio.gather(*(self._has(group, job) for group in self._numbers()))
+        if DONE in statuses:
+            return DONE
+        return UNSURE if UNSURE in statuses else NOT_FOUND
+
+    async def _has(self, group: int, job: RequestJob) -> JobStatus:
+        message = ReadResults(
+            job_id=job.job_id, after=BEYOND_ALL_RESULTS, tenant=job.tenant, group=group
+        )
+        answer = await self._client.call_group(
+            group, Frame(read_results=message), "result_page", COUNT_TIMEOUT_S, COUNT_TIMEOUT_S
+        )
+        return UNSURE if isinstance(answer, JobCallFailure) else answer.result_page.status
+
     async def _count(self, group: int, job: RequestJob) -> int | None:
         message = CountWaitingTokens(group=group, host=job.host, path=job.path, tenant=job.tenant)
         answer = await self._client.call_group(
@@ -80,7 +103,16 @@
 
 
 class JobService:
-    """Calls on one job group."""
+    """Calls on one job group.
+
+    Args:
+        group: that is asked.
+        execution: runs the items while this node leads the group.
+        configuration: the configuration in force, or None.
+        others: the leaders of all other groups.
+        log: takes what becomes of jobs.
+        region_of: where each disk is.
+    """
 
     def __init__(
         self,
@@ -89,12 +121,16 @@
         configuration: Callable[[], ServingConfiguration | None],
         others: OtherGroups,
         log: DecisionLog,
+        region_of: RegionOf = lambda _identity: None,
     ) -> None:
         self._group = group
         self._execution = execution
         self._configuration = configuration
         self._others = others
         self._log = log
+        self._region_of = region_of
+        self._being_taken: Counter[str] = Counter()
+        self._residence_was_bound = False
 
     async def submit(self, message: SubmitJob) -> JobAnswer:
         """Take a job; answered once enough disks have it."""
@@ -106,11 +142,15 @@
         known = record is not None
         if record is not None and not _is_of(record.job, job.tenant):
             return JobAnswer(status=TAKEN)
-        if not known and not await self._fits(leadership, job):
-            # One that no longer leads would refuse a job by what once waited.
-            if not await self._sure():
-                return JobAnswer(status=self._unsure_status(), leader=self._leader())
-            return JobAnswer(status=REFUSED)
+        if not known:
+            self._being_taken[job.job_id] += 1
+            try:
+                refusal = await self._refusal(leadership, message)
+            finally:
+                self._being_taken[job.job_id] -= 1
+                self._being_taken += Counter()
+            if refusal is not None:
+                return JobAnswer(status=refusal, leader=self._leader())
         record = leadership.accept(job)
         self._group.wake_sessions()
         if not await self._counted(leadership, job.job_id, 1):
@@ -127,6 +167,73 @@
             )
         return JobAnswer(status=DONE)
 
+    async def _refusal(self, leadership: JobLeadership, message: SubmitJob) -> JobStatus | None:
+        """Return why a new job is not taken, or None if it is.
+
+        Whether all disks are where its data may be is looked at last: the set may change while
+        others are asked.
+        """
+        job = message.job
+        self._bind(job)
+        if not self._may_hold(job):
+            return self._refuse_outside(job)
+        elsewhere = await self._status_elsewhere(message)
+        if elsewhere is not None:
+            return elsewhere
+        if not await self._fits(leadership, job):
+            # One that no longer leads would refuse a job by what once waited.
+            return REFUSED if await self._sure() else self._unsure_status()
+        return None if self._may_hold(job) else self._refuse_outside(job)
+
+    def _bind(self, job: RequestJob) -> None:
+        """Settle where a job's data may be: what its gateway says and this node knows both bind."""
+        configuration = self._configuration()
+        if configuration is None:
+            return
+        self._residence_was_bound |= configuration.binds_residence
+        route = configuration.route_for(job.host, job.path)
+        if route is None:
+            return
+        both = residence_from_message(job).within(configuration.residence_of(route, job.tenant))
+        message = residence_to_message(both)
+        if message is not None:
+            job.residence.CopyFrom(message)
+
+    def _may_hold(self, job: RequestJob) -> bool:
+        residence = residence_from_message(job)
+        return all_in(self._group.disks, residence, self._region_of)
+
+    def _refuse_outside(self, job: RequestJob) -> JobStatus:
+        residence = residence_from_message(job)
+        self._log.write(
+            Event.JOB_REFUSED,
+            job=job.job_id,
+            tenant=job.tenant,
+            cause="outside_residence",
+            regions=sorted(residence.regions or ()),
+            disks={disk: self._region_of(disk) for disk in sorted(self._group.disks)},
+        )
+        return OUTSIDE_RESIDENCE
+
+    async def _status_elsewhere(self, message: SubmitJob) -> JobStatus | None:
+        """Return what to answer for a job that another group has taken before, or may have.
+
+        A submission that is sent again after the residence of its route or tenant has changed, or
+        the groups that may hold it, comes to another group than the first one did. So the other
+        groups are asked by the id alone: one short call to each for a new job, and only while
+        residences are, or were since this process started, bound at all. Where one of them does
+        not answer, the job is refused if its gateway knows of a change of late, since its first
+        submission may be there; without one it is taken, or a region that is cut off would stop
+        all others. Not covered: a change that neither the gateway nor this leader has seen, both
+        having started since, while the group that has the job does not answer.
+        """
+        if not (self._residence_was_bound or message.moved):
+            return None
+        status = await self._others.status_of(message.job)
+        if status is DONE:
+            return DONE
+        return MAYBE_ELSEWHERE if status is UNSURE and message.moved else None
+
     async def read(self, message: ReadResults) -> ResultPage:
         """Return the results from a position on; waits for one if asked to."""
         until = monotonic() + message.wait_ms / 1000
@@ -279,8 +386,11 @@
         if leadership is None:
             return NOT_LEADING
         record = leadership.jobs.get(job_id)
-        # A job that is known but does not count yet may still come to count.
-        return NOT_FOUND if record is None or not _is_of(record.job, tenant) else UNSURE
+        # A job that is known but does not count yet may still come to count, and so may one that is
+        # being taken: of two groups that take it at once each must learn of the other.
+        if record is None:
+            return UNSURE if job_id in self._being_taken else NOT_FOUND
+        return UNSURE if _is_of(record.job, tenant) else NOT_FOUND
 
 
 def _is_of(job: RequestJob, tenant: str) -> bool:
--- /dev/null
+++ b/src/wharfcart/configuration/residence_check.py
@@ -0,0 +1,34 @@
+"""Looks for regions that a configuration names and the fleet does not have."""
+
+from collections.abc import Iterator
+
+from wharfcart.cluster.topology import Topology
+from wharfcart.configuration.residence import Residence
+from wharfcart.configuration.serving import ServingConfiguration
+from wharfcart.errors import Finding
+
+CONFIGURATION = "serving configuration"
+
+
+def residence_findings(configuration: ServingConfiguration, topology: Topology) -> list[Finding]:
+    """Return a finding for each region named by a route or tenant that no zone is in.
+
+    Args:
+        configuration: that comes into force.
+        topology: the zones of the fleet with their regions.
+    """
+    known = set(topology.region_by_zone.values())
+    findings = []
+    for place, residence in _places(configuration):
+        for region in sorted((residence.regions or frozenset()) - known):
+            reason = f"no zone of the fleet is in region {region!r}"
+            findings.append(Finding(CONFIGURATION, place, reason))
+    return findings
+
+
+def _places(configuration: ServingConfiguration) -> Iterator[tuple[str, Residence]]:
+    for route in configuration.routes:
+        yield f"routes.{route.name}.residence", route.residence
+    if configuration.tenants is not None:
+        for tenant in configuration.tenants.by_name.values():
+            yield f"tenants.{tenant.name}.residence", tenant.residence
--- a/src/wharfcart/configuration/serving.py
+++ b/src/wharfcart/configuration/serving.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import StrEnum
+from functools import cached_property
 
 from wharfcart.configuration.api_keys import KeyDigest, KeyIndex
 from wharfcart.configuration.residence import ANYWHERE, Residence
@@ -210,6 +211,21 @@
             tenant.residence.is_bound for tenant in tenants
         )
 
+    def job_residences(self, host: str, tenant: str) -> frozenset[Residence]:
+        """Return where the data of a tenant's batch jobs may be, for each route of a host."""
+        routes = self._by_host.get(host, {}).values()
+        return frozenset(
+            self.residence_of(route, tenant) for route in routes if route.kind is RouteKind.BATCH
+        )
+
+    @cached_property
+    def batch_residences(self) -> frozenset[Residence]:
+        """Return where the data of batch jobs may be, for each of their routes and any tenant."""
+        tenants = () if self.tenants is None else self.tenants.by_name.values()
+        of_tenants = {tenant.residence for tenant in tenants} | {ANYWHERE}
+        of_routes = {route.residence for route in self.routes if route.kind is RouteKind.BATCH}
+        return frozenset(own.within(other) for own in of_routes for other in of_tenants)
+
     def limit_of(self, tenant: str) -> RequestLimit | None:
         """Return the limit of a tenant's requests; None for no limit or no such tenant."""
         found = None if self.tenants is None else self.tenants.by_name.get(tenant)
--- a/src/wharfcart/gateway/job_calls.py
+++ b/src/wharfcart/gateway/job_calls.py
@@ -1,13 +1,16 @@
 """Batch calls of callers at a gateway: submission, results, bodies, ends."""
 
-from time import time
+from collections.abc import Callable
+from time import monotonic, time
 
 from sanic.request import Request
 from sanic.response import HTTPResponse
 
 from wharfcart.cluster.messages_pb2 import (
     DONE,
+    MAYBE_ELSEWHERE,
     NOT_FOUND,
+    OUTSIDE_RESIDENCE,
     REFUSED,
     TAKEN,
     EndJob,
@@ -17,11 +20,15 @@
     RequestJob,
     SubmitJob,
 )
-from wharfcart.configuration.serving import Route
+from wharfcart.configuration.residence import ANYWHERE, Residence, residence_to_message
+from wharfcart.configuration.serving import Route, ServingConfiguration
 from wharfcart.gateway.answers import plain_answer
 from wharfcart.observability.decisions import DecisionLog, Event
+from wharfcart.observability.serving_metrics import ServingMetrics
 from wharfcart.platform import batch_calls, names
+from wharfcart.storage.job_client import OUTSIDE_RESIDENCE as OUTSIDE_CAUSE
 from wharfcart.storage.job_client import JobCallFailure, JobClient
+from wharfcart.storage.job_moves import JobMoves
 
 SUBMIT_TIMEOUT_S = 3.0
 SUBMIT_TRY_S = 2.0
@@ -31,15 +38,33 @@
 MOST_WAIT_S = 1.0
 # Items take seconds each: room for a job comes later than a leader.
 RETRY_AFTER_BY_STATUS_S = {503: 0.3, 429: 1.0}
+# Cause of a refusal: the leader knows of a disk elsewhere that this gateway does not.
+NO_GROUP_INSIDE = "a disk of the group is outside the residence"
 JSON_TYPE = ("content-type", "application/json")
 
 
 class JobCalls:
-    """Translates callers' batch calls into calls on job groups."""
+    """Translates callers' batch calls into calls on job groups.
 
-    def __init__(self, client: JobClient, log: DecisionLog) -> None:
+    Args:
+        client: calls the groups' leaders.
+        log: tells of calls that are refused.
+        configuration: the configuration in force, or None.
+        metrics: count jobs that are refused for their residence.
+    """
+
+    def __init__(
+        self,
+        client: JobClient,
+        log: DecisionLog,
+        configuration: Callable[[], ServingConfiguration | None],
+        metrics: ServingMetrics,
+    ) -> None:
         self._client = client
         self._log = log
+        self._configuration = configuration
+        self._metrics = metrics
+        self._moves = JobMoves()
 
     async def submit(self, request: Request, route: Route, tenant: str) -> HTTPResponse:
         """Take a tenant's batch job into keeping."""
@@ -50,9 +75,13 @@
             return self._refused(job_id, "submit", 400, f"malformed: {error}")
         if not job_id:
             return self._refused(job_id, "submit", 400, "no id")
+        configuration = self._configuration()
+        residence = route.residence
+        if configuration is not None:
+            residence = configuration.residence_of(route, tenant)
         job = RequestJob(
             job_id=job_id,
-            host=(request.headers.get("host") or "").partition(":")[0],
+            host=_host_of(request),
             path=request.raw_url.decode("latin-1").partition("?")[0],
             accepted_ms=int(time() * 1000),
             objective_s=route.completion_objective_s,
@@ -60,14 +89,19 @@
             most_attempts=route.most_backends,
             items=items,
             tenant=tenant,
+            residence=residence_to_message(residence),
         )
-        frame = Frame(submit_job=SubmitJob(job=job))
+        frame = Frame(submit_job=SubmitJob(job=job, moved=self._moved(route, tenant, residence)))
         answer = await self._client.call(
-            job_id, frame, "job_answer", SUBMIT_TIMEOUT_S, SUBMIT_TRY_S
+            job_id, frame, "job_answer", SUBMIT_TIMEOUT_S, SUBMIT_TRY_S, residence
         )
         if isinstance(answer, JobCallFailure):
             status = 504 if answer.sent else 503
-            return self._refused(job_id, "submit", status, answer.cause)
+            return self._refused(job_id, "submit", status, answer.cause, residence)
+        if answer.job_answer.status == OUTSIDE_RESIDENCE:
+            return self._refused(job_id, "submit", 503, NO_GROUP_INSIDE, residence)
+        if answer.job_answer.status == MAYBE_ELSEWHERE:
+            return self._refused(job_id, "submit", 503, "another group may have it", residence)
         if answer.job_answer.status == REFUSED:
             return self._refused(job_id, "submit", 429, "too many tokens wait")
         if answer.job_answer.status == TAKEN:
@@ -80,7 +114,7 @@
         if path.startswith(names.JOB_PATH):
             job_id = path.removeprefix(names.JOB_PATH)
             if request.method == "DELETE":
-                return await self._end(job_id, tenant)
+                return await self._end(request, job_id, tenant)
             if request.method == "GET":
                 return await self._read(request, job_id, tenant)
         elif request.method == "GET":
@@ -92,12 +126,13 @@
         first = _whole_number(request.args.get("after"))
         wait_s = min(MOST_WAIT_S, _whole_number(request.headers.get(names.WAIT_MS)) / 1000)
         message = ReadResults(job_id=job_id, after=first, wait_ms=int(wait_s * 1000), tenant=tenant)
-        answer = await self._client.call(
+        answer = await self._client.find(
             job_id,
             Frame(read_results=message),
             "result_page",
             READ_TIMEOUT_S + wait_s,
             wait_s + READ_TRY_MARGIN_S,
+            self._residences(request, tenant),
         )
         if isinstance(answer, JobCallFailure):
             return self._refused(job_id, "read", 503, answer.cause)
@@ -112,8 +147,13 @@
         item_id = request.args.get("id") or ""
         message = ReadItemBody(job_id=job_id, item_id=item_id, tenant=tenant)
         frame = Frame(read_item_body=message)
-        answer = await self._client.call(
-            job_id, frame, "item_body", READ_TIMEOUT_S, READ_TRY_MARGIN_S
+        answer = await self._client.find(
+            job_id,
+            frame,
+            "item_body",
+            READ_TIMEOUT_S,
+            READ_TRY_MARGIN_S,
+            self._residences(request, tenant),
         )
         if isinstance(answer, JobCallFailure):
             return self._refused(job_id, "read_body", 503, answer.cause)
@@ -123,13 +163,14 @@
             200, [("content-type", "application/octet-stream")], answer.item_body.body
         )
 
-    async def _end(self, job_id: str, tenant: str) -> HTTPResponse:
-        answer = await self._client.call(
+    async def _end(self, request: Request, job_id: str, tenant: str) -> HTTPResponse:
+        answer = await self._client.find(
             job_id,
             Frame(end_job=EndJob(job_id=job_id, tenant=tenant)),
             "job_answer",
             END_TIMEOUT_S,
             SUBMIT_TRY_S,
+            self._residences(request, tenant),
         )
         if isinstance(answer, JobCallFailure):
             status = 504 if answer.sent else 503
@@ -138,14 +179,37 @@
             return self._refused(job_id, "end", 404, "no such job")
         return plain_answer(200)
 
-    def _refused(self, job_id: str, call: str, status: int, cause: str) -> HTTPResponse:
+    def _moved(self, route: Route, tenant: str, residence: Residence) -> bool:
+        """Whether earlier submissions of a job may have gone to another group."""
+        groups = self._client.holding_groups(residence)
+        return self._moves.moved((route.name, tenant), groups, monotonic())
+
+    def _residences(self, request: Request, tenant: str) -> frozenset[Residence]:
+        """Return where the data of a tenant's jobs of the host that is called may be."""
+        configuration = self._configuration()
+        if configuration is None:
+            return frozenset()
+        return configuration.job_residences(_host_of(request), tenant)
+
+    def _refused(
+        self, job_id: str, call: str, status: int, cause: str, residence: Residence = ANYWHERE
+    ) -> HTTPResponse:
+        regions: dict[str, object] = {}
+        if residence.regions is not None:
+            regions["regions"] = sorted(residence.regions)
+        if cause in (OUTSIDE_CAUSE, NO_GROUP_INSIDE):
+            self._metrics.outside_residence.add("job")
         self._log.write(
-            Event.REQUEST_REFUSED, request=job_id, call=call, status=status, cause=cause
+            Event.REQUEST_REFUSED, request=job_id, call=call, status=status, cause=cause, **regions
         )
         retry_after_s = RETRY_AFTER_BY_STATUS_S.get(status)
         retry = [] if retry_after_s is None else [(names.RETRY_AFTER, f"{retry_after_s:g}")]
         return plain_answer(status, retry)
 
 
+def _host_of(request: Request) -> str:
+    return (request.headers.get("host") or "").partition(":")[0]
+
+
 def _whole_number(text: str | None) -> int:
     return int(text) if text is not None and text.isdigit() else 0
--- a/src/wharfcart/node/gateway_process.py
+++ b/src/wharfcart/node/gateway_process.py
@@ -87,8 +87,11 @@
                 lambda: self._node.groups,
                 self._node.records_by_group.get,
                 self._node.storage_address,
+                self._node.storage_region,
             ),
             log,
+            lambda: self._node.configuration,
+            self._node.metrics,
         )
         self._ingress = Ingress(
             lambda: self._node.configuration,
--- a/src/wharfcart/node/led_group.py
+++ b/src/wharfcart/node/led_group.py
@@ -75,6 +75,7 @@
             lambda: node.configuration,
             OtherGroups(_other_groups(number, node), parts.jobs),
             node.log,
+            node.storage_region,
         )
         self._tasks = BackgroundTasks()
         self.replica.on_leading = self._begin
--- a/src/wharfcart/node/serving_node.py
+++ b/src/wharfcart/node/serving_node.py
@@ -23,6 +23,7 @@
 from wharfcart.cluster.topology import RegionName, Topology
 from wharfcart.cluster.transport import Handler, Responder, Transport
 from wharfcart.configuration.residence import Residence
+from wharfcart.configuration.residence_check import residence_findings
 from wharfcart.configuration.serving import RequestLimit, ServingConfiguration
 from wharfcart.node.backend_news import BackendNews
 from wharfcart.node.fleet_keys import (
@@ -46,6 +47,8 @@
 from wharfcart.storage.layout import Layout, layout_from
 
 ANNOUNCE_RETRY_S = 0.5
+# One wrong name in many routes need not fill the log.
+MOST_FINDINGS = 20
 FEWEST_CONNECTIONS = 2
 MOST_AGE_S = 1e6  # told while nothing was ever confirmed
 # Until it is known how many nodes there are.
@@ -160,6 +163,11 @@
         addresses = [self.storage_address(identity) for identity in others]
         return [address for address in addresses if address is not None]
 
+    def storage_region(self, identity: str) -> RegionName | None:
+        """Return the region of the disk of an identity; None where it is not known."""
+        entry = self.storage_by_identity.get(identity)
+        return None if entry is None else self.topology.region(entry.zone)
+
     def storage_address(self, identity: str) -> Address | None:
         """Return where the disk of an identity is reached."""
         entry = self.storage_by_identity.get(identity)
@@ -222,6 +230,13 @@
             revision=change.revision,
             routes=len(configuration.routes),
         )
+        for finding in residence_findings(configuration, self.topology)[:MOST_FINDINGS]:
+            self.log.write(
+                Event.CONFIGURATION_FINDING,
+                version=configuration.version,
+                place=finding.place,
+                reason=finding.reason,
+            )
 
     def _take_evacuation(self, change: Change) -> None:
         """Take an operator's order to empty a zone, or that it was taken back."""
--- a/src/wharfcart/node/storage_process.py
+++ b/src/wharfcart/node/storage_process.py
@@ -11,8 +11,9 @@
     CoordinationUnavailableError,
     Transaction,
 )
-from wharfcart.cluster.messages_pb2 import Frame
+from wharfcart.cluster.messages_pb2 import EndJob, Frame, ReadItemBody, ReadResults, SubmitJob
 from wharfcart.cluster.transport import Responder
+from wharfcart.configuration.residence import Residence
 from wharfcart.errors import ServingError
 from wharfcart.node.fleet_keys import LAYOUT_KEY, NodeEntry, NodeKind, group_key
 from wharfcart.node.led_group import GroupParts, LedGroup
@@ -68,6 +69,8 @@
             self._settings.tolerance.storage_nodes + 1,
             self._log,
             self._node.random,
+            self._node.storage_region,
+            self._wanted_residences,
         )
         founder = Founder(context, LAYOUT_KEY, group_key, self._zones_by_identity)
         self._node.tasks.spawn(founder.run())
@@ -102,6 +105,7 @@
                 lambda: node.groups,
                 node.records_by_group.get,
                 node.storage_address,
+                node.storage_region,
             ),
             self._settings.keep_jobs_s,
         )
@@ -128,6 +132,10 @@
         nodes = self._node.storage_by_identity
         return {identity: entry.zone for identity, entry in nodes.items()}
 
+    def _wanted_residences(self) -> frozenset[Residence]:
+        configuration = self._node.configuration
+        return frozenset() if configuration is None else configuration.batch_residences
+
     def _retiring(self) -> set[str]:
         ordered = {
             change.key.removeprefix(names.RETIRE_PREFIX)
@@ -171,16 +179,16 @@
                 updates = await self._group(fetch.group).replica.answer_fetch(fetch)
                 return Frame(job_updates=updates)
             case "submit_job":
-                service = self._service(frame.submit_job.job.job_id)
+                service = self._service(frame.submit_job, frame.submit_job.job.job_id)
                 return Frame(job_answer=await service.submit(frame.submit_job))
             case "read_results":
-                service = self._service(frame.read_results.job_id)
+                service = self._service(frame.read_results, frame.read_results.job_id)
                 return Frame(result_page=await service.read(frame.read_results))
             case "read_item_body":
-                service = self._service(frame.read_item_body.job_id)
+                service = self._service(frame.read_item_body, frame.read_item_body.job_id)
                 return Frame(item_body=await service.read_body(frame.read_item_body))
             case "end_job":
-                service = self._service(frame.end_job.job_id)
+                service = self._service(frame.end_job, frame.end_job.job_id)
                 return Frame(job_answer=await service.end(frame.end_job))
             case "count_waiting_tokens":
                 count = frame.count_waiting_tokens
@@ -197,13 +205,16 @@
             raise ServingError("starting", "the groups are not known yet", 503)
         return self._groups[number]
 
-    def _service(self, job_id: str) -> JobService:
-        """Return the service of a job's group.
+    def _service(
+        self, call: SubmitJob | ReadResults | ReadItemBody | EndJob, job_id: str
+    ) -> JobService:
+        """Return the service of the group that a call on a job names.
 
         Raises:
             ServingError: this node does not know the fleet's groups yet.
         """
-        return self._group(group_of(job_id, len(self._groups))).service
+        number = call.group if call.HasField("group") else group_of(job_id, len(self._groups))
+        return self._group(number).service
 
     # ---- emptied nodes ----
 
--- a/src/wharfcart/observability/decisions.py
+++ b/src/wharfcart/observability/decisions.py
@@ -37,6 +37,7 @@
     DEPENDENCY_LOST = "dependency_lost"
     DEPENDENCY_REGAINED = "dependency_regained"
     CONFIGURATION_TAKEN = "configuration_taken"
+    CONFIGURATION_FINDING = "configuration_finding"
     BACKEND_SEEN = "backend_seen"
     BACKEND_DRAINING = "backend_draining"
     BACKEND_GONE = "backend_gone"
--- a/src/wharfcart/observability/serving_metrics.py
+++ b/src/wharfcart/observability/serving_metrics.py
@@ -64,6 +64,11 @@
             self._counter("wharfcart_limited", "Requests over their tenant's limit", "tenant"),
             MOST_TENANTS,
         )
+        self.outside_residence = self._counter(
+            "wharfcart_outside_residence",
+            "Refused since nothing in the regions where the data may be could take it",
+            "what",
+        )
         self.retries = self._counter("wharfcart_request_retries", "Further sends", "cause")
         self.coordination_calls = self._counter(
             "wharfcart_coordination_calls", "Calls to the coordination service", "call"
--- a/src/wharfcart/routing/request_log.py
+++ b/src/wharfcart/routing/request_log.py
@@ -6,6 +6,7 @@
 from wharfcart.observability.serving_metrics import ServingMetrics
 from wharfcart.routing.backend_choice import BackendChoice, InstanceState
 from wharfcart.routing.caller_request import CallerRequest
+from wharfcart.routing.eligibility import RuledOut
 from wharfcart.routing.placement import Placed
 from wharfcart.routing.request_progress import RequestProgress
 
@@ -91,6 +92,8 @@
     ) -> None:
         """Tell what a request came to."""
         self._metrics.requests.add(outcome)
+        if progress.cause == RuledOut.OUTSIDE_RESIDENCE.value:
+            self._metrics.outside_residence.add("request")
         state = self._choice.state(progress.last_backend)
         now = monotonic()
         self._log.write(
--- a/src/wharfcart/storage/group_context.py
+++ b/src/wharfcart/storage/group_context.py
@@ -1,14 +1,16 @@
 """What the job groups of one storage node share."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from wharfcart.cluster.address import Address
 from wharfcart.cluster.coordination import CoordinationService
 from wharfcart.cluster.mirror import Mirror
 from wharfcart.cluster.randomness import RandomSource
 from wharfcart.cluster.transport import Transport
+from wharfcart.configuration.residence import Residence
 from wharfcart.observability.decisions import DecisionLog
 from wharfcart.storage.disk import Disk
+from wharfcart.storage.job_residence import RegionOf
 
 
 class GroupContext:
@@ -19,6 +21,8 @@
     identities: storage nodes known, identity to address.
     retiring: identities that are to be emptied.
     copies: replicas that must have a write before it counts.
+    region_of: region of a storage node's disk.
+    wanted_residences: where jobs that may come must stay, by the configuration in force.
     """
 
     def __init__(
@@ -33,6 +37,8 @@
         copies: int,
         log: DecisionLog,
         random: RandomSource,
+        region_of: RegionOf = lambda _identity: None,
+        wanted_residences: Callable[[], Collection[Residence]] = lambda: (),
     ) -> None:
         self.identity = identity
         self.disk = disk
@@ -44,6 +50,8 @@
         self.copies = copies
         self.log = log
         self.random = random
+        self.region_of = region_of
+        self.wanted_residences = wanted_residences
 
     @property
     def full_size(self) -> int:
--- a/src/wharfcart/storage/job_group.py
+++ b/src/wharfcart/storage/job_group.py
@@ -30,6 +30,7 @@
 from wharfcart.storage.group_record_store import GroupRecordStore
 from wharfcart.storage.job_leadership import JobLeadership
 from wharfcart.storage.job_records import JobRecord, JobState
+from wharfcart.storage.job_residence import may_join
 from wharfcart.storage.partial_texts import PartialTexts
 from wharfcart.storage.replica_links import (
     LocalReplicaLink,
@@ -116,6 +117,27 @@
             return 0
         return sum(leadership.behind(identity) for identity in leadership.members)
 
+    @property
+    def disks(self) -> frozenset[str]:
+        """The disks that are written to: the replica set, the one to come, spares that are fed."""
+        leadership = self.leadership
+        if leadership is None:
+            return frozenset()
+        return leadership.members | (leadership.target or frozenset()) | self.sessions.keys()
+
+    def may_hold(self, identity: str) -> bool:
+        """Whether a disk may join the replica set, by where the group's jobs may be."""
+        leadership = self.leadership
+        if leadership is None:
+            return False
+        return may_join(
+            identity,
+            leadership.members,
+            leadership.residences,
+            self._context.wanted_residences(),
+            self._context.region_of,
+        )
+
     async def wait_progress(self, timeout_s: float) -> bool:
         """Wait until more counts, the leadership changes, or the time is over."""
         event = self._progress
--- a/src/wharfcart/storage/job_leadership.py
+++ b/src/wharfcart/storage/job_leadership.py
@@ -15,10 +15,12 @@
 Pure: no sockets, clock, files.
 """
 
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from wharfcart.cluster.messages_pb2 import ItemOutcome, JobUpdate, RequestJob
+from wharfcart.configuration.residence import Residence
 from wharfcart.storage.job_records import JobRecord, JobState
 
 MOST_UPDATE_BYTES = 1024 * 1024
@@ -62,6 +64,7 @@
     _inherited: dict[str, JobState] = field(default_factory=dict)
     _replicas: dict[str, ReplicaProgress] = field(default_factory=dict)
     _counted: dict[str, int] = field(default_factory=dict)
+    _residences: Counter[Residence] = field(default_factory=Counter)  # jobs of each
 
     # ---- taking over ----
 
@@ -77,6 +80,7 @@
             self._inherited[job_id] = JobState(job_id, record.epoch, record.version)
             record.epoch = self.epoch
             self.jobs[job_id] = record
+            self._residences[record.residence] += 1
 
     # ---- replicas ----
 
@@ -166,6 +170,11 @@
 
     # ---- jobs ----
 
+    @property
+    def residences(self) -> frozenset[Residence]:
+        """Where the data of the jobs may be, those included that are kept after their end."""
+        return frozenset(self._residences)
+
     def accept(self, job: RequestJob) -> JobRecord:
         """Take a job; the same id is the same job."""
         known = self.jobs.get(job.job_id)
@@ -173,6 +182,7 @@
             return known
         record = JobRecord(job, self.epoch)
         self.jobs[job.job_id] = record
+        self._residences[record.residence] += 1
         self._changed(job.job_id)
         return record
 
@@ -194,8 +204,12 @@
 
     def forget(self, job_id: str) -> None:
         """Drop a job that has been kept long enough, here and on every replica."""
-        if self.jobs.pop(job_id, None) is None:
+        record = self.jobs.pop(job_id, None)
+        if record is None:
             return
+        self._residences[record.residence] -= 1
+        if not self._residences[record.residence]:
+            del self._residences[record.residence]
         self._counted.pop(job_id, None)
         self._inherited.pop(job_id, None)
         for progress in self._replicas.values():
--- a/src/wharfcart/storage/job_records.py
+++ b/src/wharfcart/storage/job_records.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 
 from wharfcart.cluster.messages_pb2 import ItemOutcome, JobUpdate, RequestJob
+from wharfcart.configuration.residence import Residence, residence_from_message
 
 
 @dataclass
@@ -20,6 +21,7 @@
     epoch: of the leader that last wrote it.
     ended: the caller ended it; nothing is appended any more.
     waiting_tokens: of the items without a result; 0 once it has ended.
+    residence: where its data may be, as it was settled when it was taken.
     """
 
     job: RequestJob
@@ -27,9 +29,11 @@
     results: list[ItemOutcome] = field(default_factory=list)
     ended: bool = False
     waiting_tokens: int = field(init=False)
+    residence: Residence = field(init=False)
     _tokens_without_result: dict[str, int] = field(init=False, repr=False)  # by item
 
     def __post_init__(self) -> None:
+        self.residence = residence_from_message(self.job)
         self._tokens_without_result = {item.item_id: item.tokens for item in self.job.items}
         for result in self.results:
             self._tokens_without_result.pop(result.item_id, None)
--- a/src/wharfcart/storage/replica_set_change.py
+++ b/src/wharfcart/storage/replica_set_change.py
@@ -38,6 +38,7 @@
                 return
             # A swap in doubt may take effect as long as nothing else has: it is settled first.
             target = self._doubtful or self._wanted_set(await self._live_spares())
+            self._leave_outsiders()
             if target is not None and target != leadership.members:
                 await self._change_to(target)
 
@@ -54,12 +55,14 @@
         if len(kept) >= self._context.full_size and not any(map(self._is_dead, kept)):
             return []
         outside = sorted(self._context.identities().keys() - leadership.members - retiring)
-        return await self._group.answering(outside)
+        return await self._group.answering(list(filter(self._group.may_hold, outside)))
 
     def _wanted_set(self, spares: list[str]) -> frozenset[str] | None:
         leadership = self._group.leadership
         if leadership is None:
             return None
+        # A job may have come while the spares were asked.
+        spares = list(filter(self._group.may_hold, spares))
         retiring = self._context.retiring()
         kept = [identity for identity in leadership.members if identity not in retiring]
         dead = [identity for identity in kept if self._is_dead(identity)]
@@ -71,6 +74,17 @@
             return None
         return frozenset(wanted)
 
+    def _leave_outsiders(self) -> None:
+        """Leave spares that did not catch up in time and may not hold what has come since."""
+        leadership = self._group.leadership
+        if leadership is None:
+            return
+        needed = leadership.members | (leadership.target or frozenset())
+        for identity in self._group.sessions.keys() - needed:
+            if not self._group.may_hold(identity):
+                self._group.close_session(identity)
+                leadership.replica_left(identity)
+
     def _is_dead(self, identity: str) -> bool:
         if identity == self._context.identity:
             return False
--- a/tests/batch/test_job_service.py
+++ b/tests/batch/test_job_service.py
@@ -36,6 +36,7 @@
         self.leadership.replica_joined("a", [])
         self.leads_freshly = True
         self.record = None
+        self.disks = MEMBERS
 
     def wake_sessions(self) -> None:
         assert self.leadership is not None
