--- a/tests/admission/test_tenant_limits.py
+++ b/tests/admission/test_tenant_limits.py
@@ -1,137 +1,19 @@
 """Limits of tenants' requests: what all gateways send together, whatever happens between them."""
 
-from dataclasses import dataclass, field
 from random import Random
 
 import pytest
 
+from tests.admission.limit_fleet import LIMIT, Fleet, whole
 from wharfcart.admission.tenant_limits import (
     ALONE_S,
     KEPT_S,
     MOST_RETRY_AFTER_S,
     WINDOW_S,
     TenantLimits,
-    TenantSends,
-    TenantUsage,
 )
 from wharfcart.configuration.serving import RequestLimit
 
-LIMIT = RequestLimit(5.0, 5.0)
-PICTURE_S = 0.25
-
-
-@dataclass
-class Gateway:
-    """A gateway: what it sent, whether a home hears it, and what it heard."""
-
-    name: str
-    sends: TenantSends = field(default_factory=TenantSends)
-    connected: bool = False
-    contact_at: float | None = None
-    heard: dict[str, int] = field(default_factory=dict)
-    heard_at: float = 100.0
-    gateways_heard: int = 0
-
-
-class Fleet:
-    """Gateways and one home, in a time of their own; every request that was sent is kept."""
-
-    def __init__(self, gateways: int, limit: RequestLimit = LIMIT, tenant: str = "t") -> None:
-        self.limit = limit
-        self.tenant = tenant
-        self.now = 100.0
-        self.sent: list[float] = []
-        self.refused = 0
-        self.gateways = [Gateway(f"g{n}") for n in range(gateways)]
-        self.home = self.new_home()
-        for gateway in self.gateways:
-            self.connect(gateway)
-
-    def new_home(self) -> TenantLimits:
-        return TenantLimits(lambda name: self.limit if name == self.tenant else None, self.now)
-
-    def connect(self, gateway: Gateway) -> None:
-        usage = [TenantUsage(name, count) for name, count in gateway.heard.items()]
-        self.home.holder_opened(
-            gateway.name,
-            gateway.sends.recent(self.now),
-            usage,
-            self.now - gateway.heard_at,
-            gateway.gateways_heard,
-            self.now,
-        )
-        gateway.connected = True
-        gateway.contact_at = self.now
-
-    def cut(self, gateway: Gateway, silent_s: float = 0.0) -> None:
-        """End a gateway's contact; the home notices it at once."""
-        if gateway.connected:
-            gateway.connected = False
-            self.home.holder_lost(gateway.name, silent_s, self.now)
-
-    def kill(self, n: int) -> None:
-        """End a gateway and begin it anew, without contact."""
-        self.cut(self.gateways[n])
-        self.gateways[n] = Gateway(f"g{n}")
-
-    def change_home(self) -> None:
-        """Another node, which knows nothing, keeps the limit; nobody has reached it yet."""
-        self.home = self.new_home()
-        for gateway in self.gateways:
-            gateway.connected = False
-
-    def tell_pictures(self) -> None:
-        usage = self.home.usage(self.now)
-        connected = [gateway for gateway in self.gateways if gateway.connected]
-        for gateway in connected:
-            gateway.heard, gateway.heard_at = usage, self.now
-            gateway.gateways_heard = self.home.gateways(self.now)
-            gateway.contact_at = self.now
-
-    def request(self, gateway: Gateway) -> bool:
-        """Send a request if that is permitted; returns whether it was."""
-        if gateway.connected:
-            gateway.contact_at = self.now
-            permitted = self.home.take(gateway.name, self.tenant, self.now) == 0.0
-        else:
-            permitted = gateway.sends.may_send_alone(
-                self.tenant,
-                self.limit,
-                gateway.contact_at,
-                gateway.heard.get(self.tenant, 0),
-                self.now,
-            )
-        if permitted:
-            gateway.sends.sent(self.tenant, self.now)
-            self.sent.append(self.now)
-        else:
-            self.refused += 1
-        return permitted
-
-    def busiest_window(self) -> int:
-        """Return the most requests that any window saw."""
-        most = first = 0
-        for last, at in enumerate(self.sent):
-            while self.sent[first] <= at - WINDOW_S:
-                first += 1
-            most = max(most, last - first + 1)
-        return most
-
-    def offer(self, seconds: float, per_s: float, rng: Random) -> None:
-        """Have requests come, at gateways drawn by lot."""
-        until = self.now + seconds
-        next_picture = self.now
-        while self.now < until:
-            self.now += rng.expovariate(per_s)
-            if self.now >= next_picture:
-                self.tell_pictures()
-                next_picture = self.now + PICTURE_S
-            self.request(rng.choice(self.gateways))
-
-
-def whole(limit: RequestLimit) -> float:
-    return limit.per_s * WINDOW_S + limit.burst
-
 
 def test_a_tenant_below_its_limit_is_never_refused() -> None:
     for seed in range(20):
@@ -211,6 +93,24 @@
     assert all(fleet.request(second) for _ in range(5))
 
 
+def test_what_a_gateway_sent_while_it_was_silent_is_taken_off_once_that_is_noticed() -> None:
+    fleet = Fleet(2, RequestLimit(20.0, 20.0))
+    first, second = fleet.gateways
+    for _ in range(100):
+        fleet.now += 0.1  # half of the limit
+        assert fleet.request(first)
+    fleet.fall_silent(first)
+    silent_since = fleet.now
+    while fleet.now < silent_since + WINDOW_S:
+        fleet.now += 0.1
+        assert fleet.request(first)
+        for _ in range(10):
+            fleet.request(second)
+        if fleet.now >= silent_since + 1.0:
+            fleet.notice(first)
+    assert fleet.busiest_window() <= whole(fleet.limit)
+
+
 def test_a_new_home_knows_what_was_sent_before() -> None:
     fleet = Fleet(4)
     rng = Random(3)
