--- a/src/wharfcart/node/storage_process.py
+++ b/src/wharfcart/node/storage_process.py
@@ -16,6 +16,7 @@
 from wharfcart.configuration.residence import Residence
 from wharfcart.errors import ServingError
 from wharfcart.node.fleet_keys import LAYOUT_KEY, NodeEntry, NodeKind, group_key
+from wharfcart.node.group_spread import GroupSpread
 from wharfcart.node.led_group import GroupParts, LedGroup
 from wharfcart.node.serving_node import ServingNode
 from wharfcart.observability.decisions import DecisionLog, Event
@@ -69,10 +70,13 @@
             self._settings.tolerance.storage_nodes + 1,
             self._log,
             self._node.random,
+            GroupSpread(self._node, self._settings.tolerance),
             self._node.storage_region,
             self._wanted_residences,
         )
-        founder = Founder(context, LAYOUT_KEY, group_key, self._zones_by_identity)
+        founder = Founder(
+            context, LAYOUT_KEY, group_key, self._zones_by_identity, self._node.topology
+        )
         self._node.tasks.spawn(founder.run())
         self._node.tasks.spawn(self._open_groups(context))
         self._node.tasks.spawn(self._report_retirements())
--- a/src/wharfcart/storage/group_context.py
+++ b/src/wharfcart/storage/group_context.py
@@ -11,6 +11,8 @@
 from wharfcart.observability.decisions import DecisionLog
 from wharfcart.storage.disk import Disk
 from wharfcart.storage.job_residence import RegionOf
+from wharfcart.storage.layout import Layout
+from wharfcart.storage.replica_spread import ReplicaSpread
 
 
 class GroupContext:
@@ -21,6 +23,8 @@
     identities: storage nodes known, identity to address.
     retiring: identities that are to be emptied.
     copies: replicas that must have a write before it counts.
+    spread_of: where a group's replicas should be; its home is its zones of a layout, or of the
+        layout in force where none is given.
     region_of: region of a storage node's disk.
     wanted_residences: where jobs that may come must stay, by the configuration in force.
     """
@@ -37,6 +41,7 @@
         copies: int,
         log: DecisionLog,
         random: RandomSource,
+        spread_of: Callable[[int, Layout | None], ReplicaSpread],
         region_of: RegionOf = lambda _identity: None,
         wanted_residences: Callable[[], Collection[Residence]] = lambda: (),
     ) -> None:
@@ -50,6 +55,7 @@
         self.copies = copies
         self.log = log
         self.random = random
+        self.spread_of = spread_of
         self.region_of = region_of
         self.wanted_residences = wanted_residences
 
