--- a/tests/slots/test_placement_residence.py
+++ b/tests/slots/test_placement_residence.py
@@ -1,4 +1,4 @@
-"""Gateways ask only nodes that may grant in a request's regions, and check what they are granted."""
+"""Gateways ask only nodes that may grant in a request's regions, and check what they get."""
 
 import asyncio
 from dataclasses import replace
@@ -62,11 +62,12 @@
         slots.items_wait("s", demand, EAST)
         await asyncio.sleep(0.2)
         assert offered == []
+        assert slots._told == {}
         slots.items_wait("s", demand, WEST)
         await asyncio.sleep(0.2)
         assert len(offered) == 2
-        # What was offered to these does not count for others.
-        slots.items_wait("s", replace(demand, count=1), ANYWHERE)
+        # What was offered is counted by residence, too: these are more items.
+        slots.items_wait("s", replace(demand, count=1), WEST)
         await asyncio.sleep(0.2)
         assert len(offered) == 3
 
