The soak empties zones of back ends

Change: back ends of the soak stand in three zones; an order of the operator empties one of them for a while; no run may begin there later than 2 s after the order until it is taken back, but for spans in which a node stands still or the store is away.

--- a/src/wharfcart/experiments/serving_fleet.py
+++ b/src/wharfcart/experiments/serving_fleet.py
@@ -174,7 +174,8 @@
     async def announce(self, server: ModelServer, service: str, state: str = "ready") -> None:
         """Write a server's entry."""
         key = names.SERVER_PREFIX + server.instance_id
-        entry = server.entry(service, "a", state) | {"address": self.address_of(server)}
+        entry = server.entry(service, self.zone_of(server), state)
+        entry |= {"address": self.address_of(server)}
         await self.store.put(key, entry)
 
     # ---- clients ----
@@ -205,6 +206,10 @@
         """Return where nodes reach a server."""
         return server.server.address
 
+    def zone_of(self, server: ModelServer) -> str:
+        """Return the zone that a server is in."""
+        return ZONES[0]
+
     def settings_of(self, node: ServingNodeProcess) -> list[str]:
         """Return further lines of a node's settings."""
         return []
--- a/src/wharfcart/soak/faults.py
+++ b/src/wharfcart/soak/faults.py
@@ -274,6 +274,18 @@
         await self.fleet.add_route()
 
 
+class ZoneEvacuatedFault(Fault):
+    """The operator empties a zone of servers for a while."""
+
+    async def begin(self) -> None:
+        """Strike."""
+        self._record = await self.fleet.evacuate(self.planned.target)
+
+    async def end(self) -> None:
+        """Undo it."""
+        await self.fleet.take_evacuation_back(self._record)
+
+
 FAULTS_BY_KIND: dict[FaultKind, type[Fault]] = {
     FaultKind.KILL: KillFault,
     FaultKind.FREEZE: FreezeFault,
@@ -301,6 +313,7 @@
     FaultKind.SERVER_CUTS_STREAMS: ServerAnswerFault,
     FaultKind.SERVER_REPLACED: ServerReplacedFault,
     FaultKind.CONFIGURATION: ConfigurationFault,
+    FaultKind.ZONE_EVACUATED: ZoneEvacuatedFault,
 }
 
 
--- a/src/wharfcart/soak/fleet.py
+++ b/src/wharfcart/soak/fleet.py
@@ -6,6 +6,7 @@
 import sys
 import typing as t
 from pathlib import Path
+from time import monotonic
 
 from wharfcart.emulator.fault_proxy import FaultProxy, ProxyFaults
 from wharfcart.emulator.model_server import ModelServer
@@ -14,11 +15,14 @@
 from wharfcart.experiments.serving_fleet import (
     PLAIN_SERVICE,
     STREAM_SERVICE,
+    ZONES,
     ServingFleet,
     ServingNodeProcess,
 )
 from wharfcart.node.fleet_keys import GROUP_PREFIX, NODE_PREFIX, node_entry_from
+from wharfcart.platform import names
 from wharfcart.settings.base import split_endpoint
+from wharfcart.soak.history import EvacuationRecord
 from wharfcart.soak.hooks import sitecustomize as hooks
 from wharfcart.soak.tenants import soak_tenants, tenant_of
 from wharfcart.storage.group_record import group_record_from
@@ -48,6 +52,8 @@
         self._added_routes: dict[str, dict[str, t.Any]] = {}
         self.on_route_added: t.Callable[[str], None] = lambda path: None
         self.tenants = soak_tenants()
+        self.evacuations: list[EvacuationRecord] = []
+        self._zones_by_server: dict[str, str] = {}
 
     async def request(
         self, gateway: int, path: str, request_id: str, deadline_ms: int = 8000, **more: t.Any
@@ -138,6 +144,25 @@
         self.stream_servers[self.stream_servers.index(old)] = new
         self.retired_servers.append(old)
 
+    async def evacuate(self, number: int) -> EvacuationRecord:
+        """Ask that nothing new goes to the servers of a zone, as the operator does."""
+        zone = ZONES[number % len(ZONES)]
+        await self.store.put(names.EVACUATE_PREFIX + zone, {})
+        record = EvacuationRecord(zone, monotonic())
+        self.evacuations.append(record)
+        return record
+
+    async def take_evacuation_back(self, record: EvacuationRecord) -> None:
+        """Let servers of a zone get work again, unless another order for it still stands."""
+        record.until = monotonic()
+        if not any(one.zone == record.zone and one.until is None for one in self.evacuations):
+            await self.store.remove(names.EVACUATE_PREFIX + record.zone)
+
+    def zone_of(self, server: ModelServer) -> str:
+        """Spread servers over the zones, in the order in which they come."""
+        known = len(self._zones_by_server)
+        return self._zones_by_server.setdefault(server.instance_id, ZONES[known % len(ZONES)])
+
     async def add_route(self) -> None:
         """Write a configuration with one more route, as the operator does."""
         name = f"added-{len(self._added_routes)}"
--- a/src/wharfcart/soak/history.py
+++ b/src/wharfcart/soak/history.py
@@ -76,6 +76,20 @@
     served_by: set[str] = field(default_factory=set)
 
 
+@dataclass
+class EvacuationRecord:
+    """One order of the operator that nothing new goes to the servers of a zone.
+
+    Attributes:
+        since: monotonic time at which it was acknowledged.
+        until: monotonic time at which it was taken back; None while it stands.
+    """
+
+    zone: str
+    since: float
+    until: float | None = None
+
+
 @dataclass
 class History:
     """All that callers saw.
--- a/src/wharfcart/soak/plan.py
+++ b/src/wharfcart/soak/plan.py
@@ -38,6 +38,7 @@
     SERVER_CUTS_STREAMS = "server_cuts_streams"
     SERVER_REPLACED = "server_replaced"
     CONFIGURATION = "configuration"
+    ZONE_EVACUATED = "zone_evacuated"
 
 
 STORAGE_FAULTS = (
@@ -76,6 +77,8 @@
     FaultKind.SERVER_REPLACED,
     FaultKind.CONFIGURATION,
     FaultKind.CONFIGURATION,
+    FaultKind.ZONE_EVACUATED,
+    FaultKind.ZONE_EVACUATED,
 )
 
 # A storage node that was in trouble has caught up after this time.
@@ -88,7 +91,7 @@
 
 @dataclass(frozen=True)
 class PlannedFault:
-    """One fault of a plan.
+    """One fault of a plan, or one order of the operator.
 
     Attributes:
         at_s: when it begins, from the start of the load.
--- a/src/wharfcart/soak/promises.py
+++ b/src/wharfcart/soak/promises.py
@@ -1,10 +1,18 @@
 """The promises, judged by what callers and back ends saw."""
 
+import math
 from collections import Counter
 from collections.abc import Iterator
+from dataclasses import dataclass
 
 from wharfcart.emulator.model_server import ModelServer, RunRecord
-from wharfcart.soak.history import History, JobRecord, RequestKind, RequestRecord
+from wharfcart.soak.history import (
+    EvacuationRecord,
+    History,
+    JobRecord,
+    RequestKind,
+    RequestRecord,
+)
 from wharfcart.soak.tenants import HOT, HOT_BURST, HOT_PER_S, tenant_of
 from wharfcart.soak.workload import item_id
 
@@ -20,6 +28,43 @@
 LIMIT_SLACK = 20
 # An ended job's items reach no back end after this time.
 END_S = 3.0
+# An order to empty a zone is in force after this time on every node that runs and is reached by
+# any other; the plan says which nodes may not have been.
+EVACUATION_S = 2.0
+
+
+@dataclass(frozen=True)
+class ServedZone:
+    """A back end, its zone, and when nodes may not have heard of an order for it.
+
+    Attributes:
+        excused: spans of monotonic time in which a node stood still or nobody could read orders,
+            and a while after each.
+    """
+
+    server: ModelServer
+    zone: str
+    excused: tuple[tuple[float, float], ...] = ()
+
+    def is_excused(self, at: float) -> bool:
+        """Whether a run that began at a time may have been sent without knowing of the order."""
+        return any(begin <= at <= end for begin, end in self.excused)
+
+
+def sent_to_evacuated(served: ServedZone, evacuations: list[EvacuationRecord]) -> list[str]:
+    """Return every run that began in a zone that was to get nothing new, in words."""
+    found = []
+    for order in evacuations:
+        if order.zone != served.zone:
+            continue
+        until = math.inf if order.until is None else order.until
+        found += [
+            f"{run.request_id}: ran at {served.server.instance_id}, whose zone {order.zone} was "
+            f"evacuated {run.at - order.since:.2f} s before"
+            for run in served.server.runs
+            if order.since + EVACUATION_S < run.at < until and not served.is_excused(run.at)
+        ]
+    return found
 
 
 def broken_promises(history: History, servers: list[ModelServer]) -> list[str]:
--- a/src/wharfcart/soak/run.py
+++ b/src/wharfcart/soak/run.py
@@ -11,8 +11,13 @@
 from wharfcart.soak.faults import play_fault
 from wharfcart.soak.fleet import SoakFleet
 from wharfcart.soak.history import RequestKind
-from wharfcart.soak.plan import PlannedFault, draw_plan
-from wharfcart.soak.promises import broken_promises
+from wharfcart.soak.plan import FaultKind, PlannedFault, draw_plan
+from wharfcart.soak.promises import (
+    EVACUATION_S,
+    ServedZone,
+    broken_promises,
+    sent_to_evacuated,
+)
 from wharfcart.soak.workload import Workload
 
 GATEWAYS = 3
@@ -22,6 +27,8 @@
 FINISH_S = 18.0
 CALM_REQUESTS = 6
 POLL_S = 0.2
+# A node that stands still, or that can read no order since the store is away, sends as before.
+UNAWARE_KINDS = frozenset({FaultKind.FREEZE, FaultKind.STORE_DOWN})
 
 
 @dataclass(frozen=True)
@@ -75,6 +82,7 @@
                     group.create_task(play_fault(self._fleet, planned))
             violations = self._fleet.violations + await self._recover()
             violations += broken_promises(self._workload.history, self._fleet.all_servers)
+            violations += self._sent_to_evacuated()
             kept = self._keep_logs(violations) if violations else None
         finally:
             await self._fleet.stop()
@@ -91,6 +99,22 @@
             kept,
         )
 
+    def _sent_to_evacuated(self) -> list[str]:
+        """Return what was sent to emptied zones, but for nodes that could not know of the order."""
+        began_at = self._workload.history.began_at
+        excused = tuple(
+            (began_at + fault.at_s, began_at + fault.at_s + fault.for_s + EVACUATION_S)
+            for fault in self.plan
+            if fault.kind in UNAWARE_KINDS
+        )
+        return [
+            problem
+            for server in self._fleet.all_servers
+            for problem in sent_to_evacuated(
+                ServedZone(server, self._fleet.zone_of(server), excused), self._fleet.evacuations
+            )
+        ]
+
     async def _recover(self) -> list[str]:
         """Wait until the fleet is well again; returns what was not in time."""
         found = []
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -1,8 +1,15 @@
 """The soak's verdict: each promise, broken in a history made by hand."""
 
 from wharfcart.emulator.model_server import ModelServer, RunRecord
-from wharfcart.soak.history import History, JobRecord, RequestKind, RequestRecord, RouteRecord
-from wharfcart.soak.promises import EVENTS, broken_promises
+from wharfcart.soak.history import (
+    EvacuationRecord,
+    History,
+    JobRecord,
+    RequestKind,
+    RequestRecord,
+    RouteRecord,
+)
+from wharfcart.soak.promises import EVENTS, ServedZone, broken_promises, sent_to_evacuated
 from wharfcart.soak.tenants import HOT, HOT_PREFIX, STEADY, tenant_of
 
 
@@ -146,3 +153,23 @@
     assert judged([], request(RequestKind.REPEATABLE, 429))
     limited = RequestRecord(f"{HOT_PREFIX}1", RequestKind.REPEATABLE, 0, 0.0, 0.1, 429)
     assert judged([], limited) == []
+
+
+def evacuated(ran_at: float, zone: str = "b", until: float | None = 30.0) -> list[str]:
+    server = ModelServer("i", EVENTS, 0.0)
+    server.runs = [RunRecord("r", 0, 1000, ran_at)]
+    served = ServedZone(server, zone, excused=((20.0, 21.0),))
+    return sent_to_evacuated(served, [EvacuationRecord("b", 10.0, until)])
+
+
+def test_what_runs_in_a_zone_that_was_to_be_emptied() -> None:
+    assert evacuated(12.5)
+    assert evacuated(40.0, until=None)
+    assert evacuated(21.5)
+
+
+def test_an_order_to_empty_a_zone_has_a_moment_to_spread_and_an_end() -> None:
+    assert evacuated(11.5) == []
+    assert evacuated(31.0) == []
+    assert evacuated(12.5, zone="a") == []
+    assert evacuated(20.5) == []  # a node stood still
