Job groups are laid out by region, replica sets by zone and region

Cause: groups took the fleet's zones by turns, so that with several regions each group granted slots in all of them. A grant from another region takes two ways of 20 ms, the whole time that a gateway waits for it, and every write waited for copies in other regions. Spares were taken by the alphabet, so that after a repair one zone could hold every copy of a write.

Change: each region with at least `copies` storage nodes has groups of its own, which grant its zones; a region with fewer joins the group with fewest zones. Replicas are disks of that region, and others only to reach full size; none where the configuration binds data to regions. The choice is a core of its own, storage/replica_spread.py, for the first records, for repairs, and for moving a replica that filled in from afar back home after 5 s of quiet. No zone gets more replicas than may be lost where `[tolerance]` names zones; a group that can't bear what is promised says so (`tolerance_short`). Elections and hand-overs rank replicas by their distance from the group's zones; a leader in another region hands over. A layout written before, which has no regions, is used as it stands; one region or none is laid out as before, but where one zone would hold too many replicas.

Proof: property tests of the core; drivers in virtual time (each was seen to fail with its part taken out).

--- a/src/wharfcart/experiments/job_group_simulation.py
+++ b/src/wharfcart/experiments/job_group_simulation.py
@@ -27,6 +27,7 @@
     RequestJob,
     SubmitJob,
 )
+from wharfcart.cluster.topology import Distance, Topology
 from wharfcart.experiments.simulated_storage import (
     RETIRE_PREFIX,
     RefusingCoordination,
@@ -36,6 +37,8 @@
 from wharfcart.experiments.virtual_time import run_virtually, virtual_clock, virtual_monotonic
 
 QUIET_S = 8.0
+FAR = Distance.OTHER_REGION
+BETWEEN_REGIONS_S = 0.02
 CLOCK_USERS = (
     "wharfcart.storage.founding",
     "wharfcart.storage.job_group",
@@ -67,6 +70,10 @@
         self.coordination = SimulatedCoordination(self.random)
         self.nodes = {number: SimulatedNode(self, number) for number in range(stores)}
         self.length_s = length_s
+        # A fleet without zones, unless a test says otherwise.
+        self.topology = Topology()
+        self.zones: dict[int, str] = {}
+        self.zones_lost = 0
         self.cuts: set[tuple[int, int]] = set()
         self.jobs: dict[str, KnownJob] = {}
         self.accepted = 0
@@ -87,9 +94,15 @@
         """Return the service as one node sees it."""
         return RefusingCoordination(self.coordination, node)
 
+    def zone_of(self, number: int) -> str:
+        """Return the zone of a node."""
+        return self.zones.get(number, "")
+
     async def travel(self, source: int, target: int) -> None:
         """Take the time of one way; a cut or lost message never arrives."""
         await asyncio.sleep(self.random.uniform(0.0003, 0.004))
+        if self.topology.distance(self.zone_of(source), self.zone_of(target)) is FAR:
+            await asyncio.sleep(BETWEEN_REGIONS_S)
         if (source, target) in self.cuts or self.random.random() < 0.001:
             await asyncio.sleep(3600)
 
--- a/src/wharfcart/experiments/simulated_storage.py
+++ b/src/wharfcart/experiments/simulated_storage.py
@@ -34,6 +34,8 @@
 from wharfcart.storage.job_database import JobDatabase
 from wharfcart.storage.job_group import JobGroup
 from wharfcart.storage.job_records import JobState
+from wharfcart.storage.layout import Layout, layout_from
+from wharfcart.storage.replica_spread import ReplicaSpread
 
 if TYPE_CHECKING:
     from wharfcart.experiments.job_group_simulation import JobGroupSimulation
@@ -185,6 +187,7 @@
             COPIES,
             log,
             self.simulation.random,
+            self._spread_of,
         )
         self.group = JobGroup(0, GROUP_KEY, context)
         self.service = JobService(
@@ -195,7 +198,9 @@
             log,
         )
         await self.group.start()
-        founder = Founder(context, LAYOUT_KEY, lambda _group: GROUP_KEY, self._zones)
+        founder = Founder(
+            context, LAYOUT_KEY, lambda _group: GROUP_KEY, self._zones, self.simulation.topology
+        )
         self._founding = asyncio.create_task(founder.run())
 
     def kill(self) -> None:
@@ -233,7 +238,21 @@
         }
 
     def _zones(self) -> dict[str, str]:
-        return dict.fromkeys(self._identities(), "")
+        return {
+            identity: self.simulation.zone_of(address.port)
+            for identity, address in self._identities().items()
+        }
+
+    def _spread_of(self, group: int, layout: Layout | None) -> ReplicaSpread:
+        entry = self.mirror.get(LAYOUT_KEY)
+        if layout is None and entry is not None and entry.value is not None:
+            layout = layout_from(entry.value)
+        topology = self.simulation.topology
+        home_zones = () if layout is None else layout.home_zones(group, topology)
+        zones_lost = self.simulation.zones_lost
+        return ReplicaSpread(
+            COPIES, 2 * COPIES - 1, self._zones(), topology, home_zones, zones_lost
+        )
 
     def _retiring(self) -> set[str]:
         numbers = {
--- a/src/wharfcart/node/led_group.py
+++ b/src/wharfcart/node/led_group.py
@@ -51,7 +51,9 @@
         self.slots = SlotService(
             number,
             node.choice,
-            lambda instance: node.layout is not None and node.layout.group_of(instance) == number,
+            lambda instance: (
+                node.layout is not None and node.layout.group_of(instance, node.topology) == number
+            ),
             lambda zone: node.layout is not None and node.layout.is_own(number, zone),
             node.log,
             node.metrics.requests_waiting,
--- a/src/wharfcart/node/serving_node.py
+++ b/src/wharfcart/node/serving_node.py
@@ -169,7 +169,7 @@
         state = self.choice.state(instance_id)
         if self.layout is None or state is None:
             return None
-        return self.layout.group_of(state.instance)
+        return self.layout.group_of(state.instance, self.topology)
 
     def is_own_group(self, group: int) -> bool:
         """Whether a group grants slots of this node's zone."""
--- a/src/wharfcart/node/storage_process.py
+++ b/src/wharfcart/node/storage_process.py
@@ -15,6 +15,7 @@
 from wharfcart.cluster.transport import Responder
 from wharfcart.errors import ServingError
 from wharfcart.node.fleet_keys import LAYOUT_KEY, NodeEntry, NodeKind, group_key
+from wharfcart.node.group_spread import GroupSpread
 from wharfcart.node.led_group import GroupParts, LedGroup
 from wharfcart.node.serving_node import ServingNode
 from wharfcart.observability.decisions import DecisionLog, Event
@@ -68,8 +69,11 @@
             self._settings.tolerance.storage_nodes + 1,
             self._log,
             self._node.random,
+            GroupSpread(self._node, self._settings.tolerance),
+        )
+        founder = Founder(
+            context, LAYOUT_KEY, group_key, self._zones_by_identity, self._node.topology
         )
-        founder = Founder(context, LAYOUT_KEY, group_key, self._zones_by_identity)
         self._node.tasks.spawn(founder.run())
         self._node.tasks.spawn(self._open_groups(context))
         self._node.tasks.spawn(self._report_retirements())
--- a/src/wharfcart/observability/decisions.py
+++ b/src/wharfcart/observability/decisions.py
@@ -59,6 +59,7 @@
     LEADERSHIP_TAKEN = "leadership_taken"
     LEADERSHIP_LOST = "leadership_lost"
     REPLICA_SET_CHANGED = "replica_set_changed"
+    TOLERANCE_SHORT = "tolerance_short"
     REPLICA_SYNCED = "replica_synced"
     REPLICA_FAILED = "replica_failed"
     JOB_ACCEPTED = "job_accepted"
--- a/src/wharfcart/storage/founding.py
+++ b/src/wharfcart/storage/founding.py
@@ -9,6 +9,7 @@
     CoordinationUnavailableError,
     Transaction,
 )
+from wharfcart.cluster.topology import Topology
 from wharfcart.observability.decisions import Event
 from wharfcart.storage.group_context import GroupContext
 from wharfcart.storage.layout import plan_layout, plan_records
@@ -32,6 +33,7 @@
         layout_key: where the layout stands.
         group_key: where a group's record stands.
         zones_by_identity: zone of each storage node that has announced itself.
+        topology: regions of the fleet's zones.
     """
 
     def __init__(
@@ -40,11 +42,13 @@
         layout_key: str,
         group_key: Callable[[int], str],
         zones_by_identity: Callable[[], dict[str, str]],
+        topology: Topology,
     ) -> None:
         self._context = context
         self._layout_key = layout_key
         self._group_key = group_key
         self._zones_by_identity = zones_by_identity
+        self._topology = topology
         self._known = 0
         self._known_since = monotonic()
 
@@ -72,8 +76,14 @@
 
     async def _found(self) -> None:
         zones_by_identity = self._zones_by_identity()
-        layout = plan_layout(zones_by_identity)
-        records = plan_records(layout, zones_by_identity, self._context.full_size)
+        context = self._context
+        layout = plan_layout(zones_by_identity, self._topology, context.copies)
+        records = plan_records(
+            layout,
+            zones_by_identity,
+            context.full_size,
+            lambda group: context.spread_of(group, layout),
+        )
         put = {self._group_key(group): record.to_bytes() for group, record in enumerate(records)}
         put[self._layout_key] = layout.to_bytes()
         try:
@@ -88,6 +98,7 @@
             self._context.log.write(
                 Event.FLEET_FOUNDED,
                 zones_by_group=layout.zones_by_group,
+                region_by_group=layout.region_by_group,
                 disks=len(zones_by_identity),
             )
         await asyncio.sleep(RETRY_S)
--- a/src/wharfcart/storage/group_context.py
+++ b/src/wharfcart/storage/group_context.py
@@ -9,6 +9,8 @@
 from wharfcart.cluster.transport import Transport
 from wharfcart.observability.decisions import DecisionLog
 from wharfcart.storage.disk import Disk
+from wharfcart.storage.layout import Layout
+from wharfcart.storage.replica_spread import ReplicaSpread
 
 
 class GroupContext:
@@ -19,6 +21,8 @@
     identities: storage nodes known, identity to address.
     retiring: identities that are to be emptied.
     copies: replicas that must have a write before it counts.
+    spread_of: where a group's replicas should be; its home is its zones of a layout, or of the
+        layout in force where none is given.
     """
 
     def __init__(
@@ -33,6 +37,7 @@
         copies: int,
         log: DecisionLog,
         random: RandomSource,
+        spread_of: Callable[[int, Layout | None], ReplicaSpread],
     ) -> None:
         self.identity = identity
         self.disk = disk
@@ -44,6 +49,7 @@
         self.copies = copies
         self.log = log
         self.random = random
+        self.spread_of = spread_of
 
     @property
     def full_size(self) -> int:
--- a/src/wharfcart/storage/job_group.py
+++ b/src/wharfcart/storage/job_group.py
@@ -42,6 +42,7 @@
     ReplicaSession,
 )
 from wharfcart.storage.replica_set_change import ReplicaSetChanger
+from wharfcart.storage.replica_spread import ReplicaSpread
 from wharfcart.storage.takeover import Takeover
 
 TICK_S = 0.05
@@ -89,6 +90,11 @@
         """The group's record as this node knows it."""
         return self.records.known
 
+    @property
+    def spread(self) -> ReplicaSpread:
+        """Where this group's replicas should be, by what is known now."""
+        return self._context.spread_of(self.group, None)
+
     @property
     def leads_freshly(self) -> bool:
         """Whether no other leader can have begun before a moment ago.
@@ -137,7 +143,7 @@
     async def stop(self) -> None:
         """Hand over and end."""
         self._stopping = True
-        await self._hand_over()
+        await self._hand_over_at_stop()
         self._step_down("stopping")
         await self._tasks.stop()
 
@@ -236,7 +242,9 @@
     def _must_contest(self, record: GroupRecord) -> bool:
         if self._stopping or self._context.identity not in record.members:
             return False
-        rank = sorted(record.members).index(self._context.identity)
+        # The nearest first: a leader in another region grants its slots a round trip late.
+        ranked = self.spread.leaders(record.members)
+        rank = ranked.index(self._context.identity)
         silence_s = SILENCE_S + SILENCE_SPREAD_S * rank
         if record.leader == self._context.identity:
             silence_s = TICK_S  # an earlier life of this process led
@@ -389,20 +397,32 @@
         event, self._progress = self._progress, asyncio.Event()
         event.set()
 
-    async def _hand_over(self) -> None:
+    def heirs(self) -> list[str]:
+        """Return the other replicas that were heard just now, in the order they should lead."""
         leadership = self.leadership
         if leadership is None:
-            return
-        heirs = [
+            return []
+        now = monotonic()
+        fresh = [
             identity
             for identity in leadership.members
             if identity != self._context.identity
             and identity in self.sessions
-            and self.sessions[identity].silent_s(monotonic()) < FRESH_S
+            and self.sessions[identity].silent_s(now) < FRESH_S
         ]
-        if heirs:
+        return self.spread.leaders(fresh)
+
+    async def hand_over(self, heir: str) -> None:
+        """Name another replica as the leader; this one steps down once it reads the record."""
+        leadership = self.leadership
+        if leadership is not None:
             with suppress(RecordInDoubtError):
-                await self.records.swap_members(leadership.epoch, leadership.members, heirs[0])
+                await self.records.swap_members(leadership.epoch, leadership.members, heir)
+
+    async def _hand_over_at_stop(self) -> None:
+        heirs = self.heirs()
+        if heirs:
+            await self.hand_over(heirs[0])
 
     def _step_down(self, reason: str) -> None:
         leadership = self.leadership
--- a/src/wharfcart/storage/replica_set_change.py
+++ b/src/wharfcart/storage/replica_set_change.py
@@ -1,5 +1,9 @@
 """A leader's care for its replica set: lost disks replaced, leaving nodes emptied, gaps filled.
 
+Which disks join is :mod:`wharfcart.storage.replica_spread`'s choice. A set that is whole, but not
+where it should be, is brought there by one exchange after the other, once it has been quiet for a
+while; so is the leadership.
+
 One change at a time. While it is under way writes need enough copies in both sets; it takes effect
 by compare-and-swap once everything has enough copies in the new set.
 """
@@ -19,6 +23,9 @@
 DEAD_S = 1.5
 CHANGE_TIMEOUT_S = 4.0
 SETTLE_S = 1.0
+# A node that restarts is back within this time; moving a replica or the leadership costs more than
+# serving from afar for so long.
+QUIET_S = 5.0
 
 
 class ReplicaSetChanger:
@@ -28,6 +35,8 @@
         self._group = group
         self._context = context
         self._doubtful: frozenset[str] | None = None
+        self._quiet_since = monotonic()
+        self._told_shortfalls: list[str] = []
 
     async def run(self) -> None:
         """Keep the set as it should be, until cancelled."""
@@ -36,9 +45,13 @@
             leadership = self._group.leadership
             if leadership is None:
                 return
+            self._tell_shortfalls(leadership.members)
             # A swap in doubt may take effect as long as nothing else has: it is settled first.
             target = self._doubtful or self._wanted_set(await self._live_spares())
+            if target is None or target == leadership.members:
+                target = await self._moved_closer()
             if target is not None and target != leadership.members:
+                self._quiet_since = monotonic()
                 await self._change_to(target)
 
     async def _live_spares(self) -> list[str]:
@@ -54,6 +67,9 @@
         if len(kept) >= self._context.full_size and not any(map(self._is_dead, kept)):
             return []
         outside = sorted(self._context.identities().keys() - leadership.members - retiring)
+        alive = [identity for identity in kept if not self._is_dead(identity)]
+        if not self._group.spread.additions(alive, outside):
+            return []
         return await self._group.answering(outside)
 
     def _wanted_set(self, spares: list[str]) -> frozenset[str] | None:
@@ -61,15 +77,62 @@
         if leadership is None:
             return None
         retiring = self._context.retiring()
-        kept = [identity for identity in leadership.members if identity not in retiring]
+        kept = sorted(leadership.members - retiring)
         dead = [identity for identity in kept if self._is_dead(identity)]
-        replaceable = dead[: len(spares)]
-        wanted = [identity for identity in kept if identity not in replaceable]
-        room = self._context.full_size - len(wanted)
-        wanted += spares[: max(0, room)]
-        if len(wanted) < leadership.copies:
+        alive = [identity for identity in kept if identity not in dead]
+        wanted = self._group.spread.repaired(alive, dead, spares)
+        return wanted if len(wanted) >= leadership.copies else None
+
+    async def _moved_closer(self) -> frozenset[str] | None:
+        """Return the set after one exchange, or hand over, if that brings the group nearer home."""
+        leadership = self._group.leadership
+        if leadership is None or monotonic() - self._quiet_since < QUIET_S:
+            return None
+        if any(map(self._is_dead, leadership.members)):
+            self._quiet_since = monotonic()
+            return None
+        if await self._hand_over_home():
+            return None
+        spread = self._group.spread
+        outside = self._context.identities().keys() - leadership.members - self._context.retiring()
+        exchange = spread.better_exchange(leadership.members, outside, self._context.identity)
+        if exchange is None:
+            return None
+        leaving, joining = exchange
+        if not await self._group.answering([joining]):
+            self._quiet_since = monotonic()
             return None
-        return frozenset(wanted)
+        return leadership.members - {leaving} | {joining}
+
+    async def _hand_over_home(self) -> bool:
+        """Hand over to a replica in the group's region if this node is in another one."""
+        leadership = self._group.leadership
+        spread = self._group.spread
+        if leadership is None or not spread.is_far(self._context.identity):
+            return False
+        heirs = [
+            identity
+            for identity in self._group.heirs()
+            if not spread.is_far(identity) and not leadership.behind(identity)
+        ]
+        if not heirs:
+            return False
+        self._quiet_since = monotonic()
+        await self._group.hand_over(heirs[0])
+        return True
+
+    def _tell_shortfalls(self, members: frozenset[str]) -> None:
+        """Log what the set can't bear of what the fleet promises, once a change."""
+        shortfalls = self._group.spread.shortfalls(members)
+        if shortfalls == self._told_shortfalls:
+            return
+        self._told_shortfalls = shortfalls
+        self._context.log.write(
+            Event.TOLERANCE_SHORT,
+            group=self._group.group,
+            members=sorted(members),
+            shortfalls=shortfalls,
+        )
 
     def _is_dead(self, identity: str) -> bool:
         if identity == self._context.identity:
@@ -131,8 +194,9 @@
             return self._context.identity
         leadership = self._group.leadership
         assert leadership is not None
-        caught_up = [identity for identity in sorted(target) if not leadership.behind(identity)]
-        return (caught_up or sorted(target))[0]
+        ranked = self._group.spread.leaders(target)
+        caught_up = [identity for identity in ranked if not leadership.behind(identity)]
+        return (caught_up or ranked)[0]
 
     def _close_sessions(self, members: frozenset[str]) -> None:
         leadership = self._group.leadership
--- a/tests/storage/test_job_group.py
+++ b/tests/storage/test_job_group.py
@@ -1,6 +1,7 @@
 """A job group's drivers in virtual time: elections, fail-over, changes of the replica set."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
@@ -12,17 +13,29 @@
     RequestJob,
     SubmitJob,
 )
+from wharfcart.cluster.topology import RegionName, Topology
 from wharfcart.experiments.job_group_simulation import JobGroupSimulation, simulated_clock
 from wharfcart.experiments.simulated_storage import GROUP_KEY, SimulatedNode
 from wharfcart.experiments.virtual_time import run_virtually
 from wharfcart.storage.group_record import GroupRecord, group_record_from
 
+WEST, EAST = RegionName("west"), RegionName("east")
+TOPOLOGY = Topology({"w1": WEST, "w2": WEST, "e1": EAST})
+# Two copies of each write, three replicas: the west has a group, the east has too few disks.
+OVER_REGIONS = ("w1", "w2", "e1", "w1")
+
 
 class Fleet:
     """Storage nodes without clients or faults of their own."""
 
-    def __init__(self, stores: int = 3, seed: int = 1) -> None:
+    def __init__(
+        self, stores: int = 3, seed: int = 1, zones: tuple[str, ...] = (), zones_lost: int = 0
+    ) -> None:
         self.simulation = JobGroupSimulation(seed, stores)
+        self.simulation.zones = dict(enumerate(zones))
+        self.simulation.zones_lost = zones_lost
+        if zones:
+            self.simulation.topology = TOPOLOGY
         self.nodes = self.simulation.nodes
 
     async def start(self) -> None:
@@ -38,6 +51,13 @@
                 return node
         return None
 
+    def zones(self, identities) -> list[str]:
+        """Return the zones of some disks."""
+        zones = self.simulation.zones
+        return sorted(
+            zones[node.number] for node in self.nodes.values() if node.identity in identities
+        )
+
     @property
     def record(self) -> GroupRecord:
         entry = self.simulation.coordination.entries[GROUP_KEY]
@@ -313,3 +333,70 @@
         await fleet.until(lambda: group.replicas_behind == 1, 4.0)
 
     play(scenario)
+
+
+def test_replicas_and_leader_are_in_the_region_of_the_group() -> None:
+    async def scenario() -> None:
+        fleet = Fleet(stores=4, zones=OVER_REGIONS)
+        await fleet.start()
+        assert fleet.zones(fleet.record.members) == ["w1", "w1", "w2"]
+
+    play(scenario)
+
+
+def test_a_replica_from_afar_fills_in_and_gives_its_place_back() -> None:
+    async def scenario() -> None:
+        fleet = Fleet(stores=4, zones=OVER_REGIONS)
+        await fleet.start()
+        await fleet.submit("a")
+        lost = next(
+            node
+            for node in fleet.nodes.values()
+            if node is not fleet.leader and node.identity in fleet.record.members
+        )
+        lost.kill()
+        await fleet.until(lambda: "e1" in fleet.zones(fleet.record.members), 6.0)
+        await lost.start()
+        await fleet.until(lambda: "e1" not in fleet.zones(fleet.record.members), 12.0)
+        assert await fleet.readable("a")
+
+    play(scenario)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_leader_in_another_region_hands_over_once_one_at_home_has_everything(seed: int) -> None:
+    async def scenario() -> None:
+        fleet = Fleet(stores=3, seed=seed, zones=("w1", "w2", "e1"))
+        await fleet.start()
+        await fleet.submit("a")
+        east = fleet.nodes[2]
+        taken = replace(fleet.record, epoch=fleet.record.epoch + 1, leader=east.identity)
+        fleet.simulation.coordination.put(GROUP_KEY, taken.to_bytes())
+        await fleet.until(lambda: fleet.leader is east, 3.0)
+        await asyncio.sleep(3.0)
+        assert fleet.leader is east
+        west = [fleet.nodes[0], fleet.nodes[1]]
+        await fleet.until(lambda: fleet.leader in west, 9.0)
+        assert await fleet.readable("a")
+
+    play(scenario)
+
+
+def test_a_lost_replica_is_replaced_in_another_zone_where_one_may_be_lost() -> None:
+    """The first spare by name was in the zone that held the other copies."""
+
+    async def scenario() -> None:
+        fleet = Fleet(stores=6, zones=("w1", "w2", "e1", "w1", "w1", "w1"), zones_lost=1)
+        await fleet.start()
+        for zone in ("w2", "w1"):
+            lost = next(
+                node
+                for node in fleet.nodes.values()
+                if fleet.simulation.zone_of(node.number) == zone
+                and node.identity in fleet.record.members
+            )
+            lost.kill()
+            await asyncio.sleep(5.0)
+        assert fleet.zones(fleet.record.members) == ["e1", "w1", "w2"]
+
+    play(scenario)
--- a/tests/storage/test_layout.py
+++ b/tests/storage/test_layout.py
@@ -2,10 +2,17 @@
 
 from collections import Counter
 
+from wharfcart.cluster.topology import RegionName, Topology
 from wharfcart.configuration.instances import BackendInstance
 from wharfcart.storage.layout import Layout, layout_from, plan_layout, plan_records
+from wharfcart.storage.replica_spread import ReplicaSpread
 
 FULL_SIZE = 5
+COPIES = 3
+REGIONS = ("east", "north", "west")
+TOPOLOGY = Topology(
+    {f"{region}-{letter}": RegionName(region) for region in REGIONS for letter in "ab"}
+)
 
 
 def disks(nodes: int, zones: int) -> dict[str, str]:
@@ -67,3 +74,129 @@
     zones = disks(3, 3)
     (record,) = plan_records(Layout((("zone-0", "zone-1", "zone-2"),)), zones, 3)
     assert record.members == frozenset(zones)
+
+
+def regional_disks(**nodes_by_region: int) -> dict[str, str]:
+    """Disks by turns in the two zones of each region."""
+    return {
+        f"{region}-disk-{n:02}": f"{region}-{'ab'[n % 2]}"
+        for region, nodes in nodes_by_region.items()
+        for n in range(nodes)
+    }
+
+
+def records_of(layout: Layout, zones: dict[str, str], zones_lost: int = 0, **more):
+    def spread_of(group: int) -> ReplicaSpread:
+        home_zones = layout.home_zones(group, TOPOLOGY)
+        return ReplicaSpread(COPIES, FULL_SIZE, zones, TOPOLOGY, home_zones, zones_lost, **more)
+
+    return plan_records(layout, zones, FULL_SIZE, spread_of)
+
+
+def members_by_region(zones: dict[str, str], record) -> Counter[str]:
+    return Counter(str(TOPOLOGY.region(zones[member])) for member in record.members)
+
+
+def test_each_region_has_groups_of_its_own_that_grant_its_zones() -> None:
+    layout = plan_layout(regional_disks(east=5, north=4, west=4), TOPOLOGY, COPIES)
+    assert layout.zones_by_group == (
+        ("east-a", "east-b"),
+        ("north-a", "north-b"),
+        ("west-a", "west-b"),
+    )
+    assert layout.region_by_group == REGIONS
+
+
+def test_a_large_region_has_several_groups() -> None:
+    zones = regional_disks(east=12, north=4, west=4)
+    layout = plan_layout(zones, TOPOLOGY, COPIES)
+    assert layout.region_by_group == ("east", "east", "north", "west")
+    assert layout.zones_by_group[:2] == (("east-a",), ("east-b",))
+    first, second, _, _ = records_of(layout, zones)
+    assert not first.members & second.members
+
+
+def test_members_and_leaders_are_in_the_region_and_others_only_fill_up() -> None:
+    zones = regional_disks(east=5, north=4, west=4)
+    layout = plan_layout(zones, TOPOLOGY, COPIES)
+    records = records_of(layout, zones)
+    own = [
+        members_by_region(zones, record)[region]
+        for region, record in zip(REGIONS, records, strict=True)
+    ]
+    assert own == [5, 4, 4]
+    assert {len(record.members) for record in records} == {FULL_SIZE}
+    for group, record in enumerate(records):
+        assert TOPOLOGY.region(zones[record.leader]) == layout.region(group)
+        in_zone = Counter(zones[member] for member in record.members)
+        assert max(in_zone.values()) <= 3
+
+
+def test_members_stay_in_the_region_where_others_may_not_hold_the_group() -> None:
+    zones = regional_disks(east=5, north=4, west=4)
+    layout = plan_layout(zones, TOPOLOGY, COPIES)
+    records = records_of(layout, zones, may_hold=lambda identity: identity.startswith("north"))
+    assert members_by_region(zones, records[1]) == {"north": 4}
+
+
+def test_a_region_with_too_few_nodes_is_served_by_the_group_with_fewest_zones() -> None:
+    zones = regional_disks(east=5, north=2, west=4)
+    layout = plan_layout(zones, TOPOLOGY, COPIES)
+    assert layout.region_by_group == ("east", "west")
+    assert layout.zones_by_group[0] == ("east-a", "east-b", "north-a", "north-b")
+    assert layout.home_zones(0, TOPOLOGY) == ("east-a", "east-b")
+    assert records_of(layout, zones)[0].members == {f"east-disk-{n:02}" for n in range(5)}
+
+
+def test_without_a_region_that_can_hold_a_group_the_fleet_is_laid_out_as_one() -> None:
+    zones = regional_disks(east=2, north=2, west=2)
+    assert plan_layout(zones, TOPOLOGY, COPIES) == plan_layout(zones)
+
+
+def test_a_fleet_of_one_region_is_laid_out_as_one_of_which_no_regions_are_known() -> None:
+    zones = disks(13, 3)
+    region = Topology({f"zone-{n}": RegionName("only") for n in range(3)})
+    assert plan_layout(zones, region, COPIES) == plan_layout(zones)
+
+
+def test_groups_of_all_regions_stay_within_the_bound() -> None:
+    layout = plan_layout(regional_disks(east=60, north=60, west=30), TOPOLOGY, COPIES)
+    assert layout.groups == 16
+    assert set(layout.region_by_group) == set(REGIONS)
+
+
+def test_back_ends_of_an_unnamed_zone_are_granted_in_their_region() -> None:
+    layout = plan_layout(regional_disks(east=12, north=4, west=4), TOPOLOGY, COPIES)
+    grown = Topology({**TOPOLOGY.region_by_zone, "east-c": RegionName("east")})
+    groups = {layout.group_of(instance(f"i-{n}", "east-c"), grown) for n in range(100)}
+    assert groups == {0, 1}
+    elsewhere = {layout.group_of(instance(f"i-{n}", "unknown"), grown) for n in range(100)}
+    assert elsewhere == set(range(layout.groups))
+
+
+def test_a_layout_over_regions_reads_as_it_was_written() -> None:
+    layout = plan_layout(regional_disks(east=5, north=4), TOPOLOGY, COPIES)
+    assert layout_from(layout.to_bytes()) == layout
+
+
+def test_a_layout_of_the_version_before_regions_is_used_as_it_stands() -> None:
+    kept = b'{"zones_by_group": [["east-a", "north-a", "west-a"], ["east-b", "north-b", "west-b"]]}'
+    layout = layout_from(kept)
+    assert layout.region_by_group == ()
+    assert layout.region(0) is None
+    assert layout.home_zones(1, TOPOLOGY) == ("east-b", "north-b", "west-b")
+    assert layout.group_of(instance("a", "north-b"), TOPOLOGY) == 1
+    assert {layout.group_of(instance(f"i-{n}", "new"), TOPOLOGY) for n in range(50)} == {0, 1}
+    zones = regional_disks(east=5, north=4, west=4)
+    spread = ReplicaSpread(COPIES, FULL_SIZE, zones, TOPOLOGY, layout.home_zones(0, TOPOLOGY))
+    (first, _) = plan_records(layout, zones, FULL_SIZE)
+    assert spread.better_exchange(first.members, zones.keys() - first.members, first.leader) is None
+
+
+def test_members_are_spread_such_that_a_zone_may_go_where_the_fleet_promises_it() -> None:
+    zones = {f"disk-{n}": "zone-0" if n < 6 else f"zone-{n % 2 + 1}" for n in range(10)}
+    layout = plan_layout(zones)
+    (record,) = plan_records(
+        layout, zones, FULL_SIZE, lambda _: ReplicaSpread(COPIES, FULL_SIZE, zones, zones_lost=1)
+    )
+    assert max(Counter(zones[member] for member in record.members).values()) == 2
