News crosses a region's border once a reader; how far a peer is, is observed

Cause: all nodes followed the same handful of readers, so that two thirds of the nodes of a fleet over three regions pulled every server's heartbeat over a border, twice.

Change: the readers of a region are ranked among its own nodes; where two of them fail within two seconds, readers of other regions are followed, and left again, one after the other, once the own ones have held. Regions with one node, and fleets without regions, follow as before. A core keeps the least round trip to each peer of the last seconds, fed by connections and by calls that are answered at once; the transport tells what it sends, by peer and kind of message.

Tests: each fails with its part taken out.

--- a/src/wharfcart/cluster/news_sources.py
+++ b/src/wharfcart/cluster/news_sources.py
@@ -4,6 +4,10 @@
 asks the first few that answer freshly. So a handful of peers read the service, whoever they are,
 and all the others follow these; a peer that falls silent or behind is passed over by everybody.
 
+In a fleet over several regions each region has readers of its own, so that news crosses its border
+once a reader, not once a node. Where those fail, the region itself may be cut off from the service,
+and readers of other regions are followed.
+
 Pure: time is handed in as seconds.
 """
 
@@ -14,6 +18,7 @@
 import xxhash
 
 from wharfcart.cluster.address import Address
+from wharfcart.cluster.topology import Distance, Topology
 
 FEWEST_READERS = 2
 # A reader's watch costs a call a second; a follower costs its reader two small messages a second.
@@ -21,6 +26,12 @@
 # What was confirmed longer ago than this may lack a change that others act on already.
 STALE_S = 1.5
 AVOID_S = 2.0
+# So many readers of the own region that failed within AVOID_S speak against the region, not them.
+FAILED_IN_REGION = 2
+# A reader of another region is left for the own region's after so long without a failure there; a
+# second one only once the first that was found there has held for a while.
+FAR_KEPT_S = 10.0
+TRIAL_S = 3.0
 
 
 @dataclass(frozen=True)
@@ -39,14 +50,17 @@
     Attributes:
         node_id: of the node itself, which is never chosen.
         zone: of the node; peers of the same zone are preferred.
+        topology: regions of the zones.
         confirmed_at: time at which the node's state was surely complete.
     """
 
     node_id: str
     zone: str
+    topology: Topology = field(default_factory=Topology)
     confirmed_at: float = -math.inf
     _peers: dict[str, Peer] = field(default_factory=dict)
     _avoid_until: dict[str, float] = field(default_factory=dict)
+    _near_failed_at: float = -math.inf
 
     def set_peers(self, peers: Mapping[str, Peer]) -> None:
         """Take the peers that are known now, by node id."""
@@ -62,15 +76,15 @@
             now: the time.
             followed: ids of peers that are followed already.
         """
-        usable = [
-            peer
-            for key, peer in sorted(self._peers.items(), key=lambda entry: _rank(entry[0]))
-            if self._avoid_until.get(key, -math.inf) <= now
-        ]
-        readers = [peer for peer in usable[: self._readers()] if peer.node_id not in followed]
-        if not readers:
-            return None
-        return min(readers, key=lambda peer: (peer.zone != self.zone, self._own_rank(peer)))
+        near = self._near()
+        if len(near) < FEWEST_READERS:
+            return self._choose_among(self._peers, now, followed)
+        if self._failed_among(near, now) >= FAILED_IN_REGION:
+            far = {key: peer for key, peer in self._peers.items() if key not in near}
+            reader = self._choose_among(far, now, followed)
+            if reader is not None:
+                return reader
+        return self._choose_among(near, now, followed)
 
     def confirmed(self, now: float, age_s: float) -> None:
         """Note that everything up to ``age_s`` ago is known."""
@@ -79,13 +93,51 @@
     def failed(self, node_id: str, now: float) -> None:
         """Pass a peer over for a while: it is silent, or behind."""
         self._avoid_until[node_id] = now + AVOID_S
+        if node_id in self._near():
+            self._near_failed_at = now
+
+    def should_return(self, node_id: str, now: float, followed: Collection[str]) -> bool:
+        """Whether a peer of another region is to be left for one of the own.
+
+        Args:
+            node_id: the peer that is followed.
+            now: the time.
+            followed: ids of all peers that are followed.
+        """
+        near = self._near()
+        if node_id in near or len(near) < FEWEST_READERS:
+            return False
+        kept_s = FAR_KEPT_S + (TRIAL_S if near.keys() & set(followed) else 0.0)
+        return now - self._near_failed_at > kept_s
 
     def is_stale(self, now: float) -> bool:
         """Whether this node may lack changes."""
         return now - self.confirmed_at > STALE_S
 
-    def _readers(self) -> int:
-        return max(FEWEST_READERS, math.ceil(len(self._peers) / PEERS_A_READER))
+    def _near(self) -> dict[str, Peer]:
+        """Return the peers of the own region."""
+        return {
+            key: peer
+            for key, peer in self._peers.items()
+            if self.topology.distance(self.zone, peer.zone) is not Distance.OTHER_REGION
+        }
+
+    def _failed_among(self, peers: Mapping[str, Peer], now: float) -> int:
+        return sum(self._avoid_until.get(key, -math.inf) > now for key in peers)
+
+    def _choose_among(
+        self, peers: Mapping[str, Peer], now: float, followed: Collection[str]
+    ) -> Peer | None:
+        usable = [
+            peer
+            for key, peer in sorted(peers.items(), key=lambda entry: _rank(entry[0]))
+            if self._avoid_until.get(key, -math.inf) <= now
+        ]
+        most = max(FEWEST_READERS, math.ceil(len(peers) / PEERS_A_READER))
+        readers = [peer for peer in usable[:most] if peer.node_id not in followed]
+        if not readers:
+            return None
+        return min(readers, key=lambda peer: (peer.zone != self.zone, self._own_rank(peer)))
 
     def _own_rank(self, peer: Peer) -> int:
         return _rank(self.node_id + peer.node_id)
--- a/src/wharfcart/cluster/transport.py
+++ b/src/wharfcart/cluster/transport.py
@@ -16,6 +16,7 @@
 
 from wharfcart.cluster.address import Address
 from wharfcart.cluster.messages_pb2 import CallError, Cancel, Frame
+from wharfcart.cluster.round_trips import RoundTrips
 from wharfcart.errors import Outcome, ServingError
 from wharfcart.http.silence import notice_silence
 from wharfcart.observability.tasks import BackgroundTasks
@@ -27,6 +28,7 @@
 # A peer whose machine is gone says nothing: a connection ends once bytes were not acknowledged for
 # so long. A machine that stands still for less is waited for.
 UNACKNOWLEDGED_MS = 2500
+ANSWERED_AT_ONCE = frozenset(("slot_request", "permit_request", "replicate_jobs"))
 
 logger = logging.getLogger(__name__)
 
@@ -52,6 +54,12 @@
 
 Responder = Callable[[Frame], Awaitable[None]]
 Handler = Callable[[Frame, Responder], Awaitable[None]]
+# Is told of each frame that is sent: host of the peer, kind of the frame, bytes.
+OnSent = Callable[[str, str, int], None]
+
+
+def _uncounted(_host: str, _kind: str, _size: int) -> None:
+    return
 
 
 def call_error(error: ServingError, leader_hint: str = "") -> Frame:
@@ -71,9 +79,13 @@
 class _FrameProtocol(asyncio.Protocol):
     """Splits the byte stream into frames, with write flow control."""
 
-    def __init__(self, on_frame: Callable[[Frame], None], on_lost: Callable[[], None]) -> None:
+    def __init__(
+        self, on_frame: Callable[[Frame], None], on_lost: Callable[[], None], on_sent: OnSent
+    ) -> None:
         self._on_frame = on_frame
         self._on_lost = on_lost
+        self._on_sent = on_sent
+        self._host = ""
         self._buffer = bytearray()
         self._writable = asyncio.Event()
         self._writable.set()
@@ -82,6 +94,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # uvloop's transports are no subclasses of asyncio's.
         self.transport = cast(asyncio.Transport, transport)
+        peer = transport.get_extra_info("peername")
+        self._host = str(peer[0]) if peer else ""
         notice_silence(transport, UNACKNOWLEDGED_MS)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -121,6 +135,7 @@
             return False
         data = frame.SerializeToString()
         transport.write(LENGTH.pack(len(data)) + data)
+        self._on_sent(self._host, frame.WhichOneof("body") or "", LENGTH.size + len(data))
         return True
 
     async def write_waiting(self, frame: Frame) -> bool:
@@ -137,11 +152,11 @@
 class _Connection:
     """Client side of one connection: matches responses to calls."""
 
-    def __init__(self, address: Address) -> None:
+    def __init__(self, address: Address, on_sent: OnSent) -> None:
         self.address = address
         self._calls: dict[int, asyncio.Queue[Frame | None]] = {}
         self._next_call = 1
-        self.protocol = _FrameProtocol(self._on_frame, self._on_lost)
+        self.protocol = _FrameProtocol(self._on_frame, self._on_lost, on_sent)
         self.lost = False
 
     def _on_frame(self, frame: Frame) -> None:
@@ -179,10 +194,17 @@
 
 
 class Transport:
-    """All TCP traffic of one node with its peers."""
+    """All TCP traffic of one node with its peers.
 
-    def __init__(self, handler: Handler) -> None:
+    Args:
+        handler: answers calls of peers.
+        on_sent: is told of each frame that is sent.
+    """
+
+    def __init__(self, handler: Handler, on_sent: OnSent = _uncounted) -> None:
         self._handler = handler
+        self._on_sent = on_sent
+        self._round_trips = RoundTrips()
         self._server: asyncio.Server | None = None
         self._connections: dict[tuple[Address, TrafficClass], _Connection] = {}
         self._connecting: dict[tuple[Address, TrafficClass], asyncio.Lock] = {}
@@ -223,8 +245,14 @@
     ) -> AsyncGenerator[Frame, None]:
         """Send one request and yield its responses; an error frame is raised."""
         connection = await self._connect(address, traffic)
+        loop = asyncio.get_running_loop()
+        # Only what is answered at once tells how far a peer is.
+        asked_at = loop.time() if frame.WhichOneof("body") in ANSWERED_AT_ONCE else None
         async with aclosing(connection.call(frame)) as answers:
             async for answer in answers:
+                if asked_at is not None:
+                    self._round_trips.observe(address, loop.time() - asked_at, loop.time())
+                    asked_at = None
                 if answer.WhichOneof("body") == "error":
                     raise _serving_error(answer.error)
                 yield answer
@@ -239,6 +267,10 @@
             return
         self._tasks.spawn(self._connect_and_send(address, frame, traffic))
 
+    def round_trip_s(self, address: Address) -> float:
+        """Return the least time that a message to a peer and back took lately; 0 if unknown."""
+        return self._round_trips.least_s(address, asyncio.get_running_loop().time())
+
     def drop(self, address: Address, only: TrafficClass | None = None) -> None:
         """Close the connections to a peer that has fallen silent; the next call connects anew.
 
@@ -265,8 +297,9 @@
             connection = self._connections.get(key)
             if connection is not None and not connection.lost:
                 return connection
-            connection = _Connection(address)
+            connection = _Connection(address, self._on_sent)
             loop = asyncio.get_running_loop()
+            began_at = loop.time()
             try:
                 async with asyncio.timeout(CONNECT_TIMEOUT_S):
                     await loop.create_connection(
@@ -274,6 +307,7 @@
                     )
             except (OSError, TimeoutError) as error:
                 raise PeerUnreachableError(address, sent=False) from error
+            self._round_trips.observe(address, loop.time() - began_at, loop.time())
             self._connections[key] = connection
             return connection
 
@@ -296,7 +330,7 @@
             for task in list(running.values()):
                 task.cancel()
 
-        protocol = _FrameProtocol(on_frame, on_lost)
+        protocol = _FrameProtocol(on_frame, on_lost, self._on_sent)
         self._inbound.add(protocol)
         return protocol
 
--- a/tests/cluster/test_news_sources.py
+++ b/tests/cluster/test_news_sources.py
@@ -1,9 +1,19 @@
 """Which peers a node follows."""
 
 from wharfcart.cluster.address import Address
-from wharfcart.cluster.news_sources import AVOID_S, STALE_S, NewsSources, Peer
+from wharfcart.cluster.news_sources import (
+    AVOID_S,
+    FAR_KEPT_S,
+    STALE_S,
+    TRIAL_S,
+    NewsSources,
+    Peer,
+)
+from wharfcart.cluster.topology import RegionName, Topology
 
 ZONES = ("a", "b", "c")
+WEST, EAST = RegionName("west"), RegionName("east")
+TOPOLOGY = Topology({"a": WEST, "b": WEST, "c": EAST})
 
 
 def peers(number: int) -> dict[str, Peer]:
@@ -69,3 +79,45 @@
     assert node.is_stale(9.6 + STALE_S)
     node.confirmed(11.0, 5.0)
     assert node.is_stale(9.6 + STALE_S)
+
+
+def in_regions(node_id: str = "g0", zone: str = "a", known: int = 12) -> NewsSources:
+    made = NewsSources(node_id, zone, TOPOLOGY)
+    made.set_peers(peers(known))
+    return made
+
+
+def test_each_region_follows_readers_of_its_own() -> None:
+    for zone, own in (("a", {"a", "b"}), ("b", {"a", "b"}), ("c", {"c"})):
+        asked = {peer for n in range(50) for peer in followed(in_regions(f"g{n}", zone), 0.0)}
+        assert {peers(12)[peer].zone for peer in asked} <= own
+        assert len(asked) == 2
+
+
+def test_a_region_whose_readers_fail_follows_another_one_and_comes_back() -> None:
+    node = in_regions()
+    before = followed(node, 0.0)
+    node.failed(before[0], 0.0)
+    assert {peers(12)[peer].zone for peer in followed(node, 0.1)} <= {"a", "b"}
+    node.failed(before[1], 0.1)
+    assert {peers(12)[peer].zone for peer in followed(node, 0.2)[:2]} == {"c"}
+    assert set(followed(node, 0.1 + AVOID_S)) == set(before)
+
+
+def test_a_region_with_one_other_peer_follows_the_whole_fleet() -> None:
+    node = NewsSources("g0", "c", TOPOLOGY)
+    node.set_peers({key: peer for key, peer in peers(5).items() if peer.zone != "c" or key == "s2"})
+    assert any(peers(5)[peer].zone != "c" for peer in followed(node, 0.0))
+
+
+def test_readers_of_another_region_are_left_one_after_the_other() -> None:
+    node = in_regions()
+    near, far = "s0", "s2"
+    node.failed(near, 0.0)
+    assert not node.should_return(far, FAR_KEPT_S, {far})
+    after = FAR_KEPT_S + 0.1
+    assert node.should_return(far, after, {far, "s5"})
+    assert not node.should_return(far, after, {far, near})
+    assert node.should_return(far, after + TRIAL_S, {far, near})
+    assert not node.should_return(near, 100.0, {near})
+    assert not sources().should_return(far, 100.0, {far})
