Slots, items and pictures stay in their region while it has room

Cause: a grant, a stream or an item from another region costs round trips of 40 ms and the dearest bytes, and was taken like one from the next zone. The time-outs of grants, permits, stand-ins, heartbeats and calls to leaders presumed links of a millisecond.

Change: those time-outs add the round trip that was observed to the peer. A gateway asks the groups of its region for free slots, then for such as items yield, and only then other regions; it waits in its region unless the line there is longer by a quarter of a request a slot. A shared prompt has its place in each region. Own choices and grants reckon another region as a full back end. Holders abroad hear of rooms and of what is avoided, once a second and of nothing at once. A leader tells groups abroad only of the items that its region has no free slot for. Partial texts are not sent abroad. Bytes to other nodes are counted by distance and kind (wharfcart_peer_bytes_total).

Tests: each fails with its part taken out.

--- a/src/wharfcart/experiments/simulated_slots.py
+++ b/src/wharfcart/experiments/simulated_slots.py
@@ -21,6 +21,7 @@
     RequestItem,
     RequestJob,
 )
+from wharfcart.cluster.topology import Distance
 from wharfcart.cluster.transport import TrafficClass, Transport
 from wharfcart.configuration.instances import BackendInstance
 from wharfcart.configuration.serving import (
@@ -167,6 +168,10 @@
         loop = asyncio.get_running_loop()
         loop.call_later(ONE_WAY_S, self._service.take_events, frame.slot_events)
 
+    def round_trip_s(self, _address: Address) -> float:
+        """Return the time of a message there and back."""
+        return 2 * ONE_WAY_S
+
     def drop(self, _address: Address, _traffic: TrafficClass) -> None:
         """Do nothing: connections are not simulated."""
 
@@ -219,7 +224,7 @@
             0,
             self._leader_choice,
             lambda _instance: True,
-            lambda _zone: True,
+            lambda _zone: Distance.SAME_ZONE,
             self._log,
             self._metrics.requests_waiting,
         )
@@ -333,7 +338,7 @@
         placement = kind(
             choice,
             sessions,
-            lambda _group: True,
+            lambda _group: Distance.SAME_ZONE,
             lambda: (),
             self._metrics.placements,
             PermitRelays(self._transport, list),
--- a/src/wharfcart/experiments/simulated_storage.py
+++ b/src/wharfcart/experiments/simulated_storage.py
@@ -310,6 +310,10 @@
             raise PeerUnreachableError(address, sent=True)
         return answer
 
+    def round_trip_s(self, address: Address) -> float:
+        """Nothing is observed."""
+        return 0.0
+
     def drop(self, address: Address) -> None:
         """Do nothing: connections are not simulated."""
 
--- a/src/wharfcart/node/gateway_process.py
+++ b/src/wharfcart/node/gateway_process.py
@@ -67,7 +67,7 @@
         placement = GrantedPlacement(
             self._node.choice,
             self._sessions,
-            self._node.is_own_group,
+            self._node.distance_to_group,
             self._node.pool.kept,
             self._node.metrics.placements,
             self._relays,
--- a/src/wharfcart/node/led_group.py
+++ b/src/wharfcart/node/led_group.py
@@ -6,6 +6,7 @@
 from wharfcart.batch.item_run import ItemRunner
 from wharfcart.batch.job_execution import JobExecution
 from wharfcart.batch.job_service import JobService, OtherGroups
+from wharfcart.cluster.topology import Distance
 from wharfcart.node.fleet_keys import group_key
 from wharfcart.node.serving_node import ServingNode
 from wharfcart.observability.tasks import BackgroundTasks
@@ -54,13 +55,15 @@
             lambda instance: (
                 node.layout is not None and node.layout.group_of(instance, node.topology) == number
             ),
-            lambda zone: node.layout is not None and node.layout.is_own(number, zone),
+            lambda zone: node.distance_to_group(number, zone),
             node.log,
             node.metrics.requests_waiting,
             node.limit_of,
             lambda: self.replica.leads_freshly,
         )
-        self._item_slots = ItemSlots()
+        self._item_slots = ItemSlots(
+            lambda group: node.distance_to_group(group) is Distance.OTHER_REGION
+        )
         self._execution = JobExecution(
             self.replica,
             parts.runner,
--- a/src/wharfcart/node/serving_node.py
+++ b/src/wharfcart/node/serving_node.py
@@ -20,7 +20,7 @@
 from wharfcart.cluster.mirror_link import MirrorLink
 from wharfcart.cluster.news_sources import NewsSources, Peer
 from wharfcart.cluster.peer_news import NewsWriter, PeerNewsCalls
-from wharfcart.cluster.topology import RegionName, Topology
+from wharfcart.cluster.topology import Distance, RegionName, Topology
 from wharfcart.cluster.transport import Handler, Responder, Transport
 from wharfcart.configuration.serving import RequestLimit, ServingConfiguration
 from wharfcart.node.backend_news import BackendNews
@@ -73,9 +73,10 @@
         self.tasks = BackgroundTasks()
         host, port = split_endpoint(settings.coordination)
         self.coordination = MetadataStore(host, port, self.metrics.coordination_calls)
-        self.transport = Transport(self.handle)
+        self._zones_by_host: dict[str, str] = {}
+        self.transport = Transport(self.handle, self._count_sent)
         self._news_writer = NewsWriter()
-        self._sources = NewsSources(settings.node_id, settings.zone)
+        self._sources = NewsSources(settings.node_id, settings.zone, self.topology)
         self.link = MirrorLink(
             self.mirror,
             self.coordination,
@@ -171,9 +172,11 @@
             return None
         return self.layout.group_of(state.instance, self.topology)
 
-    def is_own_group(self, group: int) -> bool:
-        """Whether a group grants slots of this node's zone."""
-        return self.layout is not None and self.layout.is_own(group, self.settings.zone)
+    def distance_to_group(self, group: int, zone: str | None = None) -> Distance:
+        """Return how far the nearest back ends of a group are from a zone, this node's at first."""
+        if self.layout is None:
+            return Distance.OTHER_REGION
+        return self.layout.distance(group, zone or self.settings.zone, self.topology)
 
     async def handle(self, frame: Frame, respond: Responder) -> None:
         """Answer a peer's call."""
@@ -185,6 +188,13 @@
             return
         await self.handle_other(frame, respond)
 
+    def _count_sent(self, host: str, kind: str, size: int) -> None:
+        zone = self._zones_by_host.get(host)
+        distance = "unknown"
+        if zone is not None:
+            distance = self.topology.distance(self.settings.zone, zone).name.lower()
+        self.metrics.sent_to_peer(distance, kind, size)
+
     # ---- mirror ----
 
     def _on_changes(self, news: list[Change]) -> None:
@@ -244,9 +254,12 @@
     def _take_node(self, change: Change) -> None:
         entry = node_entry_from(change.value)
         if entry is None:
-            self.nodes.pop(change.key.removeprefix(NODE_PREFIX), None)
+            left = self.nodes.pop(change.key.removeprefix(NODE_PREFIX), None)
+            if left is not None:
+                self._zones_by_host.pop(left.host, None)
         else:
             self.nodes[entry.node_id] = entry
+            self._zones_by_host[entry.host] = entry.zone
         self.storage_by_identity = {
             node.identity: node
             for node in self.nodes.values()
--- a/src/wharfcart/observability/serving_metrics.py
+++ b/src/wharfcart/observability/serving_metrics.py
@@ -71,6 +71,12 @@
         self.placements = self._counter(
             "wharfcart_placements", "Choices of a back end, by who made them", "by"
         )
+        self._peer_bytes = PrometheusCounter(
+            "wharfcart_peer_bytes",
+            "Bytes sent to other nodes, by distance of the node and kind of message",
+            ["distance", "kind"],
+            registry=self.registry,
+        )
         self.items = self._counter("wharfcart_items", "Runs of batch items", "outcome")
         self.first_byte = PrometheusHistogram(
             "wharfcart_first_byte_seconds",
@@ -96,6 +102,10 @@
             "wharfcart_replicas_behind", "Replicas that lack acknowledged state, if leader"
         )
 
+    def sent_to_peer(self, distance: str, kind: str, size: int) -> None:
+        """Count a message to another node; both labels have few values."""
+        self._peer_bytes.labels(distance, kind).inc(size)
+
     def render(self) -> bytes:
         """Return the text format."""
         return generate_latest(self.registry)
--- a/src/wharfcart/routing/backend_choice.py
+++ b/src/wharfcart/routing/backend_choice.py
@@ -16,6 +16,7 @@
 import xxhash
 
 from wharfcart.cluster.randomness import RandomSource
+from wharfcart.cluster.topology import Distance
 from wharfcart.configuration.instances import BackendInstance
 from wharfcart.configuration.residence import ANYWHERE, Residence
 from wharfcart.routing.eligibility import Eligibility
@@ -30,6 +31,14 @@
 SILENT_AFTER_S = 0.35
 READ_TOKENS_A_SECOND = 40_000
 OTHER_ZONE_PENALTY = 0.04
+# A request to another region comes a round trip or two later, and its bytes cost most: it goes
+# there only where the own region is full. The load there is hardly known here either.
+OTHER_REGION_PENALTY = 1.0
+DISTANCE_COSTS = {
+    Distance.SAME_ZONE: 0.0,
+    Distance.SAME_REGION: OTHER_ZONE_PENALTY,
+    Distance.OTHER_REGION: OTHER_REGION_PENALTY,
+}
 # Entries of most of a service that vanish without a drain speak for an outage of discovery, in
 # which they lapse although the back ends work on. Without other signs of one they count only as
 # long as a back end that leaves unannounced still serves.
@@ -341,9 +350,12 @@
         return candidates[draw_below(costs, slots, level, self.random)]
 
     def _cost(self, state: InstanceState, now: float) -> float:
-        other_zone = OTHER_ZONE_PENALTY if state.instance.zone != self.zone else 0.0
         unread = state.unread_tokens(now) / TOKENS_A_FULL_LOAD
-        return state.load(now) + unread + other_zone
+        return state.load(now) + unread + self.distance_cost(state.instance.zone, self.zone)
+
+    def distance_cost(self, zone: str, other: str) -> float:
+        """Return what the distance of two zones costs, as a share of a back end's slots."""
+        return DISTANCE_COSTS[self.eligibility.topology.distance(zone, other)]
 
 
 def by_affinity(
--- a/src/wharfcart/slots/asking_order.py
+++ b/src/wharfcart/slots/asking_order.py
@@ -2,7 +2,9 @@
 
 Slots of the gateway's own zone come first, as bytes between zones cost more; but a free slot in
 another zone comes before one that a batch item must give up, since an item that is cut begins its
-prompt anew. A request waits only once nobody has a slot.
+prompt anew. Other regions come after all that: a slot there costs two round trips between regions,
+and its answer's bytes cost more than an item that is cut. A request waits only once nobody has a
+slot.
 
 Pure.
 """
@@ -11,46 +13,62 @@
 
 import xxhash
 
+from wharfcart.cluster.topology import Distance
 from wharfcart.slots.events import Manner
 from wharfcart.slots.picture import ServiceRoom
 
 Step = tuple[int, Manner]
 
+# A line in another region is joined if it is shorter by so many requests a slot: those take about
+# as long to leave as a request takes to the other region and back, twice, and half as long again.
+FAR_LINE = 0.25
 
-def asking_order(rooms_by_group: Mapping[int, ServiceRoom], own: Collection[int]) -> list[Step]:
+
+def asking_order(
+    rooms_by_group: Mapping[int, ServiceRoom], distances: Mapping[int, Distance]
+) -> list[Step]:
     """Return the groups to ask, one after the other until one has a slot.
 
     Args:
         rooms_by_group: room for the service as the granting nodes told last.
-        own: groups whose back ends are in the gateway's own zone.
+        distances: how far each group's back ends are from the gateway.
     """
     if len(rooms_by_group) < 2:
         return [(group, Manner.WAIT) for group in rooms_by_group]
-    steps = _best(rooms_by_group, own, Manner.FREE)
-    steps += _best(rooms_by_group, own, Manner.YIELDED)
+    own = [group for group in rooms_by_group if distances[group] is Distance.SAME_ZONE]
+    far = [group for group in rooms_by_group if distances[group] is Distance.OTHER_REGION]
+    near_rooms = {group: room for group, room in rooms_by_group.items() if group not in far}
+    far_rooms = {group: rooms_by_group[group] for group in far}
+    steps = _best(near_rooms, own, Manner.FREE) + _best(near_rooms, own, Manner.YIELDED)
+    steps += _best(far_rooms, (), Manner.FREE) + _best(far_rooms, (), Manner.YIELDED)
 
     def wait_cost(group: int) -> tuple[float, bool]:
         room = rooms_by_group[group]
-        return room.waiting / max(1, room.slots), group not in own
+        line = room.waiting / max(1, room.slots)
+        return line + (FAR_LINE if group in far else 0.0), group not in own
 
     groups = sorted(rooms_by_group, key=wait_cost)
     return steps + [(group, Manner.WAIT) for group in groups]
 
 
 def asking_order_by_affinity(
-    rooms_by_group: Mapping[int, ServiceRoom], affinity_key: str
+    rooms_by_group: Mapping[int, ServiceRoom],
+    affinity_key: str,
+    distances: Mapping[int, Distance] | None = None,
 ) -> list[Step]:
     """Return the groups to ask for a long shared prompt: where it was read before comes first.
 
     Args:
         rooms_by_group: room for the service as the granting nodes told last.
-        affinity_key: names the prompt.
+        affinity_key: names the prompt; each region reads it for itself.
+        distances: how far each group's back ends are from the gateway; None if none is far.
     """
 
-    def rank(group: int) -> tuple[bool, int]:
+    def rank(group: int) -> tuple[bool, bool, int]:
         room = rooms_by_group[group]
         full = room.free + room.yielding <= room.waiting
-        return full, xxhash.xxh64_intdigest(f"{affinity_key}/{group}".encode())
+        far = distances is not None and distances[group] is Distance.OTHER_REGION
+        return full, far, xxhash.xxh64_intdigest(f"{affinity_key}/{group}".encode())
 
     return [(group, Manner.WAIT) for group in sorted(rooms_by_group, key=rank)]
 
--- a/src/wharfcart/slots/granted_placement.py
+++ b/src/wharfcart/slots/granted_placement.py
@@ -5,6 +5,7 @@
 from time import monotonic
 
 from wharfcart.cluster.messages_pb2 import SlotGrant
+from wharfcart.cluster.topology import Distance
 from wharfcart.observability.decisions import Counter
 from wharfcart.routing.backend_choice import BackendChoice
 from wharfcart.routing.placement import (
@@ -47,7 +48,7 @@
     Args:
         choice: what this gateway knows of the back ends.
         sessions: with the nodes that grant.
-        is_own: whether a group's back ends are in this gateway's zone.
+        distance: how far a group's back ends are from this gateway.
         connected: back ends that this gateway keeps a connection to.
         counter: counts who chose: ``grant`` or ``own_choice``.
         relays: gateways that ask for permits in place of this one.
@@ -57,14 +58,14 @@
         self,
         choice: BackendChoice,
         sessions: SlotSessions,
-        is_own: Callable[[int], bool],
+        distance: Callable[[int], Distance],
         connected: Callable[[], Collection[str]],
         counter: Counter,
         relays: PermitRelays,
     ) -> None:
         self._choice = choice
         self._sessions = sessions
-        self._is_own = is_own
+        self._distance = distance
         self._connected = connected
         self._counter = counter
         self._relays = relays
@@ -105,9 +106,10 @@
 
     def _steps(self, request: PlacementRequest) -> list[Step]:
         rooms = self._sessions.rooms(request.service)
+        distances = {group: self._distance(group) for group in rooms}
         if request.affinity_key:
-            return asking_order_by_affinity(rooms, request.affinity_key)
-        return asking_order(rooms, [group for group in rooms if self._is_own(group)])
+            return asking_order_by_affinity(rooms, request.affinity_key, distances)
+        return asking_order(rooms, distances)
 
     async def _ask(
         self, session: SlotSession, request: PlacementRequest, manner: Manner, permit: Permit
--- a/src/wharfcart/slots/granter.py
+++ b/src/wharfcart/slots/granter.py
@@ -13,7 +13,6 @@
 
 from wharfcart.configuration.instances import BackendInstance
 from wharfcart.routing.backend_choice import (
-    OTHER_ZONE_PENALTY,
     TOKENS_A_FULL_LOAD,
     BackendChoice,
     InstanceState,
@@ -482,9 +481,9 @@
 
     def _cost(self, state: InstanceState, zone: str, now: float) -> float:
         """Return how little a back end suits a request from a zone; '' for no zone."""
-        other_zone = OTHER_ZONE_PENALTY if zone and state.instance.zone != zone else 0.0
+        distance = self.choice.distance_cost(zone, state.instance.zone) if zone else 0.0
         unread = self._ledger.unread_tokens(state.instance.instance_id, now)
-        return self._load(state) + other_zone + unread / TOKENS_A_FULL_LOAD
+        return self._load(state) + distance + unread / TOKENS_A_FULL_LOAD
 
     def _load_of(self, state: InstanceState, now: float) -> BackendLoad:
         instance_id = state.instance.instance_id
--- a/src/wharfcart/slots/item_slots.py
+++ b/src/wharfcart/slots/item_slots.py
@@ -1,7 +1,7 @@
 """Slots for the batch items of one job group's leader, from all nodes that grant any."""
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass
 from time import monotonic
 
@@ -86,13 +86,17 @@
 class ItemSlots(SlotNewsTaker):
     """Asks for slots for items, and tells of offers and of items that must leave.
 
+    Args:
+        is_far: whether a group's back ends are in another region.
+
     Attributes:
         sessions: with the granting nodes, of the present leadership.
         on_offer: called with a slot that is kept for an item.
         on_leave: called with a slot whose item must leave.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, is_far: Callable[[int], bool] = lambda _group: False) -> None:
+        self._is_far = is_far
         self.sessions: SlotSessions
         self.on_offer: Callable[[ItemSlot], None] = lambda _slot: None
         self.on_leave: Callable[[HeldSlot, LeaveCause], None] = lambda _slot, _cause: None
@@ -115,7 +119,8 @@
     def items_wait(self, service: str, demand: ItemDemand) -> None:
         """Tell the granting nodes how many items wait; each is told its part."""
         rooms = self._rooms(service)
-        for group, count in _parts(demand.count, rooms).items():
+        far = frozenset(group for group in rooms if self._is_far(group))
+        for group, count in divide_items(demand.count, rooms, far).items():
             urgent = min(count, demand.urgent)
             part = ItemDemand(count, urgent, demand.first, demand.excluded)
             self._tell_demand(group, service, part)
@@ -196,11 +201,31 @@
         )
 
 
-def _parts(count: int, rooms_by_group: dict[int, ServiceRoom]) -> dict[int, int]:
+def divide_items(
+    count: int, rooms_by_group: Mapping[int, ServiceRoom], far: Collection[int] = ()
+) -> dict[int, int]:
     """Divide items over groups by their free slots; a group without any still hears of some.
 
-    Parts are rounded up: an offer too many is given back.
+    Groups in other regions hear only of items for which the own region has no free slot, and of no
+    more than they have room for. Parts are rounded up: an offer too many is given back.
+
+    Args:
+        count: items that wait.
+        rooms_by_group: room of each group, as it was told last.
+        far: groups in other regions.
     """
+    near = {group: room for group, room in rooms_by_group.items() if group not in far}
+    if not near:
+        return _by_free_slots(count, rooms_by_group)
+    parts = _by_free_slots(count, near)
+    left_over = max(0, count - sum(room.free for room in near.values()))
+    distant = {group: rooms_by_group[group] for group in far}
+    for group, part in _by_free_slots(left_over, distant).items():
+        parts[group] = min(part, distant[group].free)
+    return parts
+
+
+def _by_free_slots(count: int, rooms_by_group: Mapping[int, ServiceRoom]) -> dict[int, int]:
     weights = {group: 1 + room.free for group, room in rooms_by_group.items()}
     total = sum(weights.values())
     return {group: math.ceil(count * weight / total) for group, weight in weights.items()}
--- a/src/wharfcart/slots/picture.py
+++ b/src/wharfcart/slots/picture.py
@@ -1,6 +1,6 @@
 """What the node that grants slots tells its holders of the back ends, now and then."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,6 +56,11 @@
     usage: dict[str, int] = field(default_factory=dict)
     gateways: int = 0
 
+    def brief(self) -> "SlotPicture":
+        """Return what a holder in another region needs: where there is room, and what to avoid."""
+        avoided = tuple(load for load in self.backends if load.avoided)
+        return replace(self, backends=avoided)
+
     def room(self, service: str) -> ServiceRoom | None:
         """Return the room for a service; None if none of its back ends are granted there."""
         return next((room for room in self.rooms if room.service == service), None)
--- a/src/wharfcart/slots/service.py
+++ b/src/wharfcart/slots/service.py
@@ -23,6 +23,7 @@
     SlotNews,
     SlotRequest,
 )
+from wharfcart.cluster.topology import Distance
 from wharfcart.configuration.instances import BackendInstance
 from wharfcart.configuration.serving import RequestLimit
 from wharfcart.observability.decisions import DecisionLog, Event
@@ -60,9 +61,12 @@
 # A holder that waits for a slot hears at least so often that it still waits.
 SIGN_OF_LIFE_S = 0.1
 # Holders in the zone of the group's back ends hear of the load so often, more seldom where they are
-# many. Those elsewhere send few requests here, and their pictures travel between zones.
+# many. Those elsewhere send few requests here, and their pictures travel between zones. Holders in
+# other regions ask only where their own region is full: they hear as seldom, nothing at once, and
+# not the load of each back end, since bytes between regions cost most.
 PICTURE_S = 0.25
 PICTURE_FAR_S = 1.0
+PICTURE_ABROAD_S = 1.0
 MOST_PICTURES_A_SECOND = 400
 # Gateways that are cut off ask by way of others; of six drawn by lot one has contact even if a
 # third of all gateways is cut off.
@@ -79,12 +83,12 @@
     """News for one session that were not sent yet.
 
     Attributes:
-        near: its holder is in the zone of the group's back ends.
+        distance: of its holder from the group's back ends.
         heard_at: monotonic time at which the holder was heard last.
         address: of a gateway that asks for permits in place of others, or ''.
     """
 
-    near: bool
+    distance: Distance
     heard_at: float
     address: str
     news: SlotNews = field(default_factory=SlotNews)
@@ -104,7 +108,7 @@
         group: number of the group.
         choice: what this node knows of the back ends.
         owns: which of them belong to the group.
-        is_near: whether a zone is one of the group's.
+        distance: how far a zone is from the group's back ends.
         log: tells which requests were refused.
         requests_waiting: shows how many wait.
         limit_of: a tenant's limit of requests, or None.
@@ -116,7 +120,7 @@
         group: int,
         choice: BackendChoice,
         owns: Callable[[BackendInstance], bool],
-        is_near: Callable[[str], bool],
+        distance: Callable[[str], Distance],
         log: DecisionLog,
         requests_waiting: Gauge,
         limit_of: Callable[[str], RequestLimit | None] = lambda _tenant: None,
@@ -125,7 +129,7 @@
         self.group = group
         self._choice = choice
         self._owns = owns
-        self._is_near = is_near
+        self._distance = distance
         self._log = log
         self._requests_waiting = requests_waiting
         self._limit_of = limit_of
@@ -137,6 +141,7 @@
         self._answers: dict[tuple[SessionKey, SlotNumber], asyncio.Future[SlotInstruction]] = {}
         self._near_told_at = 0.0
         self._far_told_at = 0.0
+        self._abroad_told_at = 0.0
         self._relays_told_at = 0.0
         self._avoided: frozenset[str] = frozenset()
 
@@ -192,12 +197,15 @@
             await respond(Frame(slot_news=SlotNews(refused=True), last=True))
             return
         key = SessionKey(HolderId(message.holder), message.session)
-        outbox = _Outbox(self._is_near(message.zone), monotonic(), message.address)
+        outbox = _Outbox(self._distance(message.zone), monotonic(), message.address)
         self._outboxes[key] = outbox
         uses = tuple(use_from_message(use) for use in message.uses)
         limits = self._open_limits(message)
         self._apply(granter, SessionOpened(key, message.zone, uses))
-        outbox.news.picture.CopyFrom(picture_to_message(granter.picture(monotonic())))
+        picture = granter.picture(monotonic())
+        if outbox.distance is Distance.OTHER_REGION:
+            picture = picture.brief()
+        outbox.news.picture.CopyFrom(picture_to_message(picture))
         try:
             while self._granter is granter and granter.is_open(key):
                 await respond(Frame(slot_news=outbox.take()))
@@ -372,21 +380,29 @@
         period_s = max(PICTURE_S, len(self._outboxes) / MOST_PICTURES_A_SECOND)
         near_due = changed or now - self._near_told_at >= period_s
         far_due = changed or now - self._far_told_at >= max(PICTURE_FAR_S, period_s)
-        if not near_due and not far_due:
+        abroad_due = now - self._abroad_told_at >= max(PICTURE_ABROAD_S, period_s)
+        if not near_due and not far_due and not abroad_due:
             return
         if changed:
             self._avoided = avoided
-        if near_due:
-            self._near_told_at = now
-        if far_due:
-            self._far_told_at = now
         limits = self._limits
         picture = replace(
             granter.picture(now), usage=limits.usage(now), gateways=limits.gateways(now)
         )
+        if near_due:
+            self._near_told_at = now
+            self._send_picture(Distance.SAME_ZONE, picture)
+        if far_due:
+            self._far_told_at = now
+            self._send_picture(Distance.SAME_REGION, picture)
+        if abroad_due:
+            self._abroad_told_at = now
+            self._send_picture(Distance.OTHER_REGION, picture.brief())
+
+    def _send_picture(self, distance: Distance, picture: SlotPicture) -> None:
         message = picture_to_message(picture)
         for outbox in self._outboxes.values():
-            if near_due if outbox.near else far_due:
+            if outbox.distance is distance:
                 outbox.news.picture.CopyFrom(message)
                 outbox.wake.set()
 
--- a/src/wharfcart/slots/session.py
+++ b/src/wharfcart/slots/session.py
@@ -47,7 +47,8 @@
 )
 from wharfcart.slots.picture import SlotPicture
 
-# A grant takes two messages and a look-up; one that takes longer is not worth waiting for.
+# A grant takes a look-up, besides the round trip that was observed to its node; one that takes
+# longer is not worth waiting for.
 GRANT_TIMEOUT_S = 0.04
 # After a grant that did not come, the node is not asked again for so long.
 PAUSE_AFTER_SILENCE_S = 0.5
@@ -55,7 +56,8 @@
 SIGN_OF_LIFE_TIMEOUT_S = 0.25
 # A node that grants tells the load more often than this, however many holders there are.
 NEWS_TIMEOUT_S = 2.0
-# A stand-in that does not answer by then is passed by for the next one.
+# A stand-in that does not answer by then, besides the round trips of a connection and a call, is
+# passed by for the next one.
 STAND_IN_TIMEOUT_S = 0.15
 # So often it is looked whether another node grants now.
 ADDRESS_CHECK_S = 0.1
@@ -240,7 +242,7 @@
         if address is None:
             return None
         frame = Frame(slot_request=asked_to_message(self.group, asked, tenant, monotonic()))
-        timeout_s = GRANT_TIMEOUT_S
+        timeout_s = GRANT_TIMEOUT_S + self._transport.round_trip_s(address)
         answered = False
         answers = self._transport.stream(address, frame, TrafficClass.SLOTS)
         try:
@@ -273,7 +275,8 @@
             group=self.group, holder=key.holder, session=key.number, tenant=tenant
         )
         try:
-            async with asyncio.timeout(GRANT_TIMEOUT_S):
+            timeout_s = GRANT_TIMEOUT_S + self._transport.round_trip_s(address)
+            async with asyncio.timeout(timeout_s):
                 answer = await self._transport.call(
                     address, Frame(permit_request=request), TrafficClass.SLOTS
                 )
@@ -361,7 +364,8 @@
             TimeoutError: the node tells nothing.
         """
         opens_stand_in = self._limits_only and not self.is_open
-        until = monotonic() + (STAND_IN_TIMEOUT_S if opens_stand_in else NEWS_TIMEOUT_S)
+        stand_in_s = STAND_IN_TIMEOUT_S + 2 * self._transport.round_trip_s(address)
+        until = monotonic() + (stand_in_s if opens_stand_in else NEWS_TIMEOUT_S)
         waiting = asyncio.ensure_future(answer)
         try:
             while not waiting.done():
--- a/src/wharfcart/storage/job_client.py
+++ b/src/wharfcart/storage/job_client.py
@@ -59,7 +59,8 @@
         Parameters
         ----------
         answer_field: the field of the answer that holds a status.
-        try_s: the longest that one node is waited for.
+        try_s: the longest that one node is waited for, besides the round trip that was observed
+            to it.
         """
         until = monotonic() + timeout_s
         while not (groups := self._groups()):
@@ -106,7 +107,7 @@
         request = Frame()
         request.CopyFrom(frame)
         epoch = self._epoch(group)
-        until = monotonic() + timeout_s
+        until = monotonic() + timeout_s + self._transport.round_trip_s(address)
         call = asyncio.create_task(self._transport.call(address, request))
         try:
             while not call.done() and self._epoch(group) == epoch:
--- a/src/wharfcart/storage/job_group.py
+++ b/src/wharfcart/storage/job_group.py
@@ -376,7 +376,7 @@
                 identity,
                 self._link(identity),
                 leadership,
-                self.partial_texts,
+                self._texts_for(identity),
                 self.notify_progress,
                 lambda epoch: self._step_down(f"epoch {epoch}"),
                 self._context.log,
@@ -385,6 +385,14 @@
             self._session_tasks[identity] = self._leader_tasks.spawn(session.run())
         return session
 
+    def _texts_for(self, identity: str) -> PartialTexts:
+        """Return the partial texts that a replica is told: none in another region.
+
+        They change with every event, and bytes between regions cost more than the runs that a
+        leader there would begin anew.
+        """
+        return PartialTexts() if self.spread.is_far(identity) else self.partial_texts
+
     def close_session(self, identity: str) -> None:
         """Leave a disk that is no longer a replica."""
         self.sessions.pop(identity, None)
--- a/src/wharfcart/storage/layout.py
+++ b/src/wharfcart/storage/layout.py
@@ -18,7 +18,7 @@
 
 import xxhash
 
-from wharfcart.cluster.topology import RegionName, Topology
+from wharfcart.cluster.topology import Distance, RegionName, Topology
 from wharfcart.configuration.instances import BackendInstance
 from wharfcart.storage.group_record import GroupRecord
 from wharfcart.storage.replica_spread import ReplicaSpread
@@ -74,6 +74,11 @@
         """Whether a group grants slots of a zone."""
         return zone in self.zones_by_group[group]
 
+    def distance(self, group: int, zone: str, topology: Topology) -> Distance:
+        """Return how far a zone is from the nearest back ends of a group."""
+        zones = self.zones_by_group[group]
+        return min(topology.distance(zone, own) for own in zones)
+
     def region(self, group: int) -> RegionName | None:
         """Return the region that a group's replicas belong to, or None for the whole fleet."""
         return self.region_by_group[group] if self.region_by_group else None
--- a/src/wharfcart/storage/replica_links.py
+++ b/src/wharfcart/storage/replica_links.py
@@ -61,6 +61,10 @@
         except DiskFailedError as error:
             raise ReplicaFailedError(str(error)) from error
 
+    def round_trip_s(self) -> float:
+        """The disk is here."""
+        return 0.0
+
     def drop(self) -> None:
         """There is no connection."""
 
@@ -119,6 +123,11 @@
         answer = await self._call(Frame(fetch_jobs=message))
         return list(answer.job_updates.updates)
 
+    def round_trip_s(self) -> float:
+        """Return the least time that a message there and back took lately."""
+        address = self._address(self._target)
+        return 0.0 if address is None else self._transport.round_trip_s(address)
+
     def drop(self) -> None:
         """Leave the connection, which may have died without a word."""
         address = self._address(self._target)
--- a/src/wharfcart/storage/replica_session.py
+++ b/src/wharfcart/storage/replica_session.py
@@ -16,7 +16,8 @@
 from wharfcart.storage.partial_texts import PartialTexts, SentParts
 
 HEARTBEAT_S = 0.15
-# A heartbeat that was lost is followed by another one within the replica's patience.
+# A heartbeat that was lost is followed by another one within the replica's patience. The round trip
+# that was observed to the replica comes on top.
 HEARTBEAT_TIMEOUT_S = 0.2
 MOST_SILENCE_S = 0.9
 RETRY_S = 0.25
@@ -58,6 +59,10 @@
         """Return whole records."""
         ...
 
+    def round_trip_s(self) -> float:
+        """Return the least time that a message there and back took lately; 0 if unknown."""
+        ...
+
     def drop(self) -> None:
         """Leave the connection, which may have died without a word; the next call makes one."""
         ...
@@ -134,7 +139,8 @@
             sent_at = monotonic()
         texts = self._partial_texts.since(self._sent_parts)
         if not updates:
-            if not await _within(self._link.replicate(epoch, [], texts), HEARTBEAT_TIMEOUT_S):
+            timeout_s = HEARTBEAT_TIMEOUT_S + self._link.round_trip_s()
+            if not await _within(self._link.replicate(epoch, [], texts), timeout_s):
                 self._note_missed_heartbeat()
                 return
         else:
--- a/tests/slots/network.py
+++ b/tests/slots/network.py
@@ -9,6 +9,7 @@
 
 from wharfcart.cluster.address import Address
 from wharfcart.cluster.messages_pb2 import Frame, SlotEvents
+from wharfcart.cluster.topology import Distance
 from wharfcart.cluster.transport import PeerUnreachableError, TrafficClass, Transport
 from wharfcart.configuration.instances import BackendInstance
 from wharfcart.configuration.serving import RequestLimit
@@ -33,6 +34,13 @@
 SETTLE_S = 0.2
 
 
+def distance_from_z(zone: str) -> Distance:
+    """Return how far a zone is from that of the back ends; those named so are far away."""
+    if zone.startswith("far"):
+        return Distance.OTHER_REGION
+    return Distance.SAME_ZONE if zone == "z" else Distance.SAME_REGION
+
+
 class Node:
     """A node that may grant slots of groups."""
 
@@ -44,7 +52,7 @@
             0,
             choice,
             lambda _instance: True,
-            lambda zone: zone == "z",
+            distance_from_z,
             DecisionLog("test"),
             METRICS.requests_waiting,
             limits.get,
@@ -57,6 +65,8 @@
 
     def __init__(self) -> None:
         self.nodes: dict[Address, Node] = {}
+        self.one_way_s = ONE_WAY_S
+        self.round_trip_s = 0.0  # as it was observed; 0 where nothing is known
         self.dark: set[Address] = set()  # what goes there and comes from there waits
         self.pictures_by_holder: Counter[str] = Counter()
         self.serving: dict[tuple[str, Address], set[asyncio.Task[None]]] = {}
@@ -70,7 +80,7 @@
 
     async def reach(self, address: Address) -> None:
         """Take one way's time, and longer while the node is dark."""
-        await asyncio.sleep(ONE_WAY_S)
+        await asyncio.sleep(self.one_way_s)
         while address in self.dark:
             await asyncio.sleep(ONE_WAY_S)
 
@@ -152,6 +162,9 @@
             await before  # a connection keeps the order
         self._network.nodes[address].service.take_events(events)
 
+    def round_trip_s(self, address: Address) -> float:
+        return self._network.round_trip_s
+
     def drop(self, address: Address, _traffic: TrafficClass) -> None:
         """Close the connection."""
         self._network.break_connection(self._holder, self._network.nodes[address], told=False)
@@ -186,7 +199,7 @@
         self.placement = GrantedPlacement(
             self.choice,
             self.sessions,
-            lambda _group: True,
+            lambda _group: Distance.SAME_ZONE,
             lambda: self.connected,
             METRICS.placements,
             self.relays,
--- a/tests/slots/test_asking_order.py
+++ b/tests/slots/test_asking_order.py
@@ -1,6 +1,8 @@
 """Whom a gateway asks for a slot."""
 
-from wharfcart.slots.asking_order import asking_order, asking_order_by_affinity
+from wharfcart.cluster.topology import Distance
+from wharfcart.slots.asking_order import FAR_LINE, Step, asking_order_by_affinity
+from wharfcart.slots.asking_order import asking_order as order_by_distance
 from wharfcart.slots.events import Manner
 from wharfcart.slots.picture import ServiceRoom
 
@@ -9,6 +11,14 @@
     return ServiceRoom("s", slots, free, yielding, waiting)
 
 
+def asking_order(rooms: dict[int, ServiceRoom], own: list[int], far: tuple[int, ...] = ()):
+    """The order of a gateway whose zone has the own groups, with some in other regions."""
+    distances = dict.fromkeys(rooms, Distance.SAME_REGION)
+    distances |= dict.fromkeys(own, Distance.SAME_ZONE)
+    distances |= dict.fromkeys(far, Distance.OTHER_REGION)
+    return order_by_distance(rooms, distances)
+
+
 def test_the_only_node_is_asked_once_and_waited_for() -> None:
     assert asking_order({0: room(0)}, [0]) == [(0, Manner.WAIT)]
     assert asking_order({}, []) == []
@@ -51,3 +61,36 @@
     rooms = {group: room(4) for group in range(5)}
     firsts = {asking_order_by_affinity(rooms, f"prompt {n}")[0][0] for n in range(100)}
     assert firsts == set(range(5))
+
+
+def test_an_item_of_the_own_region_leaves_before_a_free_slot_of_another_one_is_asked_for() -> None:
+    rooms = {0: room(0, yielding=4), 1: room(0, yielding=2), 2: room(8), 3: room(0, yielding=3)}
+    order = asking_order(rooms, [0], far=(2, 3))
+    assert order[:4] == [
+        (0, Manner.YIELDED),
+        (1, Manner.YIELDED),
+        (2, Manner.FREE),
+        (2, Manner.YIELDED),
+    ]
+
+
+def test_who_waits_does_so_in_the_own_region_unless_its_line_is_much_longer() -> None:
+    shorter = {0: room(0, waiting=1), 1: room(0, waiting=0)}
+    assert waits(asking_order(shorter, [0], far=(1,))) == [0, 1]
+    much_shorter = {0: room(0, waiting=int(8 * FAR_LINE) + 1), 1: room(0, waiting=0)}
+    assert waits(asking_order(much_shorter, [0], far=(1,))) == [1, 0]
+
+
+def waits(order: list[Step]) -> list[int]:
+    return [group for group, manner in order if manner is Manner.WAIT]
+
+
+def test_each_region_reads_a_shared_prompt_for_itself_until_it_is_full() -> None:
+    rooms = {group: room(4) for group in range(6)}
+    for n in range(20):
+        far = dict.fromkeys(range(3, 6), Distance.OTHER_REGION)
+        distances = dict.fromkeys(range(3), Distance.SAME_REGION) | far
+        first = asking_order_by_affinity(rooms, f"prompt {n}", distances)[0][0]
+        assert first < 3
+    full = rooms | {group: room(0, waiting=1) for group in range(3)}
+    assert asking_order_by_affinity(full, "prompt", distances)[0][0] >= 3
--- /dev/null
+++ b/tests/slots/test_far_regions.py
@@ -0,0 +1,105 @@
+"""Slots over several regions: what is told there, how long is waited, where items go."""
+
+import asyncio
+
+from tests.slots.network import Fleet, play, request
+from wharfcart.cluster.topology import RegionName, Topology
+from wharfcart.configuration.instances import BackendInstance
+from wharfcart.routing.eligibility import Eligibility
+from wharfcart.slots.item_slots import divide_items
+from wharfcart.slots.picture import BackendLoad, ServiceRoom, SlotPicture
+from wharfcart.slots.service import PICTURE_ABROAD_S
+from wharfcart.slots.session import GRANT_TIMEOUT_S
+
+BETWEEN_REGIONS_S = 0.025
+
+
+def test_a_grant_from_another_region_comes_in_time_once_its_distance_is_known() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        gateway = await fleet.gateway("g1", "far")
+        network = fleet.network
+        network.one_way_s = BETWEEN_REGIONS_S
+        assert 2 * BETWEEN_REGIONS_S > GRANT_TIMEOUT_S
+        placed = await gateway.placement.place(request())
+        assert placed is not None and not placed.granted
+        await asyncio.sleep(1.0)
+        network.round_trip_s = 2 * BETWEEN_REGIONS_S
+        placed = await gateway.placement.place(request())
+        assert placed is not None and placed.granted
+
+    play(scenario)
+
+
+def test_holders_in_another_region_hear_seldom_and_not_of_each_change() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        await fleet.gateway("near")
+        await fleet.gateway("far", "far-away")
+        await asyncio.sleep(1.0)
+        before = fleet.network.pictures_by_holder.copy()
+        for n in range(5):
+            state = fleet.leader.choice.state(f"i{n % 2}")
+            assert state is not None
+            fleet.leader.choice.failed(state, asyncio.get_running_loop().time())
+            await asyncio.sleep(2 * PICTURE_ABROAD_S / 5)
+        told = fleet.network.pictures_by_holder - before
+        assert told["far"] <= 3
+        assert told["near"] >= 8
+
+    play(scenario)
+
+
+def test_what_is_told_abroad_names_only_what_is_avoided() -> None:
+    room = ServiceRoom("s", 8, 3)
+    picture = SlotPicture((BackendLoad("a", 5), BackendLoad("b", 1, avoided=True)), (room,))
+    brief = picture.brief()
+    assert [load.instance_id for load in brief.backends] == ["b"]
+    assert brief.room("s") == room
+
+
+def test_items_run_in_their_region_and_elsewhere_only_where_that_is_full() -> None:
+    rooms = {0: ServiceRoom("s", 8, 4), 1: ServiceRoom("s", 8, 8), 2: ServiceRoom("s", 8, 0)}
+    assert divide_items(4, rooms, far=(1, 2)) == {0: 4, 1: 0, 2: 0}
+    assert divide_items(10, rooms, far=(1, 2)) == {0: 10, 1: 6, 2: 0}
+    assert divide_items(40, rooms, far=(1, 2)) == {0: 40, 1: 8, 2: 0}
+
+
+def test_items_of_a_region_without_back_ends_run_elsewhere() -> None:
+    rooms = {1: ServiceRoom("s", 8, 0), 2: ServiceRoom("s", 8, 0)}
+    assert divide_items(4, rooms, far=(1, 2)) == {1: 2, 2: 2}
+
+
+def test_a_gateway_that_chooses_itself_goes_abroad_only_when_its_region_is_full() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        choice = fleet.new_choice("near-1")
+        west, east = RegionName("west"), RegionName("east")
+        topology = Topology({"near-1": west, "near-2": west, "far": east})
+        choice.eligibility = Eligibility(topology)
+        for zone in ("near-2", "far"):
+            choice.put(BackendInstance(zone, "t", "127.0.0.1", 1, zone, 4, True))
+        now = asyncio.get_running_loop().time()
+        chosen = []
+        for _ in range(6):
+            state = choice.choose("t", now)
+            assert state is not None
+            choice.sent(state, now)
+            chosen.append(state.instance.instance_id)
+        assert chosen[:4] == ["near-2"] * 4
+        assert "far" in chosen[4:]
+
+    play(scenario)
+
+
+def test_a_granting_node_prefers_back_ends_in_the_region_of_who_asks() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        gateway = await fleet.gateway("g1", "west")
+        topology = Topology({"west": RegionName("west"), "east": RegionName("east")})
+        for choice in (fleet.leader.choice, gateway.choice):
+            choice.eligibility = Eligibility(topology)
+            for name, zone in (("a", "east"), ("b", "west")):
+                choice.put(BackendInstance(name, "t", "127.0.0.1", 1, zone, 4, True))
+        await asyncio.sleep(1.5)  # the next picture has the new service's room
+        placed = [await gateway.placement.place(request(service="t")) for _ in range(5)]
+        names = [one.state.instance.instance_id for one in placed if one is not None]
+        assert names.count("b") == 4
+
+    play(scenario)
--- a/tests/storage/test_job_client.py
+++ b/tests/storage/test_job_client.py
@@ -38,6 +38,9 @@
             await asyncio.Event().wait()
         return Frame(job_answer=JobAnswer(status=DONE))
 
+    def round_trip_s(self, _address: Address) -> float:
+        return 0.0
+
     def drop(self, _address: Address) -> None:
         return
 
--- a/tests/storage/test_job_group.py
+++ b/tests/storage/test_job_group.py
@@ -344,6 +344,24 @@
     play(scenario)
 
 
+def test_partial_texts_stay_in_the_region() -> None:
+    async def scenario() -> None:
+        fleet = Fleet(stores=3, zones=("w1", "w2", "e1"))
+        await fleet.start()
+        leader = fleet.leader
+        assert leader is not None and leader.group is not None
+        leader.group.partial_texts.of("a", "a-0").add(1, "text")
+        await asyncio.sleep(1.0)
+        knows = {}
+        for node in fleet.nodes.values():
+            assert node.group is not None
+            zone = fleet.simulation.zone_of(node.number)
+            knows[zone] = node.group.partial_texts.of("a", "a-0").texts
+        assert knows == {"w1": ["text"], "w2": ["text"], "e1": []}
+
+    play(scenario)
+
+
 def test_a_replica_from_afar_fills_in_and_gives_its_place_back() -> None:
     async def scenario() -> None:
         fleet = Fleet(stores=4, zones=OVER_REGIONS)
