--- a/src/wharfcart/node/group_spread.py
+++ b/src/wharfcart/node/group_spread.py
@@ -48,10 +48,10 @@
         """
         node = self._node
         region = None if layout is None else layout.region(group)
-        bound = node.configuration is not None and node.configuration.binds_residence
 
         def may_hold(identity: str) -> bool:
-            if region is None or not bound:
+            configuration = node.configuration
+            if region is None or configuration is None or not configuration.binds_residence:
                 return True
             entry = node.storage_by_identity.get(identity)
             return entry is not None and node.topology.region(entry.zone) == region
--- a/src/wharfcart/storage/job_group.py
+++ b/src/wharfcart/storage/job_group.py
@@ -242,16 +242,18 @@
     def _must_contest(self, record: GroupRecord) -> bool:
         if self._stopping or self._context.identity not in record.members:
             return False
-        # The nearest first: a leader in another region grants its slots a round trip late.
-        ranked = self.spread.leaders(record.members)
-        rank = ranked.index(self._context.identity)
-        silence_s = SILENCE_S + SILENCE_SPREAD_S * rank
-        if record.leader == self._context.identity:
-            silence_s = TICK_S  # an earlier life of this process led
         now = monotonic()
         # Whoever has just been elected needs a moment to be heard.
-        silent_since = max(self._heard_leader_at, self._started_at, self._epoch_since)
-        return now - silent_since > silence_s and now >= self._contest_at
+        silent_s = now - max(self._heard_leader_at, self._started_at, self._epoch_since)
+        if now < self._contest_at:
+            return False
+        if record.leader == self._context.identity:
+            return silent_s > TICK_S  # an earlier life of this process led
+        if silent_s <= SILENCE_S:
+            return False
+        # The nearest first: a leader in another region grants its slots a round trip late.
+        rank = self.spread.leaders(record.members).index(self._context.identity)
+        return silent_s > SILENCE_S + SILENCE_SPREAD_S * rank
 
     async def _contest(self) -> None:
         began_at = monotonic()
