A region whose nodes start late has its group; moves home wait for doubts

Cause: a fleet is laid out 0.3 s after the last node announced itself; a region whose nodes came later would have been without a group for good. And a move home could have begun while a swap of the replica set was in doubt.

Change: the founder waits, within the 1.5 s it has, for a node of each region; a set that is settled is what may be moved.

The simulation plays random faults over regions. No check of a promise is touched.

--- a/src/wharfcart/storage/founding.py
+++ b/src/wharfcart/storage/founding.py
@@ -70,10 +70,15 @@
             return False
         if self._context.mirror.at == 0 or min(known) != self._context.identity:
             return False
-        complete = len(known) >= self._context.full_size
+        complete = len(known) >= self._context.full_size and self._all_regions_in(known)
         settled = complete and now - self._known_since >= SETTLED_S
         return settled or now - began_at >= GATHER_S
 
+    def _all_regions_in(self, known: dict[str, str]) -> bool:
+        """Whether every region has a node: what is laid out without one stays so for good."""
+        regions = set(self._topology.region_by_zone.values())
+        return regions <= {self._topology.region(zone) for zone in known.values()}
+
     async def _found(self) -> None:
         zones_by_identity = self._zones_by_identity()
         context = self._context
--- a/src/wharfcart/storage/replica_set_change.py
+++ b/src/wharfcart/storage/replica_set_change.py
@@ -48,7 +48,7 @@
             self._tell_shortfalls(leadership.members)
             # A swap in doubt may take effect as long as nothing else has: it is settled first.
             target = self._doubtful or self._wanted_set(await self._live_spares())
-            if target is None or target == leadership.members:
+            if self._doubtful is None and target in (None, leadership.members):
                 target = await self._moved_closer()
             if target is not None and target != leadership.members:
                 self._quiet_since = monotonic()
--- a/tests/storage/test_job_group.py
+++ b/tests/storage/test_job_group.py
@@ -15,9 +15,14 @@
 )
 from wharfcart.cluster.topology import RegionName, Topology
 from wharfcart.experiments.job_group_simulation import JobGroupSimulation, simulated_clock
-from wharfcart.experiments.simulated_storage import GROUP_KEY, SimulatedNode
+from wharfcart.experiments.simulated_storage import (
+    GROUP_KEY,
+    LAYOUT_KEY,
+    SimulatedNode,
+)
 from wharfcart.experiments.virtual_time import run_virtually
 from wharfcart.storage.group_record import GroupRecord, group_record_from
+from wharfcart.storage.layout import layout_from
 
 WEST, EAST = RegionName("west"), RegionName("east")
 TOPOLOGY = Topology({"w1": WEST, "w2": WEST, "e1": EAST})
@@ -268,6 +273,17 @@
     assert simulation.reads > 100
 
 
+@pytest.mark.parametrize("seed", range(6))
+def test_promises_hold_under_random_faults_over_regions(seed: int) -> None:
+    """Replicas that filled in from another region move home beside the faults, as does the lead."""
+    simulation = JobGroupSimulation(seed, stores=5, length_s=40.0)
+    simulation.topology = TOPOLOGY
+    simulation.zones = dict(enumerate(("w1", "e1", "w2", "e1", "w1", "w2", "e1")))
+    simulation.run()
+    assert simulation.accepted > 10
+    assert simulation.reads > 100
+
+
 @pytest.mark.parametrize("seed", range(8))
 def test_a_leader_that_went_dark_is_replaced_within_two_seconds(seed: int) -> None:
     """Run 9cbb3a13: calls to the lost leader hung, and the election waited for them."""
@@ -344,6 +360,22 @@
     play(scenario)
 
 
+def test_a_region_whose_nodes_start_a_moment_later_has_its_group() -> None:
+    async def scenario() -> None:
+        fleet = Fleet(stores=5, zones=("w1", "w2", "w1", "e1", "e1"))
+        for number, node in fleet.nodes.items():
+            if number == 3:
+                fleet.simulation.spawn(fleet.simulation.feed_mirrors())
+                await asyncio.sleep(0.8)
+            await node.start()
+        await fleet.until_led()
+        entry = fleet.simulation.coordination.entries[LAYOUT_KEY]
+        assert entry.value is not None
+        assert set(layout_from(entry.value).region_by_group) == {WEST, EAST}
+
+    play(scenario)
+
+
 def test_partial_texts_stay_in_the_region() -> None:
     async def scenario() -> None:
         fleet = Fleet(stores=3, zones=("w1", "w2", "e1"))
