A region without news follows the readers that other regions follow

Cause: a region whose two first readers failed, as all do while a fleet starts, ranked the peers of all other regions together: peers became readers that nobody else follows, and called the coordination service beside those. Change: the readers of each other region, by that region's own rank.

--- a/src/wharfcart/cluster/news_sources.py
+++ b/src/wharfcart/cluster/news_sources.py
@@ -12,13 +12,13 @@
 """
 
 import math
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
 import xxhash
 
 from wharfcart.cluster.address import Address
-from wharfcart.cluster.topology import Distance, Topology
+from wharfcart.cluster.topology import Distance, RegionName, Topology
 
 FEWEST_READERS = 2
 # A reader's watch costs a call a second; a follower costs its reader two small messages a second.
@@ -78,13 +78,12 @@
         """
         near = self._near()
         if len(near) < FEWEST_READERS:
-            return self._choose_among(self._peers, now, followed)
+            return self._nearest(self._readers(self._peers, now), followed)
         if self._failed_among(near, now) >= FAILED_IN_REGION:
-            far = {key: peer for key, peer in self._peers.items() if key not in near}
-            reader = self._choose_among(far, now, followed)
+            reader = self._nearest(self._far_readers(near, now), followed)
             if reader is not None:
                 return reader
-        return self._choose_among(near, now, followed)
+        return self._nearest(self._readers(near, now), followed)
 
     def confirmed(self, now: float, age_s: float) -> None:
         """Note that everything up to ``age_s`` ago is known."""
@@ -125,19 +124,28 @@
     def _failed_among(self, peers: Mapping[str, Peer], now: float) -> int:
         return sum(self._avoid_until.get(key, -math.inf) > now for key in peers)
 
-    def _choose_among(
-        self, peers: Mapping[str, Peer], now: float, followed: Collection[str]
-    ) -> Peer | None:
+    def _far_readers(self, near: Collection[str], now: float) -> list[Peer]:
+        """Return the readers of all other regions, the same that are followed there."""
+        by_region: dict[RegionName | None, dict[str, Peer]] = {}
+        for key, peer in self._peers.items():
+            if key not in near:
+                by_region.setdefault(self.topology.region(peer.zone), {})[key] = peer
+        return [reader for peers in by_region.values() for reader in self._readers(peers, now)]
+
+    def _readers(self, peers: Mapping[str, Peer], now: float) -> list[Peer]:
+        """Return those of some peers that read the service for them, the first in rank."""
         usable = [
             peer
             for key, peer in sorted(peers.items(), key=lambda entry: _rank(entry[0]))
             if self._avoid_until.get(key, -math.inf) <= now
         ]
-        most = max(FEWEST_READERS, math.ceil(len(peers) / PEERS_A_READER))
-        readers = [peer for peer in usable[:most] if peer.node_id not in followed]
-        if not readers:
-            return None
-        return min(readers, key=lambda peer: (peer.zone != self.zone, self._own_rank(peer)))
+        return usable[: max(FEWEST_READERS, math.ceil(len(peers) / PEERS_A_READER))]
+
+    def _nearest(self, readers: Iterable[Peer], followed: Collection[str]) -> Peer | None:
+        left = [peer for peer in readers if peer.node_id not in followed]
+        return min(
+            left, key=lambda peer: (peer.zone != self.zone, self._own_rank(peer)), default=None
+        )
 
     def _own_rank(self, peer: Peer) -> int:
         return _rank(self.node_id + peer.node_id)
--- a/tests/cluster/test_news_sources.py
+++ b/tests/cluster/test_news_sources.py
@@ -104,6 +104,24 @@
     assert set(followed(node, 0.1 + AVOID_S)) == set(before)
 
 
+def test_a_region_that_is_cut_off_follows_the_readers_that_others_follow() -> None:
+    """Else each region that lost its own would make others read the service beside them."""
+    zones = {"a": WEST, "b": EAST, "c": RegionName("south")}
+    many = peers(90)
+
+    def node(node_id: str, zone: str) -> NewsSources:
+        made = NewsSources(node_id, zone, Topology(zones))
+        made.set_peers(many)
+        return made
+
+    usual = {peer for n in range(40) for peer in followed(node(f"g{n}", "bc"[n % 2]), 0.0)}
+    cut_off = node("g0", "a")
+    for failed in followed(cut_off, 0.0)[:2]:
+        cut_off.failed(failed, 0.0)
+    far = [peer for peer in followed(cut_off, 0.1) if many[peer].zone != "a"]
+    assert set(far) == usual
+
+
 def test_a_region_with_one_other_peer_follows_the_whole_fleet() -> None:
     node = NewsSources("g0", "c", TOPOLOGY)
     node.set_peers({key: peer for key, peer in peers(5).items() if peer.zone != "c" or key == "s2"})
