--- a/src/wharfcart/cluster/news_sources.py
+++ b/src/wharfcart/cluster/news_sources.py
@@ -30,7 +30,7 @@
 FAILED_IN_REGION = 2
 # A reader of another region is left for the own region's after so long without a failure there; a
 # second one only once the first that was found there has held for a while.
-FAR_KEPT_S = 10.0
+FAR_KEPT_S = 5.0
 TRIAL_S = 3.0
 
 
