--- a/tests/storage/test_job_group.py
+++ b/tests/storage/test_job_group.py
@@ -360,6 +360,28 @@
     play(scenario)
 
 
+def test_a_fleet_that_was_laid_out_before_there_were_regions_goes_on_as_it_stands() -> None:
+    """Its one group has all zones, so that no disk is far and nothing moves."""
+
+    async def scenario() -> None:
+        fleet = Fleet(stores=4, zones=("e1", "w1", "w2", "w1"))
+        members = frozenset(fleet.nodes[number].identity for number in range(3))
+        record = GroupRecord(7, fleet.nodes[0].identity, members)
+        fleet.simulation.coordination.put(LAYOUT_KEY, b'{"zones_by_group": [["e1", "w1", "w2"]]}')
+        fleet.simulation.coordination.put(GROUP_KEY, record.to_bytes())
+        await fleet.start()
+        await fleet.submit("a")
+        await asyncio.sleep(15.0)
+        assert fleet.record.members == members
+        assert await fleet.readable("a")
+        lost = fleet.nodes[1]
+        lost.kill()
+        await fleet.until(lambda: fleet.nodes[3].identity in fleet.record.members, 6.0)
+        assert await fleet.readable("a")
+
+    play(scenario)
+
+
 def test_a_region_whose_nodes_start_a_moment_later_has_its_group() -> None:
     async def scenario() -> None:
         fleet = Fleet(stores=5, zones=("w1", "w2", "w1", "e1", "e1"))
