--- a/src/wharfcart/storage/job_client.py
+++ b/src/wharfcart/storage/job_client.py
@@ -88,7 +88,8 @@
         Parameters
         ----------
         answer_field: the field of the answer that holds a status.
-        try_s: the longest that one node is waited for.
+        try_s: the longest that one node is waited for, besides the round trip that was observed
+            to it.
         residence: where the data of the call may be sent.
         """
         until = monotonic() + timeout_s
@@ -219,7 +220,7 @@
         request = Frame()
         request.CopyFrom(frame)
         epoch = self._epoch(group)
-        until = monotonic() + timeout_s
+        until = monotonic() + timeout_s + self._transport.round_trip_s(address)
         call = asyncio.create_task(self._transport.call(address, request))
         try:
             while not call.done() and self._epoch(group) == epoch:
--- a/src/wharfcart/storage/job_group.py
+++ b/src/wharfcart/storage/job_group.py
@@ -264,16 +264,18 @@
     def _must_contest(self, record: GroupRecord) -> bool:
         if self._stopping or self._context.identity not in record.members:
             return False
-        # The nearest first: a leader in another region grants its slots a round trip late.
-        ranked = self.spread.leaders(record.members)
-        rank = ranked.index(self._context.identity)
-        silence_s = SILENCE_S + SILENCE_SPREAD_S * rank
-        if record.leader == self._context.identity:
-            silence_s = TICK_S  # an earlier life of this process led
         now = monotonic()
         # Whoever has just been elected needs a moment to be heard.
-        silent_since = max(self._heard_leader_at, self._started_at, self._epoch_since)
-        return now - silent_since > silence_s and now >= self._contest_at
+        silent_s = now - max(self._heard_leader_at, self._started_at, self._epoch_since)
+        if now < self._contest_at:
+            return False
+        if record.leader == self._context.identity:
+            return silent_s > TICK_S  # an earlier life of this process led
+        if silent_s <= SILENCE_S:
+            return False
+        # The nearest first: a leader in another region grants its slots a round trip late.
+        rank = self.spread.leaders(record.members).index(self._context.identity)
+        return silent_s > SILENCE_S + SILENCE_SPREAD_S * rank
 
     async def _contest(self) -> None:
         began_at = monotonic()
@@ -398,7 +400,7 @@
                 identity,
                 self._link(identity),
                 leadership,
-                self.partial_texts,
+                self._texts_for(identity),
                 self.notify_progress,
                 lambda epoch: self._step_down(f"epoch {epoch}"),
                 self._context.log,
@@ -407,6 +409,14 @@
             self._session_tasks[identity] = self._leader_tasks.spawn(session.run())
         return session
 
+    def _texts_for(self, identity: str) -> PartialTexts:
+        """Return the partial texts that a replica is told: none in another region.
+
+        They change with every event, and bytes between regions cost more than the runs that a
+        leader there would begin anew.
+        """
+        return PartialTexts() if self.spread.is_far(identity) else self.partial_texts
+
     def close_session(self, identity: str) -> None:
         """Leave a disk that is no longer a replica."""
         self.sessions.pop(identity, None)
--- a/tests/storage/test_job_client_residence.py
+++ b/tests/storage/test_job_client_residence.py
@@ -71,6 +71,9 @@
     def drop(self, _address: Address) -> None:
         return
 
+    def round_trip_s(self, _address: Address) -> float:
+        return 0.0
+
     async def submit(self, job_id: str, residence: Residence) -> Frame | JobCallFailure:
         frame = Frame(submit_job=SubmitJob(job=RequestJob(job_id=job_id)))
         return await self.client.call(job_id, frame, "job_answer", 3.0, 2.0, residence)
