Cut-off regions are seen by dead kept connections too, and back by their granting nodes

Change: a send of which nothing came counts like a connect that failed; a region whose granting node is heard from is not lost, so that a try a second is enough where nobody grants.

Tests: tests/routing/test_forwarder_residence.py. Not measured yet.

--- a/src/wharfcart/routing/forwarder.py
+++ b/src/wharfcart/routing/forwarder.py
@@ -153,7 +153,9 @@
     def _regions_lost(self, request: CallerRequest) -> bool:
         """Whether a request is bound to regions that this gateway does not reach now."""
         regions = request.residence.regions
-        return bool(regions) and self._reach.are_lost(regions or (), monotonic())
+        if not regions or self._placement.reaches(request.service, request.residence):
+            return False
+        return self._reach.are_lost(regions, monotonic())
 
     def _region_of(self, state: InstanceState) -> RegionName | None:
         return self._choice.eligibility.topology.region(state.instance.zone)
@@ -223,6 +225,9 @@
             if not error.sent:
                 return _Verdict(False, "closed_before_send")
             self._turned_out(state, progress, False)
+            if use in state.waiting_since:
+                # Nothing came of it: a kept connection into a region that was cut off since.
+                self._reach.failed(self._region_of(state), instance.instance_id, monotonic())
             if connection.answered == 0:
                 self._avoid(state, "broken")
             return _Verdict(True, "broken")
--- a/src/wharfcart/routing/placement.py
+++ b/src/wharfcart/routing/placement.py
@@ -104,6 +104,10 @@
             OverLimitError: its tenant has sent as many requests as it may.
         """
 
+    @abstractmethod
+    def reaches(self, service: str, residence: Residence) -> bool:
+        """Whether a node that grants slots of a service in some regions is heard from there."""
+
     @abstractmethod
     def ended(self, placed: Placed, verdict: SendVerdict) -> None:
         """Note that a request is no longer at its back end, and what the send told of that."""
@@ -130,6 +134,10 @@
         )
         return None if state is None else Placed(state, granted=False)
 
+    def reaches(self, service: str, residence: Residence) -> bool:
+        """Whether a node that grants is heard from: none is here."""
+        return False
+
     def ended(self, placed: Placed, verdict: SendVerdict) -> None:
         """Note that a request is no longer at its back end: the choice knows already."""
 
--- a/src/wharfcart/routing/region_reach.py
+++ b/src/wharfcart/routing/region_reach.py
@@ -14,8 +14,9 @@
 
 # So many back ends of a region in a row without any that was reached: it is not these that failed.
 FAILURES_IN_A_ROW = 3
-# One request tries again so often; a region that is back is noticed within this time.
-PROBE_PERIOD_S = 0.25
+# One request tries again so often. A region that is back is noticed sooner by its granting nodes,
+# whose sessions open without any request; this is for regions where nobody grants.
+PROBE_PERIOD_S = 1.0
 
 
 @dataclass
--- a/src/wharfcart/slots/granted_placement.py
+++ b/src/wharfcart/slots/granted_placement.py
@@ -6,6 +6,7 @@
 
 from wharfcart.cluster.messages_pb2 import SlotGrant
 from wharfcart.cluster.topology import Distance
+from wharfcart.configuration.residence import Residence
 from wharfcart.observability.decisions import Counter
 from wharfcart.routing.backend_choice import BackendChoice, InstanceState
 from wharfcart.routing.placement import (
@@ -92,6 +93,10 @@
         await permit.obtain()
         return await self._place_by_own_choice(request)
 
+    def reaches(self, service: str, residence: Residence) -> bool:
+        """Whether a node that grants slots of a service in some regions is heard from there."""
+        return bool(self._sessions.rooms(service, residence))
+
     def ended(self, placed: Placed, verdict: SendVerdict) -> None:
         """Note that a request is no longer at its back end, and what the send told of that."""
         if isinstance(placed, PlacedInSlot):
--- a/tests/routing/test_forwarder_residence.py
+++ b/tests/routing/test_forwarder_residence.py
@@ -10,7 +10,7 @@
 from wharfcart.configuration.instances import BackendInstance
 from wharfcart.configuration.residence import Residence, residence_in
 from wharfcart.configuration.serving import Route, RouteKind, ServedTenant, TrafficShare
-from wharfcart.http.connection import ConnectFailedError
+from wharfcart.http.connection import ConnectFailedError, ConnectionBrokenError
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.observability.serving_metrics import ServingMetrics
 from wharfcart.platform.exchanges import RequestFacts
@@ -45,6 +45,29 @@
         raise ConnectFailedError
 
 
+class DeadConnection:
+    """A kept connection over which nothing comes any more."""
+
+    answered = 3
+
+    def send(self, *_request: object) -> None:
+        return
+
+    async def read_head(self) -> None:
+        raise ConnectionBrokenError("silent")
+
+    def close(self) -> None:
+        return
+
+
+class DeadPool(RecordingPool):
+    """Has kept a connection to every back end since before a region was cut off."""
+
+    async def take(self, instance: BackendInstance, limit: int, fresh: bool = False) -> object:
+        self.asked.append(instance.instance_id)
+        return DeadConnection()
+
+
 class Sink:
     def __init__(self) -> None:
         self.answers: list[tuple[int, list[tuple[str, str]]]] = []
@@ -56,18 +79,24 @@
 class Gateway:
     """A forwarder before one back end in the west."""
 
-    def __init__(self) -> None:
+    def __init__(self, pool: RecordingPool | None = None) -> None:
         self.choice = BackendChoice("w1", Random(1), Eligibility(TOPOLOGY))
         self.choice.put(BackendInstance("i", "s", "127.0.0.1", 1, "w1", 4, True))
-        self.pool = RecordingPool()
+        self.pool = pool or RecordingPool()
         self.log = RecordingLog()
         self.metrics = ServingMetrics()
         self.sink = Sink()
-        placement = LocalPlacement(self.choice)
+        self.placement = LocalPlacement(self.choice)
         self.forwarder = Forwarder(
-            self.choice, placement, self.pool, lambda _service: 4, self.log, self.metrics
+            self.choice, self.placement, self.pool, lambda _service: 4, self.log, self.metrics
         )
 
+    def put_many(self) -> None:
+        """Have eight more back ends in the west, and one in the east."""
+        for n in range(8):
+            self.choice.put(BackendInstance(f"i{n}", "s", "127.0.0.1", 1, "w1", 4, True))
+        self.choice.put(BackendInstance("far", "s", "127.0.0.1", 1, "e1", 4, True))
+
     def send(self, route: Residence, tenant: Residence) -> None:
         kind = RouteKind.REPEATABLE
         shares = (TrafficShare("s", 1.0),)
@@ -117,9 +146,7 @@
 
 def test_a_region_that_is_cut_off_has_its_requests_refused_without_trying() -> None:
     gateway = Gateway()
-    for n in range(8):
-        gateway.choice.put(BackendInstance(f"i{n}", "s", "127.0.0.1", 1, "w1", 4, True))
-    gateway.choice.put(BackendInstance("far", "s", "127.0.0.1", 1, "e1", 4, True))
+    gateway.put_many()
     gateway.send(residence_in(["west"]), residence_in([]))
     tried = list(gateway.pool.asked)
     assert len(set(tried)) == 3
@@ -128,3 +155,23 @@
     assert [status for status, _ in gateway.sink.answers] == [503, 503]
     _, fields = gateway.log.lines[-1]
     assert (fields["cause"], fields["regions"]) == ("region_unreachable", ["west"])
+
+
+def test_kept_connections_that_are_dead_tell_of_a_region_that_is_cut_off_too() -> None:
+    gateway = Gateway(DeadPool())
+    gateway.put_many()
+    for _ in range(3):
+        gateway.send(residence_in(["west"]), residence_in([]))
+    assert len(gateway.pool.asked) == 3
+    # What may have run is not refused as if it had not.
+    assert [status for status, _ in gateway.sink.answers] == [502, 503, 503]
+
+
+def test_a_region_whose_granting_node_is_heard_from_is_not_cut_off() -> None:
+    gateway = Gateway()
+    gateway.put_many()
+    gateway.send(residence_in(["west"]), residence_in([]))
+    tried = len(gateway.pool.asked)
+    gateway.placement.reaches = lambda _service, _residence: True
+    gateway.send(residence_in(["west"]), residence_in([]))
+    assert len(gateway.pool.asked) > tried
