--- a/tests/storage/test_job_group.py
+++ b/tests/storage/test_job_group.py
@@ -585,3 +585,32 @@
         assert fleet.nodes[3].disk.database.states(0) == []
 
     play(scenario)
+
+
+def test_a_bound_job_that_comes_while_a_spare_is_asked_keeps_it_out() -> None:
+    """The spare answers, and by then the group has a job that it may not hold."""
+
+    async def scenario() -> None:
+        fleet = Fleet(stores=4, zones=("w1", "w1", "w2", "e1"))
+        await fleet.start()
+        leader = await fleet.until_led()
+        group = leader.group
+        assert group is not None
+        ask = group.answering
+
+        async def ask_and_take_a_job(identities: list[str]) -> list[str]:
+            answering = await ask(identities)
+            if answering and group.leadership is not None:
+                residence = residence_to_message(residence_in(["west"]))
+                group.leadership.accept(RequestJob(job_id="a", residence=residence))
+                group.wake_sessions()
+            return answering
+
+        group.answering = ask_and_take_a_job
+        await lose_a_replica(fleet)
+        await fleet.until(lambda: group.leadership is not None and group.leadership.jobs, 8.0)
+        await asyncio.sleep(5.0)
+        assert "e1" not in fleet.zones(fleet.record.members)
+        assert fleet.nodes[3].disk.database.states(0) == []
+
+    play(scenario)
