Core of cold back ends: which are cold until when, and the parts of their rate

Cause: a cold back end bears a few requests a second from all nodes together; whoever chooses a back end knows neither that it is cold nor what others send there.

Change: routing/cold_rates.py. Cold time as told at discovery, counted from when the entry came; back ends of a zone that is given back count as cold for 3 s unless an entry that is newer than the order's end says otherwise. Granting node: a token bucket a back end, 0.85 of the rate, 0.15 while another node may grant; begins empty. Own choice: two gateways a back end, drawn by hash, each a tenth of the rate. With a permit good for 0.2 s the parts add up to 1.44 r + 5 in any second.

Ways weighed (python -m wharfcart.experiments.cold_shares; 20 s, 20 cold back ends, 1.2 times their rate asked, a third of gateways cut off for 10 s, a granter replaced with 1 s of none and 0.5 s of two).

Not covered: a back end that turns cold without a start and outside an emptied zone, until its next entry.

--- /dev/null
+++ b/src/wharfcart/experiments/cold_shares.py
@@ -0,0 +1,179 @@
+"""Model of cold back ends: ways to keep their rate over all gateways, on the same arrivals.
+
+* ``product``: buckets at the granting node; gateways that choose by themselves have a share at a
+  few back ends each (:mod:`wharfcart.routing.cold_rates`);
+* ``divided``: the same, but each gateway has its part of the share at every back end;
+* ``free``: gateways that choose by themselves send as they like.
+
+All warm back ends are full, so that all requests are for cold ones. A third of the gateways is cut
+off for a while; the granting node is replaced, with a moment in which nobody grants, and one in
+which two nodes do. Run as a module, it writes figures as JSON.
+"""
+
+import json
+from collections import deque
+from dataclasses import dataclass
+from enum import StrEnum
+from random import Random
+
+from wharfcart.configuration.serving import ColdLimit
+from wharfcart.routing.cold_rates import (
+    OWN_CHOICE_SHARE,
+    OWN_MOST_SAVED,
+    ColdBuckets,
+    OwnColdShares,
+    granted_rate,
+)
+
+SIZES = (10, 60, 200, 410)
+RATES = (4.0, 19.0)
+BACKENDS = tuple(f"i{n}" for n in range(20))
+SECONDS = 20.0
+STEP_S = 0.01
+DEMAND_OF_RATE = 1.2
+CUT_OFF = (4.0, 14.0)
+CUT_OFF_SHARE = 1 / 3
+NOBODY_GRANTS = (8.0, 9.0)
+TWO_GRANT = (9.0, 9.5)
+# A granting node has a request wait for so long.
+WAITS_S = 0.25
+
+
+class Way(StrEnum):
+    """How the rate is kept by gateways that choose by themselves."""
+
+    PRODUCT = "product"
+    DIVIDED = "divided"
+    FREE = "free"
+
+
+@dataclass
+class Outcome:
+    """What came of one play.
+
+    Attributes:
+        worst_over: most requests of one second at one back end, less what it bears.
+        asked: requests in all.
+        refused: requests that were refused.
+        needless: those among them that some back end would have borne, at its plain rate.
+    """
+
+    worst_over: float = -1e9
+    asked: int = 0
+    refused: int = 0
+    needless: int = 0
+
+
+class ColdModel:
+    """One play."""
+
+    def __init__(self, way: Way, gateways: int, rate: float, seed: int) -> None:
+        self._way = way
+        self._limit = ColdLimit(rate, SECONDS)
+        self._rng = Random(seed)
+        names = [f"g{n}" for n in range(gateways)]
+        self._shares = [OwnColdShares(name, lambda: names) for name in names]
+        self._buckets = [ColdBuckets(OWN_MOST_SAVED) for _ in names]
+        self._granters = [ColdBuckets(), ColdBuckets()]
+        self._arrivals: dict[str, deque[float]] = {name: deque() for name in BACKENDS}
+        self.outcome = Outcome()
+
+    def play(self) -> Outcome:
+        """Play all seconds."""
+        demand = DEMAND_OF_RATE * self._limit.requests_per_s * len(BACKENDS) * STEP_S
+        waiting: deque[tuple[float, int]] = deque()
+        for step in range(round(SECONDS / STEP_S)):
+            now = step * STEP_S
+            coming = int(demand) + (self._rng.random() < demand % 1)
+            self.outcome.asked += coming
+            new = [(now, self._rng.randrange(len(self._shares))) for _ in range(coming)]
+            waiting.extend(new)
+            self._serve(waiting, now)
+        return self.outcome
+
+    def _serve(self, waiting: deque[tuple[float, int]], now: float) -> None:
+        for _ in range(len(waiting)):
+            came, gateway = waiting.popleft()
+            granter = self._granter_of(gateway, now)
+            chosen = self._own(gateway, now) if granter is None else self._granted(granter, now)
+            if chosen is not None:
+                self._send(chosen, now)
+            elif granter is None or now - came >= WAITS_S:
+                self._refuse(now)
+            else:
+                waiting.append((came, gateway))
+
+    def _granter_of(self, gateway: int, now: float) -> int | None:
+        """Return which node a gateway asks; None if it reaches none."""
+        cut_off = gateway < len(self._shares) * CUT_OFF_SHARE and CUT_OFF[0] <= now < CUT_OFF[1]
+        if cut_off or NOBODY_GRANTS[0] <= now < NOBODY_GRANTS[1]:
+            return None
+        if now < NOBODY_GRANTS[0]:
+            return 0
+        return gateway % 2 if now < TWO_GRANT[1] else 1
+
+    def _granted(self, granter: int, now: float) -> str | None:
+        surely = granter == 1 or now < NOBODY_GRANTS[0]
+        per_s = granted_rate(self._limit, surely)
+        buckets = self._granters[granter]
+        allowed = [name for name in BACKENDS if buckets.allows(name, per_s, now)]
+        return self._drawn(allowed, buckets)
+
+    def _own(self, gateway: int, now: float) -> str | None:
+        if self._way is Way.FREE:
+            return self._rng.choice(BACKENDS)
+        if self._way is Way.PRODUCT:
+            shares = self._shares[gateway]
+            allowed = [name for name in BACKENDS if shares.allows(name, self._limit, now)]
+            return self._drawn(allowed, shares)
+        per_s = self._limit.requests_per_s * OWN_CHOICE_SHARE / len(self._shares)
+        buckets = self._buckets[gateway]
+        allowed = [name for name in BACKENDS if buckets.allows(name, per_s, now)]
+        return self._drawn(allowed, buckets)
+
+    def _drawn(self, allowed: list[str], kept: ColdBuckets | OwnColdShares) -> str | None:
+        if not allowed:
+            return None
+        chosen = self._rng.choice(allowed)
+        kept.take(chosen)
+        return chosen
+
+    def _send(self, name: str, now: float) -> None:
+        arrivals = self._arrivals[name]
+        arrivals.append(now)
+        over = self._last_second(name, now) - (1.5 * self._limit.requests_per_s + 5)
+        self.outcome.worst_over = max(self.outcome.worst_over, over)
+
+    def _refuse(self, now: float) -> None:
+        self.outcome.refused += 1
+        least = min(self._last_second(name, now) for name in BACKENDS)
+        if least + 1 <= self._limit.requests_per_s:
+            self.outcome.needless += 1
+
+    def _last_second(self, name: str, now: float) -> int:
+        arrivals = self._arrivals[name]
+        while arrivals and now - arrivals[0] >= 1.0:
+            arrivals.popleft()
+        return len(arrivals)
+
+
+def main() -> None:
+    """Write figures of all ways and sizes."""
+    for rate in RATES:
+        for way in Way:
+            for gateways in SIZES:
+                outcome = ColdModel(way, gateways, rate, seed=1).play()
+                line = {
+                    "rate": rate,
+                    "way": way.value,
+                    "gateways": gateways,
+                    "worst_over_bound": outcome.worst_over,
+                    "asked": outcome.asked,
+                    "refused_share": round(outcome.refused / outcome.asked, 3),
+                    "needless_share": round(outcome.needless / outcome.asked, 3),
+                }
+                print(json.dumps(line))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/wharfcart/routing/cold_rates.py
@@ -0,0 +1,219 @@
+"""Cold core: which back ends are cold, and how many requests a second they get while they are.
+
+A back end is cold for some seconds after a start and may turn cold at any moment; it bears only so
+many requests a second from all nodes together. Two ways send to it, and each keeps a part of that
+rate, so that their sum stays within it whatever is lost:
+
+* The node that grants its slots keeps a token bucket (:class:`ColdBuckets`) for all holders.
+* A gateway that chooses by itself has a share only at a few back ends, drawn by hash: few gateways
+  share one back end, so that a fleet of them, each with a token saved, can't meet there.
+
+What may arrive in any second, with a rate of r: granted by a node that surely leads 0.85 r, by
+one that may have been replaced 0.15 r, by own choices 0.2 r. That is 1.2 r, and since a request may
+arrive up to ``PERMIT_KEPT_S`` after it was permitted, 1.2 times that, 1.44 r; and what two granting
+nodes and two gateways have saved, 5. A back end is taken to fail above 1.5 r + 5.
+
+Pure: time is handed in as seconds.
+"""
+
+from collections.abc import Callable, Collection, Mapping
+from dataclasses import dataclass, field
+
+import xxhash
+
+from wharfcart.configuration.serving import ColdLimit
+
+# Parts of the rate; the sum is explained above.
+GRANTED_SHARE = 0.85
+UNSURE_SHARE = 0.15
+OWN_CHOICE_SHARE = 0.2
+# Gateways that may choose one cold back end by themselves. Two, as one of them may be gone.
+GATEWAYS_A_BACKEND = 2
+# A bucket saves no more than this: so many more may meet in a second. What a granting node saves
+# beyond one token makes up for its buckets being looked at only as requests and ticks come.
+GRANTED_MOST_SAVED = 1.5
+OWN_MOST_SAVED = 1.0
+# A permitted request whose connection comes up later than this is placed anew.
+PERMIT_KEPT_S = 0.2
+# Back ends tell every 1.2 s how they are. In a zone that was emptied they may have turned cold just
+# before it is given back: until two reports were due, and some time to hear of them, those that
+# have told nothing since count as cold.
+UNHEARD_KEPT_S = 3.0
+
+
+@dataclass(slots=True)
+class ColdTime:
+    """What one back end told of its being cold.
+
+    Attributes:
+        until: monotonic time until which it is cold.
+        revision: of the entry that told so.
+    """
+
+    until: float = -1e9
+    revision: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class _GivenBack:
+    """A zone that was emptied and is in use again.
+
+    Attributes:
+        until: monotonic time until which back ends that told nothing since may be cold.
+        revision: at which it was given back.
+    """
+
+    until: float
+    revision: int
+
+
+class ColdBackends:
+    """Which back ends are cold, as one node knows.
+
+    Attributes:
+        limits: what a cold back end bears, by service; those left out bear as much as ever.
+    """
+
+    def __init__(self) -> None:
+        self.limits: Mapping[str, ColdLimit] = {}
+        self._given_back_by_zone: dict[str, _GivenBack] = {}
+        self._latest_until = -1e9
+
+    def told(self, time: ColdTime, cold_for_s: float, now: float, revision: int) -> None:
+        """Take what a back end's entry tells.
+
+        The time counts from when the entry came: it was written before, so that no back end is
+        taken for warm too early.
+        """
+        time.until = now + cold_for_s if cold_for_s > 0 else -1e9
+        time.revision = revision
+        self._latest_until = max(self._latest_until, time.until)
+
+    def given_back(self, zone: str, now: float, revision: int) -> None:
+        """Note that an emptied zone is in use again."""
+        self._given_back_by_zone[zone] = _GivenBack(now + UNHEARD_KEPT_S, revision)
+        self._latest_until = max(self._latest_until, now + UNHEARD_KEPT_S)
+
+    def any_cold(self, now: float) -> bool:
+        """Whether any back end may be cold."""
+        return now < self._latest_until and bool(self.limits)
+
+    def cold_until(self, service: str, zone: str, time: ColdTime, now: float) -> float | None:
+        """Return until when a back end counts as cold; None for one that does not."""
+        if now >= self._latest_until or service not in self.limits:
+            return None
+        until = time.until
+        given_back = self._given_back_by_zone.get(zone)
+        if given_back is not None and time.revision <= given_back.revision:
+            until = max(until, given_back.until)
+        return until if now < until else None
+
+
+@dataclass(slots=True)
+class _Bucket:
+    saved: float
+    at: float
+
+
+@dataclass
+class ColdBuckets:
+    """Requests that cold back ends may get from here.
+
+    A bucket begins empty: what was sent before by others, or while the back end was thought to be
+    warm, is not known.
+
+    Attributes:
+        most_saved: requests that may be sent at once after a rest.
+    """
+
+    most_saved: float = GRANTED_MOST_SAVED
+    _buckets: dict[str, _Bucket] = field(default_factory=dict)  # by instance
+
+    def allows(self, instance_id: str, per_s: float, now: float) -> bool:
+        """Whether a cold back end may get a request now."""
+        return self._filled(instance_id, per_s, now).saved >= 1.0
+
+    def wait_s(self, instance_id: str, per_s: float, now: float) -> float:
+        """Return after how long a cold back end may get a request."""
+        missing = 1.0 - self._filled(instance_id, per_s, now).saved
+        return max(0.0, missing / per_s)
+
+    def take(self, instance_id: str) -> None:
+        """Note that a cold back end gets a request."""
+        bucket = self._buckets.get(instance_id)
+        if bucket is not None:
+            bucket.saved -= 1.0
+
+    def keep_only(self, cold: Collection[str]) -> None:
+        """Forget back ends that are not cold any more: their next bucket begins empty."""
+        for instance_id in [key for key in self._buckets if key not in cold]:
+            del self._buckets[instance_id]
+
+    def forget(self, instance_id: str) -> None:
+        """Drop what is kept of one back end."""
+        self._buckets.pop(instance_id, None)
+
+    def _filled(self, instance_id: str, per_s: float, now: float) -> _Bucket:
+        bucket = self._buckets.get(instance_id)
+        if bucket is None:
+            bucket = self._buckets[instance_id] = _Bucket(0.0, now)
+        bucket.saved = min(self.most_saved, bucket.saved + max(0.0, now - bucket.at) * per_s)
+        bucket.at = now
+        return bucket
+
+
+class OwnColdShares:
+    """At which cold back ends a gateway that chooses by itself has a share.
+
+    Args:
+        own_id: of this gateway.
+        gateway_ids: of all gateways, as far as it knows.
+    """
+
+    def __init__(self, own_id: str, gateway_ids: Callable[[], Collection[str]]) -> None:
+        self._own_id = own_id
+        self._gateway_ids = gateway_ids
+        self._buckets = ColdBuckets(OWN_MOST_SAVED)
+
+    def allows(self, instance_id: str, limit: ColdLimit, now: float) -> bool:
+        """Whether this gateway may send a request to a cold back end by its own choice."""
+        if not self._has_share(instance_id):
+            return False
+        return self._buckets.allows(instance_id, _own_rate(limit), now)
+
+    def take(self, instance_id: str) -> None:
+        """Note a request that is sent so."""
+        self._buckets.take(instance_id)
+
+    def forget(self, instance_id: str) -> None:
+        """Drop what is kept of a back end that has gone."""
+        self._buckets.forget(instance_id)
+
+    def _has_share(self, instance_id: str) -> bool:
+        """Whether this gateway is one of the few that may choose a back end while it is cold."""
+        own_rank = _rank(self._own_id, instance_id)
+        before = 0
+        for gateway_id in self._gateway_ids():
+            if gateway_id != self._own_id and _rank(gateway_id, instance_id) < own_rank:
+                before += 1
+                if before >= GATEWAYS_A_BACKEND:
+                    return False
+        return True
+
+
+def granted_rate(limit: ColdLimit, surely: bool) -> float:
+    """Return the requests a second that a granting node sends to one cold back end.
+
+    Args:
+        limit: of the service.
+        surely: no other node can grant yet.
+    """
+    return limit.requests_per_s * (GRANTED_SHARE if surely else UNSURE_SHARE)
+
+
+def _own_rate(limit: ColdLimit) -> float:
+    return limit.requests_per_s * OWN_CHOICE_SHARE / GATEWAYS_A_BACKEND
+
+
+def _rank(gateway_id: str, instance_id: str) -> int:
+    return xxhash.xxh64_intdigest(f"{gateway_id}/{instance_id}".encode())
