Nothing goes to an emptied zone by any way; cold back ends get their rate

Cause: only candidates of grants and own choices left an emptied zone out. A granted slot, an item's offer, and a request whose connection came up later went there all the same; requests that waited at a granting node without any back end left waited on. Cold back ends were treated as any other.

Change: BackendChoice.ruled_out and held_back answer for every way: slots as they are taken, offers as they are taken, the moment a request or item leaves (the slot is given back, the request placed anew, at no cost of its tries). A granting node gives waiting requests back when it has no back end left. All zones emptied: refused at once, cause evacuated, 2 s. node/evacuations.py: orders, evacuation_quiet, metrics by zone (64 at most). Leftover runs aren't asked for there. Granter: cold back ends by their bucket (cold_rates.py), after warm ones, before an item is cut; items only if urgent; room and times to come back reckon with the rate; the queue is served as tokens come (tick). Own choice: warm first, then shares, else refused.

--- a/src/wharfcart/batch/item_run.py
+++ b/src/wharfcart/batch/item_run.py
@@ -115,7 +115,11 @@
 
     async def _connect_and_send(self, send: ItemSend) -> RunOutcome:
         instance = send.state.instance
+        placed_at = monotonic()
         connection = await self._pool.take(instance, self._connection_limit(instance.service))
+        if self._choice.held_back(send.state, placed_at, monotonic()) is not None:
+            self._pool.give_back(instance, connection)
+            return RunOutcome.REFUSED
         try:
             outcome = await self._exchange(connection, send)
         except (ConnectionBrokenError, TimeoutError):
--- a/src/wharfcart/batch/job_execution.py
+++ b/src/wharfcart/batch/job_execution.py
@@ -112,7 +112,7 @@
         """Run the item that goes first in a slot that is offered, or give the slot back."""
         state = self._choice.state(slot.instance_id)
         found = self._next_item(slot.service, slot.instance_id)
-        if state is None or not state.instance.accepting or found is None:
+        if state is None or self._choice.ruled_out(state) or found is None:
             self._slots.release(slot)
             return
         scheduled, item = found
--- a/src/wharfcart/configuration/serving.py
+++ b/src/wharfcart/configuration/serving.py
@@ -197,6 +197,11 @@
             for share in route.shares
         )
 
+    @property
+    def cold_limits(self) -> dict[str, ColdLimit]:
+        """What a cold back end bears, by service; those left out bear as much as ever."""
+        return {name: spec.cold for name, spec in self.services.items() if spec.cold is not None}
+
     def residence_of(self, route: Route, tenant: str) -> Residence:
         """Return where the data of a tenant's requests on a route may be; both bind."""
         found = None if self.tenants is None else self.tenants.by_name.get(tenant)
--- a/src/wharfcart/node/backend_news.py
+++ b/src/wharfcart/node/backend_news.py
@@ -67,11 +67,15 @@
                 self._note(Event.BACKEND_GONE, instance_id, service, change, drained)
             return
         was_accepting = known is not None and known.instance.accepting
-        self._choice.put(instance)
+        was_cold = known is not None and self._choice.is_cold(known, monotonic())
+        self._choice.put(instance, monotonic(), change.revision)
         if known is None:
             self._note(Event.BACKEND_SEEN, instance_id, instance.service, change)
         elif was_accepting and not instance.accepting:
             self._note(Event.BACKEND_DRAINING, instance_id, instance.service, change)
+        state = self._choice.state(instance_id)
+        if state is not None and self._choice.is_cold(state, monotonic()) and not was_cold:
+            self._note(Event.BACKEND_COLD, instance_id, instance.service, change)
 
     def tell(self) -> None:
         """Log what was taken since this was called last."""
--- a/src/wharfcart/node/gateway_process.py
+++ b/src/wharfcart/node/gateway_process.py
@@ -12,6 +12,7 @@
 from wharfcart.node.early_listening import EarlySockets
 from wharfcart.node.serving_node import ServingNode
 from wharfcart.observability.decisions import DecisionLog, Event
+from wharfcart.routing.cold_rates import OwnColdShares
 from wharfcart.routing.forwarder import Forwarder
 from wharfcart.settings.base import split_endpoint
 from wharfcart.settings.serving import GatewaySettings, ServingSettings
@@ -62,6 +63,9 @@
             settings.cluster_address,
         )
         self._node.fleet_size = self._sessions.holders
+        self._node.choice.own_cold_shares = OwnColdShares(
+            settings.node_id, lambda: self._node.gateway_ids
+        )
         self._relays = PermitRelays(self._node.transport, self._sessions.relays)
         self._node.handle_other = self._handle
         placement = GrantedPlacement(
--- a/src/wharfcart/node/led_group.py
+++ b/src/wharfcart/node/led_group.py
@@ -124,7 +124,13 @@
             if granter.owns(state.instance) and state.instance.service in models
         ]
         node = self._node
-        runs = LeftoverRuns(self.replica.group, node.pool, node.connection_limit, node.log)
+        runs = LeftoverRuns(
+            self.replica.group,
+            node.pool,
+            node.connection_limit,
+            node.log,
+            lambda instance: instance.zone not in node.choice.eligibility.evacuated_zones,
+        )
         await runs.watch(granter, instances)
 
     def _end(self) -> None:
--- a/src/wharfcart/node/serving_node.py
+++ b/src/wharfcart/node/serving_node.py
@@ -6,6 +6,7 @@
 import asyncio
 from collections.abc import Callable
 from random import Random
+from time import monotonic
 
 from wharfcart.backends.connection_pool import ConnectionPool
 from wharfcart.cluster.address import Address
@@ -24,6 +25,7 @@
 from wharfcart.cluster.transport import Handler, Responder, Transport
 from wharfcart.configuration.serving import RequestLimit, ServingConfiguration
 from wharfcart.node.backend_news import BackendNews
+from wharfcart.node.evacuations import Evacuations
 from wharfcart.node.fleet_keys import (
     GROUP_PREFIX,
     LAYOUT_KEY,
@@ -89,6 +91,8 @@
         self._backend_news = BackendNews(
             self.choice, self.pool, lambda: self.link.in_outage, lambda: self.link.age_s, log
         )
+        self._evacuations = Evacuations(self.choice, log, self.metrics, lambda: self.link.age_s)
+        self.metrics.cold_backends.set_function(lambda: len(self.choice.cold_states(monotonic())))
         self.metrics.mirror_age.set_function(lambda: min(self.link.age_s, MOST_AGE_S))
         self.handle_other: Handler = _ignore
         self.fleet_size: Callable[[], int] = lambda: len(self.nodes)
@@ -101,6 +105,7 @@
             self.metrics.serve(*split_endpoint(self.settings.metrics_listen))
         self.tasks.spawn(self.log.run())
         self.tasks.spawn(self.link.run())
+        self.tasks.spawn(self._evacuations.run())
 
     async def stop(self) -> None:
         """Close everything."""
@@ -139,6 +144,11 @@
         """Return the limit of a tenant's requests; None for no limit."""
         return None if self.configuration is None else self.configuration.limit_of(tenant)
 
+    @property
+    def gateway_ids(self) -> list[str]:
+        """Return the gateways of the fleet, as far as this node knows."""
+        return [key for key, node in self.nodes.items() if node.kind == NodeKind.GATEWAY]
+
     # ---- the job groups ----
 
     @property
@@ -204,7 +214,7 @@
             elif change.key.startswith(names.SERVER_PREFIX):
                 self._backend_news.take(change)
             elif change.key.startswith(names.EVACUATE_PREFIX):
-                self._take_evacuation(change)
+                self._evacuations.take(change)
             elif change.key.startswith(NODE_PREFIX):
                 self._take_node(change)
             elif change.key.startswith(GROUP_PREFIX):
@@ -220,6 +230,7 @@
         if self.configuration is not None and configuration.version <= self.configuration.version:
             return
         self.configuration = configuration
+        self.choice.cold.limits = configuration.cold_limits
         self.metrics.configuration_version.set(configuration.version)
         self.log.write(
             Event.CONFIGURATION_TAKEN,
@@ -228,21 +239,6 @@
             routes=len(configuration.routes),
         )
 
-    def _take_evacuation(self, change: Change) -> None:
-        """Take an operator's order to empty a zone, or that it was taken back."""
-        zone = change.key.removeprefix(names.EVACUATE_PREFIX)
-        eligibility = self.choice.eligibility
-        before = eligibility.evacuated_zones
-        ended = change.value is None
-        eligibility.evacuated_zones = before - {zone} if ended else before | {zone}
-        if eligibility.evacuated_zones != before:
-            self.log.write(
-                Event.EVACUATION_ENDED if ended else Event.EVACUATION_BEGUN,
-                zone=zone,
-                revision=change.revision,
-                age_s=round(self.link.age_s, 2),
-            )
-
     def _take_record(self, change: Change) -> None:
         group = int(change.key.removeprefix(GROUP_PREFIX))
         record = group_record_from(change.value, change.revision)
--- a/src/wharfcart/observability/serving_metrics.py
+++ b/src/wharfcart/observability/serving_metrics.py
@@ -10,6 +10,8 @@
 # Tenants that are refused are few; a fleet of two years from now has 270 in all.
 MOST_TENANTS = 300
 OTHERS = "(others)"
+# More zones than any fleet has.
+MOST_ZONES = 64
 LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 8, 30)
 
 
@@ -46,6 +48,26 @@
         self._counter.add(label)
 
 
+class BoundedGauge:
+    """A gauge whose label takes any value, and shows so many; further ones are not shown.
+
+    Args:
+        gauge: with one label.
+        most: values that are shown.
+    """
+
+    def __init__(self, gauge: PrometheusGauge, most: int) -> None:
+        self._gauge = gauge
+        self._most = most
+        self._shown: set[str] = set()
+
+    def set(self, label: str, value: float) -> None:
+        """Show a value."""
+        if label in self._shown or len(self._shown) < self._most:
+            self._shown.add(label)
+            self._gauge.labels(label).set(value)
+
+
 class Gauge(Protocol):
     """A value that rises and falls."""
 
@@ -91,6 +113,21 @@
         self.mirror_age = self._gauge(
             "wharfcart_coordination_age_seconds", "Time since coordination state was last confirmed"
         )
+        self.evacuated = BoundedGauge(
+            self._gauge("wharfcart_zone_evacuated", "1 while nothing goes to a zone", "zone"),
+            MOST_ZONES,
+        )
+        self.evacuated_in_flight = BoundedGauge(
+            self._gauge(
+                "wharfcart_zone_evacuated_in_flight",
+                "Requests of this process that still run in a zone that was emptied",
+                "zone",
+            ),
+            MOST_ZONES,
+        )
+        self.cold_backends = self._gauge(
+            "wharfcart_cold_backends", "Back ends that count as cold and are sent little"
+        )
         self.open_items = self._gauge("wharfcart_open_items", "Batch items not finished, if leader")
         self.items_yielded = self._counter(
             "wharfcart_items_yielded", "Items that left a slot for online requests", "cause"
@@ -117,5 +154,5 @@
     def _counter(self, name: str, text: str, label: str) -> LabelledCounter:
         return LabelledCounter(PrometheusCounter(name, text, [label], registry=self.registry))
 
-    def _gauge(self, name: str, text: str) -> PrometheusGauge:
-        return PrometheusGauge(name, text, registry=self.registry)
+    def _gauge(self, name: str, text: str, *labels: str) -> PrometheusGauge:
+        return PrometheusGauge(name, text, labels, registry=self.registry)
--- a/src/wharfcart/routing/backend_choice.py
+++ b/src/wharfcart/routing/backend_choice.py
@@ -19,7 +19,9 @@
 from wharfcart.cluster.topology import Distance
 from wharfcart.configuration.instances import BackendInstance
 from wharfcart.configuration.residence import ANYWHERE, Residence
-from wharfcart.routing.eligibility import Eligibility
+from wharfcart.configuration.serving import ColdLimit
+from wharfcart.routing.cold_rates import PERMIT_KEPT_S, ColdBackends, ColdTime, OwnColdShares
+from wharfcart.routing.eligibility import Eligibility, RuledOut
 from wharfcart.routing.outcome_record import OutcomeRecord, is_suspect
 from wharfcart.routing.send_rates import SendRates
 from wharfcart.routing.spreading import draw_below, fill_level
@@ -71,6 +73,7 @@
     others_in_flight: what all other nodes had there by the last picture, taken ``others_at``.
     others_unread: tokens of their prompts that were not read yet.
     others_avoid: the node that grants its slots leaves it out.
+    cold: what it told of being cold.
     """
 
     instance: BackendInstance
@@ -87,6 +90,7 @@
     others_avoid: bool = False
     others_at: float = -1e9
     outcomes: OutcomeRecord = field(default_factory=OutcomeRecord)
+    cold: ColdTime = field(default_factory=ColdTime)
 
     def load(self, now: float) -> float:
         """Return the estimated share of slots that are taken; above 1 requests wait."""
@@ -129,11 +133,19 @@
 
 @dataclass
 class BackendChoice:
-    """All incarnations that this node knows, by service."""
+    """All incarnations that this node knows, by service.
+
+    Attributes:
+        cold: which of them are cold.
+        own_cold_shares: at which of these this node has a share when it chooses by itself; None
+            where it never does.
+    """
 
     zone: str
     random: RandomSource
     eligibility: Eligibility = field(default_factory=Eligibility)
+    cold: ColdBackends = field(default_factory=ColdBackends)
+    own_cold_shares: OwnColdShares | None = None
     _states: dict[str, InstanceState] = field(default_factory=dict)
     _by_service: dict[str, dict[str, InstanceState]] = field(default_factory=dict)
     _vanished: dict[str, tuple[float, InstanceState]] = field(default_factory=dict)  # until when
@@ -142,8 +154,14 @@
     _fleet_rates: dict[str, float] = field(default_factory=dict)  # by service
     _fleet_rates_at: float = -1e9
 
-    def put(self, instance: BackendInstance) -> None:
-        """Take what discovery tells of an incarnation."""
+    def put(self, instance: BackendInstance, now: float = 0.0, revision: int = 0) -> None:
+        """Take what discovery tells of an incarnation.
+
+        Args:
+            instance: what its entry tells.
+            now: monotonic time in seconds; from here on it counts how long it is cold.
+            revision: of the entry.
+        """
         self._vanished.pop(instance.instance_id, None)
         state = self._states.get(instance.instance_id)
         if state is None:
@@ -153,6 +171,7 @@
             self._by_service.get(state.instance.service, {}).pop(instance.instance_id, None)
             state.instance = instance
         self._by_service.setdefault(instance.service, {})[instance.instance_id] = state
+        self.cold.told(state.cold, instance.cold_for_s, now, revision)
 
     def remove(
         self, instance_id: str, now: float, in_outage: bool = False, drained: bool = False
@@ -168,6 +187,8 @@
         if state is None:
             return
         self._by_service.get(state.instance.service, {}).pop(instance_id, None)
+        if self.own_cold_shares is not None:
+            self.own_cold_shares.forget(instance_id)
         if state.instance.accepting and not drained:
             kept_s = VANISHED_KEPT_IN_OUTAGE_S if in_outage else VANISHED_KEPT_S
             self._vanished[instance_id] = (now + kept_s, state)
@@ -189,16 +210,71 @@
         that it means, so that nothing else runs it.
         """
         states = self._by_service.get(service, {}).values()
-        listed = [state for state in states if self._is_eligible(state, residence)]
+        listed = [state for state in states if not self.ruled_out(state, residence)]
         vanished = [
             state
             for state in self._vanished_of(service, now)
-            if self._is_eligible(state, residence)
+            if not self.ruled_out(state, residence)
         ]
         return listed + vanished if len(vanished) > len(listed) else listed
 
-    def _is_eligible(self, state: InstanceState, residence: Residence) -> bool:
-        return self.eligibility.ruled_out(state.instance, residence) is None
+    def ruled_out(self, state: InstanceState, residence: Residence = ANYWHERE) -> RuledOut | None:
+        """Return why a request does not go to an incarnation, or None if it may."""
+        return self.eligibility.ruled_out(state.instance, residence)
+
+    def held_back(
+        self,
+        state: InstanceState,
+        placed_at: float,
+        now: float,
+        residence: Residence = ANYWHERE,
+    ) -> RuledOut | None:
+        """Return why a request does not leave now that its connection is up; None if it does.
+
+        Args:
+            state: where it was placed.
+            placed_at: monotonic time of that: a connection may have taken a while.
+            now: monotonic time in seconds.
+            residence: of the request.
+        """
+        ruled_out = self.ruled_out(state, residence)
+        if ruled_out is None and now - placed_at > PERMIT_KEPT_S and self.is_cold(state, now):
+            return RuledOut.COLD
+        return ruled_out
+
+    def is_cold(self, state: InstanceState, now: float) -> bool:
+        """Whether an incarnation counts as cold."""
+        return self.cold_until(state, now) is not None
+
+    def cold_until(self, state: InstanceState, now: float) -> float | None:
+        """Return until when an incarnation counts as cold; None for one that does not."""
+        instance = state.instance
+        return self.cold.cold_until(instance.service, instance.zone, state.cold, now)
+
+    def cold_limit(self, service: str) -> ColdLimit | None:
+        """Return what a cold back end of a service bears; None where that is no less than usual."""
+        return self.cold.limits.get(service)
+
+    def cold_states(self, now: float) -> list[InstanceState]:
+        """Return the incarnations that count as cold."""
+        if not self.cold.any_cold(now):
+            return []
+        return [state for state in self._states.values() if self.is_cold(state, now)]
+
+    def in_flight_in(self, zone: str) -> int:
+        """Return how many of this node's requests run at back ends of a zone."""
+        vanished = (state for _, state in self._vanished.values())
+        return sum(
+            state.in_flight
+            for state in (*self._states.values(), *vanished)
+            if state.instance.zone == zone
+        )
+
+    def is_all_evacuated(self, service: str) -> bool:
+        """Whether a service has back ends, and the operator asks that nothing goes to any."""
+        states = self._by_service.get(service, {}).values()
+        reasons = {self.ruled_out(state) for state in states} - {RuledOut.LEAVING}
+        return reasons == {RuledOut.EVACUATED}
 
     def _vanished_of(self, service: str, now: float) -> list[InstanceState]:
         old = [key for key, (until, _) in self._vanished.items() if now > until]
@@ -223,8 +299,36 @@
         residence: where the request's data may be.
         """
         candidates = self.usable(service, now, excluded, residence=residence)
+        candidates = self._warm_first(candidates, now)
         if not candidates:
             return None
+        chosen = self._choose_among(service, candidates, affinity_key, now)
+        if self.own_cold_shares is not None and self.is_cold(chosen, now):
+            self.own_cold_shares.take(chosen.instance.instance_id)
+        return chosen
+
+    def _warm_first(self, candidates: list[InstanceState], now: float) -> list[InstanceState]:
+        """Return back ends that are warm; cold ones where these are full, within this node's share.
+
+        Empty if all are cold and this node has no share left.
+        """
+        if not self.cold.any_cold(now):
+            return candidates
+        warm = [state for state in candidates if not self.is_cold(state, now)]
+        if any(state.load(now) < 1.0 for state in warm):
+            return warm
+        return [state for state in candidates if self._may_choose_cold(state, now)] or warm
+
+    def _may_choose_cold(self, state: InstanceState, now: float) -> bool:
+        limit = self.cold_limit(state.instance.service)
+        shares = self.own_cold_shares
+        if limit is None or shares is None or not self.is_cold(state, now):
+            return False
+        return shares.allows(state.instance.instance_id, limit, now)
+
+    def _choose_among(
+        self, service: str, candidates: list[InstanceState], affinity_key: str, now: float
+    ) -> InstanceState:
         if affinity_key:
             return by_affinity(candidates, affinity_key, lambda state: state.load(now))
         return self._spread(service, candidates, now)
--- a/src/wharfcart/routing/eligibility.py
+++ b/src/wharfcart/routing/eligibility.py
@@ -21,11 +21,13 @@
         LEAVING: it takes no new requests.
         EVACUATED: the operator asks that nothing goes to its zone.
         OUTSIDE_RESIDENCE: the request's data may not be in its region.
+        COLD: it is cold, and the permit to send to it is old.
     """
 
     LEAVING = "leaving"
     EVACUATED = "evacuated"
     OUTSIDE_RESIDENCE = "outside_residence"
+    COLD = "cold"
 
 
 class Eligibility:
--- a/src/wharfcart/routing/forwarder.py
+++ b/src/wharfcart/routing/forwarder.py
@@ -28,6 +28,7 @@
 from wharfcart.platform import exchanges
 from wharfcart.routing.backend_choice import BackendChoice, InstanceState
 from wharfcart.routing.caller_request import AnswerCutError, AnswerSink, CallerRequest
+from wharfcart.routing.eligibility import RuledOut
 from wharfcart.routing.event_stream import EventSplitter
 from wharfcart.routing.placement import (
     NoSlotError,
@@ -48,6 +49,8 @@
 # A resumable stream is taken up elsewhere when nothing has come for so long.
 STREAM_PATIENCE_S = 1.6
 RETRY_AFTER_NO_BACKEND_S = 0.4
+# An operator takes an order to empty a zone back after seconds at the soonest.
+RETRY_AFTER_EVACUATED_S = 2.0
 # A slot is waited for until this part of the caller's patience is over.
 WAIT_SHARE_OF_PATIENCE = 0.5
 STATUS_TOO_MANY = 429
@@ -121,7 +124,7 @@
                 await self._refuse_over_limit(request, sink, progress, error)
                 return
             if placed is None:
-                progress.cause = progress.cause or "no_backend"
+                progress.cause = self._cause_of_no_backend(request, progress)
                 await self._give_up(request, sink, progress, STATUS_BAD_GATEWAY)
                 return
             state = placed.state
@@ -137,6 +140,11 @@
                 return
             self._told.retried(request, progress)
 
+    def _cause_of_no_backend(self, request: CallerRequest, progress: RequestProgress) -> str:
+        if self._choice.is_all_evacuated(request.service):
+            return RuledOut.EVACUATED.value
+        return progress.cause or "no_backend"
+
     def _may_repeat(
         self, request: CallerRequest, progress: RequestProgress, verdict: _Verdict
     ) -> bool:
@@ -163,7 +171,7 @@
         # Counted before the connection is made, so that a slot that was granted is seen as taken.
         use = self._choice.sent(state, monotonic(), request.unread_tokens)
         try:
-            return await self._connect_and_send(request, sink, progress, state, use)
+            return await self._connect_and_send(request, sink, progress, state, use, monotonic())
         finally:
             self._choice.ended(state, use)
             self._placement.ended(placed, progress.told)
@@ -175,6 +183,7 @@
         progress: RequestProgress,
         state: InstanceState,
         use: int,
+        placed_at: float,
     ) -> _Verdict | None:
         instance = state.instance
         try:
@@ -187,6 +196,11 @@
             progress.told = SendVerdict.BAD
             self._avoid(state, "connect")
             return _Verdict(False, "connect")
+        held_back = self._choice.held_back(state, placed_at, monotonic(), request.residence)
+        if held_back is not None:
+            # Costs no try: nothing was sent, and the back end had no part in it.
+            self._pool.give_back(instance, connection)
+            return _Verdict(False, held_back.value)
         try:
             verdict = await self._exchange(request, sink, progress, state, connection, use)
         except ConnectionBrokenError as error:
@@ -362,6 +376,8 @@
         retry_after_s = progress.retry_after_s
         if progress.cause == "no_backend":
             retry_after_s = RETRY_AFTER_NO_BACKEND_S
+        elif progress.cause == RuledOut.EVACUATED.value:
+            retry_after_s = RETRY_AFTER_EVACUATED_S
         self._told.ended(request, progress, "refused", STATUS_UNAVAILABLE)
         retry_after = (exchanges.RETRY_AFTER_HEADER, f"{retry_after_s:g}")
         await sink.whole(STATUS_UNAVAILABLE, [retry_after], b"")
--- a/src/wharfcart/routing/placement.py
+++ b/src/wharfcart/routing/placement.py
@@ -9,6 +9,10 @@
 from wharfcart.configuration.serving import RequestLimit
 from wharfcart.routing.backend_choice import BackendChoice, InstanceState
 
+# Told where a gateway that chooses by itself may not send to cold back ends: a cold back end warms
+# up within seconds, and a granting node is found again within tenths of one.
+RETRY_AFTER_COLD_S = 0.5
+
 
 @dataclass(frozen=True)
 class PlacementRequest:
@@ -120,15 +124,24 @@
         self._choice = choice
 
     async def place(self, request: PlacementRequest) -> Placed | None:
-        """Return where to send a request, or None where there is no back end."""
+        """Return where to send a request, or None where there is no back end.
+
+        Raises:
+            NoSlotError: all back ends are cold, and this gateway may send nothing there now.
+        """
+        now = monotonic()
         state = self._choice.choose(
             request.service,
-            monotonic(),
+            now,
             request.excluded,
             request.affinity_key,
             request.residence,
         )
-        return None if state is None else Placed(state, granted=False)
+        if state is not None:
+            return Placed(state, granted=False)
+        if self._choice.usable(request.service, now, request.excluded, residence=request.residence):
+            raise NoSlotError(RETRY_AFTER_COLD_S)
+        return None
 
     def ended(self, placed: Placed, verdict: SendVerdict) -> None:
         """Note that a request is no longer at its back end: the choice knows already."""
--- a/src/wharfcart/routing/request_log.py
+++ b/src/wharfcart/routing/request_log.py
@@ -38,6 +38,7 @@
             granted=placed.granted,
             waited_s=round(now - request.received_at, 4),
             sends=progress.sends,
+            cold=self._choice.is_cold(state, now),
             load=round(state.load(now), 2),
             load_age_s=round(min(now - state.others_at, MOST_AGE_S), 2),
             deadline_left_s=round(request.deadline - now, 3),
--- a/src/wharfcart/slots/granted_placement.py
+++ b/src/wharfcart/slots/granted_placement.py
@@ -163,7 +163,11 @@
         permit.taken()
         slot = session.hold(SlotUse(asked.number, grant.instance_id, asked.unread_tokens))
         state = self._choice.state(grant.instance_id)
-        if state is None or not state.instance.accepting or state.failed_lately(monotonic()):
+        if (
+            state is None
+            or self._choice.ruled_out(state, asked.residence)
+            or state.failed_lately(monotonic())
+        ):
             session.release(slot.number)
             return None
         return PlacedInSlot(state, True, slot)
--- a/src/wharfcart/slots/granter.py
+++ b/src/wharfcart/slots/granter.py
@@ -18,6 +18,7 @@
     InstanceState,
     by_affinity,
 )
+from wharfcart.routing.cold_rates import ColdBuckets, granted_rate
 from wharfcart.routing.send_rates import SendRates
 from wharfcart.slots.events import (
     BackendBlamed,
@@ -53,6 +54,8 @@
 # A new connection takes a round trip and a moment of the back end; a back end runs a request hardly
 # slower beside two more of eight, which this share of its slots comes to.
 NEW_CONNECTION_COST = 0.25
+# A cold back end takes what no warm one has a slot for: it costs more than a full warm one.
+COLD_COST = 2.0
 # An item that must leave within this time has cost more than it has done.
 RESTART_COST_S = 0.06
 # A slot is taken for about so long: tells when one is likely to come free.
@@ -100,10 +103,12 @@
     Attributes:
         choice: what is known of all back ends.
         owns: which of them are granted here.
+        leads_surely: whether no other node can grant yet.
     """
 
     choice: BackendChoice
     owns: Callable[[BackendInstance], bool]
+    leads_surely: Callable[[], bool] = lambda: True
     _ledger: SlotLedger = field(default_factory=SlotLedger)
     _queue: SlotQueue = field(default_factory=SlotQueue)
     _asked_by_place: dict[int, SlotAsked] = field(default_factory=dict)  # by place in the queue
@@ -112,6 +117,7 @@
     _offers: dict[tuple[SessionKey, str], int] = field(default_factory=dict)
     _next_offer: int = FIRST_OFFER
     _rates: SendRates = field(default_factory=SendRates)
+    _cold_buckets: ColdBuckets = field(default_factory=ColdBuckets)
     _usable_by_service: dict[str, tuple[float, list[InstanceState]]] = field(default_factory=dict)
 
     # ---- events ----
@@ -145,6 +151,7 @@
 
     def tick(self, now: float) -> list[SlotInstruction]:
         """Do what time alone brings: refuse who waited long enough, try again what was avoided."""
+        self._fill_cold_buckets(now)
         refused = [
             self._refuse(asked, RefusalCause.WAITED, now)
             for asked in list(self._asked_by_place.values())
@@ -261,6 +268,7 @@
         return self._hand_out(now)
 
     def _has_room(self, candidates: list[InstanceState], manner: Manner, now: float) -> bool:
+        candidates = self._bearing(candidates, now)
         if any(self._has_free_slot(state) for state in candidates):
             return True
         if manner is Manner.FREE:
@@ -271,13 +279,14 @@
         self, asked: SlotAsked, candidates: list[InstanceState], now: float
     ) -> list[SlotInstruction]:
         """Give a request the best slot; an item leaves where none is free."""
-        state = self._best(asked, candidates, now)
+        state = self._best(asked, self._bearing(candidates, now), now)
         instructions: list[SlotInstruction] = []
         if not self._has_free_slot(state):
             leaving = next(iter(self._yielding(state, now)), None)
             if leaving is not None:
                 instructions.append(self._have_leave(leaving, LeaveCause.GRANTED))
         use = SlotUse(asked.number, state.instance.instance_id, asked.unread_tokens)
+        self._cold_buckets.take(use.instance_id)
         self._ledger.take(asked.session, use, now)
         self._rates.sent(asked.service, now)
         instructions.append(Granted(asked.session, asked.number, use.instance_id))
@@ -287,7 +296,9 @@
         """Return where a request goes: a free slot, then one that an item gives up, then any."""
         if asked.affinity_key:
             return by_affinity(
-                candidates, asked.affinity_key, lambda state: self._load_without_items(state, now)
+                self._warm_with_room(candidates, now) or candidates,
+                asked.affinity_key,
+                lambda state: self._load_without_items(state, now),
             )
         zone = self._ledger.zone(asked.session)
 
@@ -306,11 +317,11 @@
         waiting = self._waiting_by_slot.get(key)
         if waiting is not None:
             self._leave_queue(key, waiting)
-        slots = sum(
-            state.instance.slots for state in self._candidates(asked.service, frozenset(), now)
-        )
+        candidates = self._candidates(asked.service, frozenset(), now)
+        slots = sum(state.instance.slots for state in candidates)
         others = self._queue.count(asked.service)
-        retry_after_s = SLOT_TURNOVER_S * (1 + others) / max(1, slots)
+        per_s = sum(self._turnover_per_s(state, now) for state in candidates)
+        retry_after_s = (1 + others) / max(1.0, per_s)
         retry_after_s = min(MOST_RETRY_AFTER_S, max(FEWEST_RETRY_AFTER_S, retry_after_s))
         return Refused(asked.session, asked.number, cause, retry_after_s, others, slots)
 
@@ -330,9 +341,13 @@
             while (waiting := self._queue.next(service, now)) is not None:
                 asked = self._asked_by_place[waiting.number]
                 candidates = self._candidates(service, asked.excluded, now)
-                if not self._has_room(candidates, Manner.WAIT, now):
+                if candidates and not self._has_room(candidates, Manner.WAIT, now):
                     break
                 self._leave_queue((asked.session, asked.number), waiting)
+                if not candidates:
+                    # Its back ends are gone or were emptied while it waited: others may have some.
+                    yield NoneHere(asked.session, asked.number)
+                    continue
                 yield from self._grant(asked, candidates, now)
 
     # ---- batch items ----
@@ -361,15 +376,18 @@
         waiting = self._in_order(service, now)
         if not waiting:
             return None
-        candidates = self._candidates(service, frozenset(), now)
+        candidates = self._bearing(self._candidates(service, frozenset(), now), now)
         free = [state for state in candidates if self._has_free_slot(state)]
         if not free:
             return None
+        warm = [state for state in free if not self.choice.is_cold(state, now)]
         held_back = bool(self._queue.count(service)) or not self._worth_starting(service, now)
         for key, demand in waiting:
             if held_back and not demand.urgent:
                 continue
-            state = self._emptiest(free, demand.told.excluded, now)
+            state = self._emptiest(warm, demand.told.excluded, now)
+            if state is None and demand.urgent:
+                state = self._emptiest(free, demand.told.excluded, now)
             if state is not None:
                 return self._offer(key, demand, state, now)
         return None
@@ -400,6 +418,7 @@
         number = SlotNumber(self._next_offer)
         self._next_offer += 1
         use = SlotUse(number, state.instance.instance_id, item=demand.first(now))
+        self._cold_buckets.take(use.instance_id)
         self._ledger.take(session, use, now)
         demand.offered += 1
         self._offers[key] = self._offers.get(key, 0) + 1
@@ -442,6 +461,48 @@
         self._ledger.item_leaves(slot)
         return ItemMustLeave(slot.session, slot.use.number, cause)
 
+    # ---- cold back ends ----
+
+    def _bearing(self, candidates: list[InstanceState], now: float) -> list[InstanceState]:
+        """Return the back ends that bear one more request now: of cold ones, by their rate."""
+        if not self.choice.cold.any_cold(now):
+            return candidates
+        return [state for state in candidates if self._bears_one_more(state, now)]
+
+    def _bears_one_more(self, state: InstanceState, now: float) -> bool:
+        per_s = self._cold_rate(state, now)
+        return per_s is None or self._cold_buckets.allows(state.instance.instance_id, per_s, now)
+
+    def _cold_rate(self, state: InstanceState, now: float) -> float | None:
+        """Return the requests a second that a back end is granted; None for one that is warm."""
+        limit = self.choice.cold_limit(state.instance.service)
+        if limit is None or not self.choice.is_cold(state, now):
+            return None
+        return granted_rate(limit, self.leads_surely())
+
+    def _warm_with_room(self, candidates: list[InstanceState], now: float) -> list[InstanceState]:
+        """Return the back ends that are warm and have a slot; all while none is cold."""
+        if not self.choice.cold.any_cold(now):
+            return candidates
+        return [
+            state
+            for state in candidates
+            if not self.choice.is_cold(state, now) and self._has_free_slot(state)
+        ]
+
+    def _fill_cold_buckets(self, now: float) -> None:
+        """Have the buckets of cold back ends fill from the time on at which they turned cold."""
+        cold = [state for state in self.choice.cold_states(now) if self.owns(state.instance)]
+        self._cold_buckets.keep_only({state.instance.instance_id for state in cold})
+        for state in cold:
+            self._bears_one_more(state, now)
+
+    def _turnover_per_s(self, state: InstanceState, now: float) -> float:
+        """Return about how many slots of a back end come free in a second."""
+        by_slots = state.instance.slots / SLOT_TURNOVER_S
+        cold_rate = self._cold_rate(state, now)
+        return by_slots if cold_rate is None else min(by_slots, cold_rate)
+
     # ---- load ----
 
     def _candidates(
@@ -475,15 +536,22 @@
 
     def _free_slots(self, service: str, now: float) -> int:
         return sum(
-            max(0, state.instance.slots - self._ledger.in_use(state.instance.instance_id))
-            for state in self._candidates(service, frozenset(), now)
+            self._free_slots_of(state, now) for state in self._candidates(service, frozenset(), now)
         )
 
+    def _free_slots_of(self, state: InstanceState, now: float) -> int:
+        """Return how many requests a back end can take at once."""
+        free = max(0, state.instance.slots - self._ledger.in_use(state.instance.instance_id))
+        if self._cold_rate(state, now) is None:
+            return free
+        return min(free, int(self._bears_one_more(state, now)))
+
     def _cost(self, state: InstanceState, zone: str, now: float) -> float:
         """Return how little a back end suits a request from a zone; '' for no zone."""
         distance = self.choice.distance_cost(zone, state.instance.zone) if zone else 0.0
         unread = self._ledger.unread_tokens(state.instance.instance_id, now)
-        return self._load(state) + distance + unread / TOKENS_A_FULL_LOAD
+        cold = COLD_COST if self.choice.is_cold(state, now) else 0.0
+        return self._load(state) + distance + unread / TOKENS_A_FULL_LOAD + cold
 
     def _load_of(self, state: InstanceState, now: float) -> BackendLoad:
         instance_id = state.instance.instance_id
@@ -510,7 +578,8 @@
     def _room_of(self, service: str, now: float) -> ServiceRoom:
         candidates = self._candidates(service, frozenset(), now)
         yielding = sum(
-            self._ledger.staying_items(state.instance.instance_id) for state in candidates
+            self._ledger.staying_items(state.instance.instance_id)
+            for state in self._bearing(candidates, now)
         )
         return ServiceRoom(
             service,
--- a/src/wharfcart/slots/leftover_runs.py
+++ b/src/wharfcart/slots/leftover_runs.py
@@ -34,6 +34,7 @@
         pool: connections to back ends.
         connection_limit: of one back end, by service.
         log: tells what was found.
+        may_ask: whether anything may be sent to a back end.
     """
 
     def __init__(
@@ -42,7 +43,9 @@
         pool: ConnectionPool,
         connection_limit: Callable[[str], int],
         log: DecisionLog,
+        may_ask: Callable[[BackendInstance], bool] = lambda _instance: True,
     ) -> None:
+        self._may_ask = may_ask
         self._group = group
         self._pool = pool
         self._connection_limit = connection_limit
@@ -79,8 +82,10 @@
         found: dict[str, int] = {}
 
         async def ask(instance: BackendInstance) -> None:
-            async with limiter:
-                present = await self._ask(instance)
+            present = None
+            if self._may_ask(instance):
+                async with limiter:
+                    present = await self._ask(instance)
             # A back end that does not answer takes nothing for now: it is left to the granter.
             leftover = granter.backend_reported(instance.instance_id, present or 0)
             if leftover:
--- a/src/wharfcart/slots/service.py
+++ b/src/wharfcart/slots/service.py
@@ -158,7 +158,7 @@
 
     def new_granter(self) -> SlotGranter:
         """Return the decisions of a new leadership."""
-        return SlotGranter(self._choice, self._owns)
+        return SlotGranter(self._choice, self._owns, self._leads_freshly)
 
     def end(self) -> None:
         """Grant no longer: another node does."""
--- a/tests/batch/test_job_execution.py
+++ b/tests/batch/test_job_execution.py
@@ -329,6 +329,28 @@
     play(scenario)
 
 
+def test_an_offer_in_a_zone_that_was_emptied_meanwhile_is_given_back() -> None:
+    async def scenario(bench: Bench) -> None:
+        take = bench.slots.on_offer
+
+        def take_later(slot: ItemSlot) -> None:
+            bench.choice.eligibility.evacuated_zones = frozenset({"z"})
+            take(slot)
+
+        bench.slots.on_offer = take_later
+        bench.submit("j", 2)
+        await bench.settle()
+        assert not bench.runner.running
+        assert not bench.slots.granter.picture(asyncio.get_running_loop().time()).backends
+        bench.slots.on_offer = take
+        bench.choice.eligibility.evacuated_zones = frozenset()
+        async with asyncio.timeout(5.0):
+            while len(bench.runner.running) < 2:
+                await bench.settle()
+
+    play(scenario)
+
+
 def test_an_item_goes_elsewhere_after_it_has_failed_at_a_back_end() -> None:
     async def scenario(bench: Bench) -> None:
         bench.submit("j", 1)
--- a/tests/node/test_serving_node.py
+++ b/tests/node/test_serving_node.py
@@ -1,9 +1,11 @@
 """What a node believes of back ends, and what it logs when that changes."""
 
 import json
+from time import monotonic
 from typing import Any
 
-from wharfcart.cluster.coordination import Change
+from wharfcart.cluster.coordination import Change, Changes
+from wharfcart.configuration.serving import ColdLimit
 from wharfcart.node.serving_node import ServingNode
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.platform import names
@@ -61,3 +63,82 @@
         node._on_changes([entry(1, "ready")])
         node._on_changes([Change(names.SERVER_PREFIX + "i-1", 3, None, last)])
         assert log.lines[-1][1]["drained"] is drained
+
+
+def order(zone: str, revision: int, given_back: bool = False) -> Change:
+    return Change(names.EVACUATE_PREFIX + zone, revision, None if given_back else b"{}")
+
+
+def in_zone(revision: int, zone: str, instance_id: str, cold_ms: int = 0) -> Change:
+    value = {
+        "backend": "lm",
+        "address": "127.0.0.1:1",
+        "slots": 4,
+        "state": "ready",
+        "zone": zone,
+        "warmupLeftMs": cold_ms,
+    }
+    return Change(names.SERVER_PREFIX + instance_id, revision, json.dumps(value).encode())
+
+
+def accepting(node: ServingNode) -> list[str]:
+    return [state.instance.instance_id for state in node.choice.accepting("lm", monotonic())]
+
+
+def test_a_zone_is_emptied_in_the_step_in_which_the_order_comes_until_it_is_taken_back() -> None:
+    node, log = node_and_log()
+    node._on_changes([in_zone(1, "a", "i-a"), in_zone(2, "b", "i-b")])
+    node._on_changes([order("a", 3)])
+    assert accepting(node) == ["i-b"]
+    node._on_changes([order("b", 4), order("a", 5, given_back=True)])
+    assert accepting(node) == ["i-a"]
+    events = [event for event, _ in log.lines if event.name.startswith("EVACUATION")]
+    assert events == [Event.EVACUATION_BEGUN, Event.EVACUATION_BEGUN, Event.EVACUATION_ENDED]
+
+
+def test_a_node_that_starts_while_a_zone_is_emptied_knows_it_with_its_first_back_ends() -> None:
+    node, _ = node_and_log()
+    listing = Changes((in_zone(1, "a", "i-a"), order("a", 2)), at=3, complete=True)
+    node._on_changes(node.mirror.apply(listing))
+    assert accepting(node) == []
+
+
+def test_an_order_that_was_taken_back_while_the_node_was_cut_off_ends_with_the_next_listing() -> (
+    None
+):
+    node, _ = node_and_log()
+    node.choice.cold.limits = {"lm": ColdLimit(4.0, 3.0)}
+    node._on_changes(node.mirror.apply(Changes((in_zone(1, "a", "i-a"), order("a", 2)), at=3)))
+    listing = Changes((in_zone(1, "a", "i-a"),), at=9, complete=True)
+    node._on_changes(node.mirror.apply(listing))
+    assert accepting(node) == ["i-a"]
+    # It may have turned cold before: its entry is older than the order's end.
+    assert len(node.choice.cold_states(monotonic())) == 1
+    node._on_changes([in_zone(10, "a", "i-a")])
+    assert not node.choice.cold_states(monotonic())
+
+
+def test_an_emptied_zone_is_told_to_be_quiet_once_nothing_of_this_node_runs_there() -> None:
+    node, log = node_and_log()
+    node._on_changes([in_zone(1, "a", "i-a")])
+    state = node.choice.state("i-a")
+    assert state is not None
+    use = node.choice.sent(state, monotonic())
+    node._on_changes([order("a", 2)])
+    node._evacuations.look(monotonic())
+    assert b'in_flight{zone="a"} 1.0' in node.metrics.render()
+    node.choice.ended(state, use)
+    for _ in range(2):
+        node._evacuations.look(monotonic())
+    assert [event for event, _ in log.lines].count(Event.EVACUATION_QUIET) == 1
+    assert b'in_flight{zone="a"} 0.0' in node.metrics.render()
+
+
+def test_a_back_end_that_tells_it_is_cold_is_logged_and_warm_again_when_it_says_so() -> None:
+    node, log = node_and_log()
+    node.choice.cold.limits = {"lm": ColdLimit(4.0, 3.0)}
+    node._on_changes([in_zone(1, "a", "i-a", cold_ms=60_000)])
+    assert log.lines[-1][0] is Event.BACKEND_COLD
+    assert len(node.choice.cold_states(monotonic())) == 1
+    node._on_changes([in_zone(2, "a", "i-a")])
+    assert not node.choice.cold_states(monotonic())
