--- a/src/wharfcart/emulator/model_server.py
+++ b/src/wharfcart/emulator/model_server.py
@@ -4,7 +4,7 @@
 """
 
 import asyncio
-from collections import Counter
+from collections import Counter, deque
 from dataclasses import dataclass
 from time import monotonic
 
@@ -15,7 +15,11 @@
 from wharfcart.platform import names
 
 STATUS_WRONG_INSTANCE = 421
+STATUS_FELL_OVER = 500
 STREAM_TYPE = "text/event-stream"
+# A cold server fails above so many requests in a second: its rate times this, and some more.
+BORNE_TIMES = 1.5
+BORNE_MORE = 5.0
 
 
 @dataclass(frozen=True)
@@ -44,6 +48,9 @@
     ----------
     events: number of events of each stream; 0 answers whole bodies.
     event_s: time between events, or of a whole answer.
+
+    Attributes:
+        overruns: requests above what it bore while it was cold.
     """
 
     def __init__(
@@ -56,6 +63,10 @@
         self.failing_ids: dict[str, int] = {}
         self.fails_with: int | None = None  # status of every answer
         self.silent = False
+        self.overruns = 0
+        self._cold_until = 0.0
+        self._cold_per_s = 0.0
+        self._arrivals: deque[float] = deque()  # of the last second, while it is cold
         self.switch = FaultSwitch(1)
         self._events = events
         self._event_s = event_s
@@ -67,6 +78,17 @@
         app.router.add_route("*", "/{path:.*}", self._handle)
         self.server = WebServer(app)
 
+    def turn_cold(self, seconds: float, per_s: float) -> None:
+        """Be cold for a while, and bear only so many requests a second."""
+        self._cold_until = monotonic() + seconds
+        self._cold_per_s = per_s
+        self._arrivals.clear()
+
+    @property
+    def cold_ms(self) -> int:
+        """How much longer it is cold, in milliseconds; 0 if it is not."""
+        return max(0, round((self._cold_until - monotonic()) * 1000))
+
     def entry(self, service: str, zone: str, state: str = "ready") -> dict[str, object]:
         """Return what this server writes into the metadata store."""
         return {
@@ -76,7 +98,7 @@
             "version": "v1",
             "slots": self._slot_count,
             "state": state,
-            "warmupLeftMs": 0,
+            "warmupLeftMs": self.cold_ms,
             "sequence": 1,
         }
 
@@ -84,11 +106,15 @@
         if request.path == names.REPORT_PATH:
             running = min(self._present, self._slot_count)
             waiting = self._present - running
-            return web.json_response({"activeRequests": running, "queuedRequests": waiting})
+            report = {"activeRequests": running, "queuedRequests": waiting}
+            return web.json_response(report, headers={names.COLD_MS: str(self.cold_ms)})
         request_id = request.headers.get(names.REQUEST_ID, "")
         wanted = request.headers.get(names.EXPECT_INSTANCE, self.instance_id)
         if wanted != self.instance_id:
             return self._not_run(STATUS_WRONG_INSTANCE, request_id)
+        if self._falls_over():
+            self.overruns += 1
+            return web.Response(status=STATUS_FELL_OVER, headers=self._head(request_id))
         if self._present >= self._slot_count + self._queue:
             return self._not_run(503, request_id)
         await request.read()
@@ -104,6 +130,16 @@
         finally:
             self._present -= 1
 
+    def _falls_over(self) -> bool:
+        """Count a request that arrives; tell whether it is more than a cold server bears."""
+        now = monotonic()
+        if now >= self._cold_until:
+            return False
+        self._arrivals.append(now)
+        while now - self._arrivals[0] >= 1.0:
+            self._arrivals.popleft()
+        return len(self._arrivals) > BORNE_TIMES * self._cold_per_s + BORNE_MORE
+
     async def _run(self, request: web.Request, request_id: str) -> web.StreamResponse:
         first = int(request.headers.get(names.LAST_EVENT_ID, "-1")) + 1
         deadline_ms = int(request.headers.get(names.DEADLINE_MS, "0"))
--- /dev/null
+++ b/tests/emulator/test_model_server.py
@@ -0,0 +1,33 @@
+"""The emulated server while it is cold."""
+
+import asyncio
+
+import aiohttp
+
+from wharfcart.emulator.model_server import BORNE_MORE, BORNE_TIMES, ModelServer
+from wharfcart.platform import names
+
+
+def test_a_cold_server_tells_it_and_fails_above_what_it_bears() -> None:
+    async def scenario() -> None:
+        server = ModelServer("i", 0, 0.0, slots=100)
+        await server.server.start("127.0.0.1", 0)
+        url = f"http://{server.server.address}"
+        borne = int(BORNE_TIMES * 2.0 + BORNE_MORE)
+        async with aiohttp.ClientSession() as client:
+            assert server.entry("s", "z")["warmupLeftMs"] == 0
+            server.turn_cold(60.0, 2.0)
+            assert 0 < int(str(server.entry("s", "z")["warmupLeftMs"])) <= 60_000
+            async with client.get(url + names.REPORT_PATH) as report:
+                assert int(report.headers[names.COLD_MS]) > 0
+            statuses = []
+            for _ in range(borne + 3):
+                async with client.post(url + "/x") as answer:
+                    statuses.append(answer.status)
+            async with client.post(url + "/x", headers={names.EXPECT_INSTANCE: "other"}) as answer:
+                assert answer.status == 421
+        await server.server.stop()
+        assert statuses == [200] * borne + [500] * 3
+        assert server.overruns == 3
+
+    asyncio.run(asyncio.wait_for(scenario(), 20))
