Merge main (emptied zones, cold back ends) into homes

Conflicts: candidates are those of the residence that bear one more; a line of the queue whose back ends are gone is told so, one that is full is passed over; an item goes to a warm back end in its regions unless it is urgent; why there is no back end: all emptied, then what the last try told, then outside_residence.

--- a/src/wharfcart/routing/forwarder.py
+++ b/src/wharfcart/routing/forwarder.py
@@ -56,6 +56,8 @@
 # Back ends in the only regions where it may be are not reached.
 REGION_UNREACHABLE = "region_unreachable"
 NO_BACKEND_CAUSES = ("no_backend", OUTSIDE_RESIDENCE, REGION_UNREACHABLE)
+# An operator takes an order to empty a zone back after seconds at the soonest.
+RETRY_AFTER_EVACUATED_S = 2.0
 # A slot is waited for until this part of the caller's patience is over.
 WAIT_SHARE_OF_PATIENCE = 0.5
 STATUS_TOO_MANY = 429
@@ -134,7 +136,7 @@
                 await self._refuse_over_limit(request, sink, progress, error)
                 return
             if placed is None:
-                progress.cause = progress.cause or self._cause_of_none(request)
+                progress.cause = self._cause_of_no_backend(request, progress)
                 await self._give_up(request, sink, progress, STATUS_BAD_GATEWAY)
                 return
             state = placed.state
@@ -160,8 +162,11 @@
     def _region_of(self, state: InstanceState) -> RegionName | None:
         return self._choice.eligibility.topology.region(state.instance.zone)
 
-    def _cause_of_none(self, request: CallerRequest) -> str:
-        """Return why a request has no back end to go to."""
+    def _cause_of_no_backend(self, request: CallerRequest, progress: RequestProgress) -> str:
+        if self._choice.is_all_evacuated(request.service):
+            return RuledOut.EVACUATED.value
+        if progress.cause:
+            return progress.cause
         elsewhere = request.residence.is_bound and self._choice.accepting(
             request.service, monotonic()
         )
@@ -193,7 +198,7 @@
         # Counted before the connection is made, so that a slot that was granted is seen as taken.
         use = self._choice.sent(state, monotonic(), request.unread_tokens)
         try:
-            return await self._connect_and_send(request, sink, progress, state, use)
+            return await self._connect_and_send(request, sink, progress, state, use, monotonic())
         finally:
             self._choice.ended(state, use)
             self._placement.ended(placed, progress.told)
@@ -205,6 +210,7 @@
         progress: RequestProgress,
         state: InstanceState,
         use: int,
+        placed_at: float,
     ) -> _Verdict | None:
         instance = state.instance
         try:
@@ -218,6 +224,11 @@
             self._reach.failed(self._region_of(state), instance.instance_id, monotonic())
             self._avoid(state, "connect")
             return _Verdict(False, "connect")
+        held_back = self._choice.held_back(state, placed_at, monotonic(), request.residence)
+        if held_back is not None:
+            # Costs no try: nothing was sent, and the back end had no part in it.
+            self._pool.give_back(instance, connection)
+            return _Verdict(False, held_back.value)
         try:
             verdict = await self._exchange(request, sink, progress, state, connection, use)
         except ConnectionBrokenError as error:
@@ -398,6 +409,8 @@
         retry_after_s = progress.retry_after_s
         if progress.cause in NO_BACKEND_CAUSES:
             retry_after_s = RETRY_AFTER_NO_BACKEND_S
+        elif progress.cause == RuledOut.EVACUATED.value:
+            retry_after_s = RETRY_AFTER_EVACUATED_S
         self._told.ended(request, progress, "refused", STATUS_UNAVAILABLE)
         retry_after = (exchanges.RETRY_AFTER_HEADER, f"{retry_after_s:g}")
         await sink.whole(STATUS_UNAVAILABLE, [retry_after], b"")
--- a/src/wharfcart/slots/granted_placement.py
+++ b/src/wharfcart/slots/granted_placement.py
@@ -8,7 +8,7 @@
 from wharfcart.cluster.topology import Distance
 from wharfcart.configuration.residence import Residence
 from wharfcart.observability.decisions import Counter
-from wharfcart.routing.backend_choice import BackendChoice, InstanceState
+from wharfcart.routing.backend_choice import BackendChoice
 from wharfcart.routing.placement import (
     LocalPlacement,
     NoSlotError,
@@ -168,15 +168,15 @@
         permit.taken()
         slot = session.hold(SlotUse(asked.number, grant.instance_id, asked.unread_tokens))
         state = self._choice.state(grant.instance_id)
-        if state is None or state.failed_lately(monotonic()) or self._ruled_out(state, asked):
+        if (
+            state is None
+            or self._choice.ruled_out(state, asked.residence)
+            or state.failed_lately(monotonic())
+        ):
             session.release(slot.number)
             return None
         return PlacedInSlot(state, True, slot)
 
-    def _ruled_out(self, state: InstanceState, asked: SlotAsked) -> bool:
-        """Whether this gateway itself knows that a request must not go to a back end."""
-        return self._choice.eligibility.ruled_out(state.instance, asked.residence) is not None
-
     async def _place_by_own_choice(self, request: PlacementRequest) -> Placed | None:
         placed = await self._local.place(request)
         if placed is None:
