Shares of cold back ends are drawn by the number of gateways, which is known

Cause: a gateway that chooses by itself ranked itself among the ids of all gateways; gateways announce themselves to nobody, so that on a real fleet the list is empty and every gateway had a share at every cold back end: 61 x 0.1 of its rate and 61 requests saved. Read in review; the property test hands the ids in.

Change: the lot is drawn against the number of gateways that granting nodes tell, and against 512 while it is not known; one gateway a back end on the mean in place of two. Tests: 10, 60 and 410 gateways at 300 back ends: at most 6 share one, one on the mean; 60 gateways that know no number have under 60 shares at 300 back ends.

Ruled out: sending nothing to cold back ends by own choice (simpler; a cut-off gateway would refuse everything while all are cold).

--- a/src/wharfcart/node/gateway_process.py
+++ b/src/wharfcart/node/gateway_process.py
@@ -63,9 +63,7 @@
             settings.cluster_address,
         )
         self._node.fleet_size = self._sessions.holders
-        self._node.choice.own_cold_shares = OwnColdShares(
-            settings.node_id, lambda: self._node.gateway_ids
-        )
+        self._node.choice.own_cold_shares = OwnColdShares(settings.node_id, self._sessions.holders)
         self._relays = PermitRelays(self._node.transport, self._sessions.relays)
         self._node.handle_other = self._handle
         placement = GrantedPlacement(
--- a/src/wharfcart/node/serving_node.py
+++ b/src/wharfcart/node/serving_node.py
@@ -144,11 +144,6 @@
         """Return the limit of a tenant's requests; None for no limit."""
         return None if self.configuration is None else self.configuration.limit_of(tenant)
 
-    @property
-    def gateway_ids(self) -> list[str]:
-        """Return the gateways of the fleet, as far as this node knows."""
-        return [key for key, node in self.nodes.items() if node.kind == NodeKind.GATEWAY]
-
     # ---- the job groups ----
 
     @property
--- a/src/wharfcart/routing/cold_rates.py
+++ b/src/wharfcart/routing/cold_rates.py
@@ -5,13 +5,15 @@
 rate, so that their sum stays within it whatever is lost:
 
 * The node that grants its slots keeps a token bucket (:class:`ColdBuckets`) for all holders.
-* A gateway that chooses by itself has a share only at a few back ends, drawn by hash: few gateways
-  share one back end, so that a fleet of them, each with a token saved, can't meet there.
+* A gateway that chooses by itself has a share only at a few back ends, drawn by lot: hardly any
+  gateways share one back end, so that a fleet of them, each with a token saved, can't meet there.
 
 What may arrive in any second, with a rate of r: granted by a node that surely leads 0.85 r, by
-one that may have been replaced 0.15 r, by own choices 0.2 r. That is 1.2 r, and since a request may
-arrive up to ``PERMIT_KEPT_S`` after it was permitted, 1.2 times that, 1.44 r; and what two granting
-nodes and two gateways have saved, 5. A back end is taken to fail above 1.5 r + 5.
+one that may have been replaced 0.15 r, by each gateway that has a share 0.1 r. With two of these
+that is 1.2 r, and since a request may arrive up to ``PERMIT_KEPT_S`` after it was permitted, 1.2
+times that, 1.44 r; and what two granting nodes and two gateways have saved, 5. A back end is taken
+to fail above 1.5 r + 5. The lot gives a back end one gateway on the mean, and more than two in 8 of
+100: the bound is passed only if two nodes grant and all these gateways are cut off besides.
 
 Pure: time is handed in as seconds.
 """
@@ -26,9 +28,12 @@
 # Parts of the rate; the sum is explained above.
 GRANTED_SHARE = 0.85
 UNSURE_SHARE = 0.15
-OWN_CHOICE_SHARE = 0.2
-# Gateways that may choose one cold back end by themselves. Two, as one of them may be gone.
-GATEWAYS_A_BACKEND = 2
+OWN_CHOICE_SHARE = 0.1
+# Gateways that may choose one cold back end by themselves, on the mean.
+GATEWAYS_A_BACKEND = 1
+# A fleet is taken for this large while it is not known how many gateways it has.
+MOST_GATEWAYS = 512
+LOTS = 1 << 64
 # A bucket saves no more than this: so many more may meet in a second. What a granting node saves
 # beyond one token makes up for its buckets being looked at only as requests and ticks come.
 GRANTED_MOST_SAVED = 1.5
@@ -167,12 +172,12 @@
 
     Args:
         own_id: of this gateway.
-        gateway_ids: of all gateways, as far as it knows.
+        gateways: how many there are; 0 while that is not known.
     """
 
-    def __init__(self, own_id: str, gateway_ids: Callable[[], Collection[str]]) -> None:
+    def __init__(self, own_id: str, gateways: Callable[[], int]) -> None:
         self._own_id = own_id
-        self._gateway_ids = gateway_ids
+        self._gateways = gateways
         self._buckets = ColdBuckets(OWN_MOST_SAVED)
 
     def allows(self, instance_id: str, limit: ColdLimit, now: float) -> bool:
@@ -191,14 +196,8 @@
 
     def _has_share(self, instance_id: str) -> bool:
         """Whether this gateway is one of the few that may choose a back end while it is cold."""
-        own_rank = _rank(self._own_id, instance_id)
-        before = 0
-        for gateway_id in self._gateway_ids():
-            if gateway_id != self._own_id and _rank(gateway_id, instance_id) < own_rank:
-                before += 1
-                if before >= GATEWAYS_A_BACKEND:
-                    return False
-        return True
+        lot = xxhash.xxh64_intdigest(f"{self._own_id}/{instance_id}".encode())
+        return lot * (self._gateways() or MOST_GATEWAYS) < GATEWAYS_A_BACKEND * LOTS
 
 
 def granted_rate(limit: ColdLimit, surely: bool) -> float:
@@ -212,8 +211,4 @@
 
 
 def _own_rate(limit: ColdLimit) -> float:
-    return limit.requests_per_s * OWN_CHOICE_SHARE / GATEWAYS_A_BACKEND
-
-
-def _rank(gateway_id: str, instance_id: str) -> int:
-    return xxhash.xxh64_intdigest(f"{gateway_id}/{instance_id}".encode())
+    return limit.requests_per_s * OWN_CHOICE_SHARE
