Who led a job group before leads it again at its first look

Cause: after a loss of all power the group's record still names the node that led. Its next life looked after one or two ticks, asked the other replicas whether they hear a leader, and where these had not started yet it tried again 0.3 to 0.6 s later. Nobody can be unseated while the record names the node itself: the swap of the record, which follows a fresh read, decides.

Change: the first look comes at once; such a node asks nobody. The others keep their silence as before.

--- a/src/wharfcart/storage/job_group.py
+++ b/src/wharfcart/storage/job_group.py
@@ -242,19 +242,22 @@
 
     async def _run(self) -> None:
         while True:
-            await asyncio.sleep(TICK_S)
             record = self.record
-            if record is not None and record.epoch > self._known_epoch:
-                self._known_epoch = record.epoch
-                self._epoch_since = monotonic()
-            if record is None:
-                continue
-            if self.leadership is not None:
-                self._check_still_leading(record)
-            elif record.leader == self._context.identity and record.epoch > self._last_led:
-                await self._lead(record)
-            elif self._must_contest(record):
-                await self._contest()
+            if record is not None:
+                await self._follow_record(record)
+            await asyncio.sleep(TICK_S)
+
+    async def _follow_record(self, record: GroupRecord) -> None:
+        """Lead, step down or ask to be elected, as the record has it."""
+        if record.epoch > self._known_epoch:
+            self._known_epoch = record.epoch
+            self._epoch_since = monotonic()
+        if self.leadership is not None:
+            self._check_still_leading(record)
+        elif record.leader == self._context.identity and record.epoch > self._last_led:
+            await self._lead(record)
+        elif self._must_contest(record):
+            await self._contest()
 
     def _check_still_leading(self, record: GroupRecord) -> None:
         assert self.leadership is not None
@@ -265,12 +268,13 @@
         if self._stopping or self._context.identity not in record.members:
             return False
         now = monotonic()
-        # Whoever has just been elected needs a moment to be heard.
-        silent_s = now - max(self._heard_leader_at, self._started_at, self._epoch_since)
         if now < self._contest_at:
             return False
         if record.leader == self._context.identity:
-            return silent_s > TICK_S  # an earlier life of this process led
+            # An earlier life of this process led: nobody else has to fall silent first.
+            return now - self._heard_leader_at > TICK_S
+        # Whoever has just been elected needs a moment to be heard.
+        silent_s = now - max(self._heard_leader_at, self._started_at, self._epoch_since)
         if silent_s <= SILENCE_S:
             return False
         # The nearest first: a leader in another region grants its slots a round trip late.
@@ -281,7 +285,11 @@
         began_at = monotonic()
         self._contest_at = began_at + CONTEST_RETRY_S * (1 + self._context.random.random())
         known = self.record
-        if known is None or not await self._others_agree(known):
+        if known is None:
+            return
+        # While the record names this node there is no other leader that could be unseated.
+        led_before = known.leader == self._context.identity
+        if not led_before and not await self._others_agree(known):
             return
         try:
             record = await self.records.read()
--- a/tests/storage/test_job_group.py
+++ b/tests/storage/test_job_group.py
@@ -147,6 +147,29 @@
     play(scenario)
 
 
+@pytest.mark.parametrize("seed", range(10))
+def test_who_led_before_leads_again_as_soon_as_enough_replicas_are_back(seed: int) -> None:
+    """It is back first, and does not wait for a second look or for another try later."""
+
+    async def scenario() -> None:
+        fleet = Fleet(seed=seed)
+        await fleet.start()
+        await fleet.submit("a")
+        before = await fleet.until_led()
+        for node in fleet.nodes.values():
+            node.kill()
+        await asyncio.sleep(1.5)
+        await before.start()
+        await asyncio.sleep(0.25)  # what it asks of the others now fails
+        for node in fleet.nodes.values():
+            if node is not before:
+                await node.start()
+        assert await fleet.until_led(0.1) is before
+        assert await fleet.readable("a")
+
+    play(scenario)
+
+
 def test_a_lost_leader_is_replaced() -> None:
     async def scenario() -> None:
         fleet = Fleet()
