A peer that is not among the readers is left for one that is

Cause: a node keeps the peers it follows as long as they are fresh. At a start it knows few and chooses among those; in a fleet over regions each region has such leftovers.

Change: once nothing in the region has failed for 5 s, a peer that is not among the region's readers, or is in another region, is left.

The test plays 40 nodes and fails without the leaving.

--- a/src/wharfcart/cluster/news_sources.py
+++ b/src/wharfcart/cluster/news_sources.py
@@ -28,9 +28,9 @@
 AVOID_S = 2.0
 # So many readers of the own region that failed within AVOID_S speak against the region, not them.
 FAILED_IN_REGION = 2
-# A reader of another region is left for the own region's after so long without a failure there; a
-# second one only once the first that was found there has held for a while.
-FAR_KEPT_S = 5.0
+# A peer is left for a better ranked one after so long without a failure in the own region; the
+# second of two of another region only once the first that was found at home has held for a while.
+QUIET_S = 5.0
 TRIAL_S = 3.0
 
 
@@ -95,8 +95,11 @@
         if node_id in self._near():
             self._near_failed_at = now
 
-    def should_return(self, node_id: str, now: float, followed: Collection[str]) -> bool:
-        """Whether a peer of another region is to be left for one of the own.
+    def should_leave(self, node_id: str, now: float, followed: Collection[str]) -> bool:
+        """Whether a peer that is followed well is to be left for a reader that others follow.
+
+        Such is one of another region, and one that was chosen while better ranked ones were not
+        known yet or had failed: it would go on reading the service for few.
 
         Args:
             node_id: the peer that is followed.
@@ -104,10 +107,12 @@
             followed: ids of all peers that are followed.
         """
         near = self._near()
-        if node_id in near or len(near) < FEWEST_READERS:
+        if len(near) < FEWEST_READERS or now - self._near_failed_at <= QUIET_S:
             return False
-        kept_s = FAR_KEPT_S + (TRIAL_S if near.keys() & set(followed) else 0.0)
-        return now - self._near_failed_at > kept_s
+        if node_id in near:
+            return node_id not in {reader.node_id for reader in self._readers(near, now)}
+        on_trial = not near.keys().isdisjoint(followed)
+        return not on_trial or now - self._near_failed_at > QUIET_S + TRIAL_S
 
     def is_stale(self, now: float) -> bool:
         """Whether this node may lack changes."""
--- a/tests/cluster/test_mirror_link.py
+++ b/tests/cluster/test_mirror_link.py
@@ -11,6 +11,7 @@
 from wharfcart.cluster.mirror import Mirror
 from wharfcart.cluster.mirror_link import MirrorLink, PeerNews
 from wharfcart.cluster.news_sources import NewsSources, Peer
+from wharfcart.cluster.topology import RegionName, Topology
 from wharfcart.experiments.virtual_time import run_virtually, virtual_monotonic
 from wharfcart.observability.decisions import DecisionLog
 
@@ -246,3 +247,38 @@
         task.cancel()
 
     play(scenario)
+
+
+def test_a_fleet_that_started_piecemeal_settles_on_the_readers_of_each_region() -> None:
+    """Nodes kept whom they had chosen while they knew few: 14 of 84 read the service, not 9."""
+    topology = Topology({"a": RegionName("west"), "b": RegionName("east")})
+    known: dict[str, Peer] = {}
+    service, peers = Service(), Peers()
+
+    def followed() -> set[str]:
+        return {name for link in peers.links.values() for name in link._followed}
+
+    async def scenario() -> None:
+        all_sources, tasks = [], []
+        for n in range(40):
+            node = Peer(f"s{n}", "ab"[n % 2], Address("", n))
+            known[node.node_id] = node
+            sources = NewsSources(node.node_id, node.zone, topology)
+            all_sources.append(sources)
+            link = MirrorLink(
+                Mirror(), service, sources, peers, lambda news: None, DecisionLog(node.node_id)
+            )
+            peers.links[node.node_id] = link
+            for one in all_sources:
+                one.set_peers(known)
+            tasks.append(asyncio.create_task(link.run()))
+            await asyncio.sleep(0.2)
+        await asyncio.sleep(15.0)
+        assert sorted(known[name].zone for name in followed()) == ["a", "a", "b", "b"]
+        for name, link in peers.links.items():
+            assert {known[other].zone for other in link._followed} <= {known[name].zone}
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    run_virtually(scenario())
