A new leader learns from the results on its disk how far its items are

Cause: after the loss of power items went on after event 63 of 144 and the like, but until one had finished each was thought to need the whole time that nothing is known for (0.4 of the objective): with 5.5 s left they looked hopeless, left first and started last. The size of an item stands in the results that the disk keeps; only the pace is unknown.

--- a/src/wharfcart/batch/job_execution.py
+++ b/src/wharfcart/batch/job_execution.py
@@ -28,6 +28,7 @@
 from wharfcart.slots.urgency import Urgency
 from wharfcart.storage.job_group import JobGroup
 from wharfcart.storage.job_leadership import JobLeadership
+from wharfcart.storage.job_records import JobRecord
 
 # Waiting items are told anew so often, and at most so often when much happens.
 PERIOD_S = 0.1
@@ -228,10 +229,20 @@
         leadership = self._group.leadership
         assert leadership is not None
         for record in leadership.jobs.values():
+            self._learn_sizes(record)
             if not record.ended and not record.complete:
                 self._add(record.job, {result.item_id for result in record.results})
         self._tasks.spawn(self._run())
 
+    def _learn_sizes(self, record: JobRecord) -> None:
+        """Learn how large a job's items are from the results that earlier leaders took."""
+        service = self._service_of(record.job)
+        if service is None:
+            return
+        for result in record.results:
+            if result.succeeded:
+                self._estimate(service).finished_before(result.text.count(b"\n") + 1)
+
     def end(self) -> None:
         """Stop every item: another node leads, or none."""
         self._tasks.cancel()
--- a/src/wharfcart/batch/run_estimate.py
+++ b/src/wharfcart/batch/run_estimate.py
@@ -36,12 +36,21 @@
         """
         if events <= 0:
             return
-        if not self.events:
+        if not self.seconds_an_event:
             self.events, self.seconds_an_event = events, ran_s / events
             return
         self.events += LEARNING_RATE * (events - self.events)
         self.seconds_an_event += LEARNING_RATE * (ran_s / events - self.seconds_an_event)
 
+    def finished_before(self, events: int) -> None:
+        """Learn how large items are from one that an earlier leader had finished.
+
+        Args:
+            events: that it gave.
+        """
+        if not self.seconds_an_event and events > 0:
+            self.events += (LEARNING_RATE if self.events else 1.0) * (events - self.events)
+
     def remaining_s(self, events_done: int, objective_s: float, ran_s: float = 0.0) -> float:
         """Return how long an item probably still runs if nothing cuts it.
 
@@ -50,8 +59,11 @@
             objective_s: of its job, for the time before any item has finished.
             ran_s: how long it has run so far, for that time.
         """
-        if not self.events:
+        if not self.seconds_an_event:
             planned_s = objective_s * UNKNOWN_SHARE_OF_OBJECTIVE
+            if self.events:
+                share_left = 1 - events_done / (self.events * SIZE_MARGIN)
+                return planned_s * max(LEAST_SHARE_LEFT, share_left)
             return max(planned_s - ran_s, planned_s * LEAST_SHARE_LEFT)
         planned = self.events * SIZE_MARGIN - events_done
         return max(planned, self.events * LEAST_SHARE_LEFT) * self.seconds_an_event
--- a/tests/batch/test_run_estimate.py
+++ b/tests/batch/test_run_estimate.py
@@ -37,3 +37,17 @@
     estimate = RunEstimate()
     assert estimate.remaining_s(80, 20.0, ran_s=5.0) == 3.0
     assert estimate.remaining_s(200, 20.0, ran_s=30.0) == 8.0 * LEAST_SHARE_LEFT
+
+
+def test_a_new_leader_knows_from_results_how_far_an_item_is() -> None:
+    """Items that had given 63 of 144 events were taken to need the whole time, and cut."""
+    estimate = RunEstimate()
+    for _ in range(5):
+        estimate.finished_before(100)
+    assert estimate.remaining_s(0, 20.0) == 8.0
+    assert abs(estimate.remaining_s(65, 20.0) - 4.0) < 1e-9
+    assert estimate.remaining_s(140, 20.0) == 8.0 * LEAST_SHARE_LEFT
+    estimate.finished(100, 2.0)
+    assert estimate.remaining_s(0, 20.0) == 2.6
+    estimate.finished_before(900)
+    assert estimate.events == 100
