--- a/tests/batch/test_job_execution.py
+++ b/tests/batch/test_job_execution.py
@@ -491,3 +491,28 @@
         assert bench.slots.offers == offers
 
     play(scenario, servers=2, slots=2, zones="we")
+
+
+def test_a_new_leader_puts_first_what_is_far_on_and_knows_how_far() -> None:
+    """After a loss of power items far on were thought to need the whole time, and left first."""
+
+    async def scenario(bench: Bench) -> None:
+        bench.execution.end()
+        lines = "\n".join(["x"] * 100).encode()
+        results = [ItemOutcome(item_id=f"d-{n}", succeeded=True, text=lines) for n in range(2)]
+        job = RequestJob(job_id="d", host="h", path="/jobs/d", objective_s=OBJECTIVE_S)
+        bench.records.jobs["d"] = SimpleNamespace(
+            job=job, results=results, ended=False, complete=True
+        )
+        for number in range(91):
+            bench.group.partial_texts.of("j", "j-7").add(number, "x")
+        told: list[Urgency] = []
+        bench.slots.begun = lambda slot, urgency: told.append(urgency)
+        bench.execution.begin()
+        bench.submit("j", 8)
+        await bench.settle()
+        assert "j-7" in bench.runner.running
+        # Planned 0.4 of the objective: all of it, and the 39 of 130 events that are left.
+        assert sorted({round(one.remaining_s, 1) for one in told}) == [2.4, 8.0]
+
+    play(scenario)
