A group's saved texts and its promise are read at the same time; the bound of the election test is what it takes

Change: the test measures the time itself and asks for less than 0.16 s. The start reads saved texts beside the promise, not after it. A constant that nothing used is gone.

--- a/src/wharfcart/storage/job_group.py
+++ b/src/wharfcart/storage/job_group.py
@@ -53,7 +53,6 @@
 # Replicas that have not answered when enough others have are waited for so long.
 STRAGGLERS_S = 0.15
 FRESH_S = 0.75
-FENCE_RETRY_S = 0.15
 CONTEST_RETRY_S = 0.3
 # Events of running items are saved so often: what is younger is lost if all nodes lose power.
 SAVE_TEXTS_S = 0.5
@@ -160,9 +159,11 @@
 
     async def start(self) -> None:
         """Begin to follow the group."""
-        self._promised_at_start = await self._context.disk.promised(self.group)
+        # At the same time: whoever led before leads again as soon as both are known.
+        self._promised_at_start, saved = await asyncio.gather(
+            self._context.disk.promised(self.group), self._load_texts()
+        )
         self._last_led = self._promised_at_start
-        saved = await self._load_texts()
         self._tasks.spawn(self._run())
         self._tasks.spawn(self._save_texts(saved))
 
--- a/tests/storage/test_job_group.py
+++ b/tests/storage/test_job_group.py
@@ -90,6 +90,14 @@
         assert self.leader is not None
         return self.leader
 
+    async def led_after_s(self) -> float:
+        """Return after how long somebody leads."""
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        while self.leader is None:
+            await asyncio.sleep(0.002)
+        return loop.time() - began_at
+
     async def submit(self, job_id: str, items: int = 3, residence: Residence = ANYWHERE) -> None:
         leader = await self.until_led()
         assert leader.service is not None
@@ -165,7 +173,11 @@
         for node in fleet.nodes.values():
             if node is not before:
                 await node.start()
-        assert await fleet.until_led(0.1) is before
+        led_after_s = await fleet.led_after_s()
+        # It asks again each 0.15 s those that did not answer; another try of its own would come
+        # 0.17 s after the others or later.
+        assert led_after_s < 0.16
+        assert fleet.leader is before
         assert await fleet.readable("a")
 
     play(scenario)
