What back ends have room for stands in a core of its own, apart from who gets a slot

Behaviour is the same; the experiment's granter whose items stay overrides the room in place of a private method.

Tests: tests/slots, tests/batch and test_waves pass; test_items_that_stay_make_online_requests_late failed until the experiment was adapted.

--- a/src/wharfcart/experiments/simulated_slots.py
+++ b/src/wharfcart/experiments/simulated_slots.py
@@ -47,6 +47,7 @@
 from wharfcart.slots.service import SlotService
 from wharfcart.slots.session import SlotNewsTaker
 from wharfcart.slots.sessions import SlotSessions
+from wharfcart.slots.slot_room import SlotRoom
 from wharfcart.storage.job_group import JobGroup
 from wharfcart.storage.partial_texts import PartialTexts
 
@@ -183,13 +184,19 @@
         return []
 
 
-class _KeepingGranter(SlotGranter):
+class _KeepingRoom(SlotRoom):
     """Items stay where they are until they are done."""
 
-    def _yielding(self, state: InstanceState, now: float) -> list[TakenSlot]:
+    def yielding(self, state: InstanceState, now: float) -> list[TakenSlot]:
+        """Return no item: none leaves."""
         return []
 
 
+class _KeepingGranter(SlotGranter):
+    def new_room(self) -> SlotRoom:
+        return _KeepingRoom(self.choice, self.owns, self.leads_surely, self._ledger)
+
+
 class _KeepingService(SlotService):
     def new_granter(self) -> SlotGranter:
         return _KeepingGranter(self._choice, self._owns)
--- a/src/wharfcart/slots/granter.py
+++ b/src/wharfcart/slots/granter.py
@@ -13,13 +13,7 @@
 
 from wharfcart.configuration.instances import BackendInstance
 from wharfcart.configuration.residence import ANYWHERE, Residence
-from wharfcart.routing.backend_choice import (
-    TOKENS_A_FULL_LOAD,
-    BackendChoice,
-    InstanceState,
-    by_affinity,
-)
-from wharfcart.routing.cold_rates import ColdBuckets, granted_rate
+from wharfcart.routing.backend_choice import BackendChoice, InstanceState, by_affinity
 from wharfcart.routing.send_rates import SendRates
 from wharfcart.slots.events import (
     BackendBlamed,
@@ -48,26 +42,20 @@
     Verdict,
 )
 from wharfcart.slots.ledger import SlotLedger, TakenSlot
-from wharfcart.slots.picture import BackendLoad, ServiceRoom, SlotPicture
+from wharfcart.slots.picture import ServiceRoom, SlotPicture
 from wharfcart.slots.queue import SlotQueue, Waiting
+from wharfcart.slots.slot_room import SlotRoom
 from wharfcart.slots.urgency import Urgency
 
 # A new connection takes a round trip and a moment of the back end; a back end runs a request hardly
 # slower beside two more of eight, which this share of its slots comes to.
 NEW_CONNECTION_COST = 0.25
-# A cold back end takes what no warm one has a slot for: it costs more than a full warm one.
-COLD_COST = 2.0
 # An item that must leave within this time has cost more than it has done.
 RESTART_COST_S = 0.06
-# A slot is taken for about so long: tells when one is likely to come free.
-SLOT_TURNOVER_S = 0.5
 FEWEST_RETRY_AFTER_S = 0.2
 MOST_RETRY_AFTER_S = 1.5
 # A picture names the most loaded back ends: those left out have less, or nothing.
 MOST_BACKENDS_A_PICTURE = 48
-# Which back ends may be used is looked at anew after so long, and whenever one was at fault: what
-# time alone changes, as who is avoided no more, does not matter sooner.
-USABLE_KEPT_S = 0.02
 # Slots that are offered to items have numbers from here on; holders draw theirs below.
 FIRST_OFFER = 1 << 40
 
@@ -122,11 +110,14 @@
     _offers: dict[DemandKey, int] = field(default_factory=dict)
     _next_offer: int = FIRST_OFFER
     _rates: SendRates = field(default_factory=SendRates)
-    _cold_buckets: ColdBuckets = field(default_factory=ColdBuckets)
-    # By service and residence, of which a configuration names few.
-    _usable: dict[tuple[str, Residence], tuple[float, list[InstanceState]]] = field(
-        default_factory=dict
-    )
+    _room: SlotRoom = field(init=False)
+
+    def __post_init__(self) -> None:
+        self._room = self.new_room()
+
+    def new_room(self) -> SlotRoom:
+        """Return the view of the back ends that decisions are made by."""
+        return SlotRoom(self.choice, self.owns, self.leads_surely, self._ledger)
 
     # ---- events ----
 
@@ -145,7 +136,7 @@
             case SlotReleased():
                 self._release(event, now)
             case SilenceChanged():
-                self._usable.clear()
+                self._room.look_anew()
                 self._ledger.silence(event.session, event.instance_id, event.silent)
             case BackendBlamed():
                 self._judge(event.instance_id, Verdict.BAD, now)
@@ -159,7 +150,7 @@
 
     def tick(self, now: float) -> list[SlotInstruction]:
         """Do what time alone brings: refuse who waited long enough, try again what was avoided."""
-        self._fill_cold_buckets(now)
+        self._room.fill_cold_buckets(now)
         refused = [
             self._refuse(asked, RefusalCause.WAITED, now)
             for asked in list(self._asked_by_place.values())
@@ -193,7 +184,7 @@
         """Return what the holders are told: the load of each back end, and where there is room."""
         states = [state for state in self.choice.states() if self.owns(state.instance)]
         services = {state.instance.service for state in states}
-        loads = [self._load_of(state, now) for state in states]
+        loads = [self._room.load_of(state, now) for state in states]
         loads = [load for load in loads if load.in_use or load.avoided]
         loads.sort(key=lambda load: (load.avoided, load.in_use), reverse=True)
         return SlotPicture(
@@ -208,7 +199,7 @@
         return frozenset(
             state.instance.instance_id
             for state in self.choice.states()
-            if self.owns(state.instance) and self._is_avoided(state, now)
+            if self.owns(state.instance) and self._room.is_avoided(state, now)
         )
 
     # ---- sessions and slots ----
@@ -223,7 +214,7 @@
 
     def _close(self, session: SessionKey) -> None:
         self._ledger.close(session)
-        self._usable.clear()
+        self._room.look_anew()
         for key, waiting in list(self._waiting_by_slot.items()):
             if key[0] == session:
                 self._leave_queue(key, waiting)
@@ -251,14 +242,14 @@
     def _judge(self, instance_id: str, verdict: Verdict, now: float) -> None:
         state = self.choice.state(instance_id)
         if verdict is Verdict.BAD:
-            self._usable.clear()
+            self._room.look_anew()
         if state is not None and verdict is not Verdict.UNKNOWN:
             self.choice.turned_out(state, verdict is Verdict.GOOD, now)
 
     # ---- online requests ----
 
     def _ask(self, asked: SlotAsked, now: float) -> list[SlotInstruction]:
-        candidates = self._candidates(asked.service, asked.residence, now, asked.excluded)
+        candidates = self._room.candidates(asked.service, asked.residence, now, asked.excluded)
         if not candidates or not self._ledger.is_open(asked.session):
             return [NoneHere(asked.session, asked.number)]
         others_wait = self._queue.count_in(asked.service, asked.residence) > 0
@@ -276,25 +267,25 @@
         return self._hand_out(now)
 
     def _has_room(self, candidates: list[InstanceState], manner: Manner, now: float) -> bool:
-        candidates = self._bearing(candidates, now)
-        if any(self._has_free_slot(state) for state in candidates):
+        candidates = self._room.bearing(candidates, now)
+        if any(self._room.has_free_slot(state) for state in candidates):
             return True
         if manner is Manner.FREE:
             return False
-        return any(self._has_yielding(state) for state in candidates)
+        return any(self._room.has_yielding(state) for state in candidates)
 
     def _grant(
         self, asked: SlotAsked, candidates: list[InstanceState], now: float
     ) -> list[SlotInstruction]:
         """Give a request the best slot; an item leaves where none is free."""
-        state = self._best(asked, self._bearing(candidates, now), now)
+        state = self._best(asked, self._room.bearing(candidates, now), now)
         instructions: list[SlotInstruction] = []
-        if not self._has_free_slot(state):
-            leaving = next(iter(self._yielding(state, now)), None)
+        if not self._room.has_free_slot(state):
+            leaving = next(iter(self._room.yielding(state, now)), None)
             if leaving is not None:
                 instructions.append(self._have_leave(leaving, LeaveCause.GRANTED))
         use = SlotUse(asked.number, state.instance.instance_id, asked.unread_tokens)
-        self._cold_buckets.take(use.instance_id)
+        self._room.granted(use.instance_id)
         self._ledger.take(asked.session, use, now)
         self._rates.sent(asked.service, now)
         instructions.append(Granted(asked.session, asked.number, use.instance_id))
@@ -304,20 +295,20 @@
         """Return where a request goes: a free slot, then one that an item gives up, then any."""
         if asked.affinity_key:
             return by_affinity(
-                self._warm_with_room(candidates, now) or candidates,
+                self._room.warm_with_room(candidates, now) or candidates,
                 asked.affinity_key,
-                lambda state: self._load_without_items(state, now),
+                lambda state: self._room.load_without_items(state, now),
             )
         zone = self._ledger.zone(asked.session)
 
         def cost(state: InstanceState) -> float:
             new = state.instance.instance_id not in asked.connected
-            return self._cost(state, zone, now) + (NEW_CONNECTION_COST if new else 0.0)
+            return self._room.cost(state, zone, now) + (NEW_CONNECTION_COST if new else 0.0)
 
-        free = [state for state in candidates if self._has_free_slot(state)]
+        free = [state for state in candidates if self._room.has_free_slot(state)]
         if free:
             return min(free, key=cost)
-        yielding = [state for state in candidates if self._has_yielding(state)]
+        yielding = [state for state in candidates if self._room.has_yielding(state)]
         return min(yielding or candidates, key=cost)
 
     def _refuse(self, asked: SlotAsked, cause: RefusalCause, now: float) -> Refused:
@@ -325,10 +316,10 @@
         waiting = self._waiting_by_slot.get(key)
         if waiting is not None:
             self._leave_queue(key, waiting)
-        candidates = self._candidates(asked.service, asked.residence, now)
+        candidates = self._room.candidates(asked.service, asked.residence, now)
         slots = sum(state.instance.slots for state in candidates)
         others = self._queue.count_in(asked.service, asked.residence)
-        per_s = sum(self._turnover_per_s(state, now) for state in candidates)
+        per_s = sum(self._room.turnover_per_s(state, now) for state in candidates)
         retry_after_s = (1 + others) / max(1.0, per_s)
         retry_after_s = min(MOST_RETRY_AFTER_S, max(FEWEST_RETRY_AFTER_S, retry_after_s))
         return Refused(asked.session, asked.number, cause, retry_after_s, others, slots)
@@ -349,7 +340,7 @@
             full: set[Residence] = set()
             while (waiting := self._queue.next(service, now, full)) is not None:
                 asked = self._asked_by_place[waiting.number]
-                candidates = self._candidates(service, asked.residence, now, asked.excluded)
+                candidates = self._room.candidates(service, asked.residence, now, asked.excluded)
                 if candidates and not self._has_room(candidates, Manner.WAIT, now):
                     full.add(asked.residence)
                     continue
@@ -385,8 +376,8 @@
         """Offer a free slot to the items that go first, if it is worth starting one."""
         for key, demand in self._in_order(service, now):
             residence = key[2]
-            candidates = self._bearing(self._candidates(service, residence, now), now)
-            free = [state for state in candidates if self._has_free_slot(state)]
+            candidates = self._room.bearing(self._room.candidates(service, residence, now), now)
+            free = [state for state in candidates if self._room.has_free_slot(state)]
             if not free:
                 continue
             warm = [state for state in free if not self.choice.is_cold(state, now)]
@@ -408,7 +399,7 @@
         """
         free_ids = {state.instance.instance_id for state in free}
         for waits_in in self._queue.residences(service):
-            usable = self._candidates(service, waits_in, now)
+            usable = self._room.candidates(service, waits_in, now)
             if any(state.instance.instance_id in free_ids for state in usable):
                 return True
         return not self._worth_starting(service, residence, now)
@@ -430,7 +421,7 @@
         self, free: list[InstanceState], excluded: Collection[str], now: float
     ) -> InstanceState | None:
         usable = [state for state in free if state.instance.instance_id not in excluded]
-        return min(usable, key=lambda state: self._cost(state, "", now), default=None)
+        return min(usable, key=lambda state: self._room.cost(state, "", now), default=None)
 
     def _offer(
         self, key: DemandKey, demand: _Demand, state: InstanceState, now: float
@@ -439,7 +430,7 @@
         number = SlotNumber(self._next_offer)
         self._next_offer += 1
         use = SlotUse(number, state.instance.instance_id, item=demand.first(now))
-        self._cold_buckets.take(use.instance_id)
+        self._room.granted(use.instance_id)
         self._ledger.take(session, use, now)
         demand.offered += 1
         self._offers[key] = self._offers.get(key, 0) + 1
@@ -448,24 +439,7 @@
     def _worth_starting(self, service: str, residence: Residence, now: float) -> bool:
         """Whether the last free slot is probably not needed before a start has paid off."""
         needed_soon = self._rates.rates(now).get(service, 0.0) * RESTART_COST_S
-        return self._free_slots(service, residence, now) >= 1 + needed_soon
-
-    def _has_yielding(self, state: InstanceState) -> bool:
-        """Whether any item at a back end leaves if asked to."""
-        return self._ledger.staying_items(state.instance.instance_id) > 0
-
-    def _yielding(self, state: InstanceState, now: float) -> list[TakenSlot]:
-        """Return the items at a back end in the order in which they leave.
-
-        First are those that come too late anyway, then those with the most time left.
-        """
-        stood = [
-            (urgency.order, slot)
-            for slot in self._ledger.items(state.instance.instance_id)
-            if (urgency := slot.urgency(now)) is not None
-        ]
-        stood.sort(key=lambda entry: entry[0])
-        return [slot for _, slot in stood]
+        return self._room.free_slots(service, residence, now) >= 1 + needed_soon
 
     def _relieve(self, now: float) -> Iterator[SlotInstruction]:
         """Have items leave back ends that are fuller than they can be."""
@@ -475,137 +449,23 @@
                 continue
             staying = self._ledger.in_use(instance_id) - self._ledger.leaving(instance_id)
             excess = staying - state.instance.slots
-            for slot in self._yielding(state, now)[: max(0, excess)]:
+            for slot in self._room.yielding(state, now)[: max(0, excess)]:
                 yield self._have_leave(slot, LeaveCause.OVERFULL)
 
     def _have_leave(self, slot: TakenSlot, cause: LeaveCause) -> ItemMustLeave:
         self._ledger.item_leaves(slot)
         return ItemMustLeave(slot.session, slot.use.number, cause)
 
-    # ---- cold back ends ----
-
-    def _bearing(self, candidates: list[InstanceState], now: float) -> list[InstanceState]:
-        """Return the back ends that bear one more request now: of cold ones, by their rate."""
-        if not self.choice.cold.any_cold(now):
-            return candidates
-        return [state for state in candidates if self._bears_one_more(state, now)]
-
-    def _bears_one_more(self, state: InstanceState, now: float) -> bool:
-        per_s = self._cold_rate(state, now)
-        return per_s is None or self._cold_buckets.allows(state.instance.instance_id, per_s, now)
-
-    def _cold_rate(self, state: InstanceState, now: float) -> float | None:
-        """Return the requests a second that a back end is granted; None for one that is warm."""
-        limit = self.choice.cold_limit(state.instance.service)
-        if limit is None or not self.choice.is_cold(state, now):
-            return None
-        return granted_rate(limit, self.leads_surely())
-
-    def _warm_with_room(self, candidates: list[InstanceState], now: float) -> list[InstanceState]:
-        """Return the back ends that are warm and have a slot; all while none is cold."""
-        if not self.choice.cold.any_cold(now):
-            return candidates
-        return [
-            state
-            for state in candidates
-            if not self.choice.is_cold(state, now) and self._has_free_slot(state)
-        ]
-
-    def _fill_cold_buckets(self, now: float) -> None:
-        """Have the buckets of cold back ends fill from the time on at which they turned cold."""
-        cold = [state for state in self.choice.cold_states(now) if self.owns(state.instance)]
-        self._cold_buckets.keep_only({state.instance.instance_id for state in cold})
-        for state in cold:
-            self._bears_one_more(state, now)
-
-    def _turnover_per_s(self, state: InstanceState, now: float) -> float:
-        """Return about how many slots of a back end come free in a second."""
-        by_slots = state.instance.slots / SLOT_TURNOVER_S
-        cold_rate = self._cold_rate(state, now)
-        return by_slots if cold_rate is None else min(by_slots, cold_rate)
-
-    # ---- load ----
-
-    def _candidates(
-        self, service: str, residence: Residence, now: float, excluded: Collection[str] = ()
-    ) -> list[InstanceState]:
-        """Return the back ends that a request may go to, those that seem to fail left out."""
-        usable = self._usable_in(service, residence, now)
-        if not excluded:
-            return usable
-        left = [state for state in usable if state.instance.instance_id not in excluded]
-        if left:
-            return left
-        return self.choice.usable(service, now, excluded, self.owns, self._is_silent, residence)
-
-    def _usable_in(self, service: str, residence: Residence, now: float) -> list[InstanceState]:
-        looked_at, usable = self._usable.get((service, residence), (-USABLE_KEPT_S, []))
-        if now - looked_at >= USABLE_KEPT_S:
-            usable = self.choice.usable(service, now, (), self.owns, self._is_silent, residence)
-            self._usable[service, residence] = (now, usable)
-        return usable
-
-    def _load(self, state: InstanceState) -> float:
-        return self._ledger.in_use(state.instance.instance_id) / max(1, state.instance.slots)
-
-    def _load_without_items(self, state: InstanceState, now: float) -> float:
-        items = len(self._yielding(state, now))
-        return self._load(state) - items / max(1, state.instance.slots)
-
-    def _has_free_slot(self, state: InstanceState) -> bool:
-        return self._ledger.in_use(state.instance.instance_id) < state.instance.slots
-
-    def _free_slots(self, service: str, residence: Residence, now: float) -> int:
-        return sum(
-            self._free_slots_of(state, now) for state in self._candidates(service, residence, now)
-        )
-
-    def _free_slots_of(self, state: InstanceState, now: float) -> int:
-        """Return how many requests a back end can take at once."""
-        free = max(0, state.instance.slots - self._ledger.in_use(state.instance.instance_id))
-        if self._cold_rate(state, now) is None:
-            return free
-        return min(free, int(self._bears_one_more(state, now)))
-
-    def _cost(self, state: InstanceState, zone: str, now: float) -> float:
-        """Return how little a back end suits a request from a zone; '' for no zone."""
-        distance = self.choice.distance_cost(zone, state.instance.zone) if zone else 0.0
-        unread = self._ledger.unread_tokens(state.instance.instance_id, now)
-        cold = COLD_COST if self.choice.is_cold(state, now) else 0.0
-        return self._load(state) + distance + unread / TOKENS_A_FULL_LOAD + cold
-
-    def _load_of(self, state: InstanceState, now: float) -> BackendLoad:
-        instance_id = state.instance.instance_id
-        return BackendLoad(
-            instance_id,
-            self._ledger.in_use(instance_id),
-            self._ledger.unread_tokens(instance_id, now),
-            self._is_avoided(state, now),
-        )
-
-    def _is_avoided(self, state: InstanceState, now: float) -> bool:
-        return state.avoided(now) or self._is_silent(state.instance.instance_id)
-
-    def _is_silent(self, instance_id: str) -> bool:
-        """Whether a back end answers nobody although it has a slot free.
-
-        One that is full, perhaps with runs that nobody knows of, keeps whom it was sent waiting.
-        """
-        state = self.choice.state(instance_id)
-        if state is not None and not self._has_free_slot(state):
-            return False
-        return self._ledger.is_silent(instance_id)
-
     def _room_of(self, service: str, now: float) -> ServiceRoom:
-        candidates = self._candidates(service, ANYWHERE, now)
+        candidates = self._room.candidates(service, ANYWHERE, now)
         yielding = sum(
             self._ledger.staying_items(state.instance.instance_id)
-            for state in self._bearing(candidates, now)
+            for state in self._room.bearing(candidates, now)
         )
         return ServiceRoom(
             service,
             sum(state.instance.slots for state in candidates),
-            self._free_slots(service, ANYWHERE, now),
+            self._room.free_slots(service, ANYWHERE, now),
             yielding,
             self._queue.count(service),
         )
