--- a/src/wharfcart/routing/cold_rates.py
+++ b/src/wharfcart/routing/cold_rates.py
@@ -33,7 +33,7 @@
 GATEWAYS_A_BACKEND = 1
 # A fleet is taken for this large while it is not known how many gateways it has.
 MOST_GATEWAYS = 512
-LOTS = 1 << 64
+HASH_RANGE = 1 << 64
 # A bucket saves no more than this: so many more may meet in a second. What a granting node saves
 # beyond one token makes up for its buckets being looked at only as requests and ticks come.
 GRANTED_MOST_SAVED = 1.5
@@ -196,8 +196,8 @@
 
     def _has_share(self, instance_id: str) -> bool:
         """Whether this gateway is one of the few that may choose a back end while it is cold."""
-        lot = xxhash.xxh64_intdigest(f"{self._own_id}/{instance_id}".encode())
-        return lot * (self._gateways() or MOST_GATEWAYS) < GATEWAYS_A_BACKEND * LOTS
+        drawn = xxhash.xxh64_intdigest(f"{self._own_id}/{instance_id}".encode())
+        return drawn * (self._gateways() or MOST_GATEWAYS) < GATEWAYS_A_BACKEND * HASH_RANGE
 
 
 def granted_rate(limit: ColdLimit, surely: bool) -> float:
