One hash from an id to its group; two methods that served nobody are gone

Read in the whole change: pick_group of job residence computed again what group_of of the job client did (the same hash, so that jobs stay where they are), ColdBuckets.wait_s had no caller, and cold_until of the choice was read only to ask whether it is None.

Change: group_of stands in storage/job_residence.py and serves both; is_cold answers straight. Behaviour is the same; tests change their imports only.

Checked: make check; tests of slots, routing, batch, node and of job residence and clients.

--- a/src/wharfcart/node/storage_process.py
+++ b/src/wharfcart/node/storage_process.py
@@ -26,7 +26,8 @@
 from wharfcart.storage.disk import Disk, DiskFailedError
 from wharfcart.storage.founding import Founder
 from wharfcart.storage.group_context import GroupContext
-from wharfcart.storage.job_client import JobClient, group_of
+from wharfcart.storage.job_client import JobClient
+from wharfcart.storage.job_residence import group_of
 
 LAYOUT_POLL_S = 0.02
 OPEN_RETRY_S = 0.5
--- a/src/wharfcart/routing/backend_choice.py
+++ b/src/wharfcart/routing/backend_choice.py
@@ -244,12 +244,8 @@
 
     def is_cold(self, state: InstanceState, now: float) -> bool:
         """Whether an incarnation counts as cold."""
-        return self.cold_until(state, now) is not None
-
-    def cold_until(self, state: InstanceState, now: float) -> float | None:
-        """Return until when an incarnation counts as cold; None for one that does not."""
         instance = state.instance
-        return self.cold.cold_until(instance.service, instance.zone, state.cold, now)
+        return self.cold.is_cold(instance.service, instance.zone, state.cold, now)
 
     def cold_limit(self, service: str) -> ColdLimit | None:
         """Return what a cold back end of a service bears; None where that is no less than usual."""
--- a/src/wharfcart/routing/cold_rates.py
+++ b/src/wharfcart/routing/cold_rates.py
@@ -103,15 +103,15 @@
         """Whether any back end may be cold."""
         return now < self._latest_until and bool(self.limits)
 
-    def cold_until(self, service: str, zone: str, time: ColdTime, now: float) -> float | None:
-        """Return until when a back end counts as cold; None for one that does not."""
+    def is_cold(self, service: str, zone: str, time: ColdTime, now: float) -> bool:
+        """Whether a back end counts as cold."""
         if now >= self._latest_until or service not in self.limits:
-            return None
+            return False
         until = time.until
         given_back = self._given_back_by_zone.get(zone)
         if given_back is not None and time.revision <= given_back.revision:
             until = max(until, given_back.until)
-        return until if now < until else None
+        return now < until
 
 
 @dataclass(slots=True)
@@ -138,11 +138,6 @@
         """Whether a cold back end may get a request now."""
         return self._filled(instance_id, per_s, now).saved >= 1.0
 
-    def wait_s(self, instance_id: str, per_s: float, now: float) -> float:
-        """Return after how long a cold back end may get a request."""
-        missing = 1.0 - self._filled(instance_id, per_s, now).saved
-        return max(0.0, missing / per_s)
-
     def take(self, instance_id: str) -> None:
         """Note that a cold back end gets a request."""
         bucket = self._buckets.get(instance_id)
--- a/src/wharfcart/slots/sessions.py
+++ b/src/wharfcart/slots/sessions.py
@@ -14,7 +14,7 @@
 from wharfcart.slots.events import HolderId, SilenceChanged
 from wharfcart.slots.picture import ServiceRoom
 from wharfcart.slots.session import HeardUsage, SlotNewsTaker, SlotSession
-from wharfcart.storage.job_client import group_of
+from wharfcart.storage.job_residence import group_of
 
 # So often it is looked for groups that are new, and for back ends that have fallen silent.
 CHECK_S = 0.05
--- a/src/wharfcart/storage/job_client.py
+++ b/src/wharfcart/storage/job_client.py
@@ -5,8 +5,6 @@
 from dataclasses import dataclass
 from time import monotonic
 
-import xxhash
-
 from wharfcart.cluster.address import Address
 from wharfcart.cluster.messages_pb2 import NOT_FOUND, NOT_LEADING, UNSURE, Frame
 from wharfcart.cluster.transport import PeerUnreachableError, Transport
@@ -266,8 +264,3 @@
     if isinstance(answer, JobCallFailure):
         return False
     return bool(getattr(answer, answer_field).status == NOT_FOUND)
-
-
-def group_of(job_id: str, groups: int) -> int:
-    """Return the group that a job belongs to, of one group or more."""
-    return xxhash.xxh64_intdigest(job_id.encode()) % max(1, groups)
--- a/src/wharfcart/storage/job_residence.py
+++ b/src/wharfcart/storage/job_residence.py
@@ -18,11 +18,16 @@
 RegionOf = Callable[[str], RegionName | None]
 
 
+def group_of(key: str, groups: int) -> int:
+    """Return the group that a job or tenant belongs to, of one group or more."""
+    return xxhash.xxh64_intdigest(key.encode()) % max(1, groups)
+
+
 def pick_group(job_id: str, groups: Sequence[int]) -> int | None:
     """Return the group that a new job goes to, or None where none may hold it."""
     if not groups:
         return None
-    return groups[xxhash.xxh64_intdigest(job_id.encode()) % len(groups)]
+    return groups[group_of(job_id, len(groups))]
 
 
 def all_in(disks: Iterable[str], residence: Residence, region_of: RegionOf) -> bool:
--- a/tests/storage/test_job_client_residence.py
+++ b/tests/storage/test_job_client_residence.py
@@ -22,8 +22,8 @@
 from wharfcart.configuration.residence import ANYWHERE, Residence, residence_in
 from wharfcart.experiments.virtual_time import run_virtually, virtual_monotonic
 from wharfcart.storage.group_record import GroupRecord
-from wharfcart.storage.job_client import JobCallFailure, JobClient, group_of
-from wharfcart.storage.job_residence import pick_group
+from wharfcart.storage.job_client import JobCallFailure, JobClient
+from wharfcart.storage.job_residence import group_of, pick_group
 
 WEST, EAST = residence_in(["west"]), residence_in(["east"])
 REGIONS = {"w": RegionName("west"), "e": RegionName("east")}
--- a/tests/storage/test_job_residence.py
+++ b/tests/storage/test_job_residence.py
@@ -4,9 +4,8 @@
 
 from wharfcart.cluster.topology import RegionName, Topology
 from wharfcart.configuration.residence import ANYWHERE, Residence, residence_in
-from wharfcart.storage.job_client import group_of
 from wharfcart.storage.job_moves import KEPT_S, JobMoves
-from wharfcart.storage.job_residence import all_in, may_join, pick_group
+from wharfcart.storage.job_residence import all_in, group_of, may_join, pick_group
 from wharfcart.storage.layout import Layout
 
 WEST, EAST = residence_in(["west"]), residence_in(["east"])
