--- a/src/wharfcart/emulator/model_server.py
+++ b/src/wharfcart/emulator/model_server.py
@@ -5,6 +5,7 @@
 
 import asyncio
 from collections import Counter, deque
+from collections.abc import Callable
 from dataclasses import dataclass
 from time import monotonic
 
@@ -51,6 +52,10 @@
 
     Attributes:
         overruns: requests above what it bore while it was cold.
+        fatal_body: a request with this body ends the server once it runs; None for none.
+        events_before_end: events that such a request still gets.
+        on_end: called when a request has ended the server.
+        has_ended: a request has ended it.
     """
 
     def __init__(
@@ -63,6 +68,10 @@
         self.failing_ids: dict[str, int] = {}
         self.fails_with: int | None = None  # status of every answer
         self.silent = False
+        self.fatal_body: bytes | None = None
+        self.events_before_end = 0
+        self.on_end: Callable[[ModelServer], None] = lambda _server: None
+        self.has_ended = False
         self.overruns = 0
         self._cold_until = 0.0
         self._cold_per_s = 0.0
@@ -117,13 +126,13 @@
             return web.Response(status=STATUS_FELL_OVER, headers=self._head(request_id))
         if self._present >= self._slot_count + self._queue:
             return self._not_run(503, request_id)
-        await request.read()
+        body = await request.read()
         if self.silent:
             await asyncio.sleep(3600)
         self._present += 1
         try:
             async with self._slots:
-                return await self._run(request, request_id)
+                return await self._run(request, request_id, body)
         except asyncio.CancelledError:
             self.abandoned[request_id] += 1
             raise
@@ -140,12 +149,14 @@
             self._arrivals.popleft()
         return len(self._arrivals) > BORNE_TIMES * self._cold_per_s + BORNE_MORE
 
-    async def _run(self, request: web.Request, request_id: str) -> web.StreamResponse:
+    async def _run(self, request: web.Request, request_id: str, body: bytes) -> web.StreamResponse:
         first = int(request.headers.get(names.LAST_EVENT_ID, "-1")) + 1
         deadline_ms = int(request.headers.get(names.DEADLINE_MS, "0"))
         tenant = request.headers.get(names.TENANT, "")
         key = request.headers.get(names.AUTHORIZATION, "")
         self.runs.append(RunRecord(request_id, first, deadline_ms, monotonic(), tenant, key))
+        if body == self.fatal_body and not self.events_before_end:
+            await self._end()
         if self.fails_with is not None:
             return web.Response(status=self.fails_with, headers=self._head(request_id))
         if request_id in self.failing_ids:
@@ -155,10 +166,10 @@
             self.finished[request_id] += 1
             self.switch.after(request)
             return web.Response(body=f"answer to {request_id}", headers=self._head(request_id))
-        return await self._stream(request, request_id, first)
+        return await self._stream(request, request_id, first, body)
 
     async def _stream(
-        self, request: web.Request, request_id: str, first: int
+        self, request: web.Request, request_id: str, first: int, body: bytes
     ) -> web.StreamResponse:
         response = web.StreamResponse(
             headers=self._head(request_id) | {"Content-Type": STREAM_TYPE}
@@ -167,6 +178,8 @@
         await response.prepare(request)
         for number in range(first, self._events):
             await asyncio.sleep(self._event_s)
+            if body == self.fatal_body and number == first + self.events_before_end:
+                await self._end()
             if number == cut_after:
                 await response.write(f"id: {number}\ndata: half an ev".encode())
                 drop_connection(request)
@@ -175,6 +188,15 @@
         self.finished[request_id] += 1
         return response
 
+    async def _end(self) -> None:
+        """End as a process does that a request has crashed."""
+        await asyncio.sleep(self._event_s)
+        if not self.has_ended:
+            self.has_ended = True
+            self.server.abort()
+            self.on_end(self)
+        raise ConnectionResetError("the server has ended")
+
     def _head(self, request_id: str) -> dict[str, str]:
         return {
             names.REQUEST_ID: request_id,
--- a/src/wharfcart/emulator/web_server.py
+++ b/src/wharfcart/emulator/web_server.py
@@ -27,3 +27,14 @@
     async def stop(self) -> None:
         """Close."""
         await self._runner.cleanup()
+
+    def abort(self) -> None:
+        """End as a process that dies: every connection is reset, and none comes up any more."""
+        for site in list(self._runner.sites):
+            listener = getattr(site, "_server", None)
+            if listener is not None:
+                listener.close()
+        server = self._runner.server
+        for connection in [] if server is None else list(server.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
