Decision log: how a send broke off, and the content by which a request is known over attempts

Cause: `cause=broken` stood for a reset, a malformed answer and patience that ran out, and nothing told that two requests have the same content, so that one request that ends its back ends could not be told from many that were there by chance. Change: `broke` and `content` in request_ended (after a send that broke off) and `broke` in request_retried. The digest is made only then. No decision depends on either yet.

--- a/src/wharfcart/http/connection.py
+++ b/src/wharfcart/http/connection.py
@@ -14,6 +14,7 @@
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from enum import StrEnum
 from typing import cast
 
 import httptools
@@ -28,18 +29,45 @@
 
 
 class ConnectFailedError(Exception):
-    """No connection came up: nothing was sent."""
+    """No connection came up: nothing was sent.
+
+    Attributes:
+        refused: the peer's machine answered that nobody listens; otherwise nothing is known of it.
+    """
+
+    def __init__(self, reason: str = "", refused: bool = False) -> None:
+        super().__init__(reason)
+        self.refused = refused
+
+
+class BreakCause(StrEnum):
+    """Why an exchange came to no whole answer.
+
+    Attributes:
+        CLOSED: the peer closed or reset the connection.
+        MALFORMED: what arrived was no answer to the request.
+        SLOW: this node did not wait any longer.
+    """
+
+    CLOSED = "closed"
+    MALFORMED = "malformed"
+    SLOW = "slow"
 
 
 class ConnectionBrokenError(Exception):
     """The connection ended, or what arrived was no HTTP, before the answer was whole.
 
-    ``sent`` tells whether any byte of the request may have reached the peer.
+    Attributes:
+        sent: whether any byte of the request may have reached the peer.
+        cause: what kind of break it was.
     """
 
-    def __init__(self, reason: str, sent: bool = True) -> None:
+    def __init__(
+        self, reason: str, sent: bool = True, cause: BreakCause = BreakCause.MALFORMED
+    ) -> None:
         super().__init__(reason)
         self.sent = sent
+        self.cause = cause
 
 
 class AnswerHead:
@@ -115,7 +143,8 @@
             async with asyncio.timeout(timeout_s):
                 _, protocol = await loop.create_connection(cls, host, port)
         except (OSError, TimeoutError) as error:
-            raise ConnectFailedError(str(error) or "timed out") from error
+            refused = isinstance(error, ConnectionRefusedError | ConnectionResetError)
+            raise ConnectFailedError(str(error) or "timed out", refused) from error
         return protocol
 
     @property
@@ -233,12 +262,12 @@
     def data_received(self, data: bytes) -> None:
         """Parse bytes; without a request they make the connection unusable."""
         if not self._busy:
-            self._fail("bytes without a request")
+            self._fail("bytes without a request", BreakCause.MALFORMED)
             return
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
-            self._fail(f"no HTTP: {type(error).__name__}")
+            self._fail(f"no HTTP: {type(error).__name__}", BreakCause.MALFORMED)
             return
         if self._buffered > CONNECTION_BUFFER_BYTES and self._transport is not None:
             self._reading_paused = True
@@ -342,9 +371,9 @@
         if self._failure is not None:
             raise self._failure
 
-    def _fail(self, reason: str) -> None:
+    def _fail(self, reason: str, cause: BreakCause = BreakCause.CLOSED) -> None:
         if self._failure is None:
-            self._failure = ConnectionBrokenError(reason)
+            self._failure = ConnectionBrokenError(reason, cause=cause)
         self.closed = True
         if self._transport is not None and not self._transport.is_closing():
             self._transport.abort()
--- a/src/wharfcart/routing/caller_request.py
+++ b/src/wharfcart/routing/caller_request.py
@@ -1,8 +1,10 @@
 """A caller's request as it is passed on, and where its answer goes."""
 
 from dataclasses import dataclass
+from functools import cached_property
 from typing import Protocol
 
+from wharfcart.admission.request_content import ContentId, content_of
 from wharfcart.configuration.residence import Residence
 from wharfcart.configuration.serving import Route, ServedTenant
 from wharfcart.platform import exchanges
@@ -35,6 +37,12 @@
         """Name of the tenant, or ''."""
         return "" if self.tenant is None else self.tenant.name
 
+    @cached_property
+    def content(self) -> ContentId:
+        """What it is known by beyond this attempt."""
+        host = self.route.host
+        return content_of(host, self.method, self.target, self.tenant_name, self.body)
+
     @property
     def residence(self) -> Residence:
         """Where its data may be: both its route and its tenant bind."""
--- a/src/wharfcart/routing/forwarder.py
+++ b/src/wharfcart/routing/forwarder.py
@@ -20,6 +20,7 @@
 from wharfcart.configuration.serving import RouteKind
 from wharfcart.http.connection import (
     AnswerHead,
+    BreakCause,
     ConnectFailedError,
     ConnectionBrokenError,
     HttpConnection,
@@ -235,6 +236,7 @@
             self._pool.discard(instance, connection)
             if not error.sent:
                 return _Verdict(False, "closed_before_send")
+            progress.broke = error.cause.value
             self._turned_out(state, progress, False)
             if use in state.waiting_since:
                 # Nothing came of it: a kept connection into a region that was cut off since.
@@ -369,7 +371,7 @@
                 return await answer
         except TimeoutError as error:
             self._hedges.spend()
-            raise ConnectionBrokenError("too slow") from error
+            raise ConnectionBrokenError("too slow", cause=BreakCause.SLOW) from error
 
     def _patience_s(self, request: CallerRequest, progress: RequestProgress) -> float | None:
         route = request.route
--- a/src/wharfcart/routing/request_log.py
+++ b/src/wharfcart/routing/request_log.py
@@ -58,6 +58,7 @@
             request=request.facts.request_id,
             backend=progress.last_backend,
             cause=progress.cause,
+            broke=progress.broke,
             sends=progress.sends,
             after_event=progress.last_event,
             left_s=round(request.deadline - monotonic(), 3),
@@ -93,11 +94,13 @@
     ) -> None:
         """Tell what a request came to."""
         self._metrics.requests.add(outcome)
-        regions: dict[str, object] = {}
+        rarely: dict[str, object] = {}
+        if progress.broke:
+            rarely |= {"broke": progress.broke, "content": request.content}
         if progress.cause == RuledOut.OUTSIDE_RESIDENCE.value:
             self._metrics.outside_residence.add("request")
         if request.residence.regions is not None:
-            regions["regions"] = sorted(request.residence.regions)
+            rarely["regions"] = sorted(request.residence.regions)
         state = self._choice.state(progress.last_backend)
         now = monotonic()
         self._log.write(
@@ -119,6 +122,6 @@
             else round(min(now - state.reported_at, MOST_AGE_S), 2),
             first_byte_s=progress.first_byte_s and round(progress.first_byte_s, 4),
             seconds=round(now - request.received_at, 4),
-            **regions,
+            **rarely,
             deadline_left_s=round(request.deadline - now, 3),
         )
--- a/src/wharfcart/routing/request_progress.py
+++ b/src/wharfcart/routing/request_progress.py
@@ -20,6 +20,7 @@
         last_event: number of the last event that its caller has.
         first_byte_s: how long after it came its answer began.
         cause: why the last send or placement came to nothing.
+        broke: how the last send that broke off did so; '' while none did.
         well: what the last back end answered speaks for it.
         told: what the last send told of its back end.
     """
@@ -35,6 +36,7 @@
     last_backend: str = ""
     first_byte_s: float | None = None
     cause: str = ""
+    broke: str = ""
     retry_after_s: float = RETRY_AFTER_FULL_S
     well: bool = True
     told: SendVerdict = SendVerdict.UNKNOWN
