A request is known by its content: after two ends of back ends it is held back, by every node and for items too

Cause: nothing that was known of a request outlived one attempt at one gateway. Its caller's next attempt, under a new id at any gateway, was sent to a sound back end, which ended too; a broken send spoke against the back end alone. The class: evidence that belongs to the request is put to the back end's account, and is forgotten with the attempt. Ruled out: own repeats (sends=1 at all 13 ends in the logs), overload (three ends at a load of 0.05). Change: a run that its back end broke off has a new connection tried; refused means that the back end has ended. The end counts against the content (digest of host, method, target, tenant, body): 1 without a byte of answer, 0.5 if the answer had begun within the last second. Any answer takes the evidence away. It is shared by one key a content in the coordination service, so that it reaches every node by the mirror and outlasts restarts; asked before a place, and once more as the request leaves; before each retry and resumption, and by the leader of a job group before and as an item starts.

--- /dev/null
+++ b/src/wharfcart/admission/suspects.py
@@ -0,0 +1,214 @@
+"""Suspects core: which requests are held back since back ends ended while they ran them.
+
+A request can end whichever back end runs it, and with it all others that run there. Callers repeat
+it at any gateway, and gateways repeat it themselves; so what is known of it is kept by its content,
+over attempts, nodes and restarts. A back end that ends has other requests running, too: one end
+says little of each of them. What tells them apart is what happens to each elsewhere: others are
+answered, and are suspects no longer.
+
+Pure: time is handed in, as wall clock seconds, since evidence is shared between nodes.
+"""
+
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
+
+from wharfcart.admission.request_content import ContentId
+
+# Why a request is refused, in the decision log.
+SUSPECTED = "suspected"
+# A run that had no byte of answer as its back end ended. In the logs of an incident this was so of
+# all 13 requests that ended a back end, and of 4 of the 90 others that ran there.
+UNANSWERED_WEIGHT = 1.0
+# A run whose answer had begun, as that of nearly every request does that is there by chance.
+BEGUN_WEIGHT = 0.5
+# What ends a back end does so soon after it begins to run there; longer runs are there by chance.
+EARLY_S = 1.0
+# From this weight on a request is held back: two ends without a byte between them.
+FEWEST_WEIGHT = 2.0
+# The first time for as long as a back end takes to be back and a cause of another kind to pass;
+# each further end without a byte makes it longer by this factor.
+FIRST_HOLD_S = 30.0
+HOLD_GROWTH = 20.0
+# Evidence is kept for as long as anything is held back.
+KEPT_S = 600.0
+# More contents than this are never suspected for a good reason; the oldest are forgotten.
+MOST_CONTENTS = 1024
+
+
+@dataclass(frozen=True, slots=True)
+class BackendEnd:
+    """A back end has ended while it ran a request.
+
+    Attributes:
+        at: wall clock seconds.
+        weight: how much it speaks against the request.
+    """
+
+    at: float
+    weight: float
+
+
+@dataclass(frozen=True)
+class SuspectRecord:
+    """The ends of back ends that one content has had a part in, without an answer since.
+
+    Attributes:
+        ends_by_instance: one for each incarnation.
+    """
+
+    ends_by_instance: Mapping[str, BackendEnd] = field(default_factory=dict)
+
+    def merged(self, other: "SuspectRecord") -> "SuspectRecord":
+        """Return what both know."""
+        return SuspectRecord({**self.ends_by_instance, **other.ends_by_instance})
+
+    def covers(self, other: "SuspectRecord") -> bool:
+        """Whether this knows all that another record does."""
+        return other.ends_by_instance.keys() <= self.ends_by_instance.keys()
+
+    def weight(self) -> float:
+        """Return how much speaks against the content."""
+        return sum(end.weight for end in self.ends_by_instance.values())
+
+    def last_at(self) -> float:
+        """Return when the last of its back ends ended; 0 if there is none."""
+        return max((end.at for end in self.ends_by_instance.values()), default=0.0)
+
+    def is_old(self, now: float) -> bool:
+        """Whether nothing has happened for so long that it is forgotten."""
+        return now - self.last_at() > KEPT_S
+
+    def held_for_s(self, now: float) -> float:
+        """Return for how much longer the content is held back; 0 if it may go."""
+        weight = self.weight()
+        if weight < FEWEST_WEIGHT:
+            return 0.0
+        growth: float = HOLD_GROWTH ** (weight - FEWEST_WEIGHT)
+        hold_s = min(KEPT_S, FIRST_HOLD_S * growth)
+        # A node whose clock is ahead holds nothing back for longer than that.
+        since = min(self.last_at(), now)
+        return max(0.0, since + hold_s - now)
+
+
+def weight_of(answer_begun: bool, ran_s: float) -> float:
+    """Return how much an end speaks against a request that ran there.
+
+    Args:
+        answer_begun: some of its answer had come.
+        ran_s: how long ago it had been sent.
+    """
+    if not answer_begun:
+        return UNANSWERED_WEIGHT
+    return BEGUN_WEIGHT if ran_s < EARLY_S else 0.0
+
+
+@dataclass
+class Suspects:
+    """What one node knows: its own evidence and what the fleet has shared.
+
+    Attributes:
+        on_news: called when there is something that the fleet does not know yet.
+    """
+
+    on_news: Callable[[], None] = lambda: None
+    _shared: dict[ContentId, SuspectRecord] = field(default_factory=dict)
+    _own: dict[ContentId, SuspectRecord] = field(default_factory=dict)
+    _untold: set[ContentId] = field(default_factory=set)
+    _cleared: set[ContentId] = field(default_factory=set)
+
+    def __len__(self) -> int:
+        return len(self._shared.keys() | self._own.keys())
+
+    def held_for_s(self, content: Callable[[], ContentId], now: float) -> float:
+        """Return for how much longer a request is held back; 0 if it may go.
+
+        Args:
+            content: of the request; asked for only if there are any suspects.
+            now: wall clock seconds.
+        """
+        if not self._shared and not self._own:
+            return 0.0
+        return self.record(content()).held_for_s(now)
+
+    def record(self, content: ContentId) -> SuspectRecord:
+        """Return what is known of a content."""
+        return self._shared.get(content, SuspectRecord()).merged(
+            self._own.get(content, SuspectRecord())
+        )
+
+    def held(self, now: float) -> int:
+        """Return how many contents are held back."""
+        contents = self._shared.keys() | self._own.keys()
+        return sum(self.record(content).held_for_s(now) > 0 for content in contents)
+
+    # ---- what this node sees ----
+
+    def note_end(
+        self, content: ContentId, instance_id: str, weight: float, now: float
+    ) -> SuspectRecord:
+        """Note that a back end has ended while it ran a request; return what is known then."""
+        seen = SuspectRecord({instance_id: BackendEnd(now, weight)})
+        self._own[content] = self._own.get(content, SuspectRecord()).merged(seen)
+        self._cleared.discard(content)
+        self._untold.add(content)
+        self._forget_oldest()
+        self.on_news()
+        return self.record(content)
+
+    def note_answer(self, content: Callable[[], ContentId]) -> None:
+        """Note that a back end has run a request and lives: it is a suspect no longer.
+
+        Args:
+            content: of the request; asked for only if there are any suspects.
+        """
+        if not self._shared and not self._own:
+            return
+        known = content()
+        if known not in self._shared and known not in self._own:
+            return
+        self._own.pop(known, None)
+        self._shared.pop(known, None)
+        self._untold.discard(known)
+        self._cleared.add(known)
+        self.on_news()
+
+    # ---- what the fleet shares ----
+
+    def take(self, content: ContentId, record: SuspectRecord | None) -> None:
+        """Take what was shared of a content; None: nothing speaks against it any more."""
+        if record is None:
+            self._shared.pop(content, None)
+            if content not in self._untold:
+                self._own.pop(content, None)
+            self._cleared.discard(content)
+            return
+        if content in self._cleared:
+            self.on_news()
+            return
+        self._shared[content] = record
+        if record.covers(self._own.get(content, SuspectRecord())):
+            self._own.pop(content, None)
+            self._untold.discard(content)
+
+    def untold(self, most: int) -> dict[ContentId, SuspectRecord]:
+        """Return what the others lack, whole: their evidence and this node's."""
+        return {content: self.record(content) for content in sorted(self._untold)[:most]}
+
+    def told(self, contents: Iterable[ContentId]) -> None:
+        """Note that the others have what was untold."""
+        self._untold.difference_update(contents)
+
+    def no_longer_suspect(self, now: float, most: int) -> list[ContentId]:
+        """Return contents whose shared evidence may go: they were answered, or it is old."""
+        old = (content for content, record in self._shared.items() if record.is_old(now))
+        return [*sorted(self._cleared), *old][:most]
+
+    def forgotten(self, contents: Iterable[ContentId]) -> None:
+        """Note that the shared evidence of contents has been taken away."""
+        self._cleared.difference_update(contents)
+
+    def _forget_oldest(self) -> None:
+        while len(self._own) > MOST_CONTENTS:
+            oldest = min(self._own, key=lambda content: self._own[content].last_at())
+            del self._own[oldest]
+            self._untold.discard(oldest)
--- a/src/wharfcart/batch/item_run.py
+++ b/src/wharfcart/batch/item_run.py
@@ -4,8 +4,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
-from time import monotonic
+from time import monotonic, time
 
+from wharfcart.admission.request_content import ContentId, content_of
 from wharfcart.backends.connection_pool import ConnectionLimitError, ConnectionPool
 from wharfcart.cluster.messages_pb2 import RequestItem
 from wharfcart.http.connection import (
@@ -16,6 +17,7 @@
 )
 from wharfcart.platform import exchanges
 from wharfcart.routing.backend_choice import BackendChoice, InstanceState
+from wharfcart.routing.broken_runs import BrokenRun, BrokenRuns
 from wharfcart.routing.event_stream import EventSplitter
 from wharfcart.storage.partial_texts import RunningText
 
@@ -23,6 +25,7 @@
 STATUS_FAILED = 500
 STATUS_UNAVAILABLE = 503
 SILENCE_LIMIT_S = 3.0
+ITEM_METHOD = "POST"
 
 
 class RunOutcome(StrEnum):
@@ -35,6 +38,10 @@
     BROKEN = "broken"
 
 
+# The back end has run the item to an end, and lives.
+_RAN = frozenset({RunOutcome.SUCCEEDED, RunOutcome.FAILED, RunOutcome.IMPOSSIBLE})
+
+
 @dataclass
 class ItemProgress:
     """What is known of an item that has no result yet.
@@ -51,6 +58,19 @@
     last_backend: str = ""
     sends: int = 0
     ran_s: float = 0.0
+    _content: ContentId | None = None
+
+    def content_of(self, item: RequestItem, host: str, tenant: str) -> ContentId:
+        """Return what the item is known by: the same as a request of its tenant.
+
+        Args:
+            item: whose progress this is.
+            host: of its job's submission.
+            tenant: whose job it is, or ''.
+        """
+        if self._content is None:
+            self._content = content_of(host, ITEM_METHOD, item.path, tenant, item.body)
+        return self._content
 
     @property
     def failures(self) -> int:
@@ -83,6 +103,10 @@
     progress: ItemProgress
     give_up_at: float
 
+    def content(self) -> ContentId:
+        """Return what the item is known by beyond this send."""
+        return self.progress.content_of(self.item, self.host, self.tenant)
+
 
 class ItemRunner:
     """Sends items to back ends."""
@@ -92,10 +116,16 @@
         choice: BackendChoice,
         pool: ConnectionPool,
         connection_limit: Callable[[str], int],
+        broken_runs: BrokenRuns,
     ) -> None:
         self._choice = choice
         self._pool = pool
         self._connection_limit = connection_limit
+        self._broken_runs = broken_runs
+
+    def _is_held_back(self, send: ItemSend) -> bool:
+        """Whether back ends have ended while they ran the item."""
+        return self._broken_runs.suspects.held_for_s(send.content, time()) > 0
 
     async def run(self, send: ItemSend) -> RunOutcome:
         """Send an item once and read its events into its progress.
@@ -117,18 +147,37 @@
         instance = send.state.instance
         placed_at = monotonic()
         connection = await self._pool.take(instance, self._connection_limit(instance.service))
-        if self._choice.held_back(send.state, placed_at, monotonic()) is not None:
+        ruled_out = self._choice.held_back(send.state, placed_at, monotonic()) is not None
+        if ruled_out or self._is_held_back(send):
             self._pool.give_back(instance, connection)
             return RunOutcome.REFUSED
+        began_at = monotonic()
+        events_before = len(send.progress.text.texts)
         try:
             outcome = await self._exchange(connection, send)
-        except (ConnectionBrokenError, TimeoutError):
+        except TimeoutError:
+            self._pool.discard(instance, connection)
+            return RunOutcome.BROKEN
+        except ConnectionBrokenError as error:
             self._pool.discard(instance, connection)
+            answer_begun = len(send.progress.text.texts) > events_before
+            await self._broken_runs.look_into(
+                BrokenRun(
+                    send.item.item_id,
+                    send.content(),
+                    instance,
+                    error.cause,
+                    answer_begun,
+                    monotonic() - began_at,
+                )
+            )
             return RunOutcome.BROKEN
         except BaseException:
             self._pool.discard(instance, connection)
             raise
         self._pool.give_back(instance, connection)
+        if outcome in _RAN:
+            self._broken_runs.suspects.note_answer(send.content)
         return outcome
 
     async def _exchange(self, connection: HttpConnection, send: ItemSend) -> RunOutcome:
@@ -154,7 +203,7 @@
             headers = exchanges.without_key(headers)
         send.progress.sends += 1
         connection.send(
-            "POST",
+            ITEM_METHOD,
             item.path,
             exchanges.headers_for_server(
                 headers,
--- a/src/wharfcart/batch/job_execution.py
+++ b/src/wharfcart/batch/job_execution.py
@@ -6,10 +6,12 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from functools import partial
 from itertools import islice
 from time import monotonic, time
 
+from wharfcart.admission.suspects import Suspects
 from wharfcart.batch.item_run import ItemProgress, ItemRunner, ItemSend, RunOutcome
 from wharfcart.batch.job_scheduler import JobScheduler, ScheduledJob
 from wharfcart.batch.placed_items import PlacedItem, PlacedItems
@@ -58,6 +60,7 @@
         keep_jobs_s: how long an ended job stays readable.
         log: takes each decision on an item.
         metrics: counts items.
+        suspects: items that are held back since back ends ended while they ran them.
     """
 
     def __init__(
@@ -70,6 +73,7 @@
         keep_jobs_s: float,
         log: DecisionLog,
         metrics: ServingMetrics,
+        suspects: Suspects,
     ) -> None:
         self._group = group
         self._runner = runner
@@ -79,6 +83,7 @@
         self._keep_jobs_s = keep_jobs_s
         self._log = log
         self._metrics = metrics
+        self._suspects = suspects
         self._scheduler = JobScheduler(group.partial_texts)
         self._placed = PlacedItems()
         self._estimates_by_service: dict[str, RunEstimate] = {}
@@ -149,11 +154,23 @@
             residence = self._residence_of(scheduled.job)
             if self._choice.eligibility.ruled_out(state.instance, residence) is not None:
                 continue
-            for item in self._scheduler.startable(scheduled, now):
+            for item in self._startable(scheduled, now):
                 if instance_id not in self._excluded(scheduled, item, service, now):
                     return scheduled, item
         return None
 
+    def _startable(self, scheduled: ScheduledJob, now: float) -> Iterator[RequestItem]:
+        """Yield the items of a job that may be sent now, the first one first.
+
+        One that ends its back ends is held back here until it may go or is too old.
+        """
+        job = scheduled.job
+        for item in self._scheduler.startable(scheduled, now):
+            progress = scheduled.progress_of(item.item_id)
+            content = partial(progress.content_of, item, job.host, job.tenant)
+            if not self._suspects.held_for_s(content, time()):
+                yield item
+
     def _jobs_in_order(self, service: str) -> list[ScheduledJob]:
         """Return the jobs of a service with items that wait, the one that goes first in front."""
 
@@ -197,7 +214,7 @@
             (scheduled, item)
             for scheduled in self._jobs_in_order(service)
             if self._residence_of(scheduled.job) == residence
-            for item in self._scheduler.startable(scheduled, now)
+            for item in self._startable(scheduled, now)
         )
         found = list(islice(startable, MOST_COUNTED))
         if not found:
--- a/src/wharfcart/node/gateway_process.py
+++ b/src/wharfcart/node/gateway_process.py
@@ -82,6 +82,7 @@
             self._node.connection_limit,
             log,
             self._node.metrics,
+            self._node.broken_runs,
         )
         jobs = JobCalls(
             JobClient(
--- a/src/wharfcart/node/led_group.py
+++ b/src/wharfcart/node/led_group.py
@@ -73,6 +73,7 @@
             parts.keep_jobs_s,
             node.log,
             node.metrics,
+            node.broken_runs.suspects,
         )
         self.service = JobService(
             self.replica,
--- a/src/wharfcart/node/serving_node.py
+++ b/src/wharfcart/node/serving_node.py
@@ -7,8 +7,9 @@
 from collections.abc import Callable
 from dataclasses import replace
 from random import Random
-from time import monotonic
+from time import monotonic, time
 
+from wharfcart.admission.suspects import Suspects
 from wharfcart.backends.connection_pool import ConnectionPool
 from wharfcart.cluster.address import Address
 from wharfcart.cluster.coordination import (
@@ -33,16 +34,19 @@
     GROUP_PREFIX,
     LAYOUT_KEY,
     NODE_PREFIX,
+    SUSPECT_PREFIX,
     NodeEntry,
     NodeKind,
     node_entry_from,
 )
+from wharfcart.node.suspect_news import SuspectNews
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.observability.serving_metrics import ServingMetrics
 from wharfcart.observability.tasks import BackgroundTasks
 from wharfcart.platform import documents, names
 from wharfcart.platform.metadata_store import MetadataStore
 from wharfcart.routing.backend_choice import BackendChoice
+from wharfcart.routing.broken_runs import BrokenRuns
 from wharfcart.routing.eligibility import Eligibility
 from wharfcart.settings.base import split_endpoint
 from wharfcart.settings.serving import ServingSettings
@@ -97,6 +101,10 @@
             self.choice, self.pool, lambda: self.link.in_outage, lambda: self.link.age_s, log
         )
         self._evacuations = Evacuations(self.choice, log, self.metrics, lambda: self.link.age_s)
+        suspects = Suspects()
+        self.broken_runs = BrokenRuns(suspects, log)
+        self._suspect_news = SuspectNews(suspects, self.coordination, self.mirror, self.random)
+        self.metrics.contents_held.set_function(lambda: suspects.held(time()))
         self.metrics.cold_backends.set_function(lambda: len(self.choice.cold_states(monotonic())))
         self.metrics.mirror_age.set_function(lambda: min(self.link.age_s, MOST_AGE_S))
         self.handle_other: Handler = _ignore
@@ -111,6 +119,7 @@
         self.tasks.spawn(self.log.run())
         self.tasks.spawn(self.link.run())
         self.tasks.spawn(self._evacuations.run())
+        self.tasks.spawn(self._suspect_news.run())
 
     async def stop(self) -> None:
         """Close everything."""
@@ -225,6 +234,8 @@
                 self._backend_news.take(change)
             elif change.key.startswith(names.EVACUATE_PREFIX):
                 self._evacuations.take(change)
+            elif change.key.startswith(SUSPECT_PREFIX):
+                self._suspect_news.take(change)
             elif change.key.startswith(NODE_PREFIX):
                 self._take_node(change)
             elif change.key.startswith(GROUP_PREFIX):
--- a/src/wharfcart/node/storage_process.py
+++ b/src/wharfcart/node/storage_process.py
@@ -104,7 +104,7 @@
         parts = GroupParts(
             node,
             context,
-            ItemRunner(node.choice, node.pool, node.connection_limit),
+            ItemRunner(node.choice, node.pool, node.connection_limit, node.broken_runs),
             JobClient(
                 node.transport,
                 lambda: node.groups,
--- /dev/null
+++ b/src/wharfcart/node/suspect_news.py
@@ -0,0 +1,145 @@
+"""What nodes share of requests that back ends ended under: kept in the coordination service.
+
+One key a content. It reaches every node with the mirror, also one that starts later or that another
+region's storage nodes grant slots to. While the service is away each node goes by what it knows.
+"""
+
+import asyncio
+import json
+from contextlib import suppress
+from time import time
+
+from wharfcart.admission.request_content import ContentId
+from wharfcart.admission.suspects import BackendEnd, SuspectRecord, Suspects
+from wharfcart.cluster.coordination import (
+    Change,
+    ConditionFailedError,
+    CoordinationService,
+    CoordinationUnavailableError,
+    Transaction,
+)
+from wharfcart.cluster.mirror import Mirror
+from wharfcart.cluster.randomness import RandomSource
+from wharfcart.node.fleet_keys import SUSPECT_PREFIX
+
+# All runs of a back end that ended break off within this time; they are told together.
+GATHER_S = 0.01
+# A condition fails when another node was faster; its change arrives within this time.
+RETRY_CHANGED_S = 0.1
+RETRY_UNAVAILABLE_S = 0.5
+# Each further try waits twice as long, up to this.
+MOST_RETRY_S = 4.0
+# So often a node looks for evidence that is old, so that none is kept for ever.
+CLEAN_PERIOD_S = 60.0
+# A transaction has so many entries at most: conditions, keys that are written and that go.
+MOST_WRITTEN = 10
+MOST_REMOVED = 6
+
+
+class SuspectNews:
+    """Tells the others what this node has seen, and takes what they tell.
+
+    Args:
+        suspects: of this node.
+        service: where evidence is kept.
+        mirror: of the service's keys.
+        random: spreads further tries.
+    """
+
+    def __init__(
+        self,
+        suspects: Suspects,
+        service: CoordinationService,
+        mirror: Mirror,
+        random: RandomSource,
+    ) -> None:
+        self._suspects = suspects
+        self._service = service
+        self._mirror = mirror
+        self._random = random
+        self._failures = 0
+        self._news = asyncio.Event()
+        suspects.on_news = self._news.set
+
+    def take(self, change: Change) -> None:
+        """Take what was shared of a content."""
+        content = ContentId(change.key.removeprefix(SUSPECT_PREFIX))
+        self._suspects.take(content, record_from(change.value))
+
+    async def run(self) -> None:
+        """Tell what there is to tell, until cancelled."""
+        while True:
+            with suppress(TimeoutError):
+                async with asyncio.timeout(CLEAN_PERIOD_S * self._spread()):
+                    await self._news.wait()
+            self._news.clear()
+            await asyncio.sleep(GATHER_S)
+            while not await self._tell():
+                pass
+
+    async def _tell(self) -> bool:
+        """Tell what is untold; False if there is more, or it has to be tried again."""
+        untold = self._suspects.untold(MOST_WRITTEN)
+        over = [
+            content
+            for content in self._suspects.no_longer_suspect(time(), MOST_REMOVED)
+            if content not in untold
+        ]
+        there = [content for content in over if self._mirror.get(_key(content)) is not None]
+        if not untold and not there:
+            self._suspects.forgotten(over)
+            return True
+        transaction = Transaction(
+            {_key(content): self._revision(content) for content in (*untold, *there)},
+            {_key(content): record_to_bytes(record) for content, record in untold.items()},
+            tuple(_key(content) for content in there),
+        )
+        try:
+            await self._service.commit(transaction)
+        except ConditionFailedError:
+            await self._pause(RETRY_CHANGED_S)
+            return False
+        except CoordinationUnavailableError:
+            # Whether it was done or not: the mirror tells, and the same may be written twice.
+            await self._pause(RETRY_UNAVAILABLE_S)
+            return False
+        self._failures = 0
+        self._suspects.told(untold)
+        self._suspects.forgotten(over)
+        return False
+
+    def _revision(self, content: ContentId) -> int:
+        known = self._mirror.get(_key(content))
+        return 0 if known is None else known.revision
+
+    async def _pause(self, seconds: float) -> None:
+        self._failures += 1
+        seconds = min(MOST_RETRY_S, seconds * 2.0 ** (self._failures - 1))
+        await asyncio.sleep(seconds * self._spread())
+
+    def _spread(self) -> float:
+        return 0.5 + self._random.random()
+
+
+def record_to_bytes(record: SuspectRecord) -> bytes:
+    """Write what is known of a content."""
+    ends = {key: [round(end.at, 3), end.weight] for key, end in record.ends_by_instance.items()}
+    return json.dumps(ends, sort_keys=True).encode()
+
+
+def record_from(value: bytes | None) -> SuspectRecord | None:
+    """Read what is known of a content; None if nothing is, or it is of another form."""
+    if value is None:
+        return None
+    try:
+        ends = {
+            str(key): BackendEnd(float(at), float(weight))
+            for key, (at, weight) in json.loads(value).items()
+        }
+    except (ValueError, TypeError, AttributeError):
+        return None
+    return SuspectRecord(ends)
+
+
+def _key(content: ContentId) -> str:
+    return SUSPECT_PREFIX + content
--- a/src/wharfcart/observability/serving_metrics.py
+++ b/src/wharfcart/observability/serving_metrics.py
@@ -133,6 +133,10 @@
         self.cold_backends = self._gauge(
             "wharfcart_cold_backends", "Back ends that count as cold and are sent little"
         )
+        self.contents_held = self._gauge(
+            "wharfcart_contents_held_back",
+            "Contents of requests that are held back since back ends ended while they ran them",
+        )
         self.open_items = self._gauge("wharfcart_open_items", "Batch items not finished, if leader")
         self.items_yielded = self._counter(
             "wharfcart_items_yielded", "Items that left a slot for online requests", "cause"
--- /dev/null
+++ b/src/wharfcart/routing/broken_runs.py
@@ -0,0 +1,130 @@
+"""Runs that broke off: whether the back end has ended, and whose request may have been the cause.
+
+A connection that ends in the middle of an answer tells little: the answer may have been lost, or
+the back end has ended. So a new connection is tried at once; only where nobody listens any more did
+the back end end. One that is silent has lost its power or is cut off, which no request does.
+"""
+
+import asyncio
+from collections import OrderedDict
+from dataclasses import dataclass
+from time import time
+
+from wharfcart.admission.request_content import ContentId
+from wharfcart.admission.suspects import Suspects, weight_of
+from wharfcart.configuration.instances import BackendInstance
+from wharfcart.http.connection import BreakCause, ConnectFailedError, HttpConnection
+from wharfcart.observability.decisions import DecisionLog, Event
+from wharfcart.observability.tasks import BackgroundTasks
+
+# A connection comes up within a round trip, also to another region, or is refused as soon.
+CHECK_TIMEOUT_S = 0.3
+# A process that ends resets its connections one after the other: one that came up meanwhile is
+# reset within this time.
+LINGER_S = 0.02
+# A request that may be repeated waits for the verdict for no longer than this.
+MOST_WAIT_S = 0.1
+MOST_CHECKS = 2
+# Incarnations that have ended stay so; more of them than this are not asked for any more.
+MOST_ENDED = 256
+
+
+@dataclass(frozen=True, slots=True)
+class BrokenRun:
+    """A run that broke off.
+
+    Attributes:
+        request_id: of the request or item.
+        content: by which it is known beyond this run.
+        instance: that ran it.
+        cause: how it broke off.
+        answer_begun: some of its answer had come in this run.
+        ran_s: how long ago it had been sent.
+    """
+
+    request_id: str
+    content: ContentId
+    instance: BackendInstance
+    cause: BreakCause
+    answer_begun: bool
+    ran_s: float
+
+
+class BrokenRuns:
+    """Looks into the broken runs of one node.
+
+    Args:
+        suspects: is told of runs whose back ends have ended.
+        log: takes a line for each end that this node sees, and for each request that had a part.
+    """
+
+    def __init__(self, suspects: Suspects, log: DecisionLog) -> None:
+        self.suspects = suspects
+        self._log = log
+        self._tasks = BackgroundTasks()
+        self._checks_by_instance: dict[str, asyncio.Task[None]] = {}
+        self._ended: OrderedDict[str, None] = OrderedDict()
+
+    def note(self, run: BrokenRun) -> asyncio.Task[None]:
+        """Look into a run; the task ends once it is known what became of its back end."""
+        return self._tasks.spawn(self._look_into(run))
+
+    async def look_into(self, run: BrokenRun) -> None:
+        """Look into a run and wait for the verdict, for a moment at most."""
+        await asyncio.wait((self.note(run),), timeout=MOST_WAIT_S)
+
+    async def _look_into(self, run: BrokenRun) -> None:
+        if run.cause is not BreakCause.CLOSED or not await self._has_ended(run.instance):
+            return
+        weight = weight_of(run.answer_begun, run.ran_s)
+        if not weight:
+            return
+        now = time()
+        instance_id = run.instance.instance_id
+        record = self.suspects.note_end(run.content, instance_id, weight, now)
+        self._log.write(
+            Event.REQUEST_SUSPECTED,
+            request=run.request_id,
+            content=run.content,
+            backend=instance_id,
+            answer_begun=run.answer_begun,
+            ran_s=round(run.ran_s, 3),
+            ends=len(record.ends_by_instance),
+            weight=record.weight(),
+            held_s=round(record.held_for_s(now), 1),
+        )
+
+    async def _has_ended(self, instance: BackendInstance) -> bool:
+        instance_id = instance.instance_id
+        if instance_id in self._ended:
+            return True
+        check = self._checks_by_instance.get(instance_id)
+        if check is None:
+            check = self._tasks.spawn(self._check(instance))
+            self._checks_by_instance[instance_id] = check
+            check.add_done_callback(lambda _task: self._checks_by_instance.pop(instance_id, None))
+        await asyncio.shield(check)
+        return instance_id in self._ended
+
+    async def _check(self, instance: BackendInstance) -> None:
+        if not await _refuses(instance):
+            return
+        self._ended[instance.instance_id] = None
+        if len(self._ended) > MOST_ENDED:
+            self._ended.popitem(last=False)
+        self._log.write(Event.BACKEND_ENDED, backend=instance.instance_id, service=instance.service)
+
+
+async def _refuses(instance: BackendInstance) -> bool:
+    """Whether nobody listens where a back end did."""
+    for _ in range(MOST_CHECKS):
+        try:
+            connection = await HttpConnection.open(instance.host, instance.port, CHECK_TIMEOUT_S)
+        except ConnectFailedError as error:
+            return error.refused
+        await asyncio.sleep(LINGER_S)
+        was_reset = connection.closed
+        connection.close()
+        if not was_reset:
+            return False
+    return False
--- a/src/wharfcart/routing/forwarder.py
+++ b/src/wharfcart/routing/forwarder.py
@@ -10,11 +10,13 @@
 """
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable
-from time import monotonic
+from time import monotonic, time
 from typing import TypeVar
 
 from wharfcart.admission.hedging import HedgeBudget
+from wharfcart.admission.suspects import SUSPECTED
 from wharfcart.backends.connection_pool import ConnectionLimitError, ConnectionPool
 from wharfcart.cluster.topology import RegionName
 from wharfcart.configuration.serving import RouteKind
@@ -29,6 +31,7 @@
 from wharfcart.observability.serving_metrics import ServingMetrics
 from wharfcart.platform import exchanges
 from wharfcart.routing.backend_choice import BackendChoice, InstanceState
+from wharfcart.routing.broken_runs import BrokenRun, BrokenRuns
 from wharfcart.routing.caller_request import AnswerCutError, AnswerSink, CallerRequest
 from wharfcart.routing.eligibility import RuledOut
 from wharfcart.routing.event_stream import EventSplitter
@@ -90,12 +93,14 @@
         connection_limit: Callable[[str], int],
         log: DecisionLog,
         metrics: ServingMetrics,
+        broken_runs: BrokenRuns,
     ) -> None:
         self._choice = choice
         self._placement = placement
         self._pool = pool
         self._connection_limit = connection_limit
         self._told = RequestLog(choice, log, metrics)
+        self._broken_runs = broken_runs
         self._hedges = HedgeBudget()
         self._reach = RegionReach()
 
@@ -122,6 +127,9 @@
         self, request: CallerRequest, sink: AnswerSink, progress: RequestProgress
     ) -> None:
         while True:
+            if self._is_held_back(request, progress):
+                await self._give_up(request, sink, progress, STATUS_BAD_GATEWAY)
+                return
             if self._regions_lost(request):
                 progress.cause = REGION_UNREACHABLE
                 await self._give_up(request, sink, progress, STATUS_BAD_GATEWAY)
@@ -153,6 +161,18 @@
                 return
             self._told.retried(request, progress)
 
+    def _is_held_back(self, request: CallerRequest, progress: RequestProgress) -> bool:
+        """Whether back ends have ended under requests of the same content, here or elsewhere.
+
+        Asked before each send: what ends its back ends takes all others there with it.
+        """
+        held_s = self._broken_runs.suspects.held_for_s(lambda: request.content, time())
+        if not held_s:
+            return False
+        progress.cause = SUSPECTED
+        progress.retry_after_s = math.ceil(held_s)
+        return True
+
     def _regions_lost(self, request: CallerRequest) -> bool:
         """Whether a request is bound to regions that this gateway does not reach now."""
         regions = request.residence.regions
@@ -230,6 +250,11 @@
             # Costs no try: nothing was sent, and the back end had no part in it.
             self._pool.give_back(instance, connection)
             return _Verdict(False, held_back.value)
+        if self._is_held_back(request, progress):
+            # It was found out while this one waited for its slot and its connection.
+            self._pool.give_back(instance, connection)
+            return _Verdict(False, SUSPECTED)
+        began_at = monotonic()
         try:
             verdict = await self._exchange(request, sink, progress, state, connection, use)
         except ConnectionBrokenError as error:
@@ -243,6 +268,7 @@
                 self._reach.failed(self._region_of(state), instance.instance_id, monotonic())
             if connection.answered == 0:
                 self._avoid(state, "broken")
+            await self._look_into(request, state, use, error.cause, monotonic() - began_at)
             return _Verdict(True, "broken")
         except BaseException:
             # The caller left or the time is over: closing ends the back end's work.
@@ -250,9 +276,32 @@
             raise
         self._pool.give_back(instance, connection)
         if verdict is None or verdict.ran:
+            self._broken_runs.suspects.note_answer(lambda: request.content)
             self._turned_out(state, progress, verdict is None and progress.well)
         return verdict
 
+    async def _look_into(
+        self,
+        request: CallerRequest,
+        state: InstanceState,
+        use: int,
+        cause: BreakCause,
+        ran_s: float,
+    ) -> None:
+        """Have it found out whether the back end ended; who may be repeated waits for that."""
+        run = BrokenRun(
+            request.facts.request_id,
+            request.content,
+            state.instance,
+            cause,
+            use not in state.waiting_since,
+            ran_s,
+        )
+        if request.route.repeatable:
+            await self._broken_runs.look_into(run)
+        else:
+            self._broken_runs.note(run)
+
     def _turned_out(self, state: InstanceState, progress: RequestProgress, good: bool) -> None:
         progress.told = SendVerdict.GOOD if good else SendVerdict.BAD
         self._choice.turned_out(state, good, monotonic())
--- a/src/wharfcart/routing/request_log.py
+++ b/src/wharfcart/routing/request_log.py
@@ -2,6 +2,7 @@
 
 from time import monotonic
 
+from wharfcart.admission.suspects import SUSPECTED
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.observability.serving_metrics import ServingMetrics
 from wharfcart.routing.backend_choice import BackendChoice, InstanceState
@@ -96,7 +97,9 @@
         self._metrics.requests.add(outcome)
         rarely: dict[str, object] = {}
         if progress.broke:
-            rarely |= {"broke": progress.broke, "content": request.content}
+            rarely["broke"] = progress.broke
+        if progress.broke or progress.cause == SUSPECTED:
+            rarely["content"] = request.content
         if progress.cause == RuledOut.OUTSIDE_RESIDENCE.value:
             self._metrics.outside_residence.add("request")
         if request.residence.regions is not None:
--- a/tests/routing/test_forwarder_residence.py
+++ b/tests/routing/test_forwarder_residence.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from wharfcart.admission.suspects import Suspects
 from wharfcart.backends.connection_pool import ConnectionPool
 from wharfcart.cluster.topology import RegionName, Topology
 from wharfcart.configuration.instances import BackendInstance
@@ -15,6 +16,7 @@
 from wharfcart.observability.serving_metrics import ServingMetrics
 from wharfcart.platform.exchanges import RequestFacts
 from wharfcart.routing.backend_choice import BackendChoice
+from wharfcart.routing.broken_runs import BrokenRuns
 from wharfcart.routing.caller_request import CallerRequest
 from wharfcart.routing.eligibility import Eligibility
 from wharfcart.routing.forwarder import Forwarder
@@ -88,7 +90,13 @@
         self.sink = Sink()
         self.placement = LocalPlacement(self.choice)
         self.forwarder = Forwarder(
-            self.choice, self.placement, self.pool, lambda _service: 4, self.log, self.metrics
+            self.choice,
+            self.placement,
+            self.pool,
+            lambda _service: 4,
+            self.log,
+            self.metrics,
+            BrokenRuns(Suspects(), self.log),
         )
 
     def put_many(self) -> None:
--- a/tests/routing/test_leaving_for_back_end.py
+++ b/tests/routing/test_leaving_for_back_end.py
@@ -5,6 +5,7 @@
 from random import Random
 from time import monotonic
 
+from wharfcart.admission.suspects import Suspects
 from wharfcart.backends.connection_pool import ConnectionPool
 from wharfcart.batch.item_run import ItemProgress, ItemRunner, ItemSend, RunOutcome
 from wharfcart.cluster.messages_pb2 import RequestItem
@@ -17,6 +18,7 @@
 from wharfcart.platform import exchanges
 from wharfcart.platform.exchanges import RequestFacts
 from wharfcart.routing.backend_choice import BackendChoice
+from wharfcart.routing.broken_runs import BrokenRuns
 from wharfcart.routing.caller_request import CallerRequest
 from wharfcart.routing.cold_rates import PERMIT_KEPT_S
 from wharfcart.routing.forwarder import RETRY_AFTER_EVACUATED_S, Forwarder
@@ -81,6 +83,7 @@
         self.on_connected: Callable[[BackendInstance], Awaitable[None]] = self._nothing
         self.pool = Pool(self._connected)
         self.placement = RecordingPlacement(self.choice)
+        self.broken_runs = BrokenRuns(Suspects(), DecisionLog("test"))
         self.forwarder = Forwarder(
             self.choice,
             self.placement,
@@ -88,6 +91,7 @@
             lambda _service: 8,
             DecisionLog("test"),
             ServingMetrics(),
+            self.broken_runs,
         )
 
     async def _nothing(self, _instance: BackendInstance) -> None:
@@ -142,7 +146,7 @@
     async def run_item(self, zone: str) -> RunOutcome:
         state = self.choice.state(zone)
         assert state is not None
-        runner = ItemRunner(self.choice, self.pool, lambda _service: 8)
+        runner = ItemRunner(self.choice, self.pool, lambda _service: 8, self.broken_runs)
         use = self.choice.sent(state, monotonic())
         progress = ItemProgress(RunningText("j"))
         item = RequestItem(item_id="q", path="/x")
