--- /dev/null
+++ b/tests/test_clock.py
@@ -0,0 +1,81 @@
+"""Time that decides goes on while the machine is suspended.
+
+Seen by the users: machines are suspended for seconds; the steady clock does not count that time.
+Whatever is true for a while (a lease, a permit, news of a peer) was taken for fresh after it.
+"""
+
+import ast
+import time
+from pathlib import Path
+
+import pytest
+
+import wharfcart
+from wharfcart.clock import Suspensions, monotonic, suspended_s
+
+SOURCE = Path(wharfcart.__file__).parent
+# What runs beside a fleet, not in it; and the one module that reads the clocks.
+EXEMPT = ("experiments/", "emulator/", "soak/", "cli/", "clock.py")
+STANDS_STILL = ("monotonic", "perf_counter", "monotonic_ns")
+
+
+class Machine:
+    """Clocks of a machine that can be suspended."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.now = {time.CLOCK_MONOTONIC: 100.0, time.CLOCK_BOOTTIME: 130.0}
+        monkeypatch.setattr(time, "clock_gettime", lambda clock: self.now[clock])
+
+    def run(self, seconds: float) -> None:
+        for clock in self.now:
+            self.now[clock] += seconds
+
+    def suspend(self, seconds: float) -> None:
+        self.now[time.CLOCK_BOOTTIME] += seconds
+
+
+def test_time_goes_on_while_the_machine_is_suspended(monkeypatch: pytest.MonkeyPatch) -> None:
+    machine = Machine(monkeypatch)
+    before = monotonic()
+    machine.run(1.0)
+    machine.suspend(6.0)
+    assert monotonic() - before == 7.0
+    assert suspended_s() == 36.0
+
+
+def test_a_suspension_is_noticed_when_it_is_asked_for(monkeypatch: pytest.MonkeyPatch) -> None:
+    machine = Machine(monkeypatch)
+    suspensions = Suspensions()
+    machine.run(50.0)
+    assert suspensions.resumed_at() < 0
+    machine.suspend(2.0)
+    resumed_at = suspensions.resumed_at()
+    assert resumed_at == monotonic()
+    machine.run(1.0)
+    assert suspensions.resumed_at() == resumed_at
+
+
+def test_no_decision_rests_on_a_clock_that_stands_still() -> None:
+    found = []
+    for path in sorted(SOURCE.rglob("*.py")):
+        place = str(path.relative_to(SOURCE))
+        if place.startswith(EXEMPT):
+            continue
+        found += [f"{place}:{line}" for line in _reads(ast.parse(path.read_text()))]
+    assert found == []
+
+
+def _reads(module: ast.Module) -> list[int]:
+    """Return the lines that read a clock which stands still in a suspension."""
+    lines = []
+    for node in ast.walk(module):
+        if isinstance(node, ast.ImportFrom) and node.module == "time":
+            lines += [node.lineno for name in node.names if name.name in STANDS_STILL]
+        if isinstance(node, ast.Attribute) and node.attr in STANDS_STILL:
+            lines.append(node.lineno)
+        # The event loop's time: ``loop.time()``, ``get_running_loop().time()``.
+        if isinstance(node, ast.Call) and isinstance(node.func, ast.Attribute):
+            owner = ast.unparse(node.func.value)
+            if node.func.attr == "time" and "loop" in owner:
+                lines.append(node.lineno)
+    return lines
