Time that decides goes on while the machine is suspended

Cause: leases, terms, permits, shares of cold back ends, grants, ages of news and idle connections were measured by the system's monotonic clock or by the event loop's time. Both stand still in a suspension, so that what was true before it was taken for fresh after it. Change: wharfcart.clock reads the clock that counts suspensions; all modules of both serving paths use it. A test reads the sources: none may read a clock that stands still, nor hand the event loop a moment of time.

--- a/src/wharfcart/admin/handlers.py
+++ b/src/wharfcart/admin/handlers.py
@@ -22,6 +22,7 @@
     record_entries,
 )
 from wharfcart.admin.interface import AdminContext, NodeStatus
+from wharfcart.clock import monotonic
 from wharfcart.configuration.changes import (
     ChangePlan,
     check_result,
@@ -215,8 +216,7 @@
 
     async def _wait_in_force(self, revision: int) -> list[str]:
         """Wait until every live node has a revision; return those that lag at the end."""
-        loop = asyncio.get_running_loop()
-        deadline = loop.time() + IN_FORCE_TIMEOUT_S
+        deadline = monotonic() + IN_FORCE_TIMEOUT_S
         while True:
             nodes = await self._context.node_statuses()
             lagging = [
@@ -224,7 +224,7 @@
                 for node in nodes
                 if node.view is None or node.view.configuration_revision < revision
             ]
-            if not lagging or loop.time() >= deadline:
+            if not lagging or monotonic() >= deadline:
                 return lagging
             await asyncio.sleep(IN_FORCE_POLL_S)
 
--- a/src/wharfcart/admission/limiter.py
+++ b/src/wharfcart/admission/limiter.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from wharfcart.admission.limits import BucketHome, TakenTokens, tokens_to_take
+from wharfcart.clock import monotonic
 from wharfcart.cluster.address import Address
 from wharfcart.cluster.messages_pb2 import Frame, TakeTokens, TokensTaken
 from wharfcart.cluster.ownership import choose_owner
@@ -40,17 +41,16 @@
         ServingError
             ``rate_limited``, ``not_run``, with the time to come back.
         """
-        loop = asyncio.get_running_loop()
         taken = self._taken.setdefault(bucket, TakenTokens())
-        if taken.spend(loop.time()):
+        if taken.spend(monotonic()):
             return
         # One asks for all that wait: else a burst of callers drains the bucket of tokens that
         # nobody spends.
         async with self._asking.setdefault(bucket, asyncio.Lock()):
-            if taken.spend(loop.time()):
+            if taken.spend(monotonic()):
                 return
-            if loop.time() < taken.refused_until:
-                raise _rate_limited(taken.refused_until - loop.time())
+            if monotonic() < taken.refused_until:
+                raise _rate_limited(taken.refused_until - monotonic())
             await self._take(bucket, limits, taken)
 
     async def _take(self, bucket: str, limits: Limits, taken: TakenTokens) -> None:
@@ -62,11 +62,11 @@
         try:
             answer = await self._ask(home, request)
         except (PeerUnreachableError, TimeoutError):
-            now = asyncio.get_running_loop().time()
+            now = monotonic()
             if not taken.spend_fallback(rate, burst, len(nodes), now):
                 raise _rate_limited(1.0 / rate) from None
             return
-        now = asyncio.get_running_loop().time()
+        now = monotonic()
         if answer.granted < 1.0:
             taken.refused_until = now + answer.retry_after_ms / 1000
             raise _rate_limited(answer.retry_after_ms / 1000)
@@ -84,7 +84,7 @@
 
     def serve(self, request: TakeTokens) -> TokensTaken:
         """Give tokens of a bucket whose home is this node."""
-        now = asyncio.get_running_loop().time()
+        now = monotonic()
         granted, seconds = self._home.take(
             request.bucket, request.wanted, request.rate, request.burst, now
         )
--- a/src/wharfcart/backends/connection_pool.py
+++ b/src/wharfcart/backends/connection_pool.py
@@ -2,8 +2,8 @@
 
 from collections import deque
 from collections.abc import Collection
-from time import monotonic
 
+from wharfcart.clock import monotonic
 from wharfcart.configuration.instances import BackendInstance
 from wharfcart.http.connection import HttpConnection
 
--- a/src/wharfcart/batch/item_run.py
+++ b/src/wharfcart/batch/item_run.py
@@ -4,10 +4,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
-from time import monotonic, time
+from time import time
 
 from wharfcart.admission.request_content import ContentId, content_of
 from wharfcart.backends.connection_pool import ConnectionLimitError, ConnectionPool
+from wharfcart.clock import monotonic
 from wharfcart.cluster.messages_pb2 import RequestItem
 from wharfcart.http.connection import (
     AnswerHead,
--- a/src/wharfcart/batch/job_execution.py
+++ b/src/wharfcart/batch/job_execution.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Iterator
 from functools import partial
 from itertools import islice
-from time import monotonic, time
+from time import time
 
 from wharfcart.admission.suspects import Suspects
 from wharfcart.batch.item_run import ItemProgress, ItemRunner, ItemSend, RunOutcome
@@ -17,6 +17,7 @@
 from wharfcart.batch.placed_items import PlacedItem, PlacedItems
 from wharfcart.batch.retry_policy import has_failed_for_good
 from wharfcart.batch.run_estimate import RunEstimate
+from wharfcart.clock import monotonic
 from wharfcart.cluster.messages_pb2 import ItemOutcome, RequestItem, RequestJob
 from wharfcart.configuration.residence import Residence, residence_from_message
 from wharfcart.configuration.serving import Route, ServingConfiguration
--- a/src/wharfcart/batch/job_service.py
+++ b/src/wharfcart/batch/job_service.py
@@ -6,9 +6,9 @@
 import asyncio
 from collections import Counter
 from collections.abc import Callable
-from time import monotonic
 
 from wharfcart.batch.job_execution import JobExecution
+from wharfcart.clock import monotonic
 from wharfcart.cluster.messages_pb2 import (
     DONE,
     MAYBE_ELSEWHERE,
--- a/src/wharfcart/batch/leader.py
+++ b/src/wharfcart/batch/leader.py
@@ -7,6 +7,7 @@
 
 from wharfcart.batch.lines import now_ms
 from wharfcart.batch.scheduler import LEASE_TERM_S, BatchScheduler, Choice
+from wharfcart.clock import monotonic
 from wharfcart.cluster.messages_pb2 import (
     Command,
     Expire,
@@ -85,7 +86,7 @@
         """
         shard = self._journal.leading_shard(poll.shard)
         scheduler = self._scheduler(shard)
-        now = asyncio.get_running_loop().time()
+        now = monotonic()
         grant = LeaseGrant(lease_ms=int(LEASE_TERM_S * 1000))
         grant.revoked.extend(scheduler.renew(poll.held, now))
         choices = scheduler.choose(poll.targets, poll.most)
@@ -114,7 +115,7 @@
         lease = shard.state.leases.get(lease_id)
         if result.code != "ok" or lease is None:
             return None
-        scheduler.renew([lease_id], asyncio.get_running_loop().time())
+        scheduler.renew([lease_id], monotonic())
         return await self._granted(shard, lease)
 
     async def _granted(self, shard: Shard, lease: Lease) -> GrantedLease:
@@ -155,7 +156,7 @@
         """End lapsed leases and expired work, for ever."""
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
-            now = asyncio.get_running_loop().time()
+            now = monotonic()
             expire = now - self._expired_at > EXPIRE_EVERY_S
             if expire:
                 self._expired_at = now
--- a/src/wharfcart/batch/runner.py
+++ b/src/wharfcart/batch/runner.py
@@ -18,6 +18,7 @@
 from wharfcart.batch.held_leases import HeldLease, HeldLeases
 from wharfcart.batch.lines import error_line, output_line, service_name_of
 from wharfcart.batch.scheduler import MOST_ITEMS_A_LEASE
+from wharfcart.clock import monotonic
 from wharfcart.cluster.messages_pb2 import (
     COMPLETED,
     FAILED,
@@ -114,10 +115,10 @@
         loop = asyncio.get_running_loop()
         while True:
             self.owned.changed.clear()
-            slots = 0 if self._stopping else self.owned.gate.batch_slots(loop.time())
+            slots = 0 if self._stopping else self.owned.gate.batch_slots(monotonic())
             for _ in range(min(slots, len(self._waiting))):
                 self._start(self._waiting.popleft())
-            if self._polling is None and self._wants_items(slots, loop.time()):
+            if self._polling is None and self._wants_items(slots, monotonic()):
                 self._polling = loop.create_task(self._poll())
             try:
                 async with asyncio.timeout(SLOT_WAIT_S):
@@ -151,7 +152,7 @@
                 if taken >= MOST_ITEMS_A_LEASE:
                     break
             pause = 0.0 if taken else POLL_IDLE_S * (0.5 + random.random())
-            self._next_poll = asyncio.get_running_loop().time() + pause
+            self._next_poll = monotonic() + pause
         finally:
             self._polling = None
             self.owned.changed.set()
--- a/src/wharfcart/cluster/gossip.py
+++ b/src/wharfcart/cluster/gossip.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Sequence
 from typing import cast
 
+from wharfcart.clock import monotonic
 from wharfcart.cluster.address import Address
 from wharfcart.cluster.membership import (
     MemberChanged,
@@ -43,12 +44,12 @@
         """Listen and join."""
         loop = asyncio.get_running_loop()
         await loop.create_datagram_endpoint(lambda: self, local_addr=(listen.host, listen.port))
-        self._carry_out(self.membership.start(loop.time()))
+        self._carry_out(self.membership.start(monotonic()))
         self._task = loop.create_task(self._run())
 
     async def leave(self) -> None:
         """Announce a planned stop."""
-        self._carry_out(self.membership.leave(asyncio.get_running_loop().time()))
+        self._carry_out(self.membership.leave(monotonic()))
 
     async def stop(self) -> None:
         """Close the socket."""
@@ -97,17 +98,16 @@
         except Exception:
             logger.warning("bad datagram", extra={"sender": addr[0]})
             return
-        now = asyncio.get_running_loop().time()
+        now = monotonic()
         sender = Address(addr[0], addr[1])
         self._carry_out(self.membership.receive(message, sender, now))
 
     async def _run(self) -> None:
-        loop = asyncio.get_running_loop()
         while True:
-            now = loop.time()
+            now = monotonic()
             wait = self.membership.next_deadline(now) - now
             await asyncio.sleep(min(LONGEST_WAIT_S, max(0.005, wait)))
-            self._carry_out(self.membership.tick(loop.time()))
+            self._carry_out(self.membership.tick(monotonic()))
 
     def _carry_out(self, actions: Sequence[MembershipAction]) -> None:
         for action in actions:
--- a/src/wharfcart/cluster/mirror_link.py
+++ b/src/wharfcart/cluster/mirror_link.py
@@ -11,9 +11,9 @@
 from contextlib import suppress
 from dataclasses import dataclass
 from random import random, sample
-from time import monotonic
 from typing import Protocol
 
+from wharfcart.clock import monotonic
 from wharfcart.cluster.coordination import (
     Change,
     Changes,
--- a/src/wharfcart/cluster/transport.py
+++ b/src/wharfcart/cluster/transport.py
@@ -14,6 +14,7 @@
 from enum import StrEnum
 from typing import cast
 
+from wharfcart.clock import monotonic
 from wharfcart.cluster.address import Address
 from wharfcart.cluster.messages_pb2 import CallError, Cancel, Frame
 from wharfcart.cluster.round_trips import RoundTrips
@@ -245,13 +246,12 @@
     ) -> AsyncGenerator[Frame, None]:
         """Send one request and yield its responses; an error frame is raised."""
         connection = await self._connect(address, traffic)
-        loop = asyncio.get_running_loop()
         # Only what is answered at once tells how far a peer is.
-        asked_at = loop.time() if frame.WhichOneof("body") in ANSWERED_AT_ONCE else None
+        asked_at = monotonic() if frame.WhichOneof("body") in ANSWERED_AT_ONCE else None
         async with aclosing(connection.call(frame)) as answers:
             async for answer in answers:
                 if asked_at is not None:
-                    self._round_trips.observe(address, loop.time() - asked_at, loop.time())
+                    self._round_trips.observe(address, monotonic() - asked_at, monotonic())
                     asked_at = None
                 if answer.WhichOneof("body") == "error":
                     raise _serving_error(answer.error)
@@ -269,7 +269,7 @@
 
     def round_trip_s(self, address: Address) -> float:
         """Return the least time that a message to a peer and back took lately; 0 if unknown."""
-        return self._round_trips.least_s(address, asyncio.get_running_loop().time())
+        return self._round_trips.least_s(address, monotonic())
 
     def drop(self, address: Address, only: TrafficClass | None = None) -> None:
         """Close the connections to a peer that has fallen silent; the next call connects anew.
@@ -299,7 +299,7 @@
                 return connection
             connection = _Connection(address, self._on_sent)
             loop = asyncio.get_running_loop()
-            began_at = loop.time()
+            began_at = monotonic()
             try:
                 async with asyncio.timeout(CONNECT_TIMEOUT_S):
                     await loop.create_connection(
@@ -307,7 +307,7 @@
                     )
             except (OSError, TimeoutError) as error:
                 raise PeerUnreachableError(address, sent=False) from error
-            self._round_trips.observe(address, loop.time() - began_at, loop.time())
+            self._round_trips.observe(address, monotonic() - began_at, monotonic())
             self._connections[key] = connection
             return connection
 
--- a/src/wharfcart/gateway/idempotency.py
+++ b/src/wharfcart/gateway/idempotency.py
@@ -14,6 +14,7 @@
 
 from wharfcart.backends.interface import BackendError, BackendPart, BackendRequest
 from wharfcart.batch.lines import now_ms
+from wharfcart.clock import monotonic
 from wharfcart.cluster.messages_pb2 import Command, KeyFinish, KeyRecord, KeyStart
 from wharfcart.cluster.ownership import shard_of
 from wharfcart.configuration.services import Service
@@ -215,10 +216,9 @@
         record: KeyRecord,
         queue: asyncio.Queue[BackendPart | ServingError],
     ) -> None:
-        loop = asyncio.get_running_loop()
         delay = WAIT_FIRST_S
         while record.state == KeyState.STARTED and not self._abandoned(record, keyed.service):
-            if loop.time() + delay > keyed.deadline:
+            if monotonic() + delay > keyed.deadline:
                 raise _unknown("the same request is still running")
             await asyncio.sleep(delay)
             delay = min(WAIT_MOST_S, delay * 1.5)
--- a/src/wharfcart/gateway/ingress.py
+++ b/src/wharfcart/gateway/ingress.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Awaitable, Callable
 from socket import socket
-from time import monotonic
 from typing import Any
 
 from sanic import Sanic
@@ -11,6 +10,7 @@
 from sanic.response import HTTPResponse
 from sanic.server.protocols.http_protocol import HttpProtocol
 
+from wharfcart.clock import monotonic
 from wharfcart.configuration.api_keys import short_digest_of
 from wharfcart.configuration.serving import Route, RouteKind, ServedTenant, ServingConfiguration
 from wharfcart.gateway.answers import plain_answer
--- a/src/wharfcart/gateway/job_calls.py
+++ b/src/wharfcart/gateway/job_calls.py
@@ -1,11 +1,12 @@
 """Batch calls of callers at a gateway: submission, results, bodies, ends."""
 
 from collections.abc import Callable
-from time import monotonic, time
+from time import time
 
 from sanic.request import Request
 from sanic.response import HTTPResponse
 
+from wharfcart.clock import monotonic
 from wharfcart.cluster.messages_pb2 import (
     DONE,
     MAYBE_ELSEWHERE,
--- a/src/wharfcart/gateway/online.py
+++ b/src/wharfcart/gateway/online.py
@@ -1,6 +1,5 @@
 """Handlers of online requests: chat, completions, application services, models."""
 
-import asyncio
 import json as json_library
 import uuid
 from contextlib import aclosing
@@ -19,6 +18,7 @@
     application_request,
     engine_request,
 )
+from wharfcart.clock import monotonic
 from wharfcart.configuration.schema import TemplateKind, Tenant
 from wharfcart.configuration.services import Service
 from wharfcart.errors import Outcome, ServingError
@@ -149,8 +149,7 @@
         limiter = self._context.limiter
         await limiter.check(f"tenant/{tenant.name}", tenant.limits)
         await limiter.check(f"service/{tenant.name}/{service.name}", service.limits)
-        loop = asyncio.get_running_loop()
-        started_at = loop.time()
+        started_at = monotonic()
         keyed = KeyedRequest(
             service,
             backend_request,
@@ -161,7 +160,7 @@
         )
         async with aclosing(self._context.requests.run(keyed)) as parts:
             head = await anext(parts)
-            self._context.metrics.first_byte_seconds.observe(loop.time() - started_at)
+            self._context.metrics.first_byte_seconds.observe(monotonic() - started_at)
             if head.end:
                 return raw(head.data, head.status, self._headers(head, request))
             response = await request.respond(
--- a/src/wharfcart/node/backend_news.py
+++ b/src/wharfcart/node/backend_news.py
@@ -6,9 +6,9 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from time import monotonic
 
 from wharfcart.backends.connection_pool import ConnectionPool
+from wharfcart.clock import monotonic
 from wharfcart.cluster.coordination import Change
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.platform import documents, names
--- a/src/wharfcart/node/early_listening.py
+++ b/src/wharfcart/node/early_listening.py
@@ -14,9 +14,10 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from pathlib import Path
-from time import monotonic
 from typing import cast
 
+from wharfcart.clock import monotonic
+
 # A peer of the same region answers a connection in a few milliseconds.
 PEER_ANSWER_S = 0.06
 # Connections that come while the program loads; the system may allow fewer.
--- a/src/wharfcart/node/evacuations.py
+++ b/src/wharfcart/node/evacuations.py
@@ -6,8 +6,8 @@
 
 import asyncio
 from collections.abc import Callable
-from time import monotonic
 
+from wharfcart.clock import monotonic
 from wharfcart.cluster.coordination import Change
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.observability.serving_metrics import ServingMetrics
--- a/src/wharfcart/node/fleet.py
+++ b/src/wharfcart/node/fleet.py
@@ -14,6 +14,7 @@
 from wharfcart.backends.engine_client import EngineClient, EngineReport
 from wharfcart.backends.interface import BackendError, Order, OrderKind
 from wharfcart.batch.runner import BatchRunner
+from wharfcart.clock import monotonic
 from wharfcart.cluster.messages_pb2 import BackendView, Entry
 from wharfcart.cluster.ownership import choose_owner
 from wharfcart.configuration.schema import YieldingPolicy
@@ -113,7 +114,7 @@
         self._wake.set()
 
     def _route(self, backend_id: str, known: _Known) -> None:
-        now = asyncio.get_running_loop().time()
+        now = monotonic()
         backend = _backend(known)
         if backend is None:
             self._context.router.remove_backend(backend_id)
@@ -128,14 +129,13 @@
 
     async def run(self) -> None:
         """Keep ownership, probes and orders up to date, for ever."""
-        loop = asyncio.get_running_loop()
         reconciled_at = 0.0
         while True:
             self._wake.clear()
             self._check_ownership()
-            self._probe_due(loop.time())
-            if loop.time() - reconciled_at > RECONCILE_S:
-                reconciled_at = loop.time()
+            self._probe_due(monotonic())
+            if monotonic() - reconciled_at > RECONCILE_S:
+                reconciled_at = monotonic()
                 self._tasks.spawn(self._reconcile())
             try:
                 async with asyncio.timeout(OWNERSHIP_CHECK_S):
@@ -276,7 +276,7 @@
             TargetModel(model.name, model.version, model.least_servers, tuple(model.adapters))
             for model in self._context.services.models.values()
         ]
-        now = asyncio.get_running_loop().time()
+        now = monotonic()
         for order in self._reconciler.reconcile(models, self._engines(), now):
             status = self._known[order.backend_id].status
             if order.kind is OrderKind.LOAD_MODEL and status is not None and status.model:
--- a/src/wharfcart/node/gateway_process.py
+++ b/src/wharfcart/node/gateway_process.py
@@ -3,8 +3,8 @@
 import asyncio
 import math
 from collections.abc import Callable
-from time import monotonic
 
+from wharfcart.clock import monotonic
 from wharfcart.cluster.messages_pb2 import Frame, PermitAnswer
 from wharfcart.cluster.transport import Responder
 from wharfcart.gateway.ingress import Endpoint, Ingress
--- a/src/wharfcart/node/node.py
+++ b/src/wharfcart/node/node.py
@@ -15,6 +15,7 @@
 from wharfcart.batch.jobs import JobService
 from wharfcart.batch.leader import BatchLeader
 from wharfcart.batch.runner import BatchRunner
+from wharfcart.clock import monotonic
 from wharfcart.cluster.address import Address
 from wharfcart.cluster.gossip import GossipDriver
 from wharfcart.cluster.membership import PeerRevision
@@ -359,7 +360,7 @@
 
     def _leader_epoch(self) -> int | None:
         shard = self._journal.shards.get(0) if self._journal is not None else None
-        if shard is None or not shard.replica.lease_valid(asyncio.get_running_loop().time()):
+        if shard is None or not shard.replica.lease_valid(monotonic()):
             return None
         return shard.replica.epoch
 
--- a/src/wharfcart/node/serving_node.py
+++ b/src/wharfcart/node/serving_node.py
@@ -7,10 +7,11 @@
 from collections.abc import Callable
 from dataclasses import replace
 from random import Random
-from time import monotonic, time
+from time import time
 
 from wharfcart.admission.suspects import Suspects
 from wharfcart.backends.connection_pool import ConnectionPool
+from wharfcart.clock import monotonic
 from wharfcart.cluster.address import Address
 from wharfcart.cluster.coordination import (
     Change,
--- a/src/wharfcart/node/storage_process.py
+++ b/src/wharfcart/node/storage_process.py
@@ -1,10 +1,10 @@
 """A storage node: keeps batch jobs on its disk and, as a group's leader, runs their items."""
 
 import asyncio
-from time import monotonic
 
 from wharfcart.batch.item_run import ItemRunner
 from wharfcart.batch.job_service import JobService
+from wharfcart.clock import monotonic
 from wharfcart.cluster.address import Address
 from wharfcart.cluster.coordination import (
     ConditionFailedError,
--- a/src/wharfcart/platform/metadata_store.py
+++ b/src/wharfcart/platform/metadata_store.py
@@ -6,6 +6,7 @@
 from typing import Any
 from urllib.parse import quote
 
+from wharfcart.clock import monotonic
 from wharfcart.cluster.coordination import (
     Change,
     Changes,
@@ -103,12 +104,12 @@
         except BaseException:
             connection.close()
             raise
-        if connection.finish(asyncio.get_running_loop().time()):
+        if connection.finish(monotonic()):
             self._idle.append(connection)
         return _checked(head.status, data, writes)
 
     async def _take(self) -> HttpConnection:
-        now = asyncio.get_running_loop().time()
+        now = monotonic()
         while self._idle:
             connection = self._idle.pop()
             if connection.reusable and now - connection.idle_since < KEEP_IDLE_S:
--- a/src/wharfcart/routing/dispatcher.py
+++ b/src/wharfcart/routing/dispatcher.py
@@ -13,6 +13,7 @@
 
 from wharfcart.admission.limits import RetryBudget
 from wharfcart.backends.interface import BackendError, BackendPart, BackendRequest
+from wharfcart.clock import monotonic
 from wharfcart.cluster.address import Address
 from wharfcart.cluster.messages_pb2 import Dispatch, DispatchPart, Frame, Header
 from wharfcart.cluster.ownership import rendezvous_order
@@ -82,7 +83,7 @@
             backend = self._choose(service, prefix, excluded)
             yielded = False
             try:
-                async with asyncio.timeout_at(deadline):
+                async with asyncio.timeout(deadline - monotonic()):
                     if before_try is not None:
                         await before_try(backend)
                     resume = backend.backend_id in excluded
@@ -104,7 +105,7 @@
                 excluded.add(backend.backend_id)
 
     def _choose(self, service: Service, prefix: str, excluded: set[str]) -> Backend:
-        now = asyncio.get_running_loop().time()
+        now = monotonic()
         backend = self._router.choose(service.target, service.routing_key, now, prefix, excluded)
         if backend is None and excluded:
             backend = self._router.choose(service.target, service.routing_key, now, prefix)
@@ -117,8 +118,7 @@
     async def _try(
         self, backend: Backend, request: BackendRequest, deadline: float
     ) -> AsyncGenerator[BackendPart, None]:
-        loop = asyncio.get_running_loop()
-        started_at = loop.time()
+        started_at = monotonic()
         latency: float | None = None
         failed = False
         self._router.started(backend.backend_id)
@@ -126,14 +126,14 @@
             async with aclosing(self._through_owner(backend, request, deadline)) as parts:
                 async for part in parts:
                     if latency is None:
-                        latency = loop.time() - started_at
+                        latency = monotonic() - started_at
                     yield part
         except ServingError as error:
             # A refusal for load is no fault of the back end's.
             failed = error.code != "overloaded"
             raise
         finally:
-            self._router.ended(backend.backend_id, loop.time(), latency, failed)
+            self._router.ended(backend.backend_id, monotonic(), latency, failed)
 
     async def _through_owner(
         self, backend: Backend, request: BackendRequest, deadline: float
@@ -170,8 +170,7 @@
     async def _remote(
         self, address: Address, backend: Backend, request: BackendRequest, deadline: float
     ) -> AsyncGenerator[BackendPart, None]:
-        loop = asyncio.get_running_loop()
-        call = dispatch_frame(backend, request, max(0.001, deadline - loop.time()))
+        call = dispatch_frame(backend, request, max(0.001, deadline - monotonic()))
         expected = 0
         ended = False
         answer = self._transport.stream(address, call, TrafficClass.ONLINE)
@@ -182,7 +181,7 @@
                     raise BackendError("a part of the answer is missing", Outcome.UNKNOWN)
                 expected += 1
                 ended = part.end
-                self._router.hint(backend.backend_id, part.online_in_flight, loop.time())
+                self._router.hint(backend.backend_id, part.online_in_flight, monotonic())
                 yield part_of(part)
         if not ended:
             raise BackendError("the answer's end is missing", Outcome.UNKNOWN)
--- a/src/wharfcart/routing/forwarder.py
+++ b/src/wharfcart/routing/forwarder.py
@@ -12,12 +12,13 @@
 import asyncio
 import math
 from collections.abc import Awaitable, Callable
-from time import monotonic, time
+from time import time
 from typing import TypeVar
 
 from wharfcart.admission.hedging import HedgeBudget
 from wharfcart.admission.suspects import SUSPECTED
 from wharfcart.backends.connection_pool import ConnectionLimitError, ConnectionPool
+from wharfcart.clock import monotonic
 from wharfcart.cluster.topology import RegionName
 from wharfcart.configuration.serving import RouteKind
 from wharfcart.http.connection import (
--- a/src/wharfcart/routing/owner.py
+++ b/src/wharfcart/routing/owner.py
@@ -12,6 +12,7 @@
 from wharfcart.backends.application_client import ApplicationClient
 from wharfcart.backends.engine_client import EngineClient
 from wharfcart.backends.interface import BackendClient, BackendPart, BackendRequest
+from wharfcart.clock import monotonic
 from wharfcart.configuration.schema import YieldingPolicy
 from wharfcart.errors import ServingError
 from wharfcart.observability.tasks import BackgroundTasks
@@ -98,9 +99,8 @@
         ServingError
             ``overloaded`` (``not_run``) if the back end is full or leaving; what the client raises.
         """
-        loop = asyncio.get_running_loop()
         gate = owned.gate
-        if not gate.admit_online(request.request_id, loop.time()):
+        if not gate.admit_online(request.request_id, monotonic()):
             raise ServingError(
                 "overloaded", "the back end takes no more", 503, retry_after_seconds=RETRY_AFTER_S
             )
@@ -110,7 +110,7 @@
         try:
             async with aclosing(owned.client.send(request)) as parts:
                 async for part in parts:
-                    now = loop.time()
+                    now = monotonic()
                     if last_at == 0.0:
                         gate.first_token(request.request_id, now)
                     elif not part.end:
@@ -120,7 +120,7 @@
                     yield part
             owned.completed += 1
         finally:
-            gate.end_online(request.request_id, loop.time())
+            gate.end_online(request.request_id, monotonic())
             owned.changed.set()
             if not finished:
                 # The caller went away or the deadline passed: free the engine at once.
@@ -158,7 +158,7 @@
         ServingError
         """
         loop = asyncio.get_running_loop()
-        owned.gate.start_batch(request.request_id, loop.time())
+        owned.gate.start_batch(request.request_id, monotonic())
         task = loop.create_task(self._collect(owned, request))
         owned.batch_tasks[request.request_id] = task
         task.add_done_callback(_note_exception)
--- a/src/wharfcart/routing/placement.py
+++ b/src/wharfcart/routing/placement.py
@@ -3,8 +3,8 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 from enum import Enum
-from time import monotonic
 
+from wharfcart.clock import monotonic
 from wharfcart.configuration.residence import ANYWHERE, Residence
 from wharfcart.configuration.serving import RequestLimit
 from wharfcart.routing.backend_choice import BackendChoice, InstanceState
--- a/src/wharfcart/routing/request_log.py
+++ b/src/wharfcart/routing/request_log.py
@@ -1,8 +1,7 @@
 """What is told of each request that is passed on: decision lines and metrics."""
 
-from time import monotonic
-
 from wharfcart.admission.suspects import SUSPECTED
+from wharfcart.clock import monotonic
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.observability.serving_metrics import ServingMetrics
 from wharfcart.routing.backend_choice import BackendChoice, InstanceState
--- a/src/wharfcart/slots/fleet_load.py
+++ b/src/wharfcart/slots/fleet_load.py
@@ -1,7 +1,6 @@
 """The load of all back ends as the granting nodes tell it, for a gateway's own choices."""
 
-from time import monotonic
-
+from wharfcart.clock import monotonic
 from wharfcart.routing.backend_choice import BackendChoice
 from wharfcart.slots.picture import BackendLoad, SlotPicture
 from wharfcart.slots.session import SlotNewsTaker
--- a/src/wharfcart/slots/granted_placement.py
+++ b/src/wharfcart/slots/granted_placement.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Callable, Collection
 from dataclasses import dataclass
-from time import monotonic
 
+from wharfcart.clock import monotonic
 from wharfcart.cluster.messages_pb2 import SlotGrant
 from wharfcart.cluster.topology import Distance
 from wharfcart.configuration.residence import Residence
--- a/src/wharfcart/slots/item_slots.py
+++ b/src/wharfcart/slots/item_slots.py
@@ -3,8 +3,8 @@
 import math
 from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass
-from time import monotonic
 
+from wharfcart.clock import monotonic
 from wharfcart.cluster.messages_pb2 import SlotNews
 from wharfcart.configuration.residence import ANYWHERE, Residence, residence_from_message
 from wharfcart.slots.events import (
--- a/src/wharfcart/slots/leftover_runs.py
+++ b/src/wharfcart/slots/leftover_runs.py
@@ -7,9 +7,9 @@
 
 import asyncio
 from collections.abc import Callable
-from time import monotonic
 
 from wharfcart.backends.connection_pool import ConnectionLimitError, ConnectionPool
+from wharfcart.clock import monotonic
 from wharfcart.configuration.instances import BackendInstance
 from wharfcart.http.connection import ConnectFailedError, ConnectionBrokenError
 from wharfcart.observability.decisions import DecisionLog, Event
--- a/src/wharfcart/slots/permit_relays.py
+++ b/src/wharfcart/slots/permit_relays.py
@@ -2,8 +2,8 @@
 
 import asyncio
 from collections.abc import Callable
-from time import monotonic
 
+from wharfcart.clock import monotonic
 from wharfcart.cluster.address import Address
 from wharfcart.cluster.messages_pb2 import Frame, PermitAnswer, RelayPermit
 from wharfcart.cluster.transport import PeerUnreachableError, TrafficClass, Transport
--- a/src/wharfcart/slots/permits.py
+++ b/src/wharfcart/slots/permits.py
@@ -6,8 +6,8 @@
 """
 
 import asyncio
-from time import monotonic
 
+from wharfcart.clock import monotonic
 from wharfcart.cluster.messages_pb2 import PermitAnswer
 from wharfcart.configuration.serving import RequestLimit
 from wharfcart.routing.placement import OverLimitError
--- a/src/wharfcart/slots/service.py
+++ b/src/wharfcart/slots/service.py
@@ -8,9 +8,9 @@
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field, replace
 from random import sample
-from time import monotonic
 
 from wharfcart.admission.tenant_limits import TenantLimits
+from wharfcart.clock import monotonic
 from wharfcart.cluster.messages_pb2 import (
     Frame,
     ItemLeave,
--- a/src/wharfcart/slots/session.py
+++ b/src/wharfcart/slots/session.py
@@ -9,10 +9,10 @@
 from contextlib import aclosing
 from dataclasses import dataclass
 from random import getrandbits, random
-from time import monotonic
 from typing import Protocol
 
 from wharfcart.admission.tenant_limits import TenantSend
+from wharfcart.clock import monotonic
 from wharfcart.cluster.address import Address
 from wharfcart.cluster.messages_pb2 import (
     Frame,
--- a/src/wharfcart/slots/sessions.py
+++ b/src/wharfcart/slots/sessions.py
@@ -2,9 +2,9 @@
 
 import asyncio
 from collections.abc import Callable
-from time import monotonic
 
 from wharfcart.admission.tenant_limits import TenantSend, TenantSends
+from wharfcart.clock import monotonic
 from wharfcart.cluster.address import Address
 from wharfcart.cluster.transport import Transport
 from wharfcart.configuration.residence import ANYWHERE, Residence
--- a/src/wharfcart/storage/client.py
+++ b/src/wharfcart/storage/client.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import AsyncIterator, Callable
 
+from wharfcart.clock import monotonic
 from wharfcart.cluster.address import Address
 from wharfcart.cluster.messages_pb2 import (
     Command,
@@ -99,8 +100,7 @@
         return await self._ask_leader(shard, frame, timeout_seconds)
 
     async def _ask_leader(self, shard: int, frame: Frame, timeout_seconds: float) -> Frame:
-        loop = asyncio.get_running_loop()
-        deadline = loop.time() + timeout_seconds
+        deadline = monotonic() + timeout_seconds
         delay = RETRY_DELAY_S
         may_have_run = False
         tried: list[str] = []
@@ -109,7 +109,7 @@
             if identity is not None:
                 tried.append(identity)
                 try:
-                    return await self._ask(identity, shard, frame, deadline - loop.time())
+                    return await self._ask(identity, shard, frame, deadline - monotonic())
                 except PeerUnreachableError as error:
                     may_have_run = may_have_run or error.sent
                 except TimeoutError:
@@ -119,7 +119,7 @@
                         raise
                     may_have_run = may_have_run or error.outcome is not Outcome.NOT_RUN
                     self._follow_hint(shard, error, tried)
-            if loop.time() + delay >= deadline:
+            if monotonic() + delay >= deadline:
                 raise _unavailable(may_have_run)
             if identity is None or self._leaders.get(shard) is None:
                 await asyncio.sleep(delay)
--- a/src/wharfcart/storage/founding.py
+++ b/src/wharfcart/storage/founding.py
@@ -2,8 +2,8 @@
 
 import asyncio
 from collections.abc import Callable
-from time import monotonic
 
+from wharfcart.clock import monotonic
 from wharfcart.cluster.coordination import (
     ConditionFailedError,
     CoordinationUnavailableError,
--- a/src/wharfcart/storage/job_client.py
+++ b/src/wharfcart/storage/job_client.py
@@ -3,8 +3,8 @@
 import asyncio
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
-from time import monotonic
 
+from wharfcart.clock import monotonic
 from wharfcart.cluster.address import Address
 from wharfcart.cluster.messages_pb2 import NOT_FOUND, NOT_LEADING, UNSURE, Frame
 from wharfcart.cluster.transport import PeerUnreachableError, Transport
--- a/src/wharfcart/storage/job_group.py
+++ b/src/wharfcart/storage/job_group.py
@@ -9,8 +9,8 @@
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import replace
-from time import monotonic
 
+from wharfcart.clock import monotonic
 from wharfcart.cluster.coordination import (
     CoordinationUnavailableError,
 )
--- a/src/wharfcart/storage/journal.py
+++ b/src/wharfcart/storage/journal.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 from typing import TypeVar
 
+from wharfcart.clock import monotonic
 from wharfcart.cluster.messages_pb2 import (
     Command,
     ProposeResult,
@@ -109,7 +110,7 @@
         return await self._on_writer(lambda: list(self._database.memory_rows(number)))
 
     def _add_shard(self, record: ShardRecord, rows: list[Row]) -> Shard:
-        now = self._loop.time()
+        now = monotonic()
         shard = Shard(record, rows, self.identity, random.Random(), now)
         self.shards[record.shard] = shard
         self._placement_changed(self._placement_of(shard))
@@ -131,7 +132,7 @@
 
     def receive(self, messages: list[ReplicaMessage]) -> None:
         """Handle messages of other replicas."""
-        now = self._loop.time()
+        now = monotonic()
         for message in messages:
             if message.target != self.identity:
                 continue
@@ -145,7 +146,7 @@
     def storage_members(self, live: dict[str, str], leaving: set[str]) -> None:
         """Note which storage identities are live, identity to zone, and which are leaving."""
         for shard in self.shards.values():
-            shard.storage_members(live, leaving, self._loop.time())
+            shard.storage_members(live, leaving, monotonic())
             self._collect(shard)
 
     def recover_alone(self, number: int, live: dict[str, str], known_version: int) -> None:
@@ -172,13 +173,13 @@
         if self.identity not in in_sync or known_version > shard.replica.replica_set_index + 1:
             raise _recovery_refused("this replica was dropped from the in-sync set: it is behind")
         logger.warning("shard recovered alone", extra={"shard": number})
-        shard.recover_alone(self._loop.time())
+        shard.recover_alone(monotonic())
         self._collect(shard)
 
     def step_down(self) -> None:
         """Hand every leadership over."""
         for shard in self.shards.values():
-            shard.step_down(self._loop.time())
+            shard.step_down(monotonic())
             self._collect(shard)
 
     async def propose(self, number: int, command: Command) -> ProposeResult:
@@ -222,7 +223,7 @@
         proposals = self._proposals.pop(number, [])
         shard = self.shards[number]
         try:
-            shard.propose(proposals, self._loop.time())
+            shard.propose(proposals, monotonic())
         except NotLeaderError as error:
             for token, _ in proposals:
                 future = self._futures.get(token)
@@ -240,7 +241,7 @@
             ``not_leader``.
         """
         shard = self.shards.get(number)
-        if shard is None or not shard.replica.lease_valid(self._loop.time()):
+        if shard is None or not shard.replica.lease_valid(monotonic()):
             raise not_leader(shard.replica.leader if shard and not shard.leads else "")
         return shard
 
@@ -285,7 +286,7 @@
     async def _tick_loop(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
-            now = self._loop.time()
+            now = monotonic()
             for shard in self.shards.values():
                 shard.tick(now)
                 self._collect(shard)
@@ -317,7 +318,7 @@
         for shard, read in group.reads:
             self._tasks.spawn(self._read_snapshot(shard, read))
         self._send_all(group.messages)
-        now = self._loop.time()
+        now = monotonic()
         for number, mark in group.marks.items():
             self.shards[number].written(mark, now)
             self._collect(self.shards[number])
@@ -395,7 +396,7 @@
                 shard.number, read.after, SNAPSHOT_CHUNK_ROWS, SNAPSHOT_CHUNK_BYTES
             )
         )
-        shard.snapshot_rows_read(read.target, rows, self._loop.time())
+        shard.snapshot_rows_read(read.target, rows, monotonic())
         self._collect(shard)
 
     async def _on_writer(self, work: Callable[[], _T]) -> _T:
--- a/src/wharfcart/storage/replica_session.py
+++ b/src/wharfcart/storage/replica_session.py
@@ -6,9 +6,9 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Sequence
-from time import monotonic
 from typing import Protocol
 
+from wharfcart.clock import monotonic
 from wharfcart.cluster.messages_pb2 import JobUpdate, PartialText
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.storage.job_leadership import JobLeadership
--- a/src/wharfcart/storage/replica_set_change.py
+++ b/src/wharfcart/storage/replica_set_change.py
@@ -9,9 +9,9 @@
 """
 
 import asyncio
-from time import monotonic
 from typing import TYPE_CHECKING
 
+from wharfcart.clock import monotonic
 from wharfcart.observability.decisions import Event
 from wharfcart.storage.group_record import RecordInDoubtError
 
--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -73,6 +73,8 @@
             lines += [node.lineno for name in node.names if name.name in STANDS_STILL]
         if isinstance(node, ast.Attribute) and node.attr in STANDS_STILL:
             lines.append(node.lineno)
+        if isinstance(node, ast.Attribute) and node.attr in ("timeout_at", "call_at"):
+            lines.append(node.lineno)
         # The event loop's time: ``loop.time()``, ``get_running_loop().time()``.
         if isinstance(node, ast.Call) and isinstance(node.func, ast.Attribute):
             owner = ast.unparse(node.func.value)
