After a suspension requests still end at their deadlines, and a leader starts no items until it is confirmed

Cause: timers of the event loop stand still in a suspension, so that a request would have run on beyond its deadline by as long as that took; and a leader that others had replaced meanwhile would have begun items (of ended jobs, too) until it heard. Without a suspension nothing changes.

--- a/src/wharfcart/batch/job_execution.py
+++ b/src/wharfcart/batch/job_execution.py
@@ -163,8 +163,11 @@
     def _startable(self, scheduled: ScheduledJob, now: float) -> Iterator[RequestItem]:
         """Yield the items of a job that may be sent now, the first one first.
 
-        One that ends its back ends is held back here until it may go or is too old.
+        One that ends its back ends is held back here until it may go or is too old. None is sent
+        while this node, suspended a moment ago, may have been replaced as the leader.
         """
+        if not self._group.is_confirmed:
+            return
         job = scheduled.job
         for item in self._scheduler.startable(scheduled, now):
             progress = scheduled.progress_of(item.item_id)
--- a/src/wharfcart/experiments/simulated_slots.py
+++ b/src/wharfcart/experiments/simulated_slots.py
@@ -324,6 +324,7 @@
             partial_texts=PartialTexts(),
             leadership=self.records,
             replicas_behind=0,
+            is_confirmed=True,
             wake_sessions=lambda: None,
         )
         route = Route(
--- a/src/wharfcart/experiments/simulated_storage.py
+++ b/src/wharfcart/experiments/simulated_storage.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import math
 import random
 from collections.abc import Collection, Sequence
 from dataclasses import dataclass, field
@@ -178,6 +179,7 @@
         self.group: JobGroup | None = None
         self.service: JobService | None = None
         self.refused = False
+        self.resumed_at = -math.inf  # virtual time at which its machine was suspended last
         self._founding: asyncio.Task[None] | None = None
 
     @property
@@ -204,6 +206,7 @@
             self._spread_of,
             self._region_of,
             lambda: self.simulation.residences,
+            lambda: self.resumed_at,
         )
         self.group = JobGroup(0, GROUP_KEY, context)
         self.service = JobService(
--- a/src/wharfcart/node/serving_node.py
+++ b/src/wharfcart/node/serving_node.py
@@ -11,7 +11,7 @@
 
 from wharfcart.admission.suspects import Suspects
 from wharfcart.backends.connection_pool import ConnectionPool
-from wharfcart.clock import monotonic
+from wharfcart.clock import Suspensions, monotonic
 from wharfcart.cluster.address import Address
 from wharfcart.cluster.coordination import (
     Change,
@@ -41,6 +41,7 @@
     node_entry_from,
 )
 from wharfcart.node.suspect_news import SuspectNews
+from wharfcart.node.suspension_watch import SuspensionWatch
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.observability.serving_metrics import ServingMetrics
 from wharfcart.observability.tasks import BackgroundTasks
@@ -102,6 +103,8 @@
             self.choice, self.pool, lambda: self.link.in_outage, lambda: self.link.age_s, log
         )
         self._evacuations = Evacuations(self.choice, log, self.metrics, lambda: self.link.age_s)
+        self.suspensions = Suspensions()
+        self.suspension_watch = SuspensionWatch(self.suspensions, log)
         suspects = Suspects()
         self.broken_runs = BrokenRuns(suspects, log)
         self._suspect_news = SuspectNews(suspects, self.coordination, self.mirror, self.random)
@@ -121,6 +124,7 @@
         self.tasks.spawn(self.link.run())
         self.tasks.spawn(self._evacuations.run())
         self.tasks.spawn(self._suspect_news.run())
+        self.tasks.spawn(self.suspension_watch.run())
 
     async def stop(self) -> None:
         """Close everything."""
--- a/src/wharfcart/node/storage_process.py
+++ b/src/wharfcart/node/storage_process.py
@@ -74,6 +74,7 @@
             GroupSpread(self._node, self._settings.tolerance),
             self._node.storage_region,
             self._wanted_residences,
+            self._node.suspensions.resumed_at,
         )
         founder = Founder(
             context, LAYOUT_KEY, group_key, self._zones_by_identity, self._node.topology
--- a/src/wharfcart/observability/decisions.py
+++ b/src/wharfcart/observability/decisions.py
@@ -34,6 +34,7 @@
     STOPPING = "stopping"
     STOPPED = "stopped"
     RELOADED = "reloaded"
+    MACHINE_RESUMED = "machine_resumed"
     DEPENDENCY_LOST = "dependency_lost"
     DEPENDENCY_REGAINED = "dependency_regained"
     CONFIGURATION_TAKEN = "configuration_taken"
--- a/src/wharfcart/routing/forwarder.py
+++ b/src/wharfcart/routing/forwarder.py
@@ -34,6 +34,7 @@
 from wharfcart.routing.backend_choice import BackendChoice, InstanceState
 from wharfcart.routing.broken_runs import BrokenRun, BrokenRuns
 from wharfcart.routing.caller_request import AnswerCutError, AnswerSink, CallerRequest
+from wharfcart.routing.deadlines import Deadlines
 from wharfcart.routing.eligibility import RuledOut
 from wharfcart.routing.event_stream import EventSplitter
 from wharfcart.routing.placement import (
@@ -84,7 +85,11 @@
 
 
 class Forwarder:
-    """Passes requests on to the back ends of their services."""
+    """Passes requests on to the back ends of their services.
+
+    Attributes:
+        deadlines: of the requests in progress.
+    """
 
     def __init__(
         self,
@@ -103,6 +108,7 @@
         self._told = RequestLog(choice, log, metrics)
         self._broken_runs = broken_runs
         self._hedges = HedgeBudget()
+        self.deadlines = Deadlines()
         self._reach = RegionReach()
 
     async def forward(self, request: CallerRequest, sink: AnswerSink) -> None:
@@ -115,7 +121,7 @@
         progress = RequestProgress()
         self._hedges.earn()
         try:
-            async with asyncio.timeout(request.deadline - monotonic()):
+            async with self.deadlines.limit(request.deadline):
                 await self._try_backends(request, sink, progress)
         except TimeoutError:
             progress.cause = "deadline"
@@ -256,6 +262,10 @@
             self._pool.give_back(instance, connection)
             return _Verdict(False, SUSPECTED)
         began_at = monotonic()
+        if began_at >= request.deadline:
+            # The machine was suspended while it waited: nobody waits for the answer any more.
+            self._pool.give_back(instance, connection)
+            raise TimeoutError
         try:
             verdict = await self._exchange(request, sink, progress, state, connection, use)
         except ConnectionBrokenError as error:
--- a/src/wharfcart/storage/group_context.py
+++ b/src/wharfcart/storage/group_context.py
@@ -1,5 +1,6 @@
 """What the job groups of one storage node share."""
 
+import math
 from collections.abc import Callable, Collection
 
 from wharfcart.cluster.address import Address
@@ -27,6 +28,7 @@
         layout in force where none is given.
     region_of: region of a storage node's disk.
     wanted_residences: where jobs that may come must stay, by the configuration in force.
+    resumed_at: monotonic time at which the machine's last suspension ended; -inf if none did.
     """
 
     def __init__(
@@ -44,6 +46,7 @@
         spread_of: Callable[[int, Layout | None], ReplicaSpread],
         region_of: RegionOf = lambda _identity: None,
         wanted_residences: Callable[[], Collection[Residence]] = lambda: (),
+        resumed_at: Callable[[], float] = lambda: -math.inf,
     ) -> None:
         self.identity = identity
         self.disk = disk
@@ -58,6 +61,7 @@
         self.spread_of = spread_of
         self.region_of = region_of
         self.wanted_residences = wanted_residences
+        self.resumed_at = resumed_at
 
     @property
     def full_size(self) -> int:
--- a/src/wharfcart/storage/job_group.py
+++ b/src/wharfcart/storage/job_group.py
@@ -107,14 +107,29 @@
         leadership = self.leadership
         if leadership is None:
             return False
-        now = monotonic()
-        fresh = sum(
+        return self._is_confirmed_since(leadership, monotonic() - FRESH_S)
+
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether this node leads, as far as was confirmed since its machine was suspended last.
+
+        Another one may have led for long by then: what this one does for its items would be done
+        twice, or for jobs that have ended.
+        """
+        leadership = self.leadership
+        if leadership is None:
+            return False
+        return self._is_confirmed_since(leadership, self._context.resumed_at())
+
+    def _is_confirmed_since(self, leadership: JobLeadership, since: float) -> bool:
+        """Whether so many replicas confirmed this epoch that no other leader had begun by then."""
+        confirming = sum(
             1
             for identity in leadership.members
             if identity == self._context.identity
-            or (identity in self.sessions and now - self.sessions[identity].confirmed_at < FRESH_S)
+            or (identity in self.sessions and self.sessions[identity].confirmed_at > since)
         )
-        return fresh >= leadership.copies
+        return confirming >= leadership.copies
 
     @property
     def replicas_behind(self) -> int:
--- a/tests/batch/test_job_execution.py
+++ b/tests/batch/test_job_execution.py
@@ -193,6 +193,7 @@
             partial_texts=PartialTexts(),
             leadership=self.records,
             replicas_behind=0,
+            is_confirmed=True,
             wake_sessions=lambda: None,
         )
         self.execution = JobExecution(
@@ -362,6 +363,20 @@
     play(scenario)
 
 
+def test_a_leader_that_is_not_sure_to_lead_starts_nothing() -> None:
+    async def scenario(bench: Bench) -> None:
+        bench.group.is_confirmed = False
+        bench.submit("j", 4)
+        await bench.settle()
+        assert not bench.runner.running
+        bench.group.is_confirmed = True
+        await bench.settle()
+        await asyncio.sleep(2 * job_execution.PERIOD_S)
+        assert len(bench.runner.running) == 4
+
+    play(scenario)
+
+
 def test_an_offer_in_a_zone_that_was_emptied_meanwhile_is_given_back() -> None:
     async def scenario(bench: Bench) -> None:
         take = bench.slots.on_offer
--- a/tests/storage/test_job_group.py
+++ b/tests/storage/test_job_group.py
@@ -234,6 +234,29 @@
     play(scenario)
 
 
+def test_a_leader_that_was_suspended_is_not_sure_until_others_confirm_it() -> None:
+    """Its heartbeats of before are no sign: another one may have led and be gone again."""
+
+    async def scenario() -> None:
+        fleet = Fleet()
+        await fleet.start()
+        leader = fleet.leader
+        assert leader is not None and leader.group is not None
+        assert leader.group.is_confirmed
+        leader.resumed_at = asyncio.get_running_loop().time()
+        assert not leader.group.is_confirmed
+        await fleet.until(lambda: leader.group.is_confirmed, 1.0)
+        for other in fleet.nodes:
+            if other != leader.number:
+                fleet.simulation.cuts |= {(leader.number, other), (other, leader.number)}
+        await asyncio.sleep(0.2)
+        leader.resumed_at = asyncio.get_running_loop().time()
+        await asyncio.sleep(4.0)
+        assert not leader.group.is_confirmed
+
+    play(scenario)
+
+
 def test_a_dead_spare_is_not_taken_into_the_set() -> None:
     """Bench finding: entries of machines that were gone for good passed for spares."""
 
--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -14,8 +14,9 @@
 from wharfcart.clock import Suspensions, monotonic, suspended_s
 
 SOURCE = Path(wharfcart.__file__).parent
-# What runs beside a fleet, not in it; and the one module that reads the clocks.
-EXEMPT = ("experiments/", "emulator/", "soak/", "cli/", "clock.py")
+# What runs beside a fleet, not in it; the one module that reads the clocks; and the one that sets
+# the event loop's timers anew after a suspension, for which it needs the loop's own time.
+EXEMPT = ("experiments/", "emulator/", "soak/", "cli/", "clock.py", "routing/deadlines.py")
 STANDS_STILL = ("monotonic", "perf_counter", "monotonic_ns")
 
 
