Soak: callers that repeat a request which ends its back ends

Change: up to two such requests a run, drawn beside the plan's other faults; the emulated back end resets everything, a new incarnation comes 0.6 s later. The verdict counts ends by request and looks for refused ones that ran.

--- a/src/wharfcart/emulator/model_server.py
+++ b/src/wharfcart/emulator/model_server.py
@@ -52,9 +52,9 @@
 
     Attributes:
         overruns: requests above what it bore while it was cold.
-        fatal_body: a request with this body ends the server once it runs; None for none.
+        fatal_bodies: a request with one of these bodies ends the server once it runs.
         events_before_end: events that such a request still gets.
-        on_end: called when a request has ended the server.
+        on_end: called with the body of the request that has ended the server.
         has_ended: a request has ended it.
     """
 
@@ -68,9 +68,9 @@
         self.failing_ids: dict[str, int] = {}
         self.fails_with: int | None = None  # status of every answer
         self.silent = False
-        self.fatal_body: bytes | None = None
+        self.fatal_bodies: set[bytes] = set()
         self.events_before_end = 0
-        self.on_end: Callable[[ModelServer], None] = lambda _server: None
+        self.on_end: Callable[[ModelServer, bytes], None] = lambda _server, _body: None
         self.has_ended = False
         self.overruns = 0
         self._cold_until = 0.0
@@ -155,8 +155,8 @@
         tenant = request.headers.get(names.TENANT, "")
         key = request.headers.get(names.AUTHORIZATION, "")
         self.runs.append(RunRecord(request_id, first, deadline_ms, monotonic(), tenant, key))
-        if body == self.fatal_body and not self.events_before_end:
-            await self._end()
+        if body in self.fatal_bodies and not self.events_before_end:
+            await self._end(body)
         if self.fails_with is not None:
             return web.Response(status=self.fails_with, headers=self._head(request_id))
         if request_id in self.failing_ids:
@@ -178,8 +178,8 @@
         await response.prepare(request)
         for number in range(first, self._events):
             await asyncio.sleep(self._event_s)
-            if body == self.fatal_body and number == first + self.events_before_end:
-                await self._end()
+            if body in self.fatal_bodies and number == first + self.events_before_end:
+                await self._end(body)
             if number == cut_after:
                 await response.write(f"id: {number}\ndata: half an ev".encode())
                 drop_connection(request)
@@ -188,13 +188,13 @@
         self.finished[request_id] += 1
         return response
 
-    async def _end(self) -> None:
+    async def _end(self, body: bytes) -> None:
         """End as a process does that a request has crashed."""
         await asyncio.sleep(self._event_s)
         if not self.has_ended:
             self.has_ended = True
             self.server.abort()
-            self.on_end(self)
+            self.on_end(self, body)
         raise ConnectionResetError("the server has ended")
 
     def _head(self, request_id: str) -> dict[str, str]:
--- a/src/wharfcart/soak/faults.py
+++ b/src/wharfcart/soak/faults.py
@@ -1,10 +1,14 @@
 """What each kind of fault does to a fleet, and how it is undone."""
 
 import asyncio
+import itertools
 import signal
 import subprocess
 import typing as t
 from abc import ABC, abstractmethod
+from contextlib import suppress
+
+import aiohttp
 
 from wharfcart.emulator.faults import Faults
 from wharfcart.experiments.serving_fleet import ServingNodeProcess
@@ -20,6 +24,11 @@
 LOST_SERVER_ANSWERS = 3
 CUT_STREAMS = 4
 MOST_RESET_CONNECTIONS = 100
+# A caller whose request ends its back ends asks again after this time.
+FATAL_PAUSE_S = 0.3
+FATAL_PATIENCE_S = 4.0
+FATAL_PATH = "/chat/x"
+PROMISED_NOT_RUN = (408, 421, 429, 503)
 
 
 class Fault(ABC):
@@ -286,6 +295,34 @@
         await self.fleet.take_evacuation_back(self._record)
 
 
+class FatalRequestFault(Fault):
+    """A caller repeats a request that ends the back ends that run it, at any gateway."""
+
+    async def begin(self) -> None:
+        """Strike."""
+        self._task = asyncio.create_task(self._repeat())
+
+    async def end(self) -> None:
+        """Undo it."""
+        self._task.cancel()
+        await asyncio.wait((self._task,))
+
+    async def _repeat(self) -> None:
+        body = self.fleet.add_fatal_request()
+        for number in itertools.count(self.planned.target):
+            request_id = f"{body.decode().replace(' ', '-')}-{number}"
+            gateway = number % len(self.fleet.gateways)
+            status = None
+            with suppress(aiohttp.ClientError, TimeoutError, OSError):
+                async with asyncio.timeout(FATAL_PATIENCE_S):
+                    status, _, _ = await self.fleet.request(
+                        gateway, FATAL_PATH, request_id, data=body
+                    )
+            if status in PROMISED_NOT_RUN and self.fleet.has_run(request_id):
+                self.fleet.violations.append(f"{request_id}: refused with {status}, but ran")
+            await asyncio.sleep(FATAL_PAUSE_S)
+
+
 FAULTS_BY_KIND: dict[FaultKind, type[Fault]] = {
     FaultKind.KILL: KillFault,
     FaultKind.FREEZE: FreezeFault,
@@ -314,6 +351,7 @@
     FaultKind.SERVER_REPLACED: ServerReplacedFault,
     FaultKind.CONFIGURATION: ConfigurationFault,
     FaultKind.ZONE_EVACUATED: ZoneEvacuatedFault,
+    FaultKind.FATAL_REQUEST: FatalRequestFault,
 }
 
 
--- a/src/wharfcart/soak/fleet.py
+++ b/src/wharfcart/soak/fleet.py
@@ -1,10 +1,12 @@
 """The fleet of a soak: processes behind proxies, with clocks and disks that can be faulted."""
 
+import asyncio
 import json
 import shutil
 import signal
 import sys
 import typing as t
+from collections import Counter
 from pathlib import Path
 from time import monotonic
 
@@ -20,6 +22,7 @@
     ServingNodeProcess,
 )
 from wharfcart.node.fleet_keys import GROUP_PREFIX, NODE_PREFIX, node_entry_from
+from wharfcart.observability.tasks import BackgroundTasks
 from wharfcart.platform import names
 from wharfcart.settings.base import split_endpoint
 from wharfcart.soak.history import EvacuationRecord
@@ -28,6 +31,8 @@
 from wharfcart.storage.group_record import group_record_from
 
 HOOKS_FOLDER = Path(hooks.__file__).parent
+# A back end that a request has ended has a successor so soon.
+BACK_AFTER_S = 0.6
 
 
 class SoakFleet(ServingFleet):
@@ -54,6 +59,9 @@
         self.tenants = soak_tenants()
         self.evacuations: list[EvacuationRecord] = []
         self._zones_by_server: dict[str, str] = {}
+        self._fatal_bodies: set[bytes] = set()
+        self.ends_by_body: Counter[bytes] = Counter()
+        self._replacements = BackgroundTasks()
 
     async def request(
         self, gateway: int, path: str, request_id: str, deadline_ms: int = 8000, **more: t.Any
@@ -78,6 +86,7 @@
 
     async def stop(self) -> None:
         """End every process that this fleet started, and every stand-in."""
+        await self._replacements.stop()
         await super().stop()
         for server in self.retired_servers:
             await server.server.stop()
@@ -144,6 +153,18 @@
         self.stream_servers[self.stream_servers.index(old)] = new
         self.retired_servers.append(old)
 
+    def has_run(self, request_id: str) -> bool:
+        """Whether a back end has run a request."""
+        return any(
+            run.request_id == request_id for server in self.all_servers for run in server.runs
+        )
+
+    def add_fatal_request(self) -> bytes:
+        """Return the body of one more request that ends the back ends that run it."""
+        body = f"fatal {len(self._fatal_bodies)}".encode()
+        self._fatal_bodies.add(body)
+        return body
+
     async def evacuate(self, number: int) -> EvacuationRecord:
         """Ask that nothing new goes to the servers of a zone, as the operator does."""
         zone = ZONES[number % len(ZONES)]
@@ -183,10 +204,33 @@
         """Write a back end's entry, once its proxy stands."""
         if server.instance_id not in self._address_by_server:
             await self._add_server_proxy(server)
+            server.fatal_bodies = self._fatal_bodies
+            server.on_end = self._note_end
         await super().announce(server, service, state)
 
     # -- inner ---------------------------------------------------------
 
+    def _note_end(self, server: ModelServer, body: bytes) -> None:
+        """Take a back end that a request has ended off the net; another one comes."""
+        self.ends_by_body[body] += 1
+        self._replacements.spawn(self._replace_ended(server))
+
+    async def _replace_ended(self, old: ModelServer) -> None:
+        await self.proxies_by_server[old.instance_id].stop()
+        streams = old in self.stream_servers
+        servers = self.stream_servers if streams else self.plain_servers
+        if old not in servers:
+            return  # it was draining: its successor has come already
+        await asyncio.sleep(BACK_AFTER_S)
+        events, event_s = (12, 0.02) if streams else (0, 0.02)
+        new = ModelServer(f"i-after-end-{self._next_server}", events, event_s)
+        self._next_server += 1
+        await new.server.start("127.0.0.1", 0)
+        servers[servers.index(old)] = new
+        self.retired_servers.append(old)
+        await self.announce(new, STREAM_SERVICE if streams else PLAIN_SERVICE)
+        await self.store.remove(names.SERVER_PREFIX + old.instance_id)
+
     async def _add_server_proxy(self, server: ModelServer) -> None:
         address = free_endpoint()
         target = split_endpoint(server.server.address)
--- a/src/wharfcart/soak/plan.py
+++ b/src/wharfcart/soak/plan.py
@@ -39,6 +39,7 @@
     SERVER_REPLACED = "server_replaced"
     CONFIGURATION = "configuration"
     ZONE_EVACUATED = "zone_evacuated"
+    FATAL_REQUEST = "fatal_request"
 
 
 STORAGE_FAULTS = (
@@ -87,6 +88,8 @@
 LONGEST_S = 5.0
 # The chance that everything is killed at once in the middle of a run.
 KILL_ALL_CHANCE = 0.25
+# Requests that end their back ends, and how long their callers repeat them.
+MOST_FATAL_REQUESTS = 2
 
 
 @dataclass(frozen=True)
@@ -134,9 +137,21 @@
         faults = [fault for fault in faults if not fault.on_storage]
         at_s = rng.uniform(load_s / 4, load_s / 2)
         faults.append(PlannedFault(at_s, SHORTEST_S, FaultKind.KILL_ALL, 0))
+    faults += _draw_fatal_requests(random.Random(f"{seed} fatal"), load_s, gateways)
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
+def _draw_fatal_requests(rng: random.Random, load_s: float, gateways: int) -> list[PlannedFault]:
+    """Draw callers that repeat such a request beside everything else, at any gateway."""
+    drawn = []
+    for _ in range(rng.randint(0, MOST_FATAL_REQUESTS)):
+        for_s = rng.uniform(SHORTEST_S, load_s / 2)
+        at_s = rng.uniform(0, load_s - for_s)
+        target = rng.randrange(gateways)
+        drawn.append(PlannedFault(at_s, for_s, FaultKind.FATAL_REQUEST, target))
+    return drawn
+
+
 def _draw_storage_faults(rng: random.Random, load_s: float, stores: int) -> list[PlannedFault]:
     faults: list[PlannedFault] = []
     at_s = rng.uniform(0, 3.0)
--- a/src/wharfcart/soak/promises.py
+++ b/src/wharfcart/soak/promises.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 
 from wharfcart.emulator.model_server import ModelServer, RunRecord
@@ -31,6 +31,9 @@
 # An order to empty a zone is in force after this time on every node that runs and is reached by
 # any other; the plan says which nodes may not have been.
 EVACUATION_S = 2.0
+# A request that ends its back ends is held back at each gateway once two have ended under it, even
+# if no other gateway hears of that; one that starts anew may not know it either.
+MOST_ENDS_A_GATEWAY_LIFE = 2
 
 
 @dataclass(frozen=True)
@@ -67,6 +70,21 @@
     return found
 
 
+def ended_too_many(ends_by_body: Mapping[bytes, int], gateway_lives: int) -> list[str]:
+    """Return every request under which too many back ends ended, in words.
+
+    Args:
+        ends_by_body: how many back ends each has ended.
+        gateway_lives: processes of gateways that ran, one after the other ones counted as several.
+    """
+    most = MOST_ENDS_A_GATEWAY_LIFE * gateway_lives
+    return [
+        f"{body.decode()}: {ends} back ends ended while they ran it, {most} may"
+        for body, ends in ends_by_body.items()
+        if ends > most
+    ]
+
+
 def broken_promises(history: History, servers: list[ModelServer]) -> list[str]:
     """Return every promise that was broken, in words.
 
--- a/src/wharfcart/soak/run.py
+++ b/src/wharfcart/soak/run.py
@@ -16,6 +16,7 @@
     EVACUATION_S,
     ServedZone,
     broken_promises,
+    ended_too_many,
     sent_to_evacuated,
 )
 from wharfcart.soak.workload import Workload
@@ -83,6 +84,7 @@
             violations = self._fleet.violations + await self._recover()
             violations += broken_promises(self._workload.history, self._fleet.all_servers)
             violations += self._sent_to_evacuated()
+            violations += ended_too_many(self._fleet.ends_by_body, self._gateway_lives())
             kept = self._keep_logs(violations) if violations else None
         finally:
             await self._fleet.stop()
@@ -99,6 +101,15 @@
             kept,
         )
 
+    def _gateway_lives(self) -> int:
+        """Return how many processes of gateways the plan has run."""
+        kills = sum(
+            fault.kind in (FaultKind.KILL, FaultKind.TERMINATE) and not fault.on_storage
+            for fault in self.plan
+        )
+        all_kills = sum(fault.kind is FaultKind.KILL_ALL for fault in self.plan)
+        return GATEWAYS * (1 + all_kills) + kills
+
     def _sent_to_evacuated(self) -> list[str]:
         """Return what was sent to emptied zones, but for nodes that could not know of the order."""
         began_at = self._workload.history.began_at
--- a/tests/integration/test_fatal_requests.py
+++ b/tests/integration/test_fatal_requests.py
@@ -72,11 +72,11 @@
         return outcomes
 
     def _make_fragile(self, server: ModelServer) -> None:
-        server.fatal_body = FATAL
+        server.fatal_bodies = {FATAL}
         server.events_before_end = self._events_before_end
         server.on_end = self._note_end
 
-    def _note_end(self, server: ModelServer) -> None:
+    def _note_end(self, server: ModelServer, _body: bytes) -> None:
         self.ended.append(server.instance_id)
         task = asyncio.create_task(self._replace(server))
         self._replacing.add(task)
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -9,7 +9,13 @@
     RequestRecord,
     RouteRecord,
 )
-from wharfcart.soak.promises import EVENTS, ServedZone, broken_promises, sent_to_evacuated
+from wharfcart.soak.promises import (
+    EVENTS,
+    ServedZone,
+    broken_promises,
+    ended_too_many,
+    sent_to_evacuated,
+)
 from wharfcart.soak.tenants import HOT, HOT_PREFIX, STEADY, tenant_of
 
 
@@ -87,6 +93,12 @@
     assert judged([], jobs=(job,))
 
 
+def test_a_request_that_ends_too_many_back_ends() -> None:
+    assert ended_too_many({b"fatal 0": 6, b"fatal 1": 7}, 3) == [
+        "fatal 1: 7 back ends ended while they ran it, 6 may"
+    ]
+
+
 def test_an_item_without_a_result() -> None:
     job = finished_job()
     del job.results[1]
