--- a/benchmarks/ablation.py
+++ b/benchmarks/ablation.py
@@ -90,7 +90,7 @@
     ),
     Ablation(
         "hedges",
-        "routing/forwarder.py",
+        "routing/sender.py",
         "if not self._hedges.available:",
         "if True:",
     ),
