--- a/tests/routing/test_leaving_for_back_end.py
+++ b/tests/routing/test_leaving_for_back_end.py
@@ -3,9 +3,12 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from random import Random
-from time import monotonic
+from time import monotonic, time
 
-from wharfcart.admission.suspects import Suspects
+import pytest
+
+from wharfcart.admission.request_content import content_of
+from wharfcart.admission.suspects import FIRST_HOLD_S, Suspects
 from wharfcart.backends.connection_pool import ConnectionPool
 from wharfcart.batch.item_run import ItemProgress, ItemRunner, ItemSend, RunOutcome
 from wharfcart.cluster.messages_pb2 import RequestItem
@@ -17,6 +20,7 @@
 from wharfcart.observability.serving_metrics import ServingMetrics
 from wharfcart.platform import exchanges
 from wharfcart.platform.exchanges import RequestFacts
+from wharfcart.routing import sender
 from wharfcart.routing.backend_choice import BackendChoice
 from wharfcart.routing.broken_runs import BrokenRuns
 from wharfcart.routing.caller_request import CallerRequest
@@ -251,3 +255,67 @@
         assert bench.runs() == ["a"]
 
     play(scenario)
+
+
+CONTENT = content_of("h", "POST", "/x", "", b"")
+
+
+def suspect(bench: Bench) -> None:
+    """Have it become known that two back ends ended while they ran the request."""
+    for instance_id in ("gone-1", "gone-2"):
+        bench.broken_runs.suspects.note_end(CONTENT, instance_id, 1.0, time())
+
+
+def test_a_request_that_becomes_a_suspect_as_its_connection_comes_up_is_not_sent() -> None:
+    async def scenario(bench: Bench) -> None:
+        async def suspect_it(_instance: BackendInstance) -> None:
+            suspect(bench)
+
+        bench.on_connected = suspect_it
+        sink = await bench.forward(most_backends=3)
+        assert sink.status == 503
+        assert FIRST_HOLD_S - 1.0 <= float(sink.headers["retry-after"]) <= FIRST_HOLD_S
+        assert len(bench.connected) == 1 and not bench.runs()
+
+    play(scenario)
+
+
+def test_an_item_that_becomes_a_suspect_as_its_connection_comes_up_is_not_sent() -> None:
+    async def scenario(bench: Bench) -> None:
+        async def suspect_it(_instance: BackendInstance) -> None:
+            suspect(bench)
+
+        bench.on_connected = suspect_it
+        assert await bench.run_item("a") is RunOutcome.REFUSED
+        assert not bench.runs()
+
+    play(scenario)
+
+
+def test_an_answer_takes_the_suspicion_away() -> None:
+    async def scenario(bench: Bench) -> None:
+        bench.broken_runs.suspects.note_end(CONTENT, "gone-1", 1.0, time())
+        assert (await bench.forward()).status == 200
+        assert not len(bench.broken_runs.suspects)
+        bench.broken_runs.suspects.note_end(CONTENT, "gone-1", 1.0, time())
+        bench.servers["a"].fails_with = 422
+        assert await bench.run_item("a") is RunOutcome.IMPOSSIBLE
+        assert not len(bench.broken_runs.suspects)
+
+    play(scenario)
+
+
+def test_a_request_whose_time_is_over_as_its_connection_comes_up_is_not_sent(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Its machine was suspended meanwhile, and no timer ran."""
+
+    async def scenario(bench: Bench) -> None:
+        async def suspend(_instance: BackendInstance) -> None:
+            monkeypatch.setattr(sender, "monotonic", lambda: monotonic() + 60.0)
+
+        bench.on_connected = suspend
+        assert (await bench.forward()).status == 504
+        assert not bench.runs()
+
+    play(scenario)
