A node that the coordination service refuses tells some storage nodes what it saw of requests that end back ends

Cause: found in review: each gateway that the service turns away would have learned by itself, two ends a gateway; a third of all nodes may be refused for seconds while the rest of the fleet is well. Change: what the service would not take goes to two storage nodes drawn by lot; they take it for their own, and tell others if they are refused, too. Measured: the new tests fail without it (one of two nodes of a simulation hears nothing; the record of two ends never stands in the service), and pass with it. tests/node, tests/admission, tests/integration/test_fatal_requests.py are green.

--- a/src/wharfcart/admission/suspects.py
+++ b/src/wharfcart/admission/suspects.py
@@ -172,6 +172,15 @@
         self._cleared.add(known)
         self.on_news()
 
+    def note_heard(self, content: ContentId, heard: SuspectRecord) -> None:
+        """Note what another node has seen and could not share."""
+        if self.record(content).covers(heard):
+            return
+        self._own[content] = self._own.get(content, SuspectRecord()).merged(heard)
+        self._untold.add(content)
+        self._forget_oldest()
+        self.on_news()
+
     # ---- what the fleet shares ----
 
     def take(self, content: ContentId, record: SuspectRecord | None) -> None:
--- a/src/wharfcart/node/serving_node.py
+++ b/src/wharfcart/node/serving_node.py
@@ -19,13 +19,13 @@
     CoordinationUnavailableError,
     Transaction,
 )
-from wharfcart.cluster.messages_pb2 import Frame
+from wharfcart.cluster.messages_pb2 import BackendEnds, Frame
 from wharfcart.cluster.mirror import Mirror
 from wharfcart.cluster.mirror_link import MirrorLink
 from wharfcart.cluster.news_sources import NewsSources, Peer
 from wharfcart.cluster.peer_news import NewsWriter, PeerNewsCalls
 from wharfcart.cluster.topology import Distance, RegionName, Topology
-from wharfcart.cluster.transport import Handler, Responder, Transport
+from wharfcart.cluster.transport import Handler, Responder, TrafficClass, Transport
 from wharfcart.configuration.residence import Residence
 from wharfcart.configuration.residence_check import residence_findings
 from wharfcart.configuration.serving import RequestLimit, ServingConfiguration
@@ -60,6 +60,9 @@
 MOST_FINDINGS = 20
 FEWEST_CONNECTIONS = 2
 MOST_AGE_S = 1e6  # told while nothing was ever confirmed
+# Storage nodes that are told in place of the coordination service: if it refuses a third of all
+# nodes, one of two drawn by lot reaches it nine times in ten, and who does not tells two others.
+MOST_RELAYS = 2
 # Until it is known how many nodes there are.
 FEWEST_NODES = 8
 
@@ -107,7 +110,9 @@
         self.suspension_watch = SuspensionWatch(self.suspensions, log)
         suspects = Suspects()
         self.broken_runs = BrokenRuns(suspects, log)
-        self._suspect_news = SuspectNews(suspects, self.coordination, self.mirror, self.random)
+        self._suspect_news = SuspectNews(
+            suspects, self.coordination, self.mirror, self.random, self._relay_ends
+        )
         self.metrics.contents_held.set_function(lambda: suspects.held(time()))
         self.metrics.cold_backends.set_function(lambda: len(self.choice.cold_states(monotonic())))
         self.metrics.mirror_age.set_function(lambda: min(self.link.age_s, MOST_AGE_S))
@@ -220,8 +225,22 @@
             message = self._news_writer.message(news)
             await respond(Frame(last=True, coordination_changes=message))
             return
+        if frame.WhichOneof("body") == "backend_ends":
+            self._suspect_news.take_relayed(frame.backend_ends)
+            return
         await self.handle_other(frame, respond)
 
+    def _relay_ends(self, message: BackendEnds) -> None:
+        """Tell some storage nodes what the coordination service would not take from this node."""
+        others = [
+            entry
+            for entry in self.storage_by_identity.values()
+            if entry.node_id != self.settings.node_id
+        ]
+        for entry in self.random.sample(others, min(MOST_RELAYS, len(others))):
+            frame = Frame(backend_ends=message)
+            self.transport.send(entry.address, frame, TrafficClass.ONLINE)
+
     def _count_sent(self, host: str, kind: str, size: int) -> None:
         zone = self._zones_by_host.get(host)
         distance = "unknown"
--- a/src/wharfcart/node/suspect_news.py
+++ b/src/wharfcart/node/suspect_news.py
@@ -1,11 +1,14 @@
 """What nodes share of requests that back ends ended under: kept in the coordination service.
 
-One key a content. It reaches every node with the mirror, also one that starts later or that another
-region's storage nodes grant slots to. While the service is away each node goes by what it knows.
+One key a content. It reaches every node with the mirror, also one that starts later or that
+another region's storage nodes grant slots to. A node that the service refuses tells some storage
+nodes, and these tell it or others in turn. While the service is away from all, each node goes by
+what it knows.
 """
 
 import asyncio
 import json
+from collections.abc import Callable
 from contextlib import suppress
 from time import time
 
@@ -18,6 +21,7 @@
     CoordinationUnavailableError,
     Transaction,
 )
+from wharfcart.cluster.messages_pb2 import BackendEnds, ContentEnds, InstanceEnd
 from wharfcart.cluster.mirror import Mirror
 from wharfcart.cluster.randomness import RandomSource
 from wharfcart.node.fleet_keys import SUSPECT_PREFIX
@@ -44,6 +48,7 @@
         service: where evidence is kept.
         mirror: of the service's keys.
         random: spreads further tries.
+        relay: tells some storage nodes what the service would not take.
     """
 
     def __init__(
@@ -52,8 +57,10 @@
         service: CoordinationService,
         mirror: Mirror,
         random: RandomSource,
+        relay: Callable[[BackendEnds], None],
     ) -> None:
         self._suspects = suspects
+        self._relay = relay
         self._service = service
         self._mirror = mirror
         self._random = random
@@ -66,6 +73,12 @@
         content = ContentId(change.key.removeprefix(SUSPECT_PREFIX))
         self._suspects.take(content, record_from(change.value))
 
+    def take_relayed(self, message: BackendEnds) -> None:
+        """Take what another node could not tell the service."""
+        for told in message.contents:
+            ends = {end.instance_id: BackendEnd(end.at, end.weight) for end in told.ends}
+            self._suspects.note_heard(ContentId(told.content), SuspectRecord(ends))
+
     async def run(self) -> None:
         """Tell what there is to tell, until cancelled."""
         while True:
@@ -101,6 +114,8 @@
             return False
         except CoordinationUnavailableError:
             # Whether it was done or not: the mirror tells, and the same may be written twice.
+            if untold:
+                self._relay(ends_to_message(untold))
             await self._pause(RETRY_UNAVAILABLE_S)
             return False
         self._failures = 0
@@ -121,6 +136,22 @@
         return 0.5 + self._random.random()
 
 
+def ends_to_message(record_by_content: dict[ContentId, SuspectRecord]) -> BackendEnds:
+    """Write what is known of some contents, for another node."""
+    return BackendEnds(
+        contents=[
+            ContentEnds(
+                content=content,
+                ends=[
+                    InstanceEnd(instance_id=instance_id, at=end.at, weight=end.weight)
+                    for instance_id, end in record.ends_by_instance.items()
+                ],
+            )
+            for content, record in record_by_content.items()
+        ]
+    )
+
+
 def record_to_bytes(record: SuspectRecord) -> bytes:
     """Write what is known of a content."""
     ends = {key: [round(end.at, 3), end.weight] for key, end in record.ends_by_instance.items()}
--- a/tests/integration/test_fatal_requests.py
+++ b/tests/integration/test_fatal_requests.py
@@ -22,6 +22,7 @@
 
 from wharfcart.emulator.model_server import ModelServer
 from wharfcart.experiments.serving_fleet import PLAIN_SERVICE, STREAM_SERVICE, ServingFleet
+from wharfcart.node.fleet_keys import SUSPECT_PREFIX
 from wharfcart.platform import names
 
 FATAL = b"what ends whoever runs it"
@@ -150,6 +151,27 @@
     play(scenario)
 
 
+def test_a_gateway_that_the_coordination_service_refuses_tells_the_others_all_the_same() -> None:
+    async def scenario(fleet: FragileFleet) -> None:
+        fleet.store.refused.add("gateway-0")
+
+        def both_ends_are_shared() -> bool:
+            items = fleet.store.state.items
+            records = [items[key].value for key in items if key.startswith(SUSPECT_PREFIX)]
+            return any(len(json.loads(record)) == 2 for record in records)
+
+        for number in (0, 2):
+            await fleet.outcome(number, "/chat/x")
+            await fleet.until(fleet.all_known, 10.0)
+        await fleet.until(both_ends_are_shared, 10.0)
+        for number in range(1, 2 * ATTEMPTS, 2):
+            await fleet.outcome(number, "/chat/x")
+            await fleet.until(fleet.all_known, 10.0)
+        assert len(fleet.ended) <= MOST_ENDED
+
+    play(scenario)
+
+
 def test_an_item_ends_three_back_ends_at_most_and_its_job_goes_on() -> None:
     """Also under the next leader."""
 
--- a/tests/node/test_suspect_news.py
+++ b/tests/node/test_suspect_news.py
@@ -14,6 +14,7 @@
     CoordinationUnavailableError,
     Transaction,
 )
+from wharfcart.cluster.messages_pb2 import BackendEnds
 from wharfcart.cluster.mirror import Mirror
 from wharfcart.experiments.virtual_time import run_virtually
 from wharfcart.node.fleet_keys import SUSPECT_PREFIX
@@ -32,6 +33,7 @@
         self.nodes: list[Node] = []
         self.calls = 0
         self.down = False
+        self.refused: set[int] = set()
         self.loses_answers = False
 
     async def commit(self, transaction: Transaction) -> int:
@@ -60,10 +62,23 @@
     def __init__(self, service: Service, seed: int) -> None:
         self.suspects = Suspects()
         self.mirror = Mirror()
-        self.news = SuspectNews(self.suspects, service, self.mirror, Random(seed))
+        self._service = service
+        self.number = seed
+        self.relays: list[Node] = []
+        self.news = SuspectNews(self.suspects, self, self.mirror, Random(seed), self._relay)
         service.nodes.append(self)
         self.task = asyncio.get_running_loop().create_task(self.news.run())
 
+    async def commit(self, transaction: Transaction) -> int:
+        """Write to the service, as this node."""
+        if self.number in self._service.refused:
+            raise CoordinationUnavailableError("refused")
+        return await self._service.commit(transaction)
+
+    def _relay(self, message: BackendEnds) -> None:
+        for node in self.relays:
+            node.news.take_relayed(message)
+
     def hear(self, changes: list[Change], at: int) -> None:
         for change in self.mirror.apply(Changes(tuple(changes), at)):
             self.news.take(change)
@@ -124,6 +139,22 @@
     play(scenario)
 
 
+def test_a_node_that_the_service_refuses_tells_others_who_tell_it() -> None:
+    """Also if the first that is told is refused, too."""
+
+    async def scenario(service: Service) -> None:
+        refused, refused_too, third, fourth = (Node(service, seed) for seed in range(4))
+        refused.relays, refused_too.relays = [refused_too], [third]
+        service.refused = {refused.number, refused_too.number}
+        refused.suspects.note_end(CONTENT, "a", 1.0, time())
+        await asyncio.sleep(1.0)
+        assert fourth.ends() == {"a"}
+        await asyncio.sleep(5.0)
+        assert service.calls == 1, "it is told once"
+
+    play(scenario)
+
+
 def test_an_answer_that_was_lost_changes_nothing() -> None:
     async def scenario(service: Service) -> None:
         first, second = Node(service, 1), Node(service, 2)
