Finding: a burst that no later home hears of exceeds a tenant's limit; its history stands as a red test

TestLimitHistory failed beside tests/node and tests/integration/test_fatal_requests.py, twice, and passes alone. Cause, traced: Hypothesis draws constants of the modules that are loaded, so other histories come beside other tests. The history is a gap that was there before: a gateway sends 37 requests at once and is lost together with the home within the 0.25 s before the next picture; the next home knows nothing of them and permits a whole burst to the others: 80 where the limit allows 60 and the test bears 79.

--- a/tests/admission/test_tenant_limits.py
+++ b/tests/admission/test_tenant_limits.py
@@ -213,3 +213,21 @@
     for seed in range(200):
         fleet = random_run(seed, homes_change=True, kills=False)
         assert fleet.busiest_window() <= 1.25 * whole(fleet.limit), seed
+
+
+def test_a_burst_that_no_later_home_hears_of_exceeds_a_limit_by_little() -> None:
+    """Found by the histories: a gateway sends a burst, and is lost together with the home.
+
+    The next home has heard of neither: no picture was told between the burst and the loss. It
+    permits a whole burst to the others.
+    """
+    fleet = Fleet(4, RequestLimit(2.0, 50.0))
+    for _ in range(37):
+        fleet.request(fleet.gateways[0])
+    fleet.change_home()
+    for gateway in fleet.gateways[1:]:
+        fleet.connect(gateway)
+    for turn in range(58):
+        fleet.now += 0.005
+        fleet.request(fleet.gateways[turn % 4])
+    assert fleet.busiest_window() <= 1.25 * whole(fleet.limit) + 4
