Suspects: bounded whatever the weight, no future of another clock, nodes let a content through one after the other

Cause, from reading the change again: the time of holding back was a power of the weight (an overflow from some 240 ends on); a node whose clock is ahead by an hour had a content held back for as long; copies that wait at several gateways would all have been tried in the moment in which the hold is over. Change: a bound on the weight; evidence of others is dated no later than it comes; each node holds back for up to 3 s longer, drawn by lot. The fault soak plays as many gateways and storage nodes as asked for.

--- a/src/wharfcart/admission/suspects.py
+++ b/src/wharfcart/admission/suspects.py
@@ -10,7 +10,7 @@
 """
 
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from wharfcart.admission.request_content import ContentId
 
@@ -29,6 +29,11 @@
 # each further end without a byte makes it longer by this factor.
 FIRST_HOLD_S = 30.0
 HOLD_GROWTH = 20.0
+# From here on it is as long as it can be.
+MOST_WEIGHT = 4.0
+# Nodes let a content through again one after the other within this time; what comes of a run is
+# known to the others some tenths of a second later.
+SPREAD_S = 3.0
 # Evidence is kept for as long as anything is held back.
 KEPT_S = 600.0
 # More contents than this are never suspected for a good reason; the oldest are forgotten.
@@ -83,11 +88,21 @@
         weight = self.weight()
         if weight < FEWEST_WEIGHT:
             return 0.0
-        growth: float = HOLD_GROWTH ** (weight - FEWEST_WEIGHT)
-        hold_s = min(KEPT_S, FIRST_HOLD_S * growth)
-        # A node whose clock is ahead holds nothing back for longer than that.
-        since = min(self.last_at(), now)
-        return max(0.0, since + hold_s - now)
+        if weight >= MOST_WEIGHT:
+            hold_s = KEPT_S
+        else:
+            growth: float = HOLD_GROWTH ** (weight - FEWEST_WEIGHT)
+            hold_s = min(KEPT_S, FIRST_HOLD_S * growth)
+        return max(0.0, self.last_at() + hold_s - now)
+
+    def not_after(self, now: float) -> "SuspectRecord":
+        """Return this without a future: a clock that is ahead elsewhere holds back no longer."""
+        return SuspectRecord(
+            {
+                instance_id: replace(end, at=min(end.at, now))
+                for instance_id, end in self.ends_by_instance.items()
+            }
+        )
 
 
 def weight_of(answer_begun: bool, ran_s: float) -> float:
@@ -108,9 +123,13 @@
 
     Attributes:
         on_news: called when there is something that the fleet does not know yet.
+        holds_longer_s: this node holds back for so much longer than a record says. Drawn at random
+            by each node, it has copies of one content that wait at several let through one after
+            the other: the next ones hear what came of the first.
     """
 
     on_news: Callable[[], None] = lambda: None
+    holds_longer_s: float = 0.0
     _shared: dict[ContentId, SuspectRecord] = field(default_factory=dict)
     _own: dict[ContentId, SuspectRecord] = field(default_factory=dict)
     _untold: set[ContentId] = field(default_factory=set)
@@ -128,7 +147,7 @@
         """
         if not self._shared and not self._own:
             return 0.0
-        return self.record(content()).held_for_s(now)
+        return self.record(content()).held_for_s(now - self.holds_longer_s)
 
     def record(self, content: ContentId) -> SuspectRecord:
         """Return what is known of a content."""
--- a/src/wharfcart/cli/soak.py
+++ b/src/wharfcart/cli/soak.py
@@ -9,7 +9,7 @@
 import typer
 
 from wharfcart.cli.output import ExitCode
-from wharfcart.soak.run import SoakRun, Verdict
+from wharfcart.soak.run import GATEWAYS, STORES, SoakRun, Verdict
 
 MOST_SEED = 10**9
 
@@ -18,6 +18,8 @@
     seeds: Annotated[int, typer.Option(min=1, help="How many fresh seeds.")] = 3,
     seed: Annotated[list[int] | None, typer.Option(help="Play this seed; repeatable.")] = None,
     load_s: Annotated[float, typer.Option(min=5, help="Seconds of load and faults.")] = 25.0,
+    gateways: Annotated[int, typer.Option(min=1, help="How many gateways.")] = GATEWAYS,
+    stores: Annotated[int, typer.Option(min=3, help="How many storage nodes.")] = STORES,
     keep: Annotated[Path, typer.Option(help="Takes the logs of runs that failed.")] = Path(
         "soak-failures"
     ),
@@ -30,7 +32,8 @@
     failed = False
     for number in chosen:
         typer.echo(f"seed {number}", err=True)
-        verdict = asyncio.run(SoakRun(number, load_s, keep).play())
+        run = SoakRun(number, load_s, keep, gateways=gateways, stores=stores)
+        verdict = asyncio.run(run.play())
         failed = failed or bool(verdict.violations)
         print(json.dumps(_as_line(verdict)), flush=True)
     raise typer.Exit(int(ExitCode.FAILED if failed else ExitCode.OK))
--- a/src/wharfcart/node/serving_node.py
+++ b/src/wharfcart/node/serving_node.py
@@ -9,7 +9,7 @@
 from random import Random
 from time import time
 
-from wharfcart.admission.suspects import Suspects
+from wharfcart.admission.suspects import SPREAD_S, Suspects
 from wharfcart.backends.connection_pool import ConnectionPool
 from wharfcart.clock import Suspensions, monotonic
 from wharfcart.cluster.address import Address
@@ -108,7 +108,7 @@
         self._evacuations = Evacuations(self.choice, log, self.metrics, lambda: self.link.age_s)
         self.suspensions = Suspensions()
         self.suspension_watch = SuspensionWatch(self.suspensions, log)
-        suspects = Suspects()
+        suspects = Suspects(holds_longer_s=self.random.uniform(0.0, SPREAD_S))
         self.broken_runs = BrokenRuns(suspects, log)
         self._suspect_news = SuspectNews(
             suspects, self.coordination, self.mirror, self.random, self._relay_ends
--- a/src/wharfcart/node/suspect_news.py
+++ b/src/wharfcart/node/suspect_news.py
@@ -71,13 +71,15 @@
     def take(self, change: Change) -> None:
         """Take what was shared of a content."""
         content = ContentId(change.key.removeprefix(SUSPECT_PREFIX))
-        self._suspects.take(content, record_from(change.value))
+        record = record_from(change.value)
+        self._suspects.take(content, None if record is None else record.not_after(time()))
 
     def take_relayed(self, message: BackendEnds) -> None:
         """Take what another node could not tell the service."""
         for told in message.contents:
             ends = {end.instance_id: BackendEnd(end.at, end.weight) for end in told.ends}
-            self._suspects.note_heard(ContentId(told.content), SuspectRecord(ends))
+            record = SuspectRecord(ends).not_after(time())
+            self._suspects.note_heard(ContentId(told.content), record)
 
     async def run(self) -> None:
         """Tell what there is to tell, until cancelled."""
--- a/src/wharfcart/soak/run.py
+++ b/src/wharfcart/soak/run.py
@@ -59,16 +59,24 @@
         load_s: how long faults and load go on.
         keep: folder that takes the logs of a run that failed.
         plan: faults to play in place of those that the seed draws.
+        gateways: number of gateways.
+        stores: number of storage nodes.
     """
 
     def __init__(
-        self, seed: int, load_s: float, keep: Path, plan: list[PlannedFault] | None = None
+        self,
+        seed: int,
+        load_s: float,
+        keep: Path,
+        plan: list[PlannedFault] | None = None,
+        gateways: int = GATEWAYS,
+        stores: int = STORES,
     ) -> None:
         self.seed = seed
         self.load_s = load_s
         self._keep = keep
-        self.plan = draw_plan(seed, load_s, GATEWAYS, STORES) if plan is None else plan
-        self._fleet = SoakFleet(seed, GATEWAYS, STORES)
+        self.plan = draw_plan(seed, load_s, gateways, stores) if plan is None else plan
+        self._fleet = SoakFleet(seed, gateways, stores)
         self._workload = Workload(self._fleet, seed)
         self._fleet.on_route_added = self._workload.route_added
 
@@ -108,7 +116,7 @@
             for fault in self.plan
         )
         all_kills = sum(fault.kind is FaultKind.KILL_ALL for fault in self.plan)
-        return GATEWAYS * (1 + all_kills) + kills
+        return len(self._fleet.gateways) * (1 + all_kills) + kills
 
     def _sent_to_evacuated(self) -> list[str]:
         """Return what was sent to emptied zones, but for nodes that could not know of the order."""
