Suspects: evidence is taken in by one method, whether seen or heard

Two methods did the same but for one line: what was heard from another node after an answer to the request kept the mark that its evidence may go, and was taken away again right after it had been shared. The new test fails without the change. Measured: tests of suspects, their news, the leaving and the fatal requests pass; lint, types and layers too.

--- a/src/wharfcart/admission/suspects.py
+++ b/src/wharfcart/admission/suspects.py
@@ -166,12 +166,7 @@
         self, content: ContentId, instance_id: str, weight: float, now: float
     ) -> SuspectRecord:
         """Note that a back end has ended while it ran a request; return what is known then."""
-        seen = SuspectRecord({instance_id: BackendEnd(now, weight)})
-        self._own[content] = self._own.get(content, SuspectRecord()).merged(seen)
-        self._cleared.discard(content)
-        self._untold.add(content)
-        self._forget_oldest()
-        self.on_news()
+        self._learn(content, SuspectRecord({instance_id: BackendEnd(now, weight)}))
         return self.record(content)
 
     def note_answer(self, content: Callable[[], ContentId]) -> None:
@@ -193,12 +188,8 @@
 
     def note_heard(self, content: ContentId, heard: SuspectRecord) -> None:
         """Note what another node has seen and could not share."""
-        if self.record(content).covers(heard):
-            return
-        self._own[content] = self._own.get(content, SuspectRecord()).merged(heard)
-        self._untold.add(content)
-        self._forget_oldest()
-        self.on_news()
+        if not self.record(content).covers(heard):
+            self._learn(content, heard)
 
     # ---- what the fleet shares ----
 
@@ -235,6 +226,14 @@
         """Note that the shared evidence of contents has been taken away."""
         self._cleared.difference_update(contents)
 
+    def _learn(self, content: ContentId, news: SuspectRecord) -> None:
+        """Take evidence that the others do not have; an answer of before does not speak to it."""
+        self._own[content] = self._own.get(content, SuspectRecord()).merged(news)
+        self._cleared.discard(content)
+        self._untold.add(content)
+        self._forget_oldest()
+        self.on_news()
+
     def _forget_oldest(self) -> None:
         while len(self._own) > MOST_CONTENTS:
             oldest = min(self._own, key=lambda content: self._own[content].last_at())
--- a/tests/admission/test_suspects.py
+++ b/tests/admission/test_suspects.py
@@ -132,6 +132,17 @@
     assert not len(suspects) and not suspects.no_longer_suspect(0.0, 9)
 
 
+def test_what_is_heard_after_an_answer_is_not_taken_away_by_it() -> None:
+    suspects = Suspects()
+    end(suspects, "a")
+    suspects.note_answer(lambda: CONTENT)
+    other = Suspects()
+    end(other, "b")
+    suspects.note_heard(CONTENT, other.record(CONTENT))
+    suspects.told(suspects.untold(9))
+    assert suspects.no_longer_suspect(0.0, 9) == []
+
+
 def test_old_evidence_goes_and_holds_nobody_back() -> None:
     suspects = Suspects()
     end(suspects, "a", "b", "c")
