A node logs what it rests on when it says that a record does not exist

Sight for the 404 of an accepted job after a lost disk: whether a shard's leader said so, or this node by itself, could not be told from the logs. The line names the record's shard and the shards that the node knows.

--- a/src/wharfcart/batch/jobs.py
+++ b/src/wharfcart/batch/jobs.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+import logging
 import random
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
@@ -29,6 +30,8 @@
 from wharfcart.storage.client import CALL_TIMEOUT_S, JournalClient
 from wharfcart.storage.shard_state import RowKind
 
+logger = logging.getLogger(__name__)
+
 
 @dataclass(frozen=True)
 class NewJob:
@@ -80,7 +83,7 @@
         answer = await self._journal.ask_leader(shard, frame, CALL_TIMEOUT_S)
         record = answer.file_record
         if not record.sealed or record.tenant != tenant:
-            raise _not_found("file", file_id)
+            raise self._not_found("file", file_id)
         return record
 
     async def file_lines(self, record: FileRecord) -> AsyncIterator[bytes]:
@@ -120,7 +123,7 @@
         command = Command(at_ms=now_ms(), job_create=create)
         result = await self._journal.propose(self._checked_shard(job_id, "batch"), command)
         if result.code != "ok":
-            raise _not_found("file", file_id)
+            raise self._not_found("file", file_id)
         return result.job
 
     def _window_seconds(self, tenant: str, source: FileRecord, new: NewJob) -> float:
@@ -165,7 +168,7 @@
         query = JobQuery(shard=self._checked_shard(job_id, "batch"), tenant=tenant, job_id=job_id)
         found = await self._journal.query_jobs(query)
         if not found:
-            raise _not_found("batch", job_id)
+            raise self._not_found("batch", job_id)
         return found[0]
 
     async def list(self, tenant: str, most: int = 100) -> list[JobView]:
@@ -191,7 +194,7 @@
         command = Command(at_ms=now_ms(), job_cancel=cancel)
         result = await self._journal.propose(shard, command)
         if result.code != "ok":
-            raise _not_found("batch", job_id)
+            raise self._not_found("batch", job_id)
         return result.job
 
     async def results(
@@ -218,9 +221,12 @@
     def _checked_shard(self, id_: str, what: str) -> int:
         shard = shard_of_id(id_)
         if shard is None or shard >= self._journal.placement.shard_count:
-            raise _not_found(what, id_)
+            raise self._not_found(what, id_)
         return shard
 
-
-def _not_found(what: str, id_: str) -> ServingError:
-    return ServingError(f"{what}_not_found", f"no {what} {id_!r}", 404)
+    def _not_found(self, what: str, id_: str) -> ServingError:
+        """Return the error that there is no such record, and log what it rests on."""
+        known_shards = sorted(self._journal.placement.shards)
+        details = {"what": what, "id": id_, "shard": shard_of_id(id_), "known_shards": known_shards}
+        logger.info("record not found", extra=details)
+        return ServingError(f"{what}_not_found", f"no {what} {id_!r}", 404)
