--- /dev/null
+++ b/tests/batch/test_jobs_at_a_start.py
@@ -0,0 +1,102 @@
+"""A node that starts with an emptied disk is asked for a job that was accepted.
+
+The node listens as soon as it knows the configuration. The placement of the journal's shards comes
+by a call of its own, up to 0.15 s later. Until then the node knew no shard, took the shard that an
+id names for one that does not exist, and answered 404 "no batch" without asking a leader: an
+accepted job, denied to its caller. The log line "record not found" told it apart from a leader that
+has no such job: ``known_shards`` was [] each time that a node which started anew said so (3 of 6
+restarts with an emptied disk, none of 3 with the disk kept).
+
+A node that holds some shards on its own disk counted just these. An idempotency key was then taken
+to the shard that the wrong number gives, which knows nothing of it: its request ran again.
+"""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import cast
+
+import pytest
+
+from wharfcart.batch.jobs import JobService, NewJob
+from wharfcart.cluster.address import Address
+from wharfcart.cluster.messages_pb2 import Frame, ShardPlacement
+from wharfcart.cluster.ownership import shard_of
+from wharfcart.cluster.placement import PlacementMap
+from wharfcart.cluster.transport import Transport
+from wharfcart.configuration.schema import Tenant
+from wharfcart.errors import Outcome, ServingError
+from wharfcart.gateway.idempotency import KeyedRequests
+from wharfcart.storage.client import JournalClient
+
+TENANT = "registry"
+JOB_ON_SHARD_2 = "batch_0002d2159c8265534b8f8f61"
+FILE_ON_SHARD_2 = "file-0002d2159c8265534b8f8f61"
+
+
+class _NoPeers:
+    """Fails a test in which a shard's leader is asked."""
+
+    async def call(self, _address: object, _frame: Frame) -> Frame:
+        raise AssertionError("no leader can be asked yet")
+
+
+def _address(_identity: str) -> Address:
+    return Address("127.0.0.1", 1)
+
+
+def _client(shards_on_disk: list[int]) -> JournalClient:
+    """Return the client of a node that knows nothing but what its own disk holds."""
+    placement = PlacementMap()
+    placement.merge(
+        ShardPlacement(shard=shard, replicas=["a", "b", "c"], version=7) for shard in shards_on_disk
+    )
+    return JournalClient(placement, cast(Transport, _NoPeers()), _address)
+
+
+def _jobs(shards_on_disk: list[int]) -> JobService:
+    return JobService(_client(shards_on_disk), lambda _tenant, _name: None, 1024)
+
+
+def _refusal(work: Coroutine[object, object, object]) -> ServingError:
+    with pytest.raises(ServingError) as caught:
+        asyncio.run(work)
+    return caught.value
+
+
+@pytest.mark.parametrize("shards_on_disk", [[], [0], [0, 1]])
+@pytest.mark.parametrize("call", ["find", "cancel", "find_file", "list", "create"])
+def test_a_node_that_does_not_know_all_shards_says_so(call: str, shards_on_disk: list[int]) -> None:
+    jobs = _jobs(shards_on_disk)
+    new = NewJob(FILE_ON_SHARD_2, "/v1/chat/completions", 60.0, b"", "key")
+    work: dict[str, Coroutine[object, object, object]] = {
+        "find": jobs.find(TENANT, JOB_ON_SHARD_2),
+        "cancel": jobs.cancel(TENANT, JOB_ON_SHARD_2),
+        "find_file": jobs.find_file(TENANT, FILE_ON_SHARD_2),
+        "list": jobs.list(TENANT),
+        "create": jobs.create(Tenant(name=TENANT), new),
+    }
+    chosen = work.pop(call)
+    for other in work.values():
+        other.close()
+    refusal = _refusal(chosen)
+    assert (refusal.code, refusal.status) == ("journal_unavailable", 503)
+    assert refusal.outcome is Outcome.NOT_RUN
+    assert refusal.retry_after_seconds is not None
+
+
+def test_a_node_that_knows_some_shards_sends_no_key_to_a_wrong_one() -> None:
+    # Of three shards the node holds two: by two it would ask another shard than by three.
+    key = next(
+        key
+        for key in (f"key-{number}" for number in range(100))
+        if shard_of(f"request/{TENANT}/{key}", 2) != shard_of(f"request/{TENANT}/{key}", 3)
+    )
+    requests = KeyedRequests(_client([0, 1]), None, None, None, lambda _task: None)  # type: ignore[arg-type]
+    refusal = _refusal(requests.look_up(TENANT, key))
+    assert (refusal.code, refusal.status) == ("journal_unavailable", 503)
+    assert refusal.outcome is Outcome.NOT_RUN
+
+
+def test_an_id_of_no_shard_is_not_found() -> None:
+    refusal = _refusal(_jobs([]).find(TENANT, "batch_none"))
+    assert (refusal.code, refusal.status) == ("batch_not_found", 404)
--- a/tests/integration/clients.py
+++ b/tests/integration/clients.py
@@ -9,7 +9,7 @@
 import aiohttp
 
 from wharfcart.emulator.engine_core import answer_text
-from wharfcart.experiments.process_fleet import ProcessFleet
+from wharfcart.experiments.process_fleet import NodeProcess, ProcessFleet
 
 TENANT_KEY = "registry-office-key"
 RETRY_DELAY_S = 0.1
@@ -122,6 +122,20 @@
                     return job
                 await asyncio.sleep(RETRY_DELAY_S)
 
+    async def statuses_until_found(self, node: NodeProcess, job_id: str) -> set[int]:
+        """Ask one node for a job without a pause until it tells of it; return all statuses."""
+        seen: set[int] = set()
+        async with asyncio.timeout(JOB_TIMEOUT_S):
+            while 200 not in seen:
+                try:
+                    url = f"{node.url}/v1/batches/{job_id}"
+                    async with self.session.get(url) as response:
+                        seen.add(response.status)
+                except (aiohttp.ClientError, OSError):
+                    pass  # it does not listen yet
+                await asyncio.sleep(0)
+        return seen
+
     async def results(self, job_id: str) -> list[dict[str, Any]]:
         """Return all output lines of a job, through the last node that lives."""
         living = [n for n in self.fleet.nodes if n.process is not None and n.process.poll() is None]
--- a/tests/integration/conftest.py
+++ b/tests/integration/conftest.py
@@ -16,12 +16,14 @@
 
 from tests.integration.clients import Client, Effect
 from wharfcart.emulator.engine_core import answer_text
+from wharfcart.experiments.dev_fleet import STORAGE_NODES
 from wharfcart.experiments.example_fleets import Profile
 from wharfcart.experiments.main_job import MainJob, Target
 from wharfcart.experiments.process_fleet import NodeProcess, ProcessFleet
 
 EFFECTS = 60
 BATCH_ITEMS = 1500
+EACH_DISK_ITEMS = 50
 FREEZE_S = 4.0
 WAIT_S = 30.0
 POLL_S = 0.1
@@ -42,6 +44,7 @@
     items: list[str] = field(default_factory=list)
     answers: list[tuple[int, dict[str, Any]]] = field(default_factory=list)
     passed: bool = False
+    statuses: list[set[int]] = field(default_factory=list)
 
 
 def run(work: Coroutine[Any, Any, _Value]) -> _Value:
@@ -346,6 +349,36 @@
     _run_job(world, disturb)
 
 
+@when("a batch job is done and each disk is lost in turn")
+def each_disk(world: World) -> None:
+    """Ask each node for the job without a pause from the moment it starts on an empty disk."""
+
+    async def lose(victim: NodeProcess, client: Client) -> None:
+        world.fleet.send_signal(victim, signal.SIGKILL)
+        await world.fleet.wait_exit(victim)
+        assert victim.data_folder is not None
+        shutil.rmtree(victim.data_folder)
+        world.fleet.start_node(victim)
+        world.statuses.append(await client.statuses_until_found(victim, world.job_id))
+
+    async def scenario() -> None:
+        client = Client(world.fleet)
+        world.job_id, world.items = await client.submit(EACH_DISK_ITEMS)
+        await client.wait_job(world.job_id)
+        for victim in [node for node in world.fleet.nodes if node.data_folder is not None]:
+            await lose(victim, client)
+            await until(lambda: _no_dead_replica(world))
+        await client.close()
+
+    run(scenario())
+
+
+@then("no node that started anew denied the job")
+def nothing_denied(world: World) -> None:
+    assert len(world.statuses) == STORAGE_NODES
+    assert all(statuses <= {200, 503} for statuses in world.statuses), world.statuses
+
+
 @when("a batch job and effects are done and then two disks are lost")
 def two_disks(world: World) -> None:
     async def nothing(victim: Any = None) -> None:
--- a/tests/integration/features/failures.feature
+++ b/tests/integration/features/failures.feature
@@ -30,6 +30,11 @@
     Then every item completed exactly once with its own answer
     And the new disk became a replica of every shard
 
+  Scenario: A node that starts with an emptied disk denies no job
+    Given a fleet of 4 nodes
+    When a batch job is done and each disk is lost in turn
+    Then no node that started anew denied the job
+
   Scenario: The leader is frozen past its lease
     Given a fleet of 4 nodes
     When effects are resent through all nodes while the busiest leader is frozen
