A node that starts denies no accepted job, and sends no key to a wrong shard

Symptom: 404 for an accepted job after a disk was lost.

Change: the number of shards is known from who knows all of them, never counted from those at hand; until then 503, not run. Likewise a node without a configuration, whose peers have none either, is not ready (it answered 401 to valid keys). Storage nodes read the placement also while others are missing.

--- a/src/wharfcart/batch/jobs.py
+++ b/src/wharfcart/batch/jobs.py
@@ -63,11 +63,8 @@
         ------
         ServingError
         """
-        count = self._journal.placement.shard_count
-        if count == 0:
-            raise ServingError("journal_unavailable", "no journal yet", 503, retry_after_seconds=1)
+        shard = random.randrange(self._journal.shard_count)
         checker = LineChecker(tenant, self._find_service)
-        shard = random.randrange(count)
         return FileWriter(self._journal, tenant, shard, checker, self._most_line_bytes)
 
     async def find_file(self, tenant: str, file_id: str) -> FileRecord:
@@ -138,7 +135,7 @@
         digest = hashlib.sha256(content).hexdigest()
         start = KeyStart(key=key, digest=digest, request_id=job_id, target=new.file_id)
         command = Command(at_ms=now_ms(), key_start=start)
-        shard = shard_of(key, self._journal.placement.shard_count)
+        shard = shard_of(key, self._journal.shard_count)
         result: ProposeResult = await self._journal.propose(shard, command)
         if result.code == "key_conflict":
             raise ServingError(
@@ -175,7 +172,7 @@
         """Return the tenant's jobs, newest first."""
         queries = [
             JobQuery(shard=shard, tenant=tenant, most=most)
-            for shard in range(self._journal.placement.shard_count)
+            for shard in range(self._journal.shard_count)
         ]
         found = await asyncio.gather(*(self._journal.query_jobs(query) for query in queries))
         jobs = [job for part in found for job in part]
@@ -220,7 +217,7 @@
 
     def _checked_shard(self, id_: str, what: str) -> int:
         shard = shard_of_id(id_)
-        if shard is None or shard >= self._journal.placement.shard_count:
+        if shard is None or shard >= self._journal.shard_count:
             raise self._not_found(what, id_)
         return shard
 
--- a/src/wharfcart/cluster/placement.py
+++ b/src/wharfcart/cluster/placement.py
@@ -13,10 +13,17 @@
 
 
 class PlacementMap:
-    """Newest known placement of each shard."""
+    """Newest known placement of each shard.
+
+    A node knows the shards on its own disk before it knows how many there are. A number that is
+    counted from these is wrong: it denied accepted jobs (404) and took idempotency keys to shards
+    that know nothing of them. So the number is known only from who knows all shards: the first
+    placement in the key-value service, or a peer that has it.
+    """
 
     def __init__(self) -> None:
         self.shards: dict[int, ShardPlacement] = {}
+        self._shard_count = 0
 
     @property
     def digest(self) -> int:
@@ -24,12 +31,13 @@
         if not self.shards:
             return 0
         known = sorted((p.shard, p.version) for p in self.shards.values())
-        return xxhash.xxh3_64_intdigest(repr(known).encode())
+        whole = "" if self._shard_count else "incomplete"
+        return xxhash.xxh3_64_intdigest((repr(known) + whole).encode())
 
     @property
     def shard_count(self) -> int:
-        """Number of shards, 0 before the first placement is known."""
-        return len(self.shards)
+        """Number of shards of the journal, 0 while this node does not know all of them."""
+        return self._shard_count
 
     def merge(self, placements: Iterable[ShardPlacement]) -> list[ShardPlacement]:
         """Take newer placements; return them."""
@@ -42,9 +50,23 @@
                 changed.append(placement)
         return changed
 
+    def merge_whole(
+        self, placements: Iterable[ShardPlacement], shard_count: int
+    ) -> list[ShardPlacement]:
+        """Take newer placements of one who knows all shards; return them.
+
+        Args:
+            placements: of all shards, or of some if the count is not known.
+            shard_count: number of shards; 0 if the sender does not know it.
+        """
+        changed = self.merge(placements)
+        if shard_count and self.shards.keys() >= set(range(shard_count)):
+            self._shard_count = shard_count
+        return changed
+
     def message(self) -> Placement:
-        """Return all placements as one message."""
-        return Placement(shards=self.shards.values())
+        """Return all placements, and the number of shards if it is known, as one message."""
+        return Placement(shards=self.shards.values(), shard_count=self._shard_count)
 
     def replicas(self, shard: int) -> list[str]:
         """Return the replica identities of a shard."""
--- a/src/wharfcart/gateway/idempotency.py
+++ b/src/wharfcart/gateway/idempotency.py
@@ -268,10 +268,7 @@
         return KeyRecord.FromString(rows[0].value) if rows else KeyRecord()
 
     def _shard(self, full_key: str) -> int:
-        count = self._journal.placement.shard_count
-        if count == 0:
-            raise ServingError("journal_unavailable", "no journal yet", 503, retry_after_seconds=1)
-        return shard_of(full_key, count)
+        return shard_of(full_key, self._journal.shard_count)
 
 
 class _AlreadyKnownError(Exception):
--- a/src/wharfcart/node/node.py
+++ b/src/wharfcart/node/node.py
@@ -310,34 +310,38 @@
                 self._journal.create_shard(placement.shard, list(placement.replicas))
 
     async def _placement_loop(self) -> None:
-        """Write the first placement once enough storage nodes are there, or read it."""
+        """Learn of all shards, then keep the journal informed of the storage nodes."""
         assert self._journal is not None
         while self._spreading.placement.shard_count == 0:
             await asyncio.sleep(PLACEMENT_CHECK_S * (0.5 + random.random()))
-            storage = self._live_storage()
-            if len(storage) < self.settings.journal.replicas:
-                continue
+            self._tell_storage_members()
             try:
-                await self._agree_placement(storage)
+                await self._agree_placement()
             except KeyValueUnavailableError as error:
                 logger.info("no placement yet", extra={"cause": str(error)})
         while True:
             self._tell_storage_members()
             await asyncio.sleep(1.0)
 
-    async def _agree_placement(self, storage: dict[str, str]) -> None:
+    async def _agree_placement(self) -> None:
+        """Read the first placement, or write it once enough storage nodes are there."""
         found = await self._key_value.get(PLACEMENT_KEY)
-        if found is None:
+        storage = self._live_storage()
+        if found is None and len(storage) >= self.settings.journal.replicas:
             journal = self.settings.journal
-            placed = place_shards(journal.shards, journal.replicas, storage)
-            value = json.dumps({str(shard): replicas for shard, replicas in placed.items()})
+            planned = place_shards(journal.shards, journal.replicas, storage)
+            value = json.dumps({str(shard): replicas for shard, replicas in planned.items()})
             await self._key_value.compare_and_put(PLACEMENT_KEY, 0, {PLACEMENT_KEY: value.encode()})
             found = await self._key_value.get(PLACEMENT_KEY)
         if found is None:
             return
-        self._spreading.take_placement(
-            ShardPlacement(shard=int(shard), replicas=replicas, version=1)
-            for shard, replicas in json.loads(found.value).items()
+        placed = json.loads(found.value)
+        self._spreading.take_whole_placement(
+            (
+                ShardPlacement(shard=int(shard), replicas=replicas, version=1)
+                for shard, replicas in placed.items()
+            ),
+            len(placed),
         )
 
     # ---- journal ----
--- a/src/wharfcart/node/spreading.py
+++ b/src/wharfcart/node/spreading.py
@@ -82,13 +82,16 @@
         self._tasks = BackgroundTasks()
         self._last_list: dict[str, ListedMachine] | None = None
         self._newest_seen = 0
-        self.heard_peer = False
         self.read_key_value = False
 
     @property
     def ready(self) -> bool:
-        """Whether this node knows the newest revision that its peers know."""
-        informed = self.heard_peer or self.read_key_value
+        """Whether this node knows the newest revision that its peers know.
+
+        A peer that has no configuration either tells nothing: all callers' keys would be refused
+        while the key-value service is down and all nodes start.
+        """
+        informed = self.configuration.revision > 0 or self.read_key_value
         return informed and self.configuration.revision >= self._newest_seen
 
     def start(self) -> None:
@@ -119,8 +122,14 @@
         self._take_directory([entry], revision)
 
     def take_placement(self, placements: Iterable[ShardPlacement]) -> None:
-        """Take placements of shards."""
-        changed = self.placement.merge(placements)
+        """Take placements of some shards."""
+        self._placement_merged(self.placement.merge(placements))
+
+    def take_whole_placement(self, placements: Iterable[ShardPlacement], shard_count: int) -> None:
+        """Take placements of all shards; the count is 0 if the sender does not know it."""
+        self._placement_merged(self.placement.merge_whole(placements, shard_count))
+
+    def _placement_merged(self, changed: list[ShardPlacement]) -> None:
         if changed:
             self._hooks.placement_changed(changed)
         self._announce()
@@ -140,7 +149,6 @@
 
     def peer_revision(self, peer: PeerRevision) -> None:
         """Pull from a peer that knows something else."""
-        self.heard_peer = True
         self._newest_seen = max(self._newest_seen, peer.configuration_revision)
         address = self._gossip.address_of(peer.node_id)
         if address is None:
@@ -175,7 +183,8 @@
     async def _pull_placement(self, address: Address) -> None:
         answer = await self._call(address, Frame(pull_placement=PullPlacement()))
         if answer is not None:
-            self.take_placement(answer.placement.shards)
+            placement = answer.placement
+            self.take_whole_placement(placement.shards, placement.shard_count)
 
     async def _call(self, address: Address, frame: Frame) -> Frame | None:
         try:
@@ -205,8 +214,8 @@
 
     async def _read_key_value(self) -> None:
         while True:
-            # A node that knows nobody yet reads for itself, or it would never become ready.
-            if self._reads("key-value-reader") or not self.heard_peer:
+            # A node that nobody has told reads for itself, or it would never become ready.
+            if self._reads("key-value-reader") or not self.ready:
                 try:
                     await self._read_configuration()
                 except KeyValueUnavailableError as error:
--- a/src/wharfcart/storage/client.py
+++ b/src/wharfcart/storage/client.py
@@ -48,6 +48,26 @@
         self._address_of_storage = address_of_storage
         self._leaders: dict[int, str] = {}
 
+    @property
+    def shard_count(self) -> int:
+        """Number of shards of the journal.
+
+        Raises
+        ------
+        ServingError
+            ``journal_unavailable`` if this node does not know all shards yet. It can't tell then
+            which shard decides a key, nor whether the one that an id names exists.
+        """
+        count = self.placement.shard_count
+        if count == 0:
+            raise ServingError(
+                "journal_unavailable",
+                "this node does not know the journal's shards yet",
+                503,
+                retry_after_seconds=1,
+            )
+        return count
+
     async def propose(
         self, shard: int, command: Command, timeout_seconds: float = CALL_TIMEOUT_S
     ) -> ProposeResult:
--- a/tests/integration/conftest.py
+++ b/tests/integration/conftest.py
@@ -354,12 +354,15 @@
     """Ask each node for the job without a pause from the moment it starts on an empty disk."""
 
     async def lose(victim: NodeProcess, client: Client) -> None:
+        lost = await _storage_identity(world, victim)
         world.fleet.send_signal(victim, signal.SIGKILL)
         await world.fleet.wait_exit(victim)
         assert victim.data_folder is not None
         shutil.rmtree(victim.data_folder)
         world.fleet.start_node(victim)
         world.statuses.append(await client.statuses_until_found(victim, world.job_id))
+        # Two disks lost at once leave no majority: the next one waits until this one is replaced.
+        await until(lambda: _replaced(world, lost))
 
     async def scenario() -> None:
         client = Client(world.fleet)
@@ -367,7 +370,6 @@
         await client.wait_job(world.job_id)
         for victim in [node for node in world.fleet.nodes if node.data_folder is not None]:
             await lose(victim, client)
-            await until(lambda: _no_dead_replica(world))
         await client.close()
 
     run(scenario())
@@ -474,6 +476,19 @@
     return all(set(shard["replicas"]) <= live for shard in status["shards"])
 
 
+async def _storage_identity(world: World, wanted: NodeProcess) -> str:
+    status = await world.fleet.status(world.fleet.urls[-1])
+    return next(
+        node["storage_identity"] for node in status["nodes"] if node["node_id"] == wanted.node_id
+    )
+
+
+async def _replaced(world: World, lost: str) -> bool:
+    status = await world.fleet.status(world.fleet.urls[-1])
+    replicas = [set(shard["replicas"]) for shard in status["shards"]]
+    return all(len(names) == 3 and lost not in names for names in replicas)
+
+
 # ---- key-value service ----
 
 
--- /dev/null
+++ b/tests/node/test_spreading_ready.py
@@ -0,0 +1,53 @@
+"""When a node knows enough of the configuration to judge callers' keys.
+
+All nodes start at once while the key-value service is down. They hear each other, and none of them
+has a configuration: what the peers know is no newer than nothing. The node called itself ready,
+found no tenant for any key and answered 401 to callers whose keys are valid. Who has neither a
+configuration nor the service's word that there is none can't know that a key is wrong.
+"""
+
+from typing import Any, cast
+from unittest import mock
+
+from wharfcart.cluster.membership import PeerRevision
+from wharfcart.node.spreading import SpreadingDriver, SpreadingHooks
+
+
+def _driver() -> SpreadingDriver:
+    gossip: Any = mock.Mock()
+    gossip.address_of.return_value = None
+    hooks = SpreadingHooks(lambda _: None, lambda _: None, lambda _: None)
+    return SpreadingDriver(gossip, mock.Mock(), mock.Mock(), mock.Mock(), hooks)
+
+
+def _peer(revision: int) -> PeerRevision:
+    return cast(
+        PeerRevision,
+        mock.Mock(
+            node_id="peer",
+            configuration_revision=revision,
+            directory_revision=0,
+            placement_version=0,
+        ),
+    )
+
+
+def test_a_peer_without_a_configuration_makes_no_node_ready() -> None:
+    driver = _driver()
+    driver.peer_revision(_peer(0))
+    assert not driver.ready
+
+
+def test_a_node_is_ready_with_the_newest_configuration_of_its_peers() -> None:
+    driver = _driver()
+    driver.peer_revision(_peer(3))
+    driver.take_configuration([], 2)
+    assert not driver.ready
+    driver.take_configuration([], 3)
+    assert driver.ready
+
+
+def test_a_node_is_ready_once_the_service_says_that_there_is_no_configuration() -> None:
+    driver = _driver()
+    driver.read_key_value = True
+    assert driver.ready
