The end of a job that is being taken is not denied

The same fault as the job denied at a start: the leader said that it has no such job while it was asking other groups for leave to take it; the caller's end got 404 and the job ran. Reads already said unsure.

--- a/src/wharfcart/batch/job_service.py
+++ b/src/wharfcart/batch/job_service.py
@@ -274,7 +274,9 @@
             return JobAnswer(status=NOT_LEADING, leader=self._leader())
         known = leadership.jobs.get(message.job_id)
         if known is None or not _is_of(known.job, message.tenant):
-            return JobAnswer(status=NOT_FOUND)
+            # One that is being taken is not denied: it would run although its end was asked for.
+            status = self._missing_status(leadership, message.job_id, message.tenant)
+            return JobAnswer(status=status, leader=self._leader())
         record = leadership.end(message.job_id)
         assert record is not None
         self._execution.job_ended(message.job_id)
--- a/tests/batch/test_job_service.py
+++ b/tests/batch/test_job_service.py
@@ -10,6 +10,7 @@
     NOT_LEADING,
     REFUSED,
     TAKEN,
+    UNSURE,
     EndJob,
     Frame,
     ItemOutcome,
@@ -193,3 +194,29 @@
     jobs = Jobs(0)
     assert jobs.submit("a", 10, tenant="t") == DONE
     assert calls(jobs, "") == [DONE] * 4
+
+
+def test_an_end_does_not_deny_a_job_that_is_being_taken() -> None:
+    """Else its caller takes it for unknown, and it runs to its end all the same."""
+
+    async def scenario() -> tuple[JobStatus, JobStatus]:
+        others_asked = asyncio.Event()
+        answer_now = asyncio.Event()
+
+        class Slow(Jobs):
+            async def call_group(self, *_arguments: object) -> Frame | JobCallFailure:
+                others_asked.set()
+                await answer_now.wait()
+                return JobCallFailure(False, "no_leader")
+
+        jobs = Slow(100, elsewhere=[None])
+        job = RequestJob(job_id="a", host="h", path="/jobs/a", items=[RequestItem(item_id="1")])
+        submission = asyncio.create_task(jobs.service.submit(SubmitJob(job=job)))
+        await others_asked.wait()
+        while_taken = (await jobs.service.end(EndJob(job_id="a"))).status
+        answer_now.set()
+        await submission
+        return while_taken, (await jobs.service.end(EndJob(job_id="a"))).status
+
+    assert asyncio.run(scenario()) == (UNSURE, DONE)
+    assert asyncio.run(Jobs(100).service.end(EndJob(job_id="none"))).status == NOT_FOUND
