Cancelled jobs: logged are the leases that are told and how long each takes to wind down

Sight for "a cancelled job stops" beside a busy machine: own steps or a starved processor could not be told apart.

--- a/src/wharfcart/batch/leader.py
+++ b/src/wharfcart/batch/leader.py
@@ -193,6 +193,10 @@
         for lease in self._journal.shards[shard_number].state.leases.values():
             if lease.job_id == job_id:
                 by_holder.setdefault(lease.holder, []).append(lease.lease_id)
+        logger.info(
+            "job cancelled",
+            extra={"job": job_id, "leases": {name: len(ids) for name, ids in by_holder.items()}},
+        )
         for holder, lease_ids in by_holder.items():
             self._send_revocation(holder, lease_ids)
 
--- a/src/wharfcart/batch/runner.py
+++ b/src/wharfcart/batch/runner.py
@@ -279,6 +279,7 @@
         task.add_done_callback(self._winding_down.discard)
 
     async def _wind_down(self, lease: HeldLease, dropped: list[_Item]) -> None:
+        began_at = monotonic()
         running = [
             task
             for row in lease.open_rows
@@ -290,4 +291,16 @@
                 task.cancel()
         if running:
             await asyncio.wait(running)
+        stopped_at = monotonic()
         await self._leases.end(lease, [item.row for item in dropped if not item.known_there])
+        logger.info(
+            "lease wound down",
+            extra={
+                "lease": lease.lease_id,
+                "job": lease.job_id,
+                "backend": self.owned.backend.backend_id,
+                "running": len(running),
+                "stop_s": round(stopped_at - began_at, 3),
+                "end_s": round(monotonic() - stopped_at, 3),
+            },
+        )
