Back ends that return under their id: each end counts, each life begins anew; entries of other writers are read with care

Cause: a second end under the same id took the place of the first, so that six ends weighed as one and a request that ends the only back end of its service went on for ever; an id that had ended once was taken for ended at every later broken run; what a node knew of the life before (requests in flight, failures, connections) stayed. Entries with Infinity for slots or 200,000 brackets raised out of the adapter, slots of -5 and ports of 0 were used.

Change: two ends of one id are two if they are 1.5 s apart (a start takes 3 s, nodes see one end within tenths); that an id has ended is believed for 1 s; an entry with a later start begins anew, one with an earlier start is dropped; one strict reader of entries. Two entries of test_serving_node.py had no zone, which each entry has: added there.

--- a/src/wharfcart/admission/suspects.py
+++ b/src/wharfcart/admission/suspects.py
@@ -34,6 +34,11 @@
 # Nodes let a content through again one after the other within this time; what comes of a run is
 # known to the others some tenths of a second later.
 SPREAD_S = 3.0
+# Nodes see the end of a back end some tenths of a second apart. One that starts again, also under
+# its old id, takes longer: 3.1 s in an incident. So later ends of the same id are others.
+SAME_END_S = 1.5
+# Follows the id in the key of a further end, with the end's time in milliseconds.
+FURTHER_END = "#"
 # Evidence is kept for as long as anything is held back.
 KEPT_S = 600.0
 # More contents than this are never suspected for a good reason; the oldest are forgotten.
@@ -58,18 +63,28 @@
     """The ends of back ends that one content has had a part in, without an answer since.
 
     Attributes:
-        ends_by_instance: one for each incarnation.
+        ends_by_instance: one for each life of a back end: the first by its id, each further one by
+            id and time.
     """
 
     ends_by_instance: Mapping[str, BackendEnd] = field(default_factory=dict)
 
     def merged(self, other: "SuspectRecord") -> "SuspectRecord":
-        """Return what both know."""
-        return SuspectRecord({**self.ends_by_instance, **other.ends_by_instance})
+        """Return what both know; an end that both saw is one."""
+        if not other.ends_by_instance:
+            return self
+        ends = (*self.ends_by_instance.items(), *other.ends_by_instance.items())
+        return SuspectRecord(_distinct((_instance_of(key), end) for key, end in ends))
 
     def covers(self, other: "SuspectRecord") -> bool:
         """Whether this knows all that another record does."""
-        return other.ends_by_instance.keys() <= self.ends_by_instance.keys()
+        return all(
+            any(
+                _instance_of(own_key) == _instance_of(key) and abs(own.at - end.at) <= SAME_END_S
+                for own_key, own in self.ends_by_instance.items()
+            )
+            for key, end in other.ends_by_instance.items()
+        )
 
     def weight(self) -> float:
         """Return how much speaks against the content."""
@@ -96,15 +111,39 @@
         return max(0.0, self.last_at() + hold_s - now)
 
     def not_after(self, now: float) -> "SuspectRecord":
-        """Return this without a future: a clock that is ahead elsewhere holds back no longer."""
+        """Return this without a future: a clock that is ahead elsewhere holds back no longer.
+
+        All ends move by the same time, so that those of one back end stay apart.
+        """
+        ahead_s = self.last_at() - now
+        if ahead_s <= 0:
+            return self
         return SuspectRecord(
-            {
-                instance_id: replace(end, at=min(end.at, now))
-                for instance_id, end in self.ends_by_instance.items()
-            }
+            {key: replace(end, at=end.at - ahead_s) for key, end in self.ends_by_instance.items()}
         )
 
 
+def _instance_of(key: str) -> str:
+    """Return the id of the back end whose end has a key."""
+    instance_id, separator, at_ms = key.rpartition(FURTHER_END)
+    return instance_id if separator and at_ms.isdigit() else key
+
+
+def _distinct(ends: Iterable[tuple[str, BackendEnd]]) -> dict[str, BackendEnd]:
+    """Return each end once, by key; what was seen several times counts by its largest weight."""
+    found: dict[str, BackendEnd] = {}
+    last_keys_by_instance: dict[str, str] = {}
+    for instance_id, end in sorted(ends, key=lambda one: one[1].at):
+        key = last_keys_by_instance.get(instance_id)
+        if key is not None and end.at - found[key].at <= SAME_END_S:
+            found[key] = replace(found[key], weight=max(found[key].weight, end.weight))
+            continue
+        key = instance_id if key is None else f"{instance_id}{FURTHER_END}{round(end.at * 1000)}"
+        found[key] = end
+        last_keys_by_instance[instance_id] = key
+    return found
+
+
 def weight_of(answer_begun: bool, ran_s: float) -> float:
     """Return how much an end speaks against a request that ran there.
 
--- a/src/wharfcart/node/backend_news.py
+++ b/src/wharfcart/node/backend_news.py
@@ -10,8 +10,9 @@
 from wharfcart.backends.connection_pool import ConnectionPool
 from wharfcart.clock import monotonic
 from wharfcart.cluster.coordination import Change
+from wharfcart.configuration.instances import BackendInstance
 from wharfcart.observability.decisions import DecisionLog, Event
-from wharfcart.platform import documents, names
+from wharfcart.platform import documents, names, server_entry
 from wharfcart.routing.backend_choice import BackendChoice
 
 # So many back ends get a line each; more are told together.
@@ -57,7 +58,7 @@
         """Take a change of one back end's entry."""
         instance_id = change.key.removeprefix(names.SERVER_PREFIX)
         known = self._choice.state(instance_id)
-        instance = documents.instance_from(change)
+        instance = self._read(change)
         if instance is None:
             drained = documents.was_accepting(change) is False
             self._choice.remove(instance_id, monotonic(), self._in_outage(), drained)
@@ -66,6 +67,11 @@
                 service = known.instance.service
                 self._note(Event.BACKEND_GONE, instance_id, service, change, drained)
             return
+        if known is not None and known.instance.is_later_life_of(instance):
+            return  # told late
+        if known is not None and instance.is_later_life_of(known.instance):
+            self._pool.drop_instance(instance_id)
+            self._note(Event.BACKEND_RESTARTED, instance_id, instance.service, change)
         was_accepting = known is not None and known.instance.accepting
         was_cold = known is not None and self._choice.is_cold(known, monotonic())
         self._choice.put(instance, monotonic(), change.revision)
@@ -77,6 +83,23 @@
         if state is not None and self._choice.is_cold(state, monotonic()) and not was_cold:
             self._note(Event.BACKEND_COLD, instance_id, instance.service, change)
 
+    def _read(self, change: Change) -> BackendInstance | None:
+        """Return what an entry names; None if it was removed, or names no back end.
+
+        One that turns bad takes out what it named at once: who wrote it is not known, and whether
+        the back end is still there neither.
+        """
+        try:
+            return server_entry.instance_from(change)
+        except server_entry.BadEntryError as error:
+            self._log.write(
+                Event.BACKEND_ENTRY_REFUSED,
+                key=change.key[: server_entry.LONGEST_NAME],
+                revision=change.revision,
+                reason=str(error),
+            )
+            return None
+
     def tell(self) -> None:
         """Log what was taken since this was called last."""
         untold, self._untold = self._untold, []
--- a/src/wharfcart/observability/decisions.py
+++ b/src/wharfcart/observability/decisions.py
@@ -43,6 +43,8 @@
     BACKEND_DRAINING = "backend_draining"
     BACKEND_GONE = "backend_gone"
     BACKEND_ENDED = "backend_ended"
+    BACKEND_ENTRY_REFUSED = "backend_entry_refused"
+    BACKEND_RESTARTED = "backend_restarted"
     BACKEND_COLD = "backend_cold"
     EVACUATION_BEGUN = "evacuation_begun"
     EVACUATION_QUIET = "evacuation_quiet"
--- a/src/wharfcart/platform/documents.py
+++ b/src/wharfcart/platform/documents.py
@@ -21,7 +21,7 @@
     TenantIndex,
     TrafficShare,
 )
-from wharfcart.platform import names
+from wharfcart.platform import server_entry
 
 _KINDS = {
     "safe": RouteKind.REPEATABLE,
@@ -59,22 +59,9 @@
 
 def instance_from(change: Change) -> BackendInstance | None:
     """Read a server's entry; None if it was removed or can't be read."""
-    if change.value is None:
-        return None
     try:
-        entry = json.loads(change.value)
-        host, _, port = entry["address"].rpartition(":")
-        return BackendInstance(
-            instance_id=change.key.removeprefix(names.SERVER_PREFIX),
-            service=entry["backend"],
-            host=host,
-            port=int(port),
-            zone=entry.get("zone", ""),
-            slots=int(entry.get("slots", 1)),
-            accepting=entry.get("state") == "ready",
-            cold_for_s=float(entry.get("warmupLeftMs") or 0) / 1000,
-        )
-    except (ValueError, LookupError, TypeError, AttributeError):
+        return server_entry.instance_from(change)
+    except server_entry.BadEntryError:
         return None
 
 
--- a/src/wharfcart/routing/backend_choice.py
+++ b/src/wharfcart/routing/backend_choice.py
@@ -11,7 +11,7 @@
 """
 
 from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import xxhash
 
@@ -157,6 +157,9 @@
     def put(self, instance: BackendInstance, now: float = 0.0, revision: int = 0) -> None:
         """Take what discovery tells of an incarnation.
 
+        One that has started again under its id begins anew: what ran there, failed or was read
+        belongs to its life before. News of an earlier life than the known one is dropped.
+
         Args:
             instance: what its entry tells.
             now: monotonic time in seconds; from here on it counts how long it is cold.
@@ -164,11 +167,18 @@
         """
         self._vanished.pop(instance.instance_id, None)
         state = self._states.get(instance.instance_id)
+        if state is not None and state.instance.is_later_life_of(instance):
+            return
+        if state is not None and instance.is_later_life_of(state.instance):
+            self._forget(state)
+            state = None
         if state is None:
             state = InstanceState(instance)
             self._states[instance.instance_id] = state
         else:
             self._by_service.get(state.instance.service, {}).pop(instance.instance_id, None)
+            if instance.born_ms is None:
+                instance = replace(instance, born_ms=state.instance.born_ms)
             state.instance = instance
         self._by_service.setdefault(instance.service, {})[instance.instance_id] = state
         self.cold.told(state.cold, instance.cold_for_s, now, revision)
@@ -183,16 +193,21 @@
         in_outage: discovery itself could not be reached a moment ago.
         drained: it had said that it leaves, even if this node did not hear of that.
         """
-        state = self._states.pop(instance_id, None)
+        state = self._states.get(instance_id)
         if state is None:
             return
-        self._by_service.get(state.instance.service, {}).pop(instance_id, None)
-        if self.own_cold_shares is not None:
-            self.own_cold_shares.forget(instance_id)
+        self._forget(state)
         if state.instance.accepting and not drained:
             kept_s = VANISHED_KEPT_IN_OUTAGE_S if in_outage else VANISHED_KEPT_S
             self._vanished[instance_id] = (now + kept_s, state)
 
+    def _forget(self, state: InstanceState) -> None:
+        instance_id = state.instance.instance_id
+        del self._states[instance_id]
+        self._by_service.get(state.instance.service, {}).pop(instance_id, None)
+        if self.own_cold_shares is not None:
+            self.own_cold_shares.forget(instance_id)
+
     def state(self, instance_id: str) -> InstanceState | None:
         """Return what is known of an incarnation."""
         return self._states.get(instance_id)
--- a/src/wharfcart/routing/broken_runs.py
+++ b/src/wharfcart/routing/broken_runs.py
@@ -12,6 +12,7 @@
 
 from wharfcart.admission.request_content import ContentId
 from wharfcart.admission.suspects import Suspects, weight_of
+from wharfcart.clock import monotonic
 from wharfcart.configuration.instances import BackendInstance
 from wharfcart.http.connection import BreakCause, ConnectFailedError, HttpConnection
 from wharfcart.observability.decisions import DecisionLog, Event
@@ -25,7 +26,10 @@
 # A request that may be repeated waits for the verdict for no longer than this.
 MOST_WAIT_S = 0.1
 MOST_CHECKS = 2
-# Incarnations that have ended stay so; more of them than this are not asked for any more.
+# All runs of a back end break off within this time when it ends. A run that breaks off later may
+# have been at its next life under the same id, which takes 3 s to start: it is asked for anew.
+ENDED_KEPT_S = 1.0
+# More back ends than this are not remembered to have ended.
 MOST_ENDED = 256
 
 
@@ -63,7 +67,7 @@
         self._log = log
         self._tasks = BackgroundTasks()
         self._checks_by_instance: dict[str, asyncio.Task[None]] = {}
-        self._ended: OrderedDict[str, None] = OrderedDict()
+        self._ended_at: OrderedDict[str, float] = OrderedDict()
 
     def note(self, run: BrokenRun) -> asyncio.Task[None]:
         """Look into a run; the task ends once it is known what became of its back end."""
@@ -96,7 +100,7 @@
 
     async def _has_ended(self, instance: BackendInstance) -> bool:
         instance_id = instance.instance_id
-        if instance_id in self._ended:
+        if self._ended_lately(instance_id):
             return True
         check = self._checks_by_instance.get(instance_id)
         if check is None:
@@ -104,14 +108,19 @@
             self._checks_by_instance[instance_id] = check
             check.add_done_callback(lambda _task: self._checks_by_instance.pop(instance_id, None))
         await asyncio.shield(check)
-        return instance_id in self._ended
+        return self._ended_lately(instance_id)
+
+    def _ended_lately(self, instance_id: str) -> bool:
+        ended_at = self._ended_at.get(instance_id)
+        return ended_at is not None and monotonic() - ended_at < ENDED_KEPT_S
 
     async def _check(self, instance: BackendInstance) -> None:
         if not await _refuses(instance):
             return
-        self._ended[instance.instance_id] = None
-        if len(self._ended) > MOST_ENDED:
-            self._ended.popitem(last=False)
+        self._ended_at[instance.instance_id] = monotonic()
+        self._ended_at.move_to_end(instance.instance_id)
+        if len(self._ended_at) > MOST_ENDED:
+            self._ended_at.popitem(last=False)
         self._log.write(Event.BACKEND_ENDED, backend=instance.instance_id, service=instance.service)
 
 
--- a/tests/admission/test_suspects.py
+++ b/tests/admission/test_suspects.py
@@ -12,6 +12,8 @@
     KEPT_S,
     MOST_CONTENTS,
     UNANSWERED_WEIGHT,
+    BackendEnd,
+    SuspectRecord,
     Suspects,
     weight_of,
 )
@@ -204,3 +206,40 @@
     assert one != content_of("h", "POST", "/q", "t", b"body")
     assert one != content_of("h", "POST", "/p", "t", b"bodies")
     assert content_of("h", "POST", "/pt", "", b"") != content_of("h", "POST", "/p", "t", b"")
+
+
+def test_a_back_end_that_starts_again_under_its_id_counts_at_each_end() -> None:
+    """Back ends may keep their id when they start again.
+
+    The second end of an id took the place of the first: six ends weighed as one, and a request that
+    ends the only back end of its service was never held back.
+    """
+    suspects = Suspects()
+    for number in range(3):
+        end(suspects, "a", at=number * 3.1)
+    assert suspects.record(CONTENT).weight() == 3.0
+    assert held(suspects, 6.2) > FIRST_HOLD_S
+
+
+def test_an_end_that_several_nodes_saw_counts_once_and_each_later_one_again() -> None:
+    here, there = Suspects(), Suspects()
+    end(here, "a", at=10.0)
+    end(there, "a", at=10.3)
+    end(there, "a", at=13.4)
+    here.note_heard(CONTENT, there.record(CONTENT))
+    there.note_heard(CONTENT, here.record(CONTENT))
+    for suspects in (here, there):
+        assert suspects.record(CONTENT).weight() == 2.0
+        assert suspects.record(CONTENT).covers(SuspectRecord({"a": BackendEnd(13.0, 1.0)}))
+        assert not suspects.record(CONTENT).covers(SuspectRecord({"a": BackendEnd(20.0, 1.0)}))
+
+
+def test_ends_of_one_id_stay_apart_when_another_nodes_clock_is_ahead() -> None:
+    ahead = Suspects()
+    end(ahead, "a", at=100.0)
+    end(ahead, "a", at=103.0)
+    here = Suspects()
+    here.note_heard(CONTENT, ahead.record(CONTENT).not_after(5.0))
+    end(here, "b", at=5.0, weight=BEGUN_WEIGHT)
+    assert here.record(CONTENT).weight() == 2.0 + BEGUN_WEIGHT
+    assert here.record(CONTENT).last_at() == 5.0
--- a/tests/node/test_serving_node.py
+++ b/tests/node/test_serving_node.py
@@ -22,7 +22,7 @@
 
 
 def entry(revision: int, state: str, instance_id: str = "i-1") -> Change:
-    value = {"backend": "lm", "address": "127.0.0.1:1", "slots": 4, "state": state}
+    value = {"backend": "lm", "address": "127.0.0.1:1", "zone": "z", "slots": 4, "state": state}
     return Change(names.SERVER_PREFIX + instance_id, revision, json.dumps(value).encode())
 
 
--- a/tests/routing/test_broken_runs.py
+++ b/tests/routing/test_broken_runs.py
@@ -8,7 +8,7 @@
 from wharfcart.configuration.instances import BackendInstance
 from wharfcart.http.connection import BreakCause
 from wharfcart.observability.decisions import DecisionLog, Event
-from wharfcart.routing.broken_runs import BrokenRun, BrokenRuns
+from wharfcart.routing.broken_runs import ENDED_KEPT_S, BrokenRun, BrokenRuns
 
 CONTENT = ContentId("c")
 
@@ -30,8 +30,8 @@
         self.resets = False
         self._server: asyncio.Server
 
-    async def start(self) -> BackendInstance:
-        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+    async def start(self, port: int = 0) -> BackendInstance:
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", port)
         port = self._server.sockets[0].getsockname()[1]
         return BackendInstance("b", "s", "127.0.0.1", port, "z", 4, True)
 
@@ -120,3 +120,26 @@
         assert not len(suspects)
 
     asyncio.run(scenario())
+
+
+def test_a_back_end_that_has_started_again_is_asked_anew() -> None:
+    """Its id had ended once; an answer lost at its next life was taken for another end."""
+
+    async def scenario() -> None:
+        suspects = Suspects()
+        broken = BrokenRuns(suspects, RecordingLog())
+        listener = Listener()
+        instance = await listener.start()
+        listener.stop()
+        await broken.look_into(run_of(instance))
+        restarted = Listener()
+        await restarted.start(instance.port)
+        await asyncio.sleep(ENDED_KEPT_S + 0.05)
+        innocent = replace(run_of(instance), content=ContentId("other"))
+        await broken.look_into(innocent)
+        assert restarted.accepted == 1
+        assert not suspects.record(ContentId("other")).ends_by_instance
+        assert ends_known(suspects) == 1
+        restarted.stop()
+
+    asyncio.run(scenario())
