--- a/tests/admission/test_tenant_limits.py
+++ b/tests/admission/test_tenant_limits.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.admission.limit_fleet import LIMIT, Fleet, whole
+from tests.admission.limit_fleet import LIMIT, Fleet, PicturingFleet, whole
 from wharfcart.admission.tenant_limits import (
     ALONE_S,
     KEPT_S,
@@ -274,3 +274,43 @@
     assert not fleet.request(fleet.gateways[0])
     fleet.home.give_back("g0", "t", fleet.now)
     assert fleet.request(fleet.gateways[0])
+
+
+def test_a_gateway_that_was_cut_off_in_a_lull_is_not_forgotten_by_the_second_home_after_it() -> (
+    None
+):
+    """Found by histories: a gateway goes on at the pace of its busiest window, homes know its last.
+
+    A gateway sends nine in a window, then little, and is cut off as the home changes. It goes on
+    alone at nine a window. The next home keeps what was told of it last, three; three is too little
+    to be told on, so that the home after that keeps nothing for it and permits a whole window's.
+    """
+    fleet = PicturingFleet(4, RequestLimit(2.0, 2.0))
+
+    def send(n: int, count: int, gap_s: float) -> None:
+        for _ in range(count):
+            fleet.now += gap_s
+            fleet.request(fleet.gateways[n])
+
+    def send_everywhere(count: int, gap_s: float) -> None:
+        for turn in range(count):
+            fleet.now += gap_s
+            fleet.request(fleet.gateways[turn % 4])
+
+    def change_home(gone: int) -> None:
+        heard = [gateway for gateway in fleet.gateways if gateway.connected]
+        fleet.change_home()
+        for gateway in heard:
+            if gateway is not fleet.gateways[gone]:
+                fleet.connect(gateway)
+
+    send(3, 14, 0.3)
+    fleet.now += 3.0
+    send_everywhere(102, 0.005)
+    change_home(gone=3)
+    fleet.now += 1.0
+    send(3, 41, 0.1)
+    change_home(gone=1)
+    send(0, 7, 0.3)
+    send_everywhere(29, 0.1)
+    assert fleet.busiest_window() <= 1.25 * whole(fleet.limit) + 4
