Two ends of one id are two from half a second on; the fault soak has back ends return under their old id

Nodes see one end within 0.35 s (time-out of the check and lingering process), and the soak's back ends are back after 0.6 s: with 1.5 s a second end there would have been taken for the first. The soak's back ends come back by turns under a new id, under the old one in place, and under it after a lapse, each with its start.

--- a/src/wharfcart/admission/suspects.py
+++ b/src/wharfcart/admission/suspects.py
@@ -34,9 +34,10 @@
 # Nodes let a content through again one after the other within this time; what comes of a run is
 # known to the others some tenths of a second later.
 SPREAD_S = 3.0
-# Nodes see the end of a back end some tenths of a second apart. One that starts again, also under
-# its old id, takes longer: 3.1 s in an incident. So later ends of the same id are others.
-SAME_END_S = 1.5
+# Nodes see the end of a back end within 0.35 s: a connection is tried, a process may linger. One
+# that starts again, also under its old id, took 3.1 s in an incident, 0.6 s in the fault soak. So
+# later ends of the same id are others.
+SAME_END_S = 0.5
 # Follows the id in the key of a further end, with the end's time in milliseconds.
 FURTHER_END = "#"
 # Evidence is kept for as long as anything is held back.
--- a/src/wharfcart/emulator/model_server.py
+++ b/src/wharfcart/emulator/model_server.py
@@ -7,7 +7,7 @@
 from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass
-from time import monotonic
+from time import monotonic, time
 
 from aiohttp import web
 
@@ -51,6 +51,7 @@
     event_s: time between events, or of a whole answer.
 
     Attributes:
+        born_ms: wall clock milliseconds of its start.
         overruns: requests above what it bore while it was cold.
         fatal_bodies: a request with one of these bodies ends the server once it runs.
         events_before_end: events that such a request still gets.
@@ -62,6 +63,7 @@
         self, instance_id: str, events: int, event_s: float, slots: int = 8, queue: int = 8
     ) -> None:
         self.instance_id = instance_id
+        self.born_ms = round(time() * 1000)
         self.runs: list[RunRecord] = []
         self.finished: Counter[str] = Counter()
         self.abandoned: Counter[str] = Counter()
@@ -109,6 +111,7 @@
             "state": state,
             "warmupLeftMs": self.cold_ms,
             "sequence": 1,
+            "born": self.born_ms,
         }
 
     async def _handle(self, request: web.Request) -> web.StreamResponse:
--- a/src/wharfcart/soak/fleet.py
+++ b/src/wharfcart/soak/fleet.py
@@ -7,6 +7,7 @@
 import sys
 import typing as t
 from collections import Counter
+from enum import Enum
 from pathlib import Path
 from time import monotonic
 
@@ -33,6 +34,20 @@
 HOOKS_FOLDER = Path(hooks.__file__).parent
 # A back end that a request has ended has a successor so soon.
 BACK_AFTER_S = 0.6
+# Where its entry has lapsed meanwhile, it comes later by this.
+LAPSED_FOR_S = 0.5
+
+
+class Return(Enum):
+    """How a back end that a request has ended comes back; what ran there is gone each time."""
+
+    NEW_ID = "new_id"
+    OLD_ID_IN_PLACE = "old_id_in_place"
+    OLD_ID_AFTER_LAPSE = "old_id_after_lapse"
+
+
+# One after the other, so that each run that ends a few back ends has all of them.
+RETURNS = tuple(Return)
 
 
 class SoakFleet(ServingFleet):
@@ -53,6 +68,7 @@
         self._advertised_by_node: dict[str, str] = {}
         self.retired_servers: list[ModelServer] = []
         self._next_server = 100
+        self._returned = 0
         self.violations: list[str] = []
         self._added_routes: dict[str, dict[str, t.Any]] = {}
         self.on_route_added: t.Callable[[str], None] = lambda path: None
@@ -222,14 +238,24 @@
         if old not in servers:
             return  # it was draining: its successor has come already
         await asyncio.sleep(BACK_AFTER_S)
+        manner = RETURNS[self._returned % len(RETURNS)]
+        self._returned += 1
+        if manner is Return.NEW_ID:
+            instance_id = f"i-after-end-{self._next_server}"
+            self._next_server += 1
+        else:
+            instance_id = old.instance_id
+            del self._address_by_server[instance_id]
+        if manner is not Return.OLD_ID_IN_PLACE:
+            await self.store.remove(names.SERVER_PREFIX + old.instance_id)
+        if manner is Return.OLD_ID_AFTER_LAPSE:
+            await asyncio.sleep(LAPSED_FOR_S)
         events, event_s = (12, 0.02) if streams else (0, 0.02)
-        new = ModelServer(f"i-after-end-{self._next_server}", events, event_s)
-        self._next_server += 1
+        new = ModelServer(instance_id, events, event_s)
         await new.server.start("127.0.0.1", 0)
         servers[servers.index(old)] = new
         self.retired_servers.append(old)
         await self.announce(new, STREAM_SERVICE if streams else PLAIN_SERVICE)
-        await self.store.remove(names.SERVER_PREFIX + old.instance_id)
 
     async def _add_server_proxy(self, server: ModelServer) -> None:
         address = free_endpoint()
--- a/tests/admission/test_suspects.py
+++ b/tests/admission/test_suspects.py
@@ -230,7 +230,7 @@
     there.note_heard(CONTENT, here.record(CONTENT))
     for suspects in (here, there):
         assert suspects.record(CONTENT).weight() == 2.0
-        assert suspects.record(CONTENT).covers(SuspectRecord({"a": BackendEnd(13.0, 1.0)}))
+        assert suspects.record(CONTENT).covers(SuspectRecord({"a": BackendEnd(13.2, 1.0)}))
         assert not suspects.record(CONTENT).covers(SuspectRecord({"a": BackendEnd(20.0, 1.0)}))
 
 
