--- a/tests/integration/test_fatal_requests.py
+++ b/tests/integration/test_fatal_requests.py
@@ -33,6 +33,8 @@
 # Three ends may be chance; a request that has ended three is not sent once more.
 MOST_ENDED = 3
 ATTEMPTS = 8
+# A process takes a moment to start again.
+RETURN_S = 0.6
 
 Scenario = Callable[["FragileFleet"], Awaitable[None]]
 
@@ -100,9 +102,33 @@
         await server.server.stop()
 
 
-def play(scenario: Scenario, events_before_end: int = 0) -> None:
+class ReturningFleet(FragileFleet):
+    """Back ends that start again under the id that they had, and know nothing of before."""
+
+    async def all_known(self) -> bool:
+        """Whether each gateway knows every start again, and none has still to come."""
+        if self._replacing:
+            return False
+        outputs = [gateway.output.read_text() for gateway in self.gateways]
+        return all(output.count("backend_restarted") >= len(self.ended) for output in outputs)
+
+    async def _replace(self, server: ModelServer) -> None:
+        await asyncio.sleep(RETURN_S)
+        streams = server in self.stream_servers
+        servers = self.stream_servers if streams else self.plain_servers
+        again = ModelServer(server.instance_id, 12 if streams else 0, 0.01)
+        self._make_fragile(again)
+        await again.server.start("127.0.0.1", 0)
+        servers[servers.index(server)] = again
+        await self.announce(again, STREAM_SERVICE if streams else PLAIN_SERVICE)
+        await server.server.stop()
+
+
+def play(
+    scenario: Scenario, events_before_end: int = 0, fleet_type: type[FragileFleet] = FragileFleet
+) -> None:
     async def run() -> None:
-        fleet = FragileFleet(events_before_end)
+        fleet = fleet_type(events_before_end)
         try:
             await fleet.start()
             async with asyncio.timeout(80):
@@ -128,6 +154,19 @@
     play(scenario)
 
 
+@pytest.mark.parametrize("path", ["/chat/x", "/look/x"])
+def test_back_ends_that_return_under_their_id_are_ended_three_times_at_most(path: str) -> None:
+    """The second end of an id took the place of the first, and weighed nothing."""
+
+    async def scenario(fleet: FragileFleet) -> None:
+        outcomes = await fleet.ask_again_and_again(path)
+        assert len(fleet.ended) <= MOST_ENDED
+        assert outcomes[-1] == 503
+        assert await fleet.outcome(90, path, b"another body") == 200
+
+    play(scenario, fleet_type=ReturningFleet)
+
+
 def test_a_refusal_is_true_and_tells_when_to_come_back() -> None:
     async def scenario(fleet: FragileFleet) -> None:
         await fleet.ask_again_and_again("/charge/x")
