--- a/src/wharfcart/admission/suspects.py
+++ b/src/wharfcart/admission/suspects.py
@@ -131,13 +131,17 @@
 
 
 def _distinct(ends: Iterable[tuple[str, BackendEnd]]) -> dict[str, BackendEnd]:
-    """Return each end once, by key; what was seen several times counts by its largest weight."""
+    """Return each end once, by key; what was seen several times counts by its least weight.
+
+    A content may run several times at a back end that ends: one answer that had begun speaks for
+    it. Else contents that callers repeat often are held back for having been there by chance.
+    """
     found: dict[str, BackendEnd] = {}
     last_keys_by_instance: dict[str, str] = {}
     for instance_id, end in sorted(ends, key=lambda one: one[1].at):
         key = last_keys_by_instance.get(instance_id)
         if key is not None and end.at - found[key].at <= SAME_END_S:
-            found[key] = replace(found[key], weight=max(found[key].weight, end.weight))
+            found[key] = replace(found[key], weight=min(found[key].weight, end.weight))
             continue
         key = instance_id if key is None else f"{instance_id}{FURTHER_END}{round(end.at * 1000)}"
         found[key] = end
--- a/tests/admission/test_suspects.py
+++ b/tests/admission/test_suspects.py
@@ -243,3 +243,16 @@
     end(here, "b", at=5.0, weight=BEGUN_WEIGHT)
     assert here.record(CONTENT).weight() == 2.0 + BEGUN_WEIGHT
     assert here.record(CONTENT).last_at() == 5.0
+
+
+def test_one_answer_that_had_begun_speaks_for_all_runs_of_a_content_at_an_end() -> None:
+    """Found by the fault soak: a body that many callers send was at three ends within a second.
+
+    Of its runs at one end some had begun their answers and others had not.
+    """
+    suspects = Suspects()
+    for number, instance in enumerate("abc"):
+        end(suspects, instance, at=number * 0.4, weight=BEGUN_WEIGHT)
+        end(suspects, instance, at=number * 0.4 + 0.01, weight=UNANSWERED_WEIGHT)
+    assert suspects.record(CONTENT).weight() == 3 * BEGUN_WEIGHT
+    assert held(suspects, 1.0) == 0.0
