Placements are merged by one method; an entry's port has five digits at most

Read once more: merge and merge_whole, take_placement and take_whole_placement differed in the count alone, which is 0 where nobody knows it: one of each serves.

--- a/src/wharfcart/cluster/placement.py
+++ b/src/wharfcart/cluster/placement.py
@@ -39,8 +39,15 @@
         """Number of shards of the journal, 0 while this node does not know all of them."""
         return self._shard_count
 
-    def merge(self, placements: Iterable[ShardPlacement]) -> list[ShardPlacement]:
-        """Take newer placements; return them."""
+    def merge(
+        self, placements: Iterable[ShardPlacement], shard_count: int = 0
+    ) -> list[ShardPlacement]:
+        """Take newer placements; return them.
+
+        Args:
+            placements: of all shards, or of some.
+            shard_count: number of shards; 0 if who tells does not know it.
+        """
         changed = []
         for placement in placements:
             known = self.shards.get(placement.shard)
@@ -48,18 +55,6 @@
             if newer and placement.replicas:
                 self.shards[placement.shard] = placement
                 changed.append(placement)
-        return changed
-
-    def merge_whole(
-        self, placements: Iterable[ShardPlacement], shard_count: int
-    ) -> list[ShardPlacement]:
-        """Take newer placements of one who knows all shards; return them.
-
-        Args:
-            placements: of all shards, or of some if the count is not known.
-            shard_count: number of shards; 0 if the sender does not know it.
-        """
-        changed = self.merge(placements)
         if shard_count and self.shards.keys() >= set(range(shard_count)):
             self._shard_count = shard_count
         return changed
--- a/src/wharfcart/node/node.py
+++ b/src/wharfcart/node/node.py
@@ -336,7 +336,7 @@
         if found is None:
             return
         placed = json.loads(found.value)
-        self._spreading.take_whole_placement(
+        self._spreading.take_placement(
             (
                 ShardPlacement(shard=int(shard), replicas=replicas, version=1)
                 for shard, replicas in placed.items()
--- a/src/wharfcart/node/spreading.py
+++ b/src/wharfcart/node/spreading.py
@@ -121,15 +121,9 @@
         entry = Entry(key=key, value=value or b"", deleted=value is None, revision=revision)
         self._take_directory([entry], revision)
 
-    def take_placement(self, placements: Iterable[ShardPlacement]) -> None:
-        """Take placements of some shards."""
-        self._placement_merged(self.placement.merge(placements))
-
-    def take_whole_placement(self, placements: Iterable[ShardPlacement], shard_count: int) -> None:
-        """Take placements of all shards; the count is 0 if the sender does not know it."""
-        self._placement_merged(self.placement.merge_whole(placements, shard_count))
-
-    def _placement_merged(self, changed: list[ShardPlacement]) -> None:
+    def take_placement(self, placements: Iterable[ShardPlacement], shard_count: int = 0) -> None:
+        """Take placements of shards, and their number if who tells knows it."""
+        changed = self.placement.merge(placements, shard_count)
         if changed:
             self._hooks.placement_changed(changed)
         self._announce()
@@ -184,7 +178,7 @@
         answer = await self._call(address, Frame(pull_placement=PullPlacement()))
         if answer is not None:
             placement = answer.placement
-            self.take_whole_placement(placement.shards, placement.shard_count)
+            self.take_placement(placement.shards, placement.shard_count)
 
     async def _call(self, address: Address, frame: Frame) -> Frame | None:
         try:
--- a/src/wharfcart/platform/server_entry.py
+++ b/src/wharfcart/platform/server_entry.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import re
 from ipaddress import ip_address
 from typing import Any, NoReturn
 
@@ -21,6 +22,7 @@
 MOST_COLD_MS = 86_400_000.0
 # Milliseconds since 1970 that a signed 64-bit number holds.
 MOST_BORN_MS = 2**63 - 1
+_PORT = re.compile("[0-9]{1,5}")
 _STATES = {"ready": True, "draining": False}
 
 
@@ -85,7 +87,7 @@
         ip_address(host.removeprefix("[").removesuffix("]"))
     except ValueError:
         raise BadEntryError("address has no IP number") from None
-    if not port.isascii() or not port.isdigit() or not 0 < int(port[:6]) <= MOST_PORT:
+    if not _PORT.fullmatch(port) or not 0 < int(port) <= MOST_PORT:
         raise BadEntryError("address has no port")
     return host, int(port)
 
--- a/tests/platform/test_server_entry.py
+++ b/tests/platform/test_server_entry.py
@@ -64,6 +64,7 @@
         ("address", "10.0.0.9:0"),
         ("address", "10.0.0.9:-4"),
         ("address", "10.0.0.9:99999"),
+        ("address", "10.0.0.9:0000080999999"),
         ("address", ":80"),
         ("address", "a\r\nb:80"),
         ("zone", 3),
