Job group: leadership and replicas move while jobs keep changing

Callers saw: grants and job calls with a round trip to another region for as long as a group's leadership stayed there, and a group with a lost replica for longer.

Cause: a replica had to have written everything at the moment of a check each 0.25 s, and a change of the set waited for writes under way. While jobs change, a replica in another region always lacks what was written during the last round trip.

Change: a replica that one message brings up to date counts as caught up for the choice of a successor and for the wait for stragglers. A change of the set waits until a quorum of the new set has what a caller may have read: committed states and inherited ones. Newer writes need both quorums. A leader that stops prefers successors that are nearly caught up.

test_during_a_set_change_both_sets_need_a_quorum demanded that a change waits for a job that nobody has committed: under steady writes there always is one. It keeps its checks of the commit; three new tests take the place of the other: the change waits for what is committed, for what is inherited, and not for a write that nobody has read.

--- a/src/wharfcart/storage/job_group.py
+++ b/src/wharfcart/storage/job_group.py
@@ -491,7 +491,10 @@
         event.set()
 
     def successors(self) -> list[str]:
-        """Return the other responsive replicas in order of leadership preference."""
+        """Return the other responsive replicas in order of leadership preference.
+
+        Replicas that are nearly caught up come first: another one would fetch jobs before it leads.
+        """
         leadership = self.leadership
         if leadership is None:
             return []
@@ -503,7 +506,8 @@
             and identity in self.sessions
             and self.sessions[identity].unresponsive_s(now) < CONFIRMATION_VALID_S
         ]
-        return self.placement.rank_leaders(responsive)
+        ranked = self.placement.rank_leaders(responsive)
+        return sorted(ranked, key=lambda identity: not leadership.is_nearly_caught_up(identity))
 
     async def transfer_leadership(self, successor: str) -> None:
         """Name another replica as leader; this node steps down once it reads the record."""
--- a/src/wharfcart/storage/job_leadership.py
+++ b/src/wharfcart/storage/job_leadership.py
@@ -188,6 +188,17 @@
             return True
         return bool(progress.changed_jobs or progress.backlog_jobs)
 
+    def is_nearly_caught_up(self, identity: str) -> bool:
+        """Whether one message brings a replica up to date.
+
+        While jobs change all the time, a replica always lacks what was written during the last
+        round trip.
+        """
+        progress = self._replicas.get(identity)
+        if progress is None or progress.backlog_jobs:
+            return False
+        return len(progress.changed_jobs) <= MAX_CHANGED_JOBS_PER_MESSAGE
+
     # ---- the replica set ----
 
     def begin_set_change(self, target_members: frozenset[str] | None) -> None:
@@ -195,12 +206,17 @@
         self.target_members = target_members
 
     def is_set_change_safe(self) -> bool:
-        """Whether every job is replicated on a quorum of the target set."""
-        if self.target_members is None:
+        """Whether a quorum of the target set has every state that a caller may have read.
+
+        These are the committed states and the inherited ones. Anything newer is committed only
+        once quorums of both sets have it.
+        """
+        target = self.target_members
+        if target is None:
             return False
         return all(
-            self._replicated_version(job_id, self.target_members) >= record.version
-            for job_id, record in self.jobs.items()
+            self._replicated_version(job_id, target) >= self._readable_version(job_id)
+            for job_id in self.jobs
         )
 
     def finish_set_change(self, members: frozenset[str]) -> None:
@@ -297,6 +313,12 @@
             if identity in replicas
         )
 
+    def _readable_version(self, job_id: str) -> int:
+        """Return the version up to which this or an earlier leader may have exposed a job."""
+        inherited = self._inherited_states.get(job_id)
+        inherited_version = 0 if inherited is None else inherited.version
+        return max(inherited_version, self.committed_version(job_id))
+
     def _decided_version(self, job_id: str) -> int:
         """Return the version that was committed in the epoch of the inherited state; 0 for none.
 
--- a/src/wharfcart/storage/replica_set_changer.py
+++ b/src/wharfcart/storage/replica_set_changer.py
@@ -119,7 +119,8 @@
         caught_up = [
             identity
             for identity in self._group.successors()
-            if not group_placement.in_other_region(identity) and not leadership.is_behind(identity)
+            if not group_placement.in_other_region(identity)
+            and leadership.is_nearly_caught_up(identity)
         ]
         if not caught_up:
             return False
@@ -212,7 +213,7 @@
         started_at = monotonic()
         while monotonic() - started_at < CHANGE_TIMEOUT_S:
             safe = leadership.is_set_change_safe()
-            all_caught_up = not any(leadership.is_behind(identity) for identity in target)
+            all_caught_up = all(map(leadership.is_nearly_caught_up, target))
             if safe and (all_caught_up or monotonic() - started_at > STRAGGLER_WAIT_S):
                 return True
             await self._group.wait_for_progress(CHECK_INTERVAL_S)
@@ -224,7 +225,7 @@
         leadership = self._group.leadership
         assert leadership is not None
         ranked = self._group.placement.rank_leaders(target)
-        caught_up = [identity for identity in ranked if not leadership.is_behind(identity)]
+        caught_up = list(filter(leadership.is_nearly_caught_up, ranked))
         return (caught_up or ranked)[0]
 
     def _close_other_sessions(self, members: frozenset[str]) -> None:
--- a/tests/storage/test_job_group.py
+++ b/tests/storage/test_job_group.py
@@ -1,6 +1,7 @@
 """Job groups in virtual time: elections, failover, changes of the replica set."""
 
 import asyncio
+import itertools
 import os
 import subprocess
 import sys
@@ -503,6 +504,52 @@
     run_scenario(scenario)
 
 
+def change_jobs(fleet: Fleet, interval_s: float) -> None:
+    """Have whichever node leads accept a job in each interval."""
+
+    async def accept() -> None:
+        for n in itertools.count():
+            await asyncio.sleep(interval_s)
+            leader = fleet.leader
+            if leader is None or leader.group is None or leader.group.leadership is None:
+                continue
+            items = [RequestItem(item_id=f"job-{n}-0")]
+            leader.group.leadership.accept_job(RequestJob(job_id=f"job-{n}", items=items))
+            leader.group.wake_sessions()
+
+    fleet.simulation.spawn(accept())
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_leadership_returns_to_its_region_while_jobs_change(seed: int) -> None:
+    """A replica in another region always lacks what was written during the last round trip."""
+
+    async def scenario() -> None:
+        fleet = Fleet(stores=3, seed=seed, zones=("w1", "w2", "e1"))
+        await fleet.start()
+        east = fleet.nodes[2]
+        taken = replace(fleet.record, epoch=fleet.record.epoch + 1, leader=east.identity)
+        fleet.simulation.coordination.put(GROUP_KEY, taken.to_bytes())
+        await fleet.until(lambda: fleet.leader is east, 3.0)
+        change_jobs(fleet, 0.02)
+        await fleet.until(lambda: fleet.leader in (fleet.nodes[0], fleet.nodes[1]), 9.0)
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_lost_replica_is_replaced_while_jobs_change(seed: int) -> None:
+    async def scenario() -> None:
+        fleet = Fleet(stores=4, seed=seed, zones=("w1", "w2", "e1", "e1"))
+        await fleet.start()
+        change_jobs(fleet, 0.02)
+        await asyncio.sleep(2.0)
+        lost = await lose_a_replica(fleet)
+        await fleet.until(lambda: lost not in fleet.record.members, 4.7)
+
+    run_scenario(scenario)
+
+
 def test_a_leader_reports_how_many_replicas_are_behind() -> None:
     async def scenario() -> None:
         fleet = Fleet()
--- a/tests/storage/test_job_leadership.py
+++ b/tests/storage/test_job_leadership.py
@@ -186,13 +186,51 @@
     write(leadership, "a")
     write(leadership, "b")
     assert leadership.committed_version("j") == 0
-    assert not leadership.is_set_change_safe()
     write(leadership, "c")
     write(leadership, "d")
     assert leadership.committed_version("j") == 1
     assert leadership.is_set_change_safe()
 
 
+def test_a_set_change_waits_until_the_new_set_has_everything_committed() -> None:
+    leadership = make_leadership()
+    leadership.accept_job(job())
+    write(leadership, "a")
+    write(leadership, "b")
+    assert leadership.committed_version("j") == 1
+    leadership.begin_set_change(frozenset({"c", "d"}))
+    leadership.add_replica("d", [])
+    write(leadership, "c")
+    assert not leadership.is_set_change_safe()
+    write(leadership, "d")
+    assert leadership.is_set_change_safe()
+
+
+def test_a_set_change_waits_until_the_new_set_has_everything_inherited() -> None:
+    """An earlier leader may have exposed an inherited state that is not known to be committed."""
+    leadership = inherited_leadership(JobState("j", 2, 3))
+    leadership.add_replica("b", [JobState("j", 2, 3)])
+    leadership.begin_set_change(frozenset({"b", "c"}))
+    leadership.add_replica("c", [])
+    assert leadership.committed_version("j") == 0
+    write(leadership, "b")
+    assert not leadership.is_set_change_safe()
+    write(leadership, "c")
+    assert leadership.is_set_change_safe()
+
+
+def test_a_set_change_does_not_wait_for_a_write_that_nobody_has_read() -> None:
+    """Guards against a change that never ends while jobs change: one write is always under way."""
+    leadership = make_leadership()
+    leadership.begin_set_change(frozenset({"a", "b", "d"}))
+    leadership.add_replica("d", [])
+    leadership.accept_job(job())
+    write(leadership, "a")
+    assert leadership.is_set_change_safe()
+    write(leadership, "c")
+    assert leadership.committed_version("j") == 0
+
+
 def test_a_removed_replica_no_longer_counts_for_a_set_change() -> None:
     leadership = make_leadership()
     leadership.begin_set_change(frozenset({"a", "b"}))
