Tenant limits: a gateway lost with its coordinator no longer shrinks the limit of the others

Callers saw: a tenant at half of its limit refused two of five requests from 10 s to 23 s after its coordinator and one gateway were lost together (limit 20 a second, 9.75 sent; refused in spans of 3 s: 0, 0, 0, 13, 12, 21, 18, 8, 0).

Cause: what a new coordinator reserves for unconnected gateways is the reported usage less what the connected ones sent in that window. It took the latter from histories of two windows, so it fell to 0 as time went on, and the whole reported usage was reserved besides the real one.

Change: what a gateway reports at its first connection is kept while there are reservations, and counted once a report. The new test fails before with 19 refusals.

--- a/src/wharfcart/admission/tenant_limits.py
+++ b/src/wharfcart/admission/tenant_limits.py
@@ -136,6 +136,8 @@
 
     Attributes:
         send_times_by_holder: times of the recent requests of each gateway.
+        reported_times_by_holder: times of the requests that each gateway reported when it first
+            connected to this coordinator.
         lost_at_by_holder: when the connection to each lost gateway broke.
         tokens: tokens in the bucket; below 0 if gateways sent requests without a permit.
         refilled_at: time of the last refill; None if the tokens must be recomputed.
@@ -147,6 +149,7 @@
     """
 
     send_times_by_holder: dict[str, deque[float]] = field(default_factory=dict)
+    reported_times_by_holder: dict[str, list[float]] = field(default_factory=dict)
     lost_at_by_holder: dict[str, float] = field(default_factory=dict)
     tokens: float = 0.0
     refilled_at: float | None = None
@@ -154,6 +157,21 @@
     reported_at: float = 0.0
     promised_until: float = 0.0
     sent_count: int = 0
+    _known_count_by_window_end: dict[float, int] = field(default_factory=dict)
+
+    def record_reported(self, holder: str, times: list[float]) -> None:
+        """Keep the requests that a gateway reported when it first connected."""
+        self.reported_times_by_holder.setdefault(holder, times)
+        self._known_count_by_window_end.clear()
+
+    def known_count(self, window_end: float) -> int:
+        """Return how many requests of a past window were sent by gateways that have connected."""
+        count = self._known_count_by_window_end.get(window_end)
+        if count is None:
+            reported = self.reported_times_by_holder.values()
+            count = sum(_count_in_window(times, window_end) for times in reported)
+            self._known_count_by_window_end[window_end] = count
+        return count
 
     def record(self, holder: str, at: float) -> None:
         """Count a request of a gateway."""
@@ -229,6 +247,7 @@
             times_by_tenant.setdefault(send.tenant, []).append(now - send.age_s)
         for name, times in times_by_tenant.items():
             tenant = self._tenant(name)
+            tenant.record_reported(holder, times)
             if _count_in_window(times, now) >= _count_in_window(
                 tenant.send_times_by_holder.get(holder, ()), now
             ):
@@ -359,10 +378,9 @@
         window_end, reported_usage = tenant.reported_at, float(tenant.reported_count)
         if self._started_at - self._usage_received_at > MAX_USAGE_AGE_S:
             window_end, reported_usage = self._started_at, _window_limit(limit)
-        known = sum(
-            _count_in_window(times, window_end) for times in tenant.send_times_by_holder.values()
-        )
-        return max(0.0, reported_usage - known)
+        if not reported_usage:
+            return 0.0
+        return max(0.0, reported_usage - tenant.known_count(window_end))
 
     def _initial_tokens(self, tenant: _TenantState, limit: RequestLimit, now: float) -> float:
         """Return the tokens that may be granted in the first window; unlimited after it."""
@@ -388,6 +406,8 @@
             if now - lost_at > RESERVATION_S:
                 del self._lost_at_by_holder[holder]
         for tenant in self._tenants_by_name.values():
+            if now - self._started_at > RESERVATION_S:
+                tenant.reported_times_by_holder.clear()
             for holder, times in list(tenant.send_times_by_holder.items()):
                 is_outdated = not times or times[-1] < now - 2 * WINDOW_S
                 if is_outdated and not tenant.reserved(holder, now):
--- a/tests/admission/test_tenant_limits.py
+++ b/tests/admission/test_tenant_limits.py
@@ -135,6 +135,26 @@
     assert fleet.max_window_count() <= window_limit(fleet.limit)
 
 
+def test_tenant_keeps_its_rate_after_a_gateway_is_lost_with_the_coordinator() -> None:
+    """Guards against reserving the connected gateways' share for the lost one, too."""
+    fleet = SnapshotFleet(4, RequestLimit(20.0, 20.0))
+
+    def send_evenly(gateways: int, seconds: float) -> None:
+        until = fleet.now + seconds
+        turn = 0
+        while fleet.now < until:
+            fleet.now += 1 / (3.25 * gateways)
+            fleet.request(fleet.gateways[turn % gateways])
+            turn += 1
+
+    send_evenly(4, 12.0)
+    fleet.replace_coordinator()
+    for gateway in fleet.gateways[:3]:
+        fleet.connect(gateway)
+    send_evenly(3, RESERVATION_S + 2 * WINDOW_S)
+    assert fleet.refused_count == 0
+
+
 def test_gateway_without_any_contact_sends_a_small_share() -> None:
     fleet = LimitFleet(1, RequestLimit(32.0, 32.0))
     fleet.restart_gateway(0)
