--- a/src/wharfcart/admission/tenant_limits.py
+++ b/src/wharfcart/admission/tenant_limits.py
@@ -43,6 +43,9 @@
 # Share of a window's requests that a new coordinator grants beyond the rate in its first window.
 # Bounds the excess if gateways lost with the previous coordinator had sent a whole burst.
 INITIAL_BURST_SHARE = 1 / 6
+# Share of its requests per window that a disconnected gateway may send at once. Until it detects
+# the disconnect, the coordinator permits the whole limit to the others.
+DISCONNECTED_BURST_SHARE = 0.5
 # The coordinator reports the usage of tenants above this share of their limit. Below it, requests
 # of gateways that a new coordinator does not know are assumed to be few compared with the limit.
 REPORTED_SHARE = 0.25
@@ -98,6 +101,8 @@
     ) -> bool:
         """Whether one more request stays within the rate before the disconnect.
 
+        The gateway may send at most :data:`DISCONNECTED_BURST_SHARE` of its share at once.
+
         Args:
             tenant: name of the tenant.
             limit: limit of the tenant at this gateway.
@@ -117,7 +122,11 @@
         share = min(
             self.disconnected_share(tenant, limit, last_contact_at, usage), _window_limit(limit)
         )
-        return _count_in_window(times, now) < share
+        if _count_in_window(times, now) >= share:
+            return False
+        since_contact = [at for at in times if at > last_contact_at]
+        burst = max(1.0, DISCONNECTED_BURST_SHARE * share)
+        return _tokens_left(since_contact, share / WINDOW_S, burst, last_contact_at, now) >= 1.0
 
     def disconnected_share(
         self, tenant: str, limit: RequestLimit, last_contact_at: float, usage: int
@@ -481,6 +490,18 @@
     return max(max_count, _count_in_window(recent, until - WINDOW_S))
 
 
+def _tokens_left(
+    times: Iterable[float], rate: float, burst: float, full_at: float, now: float
+) -> float:
+    """Return the tokens left in a bucket that was full at a time, after requests since then."""
+    tokens = burst
+    last = full_at
+    for at in times:
+        tokens = min(burst, tokens + (at - last) * rate) - 1.0
+        last = at
+    return min(burst, tokens + (now - last) * rate)
+
+
 def _replay_tokens(tenant: _TenantState, rate: float, burst: float, now: float) -> float:
     """Return the tokens left in a bucket that was full one window ago.
 
@@ -490,9 +511,4 @@
     times = sorted(
         at for times in tenant.send_times_by_holder.values() for at in times if at > window_start
     )
-    tokens = burst
-    last = window_start
-    for at in times:
-        tokens = min(burst, tokens + (at - last) * rate) - 1.0
-        last = at
-    return min(burst, tokens + (now - last) * rate)
+    return _tokens_left(times, rate, burst, window_start, now)
--- a/tests/admission/test_tenant_limits.py
+++ b/tests/admission/test_tenant_limits.py
@@ -206,6 +206,29 @@
     return coordinator.reserved_usage(fleet.tenant, fleet.now)
 
 
+def test_disconnected_gateway_does_not_send_its_share_at_once() -> None:
+    """Guards against a whole share on top of what was permitted before the disconnect was detected.
+
+    The other gateways get the whole limit until then.
+    """
+    fleet = SnapshotFleet(4, RequestLimit(2.0, 2.0))
+    first, second = fleet.gateways[:2]
+
+    def send(gateway: LimitGateway) -> None:
+        for _ in range(16):
+            fleet.now += 0.3
+            fleet.request(gateway)
+
+    send(first)
+    fleet.become_unresponsive(first)
+    send(second)
+    fleet.detect_unresponsive(first)
+    for turn in range(37):
+        fleet.now += 0.005
+        fleet.request(fleet.gateways[turn % 4])
+    assert fleet.max_window_count() <= 1.25 * window_limit(fleet.limit) + 4
+
+
 def test_tenant_keeps_its_rate_after_a_gateway_is_lost_with_the_coordinator() -> None:
     """Guards against reserving the connected gateways' share for the lost one, too."""
     fleet = SnapshotFleet(4, RequestLimit(20.0, 20.0))
