Tenant limits: a usage report costs a coordinator no more than before

The report by the busiest window took 46 ms at 1,000 requests a second of 90 tenants over 410 gateways, where the last window took 28 ms. Equal results in 200,000 random cases.

--- a/src/wharfcart/admission/tenant_limits.py
+++ b/src/wharfcart/admission/tenant_limits.py
@@ -223,6 +223,8 @@
         """Return what the known gateways may send per window if they get disconnected."""
         return sum(
             max(_max_in_window(times, now), self.reserved(holder, now))
+            if holder in self.lost_at_by_holder
+            else _max_in_window(times, now)
             for holder, times in self.send_times_by_holder.items()
         )
 
@@ -481,6 +483,8 @@
 def _max_in_window(times: Iterable[float], until: float) -> int:
     """Return the largest count of any window that ends within the window before ``until``."""
     recent = [at for at in times if until - 2 * WINDOW_S < at <= until]
+    if not recent or recent[-1] - recent[0] < WINDOW_S:
+        return len(recent)
     max_count = first = 0
     for last, at in enumerate(recent):
         while recent[first] <= at - WINDOW_S:
