--- a/src/wharfcart/experiments/serving_fleet.py
+++ b/src/wharfcart/experiments/serving_fleet.py
@@ -192,10 +192,7 @@
         Raises:
             aiohttp.ClientError: the connection closed before the response was complete.
         """
-        headers = {"Host": HOST, names.REQUEST_ID: request_id, names.DEADLINE_MS: str(deadline_ms)}
-        key = more.pop("key", "")
-        if key:
-            headers[names.AUTHORIZATION] = f"Bearer {key}"
+        headers = request_headers(request_id, deadline_ms, more.pop("key", ""))
         headers |= more.pop("headers", {})
         url = f"http://{self.gateways[gateway].listen}{path}"
         method = more.pop("method", "POST")
@@ -255,3 +252,11 @@
         else:
             lines.append(f'data_folder = "{node.data_folder}"')
         node.settings_path.write_text("\n".join(lines) + "\n", encoding="utf-8")
+
+
+def request_headers(request_id: str, deadline_ms: int, key: str = "") -> dict[str, str]:
+    """Return the headers of a request; ``key`` is the tenant's API key, or '' for none."""
+    headers = {"Host": HOST, names.REQUEST_ID: request_id, names.DEADLINE_MS: str(deadline_ms)}
+    if key:
+        headers[names.AUTHORIZATION] = f"Bearer {key}"
+    return headers
--- a/src/wharfcart/soak/faults.py
+++ b/src/wharfcart/soak/faults.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import random
 import signal
 import subprocess
 import typing as t
@@ -18,6 +19,8 @@
 CLOCK_STEP_S = 3.0
 # Longer than a graceful stop together with a freeze of the same process.
 STOP_TIMEOUT_S = 15.0
+SERIES_SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGTERM, signal.SIGKILL)
+SERIES_PAUSE_S = (0.05, 1.0)  # shortest and longest
 LINK_DELAY_S = 0.15
 STORE_DELAY_S = 0.2
 LOST_STORE_WRITES = 3
@@ -99,6 +102,32 @@
             self.fleet.restart(self.node)
 
 
+class SignalSeriesFault(Fault):
+    """Reloads, stops and kills a process again and again, and restarts it each time.
+
+    A signal may come while the process starts, reloads or stops.
+    """
+
+    async def inject(self) -> None:
+        """Start the series."""
+        self._task = asyncio.create_task(self._repeat())
+
+    async def recover(self) -> None:
+        """End the series, then stop and restart the process once more."""
+        self._task.cancel()
+        await asyncio.wait((self._task,))
+        last = TerminateFault(self.fleet, self.planned)
+        await last.inject()
+        await last.recover()
+
+    async def _repeat(self) -> None:
+        rng = random.Random(str(self.planned))
+        while True:
+            self.fleet.signal(self.node, rng.choice(SERIES_SIGNALS))
+            await asyncio.sleep(rng.uniform(*SERIES_PAUSE_S))
+            self.fleet.restart(self.node)
+
+
 class WipeFault(KillFault):
     """Kills a storage node and restarts it with an empty disk."""
 
@@ -356,6 +385,7 @@
     FaultKind.ROUTE_ADDED: AddedRouteFault,
     FaultKind.ZONE_EVACUATED: ZoneEvacuationFault,
     FaultKind.POISON_REQUEST: PoisonRequestFault,
+    FaultKind.SIGNAL_SERIES: SignalSeriesFault,
 }
 
 
--- a/src/wharfcart/soak/fleet.py
+++ b/src/wharfcart/soak/fleet.py
@@ -21,6 +21,7 @@
     ZONES,
     ServingFleet,
     ServingNodeProcess,
+    request_headers,
 )
 from wharfcart.node.fleet_keys import GROUP_PREFIX, NODE_PREFIX, node_entry_from
 from wharfcart.observability.tasks import BackgroundTasks
@@ -75,6 +76,7 @@
         self.retired_servers: list[ModelServer] = []
         self._next_server_number = 100
         self._restart_count = 0
+        self.gateway_process_count = 0
         self.violations: list[str] = []
         self._added_routes: dict[str, dict[str, t.Any]] = {}
         self.on_route_added: t.Callable[[str], None] = lambda path: None
@@ -92,6 +94,10 @@
         key = tenant_of(request_id).key
         return await super().request(gateway, path, request_id, deadline_ms, key=key, **more)
 
+    def headers_of(self, request_id: str, deadline_ms: int) -> dict[str, str]:
+        """Return the headers of a request with its tenant's key."""
+        return request_headers(request_id, deadline_ms, tenant_of(request_id).key)
+
     # -- lifecycle -----------------------------------------------------
 
     async def start(self) -> None:
@@ -142,6 +148,11 @@
         self.signal(node, signal.SIGKILL)
         shutil.rmtree(node.data_folder, ignore_errors=True)
 
+    def start_node(self, node: ServingNodeProcess) -> None:
+        """Start or restart a node, and count the processes of gateways."""
+        super().start_node(node)
+        self.gateway_process_count += node in self.gateways
+
     def restart(self, node: ServingNodeProcess) -> None:
         """Restart a process if it has exited."""
         if node.process is not None and node.process.poll() is not None:
--- a/src/wharfcart/soak/plan.py
+++ b/src/wharfcart/soak/plan.py
@@ -40,6 +40,7 @@
     ROUTE_ADDED = "configuration"
     ZONE_EVACUATED = "zone_evacuated"
     POISON_REQUEST = "fatal_request"
+    SIGNAL_SERIES = "signal_series"
 
 
 STORAGE_FAULTS = (
@@ -89,6 +90,9 @@
 # Probability that a run kills all processes at once.
 KILL_ALL_PROBABILITY = 0.25
 MAX_POISON_REQUESTS = 2
+MAX_SIGNAL_SERIES = 2
+MIN_SIGNAL_SERIES_S = 2.0
+MAX_SIGNAL_SERIES_S = 6.0
 
 
 @dataclass(frozen=True)
@@ -144,6 +148,7 @@
         start_s = rng.uniform(load_s / 4, load_s / 2)
         faults.append(PlannedFault(start_s, MIN_FAULT_S, FaultKind.KILL_ALL, 0))
     faults += _generate_poison_requests(random.Random(f"{seed} fatal"), load_s, gateways)
+    faults += _generate_signal_series(random.Random(f"{seed} series"), load_s, gateways)
     return sorted(faults, key=lambda fault: fault.start_s)
 
 
@@ -160,6 +165,17 @@
     return faults
 
 
+def _generate_signal_series(rng: random.Random, load_s: float, gateways: int) -> list[PlannedFault]:
+    """Generate series of signals to one gateway; these overlap with all other faults."""
+    faults = []
+    for _ in range(rng.randint(0, MAX_SIGNAL_SERIES)):
+        duration_s = min(rng.uniform(MIN_SIGNAL_SERIES_S, MAX_SIGNAL_SERIES_S), load_s)
+        start_s = rng.uniform(0, load_s - duration_s)
+        target = rng.randrange(gateways)
+        faults.append(PlannedFault(start_s, duration_s, FaultKind.SIGNAL_SERIES, target))
+    return faults
+
+
 def _generate_storage_faults(rng: random.Random, load_s: float, stores: int) -> list[PlannedFault]:
     faults: list[PlannedFault] = []
     start_s = rng.uniform(0, 3.0)
--- a/src/wharfcart/soak/run.py
+++ b/src/wharfcart/soak/run.py
@@ -97,7 +97,7 @@
             violations += find_violations(self._workload.history, self._fleet.all_servers)
             violations += self._find_runs_in_evacuated_zones()
             violations += find_excessive_crashes(
-                self._fleet.crashes_by_body, self._gateway_process_count()
+                self._fleet.crashes_by_body, self._fleet.gateway_process_count
             )
             logs_folder = self._save_logs(violations) if violations else None
         finally:
@@ -115,15 +115,6 @@
             logs_folder,
         )
 
-    def _gateway_process_count(self) -> int:
-        """Return the number of gateway processes that the plan runs, including restarted ones."""
-        kills = sum(
-            fault.kind in (FaultKind.KILL, FaultKind.TERMINATE) and not fault.on_storage
-            for fault in self.plan
-        )
-        all_kills = sum(fault.kind is FaultKind.KILL_ALL for fault in self.plan)
-        return len(self._fleet.gateways) * (1 + all_kills) + kills
-
     def _find_runs_in_evacuated_zones(self) -> list[str]:
         """Return descriptions of runs in evacuated zones, except while a node may be unaware."""
         load_started_at = self._workload.history.started_at
--- a/src/wharfcart/soak/workload.py
+++ b/src/wharfcart/soak/workload.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import itertools
 import json
 import random
 import typing as t
@@ -13,6 +14,7 @@
 from wharfcart.platform import names
 from wharfcart.soak.fleet import SoakFleet
 from wharfcart.soak.history import JobRecord, RequestKind, RequestRecord, RouteRecord, SoakHistory
+from wharfcart.soak.open_connection import OpenConnection
 from wharfcart.soak.tenants import LIMITED_REQUEST_PREFIX
 
 DEADLINE_MS = 3000
@@ -24,6 +26,9 @@
 MAX_ITEMS_PER_JOB = 8
 READ_INTERVAL_S = 0.4
 RETRY_INTERVAL_S = 0.3
+MAX_OPEN_CONNECTIONS = 6
+OPEN_CONNECTION_INTERVAL_S = 0.05
+OPEN_CONNECTION_RETRY_S = 0.05
 MAX_SUBMIT_ATTEMPTS = 25
 CANCEL_PROBABILITY = 0.15
 MAX_CANCEL_ATTEMPTS = 25
@@ -53,6 +58,8 @@
             group.create_task(self._send_limited_requests(load_s))
             group.create_task(self._start_jobs(load_s))
             group.create_task(self._probe_routes(load_s))
+            for gateway in range(min(MAX_OPEN_CONNECTIONS, len(self._fleet.gateways))):
+                group.create_task(self._use_open_connection(gateway, load_s))
         await asyncio.gather(*self._job_tasks)
 
     def track_added_route(self, path: str) -> None:
@@ -95,6 +102,40 @@
         record.finished_at = self.now
         return record
 
+    async def _use_open_connection(self, gateway: int, load_s: float) -> None:
+        """Send one request after the other on a connection until its process closes it."""
+        connection: OpenConnection | None = None
+        for number in itertools.count():
+            if self.now >= load_s:
+                break
+            kind = (RequestKind.REPEATABLE, RequestKind.AT_MOST_ONCE)[number % 2]
+            request_id = f"{kind.value}-open-{gateway}-{number}"
+            try:
+                if connection is None:
+                    connection = await OpenConnection.open(self._fleet.gateways[gateway].listen)
+                await self._request_on(connection, request_id, kind, gateway)
+            except (OSError, TimeoutError):
+                if connection is not None:
+                    connection.close()
+                connection = None
+                await asyncio.sleep(OPEN_CONNECTION_RETRY_S)
+            await asyncio.sleep(OPEN_CONNECTION_INTERVAL_S)
+        if connection is not None:
+            connection.close()
+
+    async def _request_on(
+        self, connection: OpenConnection, request_id: str, kind: RequestKind, gateway: int
+    ) -> None:
+        record = RequestRecord(request_id, kind, gateway, self.now)
+        self.history.requests.append(record)
+        headers = self._fleet.headers_of(request_id, DEADLINE_MS)
+        try:
+            async with asyncio.timeout(DEADLINE_MS / 1000 + CALLER_TIMEOUT_MARGIN_S):
+                path = f"/{kind.value}/x"
+                record.status, record.body = await connection.request(path, headers)
+        finally:
+            record.finished_at = self.now
+
     # -- batch jobs ----------------------------------------------------
 
     async def _start_jobs(self, load_s: float) -> None:
