Job group: a new leader evaluates commits only once a quorum has reported

With one replica nothing can be committed, yet a leader of 20,000 jobs evaluated each of them at its first replica.

--- a/src/wharfcart/storage/job_leadership.py
+++ b/src/wharfcart/storage/job_leadership.py
@@ -356,5 +356,7 @@
         return True
 
     def _advance_all_commits(self) -> None:
+        if len(self._replicas) < self.write_quorum:
+            return
         for job_id in self.jobs:
             self._advance_commit(job_id)
