Job group: a new leader fetches the jobs that it lacks in parts

Looked for elsewhere: what else at a takeover grows with the number of jobs. A leader whose disk lags fetched all jobs that it lacks in one call, which has 0.9 s; reading 20,000 small jobs from a disk takes 0.43 to 0.58 s of them on a busy machine, before they are sent. A failed fetch ends the takeover, and the node that the record names would try the same again.

--- a/src/wharfcart/storage/takeover.py
+++ b/src/wharfcart/storage/takeover.py
@@ -8,6 +8,8 @@
 from wharfcart.storage.replicated_job import JobState, ReplicatedJob, job_from_update
 
 RETRY_DELAY_S = 0.15
+# Keeps each call far below the timeout of a link.
+MAX_JOBS_PER_FETCH = 512
 
 
 class Takeover:
@@ -67,14 +69,16 @@
         records = []
         for identity in ordered:
             wanted = [job_id for job_id, (_, holder) in newest.items() if holder == identity]
-            if not wanted:
-                continue
-            updates = await self._link_to(identity).fetch(wanted)
-            if len(updates) != len(wanted):
-                raise ReplicaFailedError("a job is missing")
-            records += [job_from_update(update) for update in updates]
+            for first in range(0, len(wanted), MAX_JOBS_PER_FETCH):
+                records += await self._fetch(identity, wanted[first : first + MAX_JOBS_PER_FETCH])
         return records
 
+    async def _fetch(self, identity: str, job_ids: list[str]) -> list[ReplicatedJob]:
+        updates = await self._link_to(identity).fetch(job_ids)
+        if len(updates) != len(job_ids):
+            raise ReplicaFailedError("a job is missing")
+        return [job_from_update(update) for update in updates]
+
     async def _request_missing_promises(self) -> None:
         """Request promises from the remaining replicas; stop once there are enough."""
         calls = {
