Job group: a transfer whose write is in doubt goes on until it is settled

The new test, which loses the first answer and refuses the second call, fails before: two attempts where three are needed.

--- a/src/wharfcart/storage/job_group.py
+++ b/src/wharfcart/storage/job_group.py
@@ -527,15 +527,18 @@
         return sorted(ranked, key=lambda identity: not leadership.is_nearly_caught_up(identity))
 
     async def transfer_leadership(self, successor: str) -> None:
-        """Name another replica as leader; this node steps down once it reads the record."""
+        """Name another replica as leader; this node steps down once it reads the record.
+
+        Repeats a write in doubt until it is settled, since no reads are answered until then.
+        """
         leadership = self.leadership
         while leadership is not None and self.leadership is leadership:
-            try:
-                await self.swap_members(leadership.members, successor)
-            except RecordInDoubtError:
-                await asyncio.sleep(ELECTION_RETRY_S)
-            else:
+            record = None
+            with suppress(RecordInDoubtError):
+                record = await self.swap_members(leadership.members, successor)
+            if record is not None or not self.may_have_successor:
                 return
+            await asyncio.sleep(ELECTION_RETRY_S)
 
     async def swap_members(self, members: frozenset[str], leader: str) -> GroupRecord | None:
         """Write another replica set, and possibly another leader, to the group's record.
--- a/tests/storage/test_job_group.py
+++ b/tests/storage/test_job_group.py
@@ -10,6 +10,7 @@
 import pytest
 
 from wharfcart.batch.job_service import JobGroupService
+from wharfcart.cluster.coordination import CoordinationUnavailableError, Transaction
 from wharfcart.cluster.messages_pb2 import (
     DONE,
     NOT_FOUND,
@@ -512,6 +513,35 @@
     run_scenario(scenario)
 
 
+def test_a_transfer_in_doubt_is_repeated_until_it_is_settled() -> None:
+    """Nothing can be read at a leader that may have named its successor."""
+
+    async def scenario() -> None:
+        fleet = Fleet()
+        await fleet.start()
+        await fleet.submit("a")
+        before = await fleet.until_led()
+        assert before.group is not None
+        coordination = fleet.simulation.coordination
+        commit = coordination.commit
+        attempts = 0
+
+        async def commit_third_attempt(transaction: Transaction) -> int:
+            nonlocal attempts
+            attempts += 1
+            if attempts < 3:
+                raise CoordinationUnavailableError("answer lost", attempts == 1)
+            return await commit(transaction)
+
+        coordination.commit = commit_third_attempt  # type: ignore[method-assign]
+        await before.group.transfer_leadership(before.group.successors()[0])
+        assert attempts == 3
+        await fleet.until(lambda: fleet.leader not in (None, before), 2.0)
+        assert await fleet.readable("a")
+
+    run_scenario(scenario)
+
+
 async def submit_to_successor(nodes: list[SimulatedNode]) -> str:
     """Submit a job to whichever node leads first; return its id once it is accepted."""
     for _ in range(4000):
