Test fleets: a port stays reserved until the process that chose it ends

Ports were checked for being free and remembered in one process only; two other soaks, one with 29 processes, started beside it. Such a port looks free until its server listens, and while it restarts. Ports are now locked across processes; the new test asks another process for ports that this one has.

--- a/src/wharfcart/experiments/dev_fleet.py
+++ b/src/wharfcart/experiments/dev_fleet.py
@@ -1,12 +1,14 @@
 """A small fleet in one process: nodes, emulated platform and emulated back ends."""
 
 import asyncio
+import fcntl
 import hashlib
 import random
 import shutil
 import socket
 import tempfile
 from pathlib import Path
+from typing import IO
 
 import aiohttp
 import yaml
@@ -24,23 +26,41 @@
 MIN_PORT = 12_000
 MAX_PORT = 32_000
 
-_allocated_ports: set[int] = set()
+PORT_LOCKS_FOLDER = Path(tempfile.gettempdir()) / "wharfcart-ports"
+
+# Lock file of each port that this process has reserved; the locks end with the process.
+_locks_by_port: dict[int, IO[bytes]] = {}
 
 
 def free_ports(count: int) -> int:
     """Return the first of ``count`` consecutive loopback ports that are free for TCP and UDP.
 
     The ports are below the kernel's ephemeral range, so that no outgoing connection can use one
-    before its server starts.
+    before its server starts. They stay reserved until this process ends, so that no fleet of
+    another process takes the port of a server that is not running at the moment.
     """
     while True:
         first = random.randrange(MIN_PORT, MAX_PORT - count)
         wanted = range(first, first + count)
-        if _allocated_ports.isdisjoint(wanted) and all(_is_free(port) for port in wanted):
-            _allocated_ports.update(wanted)
+        if all(_is_free(port) for port in wanted) and all(_reserve(port) for port in wanted):
             return first
 
 
+def _reserve(port: int) -> bool:
+    """Reserve a port against all other processes; return False if it is reserved already."""
+    if port in _locks_by_port:
+        return False
+    PORT_LOCKS_FOLDER.mkdir(exist_ok=True)
+    lock = (PORT_LOCKS_FOLDER / str(port)).open("wb")
+    try:
+        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError:
+        lock.close()
+        return False
+    _locks_by_port[port] = lock
+    return True
+
+
 def _is_free(port: int) -> bool:
     with (
         socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp,
--- /dev/null
+++ b/tests/experiments/test_dev_fleet.py
@@ -0,0 +1,27 @@
+"""Ports of fleets that run at the same time."""
+
+import subprocess
+import sys
+
+import pytest
+
+from wharfcart.experiments import dev_fleet
+
+
+def test_a_port_is_reserved_against_other_processes(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a server that cannot restart: another fleet took its port meanwhile."""
+    monkeypatch.setattr(dev_fleet, "MIN_PORT", 31_900)
+    monkeypatch.setattr(dev_fleet, "MAX_PORT", 31_920)
+    reserved = [dev_fleet.free_ports(1) for _ in range(10)]
+    program = (
+        "from wharfcart.experiments.dev_fleet import _reserve\n"
+        f"print(any(_reserve(port) for port in {reserved}))"
+    )
+    output = subprocess.run([sys.executable, "-c", program], check=True, capture_output=True).stdout
+    assert output == b"False\n"
+
+
+def test_a_port_is_reserved_once() -> None:
+    ports = [dev_fleet.free_ports(2) for _ in range(50)]
+    taken = {port + offset for port in ports for offset in range(2)}
+    assert len(taken) == 100
