--- a/tests/admission/test_poison_requests.py
+++ b/tests/admission/test_poison_requests.py
@@ -47,6 +47,17 @@
     assert seconds_left(poison_requests, 0.0) == 0.0
 
 
+def test_a_popular_request_is_not_quarantined_for_crashes_that_poison_requests_explain() -> None:
+    """Two poison requests crash four back ends, each of which had begun to answer a third one."""
+    poison_requests = PoisonRequests()
+    others = (RequestFingerprint("poison-1"), RequestFingerprint("poison-2"))
+    for n, at in enumerate((0.0, 0.33, 0.9, 1.23)):
+        poison_requests.record_crash(others[n % 2], str(n), UNANSWERED_WEIGHT, at)
+        crash(poison_requests, str(n), at=at, weight=PARTIAL_ANSWER_WEIGHT)
+    assert all(seconds_left(poison_requests, 1.3, other) > 0.0 for other in others)
+    assert seconds_left(poison_requests, 1.3) == 0.0
+
+
 def test_quarantine_grows_with_the_number_of_crashes() -> None:
     poison_requests = PoisonRequests()
     crash(poison_requests, "a", "b")
