--- a/src/wharfcart/experiments/dev_fleet.py
+++ b/src/wharfcart/experiments/dev_fleet.py
@@ -7,6 +7,7 @@
 import shutil
 import socket
 import tempfile
+from collections.abc import Iterable
 from pathlib import Path
 from typing import IO
 
@@ -42,23 +43,34 @@
     while True:
         first = random.randrange(MIN_PORT, MAX_PORT - count)
         wanted = range(first, first + count)
-        if all(_is_free(port) for port in wanted) and all(_reserve(port) for port in wanted):
+        if all(_is_free(port) for port in wanted) and _reserve(wanted):
             return first
 
 
-def _reserve(port: int) -> bool:
-    """Reserve a port against all other processes; return False if it is reserved already."""
-    if port in _locks_by_port:
-        return False
+def _reserve(ports: Iterable[int]) -> bool:
+    """Reserve ports against all other processes; reserve none if one of them is reserved."""
+    locks: dict[int, IO[bytes]] = {}
+    for port in ports:
+        lock = None if port in _locks_by_port else _lock(port)
+        if lock is None:
+            for reserved in locks.values():
+                reserved.close()
+            return False
+        locks[port] = lock
+    _locks_by_port.update(locks)
+    return True
+
+
+def _lock(port: int) -> IO[bytes] | None:
+    """Lock the file of a port; return None if another process has locked it."""
     PORT_LOCKS_FOLDER.mkdir(exist_ok=True)
     lock = (PORT_LOCKS_FOLDER / str(port)).open("wb")
     try:
         fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
     except BlockingIOError:
         lock.close()
-        return False
-    _locks_by_port[port] = lock
-    return True
+        return None
+    return lock
 
 
 def _is_free(port: int) -> bool:
