--- a/tests/experiments/test_dev_fleet.py
+++ b/tests/experiments/test_dev_fleet.py
@@ -3,15 +3,11 @@
 import subprocess
 import sys
 
-import pytest
-
 from wharfcart.experiments import dev_fleet
 
 
-def test_a_port_is_reserved_against_other_processes(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_port_is_reserved_against_other_processes() -> None:
     """Guards against a server that cannot restart: another fleet took its port meanwhile."""
-    monkeypatch.setattr(dev_fleet, "MIN_PORT", 31_900)
-    monkeypatch.setattr(dev_fleet, "MAX_PORT", 31_920)
     reserved = [dev_fleet.free_ports(1) for _ in range(10)]
     program = (
         "from wharfcart.experiments.dev_fleet import _reserve\n"
