--- a/src/wharfcart/experiments/dev_fleet.py
+++ b/src/wharfcart/experiments/dev_fleet.py
@@ -1,15 +1,12 @@
 """A small fleet in one process: nodes, emulated platform and emulated back ends."""
 
 import asyncio
-import fcntl
 import hashlib
 import random
 import shutil
 import socket
 import tempfile
-from collections.abc import Iterable
 from pathlib import Path
-from typing import IO
 
 import aiohttp
 import yaml
@@ -27,52 +24,23 @@
 MIN_PORT = 12_000
 MAX_PORT = 32_000
 
-PORT_LOCKS_FOLDER = Path(tempfile.gettempdir()) / "wharfcart-ports"
-
-# Lock file of each port that this process has reserved; the locks end with the process.
-_locks_by_port: dict[int, IO[bytes]] = {}
+_allocated_ports: set[int] = set()
 
 
 def free_ports(count: int) -> int:
     """Return the first of ``count`` consecutive loopback ports that are free for TCP and UDP.
 
     The ports are below the kernel's ephemeral range, so that no outgoing connection can use one
-    before its server starts. They stay reserved until this process ends, so that no fleet of
-    another process takes the port of a server that is not running at the moment.
+    before its server starts.
     """
     while True:
         first = random.randrange(MIN_PORT, MAX_PORT - count)
         wanted = range(first, first + count)
-        if all(_is_free(port) for port in wanted) and _reserve(wanted):
+        if _allocated_ports.isdisjoint(wanted) and all(_is_free(port) for port in wanted):
+            _allocated_ports.update(wanted)
             return first
 
 
-def _reserve(ports: Iterable[int]) -> bool:
-    """Reserve ports against all other processes; reserve none if one of them is reserved."""
-    locks: dict[int, IO[bytes]] = {}
-    for port in ports:
-        lock = None if port in _locks_by_port else _lock(port)
-        if lock is None:
-            for reserved in locks.values():
-                reserved.close()
-            return False
-        locks[port] = lock
-    _locks_by_port.update(locks)
-    return True
-
-
-def _lock(port: int) -> IO[bytes] | None:
-    """Lock the file of a port; return None if another process has locked it."""
-    PORT_LOCKS_FOLDER.mkdir(exist_ok=True)
-    lock = (PORT_LOCKS_FOLDER / str(port)).open("wb")
-    try:
-        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-    except BlockingIOError:
-        lock.close()
-        return None
-    return lock
-
-
 def _is_free(port: int) -> bool:
     with (
         socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp,
