--- a/src/wharfcart/soak/open_connection.py
+++ b/src/wharfcart/soak/open_connection.py
@@ -5,6 +5,8 @@
 
 import httptools
 
+from wharfcart.settings.base import split_endpoint
+
 READ_BYTES = 65536
 
 
@@ -26,8 +28,7 @@
         Raises:
             OSError: nothing listens there.
         """
-        host, _, port = endpoint.rpartition(":")
-        return cls(*await asyncio.open_connection(host, int(port)))
+        return cls(*await asyncio.open_connection(*split_endpoint(endpoint)))
 
     async def request(self, path: str, headers: Mapping[str, str]) -> tuple[int, bytes]:
         """Send a POST request without a body; return the status and the body of the response.
