Partial texts: a replica logs where its copies come from and what does not fit them

A starting replica now writes partial_texts_loaded, and one that receives a part which does not begin where its copy ends writes partial_text_mismatch. No change of logic.

--- a/src/wharfcart/storage/job_group.py
+++ b/src/wharfcart/storage/job_group.py
@@ -8,7 +8,7 @@
 import asyncio
 from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import replace
+from dataclasses import asdict, replace
 
 from wharfcart.clock import monotonic
 from wharfcart.cluster.coordination import (
@@ -259,15 +259,29 @@
                 self.partial_texts.remove_job(update.job_id)
             for result in update.results:
                 self.partial_texts.remove_item(result.item_id)
-        self.partial_texts.apply(message.partial_texts)
+        for mismatch in self.partial_texts.apply(message.partial_texts):
+            self._context.log.write(
+                Event.PARTIAL_TEXT_MISMATCH,
+                group=self.group,
+                epoch=message.epoch,
+                **asdict(mismatch),
+            )
 
     async def _load_partial_texts(self) -> SentOffsets:
         """Load the saved partial texts; return the saved offsets by item."""
         saved = SentOffsets()
         with suppress(DiskFailedError):
-            self.partial_texts.apply(await self._context.disk.load_partial_texts(self.group))
+            parts = await self._context.disk.load_partial_texts(self.group)
+            mismatches = self.partial_texts.apply(parts)
             while self.partial_texts.take_unsent(saved):
                 pass
+            self._context.log.write(
+                Event.PARTIAL_TEXTS_LOADED,
+                group=self.group,
+                items=len(saved.events),
+                events=sum(saved.events.values()),
+                mismatches=len(mismatches),
+            )
         return saved
 
     async def _save_partial_texts(self, saved: SentOffsets) -> None:
--- a/src/wharfcart/storage/partial_texts.py
+++ b/src/wharfcart/storage/partial_texts.py
@@ -48,6 +48,21 @@
                 del sent[item_id]
 
 
+@dataclass(frozen=True, slots=True)
+class TextMismatch:
+    """A part that does not begin where the copy of its item ends.
+
+    Attributes:
+        item_id: id of the item.
+        from_event: number of events before the part.
+        held_events: number of events of the copy.
+    """
+
+    item_id: str
+    from_event: int
+    held_events: int
+
+
 @dataclass
 class PartialTexts:
     """Partial texts of one job group, by item."""
@@ -103,12 +118,20 @@
         """Return the items that were sent in part and no longer run."""
         return (sent.events.keys() | sent.failures.keys()) - self._texts.keys()
 
-    def apply(self, parts: Iterable[PartialText]) -> None:
-        """Apply parts from the leader; a part that would leave a gap is ignored."""
+    def apply(self, parts: Iterable[PartialText]) -> list[TextMismatch]:
+        """Apply parts from the leader; return those that do not begin at the end of the copy.
+
+        A part that would leave a gap is ignored.
+        """
+        mismatches = []
         for message in parts:
             text = self.get_or_create(message.job_id, message.item_id)
             text.failed_at = list(message.failed_at)
-            if message.from_event > len(text.texts) or not message.HasField("last_event"):
+            held_events = len(text.texts)
+            if message.from_event != held_events:
+                mismatches.append(TextMismatch(message.item_id, message.from_event, held_events))
+            if message.from_event > held_events or not message.HasField("last_event"):
                 continue
             text.texts[message.from_event :] = list(message.texts)
             text.last_event = message.last_event
+        return mismatches
