Known red: a saved text joins the runs of two leaders

A leader adds events that its successor lacks and saves them; once it is reached again it takes over the successor's text, but its disk gets only what lies beyond the number of events saved before. After a loss of power the file gives events 0 to 14 of one run, and from 15 on those of a run that was asked to go on after event 5: what the users' record shows.

--- a/tests/storage/test_job_group.py
+++ b/tests/storage/test_job_group.py
@@ -106,6 +106,12 @@
             await asyncio.sleep(0.002)
         return loop.time() - began_at
 
+    def cut_off(self, node: SimulatedNode) -> None:
+        """Cut the links between a node and all others, in both directions."""
+        for other in self.nodes:
+            if other != node.number:
+                self.simulation.cut_links |= {(node.number, other), (other, node.number)}
+
     async def submit(self, job_id: str, items: int = 3, residence: Residence = ANYWHERE) -> None:
         leader = await self.until_led()
         assert leader.service is not None
@@ -910,3 +916,72 @@
         assert leader.group.partial_texts.event_count("a-1") == 40
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("heals", [True, False])
+@pytest.mark.parametrize("events_after", [2, 7])
+@pytest.mark.parametrize("events_ahead", [4, 9])
+def test_a_saved_text_never_joins_the_runs_of_two_leaders(
+    events_ahead: int, events_after: int, heals: bool
+) -> None:
+    """Guards against a result whose text goes on with a run that began after another event.
+
+    A leader that is cut off adds events that its successor lacks; then all nodes lose power.
+    """
+
+    async def scenario() -> None:
+        fleet = Fleet()
+        await fleet.start()
+        await fleet.submit("a")
+        old_leader = await fleet.until_led()
+        add_run(old_leader, "a-1", "first", 6)
+        await asyncio.sleep(2 * TEXT_SAVE_INTERVAL_S + 0.1)
+        fleet.cut_off(old_leader)
+        add_events(old_leader, "a-1", "first", 0, events_ahead)
+        await fleet.until(lambda: fleet.leader not in (None, old_leader), 5.0)
+        new_leader = fleet.leader
+        assert new_leader is not None
+        await asyncio.sleep(TEXT_SAVE_INTERVAL_S + 0.1)
+        add_run(new_leader, "a-1", "second", events_ahead)
+        await asyncio.sleep(0.3)
+        if heals:
+            fleet.simulation.cut_links.clear()
+            await asyncio.sleep(1.5)
+        add_events(new_leader, "a-1", "second", 6, events_after)
+        await asyncio.sleep(2 * TEXT_SAVE_INTERVAL_S + 0.1)
+        for node in fleet.nodes.values():
+            node.kill()
+        fleet.simulation.cut_links.clear()
+        for node in fleet.nodes.values():
+            await node.start()
+            assert node.group is not None
+            check_runs(node.group.partial_texts.get_or_create("a", "a-1").texts)
+
+    run_scenario(scenario)
+
+
+def add_run(node: SimulatedNode, item_id: str, run: str, events: int) -> None:
+    """Add the events of a run that was asked to go on after the last event of a text."""
+    assert node.group is not None
+    text = node.group.partial_texts.get_or_create(item_id.partition("-")[0], item_id)
+    add_events(node, item_id, run, len(text.texts), events)
+
+
+def add_events(node: SimulatedNode, item_id: str, run: str, asked_after: int, events: int) -> None:
+    """Add events that name their run and the number of events that it was asked to skip."""
+    assert node.group is not None
+    text = node.group.partial_texts.get_or_create(item_id.partition("-")[0], item_id)
+    for _ in range(events):
+        number = len(text.texts)
+        text.add_event(number, f"{run}/{asked_after}/{number}")
+
+
+def check_runs(texts: list[str]) -> None:
+    """Check that each run in a text goes on after the event that it was asked to go on after."""
+    previous_run = ""
+    for number, text in enumerate(texts):
+        run, asked_after, own_number = text.split("/")
+        assert int(own_number) == number
+        if run != previous_run:
+            assert int(asked_after) == number, f"joined at {number}: {texts}"
+        previous_run = run
