Partial texts: a part names what it begins from, and a copy refuses a part of another text

Cause: what a replica or a disk has of a text was remembered as a number of events. A leader that was cut off adds events that its successor lacks and saves them. Once it is reached again, the successor's text replaces its own in memory, but its disk gets only what lies beyond the saved number. After a loss of power the file gives the beginning of one run and the end of another. Class of fault: a difference applied to a base other than the one that it was cut from.

Why this works: each event has the epoch of the leader that added it, and a leader only appends, so that position and epoch identify a text up to there (Raft's log matching). A part names the epoch of the event before it. Memory and disk refuse a part that does not begin there, and its sender then sends the text whole; a sender whose own text was replaced does so by itself. A text that is saved whole removes the rows of the earlier one. Parts without an epoch, from earlier builds, are not used: such an item runs from its beginning.

Two tests of parts changed: they name epochs now, and one that had to be ignored must be reported besides. item_started logs which leaders' events an item goes on after.

--- a/src/wharfcart/batch/job_execution.py
+++ b/src/wharfcart/batch/job_execution.py
@@ -343,6 +343,7 @@
             backend=state.instance.instance_id,
             group=slot.group,
             after_event=scheduled.progress_of(item.item_id).partial_text.last_event,
+            text_spans=scheduled.progress_of(item.item_id).partial_text.spans,
             due_in_s=round(urgency.until_due_s, 2),
             slack_s=round(urgency.slack_s, 2),
         )
--- a/src/wharfcart/experiments/simulated_storage.py
+++ b/src/wharfcart/experiments/simulated_storage.py
@@ -71,10 +71,10 @@
 
     async def save_partial_texts(
         self, group: int, parts: Sequence[PartialText], finished_item_ids: Collection[str]
-    ) -> None:
+    ) -> list[str]:
         """Save events of items that still run."""
         await self._simulate_delay(writes=True)
-        self.database.save_partial_texts(group, parts, finished_item_ids)
+        return self.database.save_partial_texts(group, parts, finished_item_ids)
 
     async def load_partial_texts(self, group: int) -> list[PartialText]:
         """Return the events of items of open jobs."""
--- a/src/wharfcart/storage/disk.py
+++ b/src/wharfcart/storage/disk.py
@@ -69,9 +69,13 @@
 
     async def save_partial_texts(
         self, group: int, parts: Sequence[PartialText], finished_item_ids: Collection[str]
-    ) -> None:
-        """Save partial texts of running items and delete those of finished items."""
-        await self._run_on_writer(
+    ) -> list[str]:
+        """Save partial texts of running items and delete those of finished items.
+
+        Returns:
+            Items with a part that does not extend what the disk has; nothing is saved of them.
+        """
+        return await self._run_on_writer(
             lambda: self._require_open().save_partial_texts(group, parts, finished_item_ids)
         )
 
--- a/src/wharfcart/storage/job_database.py
+++ b/src/wharfcart/storage/job_database.py
@@ -13,6 +13,7 @@
 import xxhash
 
 from wharfcart.cluster.messages_pb2 import ItemOutcome, JobUpdate, PartialText, RequestJob
+from wharfcart.storage.partial_texts import NO_EPOCH
 from wharfcart.storage.replicated_job import JobState
 
 DATABASE_NAME = "jobs.sqlite"
@@ -128,18 +129,27 @@
 
     def save_partial_texts(
         self, group: int, parts: Sequence[PartialText], finished_item_ids: Collection[str]
-    ) -> None:
+    ) -> list[str]:
         """Save partial texts of running items in one commit.
 
         Args:
             group: number of the items' group.
             parts: events that were not saved before.
             finished_item_ids: items that no longer run; their partial texts are deleted.
+
+        Returns:
+            Items with a part that does not extend what is saved; nothing is saved of them.
         """
         execute = self._connection.execute
+        mismatched_items = []
         execute("begin immediate")
         try:
             for part in parts:
+                if part.from_event == 0:
+                    execute("delete from running_text where item_id=?", (part.item_id,))
+                elif not self._extends_saved_text(part):
+                    mismatched_items.append(part.item_id)
+                    continue
                 value = part.SerializeToString()
                 execute(
                     "insert or replace into running_text values (?, ?, ?, ?, ?, ?)",
@@ -152,11 +162,12 @@
             if self._connection.in_transaction:
                 execute("rollback")
             raise
+        return mismatched_items
 
     def load_partial_texts(self, group: int) -> list[PartialText]:
         """Return the partial texts of open jobs, ordered by item and event number.
 
-        Parts that do not match their checksum are skipped; :meth:`PartialTexts.apply` then ignores
+        Parts that do not match their checksum are skipped; :meth:`PartialTexts.apply` then refuses
         the later events of the item.
         """
         rows = self._connection.execute(
@@ -173,6 +184,23 @@
 
     # ---- inner ----
 
+    def _extends_saved_text(self, part: PartialText) -> bool:
+        """Whether a part begins where the saved text of its item ends, in the same epoch."""
+        row = self._connection.execute(
+            "select value, checksum from running_text where item_id=?"
+            " order by from_event desc limit 1",
+            (part.item_id,),
+        ).fetchone()
+        if row is None or _checksum(row[0]) != row[1]:
+            return False
+        last = PartialText.FromString(row[0])
+        last_epoch = last.epoch if last.texts else last.base_epoch
+        end = last.from_event + len(last.texts)
+        return part.base_epoch != NO_EPOCH and (end, last_epoch) == (
+            part.from_event,
+            part.base_epoch,
+        )
+
     def _apply_update(self, group: int, update: JobUpdate) -> None:
         execute = self._connection.execute
         if update.forgotten:
--- a/src/wharfcart/storage/job_group.py
+++ b/src/wharfcart/storage/job_group.py
@@ -30,7 +30,7 @@
 from wharfcart.storage.group_record_store import GroupRecordStore
 from wharfcart.storage.job_leadership import JobLeadership
 from wharfcart.storage.job_residence import may_join_group
-from wharfcart.storage.partial_texts import PartialTexts, SentOffsets
+from wharfcart.storage.partial_texts import PartialTexts, SentOffsets, TextMismatch
 from wharfcart.storage.replica_links import (
     LocalReplicaLink,
     RemoteReplicaLink,
@@ -250,22 +250,32 @@
         except DiskFailedError:
             return ReplicateResult(accepted=False, epoch=0)
         self._record_leader_contact(message.epoch, message.leader)
-        self._apply_partial_texts(message)
-        return ReplicateResult(accepted=True, epoch=message.epoch)
+        mismatches = self._apply_partial_texts(message)
+        return ReplicateResult(
+            accepted=True,
+            epoch=message.epoch,
+            mismatched_texts=[mismatch.item_id for mismatch in mismatches],
+        )
 
-    def _apply_partial_texts(self, message: ReplicateJobs) -> None:
+    def _apply_partial_texts(self, message: ReplicateJobs) -> list[TextMismatch]:
+        """Apply the texts of a leader's message; return the parts that do not extend a copy."""
+        if self.leadership is not None:
+            return []  # the message of an earlier leader; the texts are this leader's own now
         for update in message.updates:
             if update.ended or update.forgotten:
                 self.partial_texts.remove_job(update.job_id)
             for result in update.results:
                 self.partial_texts.remove_item(result.item_id)
-        for mismatch in self.partial_texts.apply(message.partial_texts):
+        mismatches = self.partial_texts.apply(message.partial_texts)
+        if mismatches:
             self._context.log.write(
                 Event.PARTIAL_TEXT_MISMATCH,
                 group=self.group,
                 epoch=message.epoch,
-                **asdict(mismatch),
+                items=len(mismatches),
+                **asdict(mismatches[0]),
             )
+        return mismatches
 
     async def _load_partial_texts(self) -> SentOffsets:
         """Load the saved partial texts; return the saved offsets by item."""
@@ -278,14 +288,18 @@
             self._context.log.write(
                 Event.PARTIAL_TEXTS_LOADED,
                 group=self.group,
-                items=len(saved.events),
-                events=sum(saved.events.values()),
+                items=len(saved.by_item),
+                events=sum(sent.events for sent in saved.by_item.values()),
                 mismatches=len(mismatches),
             )
         return saved
 
     async def _save_partial_texts(self, saved: SentOffsets) -> None:
-        """Save partial texts periodically; after a failed write, save all of them again."""
+        """Save partial texts periodically.
+
+        After a failed write all of them are saved again, and a text that does not extend what the
+        disk has of it is saved whole.
+        """
         while True:
             await asyncio.sleep(TEXT_SAVE_INTERVAL_S)
             finished_item_ids = self.partial_texts.removed_items(saved)
@@ -293,7 +307,10 @@
             if not parts and not finished_item_ids:
                 continue
             try:
-                await self._context.disk.save_partial_texts(self.group, parts, finished_item_ids)
+                mismatched_items = await self._context.disk.save_partial_texts(
+                    self.group, parts, finished_item_ids
+                )
+                saved.forget(mismatched_items)
             except DiskFailedError:
                 saved = SentOffsets()
 
@@ -460,6 +477,7 @@
         leadership = JobLeadership(record.epoch, self._context.write_quorum, record.members)
         leadership.inherit(newest_jobs)
         self.leadership = leadership
+        self.partial_texts.begin_epoch(record.epoch)
         self.may_have_successor = False
         for identity in sorted(record.members):
             session = self.open_session(identity)
--- a/src/wharfcart/storage/partial_texts.py
+++ b/src/wharfcart/storage/partial_texts.py
@@ -2,14 +2,34 @@
 
 Each node also saves them to its disk periodically: losing one costs a run, not a result. A new
 leader continues after the last event and does not retry an item that has failed too often.
+
+Copies of a text are compared like logs in Raft. Each event has the epoch of the leader that added
+it, and a leader only appends, so that two copies whose events at one position have the same epoch
+are equal up to that position. A part names the epoch of the event before it. A copy with another
+event there refuses the part; the sender then sends the whole text.
 """
 
-from collections.abc import Collection, Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from wharfcart.cluster.messages_pb2 import PartialText
 
 MAX_BYTES_PER_MESSAGE = 256 * 1024
+# No leader has this epoch; also the epoch of events from builds that did not store one.
+NO_EPOCH = 0
+
+
+class EpochSpan(NamedTuple):
+    """Consecutive events that the leader of one epoch added.
+
+    Attributes:
+        start: number of events before the span.
+        epoch: epoch of the leader.
+    """
+
+    start: int
+    epoch: int
 
 
 @dataclass
@@ -18,60 +38,169 @@
 
     Attributes:
         job_id: id of the item's job.
+        leader_epoch: epoch of the events that this node adds.
         last_event: number of the last event, or None.
         texts: data of the events, in order.
+        spans: epochs of the events, in order.
         failed_at: back-end instances that returned a failure, one entry per failure.
     """
 
     job_id: str
+    leader_epoch: int = NO_EPOCH
     last_event: int | None = None
     texts: list[str] = field(default_factory=list)
+    spans: list[EpochSpan] = field(default_factory=list)
     failed_at: list[str] = field(default_factory=list)
 
+    @property
+    def last_epoch(self) -> int:
+        """Epoch of the last event; NO_EPOCH if there is none."""
+        return self.spans[-1].epoch if self.spans else NO_EPOCH
+
+    def is_as_sent(self, sent: "SentText") -> bool:
+        """Whether a receiver has the whole text and all failures."""
+        return (
+            sent.events == len(self.texts)
+            and sent.epoch == self.last_epoch
+            and sent.failed_at == tuple(self.failed_at)
+        )
+
     def add_event(self, number: int, text: str) -> None:
         """Append the next event."""
-        self.last_event = number
-        self.texts.append(text)
+        self._append(self.leader_epoch, number, [text])
+
+    def epoch_before(self, position: int) -> int:
+        """Return the epoch of the event before a position; NO_EPOCH if there is none."""
+        if position > len(self.texts):
+            return NO_EPOCH
+        earlier = (span.epoch for span in reversed(self.spans) if span.start < position)
+        return next(earlier, NO_EPOCH)
+
+    def apply(self, part: PartialText) -> bool:
+        """Apply a part; return False, without a change, if it does not extend this copy.
+
+        A part whose events are all present changes nothing: it arrived late or twice.
+        """
+        if not part.texts:
+            return True
+        if not self._is_extended_by(part):
+            return False
+        if self.epoch_before(part.from_event + len(part.texts)) != part.epoch:
+            self._truncate(part.from_event)
+            self._append(part.epoch, part.last_event, part.texts)
+        return True
+
+    def parts_after(self, position: int) -> Iterator[PartialText]:
+        """Yield the events after a position as parts, one for each leader that added some."""
+        if self.last_event is None:
+            return
+        first_number = self.last_event + 1 - len(self.texts)
+        ends = [span.start for span in self.spans[1:]] + [len(self.texts)]
+        for span, end in zip(self.spans, ends, strict=True):
+            start = max(position, span.start)
+            if start < end:
+                yield PartialText(
+                    from_event=start,
+                    last_event=first_number + end - 1,
+                    texts=self.texts[start:end],
+                    epoch=span.epoch,
+                    base_epoch=self.epoch_before(start),
+                )
+
+    def _is_extended_by(self, part: PartialText) -> bool:
+        if part.epoch == NO_EPOCH:
+            return False
+        if part.from_event == 0:
+            return True
+        return part.base_epoch != NO_EPOCH and part.base_epoch == self.epoch_before(part.from_event)
+
+    def _append(self, epoch: int, last_event: int, texts: Iterable[str]) -> None:
+        if not self.spans or self.spans[-1].epoch != epoch:
+            self.spans.append(EpochSpan(len(self.texts), epoch))
+        self.texts += texts
+        self.last_event = last_event
+
+    def _truncate(self, position: int) -> None:
+        del self.texts[position:]
+        self.spans = [span for span in self.spans if span.start < position]
+
+
+@dataclass(frozen=True, slots=True)
+class SentText:
+    """What a replica or a disk was sent of one item.
+
+    Attributes:
+        events: number of events.
+        epoch: epoch of the last of them; NO_EPOCH if there are none.
+        failed_at: back-end instances that returned a failure.
+    """
+
+    events: int = 0
+    epoch: int = NO_EPOCH
+    failed_at: tuple[str, ...] = ()
 
 
 @dataclass
 class SentOffsets:
-    """Events and failures of each item that were sent to a replica or saved to a disk, counted."""
+    """What a replica or a disk was sent, by item.
+
+    An item that the receiver has refused or removed must be forgotten: it is then sent whole.
+    """
+
+    by_item: dict[str, SentText] = field(default_factory=dict)
 
-    events: dict[str, int] = field(default_factory=dict)
-    failures: dict[str, int] = field(default_factory=dict)
+    def get(self, item_id: str) -> SentText:
+        """Return what was sent of an item."""
+        return self.by_item.get(item_id, SentText())
 
-    def retain_only(self, item_ids: Collection[str]) -> None:
-        """Remove all items except the given ones."""
-        for sent in (self.events, self.failures):
-            for item_id in sent.keys() - item_ids:
-                del sent[item_id]
+    def forget(self, item_ids: Iterable[str]) -> None:
+        """Send some items whole the next time."""
+        for item_id in item_ids:
+            self.by_item.pop(item_id, None)
 
 
 @dataclass(frozen=True, slots=True)
 class TextMismatch:
-    """A part that does not begin where the copy of its item ends.
+    """A part that does not extend the copy of its item.
 
     Attributes:
         item_id: id of the item.
         from_event: number of events before the part.
+        base_epoch: epoch of the event before the part at the sender.
         held_events: number of events of the copy.
+        held_epoch: epoch of the event before the part in the copy; 0 if there is none.
     """
 
     item_id: str
     from_event: int
+    base_epoch: int
     held_events: int
+    held_epoch: int
 
 
 @dataclass
 class PartialTexts:
-    """Partial texts of one job group, by item."""
+    """Partial texts of one job group, by item.
+
+    Attributes:
+        leader_epoch: epoch of the events that this node adds as a leader.
+    """
 
+    leader_epoch: int = NO_EPOCH
     _texts: dict[str, ItemPartialText] = field(default_factory=dict)
 
+    def begin_epoch(self, epoch: int) -> None:
+        """Add events in an epoch that this node leads from now on."""
+        self.leader_epoch = epoch
+        for text in self._texts.values():
+            text.leader_epoch = epoch
+
     def get_or_create(self, job_id: str, item_id: str) -> ItemPartialText:
         """Return an item's partial text, which is created empty."""
-        return self._texts.setdefault(item_id, ItemPartialText(job_id))
+        text = self._texts.get(item_id)
+        if text is None:
+            text = self._texts[item_id] = ItemPartialText(job_id, self.leader_epoch)
+        return text
 
     def event_count(self, item_id: str) -> int:
         """Return the number of events that an item has produced so far."""
@@ -93,45 +222,51 @@
         parts = []
         size = 0
         for item_id, text in self._texts.items():
-            events = sent.events.get(item_id, 0)
-            failures = sent.failures.get(item_id, 0)
-            if len(text.texts) <= events and len(text.failed_at) <= failures:
+            if text.is_as_sent(sent.get(item_id)):
                 continue
-            message = PartialText(
-                job_id=text.job_id,
-                item_id=item_id,
-                from_event=events,
-                last_event=text.last_event,
-                texts=text.texts[events:],
-                failed_at=text.failed_at,
+            for part in _unsent_parts(text, sent.get(item_id)):
+                part.job_id = text.job_id
+                part.item_id = item_id
+                part.failed_at.extend(text.failed_at)
+                parts.append(part)
+                size += part.ByteSize()
+            sent.by_item[item_id] = SentText(
+                len(text.texts), text.last_epoch, tuple(text.failed_at)
             )
-            sent.events[item_id] = len(text.texts)
-            sent.failures[item_id] = len(text.failed_at)
-            parts.append(message)
-            size += message.ByteSize()
             if size > MAX_BYTES_PER_MESSAGE:
                 break
-        sent.retain_only(self._texts.keys())
+        sent.forget(self.removed_items(sent))
         return parts
 
     def removed_items(self, sent: SentOffsets) -> set[str]:
         """Return the items that were sent in part and no longer run."""
-        return (sent.events.keys() | sent.failures.keys()) - self._texts.keys()
+        return sent.by_item.keys() - self._texts.keys()
 
     def apply(self, parts: Iterable[PartialText]) -> list[TextMismatch]:
-        """Apply parts from the leader; return those that do not begin at the end of the copy.
-
-        A part that would leave a gap is ignored.
-        """
+        """Apply parts of a leader or of the own disk; return those that fit no copy."""
         mismatches = []
-        for message in parts:
-            text = self.get_or_create(message.job_id, message.item_id)
-            text.failed_at = list(message.failed_at)
-            held_events = len(text.texts)
-            if message.from_event != held_events:
-                mismatches.append(TextMismatch(message.item_id, message.from_event, held_events))
-            if message.from_event > held_events or not message.HasField("last_event"):
-                continue
-            text.texts[message.from_event :] = list(message.texts)
-            text.last_event = message.last_event
+        for part in parts:
+            text = self.get_or_create(part.job_id, part.item_id)
+            text.failed_at = list(part.failed_at)
+            if not text.apply(part):
+                mismatches.append(
+                    TextMismatch(
+                        part.item_id,
+                        part.from_event,
+                        part.base_epoch,
+                        len(text.texts),
+                        text.epoch_before(part.from_event),
+                    )
+                )
         return mismatches
+
+
+def _unsent_parts(text: ItemPartialText, sent: SentText) -> list[PartialText]:
+    """Return the parts of a text that lie beyond what was sent of it.
+
+    If another leader's text has replaced the one that was sent, these are all parts.
+    """
+    is_extended = sent.epoch == text.epoch_before(sent.events)
+    parts = list(text.parts_after(sent.events if is_extended else 0))
+    # Only failures were added.
+    return parts or [PartialText(from_event=len(text.texts), base_epoch=text.last_epoch)]
--- a/src/wharfcart/storage/replica_links.py
+++ b/src/wharfcart/storage/replica_links.py
@@ -16,7 +16,11 @@
 from wharfcart.cluster.transport import PeerUnreachableError, Transport
 from wharfcart.errors import ServingError
 from wharfcart.storage.disk import Disk, DiskFailedError
-from wharfcart.storage.replica_session import HigherEpochError, ReplicaFailedError
+from wharfcart.storage.replica_session import (
+    HigherEpochError,
+    Mismatches,
+    ReplicaFailedError,
+)
 from wharfcart.storage.replicated_job import JobState
 
 CALL_TIMEOUT_S = 0.9
@@ -44,15 +48,16 @@
 
     async def replicate(
         self, epoch: int, updates: Sequence[JobUpdate], partial_texts: Sequence[PartialText]
-    ) -> None:
+    ) -> Mismatches:
         """Write updates; the partial texts are already in the leader's memory."""
         if not updates:
-            return
+            return Mismatches()
         try:
             if not await self._disk.apply_updates(self._group, epoch, updates):
                 raise HigherEpochError(epoch + 1)
         except DiskFailedError as error:
             raise ReplicaFailedError(str(error)) from error
+        return Mismatches()
 
     async def fetch(self, job_ids: Sequence[str]) -> list[JobUpdate]:
         """Return complete jobs."""
@@ -103,7 +108,7 @@
 
     async def replicate(
         self, epoch: int, updates: Sequence[JobUpdate], partial_texts: Sequence[PartialText]
-    ) -> None:
+    ) -> Mismatches:
         """Write updates; return once they are on the replica's disk."""
         message = ReplicateJobs(
             group=self._group,
@@ -116,6 +121,7 @@
         answer = (await self._call(Frame(replicate_jobs=message))).replicate_result
         if not answer.accepted:
             raise self._refusal_error(answer.epoch, epoch)
+        return Mismatches(text_items=tuple(answer.mismatched_texts))
 
     async def fetch(self, job_ids: Sequence[str]) -> list[JobUpdate]:
         """Return complete jobs."""
--- a/src/wharfcart/storage/replica_session.py
+++ b/src/wharfcart/storage/replica_session.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass
 from typing import Protocol
 
 from wharfcart.clock import monotonic
@@ -34,6 +35,19 @@
         self.epoch = epoch
 
 
+@dataclass(frozen=True, slots=True)
+class Mismatches:
+    """Parts of a replication message that do not extend what the replica holds.
+
+    Attributes:
+        jobs: what the replica holds of jobs whose updates it refused.
+        text_items: items of partial texts that it refused.
+    """
+
+    jobs: tuple[JobState, ...] = ()
+    text_items: tuple[str, ...] = ()
+
+
 class ReplicaLink(Protocol):
     """A leader's connection to one replica.
 
@@ -50,7 +64,7 @@
 
     async def replicate(
         self, epoch: int, updates: Sequence[JobUpdate], partial_texts: Sequence[PartialText]
-    ) -> None:
+    ) -> Mismatches:
         """Write updates; return once they are on disk. Partial texts are kept in memory."""
         ...
 
@@ -137,13 +151,15 @@
                 return
             sent_at = monotonic()
         texts = self._partial_texts.take_unsent(self._sent_offsets)
-        if not updates:
-            timeout_s = HEARTBEAT_TIMEOUT_S + self._link.round_trip_s()
-            if not await _completes_within(self._link.replicate(epoch, [], texts), timeout_s):
-                self._handle_missed_heartbeat()
-                return
-        else:
-            await self._link.replicate(epoch, updates, texts)
+        # Updates wait as long as the link allows.
+        timeout_s = None if updates else HEARTBEAT_TIMEOUT_S + self._link.round_trip_s()
+        try:
+            async with asyncio.timeout(timeout_s):
+                mismatches = await self._link.replicate(epoch, updates, texts)
+        except TimeoutError:
+            self._handle_missed_heartbeat()
+            return
+        self._sent_offsets.forget(mismatches.text_items)
         self.confirmed_at = sent_at
         self._log_recovery()
         self._leadership.record_written(self.identity, updates)
--- a/tests/storage/test_job_database.py
+++ b/tests/storage/test_job_database.py
@@ -100,7 +100,13 @@
 def make_part(item_id: str, first: int, *texts: str, job_id: str = "j") -> PartialText:
     last = first + len(texts) - 1
     return PartialText(
-        job_id=job_id, item_id=item_id, from_event=first, last_event=last, texts=texts
+        job_id=job_id,
+        item_id=item_id,
+        from_event=first,
+        last_event=last,
+        texts=texts,
+        epoch=1,
+        base_epoch=1 if first else 0,
     )
 
 
@@ -117,6 +123,46 @@
     again.close()
 
 
+def test_a_part_that_does_not_extend_the_saved_text_is_refused() -> None:
+    """Guards against a file that joins the runs of two leaders."""
+    database = JobDatabase(None)
+    database.apply_updates(0, 1, [make_update()])
+    database.save_partial_texts(0, [make_part("0", 0, "a", "b"), make_part("0", 2, "c")], [])
+    foreign, gap, repeated = (
+        make_part("0", 3, "x"),
+        make_part("0", 4, "e"),
+        make_part("0", 2, "c"),
+    )
+    foreign.base_epoch = 2
+    unknown = make_part("0", 3, "x")
+    unknown.base_epoch = 0
+    for part in (foreign, gap, repeated, unknown):
+        assert database.save_partial_texts(0, [part], []) == ["0"]
+    found = [(one.from_event, list(one.texts)) for one in database.load_partial_texts(0)]
+    assert found == [(0, ["a", "b"]), (2, ["c"])]
+
+
+def test_a_text_that_is_saved_whole_leaves_no_part_of_the_earlier_one() -> None:
+    """Guards against the end of an earlier run that stands behind a text saved anew."""
+    database = JobDatabase(None)
+    database.apply_updates(0, 1, [make_update()])
+    database.save_partial_texts(0, [make_part("0", 0, "a", "b"), make_part("0", 2, "c")], [])
+    assert database.save_partial_texts(0, [make_part("0", 0, "x")], []) == []
+    (found,) = database.load_partial_texts(0)
+    assert (found.from_event, list(found.texts)) == (0, ["x"])
+
+
+def test_failures_are_saved_without_events_and_extended_later() -> None:
+    database = JobDatabase(None)
+    database.apply_updates(0, 1, [make_update()])
+    database.save_partial_texts(0, [make_part("0", 0, "a")], [])
+    failure = PartialText(job_id="j", item_id="0", from_event=1, failed_at=["i"], base_epoch=1)
+    assert database.save_partial_texts(0, [failure], []) == []
+    assert database.save_partial_texts(0, [make_part("0", 1, "b")], []) == []
+    found = [(one.from_event, list(one.texts)) for one in database.load_partial_texts(0)]
+    assert found == [(0, ["a"]), (1, ["b"])]
+
+
 def copy_folder(folder: Path) -> Path:
     """Return a copy of the folder, as after a loss of power."""
     copy = folder.with_name(f"{folder.name}-copy")
--- a/tests/storage/test_partial_texts.py
+++ b/tests/storage/test_partial_texts.py
@@ -1,10 +1,13 @@
 """Replication of the partial texts of running items."""
 
-from wharfcart.storage.partial_texts import PartialTexts, SentOffsets
+import pytest
+
+from wharfcart.cluster.messages_pb2 import PartialText
+from wharfcart.storage.partial_texts import ItemPartialText, PartialTexts, SentOffsets, SentText
 
 
 def test_a_replica_receives_each_part_once() -> None:
-    leader, replica = PartialTexts(), PartialTexts()
+    leader, replica = PartialTexts(leader_epoch=1), PartialTexts()
     offsets = SentOffsets()
     text = leader.get_or_create("j", "i")
     text.add_event(0, "a")
@@ -19,14 +22,18 @@
     assert (copy.last_event, copy.texts) == (2, ["a", "b", "c"])
 
 
-def test_a_part_with_a_gap_before_it_is_ignored() -> None:
-    leader, replica = PartialTexts(), PartialTexts()
-    offsets = SentOffsets(events={"i": 1})
+def test_a_part_with_a_gap_before_it_is_refused_and_the_text_sent_whole() -> None:
+    leader, replica = PartialTexts(leader_epoch=1), PartialTexts()
+    offsets = SentOffsets({"i": SentText(events=1, epoch=1)})
     text = leader.get_or_create("j", "i")
     text.add_event(0, "a")
     text.add_event(1, "b")
-    replica.apply(leader.take_unsent(offsets))
+    (mismatch,) = replica.apply(leader.take_unsent(offsets))
     assert replica.get_or_create("j", "i").texts == []
+    assert (mismatch.item_id, mismatch.from_event, mismatch.held_events) == ("i", 1, 0)
+    offsets.forget(["i"])
+    assert replica.apply(leader.take_unsent(offsets)) == []
+    assert replica.get_or_create("j", "i").texts == ["a", "b"]
 
 
 def test_finished_items_and_ended_jobs_are_removed() -> None:
@@ -39,7 +46,7 @@
 
 
 def test_failures_of_an_item_without_events_are_replicated() -> None:
-    leader, replica = PartialTexts(), PartialTexts()
+    leader, replica = PartialTexts(leader_epoch=1), PartialTexts()
     offsets = SentOffsets()
     leader.get_or_create("j", "i").failed_at += ["a", "b"]
     replica.apply(leader.take_unsent(offsets))
@@ -62,7 +69,7 @@
 
 
 def test_saved_parts_are_restored_up_to_the_first_gap() -> None:
-    texts, restored = PartialTexts(), PartialTexts()
+    texts, restored = PartialTexts(leader_epoch=1), PartialTexts()
     saved = SentOffsets()
     parts = []
     for number in range(3):
@@ -70,3 +77,85 @@
         parts += texts.take_unsent(saved)
     restored.apply([parts[0], parts[2]])
     assert (restored.event_count("i"), restored.event_count("other")) == (1, 0)
+
+
+def make_copy(*leaders: tuple[int, str]) -> ItemPartialText:
+    """Return a text to which the leaders of some epochs added one event per character."""
+    text = ItemPartialText("j")
+    for epoch, events in leaders:
+        text.leader_epoch = epoch
+        for event in events:
+            text.add_event(len(text.texts), event)
+    return text
+
+
+def make_part(first: int, texts: str, epoch: int, base_epoch: int) -> PartialText:
+    last = first + len(texts) - 1
+    return PartialText(
+        from_event=first, last_event=last, texts=texts, epoch=epoch, base_epoch=base_epoch
+    )
+
+
+@pytest.mark.parametrize(
+    ("leaders", "part", "is_accepted", "texts"),
+    [
+        # Late or repeated: the copy has these events, and more.
+        ([(1, "abcd")], make_part(0, "ab", 1, 0), True, "abcd"),
+        ([(1, "abcd")], make_part(2, "c", 1, 1), True, "abcd"),
+        ([(1, "abcd")], make_part(2, "cd", 1, 1), True, "abcd"),
+        # The next leader has fewer events of this one.
+        ([(1, "abcd")], make_part(2, "xy", 2, 1), True, "abxy"),
+        ([(1, "abcd")], make_part(0, "xy", 2, 0), True, "xy"),
+        # Foreign: the event before the part is another leader's, unknown, or missing.
+        ([(1, "ab"), (2, "cd")], make_part(4, "e", 3, 1), False, "abcd"),
+        ([(1, "ab"), (2, "cd")], make_part(3, "x", 3, 1), False, "abcd"),
+        ([(1, "abcd")], make_part(4, "e", 1, 0), False, "abcd"),
+        ([(1, "abcd")], make_part(5, "f", 1, 1), False, "abcd"),
+        # From a build that stored no epochs.
+        ([(1, "abcd")], make_part(4, "e", 0, 0), False, "abcd"),
+        ([], make_part(0, "ab", 0, 0), False, ""),
+    ],
+)
+def test_only_a_part_of_the_same_text_extends_a_copy(
+    leaders: list[tuple[int, str]], part: PartialText, is_accepted: bool, texts: str
+) -> None:
+    """Guards against copies that join two runs after a late, repeated or foreign part."""
+    copy = make_copy(*leaders)
+    assert copy.apply(part) is is_accepted
+    assert "".join(copy.texts) == texts
+    assert copy.last_event == (len(texts) - 1 if texts else None)
+
+
+def test_a_text_that_another_leader_replaced_is_sent_whole() -> None:
+    """Guards against a receiver that gets only what lies beyond its count of another run."""
+    texts = PartialTexts(leader_epoch=1)
+    sent = SentOffsets()
+    texts.get_or_create("j", "i").add_event(0, "a")
+    texts.get_or_create("j", "i").add_event(1, "b")
+    texts.take_unsent(sent)
+    replacement = make_part(1, "xyz", 2, 1)
+    replacement.item_id = "i"
+    assert texts.apply([replacement]) == []
+    parts = texts.take_unsent(sent)
+    assert [(part.from_event, "".join(part.texts), part.epoch) for part in parts] == [
+        (0, "a", 1),
+        (1, "xyz", 2),
+    ]
+
+
+def test_failures_are_sent_again_after_another_leaders_failures_replaced_them() -> None:
+    texts = PartialTexts(leader_epoch=1)
+    sent = SentOffsets()
+    texts.get_or_create("j", "i").failed_at.append("a")
+    texts.take_unsent(sent)
+    texts.apply([PartialText(job_id="j", item_id="i", failed_at=["b"])])
+    (part,) = texts.take_unsent(sent)
+    assert list(part.failed_at) == ["b"]
+
+
+def test_events_keep_the_epochs_of_their_leaders_after_a_cut() -> None:
+    """Guards against parts that name another epoch than that of their events."""
+    copy = make_copy((1, "abcd"), (2, "ef"))
+    assert copy.apply(make_part(2, "xyz", 3, 1))
+    parts = [(part.from_event, "".join(part.texts), part.epoch) for part in copy.parts_after(0)]
+    assert parts == [(0, "ab", 1), (2, "xyz", 3)]
