Job group: an update names the epoch that it extends, and a replica refuses one that fits not

Cause: a replica applied any update of the current epoch in any order. One that arrived after the replica had caught up over a new connection took results away; the next update, cut from what had been acknowledged, began after a gap, and the row of the job got the leader's number of results. The copy claimed what it did not hold, and a takeover chose it.

Why this works: an update names the epoch of the state that it extends. States of one epoch are prefixes of each other, so a replica that holds this epoch, or already the update's own, and enough results has the base. It ignores an update whose end it holds already, and refuses any other; the answer tells what it holds, and the leader goes on from there, or sends the whole job. A deletion names the newest epoch that it deletes: a late one spares a job that was submitted again. Updates without a base, from earlier builds, must at least leave no gap.

--- a/src/wharfcart/experiments/simulated_storage.py
+++ b/src/wharfcart/experiments/simulated_storage.py
@@ -33,7 +33,7 @@
 from wharfcart.storage.disk import Disk, DiskFailedError
 from wharfcart.storage.group_context import GroupContext
 from wharfcart.storage.job_client import JobClient
-from wharfcart.storage.job_database import JobDatabase
+from wharfcart.storage.job_database import AppliedUpdates, JobDatabase
 from wharfcart.storage.job_group import JobGroup
 from wharfcart.storage.layout import Layout, layout_from_bytes
 from wharfcart.storage.layout_bootstrap import LayoutBootstrap
@@ -86,7 +86,9 @@
         await self._simulate_delay()
         return self.database.job_states(group)
 
-    async def apply_updates(self, group: int, epoch: int, updates: Sequence[JobUpdate]) -> bool:
+    async def apply_updates(
+        self, group: int, epoch: int, updates: Sequence[JobUpdate]
+    ) -> AppliedUpdates | None:
         """Apply job updates."""
         await self._simulate_delay(writes=True)
         return self.database.apply_updates(group, epoch, updates)
--- a/src/wharfcart/storage/disk.py
+++ b/src/wharfcart/storage/disk.py
@@ -8,7 +8,7 @@
 from typing import TypeVar
 
 from wharfcart.cluster.messages_pb2 import JobUpdate, PartialText
-from wharfcart.storage.job_database import CorruptJobError, JobDatabase
+from wharfcart.storage.job_database import AppliedUpdates, CorruptJobError, JobDatabase
 from wharfcart.storage.replicated_job import JobState
 
 Answer = TypeVar("Answer")
@@ -57,8 +57,10 @@
         """Return the state of every job of a group."""
         return await self._run_on_writer(lambda: self._require_open().job_states(group))
 
-    async def apply_updates(self, group: int, epoch: int, updates: Sequence[JobUpdate]) -> bool:
-        """Write a leader's updates; return False if a higher epoch was promised."""
+    async def apply_updates(
+        self, group: int, epoch: int, updates: Sequence[JobUpdate]
+    ) -> AppliedUpdates | None:
+        """Write a leader's updates; return None if a higher epoch was promised."""
         return await self._run_on_writer(
             lambda: self._require_open().apply_updates(group, epoch, updates)
         )
--- a/src/wharfcart/storage/job_database.py
+++ b/src/wharfcart/storage/job_database.py
@@ -8,13 +8,14 @@
 import sqlite3
 import uuid
 from collections.abc import Callable, Collection, Iterable, Sequence
+from dataclasses import dataclass
 from pathlib import Path
+from typing import NamedTuple
 
 import xxhash
 
 from wharfcart.cluster.messages_pb2 import ItemOutcome, JobUpdate, PartialText, RequestJob
-from wharfcart.storage.partial_texts import NO_EPOCH
-from wharfcart.storage.replicated_job import JobState
+from wharfcart.storage.replicated_job import NO_EPOCH, JobState, version_after, version_of
 
 DATABASE_NAME = "jobs.sqlite"
 PAGE_BYTES = 8192
@@ -43,6 +44,32 @@
     """A record does not match its checksum; the disk must be replaced and rebuilt from peers."""
 
 
+class _HeldJob(NamedTuple):
+    """What the database holds of a job."""
+
+    epoch: int
+    results: int
+    ended: int
+
+    @property
+    def version(self) -> int:
+        return 0 if self.epoch == NO_EPOCH else version_of(self.results, bool(self.ended))
+
+
+_NOT_HELD = _HeldJob(NO_EPOCH, 0, 0)
+
+
+@dataclass(frozen=True, slots=True)
+class AppliedUpdates:
+    """Result of a leader's updates.
+
+    Attributes:
+        mismatches: states of the jobs whose updates do not extend them; these were not written.
+    """
+
+    mismatches: tuple[JobState, ...] = ()
+
+
 class JobDatabase:
     """Database file of one storage node. Every method runs on one writer thread."""
 
@@ -98,25 +125,31 @@
             "select job_id, epoch, results, ended from job where job_group=?", (group,)
         )
         return [
-            JobState(job_id, epoch, 1 + results + ended) for job_id, epoch, results, ended in rows
+            JobState(job_id, epoch, version_of(results, ended))
+            for job_id, epoch, results, ended in rows
         ]
 
-    def apply_updates(self, group: int, epoch: int, updates: Sequence[JobUpdate]) -> bool:
-        """Write a leader's updates in one commit; return False if a higher epoch was promised."""
+    def apply_updates(
+        self, group: int, epoch: int, updates: Sequence[JobUpdate]
+    ) -> AppliedUpdates | None:
+        """Write a leader's updates in one commit; return None if a higher epoch was promised."""
         if not self.promise_epoch(group, epoch):
-            return False
+            return None
         if not updates:
-            return True
+            return AppliedUpdates()
+        mismatches = []
         self._connection.execute("begin immediate")
         try:
             for update in updates:
-                self._apply_update(group, update)
+                if not self._apply_update(group, update):
+                    held = self._held_job(update.job_id)
+                    mismatches.append(JobState(update.job_id, held.epoch, held.version))
             self._connection.execute("commit")
         except BaseException:
             if self._connection.in_transaction:
                 self._connection.execute("rollback")
             raise
-        return True
+        return AppliedUpdates(tuple(mismatches))
 
     def load_jobs(self, job_ids: Iterable[str]) -> list[JobUpdate]:
         """Return complete jobs; unknown ids are skipped.
@@ -201,13 +234,45 @@
             part.base_epoch,
         )
 
-    def _apply_update(self, group: int, update: JobUpdate) -> None:
-        execute = self._connection.execute
+    def _apply_update(self, group: int, update: JobUpdate) -> bool:
+        """Apply an update; return False if it does not extend what is held of the job."""
+        held = self._held_job(update.job_id)
         if update.forgotten:
-            execute("delete from job where job_id=?", (update.job_id,))
-            execute("delete from result where job_id=?", (update.job_id,))
-            execute("delete from running_text where job_id=?", (update.job_id,))
-            return
+            if held.epoch <= update.base_epoch or update.base_epoch == NO_EPOCH:
+                self._delete_job(update.job_id)
+            return True
+        if held.epoch == update.epoch and held.version >= version_after(update):
+            return True  # arrived late or twice
+        if not self._extends_held_job(update, held):
+            return False
+        self._write_update(group, update)
+        return True
+
+    def _held_job(self, job_id: str) -> _HeldJob:
+        row = self._connection.execute(
+            "select epoch, results, ended from job where job_id=?", (job_id,)
+        ).fetchone()
+        return _NOT_HELD if row is None else _HeldJob(*row)
+
+    def _extends_held_job(self, update: JobUpdate, held: _HeldJob) -> bool:
+        """Whether an update is complete or begins within what is held.
+
+        States of one epoch are prefixes of each other. Builds before this one name no base.
+        """
+        if held.epoch > update.epoch:
+            return False
+        if update.HasField("job"):
+            return True
+        bases = (update.base_epoch, update.epoch)
+        is_same_history = held.epoch in bases or update.base_epoch == NO_EPOCH
+        return held is not _NOT_HELD and is_same_history and held.results >= update.from_result
+
+    def _delete_job(self, job_id: str) -> None:
+        for table in ("job", "result", "running_text"):
+            self._connection.execute(f"delete from {table} where job_id=?", (job_id,))
+
+    def _write_update(self, group: int, update: JobUpdate) -> None:
+        execute = self._connection.execute
         results = update.from_result + len(update.results)
         if update.HasField("job"):
             spec = update.job.SerializeToString()
--- a/src/wharfcart/storage/job_group.py
+++ b/src/wharfcart/storage/job_group.py
@@ -245,7 +245,8 @@
         try:
             if message.target != self._context.identity:
                 return ReplicateResult(accepted=False, epoch=0)
-            if not await disk.apply_updates(self.group, message.epoch, list(message.updates)):
+            applied = await disk.apply_updates(self.group, message.epoch, list(message.updates))
+            if applied is None:
                 return ReplicateResult(accepted=False, epoch=await disk.promised_epoch(self.group))
         except DiskFailedError:
             return ReplicateResult(accepted=False, epoch=0)
@@ -254,6 +255,7 @@
         return ReplicateResult(
             accepted=True,
             epoch=message.epoch,
+            mismatched_jobs=[state_to_message(state) for state in applied.mismatches],
             mismatched_texts=[mismatch.item_id for mismatch in mismatches],
         )
 
--- a/src/wharfcart/storage/job_leadership.py
+++ b/src/wharfcart/storage/job_leadership.py
@@ -24,7 +24,7 @@
 
 from wharfcart.cluster.messages_pb2 import ItemOutcome, JobUpdate, RequestJob
 from wharfcart.configuration.residence import Residence
-from wharfcart.storage.replicated_job import JobState, ReplicatedJob
+from wharfcart.storage.replicated_job import JobState, ReplicatedJob, version_after
 
 MAX_UPDATE_BYTES = 1024 * 1024
 MAX_CHANGED_JOBS_PER_MESSAGE = 64
@@ -39,9 +39,10 @@
     Attributes:
         matched_versions: version up to which the replica's history matches the leader's, by job.
         written_versions: version that the replica wrote in this epoch, by job.
+        base_epochs: epoch of the replica's state, by job, unless it was written in this epoch.
         inherited_versions: version that the replica reported with its promise, by job, if it has
             the epoch of the state that the leader inherited.
-        jobs_to_delete: jobs that the replica must delete.
+        jobs_to_delete: epoch of the newest state to delete, by job that the replica must delete.
         changed_jobs: jobs that have changed since the promise and that the replica has not
             completely written, longest waiting first.
         backlog_jobs: all other jobs that the replica has not completely written in this epoch.
@@ -49,8 +50,9 @@
 
     matched_versions: dict[str, int] = field(default_factory=dict)
     written_versions: dict[str, int] = field(default_factory=dict)
+    base_epochs: dict[str, int] = field(default_factory=dict)
     inherited_versions: dict[str, int] = field(default_factory=dict)
-    jobs_to_delete: set[str] = field(default_factory=set)
+    jobs_to_delete: dict[str, int] = field(default_factory=dict)
     changed_jobs: dict[str, None] = field(default_factory=dict)
     backlog_jobs: dict[str, None] = field(default_factory=dict)
 
@@ -107,16 +109,11 @@
         progress = ReplicaProgress()
         self._replicas[identity] = progress
         for state in states:
-            record = self.jobs.get(state.job_id)
-            if record is None:
-                # Never committed, or deleted since: a later leader must not restore it.
-                progress.jobs_to_delete.add(state.job_id)
-            elif state.epoch == self.epoch:
-                progress.matched_versions[state.job_id] = progress.written_versions[
-                    state.job_id
-                ] = state.version
+            if state.job_id in self.jobs:
+                self._record_held(progress, state)
             else:
-                progress.matched_versions[state.job_id] = self._common_prefix_version(state)
+                # Never committed, or deleted since: a later leader must not restore it.
+                progress.jobs_to_delete[state.job_id] = state.epoch
         progress.inherited_versions = {
             job_id: version
             for job_id, version in progress.matched_versions.items()
@@ -131,17 +128,35 @@
         """Remove a replica's progress after its connection closed or its disk was replaced."""
         self._replicas.pop(identity, None)
 
+    def record_mismatches(self, identity: str, states: Iterable[JobState]) -> None:
+        """Record what a replica holds of jobs whose updates it refused."""
+        progress = self._replicas.get(identity)
+        if progress is None:
+            return
+        for state in states:
+            if state.job_id not in self.jobs:
+                continue
+            progress.written_versions.pop(state.job_id, None)
+            progress.inherited_versions.pop(state.job_id, None)
+            self._record_held(progress, state)
+            if state.job_id not in progress.changed_jobs:
+                progress.backlog_jobs[state.job_id] = None
+
     def updates_for(self, identity: str) -> list[JobUpdate]:
         """Return the next updates for a replica, bounded in size and number."""
         progress = self._replicas.get(identity)
         if progress is None:
             return []
         updates = [
-            JobUpdate(job_id=job_id, forgotten=True) for job_id in sorted(progress.jobs_to_delete)
+            JobUpdate(job_id=job_id, forgotten=True, base_epoch=epoch)
+            for job_id, epoch in sorted(progress.jobs_to_delete.items())
         ]
         size = 0
         for job_id in self._next_jobs(progress):
-            update = self.jobs[job_id].update_since(progress.matched_versions.get(job_id, 0))
+            update = self.jobs[job_id].update_since(
+                progress.matched_versions.get(job_id, 0),
+                progress.base_epochs.get(job_id, self.epoch),
+            )
             updates.append(update)
             size += update.ByteSize()
             if size > MAX_UPDATE_BYTES:
@@ -160,21 +175,26 @@
         yield from islice(chain(undecided, decided), MAX_BACKLOG_JOBS_PER_MESSAGE)
 
     def record_written(self, identity: str, updates: Iterable[JobUpdate]) -> list[str]:
-        """Record updates as written by a replica; return the jobs whose committed version grew."""
+        """Record updates as written by a replica; return the jobs whose committed version grew.
+
+        Updates that the replica refused are not among them.
+        """
         progress = self._replicas.get(identity)
         if progress is None:
             return []
         changed = []
         for update in updates:
             if update.forgotten:
-                progress.jobs_to_delete.discard(update.job_id)
+                progress.jobs_to_delete.pop(update.job_id, None)
                 continue
-            version = 1 + update.from_result + len(update.results) + int(update.ended)
-            progress.matched_versions[update.job_id] = progress.written_versions[update.job_id] = (
-                version
-            )
             record = self.jobs.get(update.job_id)
-            if record is None or version >= record.version:
+            version = version_after(update)
+            if record is None or version > record.version:
+                continue  # the job was deleted meanwhile, or deleted and submitted again
+            progress.matched_versions[update.job_id] = version
+            progress.written_versions[update.job_id] = version
+            progress.base_epochs.pop(update.job_id, None)
+            if version == record.version:
                 progress.changed_jobs.pop(update.job_id, None)
                 progress.backlog_jobs.pop(update.job_id, None)
             if self._advance_commit(update.job_id):
@@ -276,9 +296,10 @@
         self._inherited_states.pop(job_id, None)
         self._undecided_jobs.pop(job_id, None)
         for progress in self._replicas.values():
-            progress.jobs_to_delete.add(job_id)
+            progress.jobs_to_delete[job_id] = self.epoch
             progress.matched_versions.pop(job_id, None)
             progress.written_versions.pop(job_id, None)
+            progress.base_epochs.pop(job_id, None)
             progress.inherited_versions.pop(job_id, None)
             progress.changed_jobs.pop(job_id, None)
             progress.backlog_jobs.pop(job_id, None)
@@ -299,6 +320,16 @@
             progress.backlog_jobs.pop(job_id, None)
             progress.changed_jobs[job_id] = None
 
+    def _record_held(self, progress: ReplicaProgress, state: JobState) -> None:
+        """Record the state of a job on a replica."""
+        if state.epoch == self.epoch:
+            progress.matched_versions[state.job_id] = state.version
+            progress.written_versions[state.job_id] = state.version
+            progress.base_epochs.pop(state.job_id, None)
+        else:
+            progress.matched_versions[state.job_id] = self._common_prefix_version(state)
+            progress.base_epochs[state.job_id] = state.epoch
+
     def _common_prefix_version(self, state: JobState) -> int:
         inherited = self._inherited_states.get(state.job_id)
         if inherited is None or inherited.epoch != state.epoch:
--- a/src/wharfcart/storage/partial_texts.py
+++ b/src/wharfcart/storage/partial_texts.py
@@ -14,10 +14,9 @@
 from typing import NamedTuple
 
 from wharfcart.cluster.messages_pb2 import PartialText
+from wharfcart.storage.replicated_job import NO_EPOCH
 
 MAX_BYTES_PER_MESSAGE = 256 * 1024
-# No leader has this epoch; also the epoch of events from builds that did not store one.
-NO_EPOCH = 0
 
 
 class EpochSpan(NamedTuple):
@@ -38,7 +37,8 @@
 
     Attributes:
         job_id: id of the item's job.
-        leader_epoch: epoch of the events that this node adds.
+        leader_epoch: epoch of the events that this node adds. Events of builds that stored no epoch
+            have NO_EPOCH.
         last_event: number of the last event, or None.
         texts: data of the events, in order.
         spans: epochs of the events, in order.
--- a/src/wharfcart/storage/replica_links.py
+++ b/src/wharfcart/storage/replica_links.py
@@ -21,7 +21,7 @@
     Mismatches,
     ReplicaFailedError,
 )
-from wharfcart.storage.replicated_job import JobState
+from wharfcart.storage.replicated_job import NO_EPOCH, JobState, version_of
 
 CALL_TIMEOUT_S = 0.9
 
@@ -53,11 +53,12 @@
         if not updates:
             return Mismatches()
         try:
-            if not await self._disk.apply_updates(self._group, epoch, updates):
-                raise HigherEpochError(epoch + 1)
+            applied = await self._disk.apply_updates(self._group, epoch, updates)
         except DiskFailedError as error:
             raise ReplicaFailedError(str(error)) from error
-        return Mismatches()
+        if applied is None:
+            raise HigherEpochError(epoch + 1)
+        return Mismatches(applied.mismatches)
 
     async def fetch(self, job_ids: Sequence[str]) -> list[JobUpdate]:
         """Return complete jobs."""
@@ -121,7 +122,10 @@
         answer = (await self._call(Frame(replicate_jobs=message))).replicate_result
         if not answer.accepted:
             raise self._refusal_error(answer.epoch, epoch)
-        return Mismatches(text_items=tuple(answer.mismatched_texts))
+        return Mismatches(
+            tuple(state_from_message(digest) for digest in answer.mismatched_jobs),
+            tuple(answer.mismatched_texts),
+        )
 
     async def fetch(self, job_ids: Sequence[str]) -> list[JobUpdate]:
         """Return complete jobs."""
@@ -162,9 +166,11 @@
 
 def state_from_message(digest: JobDigest) -> JobState:
     """Decode a digest."""
-    return JobState(digest.job_id, digest.epoch, 1 + digest.results + int(digest.ended))
+    if digest.epoch == NO_EPOCH:
+        return JobState(digest.job_id, NO_EPOCH, 0)
+    return JobState(digest.job_id, digest.epoch, version_of(digest.results, digest.ended))
 
 
 def state_to_message(state: JobState) -> JobDigest:
     """Encode a state; the end marker counts as part of ``results``, only the length matters."""
-    return JobDigest(job_id=state.job_id, epoch=state.epoch, results=state.version - 1)
+    return JobDigest(job_id=state.job_id, epoch=state.epoch, results=max(0, state.version - 1))
--- a/src/wharfcart/storage/replica_session.py
+++ b/src/wharfcart/storage/replica_session.py
@@ -162,10 +162,28 @@
         self._sent_offsets.forget(mismatches.text_items)
         self.confirmed_at = sent_at
         self._log_recovery()
-        self._leadership.record_written(self.identity, updates)
+        self._handle_mismatched_jobs(mismatches.jobs)
+        refused = {state.job_id for state in mismatches.jobs}
+        written = [update for update in updates if update.job_id not in refused]
+        self._leadership.record_written(self.identity, written)
         if updates:
             self._on_progress()
 
+    def _handle_mismatched_jobs(self, states: Sequence[JobState]) -> None:
+        """Send what the replica lacks of jobs whose updates it refused."""
+        if not states:
+            return
+        self._leadership.record_mismatches(self.identity, states)
+        self._log.write(
+            Event.JOB_COPY_MISMATCH,
+            replica=self.identity,
+            epoch=self._leadership.epoch,
+            jobs=len(states),
+            job_id=states[0].job_id,
+            held_epoch=states[0].epoch,
+            held_version=states[0].version,
+        )
+
     def _handle_missed_heartbeat(self) -> None:
         """Retry at once, before the replica's election timeout expires.
 
--- a/src/wharfcart/storage/replicated_job.py
+++ b/src/wharfcart/storage/replicated_job.py
@@ -11,6 +11,9 @@
 from wharfcart.cluster.messages_pb2 import ItemOutcome, JobUpdate, RequestJob
 from wharfcart.configuration.residence import Residence, residence_from_message
 
+# No leader has this epoch; a replica that lacks a job reports it with this epoch.
+NO_EPOCH = 0
+
 
 @dataclass
 class ReplicatedJob:
@@ -44,7 +47,7 @@
     @property
     def version(self) -> int:
         """Length of the history: the acceptance, each result and the end count one each."""
-        return 1 + len(self.results) + int(self.ended)
+        return version_of(len(self.results), self.ended)
 
     @property
     def is_complete(self) -> bool:
@@ -64,8 +67,13 @@
         self.ended = True
         self.waiting_tokens = 0
 
-    def update_since(self, version: int) -> JobUpdate:
-        """Return the part of the history after a version; 0 returns all of it."""
+    def update_since(self, version: int, base_epoch: int) -> JobUpdate:
+        """Return the part of the history after a version; 0 returns all of it.
+
+        Args:
+            version: version of the state to extend.
+            base_epoch: epoch of that state on the replica.
+        """
         first = min(max(0, version - 1), len(self.results))
         return JobUpdate(
             job_id=self.job.job_id,
@@ -74,6 +82,7 @@
             from_result=first,
             results=self.results[first:],
             ended=self.ended,
+            base_epoch=base_epoch if version else NO_EPOCH,
         )
 
 
@@ -86,6 +95,16 @@
     version: int
 
 
+def version_of(results: int, ended: bool) -> int:
+    """Return the length of a history with some results and possibly an end."""
+    return 1 + results + int(ended)
+
+
+def version_after(update: JobUpdate) -> int:
+    """Return the version that a replica has once it wrote an update."""
+    return version_of(update.from_result + len(update.results), update.ended)
+
+
 def job_from_update(update: JobUpdate) -> ReplicatedJob:
     """Build a job from an update with its complete history."""
     return ReplicatedJob(update.job, update.epoch, list(update.results), update.ended)
--- a/tests/storage/test_job_group.py
+++ b/tests/storage/test_job_group.py
@@ -17,6 +17,8 @@
     OUTSIDE_RESIDENCE,
     UNSURE,
     EndJob,
+    Frame,
+    ItemOutcome,
     ReadResults,
     RequestItem,
     RequestJob,
@@ -122,6 +124,17 @@
         )
         assert (await leader.service.submit(SubmitJob(job=job))).status == DONE
 
+    def append_results(self, job_id: str, *item_ids: str) -> None:
+        """Append results of items at the leader."""
+        leader = self.leader
+        assert leader is not None and leader.group is not None
+        leadership = leader.group.leadership
+        assert leadership is not None
+        for item_id in item_ids:
+            outcome = ItemOutcome(item_id=item_id, succeeded=True, text=item_id.encode())
+            assert leadership.append_result(job_id, outcome)
+        leader.group.wake_sessions()
+
     async def readable_now(self, job_id: str) -> bool:
         """Whether the leader has a job committed."""
         leader = await self.until_led()
@@ -985,3 +998,62 @@
         if run != previous_run:
             assert int(asked_after) == number, f"joined at {number}: {texts}"
         previous_run = run
+
+
+def test_an_update_that_arrives_late_takes_no_result_away() -> None:
+    """Guards against the loss of a result that was read, after a message of before a cut arrives.
+
+    The late message is of the current epoch. Each copy then claims what it holds, so that the next
+    leader gets every result.
+    """
+
+    async def scenario() -> None:
+        fleet = Fleet()
+        await fleet.start()
+        await fleet.submit("a")
+        leader = await fleet.until_led()
+        replicas = [node for node in fleet.nodes.values() if node is not leader]
+        recorded = [record_calls(node) for node in replicas]
+        fleet.append_results("a", "a-0")
+        await asyncio.sleep(0.3)
+        updates = [first_update_with_results(frames) for frames in recorded]
+        fleet.append_results("a", "a-1")
+        assert leader.service is not None
+        assert (await leader.service.cancel(EndJob(job_id="a"))).status == DONE
+        await asyncio.sleep(0.3)
+        for node, update in zip(replicas, updates, strict=True):
+            await node.handle_call(update)
+        assert (await leader.service.cancel(EndJob(job_id="a"))).status == DONE
+        await asyncio.sleep(0.3)
+        for node in replicas:
+            (state,) = node.disk.database.job_states(0)
+            (held,) = node.disk.database.load_jobs(["a"])
+            assert state.version == 1 + len(held.results) + int(held.ended)
+        leader.kill()
+        await asyncio.sleep(1.0)
+        assert await fleet.readable("a")
+        new_leader = await fleet.until_led(4.0)
+        assert new_leader.service is not None
+        page = await new_leader.service.read_results(ReadResults(job_id="a"))
+        assert [result.item_id for result in page.results] == ["a-0", "a-1"]
+
+    run_scenario(scenario)
+
+
+def record_calls(node: SimulatedNode) -> list[Frame]:
+    """Record the calls that a node receives from now on."""
+    frames: list[Frame] = []
+    handle_call = node.handle_call
+
+    async def record_and_handle(frame: Frame) -> Frame | None:
+        frames.append(frame)
+        return await handle_call(frame)
+
+    node.handle_call = record_and_handle  # type: ignore[method-assign]
+    return frames
+
+
+def first_update_with_results(frames: list[Frame]) -> Frame:
+    return next(
+        frame for frame in frames if any(update.results for update in frame.replicate_jobs.updates)
+    )
