Job group: a replica admits each message of the current session once and in order

Change: a leader numbers its sessions with a replica in an epoch and the messages in each; a promise begins a session, before the states are read. A replica writes nothing of another session or of a lower number: replication_refused is logged, and the leader obtains another promise. A handler that is cancelled with its connection may still write: calls of a disk run in order, so what was admitted before a promise is in the states that it tells.

--- a/src/wharfcart/observability/decisions.py
+++ b/src/wharfcart/observability/decisions.py
@@ -70,6 +70,7 @@
     TOLERANCE_SHORT = "tolerance_short"
     REPLICA_SYNCED = "replica_synced"
     REPLICA_FAILED = "replica_failed"
+    REPLICATION_REFUSED = "replication_refused"
     JOB_COPY_MISMATCH = "job_copy_mismatch"
     PARTIAL_TEXTS_LOADED = "partial_texts_loaded"
     PARTIAL_TEXT_MISMATCH = "partial_text_mismatch"
--- a/src/wharfcart/storage/job_group.py
+++ b/src/wharfcart/storage/job_group.py
@@ -30,6 +30,7 @@
 from wharfcart.storage.group_record_store import GroupRecordStore
 from wharfcart.storage.job_leadership import JobLeadership
 from wharfcart.storage.job_residence import may_join_group
+from wharfcart.storage.message_order import FIRST_SESSION, MessageNumber, MessageOrder
 from wharfcart.storage.partial_texts import PartialTexts, SentOffsets, TextMismatch
 from wharfcart.storage.replica_links import (
     LocalReplicaLink,
@@ -83,8 +84,10 @@
         self.may_have_successor = False
         self._progress = asyncio.Event()
         self.partial_texts = PartialTexts()
+        self._message_order = MessageOrder()
         self.leadership: JobLeadership | None = None
         self.sessions: dict[str, ReplicaSession] = {}
+        self._next_session_by_identity: dict[str, int] = {}
         self._session_tasks: dict[str, asyncio.Task[None]] = {}
         self.on_leadership_gained: Callable[[], None] = lambda: None
         self.on_leadership_lost: Callable[[], None] = lambda: None
@@ -231,6 +234,8 @@
                 return FenceResult(granted=False, epoch=0)
             if not await disk.promise_epoch(self.group, message.epoch):
                 return FenceResult(granted=False, epoch=await disk.promised_epoch(self.group))
+            # Before the states are read: no message of an earlier session changes them any more.
+            self._message_order.begin_session(message.epoch, message.session)
             states = await disk.job_states(self.group)
         except DiskFailedError:
             return FenceResult(granted=False, epoch=0)
@@ -245,6 +250,10 @@
         try:
             if message.target != self._context.identity:
                 return ReplicateResult(accepted=False, epoch=0)
+            number = MessageNumber(message.session, message.sequence)
+            if not self._message_order.admit(message.epoch, number):
+                self._log_refused_message(message)
+                return ReplicateResult(accepted=False, epoch=await disk.promised_epoch(self.group))
             applied = await disk.apply_updates(self.group, message.epoch, list(message.updates))
             if applied is None:
                 return ReplicateResult(accepted=False, epoch=await disk.promised_epoch(self.group))
@@ -259,6 +268,18 @@
             mismatched_texts=[mismatch.item_id for mismatch in mismatches],
         )
 
+    def _log_refused_message(self, message: ReplicateJobs) -> None:
+        self._context.log.write(
+            Event.REPLICATION_REFUSED,
+            group=self.group,
+            leader=message.leader,
+            epoch=message.epoch,
+            session=message.session,
+            sequence=message.sequence,
+            updates=len(message.updates),
+            partial_texts=len(message.partial_texts),
+        )
+
     def _apply_partial_texts(self, message: ReplicateJobs) -> list[TextMismatch]:
         """Apply the texts of a leader's message; return the parts that do not extend a copy."""
         if self.leadership is not None:
@@ -480,6 +501,7 @@
         leadership.inherit(newest_jobs)
         self.leadership = leadership
         self.partial_texts.begin_epoch(record.epoch)
+        self._next_session_by_identity = {}
         self.may_have_successor = False
         for identity in sorted(record.members):
             session = self.open_session(identity)
@@ -516,6 +538,7 @@
                 self.notify_progress,
                 lambda epoch: self._step_down(f"epoch {epoch}"),
                 self._context.log,
+                self._next_session_by_identity.get(identity, FIRST_SESSION),
             )
             self.sessions[identity] = session
             self._session_tasks[identity] = self._leader_tasks.spawn(session.run())
@@ -531,7 +554,9 @@
 
     def close_session(self, identity: str) -> None:
         """Close the session with a disk that is no longer a replica."""
-        self.sessions.pop(identity, None)
+        session = self.sessions.pop(identity, None)
+        if session is not None:
+            self._next_session_by_identity[identity] = session.session + 1
         task = self._session_tasks.pop(identity, None)
         if task is not None:
             task.cancel()
--- a/src/wharfcart/storage/replica_links.py
+++ b/src/wharfcart/storage/replica_links.py
@@ -16,6 +16,7 @@
 from wharfcart.cluster.transport import PeerUnreachableError, Transport
 from wharfcart.errors import ServingError
 from wharfcart.storage.disk import Disk, DiskFailedError
+from wharfcart.storage.message_order import MessageNumber
 from wharfcart.storage.replica_session import (
     HigherEpochError,
     Mismatches,
@@ -37,8 +38,8 @@
         """Return True: the replica itself requests the vote."""
         return True
 
-    async def fence(self, epoch: int) -> list[JobState]:
-        """Promise an epoch on the leader's own disk."""
+    async def fence(self, epoch: int, session: int) -> list[JobState]:
+        """Promise an epoch on the leader's own disk, which runs its calls in order."""
         try:
             if not await self._disk.promise_epoch(self._group, epoch):
                 raise HigherEpochError(epoch + 1)
@@ -47,7 +48,11 @@
             raise ReplicaFailedError(str(error)) from error
 
     async def replicate(
-        self, epoch: int, updates: Sequence[JobUpdate], partial_texts: Sequence[PartialText]
+        self,
+        epoch: int,
+        number: MessageNumber,
+        updates: Sequence[JobUpdate],
+        partial_texts: Sequence[PartialText],
     ) -> Mismatches:
         """Write updates; the partial texts are already in the leader's memory."""
         if not updates:
@@ -97,10 +102,14 @@
         message = FenceGroup(group=self._group, target=self._target, ask_only=True)
         return (await self._call(Frame(fence_group=message))).fence_result.granted
 
-    async def fence(self, epoch: int) -> list[JobState]:
+    async def fence(self, epoch: int, session: int) -> list[JobState]:
         """Obtain the replica's promise of an epoch and the states of its jobs."""
         message = FenceGroup(
-            group=self._group, epoch=epoch, leader=self._leader, target=self._target
+            group=self._group,
+            epoch=epoch,
+            leader=self._leader,
+            target=self._target,
+            session=session,
         )
         answer = (await self._call(Frame(fence_group=message))).fence_result
         if not answer.granted:
@@ -108,7 +117,11 @@
         return [state_from_message(digest) for digest in answer.jobs]
 
     async def replicate(
-        self, epoch: int, updates: Sequence[JobUpdate], partial_texts: Sequence[PartialText]
+        self,
+        epoch: int,
+        number: MessageNumber,
+        updates: Sequence[JobUpdate],
+        partial_texts: Sequence[PartialText],
     ) -> Mismatches:
         """Write updates; return once they are on the replica's disk."""
         message = ReplicateJobs(
@@ -118,6 +131,8 @@
             target=self._target,
             updates=updates,
             partial_texts=partial_texts,
+            session=number.session,
+            sequence=number.sequence,
         )
         answer = (await self._call(Frame(replicate_jobs=message))).replicate_result
         if not answer.accepted:
--- a/src/wharfcart/storage/replica_session.py
+++ b/src/wharfcart/storage/replica_session.py
@@ -13,6 +13,7 @@
 from wharfcart.cluster.messages_pb2 import JobUpdate, PartialText
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.storage.job_leadership import JobLeadership
+from wharfcart.storage.message_order import FIRST_SESSION, MessageNumber
 from wharfcart.storage.partial_texts import PartialTexts, SentOffsets
 from wharfcart.storage.replicated_job import JobState
 
@@ -58,12 +59,16 @@
         """Ask whether the replica has no contact with a leader."""
         ...
 
-    async def fence(self, epoch: int) -> list[JobState]:
+    async def fence(self, epoch: int, session: int) -> list[JobState]:
         """Obtain the replica's promise of an epoch and the states of its jobs."""
         ...
 
     async def replicate(
-        self, epoch: int, updates: Sequence[JobUpdate], partial_texts: Sequence[PartialText]
+        self,
+        epoch: int,
+        number: MessageNumber,
+        updates: Sequence[JobUpdate],
+        partial_texts: Sequence[PartialText],
     ) -> Mismatches:
         """Write updates; return once they are on disk. Partial texts are kept in memory."""
         ...
@@ -82,7 +87,18 @@
 
 
 class ReplicaSession:
-    """Keeps one replica up to date during one epoch."""
+    """Keeps one replica up to date during one epoch.
+
+    Args:
+        identity: identity of the replica's disk.
+        link: connection to the replica.
+        leadership: state of the leader.
+        partial_texts: texts of running items that the replica receives.
+        on_progress: called after each promise and each write.
+        on_higher_epoch: called with an epoch that the replica has promised to another leader.
+        log: decision log.
+        first_session: number of the first session; higher than all earlier ones in the epoch.
+    """
 
     def __init__(
         self,
@@ -93,6 +109,7 @@
         on_progress: Callable[[], None],
         on_higher_epoch: Callable[[int], None],
         log: DecisionLog,
+        first_session: int = FIRST_SESSION,
     ) -> None:
         self.identity = identity
         self._link = link
@@ -104,10 +121,16 @@
         self._log = log
         self._wake_event = asyncio.Event()
         self._has_promised = False
+        self._last_number = MessageNumber(first_session)
         self._failing = False
         self.confirmed_at = -1e9  # send time of the last message that the replica acknowledged
         self.started_at = monotonic()
 
+    @property
+    def session(self) -> int:
+        """Number of the current session in the epoch."""
+        return self._last_number.session
+
     def wake(self) -> None:
         """Signal that there may be updates to write."""
         self._wake_event.set()
@@ -133,6 +156,7 @@
             except ReplicaFailedError as error:
                 self._log_failure(str(error))
                 self._has_promised = False
+                self._last_number = self._last_number.next_session()
                 self._sent_offsets = SentOffsets()
                 self._leadership.remove_replica(self.identity)
                 await asyncio.sleep(RETRY_DELAY_S)
@@ -141,7 +165,7 @@
         epoch = self._leadership.epoch
         sent_at = monotonic()
         if not self._has_promised:
-            self.record_promise(await self._link.fence(epoch), sent_at)
+            self.record_promise(await self._link.fence(epoch, self._last_number.session), sent_at)
             self._on_progress()
             return
         self._wake_event.clear()
@@ -155,7 +179,8 @@
         timeout_s = None if updates else HEARTBEAT_TIMEOUT_S + self._link.round_trip_s()
         try:
             async with asyncio.timeout(timeout_s):
-                mismatches = await self._link.replicate(epoch, updates, texts)
+                self._last_number = self._last_number.next_message()
+                mismatches = await self._link.replicate(epoch, self._last_number, updates, texts)
         except TimeoutError:
             self._handle_missed_heartbeat()
             return
--- a/src/wharfcart/storage/takeover.py
+++ b/src/wharfcart/storage/takeover.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from wharfcart.storage.group_record import GroupRecord
+from wharfcart.storage.message_order import FIRST_SESSION
 from wharfcart.storage.replica_session import HigherEpochError, ReplicaFailedError, ReplicaLink
 from wharfcart.storage.replicated_job import JobState, ReplicatedJob, job_from_update
 
@@ -42,7 +43,9 @@
         """
         try:
             own = self._link_to(self._identity)
-            self.states_by_identity[self._identity] = await own.fence(self._record.epoch)
+            self.states_by_identity[self._identity] = await own.fence(
+                self._record.epoch, FIRST_SESSION
+            )
         except (ReplicaFailedError, HigherEpochError):
             return False
         while len(self.states_by_identity) < self._required_promises:
@@ -82,7 +85,9 @@
     async def _request_missing_promises(self) -> None:
         """Request promises from the remaining replicas; stop once there are enough."""
         calls = {
-            asyncio.create_task(self._link_to(identity).fence(self._record.epoch)): identity
+            asyncio.create_task(
+                self._link_to(identity).fence(self._record.epoch, FIRST_SESSION)
+            ): identity
             for identity in sorted(self._record.members - self.states_by_identity.keys())
         }
         pending = set(calls)
--- a/tests/storage/test_job_database.py
+++ b/tests/storage/test_job_database.py
@@ -14,6 +14,7 @@
     RequestJob,
 )
 from wharfcart.storage.job_database import DATABASE_NAME, CorruptJobError, JobDatabase
+from wharfcart.storage.replicated_job import JobState
 
 # Written by commit cc0e024.
 SAMPLES = Path(__file__).parent / "samples"
@@ -65,6 +66,81 @@
     assert len(loaded.results) == 2
 
 
+def make_step(results: str, epoch: int, base_epoch: int = 0, first: int = 0) -> JobUpdate:
+    """Return an update with one result per character; without a base it is complete."""
+    update = make_update(len(results), first, epoch, whole=not base_epoch)
+    update.base_epoch = base_epoch
+    for result, text in zip(update.results, results, strict=True):
+        result.text = text.encode()
+    return update
+
+
+@pytest.mark.parametrize(
+    ("update", "is_accepted", "results"),
+    [
+        # The copy has "ab" of epoch 2.
+        (make_step("c", 2, 2, first=2), True, "abc"),
+        (make_step("c", 3, 2, first=2), True, "abc"),
+        (make_step("x", 3, 2, first=1), True, "ax"),
+        (make_step("xyz", 3), True, "xyz"),
+        # Late or repeated: the copy holds these results, and more.
+        (make_step("a", 2), True, "ab"),
+        (make_step("ab", 2), True, "ab"),
+        (make_step("", 2), True, "ab"),
+        (make_step("b", 2, 1, first=1), True, "ab"),
+        # Begun in an earlier session of the same epoch.
+        (make_step("bc", 2, 1, first=1), True, "abc"),
+        # Foreign: cut from a copy of another epoch, or with a gap.
+        (make_step("c", 3, 1, first=2), False, "ab"),
+        (make_step("d", 2, 2, first=3), False, "ab"),
+        (make_step("x", 1), False, "ab"),
+        (make_step("x", 1, 1, first=1), False, "ab"),
+    ],
+)
+def test_only_an_update_of_the_same_history_extends_a_job(
+    update: JobUpdate, is_accepted: bool, results: str
+) -> None:
+    """Guards against a copy that lacks results which it claims to hold."""
+    database = JobDatabase(None)
+    database.apply_updates(0, 1, [make_step("a", 1)])
+    database.apply_updates(0, 2, [make_step("ab", 2)])
+    applied = database.apply_updates(0, 3, [update])
+    assert applied is not None
+    assert applied.mismatches == (() if is_accepted else (JobState("j", 2, 3),))
+    (held,) = database.load_jobs(["j"])
+    assert b"".join(result.text for result in held.results).decode() == results
+    assert [result.item_id for result in held.results] == [str(n) for n in range(len(results))]
+    (state,) = database.job_states(0)
+    assert state.version == 1 + len(results)
+
+
+def test_a_refused_update_leaves_the_others_of_its_message_written() -> None:
+    database = JobDatabase(None)
+    database.apply_updates(0, 1, [make_step("a", 1)])
+    other = JobUpdate(job_id="k", epoch=1, job=RequestJob(job_id="k"))
+    applied = database.apply_updates(0, 1, [make_step("c", 1, 1, first=2), other])
+    assert applied is not None and applied.mismatches == (JobState("j", 1, 2),)
+    assert [state.job_id for state in database.job_states(0)] == ["j", "k"]
+
+
+def test_an_update_of_a_job_that_is_not_held_is_refused() -> None:
+    """Guards against results without their job, which no restart would show."""
+    database = JobDatabase(None)
+    applied = database.apply_updates(0, 2, [make_step("b", 2, 1, first=1)])
+    assert applied is not None and applied.mismatches == (JobState("j", 0, 0),)
+    assert database.job_states(0) == []
+
+
+def test_a_late_deletion_spares_a_job_that_was_submitted_again() -> None:
+    """Guards against the loss of an accepted job."""
+    database = JobDatabase(None)
+    database.apply_updates(0, 2, [make_step("", 2)])
+    database.apply_updates(0, 2, [JobUpdate(job_id="j", forgotten=True, base_epoch=1)])
+    assert [state.job_id for state in database.job_states(0)] == ["j"]
+    database.apply_updates(0, 2, [JobUpdate(job_id="j", forgotten=True, base_epoch=2)])
+    assert database.job_states(0) == []
+
+
 def test_a_forgotten_job_leaves_nothing(tmp_path: Path) -> None:
     database = JobDatabase(tmp_path)
     database.apply_updates(0, 1, [make_update(3)])
--- a/tests/storage/test_takeover.py
+++ b/tests/storage/test_takeover.py
@@ -16,7 +16,7 @@
         self.states = states
         self.fetch_sizes: list[int] = []
 
-    async def fence(self, epoch: int) -> list[JobState]:
+    async def fence(self, epoch: int, session: int) -> list[JobState]:
         return self.states
 
     async def fetch(self, job_ids: Sequence[str]) -> list[JobUpdate]:
