Job group: a takeover uses what a copy holds, and files of earlier builds are checked once

A file of an earlier format is checked when it is opened: a job's row then claims no more than the results before the first gap, and no end behind them. A new leader compares what it fetches with what the replica reported, ranks the replica by what it holds and fetches the next best. Both write job_claim_corrected; wharfcart_copy_mismatches counts these, refused messages, updates and texts. A file is checked once: later builds keep rows and results together.

Tests: a replica that reports three results and holds one isn't chosen over one that holds two; a file with a gap claims one result and no end, and is not checked again.

--- a/src/wharfcart/node/storage_process.py
+++ b/src/wharfcart/node/storage_process.py
@@ -1,6 +1,7 @@
 """Storage node process: stores batch jobs on disk and, as a group's leader, runs their items."""
 
 import asyncio
+from collections.abc import Sequence
 
 from wharfcart.batch.item_run import ItemRunner
 from wharfcart.batch.job_service import JobGroupService
@@ -24,10 +25,11 @@
 from wharfcart.settings.base import split_endpoint
 from wharfcart.settings.serving import ServingSettings, StorageSettings
 from wharfcart.storage.disk import Disk, DiskFailedError
-from wharfcart.storage.group_context import GroupContext
+from wharfcart.storage.group_context import CopyMismatch, GroupContext
 from wharfcart.storage.job_client import JobClient
 from wharfcart.storage.job_residence import hash_to_group
 from wharfcart.storage.layout_bootstrap import LayoutBootstrap
+from wharfcart.storage.replicated_job import JobState
 
 LAYOUT_POLL_INTERVAL_S = 0.02
 DISK_OPEN_RETRY_S = 0.5
@@ -80,6 +82,7 @@
             self._node.storage_region,
             self._batch_residences,
             self._node.suspension_detector.resumed_at,
+            lambda kind, count: self._node.metrics.copy_mismatches.add(kind.value, count),
         )
         layout_bootstrap = LayoutBootstrap(
             context, LAYOUT_KEY, group_key, self._zones_by_identity, self._node.topology
@@ -128,10 +131,25 @@
     async def _open_disk(self) -> str:
         while True:
             try:
-                return await self._disk.open()
+                identity = await self._disk.open()
             except DiskFailedError as error:
                 self._log.write(Event.DEPENDENCY_LOST, dependency="disk", reason=str(error))
                 await asyncio.sleep(DISK_OPEN_RETRY_S)
+                continue
+            self._log_corrected_claims(identity, self._disk.corrected_claims)
+            return identity
+
+    def _log_corrected_claims(self, identity: str, states: Sequence[JobState]) -> None:
+        if states:
+            self._node.metrics.copy_mismatches.add(CopyMismatch.CLAIM.value, len(states))
+            self._log.write(
+                Event.JOB_CLAIM_CORRECTED,
+                replica=identity,
+                jobs=len(states),
+                job_id=states[0].job_id,
+                held_epoch=states[0].epoch,
+                held_version=states[0].version,
+            )
 
     # ---- views of the fleet ----
 
--- a/src/wharfcart/observability/decisions.py
+++ b/src/wharfcart/observability/decisions.py
@@ -71,6 +71,7 @@
     REPLICA_SYNCED = "replica_synced"
     REPLICA_FAILED = "replica_failed"
     REPLICATION_REFUSED = "replication_refused"
+    JOB_CLAIM_CORRECTED = "job_claim_corrected"
     JOB_COPY_MISMATCH = "job_copy_mismatch"
     PARTIAL_TEXTS_LOADED = "partial_texts_loaded"
     PARTIAL_TEXT_MISMATCH = "partial_text_mismatch"
--- a/src/wharfcart/observability/serving_metrics.py
+++ b/src/wharfcart/observability/serving_metrics.py
@@ -20,9 +20,10 @@
     def __init__(self, counter: PrometheusCounter) -> None:
         self._counter = counter
 
-    def add(self, label: str) -> None:
-        """Count one."""
-        self._counter.labels(label).inc()
+    def add(self, label: str, count: int = 1) -> None:
+        """Add to the counter of a label; 0 adds nothing."""
+        if count:
+            self._counter.labels(label).inc(count)
 
 
 class BoundedCounter:
@@ -143,6 +144,11 @@
         self.requests_waiting = self._gauge(
             "wharfcart_requests_waiting", "Requests that wait for a slot, at the node that grants"
         )
+        self.copy_mismatches = self._counter(
+            "wharfcart_copy_mismatches",
+            "Messages, updates, texts and claims that did not fit a replica's copy",
+            "what",
+        )
         self.replicas_behind = self._gauge(
             "wharfcart_replicas_behind", "Replicas that lack acknowledged state, if leader"
         )
--- a/src/wharfcart/storage/disk.py
+++ b/src/wharfcart/storage/disk.py
@@ -19,12 +19,19 @@
 
 
 class Disk:
-    """A :class:`JobDatabase` whose calls don't block the event loop."""
+    """A :class:`JobDatabase` whose calls don't block the event loop and run in order.
+
+    A call whose caller is cancelled runs all the same.
+
+    Attributes:
+        corrected_claims: see :class:`JobDatabase`; set once the disk is open.
+    """
 
     def __init__(self, folder: Path) -> None:
         self._folder = folder
         self._executor = ThreadPoolExecutor(1, "disk")
         self._database: JobDatabase | None = None
+        self.corrected_claims: Sequence[JobState] = ()
 
     async def open(self) -> str:
         """Open the data folder and return the disk's identity.
@@ -37,6 +44,7 @@
             return JobDatabase(self._folder)
 
         self._database = await self._run_on_writer(open_database)
+        self.corrected_claims = self._database.corrected_claims
         return self._database.identity
 
     async def close(self) -> None:
--- a/src/wharfcart/storage/group_context.py
+++ b/src/wharfcart/storage/group_context.py
@@ -2,6 +2,7 @@
 
 import math
 from collections.abc import Callable, Collection
+from enum import StrEnum
 
 from wharfcart.cluster.address import Address
 from wharfcart.cluster.coordination import CoordinationService
@@ -16,6 +17,22 @@
 from wharfcart.storage.replica_placement import ReplicaPlacement
 
 
+class CopyMismatch(StrEnum):
+    """What did not fit a replica's copy.
+
+    Attributes:
+        MESSAGE: a message that arrived late or twice, or before a promise.
+        JOB: an update that does not extend the job.
+        TEXT: a part that does not extend the partial text.
+        CLAIM: a job of which the replica holds another state than it reported.
+    """
+
+    MESSAGE = "message"
+    JOB = "job"
+    TEXT = "text"
+    CLAIM = "claim"
+
+
 class GroupContext:
     """Resources shared by all groups of a node.
 
@@ -28,6 +45,7 @@
             or of the current layout if None is given.
         region_of: region of a storage node's disk.
         configured_residences: residences in the current configuration that new jobs may have.
+        count_mismatch: counts what was refused since it does not extend a replica's copy.
         resumed_at: monotonic time at which the machine's last suspension ended; -inf if none did.
     """
 
@@ -47,6 +65,7 @@
         region_of: RegionOf = lambda _identity: None,
         configured_residences: Callable[[], Collection[Residence]] = lambda: (),
         resumed_at: Callable[[], float] = lambda: -math.inf,
+        count_mismatch: Callable[[CopyMismatch, int], None] = lambda _kind, _count: None,
     ) -> None:
         self.identity = identity
         self.disk = disk
@@ -62,6 +81,7 @@
         self.region_of = region_of
         self.configured_residences = configured_residences
         self.resumed_at = resumed_at
+        self.count_mismatch = count_mismatch
 
     @property
     def replication_factor(self) -> int:
--- a/src/wharfcart/storage/job_database.py
+++ b/src/wharfcart/storage/job_database.py
@@ -21,6 +21,8 @@
 PAGE_BYTES = 8192
 CACHE_KIB = 2048
 CHECKPOINT_PAGES = 256
+# Files of this format hold every result that a job's row claims.
+CHECKED_FORMAT = 1
 
 _SCHEMA = """
 create table if not exists identity (name text primary key, value text not null);
@@ -38,6 +40,11 @@
   primary key (item_id, from_event)) without rowid;
 create index if not exists running_text_job on running_text (job_id);
 """
+# Jobs with fewer results than their row says.
+_OVERSTATED_JOBS = """
+select job_id, epoch, results from job where results > (
+  select count(*) from result where result.job_id = job.job_id and position < job.results)
+"""
 
 
 class CorruptJobError(Exception):
@@ -71,7 +78,13 @@
 
 
 class JobDatabase:
-    """Database file of one storage node. Every method runs on one writer thread."""
+    """Database file of one storage node. Every method runs on one writer thread.
+
+    Attributes:
+        identity: identity of the disk.
+        corrected_claims: states of jobs whose row claimed more results than the file of an earlier
+            build holds.
+    """
 
     def __init__(
         self, folder: Path | None, new_identity: Callable[[], str] = lambda: uuid.uuid4().hex
@@ -98,6 +111,7 @@
         execute(f"pragma wal_autocheckpoint={CHECKPOINT_PAGES}")
         self._connection.executescript(_SCHEMA)
         self.identity = self._read_identity(new_identity)
+        self.corrected_claims = self._correct_claims_of_earlier_builds()
 
     def close(self) -> None:
         """Close the file."""
@@ -217,6 +231,31 @@
 
     # ---- inner ----
 
+    def _correct_claims_of_earlier_builds(self) -> list[JobState]:
+        """Let rows of jobs claim no more results than are held; return the corrected states.
+
+        Builds before :data:`CHECKED_FORMAT` applied updates that began after a gap.
+        """
+        execute = self._connection.execute
+        (known_format,) = execute("pragma user_version").fetchone()
+        if known_format >= CHECKED_FORMAT:
+            return []
+        states = []
+        execute("begin immediate")
+        for job_id, epoch, claimed in execute(_OVERSTATED_JOBS).fetchall():
+            positions = execute(
+                "select position from result where job_id=? order by position", (job_id,)
+            )
+            held = 0
+            while (row := positions.fetchone()) is not None and row[0] == held < claimed:
+                held += 1
+            execute("delete from result where job_id=? and position>=?", (job_id, held))
+            execute("update job set results=?, ended=0 where job_id=?", (held, job_id))
+            states.append(JobState(job_id, epoch, version_of(held, ended=False)))
+        execute(f"pragma user_version={CHECKED_FORMAT}")
+        execute("commit")
+        return states
+
     def _extends_saved_text(self, part: PartialText) -> bool:
         """Whether a part begins where the saved text of its item ends, in the same epoch."""
         row = self._connection.execute(
--- a/src/wharfcart/storage/job_group.py
+++ b/src/wharfcart/storage/job_group.py
@@ -25,7 +25,7 @@
 from wharfcart.observability.decisions import Event
 from wharfcart.observability.tasks import BackgroundTasks
 from wharfcart.storage.disk import DiskFailedError
-from wharfcart.storage.group_context import GroupContext
+from wharfcart.storage.group_context import CopyMismatch, GroupContext
 from wharfcart.storage.group_record import GroupRecord, RecordInDoubtError
 from wharfcart.storage.group_record_store import GroupRecordStore
 from wharfcart.storage.job_leadership import JobLeadership
@@ -261,6 +261,8 @@
             return ReplicateResult(accepted=False, epoch=0)
         self._record_leader_contact(message.epoch, message.leader)
         mismatches = self._apply_partial_texts(message)
+        self._context.count_mismatch(CopyMismatch.JOB, len(applied.mismatches))
+        self._context.count_mismatch(CopyMismatch.TEXT, len(mismatches))
         return ReplicateResult(
             accepted=True,
             epoch=message.epoch,
@@ -269,6 +271,7 @@
         )
 
     def _log_refused_message(self, message: ReplicateJobs) -> None:
+        self._context.count_mismatch(CopyMismatch.MESSAGE, 1)
         self._context.log.write(
             Event.REPLICATION_REFUSED,
             group=self.group,
@@ -473,8 +476,22 @@
             jobs = await takeover.newest_jobs()
         except ReplicaFailedError:
             return
+        self._log_corrected_claims(takeover)
         self._start_leading(record, jobs, takeover.states_by_identity, started_at)
 
+    def _log_corrected_claims(self, takeover: Takeover) -> None:
+        for identity, states in takeover.corrected_by_identity.items():
+            self._context.count_mismatch(CopyMismatch.CLAIM, len(states))
+            self._context.log.write(
+                Event.JOB_CLAIM_CORRECTED,
+                group=self.group,
+                replica=identity,
+                jobs=len(states),
+                job_id=states[0].job_id,
+                held_epoch=states[0].epoch,
+                held_version=states[0].version,
+            )
+
     def _is_superseded(self, record: GroupRecord) -> bool:
         known = self.record
         return known is not None and known.epoch > record.epoch
--- a/src/wharfcart/storage/takeover.py
+++ b/src/wharfcart/storage/takeover.py
@@ -1,12 +1,12 @@
 """Takeover of a job group: promises of enough replicas, and the newest state of each job."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from wharfcart.storage.group_record import GroupRecord
 from wharfcart.storage.message_order import FIRST_SESSION
 from wharfcart.storage.replica_session import HigherEpochError, ReplicaFailedError, ReplicaLink
-from wharfcart.storage.replicated_job import JobState, ReplicatedJob, job_from_update
+from wharfcart.storage.replicated_job import JobState, ReplicatedJob, job_from_update, state_after
 
 RETRY_DELAY_S = 0.15
 # Keeps each call far below the timeout of a link.
@@ -21,6 +21,10 @@
         identity: identity of the new leader's disk.
         write_quorum: replicas that must have a write before it is committed.
         link_to: link to a replica, including the leader's own disk.
+
+    Attributes:
+        states_by_identity: states of the jobs of each replica that promised.
+        corrected_by_identity: states that a replica holds where it had reported another.
     """
 
     def __init__(
@@ -35,6 +39,7 @@
         self._required_promises = len(record.members) - write_quorum + 1
         self._link_to = link_to
         self.states_by_identity: dict[str, list[JobState]] = {}
+        self.corrected_by_identity: dict[str, list[JobState]] = {}
 
     async def collect_promises(self, is_cancelled: Callable[[], bool]) -> bool:
         """Collect promises of the epoch until there are enough; return False if cancelled.
@@ -59,28 +64,55 @@
     async def newest_jobs(self) -> list[ReplicatedJob]:
         """Return each job in the state with the highest epoch, then the greatest length.
 
+        A replica that holds another state than it reported is ranked by what it holds.
+
         Raises:
             ReplicaFailedError: a replica that has the newest state of a job did not return it.
         """
-        newest: dict[str, tuple[tuple[int, int], str]] = {}
+        jobs: dict[str, ReplicatedJob] = {}
+        while newest := self._newest_states(jobs.keys()):
+            for identity, states in newest.items():
+                for first in range(0, len(states), MAX_JOBS_PER_FETCH):
+                    chunk = states[first : first + MAX_JOBS_PER_FETCH]
+                    jobs |= await self._fetch(identity, chunk)
+        return list(jobs.values())
+
+    def _newest_states(self, fetched: Collection[str]) -> dict[str, list[JobState]]:
+        """Return the newest state of each job that was not fetched yet, by replica."""
+        newest: dict[str, tuple[str, JobState]] = {}
         ordered = sorted(self.states_by_identity, key=lambda identity: identity != self._identity)
         for identity in ordered:
             for state in self.states_by_identity[identity]:
-                rank = (state.epoch, state.version)
-                if state.job_id not in newest or rank > newest[state.job_id][0]:
-                    newest[state.job_id] = (rank, identity)
-        records = []
-        for identity in ordered:
-            wanted = [job_id for job_id, (_, holder) in newest.items() if holder == identity]
-            for first in range(0, len(wanted), MAX_JOBS_PER_FETCH):
-                records += await self._fetch(identity, wanted[first : first + MAX_JOBS_PER_FETCH])
-        return records
-
-    async def _fetch(self, identity: str, job_ids: list[str]) -> list[ReplicatedJob]:
-        updates = await self._link_to(identity).fetch(job_ids)
-        if len(updates) != len(job_ids):
+                known = newest.get(state.job_id)
+                if known is None or state.rank > known[1].rank:
+                    newest[state.job_id] = (identity, state)
+        states_by_identity: dict[str, list[JobState]] = {}
+        for job_id, (identity, state) in newest.items():
+            if job_id not in fetched:
+                states_by_identity.setdefault(identity, []).append(state)
+        return states_by_identity
+
+    async def _fetch(self, identity: str, states: list[JobState]) -> dict[str, ReplicatedJob]:
+        """Fetch jobs; return those whose states are the reported ones, and correct the others."""
+        updates = await self._link_to(identity).fetch([state.job_id for state in states])
+        if len(updates) != len(states):
             raise ReplicaFailedError("a job is missing")
-        return [job_from_update(update) for update in updates]
+        held = {update.job_id: state_after(update) for update in updates}
+        corrected = [held[state.job_id] for state in states if held[state.job_id] != state]
+        if corrected:
+            self._correct_claims(identity, corrected)
+        wrong = {state.job_id for state in corrected}
+        return {
+            update.job_id: job_from_update(update)
+            for update in updates
+            if update.job_id not in wrong
+        }
+
+    def _correct_claims(self, identity: str, held: list[JobState]) -> None:
+        self.corrected_by_identity.setdefault(identity, []).extend(held)
+        states = {state.job_id: state for state in self.states_by_identity[identity]}
+        states |= {state.job_id: state for state in held}
+        self.states_by_identity[identity] = list(states.values())
 
     async def _request_missing_promises(self) -> None:
         """Request promises from the remaining replicas; stop once there are enough."""
--- a/tests/storage/test_job_database.py
+++ b/tests/storage/test_job_database.py
@@ -173,6 +173,30 @@
     assert [result.text for result in loaded.results] == [b"text 0"]
 
 
+def test_a_file_that_claims_results_it_lacks_is_corrected_once(tmp_path: Path) -> None:
+    """Guards against copies of earlier builds that are chosen for results which they lack."""
+    database = JobDatabase(tmp_path)
+    database.apply_updates(0, 3, [make_step("abcd", 3)])
+    other = JobUpdate(job_id="k", epoch=2, job=RequestJob(job_id="k"), ended=True)
+    database.apply_updates(0, 3, [other])
+    database.close()
+    with sqlite3.connect(tmp_path / DATABASE_NAME) as connection:
+        connection.execute("delete from result where position=1")
+        connection.execute("update job set ended=1")
+        connection.execute("pragma user_version=0")
+    connection.close()
+    corrected = JobDatabase(tmp_path)
+    assert corrected.corrected_claims == [JobState("j", 3, 2)]
+    assert sorted(corrected.job_states(0), key=lambda state: state.job_id) == [
+        JobState("j", 3, 2),
+        JobState("k", 2, 2),
+    ]
+    (held,) = corrected.load_jobs(["j"])
+    assert [result.text for result in held.results] == [b"a"] and not held.ended
+    corrected.close()
+    assert JobDatabase(tmp_path).corrected_claims == []
+
+
 def make_part(item_id: str, first: int, *texts: str, job_id: str = "j") -> PartialText:
     last = first + len(texts) - 1
     return PartialText(
--- a/tests/storage/test_takeover.py
+++ b/tests/storage/test_takeover.py
@@ -3,12 +3,47 @@
 import asyncio
 from collections.abc import Sequence
 
-from wharfcart.cluster.messages_pb2 import JobUpdate, RequestJob
+from wharfcart.cluster.messages_pb2 import ItemOutcome, JobUpdate, RequestJob
 from wharfcart.storage.group_record import GroupRecord
 from wharfcart.storage.replicated_job import JobState
 from wharfcart.storage.takeover import MAX_JOBS_PER_FETCH, Takeover
 
 
+class OverstatingLink:
+    """A replica that reports more results of its job than it holds."""
+
+    def __init__(self, reported: int, held: int) -> None:
+        self.reported = reported
+        self.held = held
+
+    async def fence(self, epoch: int, session: int) -> list[JobState]:
+        return [JobState("j", 1, 1 + self.reported)]
+
+    async def fetch(self, job_ids: Sequence[str]) -> list[JobUpdate]:
+        results = [ItemOutcome(item_id=str(n)) for n in range(self.held)]
+        return [JobUpdate(job_id="j", epoch=1, job=RequestJob(job_id="j"), results=results)]
+
+
+def test_a_copy_that_reports_more_than_it_holds_is_not_chosen() -> None:
+    """Guards against the loss of a result that another replica holds."""
+    links = {"a": OverstatingLink(3, 1), "b": OverstatingLink(2, 2)}
+    takeover = Takeover(
+        GroupRecord(2, "a", frozenset({"a", "b"})),
+        "a",
+        1,
+        lambda identity: links[identity],  # type: ignore[arg-type,return-value]
+    )
+
+    async def scenario() -> int:
+        assert await takeover.collect_promises(lambda: False)
+        (record,) = await takeover.newest_jobs()
+        return len(record.results)
+
+    assert asyncio.run(scenario()) == 2
+    assert takeover.corrected_by_identity == {"a": [JobState("j", 1, 2)]}
+    assert takeover.states_by_identity["a"] == [JobState("j", 1, 2)]
+
+
 class FakeLink:
     """A replica that has some jobs; records the size of each fetch."""
 
