Idempotency keys: a claim and an outcome name the attempt, and late ones change nothing

What callers would see: a request that may run once runs twice. They are told that it did not run, or a node asks a back end that never had it, and the repeated request starts while the first one runs.

Cause: a gateway may send a request to another back end after a definite "not run". The record's commands named the request only, not its attempt. Class of fault: a difference applied to a base other than the one that it was cut from.

Evidence: test_a_late_claim_does_not_name_an_earlier_back_end and test_a_late_outcome_of_an_earlier_attempt_does_not_end_the_next_one failed on the state machine of before ("ok" in place of "key_known"), as did test_a_look_up_that_asked_an_earlier_back_end_does_not_end_the_next_attempt; found by reading, not seen in a fleet.

Why this works: gateways number the attempts of a request. The state machine refuses a claim of an earlier attempt, or of one whose request has ended, and an outcome other than a response of an earlier attempt; all replicas decide alike, by the order of the log. Attempts of builds that do not number them have 0 and are admitted as before.

--- a/src/wharfcart/gateway/idempotency.py
+++ b/src/wharfcart/gateway/idempotency.py
@@ -135,10 +135,12 @@
         key = keyed.key if keyed.key is not None else keyed.request.request_id
         full_key = _full_key(keyed.service.tenant, key)
         known: KeyRecord | None = None
+        attempt = 0
 
         async def claim(backend: Backend) -> None:
-            nonlocal known
-            known = await self._claim(full_key, keyed, backend)
+            nonlocal attempt, known
+            attempt += 1
+            known = await self._claim(full_key, keyed, backend, attempt)
             if known is not None:
                 raise _KeyExistsError
 
@@ -158,20 +160,21 @@
             return
         except ServingError as error:
             if error.code != "key_conflict":
-                await self._record_failure(full_key, keyed, error)
+                await self._record_failure(full_key, keyed, attempt, error)
             raise
         # Recorded before the caller gets the last part: a later request with the key finds it.
-        await self._record_completion(full_key, keyed.request.request_id, collected)
+        await self._record_completion(full_key, keyed.request.request_id, attempt, collected)
         queue.put_nowait(collected[-1])
 
     async def _claim(
-        self, full_key: str, keyed: IdempotentRequest, backend: Backend
+        self, full_key: str, keyed: IdempotentRequest, backend: Backend, attempt: int
     ) -> KeyRecord | None:
         start = KeyStart(
             key=full_key,
             digest=keyed.digest,
             request_id=keyed.request.request_id,
             target=backend.backend_id,
+            attempt=attempt,
         )
         command = Command(at_ms=now_ms(), key_start=start)
         try:
@@ -187,11 +190,15 @@
         return result.key_record if result.code == "key_known" else None
 
     async def _record_failure(
-        self, full_key: str, keyed: IdempotentRequest, error: ServingError
+        self, full_key: str, keyed: IdempotentRequest, attempt: int, error: ServingError
     ) -> None:
         state = KeyState.UNKNOWN if error.outcome is not Outcome.NOT_RUN else KeyState.NOT_RUN
         finish = KeyFinish(
-            key=full_key, request_id=keyed.request.request_id, state=state, status=error.status
+            key=full_key,
+            request_id=keyed.request.request_id,
+            state=state,
+            status=error.status,
+            attempt=attempt,
         )
         try:
             await self._propose_finish(full_key, finish)
@@ -199,7 +206,7 @@
             logger.warning("outcome of a failed request not recorded", extra={"key": full_key})
 
     async def _record_completion(
-        self, full_key: str, request_id: str, parts: list[BackendPart]
+        self, full_key: str, request_id: str, attempt: int, parts: list[BackendPart]
     ) -> None:
         head = parts[0]
         finish = KeyFinish(
@@ -209,6 +216,7 @@
             status=head.status,
             response=b"".join(part.data for part in parts)[:MAX_STORED_RESPONSE_BYTES],
             content_type=head.headers.get("content-type", "application/json"),
+            attempt=attempt,
         )
         try:
             await self._propose_finish(full_key, finish)
@@ -269,9 +277,14 @@
             logger.info("outcome not resolved", extra={"key": full_key, "cause": str(error)})
             return
         if part is not None:
-            await self._record_completion(full_key, start.request_id, [part])
+            await self._record_completion(full_key, start.request_id, start.attempt, [part])
             return
-        finish = KeyFinish(key=full_key, request_id=start.request_id, state=KeyState.NOT_RUN)
+        finish = KeyFinish(
+            key=full_key,
+            request_id=start.request_id,
+            state=KeyState.NOT_RUN,
+            attempt=start.attempt,
+        )
         await self._propose_finish(full_key, finish)
 
     async def _read_stored(self, full_key: str) -> KeyRecord:
--- a/src/wharfcart/storage/shard_state.py
+++ b/src/wharfcart/storage/shard_state.py
@@ -56,6 +56,10 @@
     CANCELLED = 5
 
 
+# Attempts of builds that do not number them.
+UNNUMBERED_ATTEMPT = 0
+
+
 class KeyState(StrEnum):
     """State of an idempotency key."""
 
@@ -412,10 +416,14 @@
         known = self.keys.get(start.key)
         if known is not None and known.start.digest != start.digest:
             return ProposeResult(code="key_conflict", key_record=known)
+        if known is not None and _is_late_claim(start, known):
+            return ProposeResult(code="key_known", key_record=known)
         if known is not None and known.state != KeyState.NOT_RUN:
             if known.start.request_id != start.request_id or known.state != KeyState.STARTED:
                 return ProposeResult(code="key_known", key_record=known)
-            known.start.target = start.target  # next attempt after a definite "not run"
+            # Next attempt after a definite "not run".
+            known.start.target = start.target
+            known.start.attempt = start.attempt
             self._put(RowKind.KEY, start.key, 0, known.SerializeToString())
             return ProposeResult(code="ok", key_record=known)
         record = KeyRecord(start=start, state=KeyState.STARTED, at_ms=now_ms)
@@ -427,8 +435,9 @@
         record = self.keys.get(finish.key)
         if record is None or record.start.request_id != finish.request_id:
             return ProposeResult(code="key_not_found")
-        if record.state == KeyState.COMPLETED:
+        if record.state == KeyState.COMPLETED or _is_late_outcome(finish, record):
             return ProposeResult(code="key_known", key_record=record)
+        record.start.attempt = max(record.start.attempt, finish.attempt)
         record.state = finish.state
         record.status = finish.status
         record.content_type = finish.content_type
@@ -530,3 +539,18 @@
             if job.cancelled:
                 job.cancel_pending()
         self.applied_index = applied_index
+
+
+def _is_late_claim(start: KeyStart, known: KeyRecord) -> bool:
+    """Whether a claim of the known request was made before what the record says."""
+    if start.request_id != known.start.request_id or start.attempt == UNNUMBERED_ATTEMPT:
+        return False
+    has_ended = known.state == KeyState.NOT_RUN and start.attempt == known.start.attempt
+    return has_ended or start.attempt < known.start.attempt
+
+
+def _is_late_outcome(finish: KeyFinish, record: KeyRecord) -> bool:
+    """Whether an earlier attempt has this outcome; a response counts in any case."""
+    if finish.state == KeyState.COMPLETED or finish.attempt == UNNUMBERED_ATTEMPT:
+        return False
+    return finish.attempt < record.start.attempt
