Resumed streams: events before a gap reach the caller

What callers would see: events are missing in a stream whose back end skipped an event, although the stream was resumed at another one.

Cause: the events of one part were counted as received by the caller while they were collected. If the part also held an event after a gap, the collected ones were dropped, and the next back end was asked to go on after them. Class of fault: an offset that is ahead of what was delivered.

Why this works: the events before the gap are sent to the caller before the connection is given up, so that the position to resume at is what the caller has.

--- a/src/wharfcart/routing/sender.py
+++ b/src/wharfcart/routing/sender.py
@@ -316,12 +316,14 @@
             part = await self._with_timeout(request, progress, connection.read_part())
             if part is None:
                 break
+            is_event_missing = False
             if splitter is not None:
-                part = _complete_new_events(splitter, part, progress)
-            if not part:
-                continue
-            await self._ensure_started(request, sink, progress, head)
-            await sink.send_part(part)
+                part, is_event_missing = _take_new_events(splitter, part, progress)
+            if part:
+                await self._ensure_started(request, sink, progress, head)
+                await sink.send_part(part)
+            if is_event_missing:
+                raise ConnectionBrokenError("an event is missing")
         if splitter is not None and splitter.remainder:
             raise ConnectionBrokenError("ended inside an event")
         await self._ensure_started(request, sink, progress, head)
@@ -382,14 +384,19 @@
         self._request_log.avoided(state, cause, avoid_s)
 
 
-def _complete_new_events(splitter: EventSplitter, data: bytes, progress: RequestProgress) -> bytes:
+def _take_new_events(
+    splitter: EventSplitter, data: bytes, progress: RequestProgress
+) -> tuple[bytes, bool]:
+    """Return the complete events that the caller lacks, and whether one is missing after them."""
     forwarded = []
+    is_event_missing = False
     for event in splitter.feed(data):
         if event.number is not None:
             if progress.last_event is not None and event.number <= progress.last_event:
                 continue
             if progress.last_event is not None and event.number > progress.last_event + 1:
-                raise ConnectionBrokenError("an event is missing")
+                is_event_missing = True
+                break
             progress.last_event = event.number
         forwarded.append(event.raw)
-    return b"".join(forwarded)
+    return b"".join(forwarded), is_event_missing
