Resumed streams: the position that a caller names is checked, like the gateway's own

What callers would see: a caller that comes back with Last-Event-Id gets events that it has, or misses some, if the back end does not begin right after that position. Resumed by the gateway, the same answer is cut to what is new, or asked for at another back end.

Cause: the gateway compared events with the last one that it forwarded itself. Before the first one it had no position, although the caller had named one and the back end was asked to go on after it.

Evidence: test_a_caller_that_resumes_gets_no_event_twice and test_a_caller_that_resumes_misses_no_event failed before.

Why this works: the position of a resumed request is that of the caller until an event was forwarded. A stream without numbered events, or one whose caller names no position, is forwarded as before.

--- a/src/wharfcart/routing/sender.py
+++ b/src/wharfcart/routing/sender.py
@@ -239,9 +239,6 @@
         connection: HttpConnection,
         send_id: int,
     ) -> SendFailure | None:
-        resume_after = progress.last_event
-        if resume_after is None:
-            resume_after = request.facts.resume_after
         connection.send(
             request.method,
             request.target,
@@ -249,7 +246,7 @@
                 request.headers,
                 state.instance.instance_id,
                 request.deadline - monotonic(),
-                resume_after,
+                _last_received_event(request, progress),
                 request.tenant_name,
             ),
             request.body,
@@ -318,7 +315,7 @@
                 break
             is_event_missing = False
             if splitter is not None:
-                part, is_event_missing = _take_new_events(splitter, part, progress)
+                part, is_event_missing = _take_new_events(splitter, part, request, progress)
             if part:
                 await self._ensure_started(request, sink, progress, head)
                 await sink.send_part(part)
@@ -384,19 +381,23 @@
         self._request_log.avoided(state, cause, avoid_s)
 
 
+def _last_received_event(request: CallerRequest, progress: RequestProgress) -> int | None:
+    """Return the number of the last event that the caller has, possibly from an earlier request."""
+    return request.facts.resume_after if progress.last_event is None else progress.last_event
+
+
 def _take_new_events(
-    splitter: EventSplitter, data: bytes, progress: RequestProgress
+    splitter: EventSplitter, data: bytes, request: CallerRequest, progress: RequestProgress
 ) -> tuple[bytes, bool]:
     """Return the complete events that the caller lacks, and whether one is missing after them."""
-    forwarded = []
-    is_event_missing = False
+    forwarded: list[bytes] = []
     for event in splitter.feed(data):
         if event.number is not None:
-            if progress.last_event is not None and event.number <= progress.last_event:
+            last = _last_received_event(request, progress)
+            if last is not None and event.number <= last:
                 continue
-            if progress.last_event is not None and event.number > progress.last_event + 1:
-                is_event_missing = True
-                break
+            if last is not None and event.number > last + 1:
+                return b"".join(forwarded), True
             progress.last_event = event.number
         forwarded.append(event.raw)
-    return b"".join(forwarded), is_event_missing
+    return b"".join(forwarded), False
--- a/tests/routing/test_resumed_streams.py
+++ b/tests/routing/test_resumed_streams.py
@@ -135,3 +135,17 @@
     received, resumed_after = forward([[stream(0, 1), event(2)[:-1]], [stream(0, 1, 2, 3)]])
     assert received == stream(0, 1, 2, 3)
     assert resumed_after == [None, "1"]
+
+
+def test_a_caller_that_resumes_gets_no_event_twice() -> None:
+    """Guards against repeated events: a back end may begin before the caller's position."""
+    received, resumed_after = forward([[stream(0, 1, 2, 3)]], resume_after=1)
+    assert received == stream(2, 3)
+    assert resumed_after == ["1"]
+
+
+def test_a_caller_that_resumes_misses_no_event() -> None:
+    """Guards against lost events: a back end may begin after the caller's position."""
+    received, resumed_after = forward([[stream(4, 5)], [stream(2, 3, 4, 5)]], resume_after=1)
+    assert received == stream(2, 3, 4, 5)
+    assert resumed_after == ["1", "1"]
