Poison requests: evidence found while a write is in progress is written, too

What callers would see: a request that crashes back ends goes on crashing them from other nodes, as the evidence of one node never reaches the others.

Cause: a node takes its unpublished evidence, writes it, and then marks the fingerprints as published, not what it wrote. A crash that it saw meanwhile, usual for a request that is sent again at once, was marked as published without being in the write. Class of fault: an acknowledgement applied to a state other than the one that was sent.

Evidence: test_evidence_found_during_a_write_is_written_next failed before (the other node knows one crash of two).

Why this works: a fingerprint counts as published only if the evidence that was written covers all that the node has.

--- a/src/wharfcart/admission/poison_requests.py
+++ b/src/wharfcart/admission/poison_requests.py
@@ -273,9 +273,11 @@
             for fingerprint in sorted(self._unpublished)[:limit]
         }
 
-    def mark_published(self, fingerprints: Iterable[RequestFingerprint]) -> None:
-        """Record that the evidence of some fingerprints was published."""
-        self._unpublished.difference_update(fingerprints)
+    def mark_published(self, published: Mapping[RequestFingerprint, PoisonEvidence]) -> None:
+        """Record published evidence; what was found since it was taken remains unpublished."""
+        for fingerprint, evidence in published.items():
+            if evidence.covers(self._local.get(fingerprint, PoisonEvidence())):
+                self._unpublished.discard(fingerprint)
 
     def removable(self, now: float, limit: int) -> list[RequestFingerprint]:
         """Return fingerprints whose shared evidence may be removed: answered or expired."""
--- a/tests/node/test_poison_evidence_sync.py
+++ b/tests/node/test_poison_evidence_sync.py
@@ -5,7 +5,12 @@
 from random import Random
 from time import time
 
-from wharfcart.admission.poison_requests import EVIDENCE_TTL_S, PoisonRequests
+from wharfcart.admission.poison_requests import (
+    EVIDENCE_TTL_S,
+    BackendCrash,
+    PoisonEvidence,
+    PoisonRequests,
+)
 from wharfcart.admission.request_fingerprint import RequestFingerprint
 from wharfcart.cluster.coordination import (
     ChangeBatch,
@@ -18,7 +23,12 @@
 from wharfcart.cluster.mirror import Mirror
 from wharfcart.experiments.virtual_time import run_in_virtual_time
 from wharfcart.node.fleet_keys import POISON_REQUEST_PREFIX
-from wharfcart.node.poison_evidence_sync import PoisonEvidenceSync, record_from, record_to_bytes
+from wharfcart.node.poison_evidence_sync import (
+    PoisonEvidenceSync,
+    crashes_to_message,
+    record_from,
+    record_to_bytes,
+)
 
 FINGERPRINT = RequestFingerprint("c")
 PROPAGATION_S = 0.05
@@ -35,6 +45,7 @@
         self.is_down = False
         self.refused_nodes: set[int] = set()
         self.loses_answers = False
+        self.on_commit: Callable[[], object] = lambda: None
 
     async def commit(self, transaction: Transaction) -> int:
         self.calls += 1
@@ -55,6 +66,8 @@
             asyncio.get_running_loop().call_later(
                 PROPAGATION_S, node.apply_changes, changes, self.revision
             )
+        on_commit, self.on_commit = self.on_commit, lambda: None
+        on_commit()  # as if it happened while the writer awaits the answer
         if self.loses_answers:
             raise CoordinationUnavailableError("no answer", may_have_taken_effect=True)
         return self.revision
@@ -211,3 +224,34 @@
     for value in (None, b"no", b"[]", b'{"a": 1}', b'{"a": ["x", 1]}'):
         assert record_from(value) is None
     assert POISON_REQUEST_PREFIX.endswith("/")
+
+
+def test_evidence_found_during_a_write_is_written_next() -> None:
+    """Guards against evidence that no other node learns: the write in progress lacks it."""
+
+    async def scenario(service: Service) -> None:
+        first, second = Node(service, 1), Node(service, 2)
+        service.on_commit = lambda: first.poison_requests.record_crash(
+            FINGERPRINT, "b", 1.0, time()
+        )
+        first.poison_requests.record_crash(FINGERPRINT, "a", 1.0, time())
+        await asyncio.sleep(5.0)
+        assert second.crashed_instances() == {"a", "b"}
+
+    run_scenario(scenario)
+
+
+def test_late_and_repeated_evidence_of_a_relay_is_written_once() -> None:
+    async def scenario(service: Service) -> None:
+        first, second = Node(service, 1), Node(service, 2)
+        evidence = {FINGERPRINT: PoisonEvidence({"a": BackendCrash(time(), 1.0)})}
+        message = crashes_to_message(evidence)
+        for _ in range(2):
+            first.sync.apply_relayed(message)
+            await asyncio.sleep(0.5)
+        second.sync.apply_relayed(message)
+        await asyncio.sleep(0.5)
+        assert first.crashed_instances() == second.crashed_instances() == {"a"}
+        assert service.calls == 1
+
+    run_scenario(scenario)
