Tenants' limits: a backup coordinator that notices a lost connection late keeps the gateway connected

What callers would see: a tenant's requests are refused for up to 23 s although it is under its limit.

Cause: a gateway that gives up its connection opens another session with the backup coordinator. If the node notices the end of the earlier connection after that, it took the gateway for lost and reserved its busiest window for it, while the gateway's requests counted as well. The granting node compares sessions before it does so; the backup did not.

Why this works: a gateway is lost only with its last session.

--- a/src/wharfcart/slots/service.py
+++ b/src/wharfcart/slots/service.py
@@ -239,7 +239,9 @@
             await respond(Frame(slot_news=SlotNews(refused=True), last=True))
         finally:
             now = monotonic()
-            limits.holder_lost(key.holder, now - self._permit_contact_at.pop(key), now)
+            unresponsive_s = now - self._permit_contact_at.pop(key)
+            if all(other.holder != key.holder for other in self._permit_contact_at):
+                limits.holder_lost(key.holder, unresponsive_s, now)
 
     async def serve_request(self, message: SlotRequest, respond: Respond) -> None:
         """Answer a gateway's slot request; cancelled if the gateway withdraws it."""
--- a/tests/slots/test_tenant_permits.py
+++ b/tests/slots/test_tenant_permits.py
@@ -6,10 +6,17 @@
 
 from tests.slots.network import SETTLE_S, Fleet, Holder, play, request
 from wharfcart.admission.tenant_limits import WINDOW_S
+from wharfcart.cluster.messages_pb2 import (
+    Frame,
+    OpenSlotSession,
+    PermitAnswer,
+    PermitRequest,
+    TenantSend,
+)
 from wharfcart.configuration.serving import RequestLimit
 from wharfcart.routing.placement import OverLimitError, SendResult
 from wharfcart.slots.permits import BACKUP_WAIT_S
-from wharfcart.slots.service import RELAYS_INTERVAL_S
+from wharfcart.slots.service import RELAYS_INTERVAL_S, SlotService
 from wharfcart.slots.session import GRANT_TIMEOUT_S
 
 LIMIT = RequestLimit(4.0, 4.0)
@@ -187,3 +194,54 @@
         assert not refused.value.is_confirmed
 
     play(scenario)
+
+
+class PermitOnlyHolder:
+    """A gateway with sessions at a backup coordinator, one connection each."""
+
+    def __init__(self, service: SlotService) -> None:
+        self._service = service
+
+    def open(self, session: int, sends: int = 0) -> "asyncio.Task[None]":
+        """Open a session; cancelling the task closes its connection at the node."""
+        message = OpenSlotSession(
+            holder="g1",
+            session=session,
+            limits_only=True,
+            sends=[TenantSend(tenant="t", age_ms=0)] * sends,
+        )
+        return asyncio.create_task(self._service.serve_session(message, self._ignore))
+
+    async def permitted(self, session: int, seconds: float) -> int:
+        """Return how many requests are permitted in a time."""
+        answers: list[PermitAnswer] = []
+
+        async def respond(frame: Frame) -> None:
+            answers.append(frame.permit_answer)
+
+        request = PermitRequest(holder="g1", session=session, tenant="t")
+        for _ in range(round(seconds / 0.1)):
+            await self._service.serve_permit(request, respond)
+            await asyncio.sleep(0.1)
+        return sum(answer.permitted for answer in answers)
+
+    async def _ignore(self, _frame: Frame) -> None:
+        return
+
+
+def test_a_connection_lost_late_does_not_reserve_requests_for_a_connected_gateway() -> None:
+    """Guards against refused requests: a backup takes the gateway for lost for 23 s."""
+
+    async def scenario(fleet: Fleet) -> None:
+        fleet.limits["t"] = LIMIT
+        gateway = PermitOnlyHolder(fleet.nodes[1].service)
+        earlier = gateway.open(1)
+        await asyncio.sleep(SETTLE_S)
+        await gateway.permitted(1, 10.0)
+        gateway.open(2)
+        await asyncio.sleep(SETTLE_S)
+        earlier.cancel()
+        await asyncio.sleep(SETTLE_S)
+        assert await gateway.permitted(2, 10.0) >= 10.0 * LIMIT.requests_per_s - 1
+
+    play(scenario)
