Tenants' limits: a permit-only session ends with the coordinator that it was opened with

What callers would see: a tenant's limit is exceeded for a moment after a backup coordinator becomes the granting node.

Cause: permits of sessions for permits only were counted by whatever coordinator the node had. A backup that begins to grant has a new one, which does not know the gateway, and does not yet know whether an earlier granting node still permits requests; until the session closed, up to 0.25 s later, it permitted requests nevertheless.

Evidence: test_a_permit_only_session_ends_with_its_coordinator failed before (a permit of a node whose leadership is not confirmed).

Why this works: a session names its coordinator. One whose coordinator was replaced is answered "unsure", as any other gateway without a session, and its gateway opens a session with the granting node.

--- a/src/wharfcart/slots/service.py
+++ b/src/wharfcart/slots/service.py
@@ -103,6 +103,19 @@
         return unsent
 
 
+@dataclass
+class _PermitOnlySession:
+    """A session for permits only.
+
+    Attributes:
+        limits: the coordinator that counts the gateway's requests.
+        last_contact_at: monotonic time of the gateway's last message.
+    """
+
+    limits: TenantLimitCoordinator
+    last_contact_at: float
+
+
 class SlotService:
     """Grants the slots of one group of back ends while this node leads the job group.
 
@@ -137,7 +150,7 @@
         self._limit_of = limit_of
         self._is_leadership_confirmed = is_leadership_confirmed
         self._limits = TenantLimitCoordinator(limit_of, monotonic())
-        self._permit_contact_at: dict[SessionKey, float] = {}  # permit-only sessions
+        self._permit_only_sessions: dict[SessionKey, _PermitOnlySession] = {}
         self._granter: SlotGranter | None = None
         self._outboxes: dict[SessionKey, _Outbox] = {}
         self._answers: dict[tuple[SessionKey, SlotNumber], asyncio.Future[SlotInstruction]] = {}
@@ -223,11 +236,12 @@
 
     async def _serve_permits_only(self, message: OpenSlotSession, respond: Respond) -> None:
         """Coordinate limits for a gateway that cannot reach the granting node."""
-        if not self._permit_contact_at:
+        sessions = self._permit_only_sessions
+        if all(session.limits is not self._limits for session in sessions.values()):
             self._begin_limits()
         key = SessionKey(HolderId(message.holder), message.session)
         limits = self._open_limits(message)
-        self._permit_contact_at[key] = monotonic()
+        session = sessions[key] = _PermitOnlySession(limits, monotonic())
         try:
             while self._limits is limits:
                 now = monotonic()
@@ -239,9 +253,9 @@
             await respond(Frame(slot_news=SlotNews(refused=True), last=True))
         finally:
             now = monotonic()
-            unresponsive_s = now - self._permit_contact_at.pop(key)
-            if all(other.holder != key.holder for other in self._permit_contact_at):
-                limits.holder_lost(key.holder, unresponsive_s, now)
+            del sessions[key]
+            if all(other.holder != key.holder for other in sessions):
+                limits.holder_lost(key.holder, now - session.last_contact_at, now)
 
     async def serve_request(self, message: SlotRequest, respond: Respond) -> None:
         """Answer a gateway's slot request; cancelled if the gateway withdraws it."""
@@ -280,8 +294,9 @@
         """Answer a gateway's request for a permit for one more request of a tenant."""
         key = SessionKey(HolderId(message.holder), message.session)
         grant: SlotGrant | None = SlotGrant(unsure=True)
-        if key in self._permit_contact_at:
-            self._permit_contact_at[key] = monotonic()
+        permit_only = self._permit_only_sessions.get(key)
+        if permit_only is not None and permit_only.limits is self._limits:
+            permit_only.last_contact_at = monotonic()
             grant = self._permit(key, message.tenant, "")
         elif self._granter is not None and self._granter.is_open(key):
             self._record_contact(key)
--- a/tests/slots/test_tenant_permits.py
+++ b/tests/slots/test_tenant_permits.py
@@ -245,3 +245,19 @@
         assert await gateway.permitted(2, 10.0) >= 10.0 * LIMIT.requests_per_s - 1
 
     play(scenario)
+
+
+def test_a_permit_only_session_ends_with_its_coordinator() -> None:
+    """Guards against permits of a new granting node that may not lead yet."""
+
+    async def scenario(fleet: Fleet) -> None:
+        fleet.limits["t"] = LIMIT
+        node = fleet.nodes[1]
+        gateway = PermitOnlyHolder(node.service)
+        gateway.open(1)
+        await asyncio.sleep(SETTLE_S)
+        node.leadership_unconfirmed = True
+        node.service.begin(2)
+        assert await gateway.permitted(1, 0.1) == 0
+
+    play(scenario)
