Soak: events name their run, and a text that joins runs at a wrong event is a violation

Change: the emulated server writes into each event the number of its run and the Last-Event-ID that the run was requested with. A stream or a result's text must hold each event once, in order, and go on after event n only with a run that was requested with Last-Event-ID n. test_serving_fleet compared with a fixed text; it uses the same check, of every result instead of one.

--- a/src/wharfcart/emulator/model_server.py
+++ b/src/wharfcart/emulator/model_server.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import itertools
 from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -12,6 +13,7 @@
 from aiohttp import web
 
 from wharfcart.emulator.faults import FaultSwitch, drop_connection
+from wharfcart.emulator.stream_events import StreamEvent
 from wharfcart.emulator.web_server import WebServer
 from wharfcart.platform import names
 
@@ -21,6 +23,12 @@
 # Requests per second above which a cold server fails: its rate times the factor, plus the burst.
 COLD_RATE_FACTOR = 1.5
 COLD_BURST_REQUESTS = 5.0
+# A body with this prefix is streamed more slowly by this factor.
+SLOW_BODY_PREFIX = b"slow "
+SLOW_FACTOR = 8
+
+# Runs are numbered across servers, also those that return under the id of another one.
+_run_numbers = itertools.count(1)
 
 
 @dataclass(frozen=True)
@@ -32,6 +40,7 @@
         run_at: monotonic time of the start.
         tenant: tenant in the request's header.
         api_key: caller's API key, which a gateway must not forward; empty if absent.
+        number: number of the run, which differs from those of all other runs.
     """
 
     request_id: str
@@ -40,6 +49,7 @@
     run_at: float = 0.0
     tenant: str = ""
     api_key: str = ""
+    number: int = 0
 
 
 class ModelServer:
@@ -172,9 +182,9 @@
         deadline_ms = int(request.headers.get(names.DEADLINE_MS, "0"))
         tenant = request.headers.get(names.TENANT, "")
         api_key = request.headers.get(names.AUTHORIZATION, "")
-        self.runs.append(
-            RunRecord(request_id, first_event, deadline_ms, monotonic(), tenant, api_key)
-        )
+        number = next(_run_numbers)
+        run = RunRecord(request_id, first_event, deadline_ms, monotonic(), tenant, api_key, number)
+        self.runs.append(run)
         if body in self.poison_bodies and not self.events_before_crash:
             await self._crash(body)
         if self.failure_status is not None:
@@ -193,28 +203,32 @@
             return web.Response(
                 body=f"answer to {request_id}", headers=self._response_headers(request_id)
             )
-        return await self._stream(request, request_id, first_event, body)
+        return await self._stream(request, run, body)
 
     async def _stream(
-        self, request: web.Request, request_id: str, first_event: int, body: bytes
+        self, request: web.Request, run: RunRecord, body: bytes
     ) -> web.StreamResponse:
         response = web.StreamResponse(
-            headers=self._response_headers(request_id) | {"Content-Type": STREAM_CONTENT_TYPE}
+            headers=self._response_headers(run.request_id) | {"Content-Type": STREAM_CONTENT_TYPE}
         )
         cut_after = (
-            (first_event + self._event_count) // 2 if self.switch.consume_stream_cut() else None
+            (run.first_event + self._event_count) // 2 if self.switch.consume_stream_cut() else None
         )
+        interval_s = self._event_interval_s
+        if body.startswith(SLOW_BODY_PREFIX):
+            interval_s *= SLOW_FACTOR
         await response.prepare(request)
-        for number in range(first_event, self._event_count):
-            await asyncio.sleep(self._event_interval_s)
-            if body in self.poison_bodies and number == first_event + self.events_before_crash:
+        for number in range(run.first_event, self._event_count):
+            await asyncio.sleep(interval_s)
+            if body in self.poison_bodies and number == run.first_event + self.events_before_crash:
                 await self._crash(body)
             if number == cut_after:
                 await response.write(f"id: {number}\ndata: half an ev".encode())
                 drop_connection(request)
-            await response.write(f"id: {number}\ndata: {request_id}-{number}\n\n".encode())
+            event = StreamEvent(run.request_id, number, run.number, run.first_event - 1)
+            await response.write(event.server_sent)
         await response.write_eof()
-        self.finished_by_id[request_id] += 1
+        self.finished_by_id[run.request_id] += 1
         return response
 
     async def _crash(self, body: bytes) -> None:
--- a/src/wharfcart/soak/invariants.py
+++ b/src/wharfcart/soak/invariants.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from wharfcart.emulator.model_server import ModelServer, RunRecord
+from wharfcart.emulator.stream_events import find_stream_faults, find_text_faults
 from wharfcart.soak.history import (
     EvacuationRecord,
     JobRecord,
@@ -121,8 +122,8 @@
 def _check_request(record: RequestRecord, run_counts: Counter[str]) -> Iterator[str]:
     label = record.request_id
     run_count = run_counts[label]
-    if record.status == 200 and record.body != _expected_body(record):
-        yield f"{label}: response is truncated or of another request: {record.body[:60]!r}"
+    if record.status == 200:
+        yield from (f"{label}: {fault}" for fault in _check_body(record))
     if record.status in NOT_RUN_STATUSES and run_count:
         yield f"{label}: refused with {record.status}, but ran {run_count} times"
     max_runs = MAX_RUNS_BY_KIND.get(record.kind, 1)
@@ -158,13 +159,12 @@
         )
 
 
-def _expected_body(record: RequestRecord) -> bytes:
-    if record.kind in (RequestKind.REPEATABLE, RequestKind.AT_MOST_ONCE):
-        return f"answer to {record.request_id}".encode()
-    return b"".join(
-        f"id: {number}\ndata: {record.request_id}-{number}\n\n".encode()
-        for number in range(EVENTS_PER_STREAM)
-    )
+def _check_body(record: RequestRecord) -> list[str]:
+    if record.kind in (RequestKind.STREAM, RequestKind.RESUMABLE):
+        return find_stream_faults(record.request_id, record.body, EVENTS_PER_STREAM)
+    if record.body != f"answer to {record.request_id}".encode():
+        return [f"response is truncated or of another request: {record.body[:60]!r}"]
+    return []
 
 
 def _check_job(job: JobRecord, run_counts: Counter[str]) -> Iterator[str]:
@@ -197,8 +197,9 @@
             f"{label}: {item} has no result" for item in item_ids if item not in result_counts
         )
     for item, state, text in job.results.values():
-        if state == "succeeded" and text != _expected_text(item):
-            yield f"{label}: text of {item} is truncated or wrong: {text[:60]!r}"
+        if state == "succeeded":
+            faults = find_text_faults(item, text, EVENTS_PER_STREAM)
+            yield from (f"{label}: text of {item}: {fault}" for fault in faults)
         if state != "succeeded" and job.cancelled_at is None:
             yield f"{label}: {item} failed"
 
@@ -215,7 +216,3 @@
                 f"{job.job_id}: cancelled at {job.cancelled_at:.2f} s, "
                 f"an item started at {ran_at:.2f} s"
             )
-
-
-def _expected_text(item: str) -> str:
-    return "\n".join(f"{item}-{number}" for number in range(EVENTS_PER_STREAM))
--- a/tests/integration/test_serving_fleet.py
+++ b/tests/integration/test_serving_fleet.py
@@ -11,6 +11,7 @@
 import pytest
 
 from wharfcart.emulator.operator_documents import example_tenant
+from wharfcart.emulator.stream_events import find_stream_faults, find_text_faults
 from wharfcart.experiments.serving_fleet import HOST, PLAIN_SERVICE, STREAM_SERVICE, ServingFleet
 from wharfcart.platform import names
 
@@ -32,8 +33,9 @@
     asyncio.run(run())
 
 
-def whole_stream(request_id: str, events: int = 12) -> bytes:
-    return b"".join(f"id: {n}\ndata: {request_id}-{n}\n\n".encode() for n in range(events))
+def assert_whole_stream(status: int, body: bytes, request_id: str) -> None:
+    assert status == 200
+    assert find_stream_faults(request_id, body, 12) == []
 
 
 def submission(job_id: str, items: int) -> bytes:
@@ -80,7 +82,7 @@
         assert (status, body) == (200, b"answer to r1")
         assert headers["x-response-stamp"].startswith("stamp-")
         status, body, _ = await fleet.request(1, "/chat/x", "r2")
-        assert (status, body) == (200, whole_stream("r2"))
+        assert_whole_stream(status, body, "r2")
         status, _, _ = await fleet.request(0, "/none/x", "r3")
         assert status == 404
         assert await submit(fleet, "job1", 5) == 202
@@ -88,8 +90,8 @@
         results = await all_results(fleet, "job1", 5)
         assert {result["id"] for result in results} == {f"job1-{n}" for n in range(5)}
         assert all(result["state"] == "succeeded" for result in results)
-        text = "\n".join(f"job1-0-{n}" for n in range(12))
-        assert text in {result["message"] for result in results}
+        for result in results:
+            assert find_text_faults(result["id"], result["message"], 12) == []
         status, page = await read_page(fleet, "job1", after=2, gateway=1)
         assert page["results"] == results[2:] and page["total"] == 5
 
@@ -175,7 +177,7 @@
         stamps = {}
         for number in range(8):
             status, body, headers = await fleet.request(0, "/read/x", f"r{number}")
-            assert (status, body) == (200, whole_stream(f"r{number}"))
+            assert_whole_stream(status, body, f"r{number}")
             stamps[f"r{number}"] = headers["x-response-stamp"]
         runs = [(run, server.instance_id) for server in fleet.stream_servers for run in server.runs]
         first_runs = {run.request_id: name for run, name in runs if run.first_event == 0}
@@ -241,7 +243,7 @@
             server.is_unresponsive = True
         for number in range(3):
             status, body, _ = await fleet.request(0, "/read/x", f"r{number}")
-            assert (status, body) == (200, whole_stream(f"r{number}"))
+            assert_whole_stream(status, body, f"r{number}")
 
     run_scenario(scenario)
 
@@ -280,7 +282,7 @@
         fleet.signal(fleet.gateways[0], signal.SIGTERM)
         for number, task in enumerate(running):
             status, body, _ = await task
-            assert (status, body) == (200, whole_stream(f"r{number}"))
+            assert_whole_stream(status, body, f"r{number}")
         assert not await fleet.is_ready(fleet.gateways[0])
         assert await fleet.wait_for_exit(fleet.gateways[0]) == 0
 
@@ -298,7 +300,7 @@
         results = await all_results(fleet, "job1", 8)
         assert all(result["state"] == "succeeded" for result in results)
         for result in results:
-            assert result["message"] == "\n".join(f"{result['id']}-{n}" for n in range(12))
+            assert find_text_faults(result["id"], result["message"], 12) == []
 
     run_scenario(scenario, event_s=0.2)
 
--- a/tests/soak/test_invariants.py
+++ b/tests/soak/test_invariants.py
@@ -1,6 +1,9 @@
 """Each invariant of the soak, violated in a handwritten history."""
 
+import pytest
+
 from wharfcart.emulator.model_server import ModelServer, RunRecord
+from wharfcart.emulator.stream_events import StreamEvent
 from wharfcart.soak.history import (
     EvacuationRecord,
     JobRecord,
@@ -24,14 +27,47 @@
 )
 
 
+def events_of(request_id: str, *runs: tuple[int, int, int]) -> list[StreamEvent]:
+    """Return events of runs, each given by its first event, its end and its Last-Event-ID."""
+    return [
+        StreamEvent(request_id, number, run_number, last_event_id)
+        for run_number, (first, end, last_event_id) in enumerate(runs)
+        for number in range(first, end)
+    ]
+
+
+def stream_of(request_id: str, *runs: tuple[int, int, int]) -> bytes:
+    return b"".join(event.server_sent for event in events_of(request_id, *runs))
+
+
+def text_of(item: str, *runs: tuple[int, int, int]) -> str:
+    return "\n".join(str(event) for event in events_of(item, *runs))
+
+
 def complete_stream(request_id: str) -> bytes:
-    return b"".join(
-        f"id: {n}\ndata: {request_id}-{n}\n\n".encode() for n in range(EVENTS_PER_STREAM)
-    )
+    return stream_of(request_id, (0, EVENTS_PER_STREAM, -1))
 
 
 def complete_text(item: str) -> str:
-    return "\n".join(f"{item}-{n}" for n in range(EVENTS_PER_STREAM))
+    return text_of(item, (0, EVENTS_PER_STREAM, -1))
+
+
+# Each is a text whose events are not those of consecutive runs.
+WRONG_TEXTS = {
+    "an event is missing at the seam": ((0, 5, -1), (6, 12, 4)),
+    "an event is repeated": ((0, 6, -1), (5, 12, 4)),
+    "the end is missing": ((0, 5, -1), (5, 11, 4)),
+    "the resumed run was requested at another event": ((0, 5, -1), (5, 12, 3)),
+    "the resumed run was requested without Last-Event-ID": ((0, 5, -1), (5, 12, -1)),
+    "the first run was requested with Last-Event-ID": ((0, 12, 3),),
+    "a third run goes on with the wrong event": ((0, 5, -1), (5, 8, 4), (8, 12, 6)),
+}
+
+
+def violations_of_result(text: str) -> list[str]:
+    job = JobRecord("j", 1, [202], accepted_at=1.0, is_readable_at_end=True)
+    job.record_result(0, ("j-0", "succeeded", text), "")
+    return violations_of([], jobs=(job,))
 
 
 def violations_of(
@@ -68,6 +104,31 @@
 
 def test_response_of_another_request_is_a_violation() -> None:
     assert violations_of(["r"], request_record(RequestKind.REPEATABLE, 200, b"answer to q"))
+    assert violations_of(["r"], request_record(RequestKind.STREAM, 200, complete_stream("q")))
+
+
+def test_resumed_text_and_stream_are_no_violation() -> None:
+    runs = ((0, 5, -1), (5, 6, 4), (6, 12, 5))
+    assert violations_of_result(text_of("j-0", *runs)) == []
+    stream = request_record(RequestKind.RESUMABLE, 200, stream_of("r", *runs))
+    assert violations_of(["r"] * 3, stream) == []
+
+
+@pytest.mark.parametrize("runs", WRONG_TEXTS.values(), ids=WRONG_TEXTS.keys())
+def test_wrongly_joined_text_is_a_violation(runs: tuple[tuple[int, int, int], ...]) -> None:
+    """Guards against results and streams that join runs at a wrong event (issue 44)."""
+    assert violations_of_result(text_of("j-0", *runs))
+    stream = request_record(RequestKind.RESUMABLE, 200, stream_of("r", *runs))
+    assert violations_of(["r"], stream)
+
+
+def test_wrong_event_ids_of_a_stream_are_a_violation() -> None:
+    body = complete_stream("r").replace(b"id: 7\n", b"id: 8\n")
+    assert violations_of(["r"], request_record(RequestKind.RESUMABLE, 200, body))
+
+
+def test_text_with_a_broken_event_is_a_violation() -> None:
+    assert violations_of_result(complete_text("j-0").replace("j-0-7 run", "j-0-7"))
 
 
 def test_refused_request_that_ran_is_a_violation() -> None:
