Soak: results are read again from earlier positions, and a later read must hold them

Cause: a job was read until it was complete or cancelled, from its start or its end. A result that a later read lacked was no violation, and few items ran long enough to be resumed after several faults.

Change: jobs are read until the end of the load, also from positions between; a page that ends before what was read before it was requested is a violation, as is another text at a position.

--- a/src/wharfcart/soak/history.py
+++ b/src/wharfcart/soak/history.py
@@ -1,5 +1,6 @@
 """Records of what callers of a soak observed; input of :mod:`.invariants`."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -47,6 +48,7 @@
         denied_at: times at which a node answered that the accepted job does not exist.
         cancelled_at: time at which the cancellation was acknowledged.
         is_readable_at_end: whether every gateway served the job after the last fault.
+        is_slow: whether its items run slowly.
     """
 
     job_id: str
@@ -58,12 +60,34 @@
     denied_at: list[float] = field(default_factory=list)
     cancelled_at: float | None = None
     is_readable_at_end: bool = False
+    is_slow: bool = False
+
+    def record_page(
+        self,
+        after: int,
+        results: Sequence[tuple[str, str, str]],
+        count_before: int,
+        source: str,
+    ) -> None:
+        """Record a page of results, or conflicts with what was read before.
+
+        Args:
+            after: position of the first result.
+            results: the results.
+            count_before: number of results that were known when the page was requested.
+            source: where the page was read.
+        """
+        for offset, result in enumerate(results):
+            self.record_result(after + offset, result, source)
+        end = after + len(results)
+        if end < count_before:
+            self.conflicts.append(f"{count_before} results were read before, then {end} {source}")
 
     def record_result(self, position: int, result: tuple[str, str, str], source: str) -> None:
         """Record the result read at a position, or a conflict if it changed."""
         first = self.results.setdefault(position, result)
         if first != result:
-            self.conflicts.append(f"position {position}: {first[:2]}, then {result[:2]} {source}")
+            self.conflicts.append(f"position {position}: {first}, then {result} {source}")
 
     @property
     def is_complete(self) -> bool:
--- a/src/wharfcart/soak/workload.py
+++ b/src/wharfcart/soak/workload.py
@@ -10,6 +10,7 @@
 
 import aiohttp
 
+from wharfcart.emulator.model_server import SLOW_BODY_PREFIX
 from wharfcart.experiments.serving_fleet import STREAM_SERVICE
 from wharfcart.platform import names
 from wharfcart.soak.fleet import SoakFleet
@@ -24,7 +25,13 @@
 LIMITED_REQUEST_INTERVAL_S = 0.06
 JOB_INTERVAL_S = 1.0
 MAX_ITEMS_PER_JOB = 8
+# Long jobs have results at most times of the load; slow items run during several faults.
+LONG_JOB_PROBABILITY = 0.2
+MAX_ITEMS_PER_LONG_JOB = 40
+SLOW_JOB_PROBABILITY = 0.25
 READ_INTERVAL_S = 0.4
+# Interval of reads of a job that is complete or cancelled.
+LATE_READ_INTERVAL_S = 1.5
 RETRY_INTERVAL_S = 0.3
 MAX_OPEN_CONNECTIONS = 6
 OPEN_CONNECTION_INTERVAL_S = 0.05
@@ -42,6 +49,7 @@
         self.history = SoakHistory()
         self._fleet = fleet
         self._rng = random.Random(f"{seed} load")
+        self._job_rng = random.Random(f"{seed} jobs")
         self._job_tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -143,6 +151,9 @@
         while self.now < load_s:
             number += 1
             job = JobRecord(f"job-{number}", self._rng.randint(1, MAX_ITEMS_PER_JOB))
+            if self._job_rng.random() < LONG_JOB_PROBABILITY:
+                job.item_count = self._job_rng.randint(MAX_ITEMS_PER_JOB, MAX_ITEMS_PER_LONG_JOB)
+            job.is_slow = self._job_rng.random() < SLOW_JOB_PROBABILITY
             self.history.jobs_by_id[job.job_id] = job
             cancels = self._rng.random() < CANCEL_PROBABILITY
             self._job_tasks.add(asyncio.create_task(self._run_job(job, cancels, load_s)))
@@ -153,14 +164,15 @@
         if job.accepted_at is None:
             return
         cancel_at = self.now + self._rng.uniform(0.1, 2.0)
-        while not job.is_complete and self.now < load_s:
-            await self.read_page(
-                job, self._random_gateway(), self._rng.choice([0, len(job.results)])
-            )
+        while self.now < load_s:
+            count = len(job.results)
+            after = self._job_rng.choice([0, self._job_rng.randint(0, count), count])
+            await self.read_page(job, self._random_gateway(), after)
             if cancels and self.now > cancel_at:
                 await self._cancel(job)
-                return
-            await asyncio.sleep(READ_INTERVAL_S)
+                cancels = False
+            is_over = job.is_complete or job.cancelled_at is not None
+            await asyncio.sleep(LATE_READ_INTERVAL_S if is_over else READ_INTERVAL_S)
 
     async def _submit(self, job: JobRecord) -> None:
         body = _submission_body(job)
@@ -197,6 +209,7 @@
     async def read_page(self, job: JobRecord, gateway: int, after: int) -> int | None:
         """Read and record results from position ``after`` on; return the status."""
         path = f"{names.JOB_PATH}{job.job_id}?after={after}"
+        count_before = len(job.results)
         try:
             async with asyncio.timeout(DEADLINE_MS / 1000):
                 status, body, _ = await self._fleet.request(gateway, path, "reader", method="GET")
@@ -209,9 +222,8 @@
         page = json.loads(body)
         if page["total"] != job.item_count:
             job.conflicts.append(f"total {page['total']}, not {job.item_count}")
-        for offset, result in enumerate(page["results"]):
-            entry = (result["id"], result["state"], result["message"])
-            job.record_result(after + offset, entry, f"at gateway {gateway}")
+        results = [(result["id"], result["state"], result["message"]) for result in page["results"]]
+        job.record_page(after, results, count_before, f"at gateway {gateway}")
         return status
 
     # -- routes --------------------------------------------------------
@@ -250,12 +262,13 @@
 
 
 def _submission_body(job: JobRecord) -> bytes:
+    prefix = SLOW_BODY_PREFIX if job.is_slow else b""
     requests: list[dict[str, t.Any]] = [
         {
             "id": item_id(job, number),
             "path": "/jobs/run",
             "headers": {names.MODEL: STREAM_SERVICE},
-            "body": base64.b64encode(f"body {number}".encode()).decode(),
+            "body": base64.b64encode(prefix + f"body {number}".encode()).decode(),
             "tokens": 10,
         }
         for number in range(job.item_count)
--- a/tests/soak/test_invariants.py
+++ b/tests/soak/test_invariants.py
@@ -194,6 +194,29 @@
     assert violations_of([], jobs=(job,))
 
 
+def test_changed_text_of_a_result_is_a_violation() -> None:
+    """Guards against a result that another run of its item replaces after it was read."""
+    job = finished_job()
+    text = text_of("j-0", (0, 5, -1), (5, EVENTS_PER_STREAM, 4))
+    job.record_page(1, [("j-0", "succeeded", text)], 2, "at gateway 1")
+    assert violations_of([], jobs=(job,))
+
+
+def test_result_that_is_lost_after_it_was_read_is_a_violation() -> None:
+    """Guards against copies that lose results by a late message (issue 45)."""
+    job = finished_job()
+    results = [job.results[position] for position in range(2)]
+    job.record_page(0, results, 2, "at gateway 1")
+    job.record_page(2, [], 2, "at gateway 1")
+    job.record_page(0, results[:1], 1, "at gateway 1")  # requested before the second was read
+    assert violations_of([], jobs=(job,)) == []
+    job.record_page(0, results[:1], 2, "at gateway 1")
+    assert violations_of([], jobs=(job,))
+    job = finished_job()
+    job.record_page(1, [], 2, "at gateway 1")
+    assert violations_of([], jobs=(job,))
+
+
 def test_duplicate_or_truncated_result_is_a_violation() -> None:
     job = finished_job()
     job.record_result(2, ("j-0", "succeeded", complete_text("j-0")), "")
