Fault proxy: bytes of given-up connections arrive late, and single peers can be cut off

Cause: a stalled link held back new connections as well as old ones. A proxy stalled all peers of a node alike: a leader that was cut off cut off its followers from each other, too, so that they elected no successor meanwhile.

Change: with the fault late, bytes to the node on the connections that are open wait for its end, and arrive then in their order, up to the end of the connection, also if the sender closed it; connections opened later pass. Nothing arrives after a reset. The end of a connection, too, waits while the link is stalled. Peers are told apart by the process that owns the socket at the other end.

--- a/src/wharfcart/emulator/fault_proxy.py
+++ b/src/wharfcart/emulator/fault_proxy.py
@@ -6,6 +6,8 @@
 
 import asyncio
 import random
+from collections.abc import Callable
+from contextlib import suppress
 from typing import cast
 
 from aiohttp import web
@@ -16,6 +18,10 @@
 from wharfcart.settings.schema import ProxySettings
 
 READ_BUFFER_BYTES = 64 * 1024
+# Reads of a peer's bytes that a stalled connection holds; the peer's kernel holds the rest.
+MAX_HELD_READS = 16
+# Longest pause between the reads of a late connection: lost segments are repeated in turn.
+MAX_LATE_PAUSE_S = 0.02
 Endpoint = tuple[str, int]
 
 
@@ -30,9 +36,44 @@
     delay_seconds: float = Field(default=0.0, ge=0, description="added each way, with jitter")
     datagram_loss: float = Field(default=0.0, ge=0, le=1, description="part of datagrams dropped")
     datagram_repeat: float = Field(default=0.0, ge=0, le=1, description="part sent twice")
+    late: bool = Field(
+        default=False,
+        description="bytes to the node on connections open at the start of the fault arrive at its "
+        "end, also if the peer has closed these and uses others",
+    )
     broken_connections: int = Field(default=0, ge=0, description="so many connections are reset")
 
 
+class _Connection:
+    """A peer's connection to the node.
+
+    Attributes:
+        received: bytes of the peer that the node has not got yet; b"" is the end.
+        has_ended: whether the peer has closed or reset the connection.
+        is_reset: whether the peer has reset it; the network then repeats no lost segment.
+        is_unreachable: whether nothing passes between the peer and the node.
+        is_late: whether bytes to the node wait for the end of the fault.
+        was_late: whether bytes to the node have waited for the end of the fault.
+    """
+
+    def __init__(
+        self, peer_writer: asyncio.StreamWriter, node_writer: asyncio.StreamWriter
+    ) -> None:
+        self.peer_writer = peer_writer
+        self.node_writer = node_writer
+        self.received: asyncio.Queue[bytes] = asyncio.Queue(MAX_HELD_READS)
+        self.has_ended = False
+        self.is_reset = False
+        self.is_unreachable = False
+        self.is_late = False
+        self.was_late = False
+
+    @property
+    def peer(self) -> Endpoint:
+        """Address of the peer."""
+        return cast(Endpoint, self.peer_writer.get_extra_info("peername"))
+
+
 class FaultProxy:
     """Proxy in front of one node."""
 
@@ -43,11 +84,9 @@
         self._random = random.Random(seed)
         self._server: asyncio.Server | None = None
         self._datagram_transport: asyncio.DatagramTransport | None = None
-        self._writers: set[asyncio.StreamWriter] = set()
-        self._forward_open = asyncio.Event()
-        self._reverse_open = asyncio.Event()
-        self._forward_open.set()
-        self._reverse_open.set()
+        self._connections: set[_Connection] = set()
+        self._is_unreachable: Callable[[Endpoint], bool] = _is_never_unreachable
+        self._change = asyncio.Event()  # set and replaced when faults change
 
     async def start(self) -> None:
         """Start to listen on TCP and UDP."""
@@ -64,16 +103,40 @@
             self._server.close()
         if self._datagram_transport is not None:
             self._datagram_transport.close()
-        for writer in list(self._writers):
+        for writer in self._writers():
             writer.close()
 
     def set_faults(self, faults: ProxyFaults) -> None:
         """Replace the faults and apply them to open connections."""
         self.faults = faults
-        _set_event(self._forward_open, not (faults.cut or faults.silent))
-        _set_event(self._reverse_open, not (faults.cut or faults.silent or faults.one_way))
-        for writer in list(self._writers)[: faults.broken_connections]:
+        for connection in self._connections:
+            connection.is_late = faults.late
+            connection.was_late |= faults.late
+        for writer in self._writers()[: faults.broken_connections]:
             writer.transport.abort()
+        self._signal_change()
+
+    def set_unreachable_peers(self, is_unreachable: Callable[[Endpoint], bool]) -> None:
+        """Choose the peers whose connections pass nothing either way, by their address."""
+        self._is_unreachable = is_unreachable
+        for connection in self._connections:
+            connection.is_unreachable = is_unreachable(connection.peer)
+        self._signal_change()
+
+    def clear_unreachable_peers(self) -> None:
+        """Let the node exchange bytes with all peers again."""
+        self.set_unreachable_peers(_is_never_unreachable)
+
+    def _signal_change(self) -> None:
+        self._change.set()
+        self._change = asyncio.Event()
+
+    def _writers(self) -> list[asyncio.StreamWriter]:
+        return [
+            writer
+            for connection in self._connections
+            for writer in (connection.peer_writer, connection.node_writer)
+        ]
 
     # ---- TCP ----
 
@@ -88,31 +151,73 @@
         except OSError:
             writer.transport.abort()
             return
-        pair = (writer, upstream_writer)
-        self._writers.update(pair)
+        connection = _Connection(writer, upstream_writer)
+        connection.is_unreachable = self._is_unreachable(connection.peer)
+        self._connections.add(connection)
         try:
             async with asyncio.TaskGroup() as group:
-                group.create_task(self._copy(reader, upstream_writer, self._forward_open))
-                group.create_task(self._copy(upstream_reader, writer, self._reverse_open))
+                group.create_task(self._receive(reader, connection))
+                group.create_task(self._forward(connection))
+                group.create_task(self._return(upstream_reader, connection))
         except* OSError:
             pass
         finally:
-            self._writers.difference_update(pair)
-            for endpoint_writer in pair:
-                endpoint_writer.close()
+            self._connections.discard(connection)
+            writer.close()
+            upstream_writer.close()
 
-    async def _copy(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, link_open: asyncio.Event
-    ) -> None:
+    async def _receive(self, reader: asyncio.StreamReader, connection: _Connection) -> None:
+        """Read the peer's bytes, so that the end of the connection is seen at once."""
+        try:
+            while data := await reader.read(READ_BUFFER_BYTES):
+                await connection.received.put(data)
+        except OSError:
+            connection.is_reset = True
+        connection.has_ended = True
+        await connection.received.put(b"")
+
+    async def _forward(self, connection: _Connection) -> None:
+        """Pass the peer's bytes and the end of the connection to the node."""
+        while True:
+            data = await connection.received.get()
+            await self._wait_until_open(connection, to_node=True)
+            if connection.is_reset:
+                raise ConnectionResetError
+            if not data:
+                break
+            if connection.was_late:
+                await asyncio.sleep(self._random.uniform(0, MAX_LATE_PAUSE_S))
+            if self.faults.delay_seconds:
+                await asyncio.sleep(self.random_delay_s())
+            connection.node_writer.write(data)
+            await connection.node_writer.drain()
+        connection.node_writer.write_eof()
+
+    async def _return(self, reader: asyncio.StreamReader, connection: _Connection) -> None:
+        """Pass the node's bytes to the peer, until the node ends the connection."""
         while data := await reader.read(READ_BUFFER_BYTES):
-            await link_open.wait()  # a stalled link buffers bytes and keeps both ends open
+            await self._wait_until_open(connection, to_node=False)
+            if connection.has_ended:
+                continue
             if self.faults.delay_seconds:
                 await asyncio.sleep(self.random_delay_s())
-            writer.write(data)
-            await writer.drain()
+            connection.peer_writer.write(data)
+            # The peer may end the connection meanwhile; what it sent before is still in flight.
+            with suppress(OSError):
+                await connection.peer_writer.drain()
         # Ends the task group, which closes both connections.
         raise ConnectionResetError
 
+    async def _wait_until_open(self, connection: _Connection, *, to_node: bool) -> None:
+        """Wait while the link is stalled; it buffers bytes and keeps both ends open."""
+        while self._is_stalled(connection, to_node):
+            await self._change.wait()
+
+    def _is_stalled(self, connection: _Connection, to_node: bool) -> bool:
+        if self.faults.cut or self.faults.silent or connection.is_unreachable:
+            return True
+        return connection.is_late if to_node else self.faults.one_way
+
     # ---- UDP ----
 
     def random_delay_s(self) -> float:
@@ -149,11 +254,8 @@
         return self._datagram_transport
 
 
-def _set_event(event: asyncio.Event, value: bool) -> None:
-    if value:
-        event.set()
-    else:
-        event.clear()
+def _is_never_unreachable(_peer: Endpoint) -> bool:
+    return False
 
 
 def _send_datagram(
--- /dev/null
+++ b/src/wharfcart/soak/peer_processes.py
@@ -0,0 +1,31 @@
+"""Finds the process at the other end of a loopback connection, by Linux's /proc."""
+
+import os
+from pathlib import Path
+
+LOCAL_ADDRESS_COLUMN = 1
+INODE_COLUMN = 9
+
+
+def has_connection_from(pid: int, port: int) -> bool:
+    """Return whether a process has a TCP connection over IPv4 with this local port."""
+    links = {f"socket:[{inode}]" for inode in _inodes_of_port(port)}
+    try:
+        descriptors = list(os.scandir(f"/proc/{pid}/fd"))
+    except OSError:
+        return False  # the process has exited
+    return any(_link_of(descriptor.path) in links for descriptor in descriptors)
+
+
+def _inodes_of_port(port: int) -> set[str]:
+    lines = Path("/proc/net/tcp").read_text(encoding="ascii").splitlines()[1:]
+    suffix = f":{port:04X}"
+    rows = (line.split() for line in lines)
+    return {row[INODE_COLUMN] for row in rows if row[LOCAL_ADDRESS_COLUMN].endswith(suffix)}
+
+
+def _link_of(path: str) -> str:
+    try:
+        return os.readlink(path)
+    except OSError:
+        return ""  # closed meanwhile
