Soak: late messages to a follower, and faults of the leader in series

Change: three runs in five have one of two series in place of the faults of storage nodes close to it: late_messages holds back messages to a follower for 1.2 to 2.3 s and kills the leader soon after they arrived; leader_series cuts the leader off, freezes it before it can be reached again, and kills all storage nodes, which restart in varied order.

--- a/src/wharfcart/soak/faults.py
+++ b/src/wharfcart/soak/faults.py
@@ -22,6 +22,14 @@
 SERIES_SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGTERM, signal.SIGKILL)
 SERIES_PAUSE_S = (0.05, 1.0)  # shortest and longest
 LINK_DELAY_S = 0.15
+# Time in which a leader goes on after late messages have arrived, before it is killed.
+LATE_MESSAGES_PAUSE_S = (0.1, 0.8)
+LEADER_DOWN_S = (0.3, 1.5)
+# Parts of a series' duration, then pauses between restarts; shortest and longest.
+CUT_OFF_PART = (0.2, 0.4)
+FREEZE_PART = (0.1, 0.2)
+RUN_ON_PART = (0.05, 0.35)
+RESTART_PAUSE_S = (0.0, 0.6)
 STORE_DELAY_S = 0.2
 LOST_STORE_WRITES = 3
 LOST_SERVER_RESPONSES = 3
@@ -159,6 +167,80 @@
         return [node for node in self.fleet.stores if node is not self._leader]
 
 
+class LateMessagesFault(Fault):
+    """Holds back what is sent to one follower, while the leader gives up and connects anew.
+
+    After the late messages have arrived the leader is killed, so that another node leads.
+    """
+
+    async def inject(self) -> None:
+        """Hold back the messages on the open connections."""
+        leader = self.fleet.leader()
+        followers = [node for node in self.fleet.stores if node is not leader]
+        follower = self.node if self.node in followers else followers[0]
+        self._proxy = self.fleet.proxies_by_node[follower.node_id]
+        await self.fleet.set_link_faults(self._proxy, late=True)
+
+    async def recover(self) -> None:
+        """Deliver the messages, then kill and restart the leader."""
+        rng = random.Random(str(self.planned))
+        await self.fleet.set_link_faults(self._proxy)
+        await asyncio.sleep(rng.uniform(*LATE_MESSAGES_PAUSE_S))
+        leader = self.fleet.leader()
+        if leader is None:
+            return
+        self.fleet.signal(leader, signal.SIGKILL)
+        await asyncio.sleep(rng.uniform(*LEADER_DOWN_S))
+        self.fleet.restart(leader)
+
+
+class LeaderSeriesFault(Fault):
+    """Cuts the leader off, freezes it, then kills and restarts all storage nodes.
+
+    The leader is frozen before it can be reached again. The nodes restart in any order, often first
+    the one that was cut off, so that another node than the last leader may lead first.
+    """
+
+    async def inject(self) -> None:
+        """Start the series."""
+        self._task = asyncio.create_task(self._run())
+
+    async def recover(self) -> None:
+        """Wait for the end of the series."""
+        await self._task
+
+    async def _run(self) -> None:
+        rng = random.Random(str(self.planned))
+        duration_s = self.planned.duration_s
+        old_leader = self.fleet.leader() or self.node
+        try:
+            self.fleet.cut_off(old_leader)
+            await asyncio.sleep(duration_s * rng.uniform(*CUT_OFF_PART))
+            if rng.random() < 0.5:
+                self.fleet.signal(old_leader, signal.SIGSTOP)
+            self.fleet.end_cut_off()
+            await asyncio.sleep(duration_s * rng.uniform(*FREEZE_PART))
+            self.fleet.signal(old_leader, signal.SIGCONT)
+            await asyncio.sleep(duration_s * rng.uniform(*RUN_ON_PART))
+        finally:
+            self.fleet.end_cut_off()
+            self.fleet.signal(old_leader, signal.SIGCONT)
+            for node in self.fleet.stores:
+                self.fleet.signal(node, signal.SIGKILL)
+            for node in self._restart_order(rng, old_leader):
+                self.fleet.restart(node)
+                await asyncio.sleep(rng.uniform(*RESTART_PAUSE_S))
+
+    def _restart_order(
+        self, rng: random.Random, old_leader: ServingNodeProcess
+    ) -> list[ServingNodeProcess]:
+        order = list(self.fleet.stores)
+        rng.shuffle(order)
+        if rng.random() < 0.5:
+            order.sort(key=lambda node: node is not old_leader)
+        return order
+
+
 class KillAllFault(Fault):
     """Kills all processes at once, then restarts them."""
 
@@ -386,6 +468,8 @@
     FaultKind.ZONE_EVACUATED: ZoneEvacuationFault,
     FaultKind.POISON_REQUEST: PoisonRequestFault,
     FaultKind.SIGNAL_SERIES: SignalSeriesFault,
+    FaultKind.LATE_MESSAGES: LateMessagesFault,
+    FaultKind.LEADER_SERIES: LeaderSeriesFault,
 }
 
 
--- a/src/wharfcart/soak/fleet.py
+++ b/src/wharfcart/soak/fleet.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 from time import monotonic
 
-from wharfcart.emulator.fault_proxy import FaultProxy, ProxyFaults
+from wharfcart.emulator.fault_proxy import Endpoint, FaultProxy, ProxyFaults
 from wharfcart.emulator.model_server import ModelServer
 from wharfcart.emulator.operator_documents import repeatable_route_fields
 from wharfcart.experiments.dev_fleet import free_endpoint
@@ -29,6 +29,7 @@
 from wharfcart.settings.base import split_endpoint
 from wharfcart.soak.history import EvacuationRecord
 from wharfcart.soak.hooks import sitecustomize as hooks
+from wharfcart.soak.peer_processes import has_connection_from
 from wharfcart.soak.tenants import tenant_documents, tenant_of
 from wharfcart.storage.group_record import group_record_from
 
@@ -162,6 +163,25 @@
         """Replace the faults of one link."""
         proxy.set_faults(ProxyFaults(**faults))
 
+    def cut_off(self, node: ServingNodeProcess) -> None:
+        """Let a storage node and the other storage nodes exchange nothing.
+
+        Unlike stalled links to each of them, this lets the others elect a leader.
+        """
+        others = [store for store in self.stores if store is not node]
+        self.proxies_by_node[node.node_id].set_unreachable_peers(
+            lambda peer: any(_is_peer(store, peer) for store in others)
+        )
+        for store in others:
+            self.proxies_by_node[store.node_id].set_unreachable_peers(
+                lambda peer: _is_peer(node, peer)
+            )
+
+    def end_cut_off(self) -> None:
+        """Let all storage nodes exchange bytes again."""
+        for node in self.stores:
+            self.proxies_by_node[node.node_id].clear_unreachable_peers()
+
     def leader(self) -> ServingNodeProcess | None:
         """Return the storage node that leads job group 0 according to the metadata store."""
         items = self.store.state.items
@@ -290,3 +310,8 @@
 
     def _control_file(self, node: ServingNodeProcess) -> Path:
         return self.folder / f"{node.node_id}.control.json"
+
+
+def _is_peer(node: ServingNodeProcess, peer: Endpoint) -> bool:
+    """Return whether a connection comes from a node's process, given its source address."""
+    return node.process is not None and has_connection_from(node.process.pid, peer[1])
--- a/src/wharfcart/soak/plan.py
+++ b/src/wharfcart/soak/plan.py
@@ -41,6 +41,8 @@
     ZONE_EVACUATED = "zone_evacuated"
     POISON_REQUEST = "fatal_request"
     SIGNAL_SERIES = "signal_series"
+    LATE_MESSAGES = "late_messages"
+    LEADER_SERIES = "leader_series"
 
 
 STORAGE_FAULTS = (
@@ -93,6 +95,12 @@
 MAX_SIGNAL_SERIES = 2
 MIN_SIGNAL_SERIES_S = 2.0
 MAX_SIGNAL_SERIES_S = 6.0
+# Probability that a run has one of the series of faults of storage nodes.
+STORAGE_SERIES_PROBABILITY = 0.6
+# The shortest is longer than a leader waits for an answer before it connects anew. The longest is
+# shorter than TCP's user timeout, after which the sender's host repeats no segment.
+LATE_MESSAGES_S = (1.2, 2.3)
+LEADER_SERIES_S = (4.0, 7.0)
 
 
 @dataclass(frozen=True)
@@ -147,6 +155,8 @@
         faults = [fault for fault in faults if not fault.on_storage]
         start_s = rng.uniform(load_s / 4, load_s / 2)
         faults.append(PlannedFault(start_s, MIN_FAULT_S, FaultKind.KILL_ALL, 0))
+    else:
+        faults = _insert_storage_series(random.Random(f"{seed} storage"), faults, load_s, stores)
     faults += _generate_poison_requests(random.Random(f"{seed} fatal"), load_s, gateways)
     faults += _generate_signal_series(random.Random(f"{seed} series"), load_s, gateways)
     return sorted(faults, key=lambda fault: fault.start_s)
@@ -176,6 +186,27 @@
     return faults
 
 
+def _insert_storage_series(
+    rng: random.Random, faults: list[PlannedFault], load_s: float, stores: int
+) -> list[PlannedFault]:
+    """Put a series in place of the faults of storage nodes that are too close to it."""
+    if rng.random() >= STORAGE_SERIES_PROBABILITY:
+        return faults
+    kind = rng.choice((FaultKind.LATE_MESSAGES, FaultKind.LEADER_SERIES))
+    bounds = LATE_MESSAGES_S if kind is FaultKind.LATE_MESSAGES else LEADER_SERIES_S
+    duration_s = rng.uniform(*bounds)
+    start_s = rng.uniform(0, load_s - duration_s)
+    series = PlannedFault(start_s, duration_s, kind, rng.randrange(stores), on_storage=True)
+    distant = [
+        fault
+        for fault in faults
+        if not fault.on_storage
+        or fault.start_s >= start_s + duration_s + REPLICA_CATCH_UP_S
+        or start_s >= fault.start_s + fault.duration_s + REPLICA_CATCH_UP_S
+    ]
+    return [*distant, series]
+
+
 def _generate_storage_faults(rng: random.Random, load_s: float, stores: int) -> list[PlannedFault]:
     faults: list[PlannedFault] = []
     start_s = rng.uniform(0, 3.0)
--- a/src/wharfcart/soak/run.py
+++ b/src/wharfcart/soak/run.py
@@ -29,7 +29,9 @@
 CALM_REQUESTS = 6
 POLL_INTERVAL_S = 0.2
 # A frozen node, or one that cannot read the store, does not know of a new evacuation.
-EVACUATION_EXCUSE_KINDS = frozenset({FaultKind.FREEZE, FaultKind.STORE_DOWN})
+EVACUATION_EXCUSE_KINDS = frozenset(
+    {FaultKind.FREEZE, FaultKind.LEADER_SERIES, FaultKind.STORE_DOWN}
+)
 
 
 @dataclass(frozen=True)
