--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,7 @@
 	$(BIN)/python benchmarks/gateway_latency.py
 	$(BIN)/python benchmarks/journal_throughput.py
 	$(BIN)/python benchmarks/leader_failover.py
+	$(BIN)/python benchmarks/job_replication.py
 	$(BIN)/python benchmarks/capacity_slopes.py
 
 soak: install
