Partial texts: a text that was sent is passed over without building its state

Each round built the default state of each waiting item, a tuple of its failures and a set of all items, and a part was built and then completed. Now the state is compared field by field, without calls, and a part is built at once; the checks are the same.

--- a/src/wharfcart/storage/partial_texts.py
+++ b/src/wharfcart/storage/partial_texts.py
@@ -9,7 +9,7 @@
 event there refuses the part; the sender then sends the whole text.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -40,6 +40,7 @@
         leader_epoch: epoch of the events that this node adds. Events of builds that stored no epoch
             have NO_EPOCH.
         last_event: number of the last event, or None.
+        last_epoch: epoch of the last event; NO_EPOCH if there is none.
         texts: data of the events, in order.
         spans: epochs of the events, in order.
         failed_at: back-end instances that returned a failure, one entry per failure.
@@ -48,23 +49,11 @@
     job_id: str
     leader_epoch: int = NO_EPOCH
     last_event: int | None = None
+    last_epoch: int = field(default=NO_EPOCH, init=False)
     texts: list[str] = field(default_factory=list)
     spans: list[EpochSpan] = field(default_factory=list)
     failed_at: list[str] = field(default_factory=list)
 
-    @property
-    def last_epoch(self) -> int:
-        """Epoch of the last event; NO_EPOCH if there is none."""
-        return self.spans[-1].epoch if self.spans else NO_EPOCH
-
-    def is_as_sent(self, sent: "SentText") -> bool:
-        """Whether a receiver has the whole text and all failures."""
-        return (
-            sent.events == len(self.texts)
-            and sent.epoch == self.last_epoch
-            and sent.failed_at == tuple(self.failed_at)
-        )
-
     def add_event(self, number: int, text: str) -> None:
         """Append the next event."""
         self._append(self.leader_epoch, number, [text])
@@ -73,59 +62,84 @@
         """Return the epoch of the event before a position; NO_EPOCH if there is none."""
         if position > len(self.texts):
             return NO_EPOCH
-        earlier = (span.epoch for span in reversed(self.spans) if span.start < position)
-        return next(earlier, NO_EPOCH)
+        for span in reversed(self.spans):
+            if span.start < position:
+                return span.epoch
+        return NO_EPOCH
 
     def apply(self, part: PartialText) -> bool:
         """Apply a part; return False, without a change, if it does not extend this copy.
 
         A part whose events are all present changes nothing: it arrived late or twice.
         """
-        if not part.texts:
+        texts = part.texts
+        if not texts:
             return True
-        if not self._is_extended_by(part):
+        start, epoch = part.from_event, part.epoch
+        if not self._is_extended_by(start, epoch, part.base_epoch):
             return False
-        if self.epoch_before(part.from_event + len(part.texts)) != part.epoch:
-            self._truncate(part.from_event)
-            self._append(part.epoch, part.last_event, part.texts)
+        if self.epoch_before(start + len(texts)) != epoch:
+            if start < len(self.texts):
+                self._truncate(start)
+            self._append(epoch, part.last_event, texts)
         return True
 
-    def parts_after(self, position: int) -> Iterator[PartialText]:
-        """Yield the events after a position as parts, one for each leader that added some."""
+    def parts_after(self, position: int) -> list[PartialText]:
+        """Return the events after a position as parts, one for each leader that added some."""
+        parts: list[PartialText] = []
         if self.last_event is None:
-            return
-        first_number = self.last_event + 1 - len(self.texts)
-        ends = [span.start for span in self.spans[1:]] + [len(self.texts)]
-        for span, end in zip(self.spans, ends, strict=True):
-            start = max(position, span.start)
+            return parts
+        end = len(self.texts)
+        first_number = self.last_event + 1 - end
+        for span in reversed(self.spans):
+            start = span.start if span.start > position else position
             if start < end:
-                yield PartialText(
+                part = PartialText(
+                    job_id=self.job_id,
                     from_event=start,
                     last_event=first_number + end - 1,
                     texts=self.texts[start:end],
+                    failed_at=self.failed_at or None,
                     epoch=span.epoch,
-                    base_epoch=self.epoch_before(start),
+                    base_epoch=span.epoch if start > span.start else self.epoch_before(start),
                 )
+                parts.append(part)
+            if span.start <= position:
+                break
+            end = span.start
+        parts.reverse()
+        return parts
 
-    def _is_extended_by(self, part: PartialText) -> bool:
-        if part.epoch == NO_EPOCH:
+    def failures(self) -> PartialText:
+        """Return a part without events, after the last event."""
+        return PartialText(
+            job_id=self.job_id,
+            from_event=len(self.texts),
+            failed_at=self.failed_at,
+            base_epoch=self.last_epoch,
+        )
+
+    def _is_extended_by(self, start: int, epoch: int, base_epoch: int) -> bool:
+        if epoch == NO_EPOCH:
             return False
-        if part.from_event == 0:
+        if start == 0:
             return True
-        return part.base_epoch != NO_EPOCH and part.base_epoch == self.epoch_before(part.from_event)
+        return base_epoch != NO_EPOCH and base_epoch == self.epoch_before(start)
 
     def _append(self, epoch: int, last_event: int, texts: Iterable[str]) -> None:
-        if not self.spans or self.spans[-1].epoch != epoch:
+        if self.last_epoch != epoch or not self.spans:
             self.spans.append(EpochSpan(len(self.texts), epoch))
+            self.last_epoch = epoch
         self.texts += texts
         self.last_event = last_event
 
     def _truncate(self, position: int) -> None:
         del self.texts[position:]
         self.spans = [span for span in self.spans if span.start < position]
+        self.last_epoch = self.spans[-1].epoch if self.spans else NO_EPOCH
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class SentText:
     """What a replica or a disk was sent of one item.
 
@@ -140,6 +154,9 @@
     failed_at: tuple[str, ...] = ()
 
 
+_NOTHING_SENT = SentText()
+
+
 @dataclass
 class SentOffsets:
     """What a replica or a disk was sent, by item.
@@ -149,10 +166,6 @@
 
     by_item: dict[str, SentText] = field(default_factory=dict)
 
-    def get(self, item_id: str) -> SentText:
-        """Return what was sent of an item."""
-        return self.by_item.get(item_id, SentText())
-
     def forget(self, item_ids: Iterable[str]) -> None:
         """Send some items whole the next time."""
         for item_id in item_ids:
@@ -221,13 +234,16 @@
         """Return the parts that were not sent yet, bounded in size, and record them as sent."""
         parts = []
         size = 0
+        sent_of = sent.by_item.get
         for item_id, text in self._texts.items():
-            if text.is_as_sent(sent.get(item_id)):
-                continue
-            for part in _unsent_parts(text, sent.get(item_id)):
-                part.job_id = text.job_id
+            known = sent_of(item_id, _NOTHING_SENT)
+            if known.events == len(text.texts) and known.epoch == text.last_epoch:
+                # Most texts have no failures.
+                has_failures = text.failed_at or known.failed_at
+                if not has_failures or known.failed_at == tuple(text.failed_at):
+                    continue
+            for part in _unsent_parts(text, known):
                 part.item_id = item_id
-                part.failed_at.extend(text.failed_at)
                 parts.append(part)
                 size += part.ByteSize()
             sent.by_item[item_id] = SentText(
@@ -235,7 +251,8 @@
             )
             if size > MAX_BYTES_PER_MESSAGE:
                 break
-        sent.forget(self.removed_items(sent))
+        if not sent.by_item.keys() <= self._texts.keys():
+            sent.forget(self.removed_items(sent))
         return parts
 
     def removed_items(self, sent: SentOffsets) -> set[str]:
@@ -267,6 +284,5 @@
     If another leader's text has replaced the one that was sent, these are all parts.
     """
     is_extended = sent.epoch == text.epoch_before(sent.events)
-    parts = list(text.parts_after(sent.events if is_extended else 0))
-    # Only failures were added.
-    return parts or [PartialText(from_event=len(text.texts), base_epoch=text.last_epoch)]
+    parts = text.parts_after(sent.events if is_extended else 0)
+    return parts or [text.failures()]  # only failures were added
