Job database: the usual update needs one search of its job, promised epochs are kept in memory

An update that begins where the held history ends is now checked and written by one statement; any other one is checked as before. A new job is inserted unless it is there. The promised epoch of each message is read from memory: the lock on the file is exclusive, so that nobody else writes it. An empty list is not handed to an answer's constructor.

--- a/benchmarks/job_replication.py
+++ b/benchmarks/job_replication.py
@@ -88,8 +88,8 @@
         result = ReplicateResult(
             accepted=True,
             epoch=message.epoch,
-            mismatched_jobs=[state_to_message(state) for state in applied.mismatches],
-            mismatched_texts=[mismatch.item_id for mismatch in mismatches],
+            mismatched_jobs=[state_to_message(state) for state in applied.mismatches] or None,
+            mismatched_texts=[mismatch.item_id for mismatch in mismatches] or None,
         )
         assert not result.mismatched_jobs and not result.mismatched_texts
         return result.SerializeToString()
--- a/src/wharfcart/storage/job_database.py
+++ b/src/wharfcart/storage/job_database.py
@@ -46,6 +46,11 @@
   select count(*) from result where result.job_id = job.job_id and position < job.results)
 """
 
+_APPEND_TO_JOB = """
+update job set epoch=?, ended=?, results=?
+where job_id=? and results=? and ended<=? and epoch in (?, ?) and epoch<=?
+"""
+
 
 class CorruptJobError(Exception):
     """A record does not match its checksum; the disk must be replaced and rebuilt from peers."""
@@ -111,6 +116,10 @@
         execute(f"pragma wal_autocheckpoint={CHECKPOINT_PAGES}")
         self._connection.executescript(_SCHEMA)
         self.identity = self._read_identity(new_identity)
+        # The lock on the file is exclusive: nobody else writes promises.
+        self._promised_epochs: dict[int, int] = dict(
+            execute("select job_group, epoch from promise")
+        )
         self.corrected_claims = self._correct_claims_of_earlier_builds()
 
     def close(self) -> None:
@@ -119,10 +128,7 @@
 
     def promised_epoch(self, group: int) -> int:
         """Return the highest epoch promised to a leader; 0 for none."""
-        row = self._connection.execute(
-            "select epoch from promise where job_group=?", (group,)
-        ).fetchone()
-        return 0 if row is None else int(row[0])
+        return self._promised_epochs.get(group, 0)
 
     def promise_epoch(self, group: int, epoch: int) -> bool:
         """Refuse leaders of lower epochs from now on; return False if a higher one was promised."""
@@ -131,6 +137,7 @@
             return False
         if known < epoch:
             self._connection.execute("insert or replace into promise values (?, ?)", (group, epoch))
+            self._promised_epochs[group] = epoch
         return True
 
     def job_states(self, group: int) -> list[JobState]:
@@ -275,6 +282,8 @@
 
     def _apply_update(self, group: int, update: JobUpdate) -> bool:
         """Apply an update; return False if it does not extend what is held of the job."""
+        if not update.forgotten and self._append_update(group, update):
+            return True
         held = self._held_job(update.job_id)
         if update.forgotten:
             if held.epoch <= update.base_epoch or update.base_epoch == NO_EPOCH:
@@ -284,9 +293,36 @@
             return True  # arrived late or twice
         if not self._extends_held_job(update, held):
             return False
-        self._write_update(group, update)
+        self._replace_results(group, update)
         return True
 
+    def _append_update(self, group: int, update: JobUpdate) -> bool:
+        """Write a new job, or an update that begins where what is held ends; else return False.
+
+        This is the usual case, and one statement does both: a search for a job costs a copy of its
+        specification.
+        """
+        if update.HasField("job"):
+            is_written = self._insert_job("ignore", group, update)
+        elif update.base_epoch == NO_EPOCH:
+            return False
+        else:
+            parameters = (
+                update.epoch,
+                update.ended,
+                update.from_result + len(update.results),
+                update.job_id,
+                update.from_result,
+                update.ended,
+                update.base_epoch,
+                update.epoch,
+                update.epoch,
+            )
+            is_written = self._connection.execute(_APPEND_TO_JOB, parameters).rowcount > 0
+        if is_written:
+            self._insert_results(update)
+        return is_written
+
     def _held_job(self, job_id: str) -> _HeldJob:
         row = self._connection.execute(
             "select epoch, results, ended from job where job_id=?", (job_id,)
@@ -310,26 +346,36 @@
         for table in ("job", "result", "running_text"):
             self._connection.execute(f"delete from {table} where job_id=?", (job_id,))
 
-    def _write_update(self, group: int, update: JobUpdate) -> None:
+    def _replace_results(self, group: int, update: JobUpdate) -> None:
+        """Write an update that replaces held results, or the complete job."""
         execute = self._connection.execute
-        results = update.from_result + len(update.results)
         if update.HasField("job"):
-            spec = update.job.SerializeToString()
-            execute(
-                "insert or replace into job values (?, ?, ?, ?, ?, ?, ?)",
-                (update.job_id, group, update.epoch, update.ended, results, spec, _checksum(spec)),
-            )
+            self._insert_job("replace", group, update)
         else:
+            results = update.from_result + len(update.results)
             execute(
                 "update job set epoch=?, ended=?, results=? where job_id=?",
                 (update.epoch, update.ended, results, update.job_id),
             )
-        if update.ended:
-            execute("delete from running_text where job_id=?", (update.job_id,))
         execute(
             "delete from result where job_id=? and position>=?",
             (update.job_id, update.from_result),
         )
+        self._insert_results(update)
+
+    def _insert_job(self, on_conflict: str, group: int, update: JobUpdate) -> bool:
+        """Insert a job; return whether it was written."""
+        results = update.from_result + len(update.results)
+        spec = update.job.SerializeToString()
+        row = (update.job_id, group, update.epoch, update.ended, results, spec, _checksum(spec))
+        statement = f"insert or {on_conflict} into job values (?, ?, ?, ?, ?, ?, ?)"
+        return self._connection.execute(statement, row).rowcount > 0
+
+    def _insert_results(self, update: JobUpdate) -> None:
+        """Insert an update's results, and delete texts that they or the job's end make obsolete."""
+        execute = self._connection.execute
+        if update.ended:
+            execute("delete from running_text where job_id=?", (update.job_id,))
         for position, outcome in enumerate(update.results, update.from_result):
             value = outcome.SerializeToString()
             execute(
--- a/src/wharfcart/storage/job_group.py
+++ b/src/wharfcart/storage/job_group.py
@@ -266,8 +266,8 @@
         return ReplicateResult(
             accepted=True,
             epoch=message.epoch,
-            mismatched_jobs=[state_to_message(state) for state in applied.mismatches],
-            mismatched_texts=[mismatch.item_id for mismatch in mismatches],
+            mismatched_jobs=[state_to_message(state) for state in applied.mismatches] or None,
+            mismatched_texts=[mismatch.item_id for mismatch in mismatches] or None,
         )
 
     def _log_refused_message(self, message: ReplicateJobs) -> None:
