--- a/src/wharfcart/storage/job_leadership.py
+++ b/src/wharfcart/storage/job_leadership.py
@@ -147,10 +147,12 @@
         progress = self._replicas.get(identity)
         if progress is None:
             return []
-        updates = [
-            JobUpdate(job_id=job_id, forgotten=True, base_epoch=epoch)
-            for job_id, epoch in sorted(progress.jobs_to_delete.items())
-        ]
+        updates = []
+        if progress.jobs_to_delete:
+            updates = [
+                JobUpdate(job_id=job_id, forgotten=True, base_epoch=epoch)
+                for job_id, epoch in sorted(progress.jobs_to_delete.items())
+            ]
         size = 0
         for job_id in self._next_jobs(progress):
             update = self.jobs[job_id].update_since(
@@ -170,6 +172,8 @@
         Of the backlog, jobs that can't be read yet come first.
         """
         yield from islice(progress.changed_jobs, MAX_CHANGED_JOBS_PER_MESSAGE)
+        if not progress.backlog_jobs:
+            return
         undecided = (job_id for job_id in self._undecided_jobs if job_id in progress.backlog_jobs)
         decided = (job_id for job_id in progress.backlog_jobs if job_id not in self._undecided_jobs)
         yield from islice(chain(undecided, decided), MAX_BACKLOG_JOBS_PER_MESSAGE)
@@ -187,18 +191,19 @@
             if update.forgotten:
                 progress.jobs_to_delete.pop(update.job_id, None)
                 continue
-            record = self.jobs.get(update.job_id)
+            job_id = update.job_id
+            record = self.jobs.get(job_id)
             version = version_after(update)
             if record is None or version > record.version:
                 continue  # the job was deleted meanwhile, or deleted and submitted again
-            progress.matched_versions[update.job_id] = version
-            progress.written_versions[update.job_id] = version
-            progress.base_epochs.pop(update.job_id, None)
+            progress.matched_versions[job_id] = version
+            progress.written_versions[job_id] = version
+            progress.base_epochs.pop(job_id, None)
             if version == record.version:
-                progress.changed_jobs.pop(update.job_id, None)
-                progress.backlog_jobs.pop(update.job_id, None)
-            if self._advance_commit(update.job_id):
-                changed.append(update.job_id)
+                progress.changed_jobs.pop(job_id, None)
+                progress.backlog_jobs.pop(job_id, None)
+            if self._advance_commit(job_id):
+                changed.append(job_id)
         return changed
 
     def is_behind(self, identity: str) -> bool:
--- a/src/wharfcart/storage/replicated_job.py
+++ b/src/wharfcart/storage/replicated_job.py
@@ -47,7 +47,7 @@
     @property
     def version(self) -> int:
         """Length of the history: the acceptance, each result and the end count one each."""
-        return version_of(len(self.results), self.ended)
+        return 1 + len(self.results) + self.ended
 
     @property
     def is_complete(self) -> bool:
@@ -102,7 +102,7 @@
 
 def version_of(results: int, ended: bool) -> int:
     """Return the length of a history with some results and possibly an end."""
-    return 1 + results + int(ended)
+    return 1 + results + ended
 
 
 def version_after(update: JobUpdate) -> int:
