Job database: results that no job claims are removed from files of earlier builds

Builds before wrote results of an update whose job they lacked. A new job is inserted without a search for such rows now, so that its results would meet them: the write fails, and the replica never takes the job. The check at the first opening deletes them; its test fails without it (IntegrityError).

--- a/src/wharfcart/storage/job_database.py
+++ b/src/wharfcart/storage/job_database.py
@@ -46,6 +46,11 @@
   select count(*) from result where result.job_id = job.job_id and position < job.results)
 """
 
+_DELETE_UNCLAIMED_RESULTS = """
+delete from result where not exists (
+  select 1 from job where job.job_id = result.job_id and result.position < job.results)
+"""
+
 _APPEND_TO_JOB = """
 update job set epoch=?, ended=?, results=?
 where job_id=? and results=? and ended<=? and epoch in (?, ?) and epoch<=?
@@ -241,7 +246,7 @@
     def _correct_claims_of_earlier_builds(self) -> list[JobState]:
         """Let rows of jobs claim no more results than are held; return the corrected states.
 
-        Builds before :data:`CHECKED_FORMAT` applied updates that began after a gap.
+        Results that no row claims would stand in the way of others at their position. Builds before :data:`CHECKED_FORMAT` applied updates that began after a gap.
         """
         execute = self._connection.execute
         (known_format,) = execute("pragma user_version").fetchone()
@@ -249,6 +254,7 @@
             return []
         states = []
         execute("begin immediate")
+        execute(_DELETE_UNCLAIMED_RESULTS)
         for job_id, epoch, claimed in execute(_OVERSTATED_JOBS).fetchall():
             positions = execute(
                 "select position from result where job_id=? order by position", (job_id,)
--- a/tests/storage/test_job_database.py
+++ b/tests/storage/test_job_database.py
@@ -13,7 +13,12 @@
     RequestItem,
     RequestJob,
 )
-from wharfcart.storage.job_database import DATABASE_NAME, CorruptJobError, JobDatabase
+from wharfcart.storage.job_database import (
+    DATABASE_NAME,
+    AppliedUpdates,
+    CorruptJobError,
+    JobDatabase,
+)
 from wharfcart.storage.replicated_job import JobState
 
 # Written by commit cc0e024.
@@ -197,6 +202,21 @@
     assert JobDatabase(tmp_path).corrected_claims == []
 
 
+def test_results_without_a_job_in_a_file_of_an_earlier_build_are_deleted(tmp_path: Path) -> None:
+    """Guards against a copy that can't take a job, since results at its positions are left."""
+    database = JobDatabase(tmp_path)
+    database.apply_updates(0, 3, [make_step("ab", 3)])
+    database.close()
+    with sqlite3.connect(tmp_path / DATABASE_NAME) as connection:
+        connection.execute("delete from job")
+        connection.execute("pragma user_version=0")
+    connection.close()
+    checked = JobDatabase(tmp_path)
+    assert checked.apply_updates(0, 4, [make_step("xy", 4)]) == AppliedUpdates()
+    (held,) = checked.load_jobs(["j"])
+    assert [result.text for result in held.results] == [b"x", b"y"]
+
+
 def make_part(item_id: str, first: int, *texts: str, job_id: str = "j") -> PartialText:
     last = first + len(texts) - 1
     return PartialText(
