--- a/src/wharfcart/storage/job_database.py
+++ b/src/wharfcart/storage/job_database.py
@@ -246,7 +246,8 @@
     def _correct_claims_of_earlier_builds(self) -> list[JobState]:
         """Let rows of jobs claim no more results than are held; return the corrected states.
 
-        Results that no row claims would stand in the way of others at their position. Builds before :data:`CHECKED_FORMAT` applied updates that began after a gap.
+        Results that no row claims would stand in the way of others at their position. Builds before
+        :data:`CHECKED_FORMAT` applied updates that began after a gap.
         """
         execute = self._connection.execute
         (known_format,) = execute("pragma user_version").fetchone()
