Takeover: states are compared and counted once for each job

All states were ranked a second time after the fetch, and each fetched job made a state, two tuples and a lookup for its check. The ranking is repeated only if a claim was corrected; a fetched job is compared with the reported state directly. An answer must hold exactly the wanted jobs. JobState is a named tuple, quicker to make and to compare.

--- a/src/wharfcart/storage/job_leadership.py
+++ b/src/wharfcart/storage/job_leadership.py
@@ -120,7 +120,8 @@
             if job_id not in progress.written_versions
         }
         for job_id, record in self.jobs.items():
-            if progress.written_versions.get(job_id, 0) < record.version:
+            written = progress.written_versions.get(job_id)
+            if written is None or written < record.version:
                 progress.backlog_jobs[job_id] = None
         self._advance_all_commits()
 
@@ -327,19 +328,18 @@
 
     def _record_held(self, progress: ReplicaProgress, state: JobState) -> None:
         """Record the state of a job on a replica."""
-        if state.epoch == self.epoch:
-            progress.matched_versions[state.job_id] = state.version
-            progress.written_versions[state.job_id] = state.version
-            progress.base_epochs.pop(state.job_id, None)
+        job_id, epoch, version = state
+        if epoch == self.epoch:
+            progress.matched_versions[job_id] = version
+            progress.written_versions[job_id] = version
+            progress.base_epochs.pop(job_id, None)
+            return
+        inherited = self._inherited_states.get(job_id)
+        if inherited is None or inherited.epoch != epoch:
+            progress.matched_versions[job_id] = 0
         else:
-            progress.matched_versions[state.job_id] = self._common_prefix_version(state)
-            progress.base_epochs[state.job_id] = state.epoch
-
-    def _common_prefix_version(self, state: JobState) -> int:
-        inherited = self._inherited_states.get(state.job_id)
-        if inherited is None or inherited.epoch != state.epoch:
-            return 0
-        return min(inherited.version, state.version)
+            progress.matched_versions[job_id] = min(inherited.version, version)
+        progress.base_epochs[job_id] = epoch
 
     def _replicated_version(self, job_id: str, replicas: frozenset[str]) -> int:
         """Return the newest version that a quorum of some replicas has written; 0 for none."""
--- a/src/wharfcart/storage/replicated_job.py
+++ b/src/wharfcart/storage/replicated_job.py
@@ -7,6 +7,7 @@
 """
 
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from wharfcart.cluster.messages_pb2 import ItemOutcome, JobUpdate, RequestJob
 from wharfcart.configuration.residence import Residence, residence_from_message
@@ -86,19 +87,13 @@
         )
 
 
-@dataclass(frozen=True, slots=True)
-class JobState:
+class JobState(NamedTuple):
     """Epoch and version of a job's state on one replica."""
 
     job_id: str
     epoch: int
     version: int
 
-    @property
-    def rank(self) -> tuple[int, int]:
-        """Order of states: the newest state of a job has the highest rank."""
-        return (self.epoch, self.version)
-
 
 def version_of(results: int, ended: bool) -> int:
     """Return the length of a history with some results and possibly an end."""
@@ -110,11 +105,6 @@
     return version_of(update.from_result + len(update.results), update.ended)
 
 
-def state_after(update: JobUpdate) -> JobState:
-    """Return the state of a replica that wrote an update."""
-    return JobState(update.job_id, update.epoch, version_after(update))
-
-
 def job_from_update(update: JobUpdate) -> ReplicatedJob:
     """Build a job from an update with its complete history."""
     return ReplicatedJob(update.job, update.epoch, list(update.results), update.ended)
--- a/src/wharfcart/storage/takeover.py
+++ b/src/wharfcart/storage/takeover.py
@@ -6,7 +6,7 @@
 from wharfcart.storage.group_record import GroupRecord
 from wharfcart.storage.message_order import FIRST_SESSION
 from wharfcart.storage.replica_session import HigherEpochError, ReplicaFailedError, ReplicaLink
-from wharfcart.storage.replicated_job import JobState, ReplicatedJob, job_from_update, state_after
+from wharfcart.storage.replicated_job import JobState, ReplicatedJob, job_from_update
 
 RETRY_DELAY_S = 0.15
 # Keeps each call far below the timeout of a link.
@@ -70,43 +70,53 @@
             ReplicaFailedError: a replica that has the newest state of a job did not return it.
         """
         jobs: dict[str, ReplicatedJob] = {}
-        while newest := self._newest_states(jobs.keys()):
+        newest = self._newest_states(jobs.keys())
+        while newest:
+            wanted = sum(len(states) for states in newest.values())
+            fetched = len(jobs)
             for identity, states in newest.items():
                 for first in range(0, len(states), MAX_JOBS_PER_FETCH):
                     chunk = states[first : first + MAX_JOBS_PER_FETCH]
                     jobs |= await self._fetch(identity, chunk)
+            all_fetched = len(jobs) - fetched == wanted
+            newest = {} if all_fetched else self._newest_states(jobs.keys())
         return list(jobs.values())
 
     def _newest_states(self, fetched: Collection[str]) -> dict[str, list[JobState]]:
         """Return the newest state of each job that was not fetched yet, by replica."""
-        newest: dict[str, tuple[str, JobState]] = {}
+        newest: dict[str, JobState] = {}
+        holders: dict[str, str] = {}
         ordered = sorted(self.states_by_identity, key=lambda identity: identity != self._identity)
         for identity in ordered:
             for state in self.states_by_identity[identity]:
-                known = newest.get(state.job_id)
-                if known is None or state.rank > known[1].rank:
-                    newest[state.job_id] = (identity, state)
+                job_id = state.job_id
+                known = newest.get(job_id)
+                # One job: the order of the states is that of their ranks.
+                if known is None or state > known:
+                    newest[job_id] = state
+                    holders[job_id] = identity
         states_by_identity: dict[str, list[JobState]] = {}
-        for job_id, (identity, state) in newest.items():
+        for job_id, state in newest.items():
             if job_id not in fetched:
-                states_by_identity.setdefault(identity, []).append(state)
+                states_by_identity.setdefault(holders[job_id], []).append(state)
         return states_by_identity
 
     async def _fetch(self, identity: str, states: list[JobState]) -> dict[str, ReplicatedJob]:
         """Fetch jobs; return those whose states are the reported ones, and correct the others."""
-        updates = await self._link_to(identity).fetch([state.job_id for state in states])
-        if len(updates) != len(states):
+        reported = {state.job_id: state for state in states}
+        updates = await self._link_to(identity).fetch(list(reported))
+        records = {update.job_id: job_from_update(update) for update in updates}
+        if records.keys() != reported.keys():
             raise ReplicaFailedError("a job is missing")
-        held = {update.job_id: state_after(update) for update in updates}
-        corrected = [held[state.job_id] for state in states if held[state.job_id] != state]
+        corrected = []
+        for job_id, state in reported.items():
+            held = records[job_id]
+            if held.epoch != state.epoch or held.version != state.version:
+                corrected.append(JobState(job_id, held.epoch, held.version))
+                del records[job_id]
         if corrected:
             self._correct_claims(identity, corrected)
-        wrong = {state.job_id for state in corrected}
-        return {
-            update.job_id: job_from_update(update)
-            for update in updates
-            if update.job_id not in wrong
-        }
+        return records
 
     def _correct_claims(self, identity: str, held: list[JobState]) -> None:
         self.corrected_by_identity.setdefault(identity, []).extend(held)
