Slot sessions: an opening that arrives after a later one, or twice, is refused

What callers would see: for up to a second after a connection was given up, a back end gets more requests than it has slots, and a tenant's limit is judged by an outdated report.

Cause: sessions had random numbers, so that a granting node took whichever opening arrived last for the newest. One of a connection that the holder had given up, delivered once the network is back, closed the holder's current session: the node forgot its slots, ignored its events, and took over the usage of tenants that it reported, whose age counts from the arrival. A repeated opening ended with a KeyError.

Evidence: test_a_late_or_repeated_opening_does_not_replace_a_session fails without the check (the repeated opening is served). Found by reading.

Why this works: a process numbers its sessions with a node in order, above a random origin. A node refuses an opening that precedes the holder's session, or equals it. Sessions of another process of the same holder, and of earlier builds, have other origins and replace a session as before; the connections of a process that has ended close soon. A backup coordinator keeps one session for each holder, too.

--- a/src/wharfcart/slots/events.py
+++ b/src/wharfcart/slots/events.py
@@ -17,6 +17,22 @@
 SlotNumber = NewType("SlotNumber", int)
 
 
+# Low bits of a session's number, which count the sessions of one process.
+SESSION_COUNT_BITS = 20
+# High bits, which a process chooses at random.
+SESSION_ORIGIN_BITS = 43
+
+
+def session_number(origin: int, count: int) -> int:
+    """Return the number of a process's session.
+
+    Args:
+        origin: random number of the process.
+        count: how many sessions the process has opened.
+    """
+    return (origin << SESSION_COUNT_BITS) + count
+
+
 @dataclass(frozen=True, slots=True)
 class SessionKey:
     """Key of one session of a holder; every session has its own number."""
@@ -24,6 +40,14 @@
     holder: HolderId
     number: int
 
+    def precedes(self, other: "SessionKey") -> bool:
+        """Whether the same process of a holder opened this session before another one.
+
+        Sessions of different processes have no order: an earlier process's connections close soon.
+        """
+        is_same_process = self.number >> SESSION_COUNT_BITS == other.number >> SESSION_COUNT_BITS
+        return self.holder == other.holder and is_same_process and self.number < other.number
+
 
 class RequestMode(Enum):
     """What the granting node may do to serve a slot request.
--- a/src/wharfcart/slots/service.py
+++ b/src/wharfcart/slots/service.py
@@ -108,10 +108,12 @@
     """A session for permits only.
 
     Attributes:
+        key: key of the session.
         limits: the coordinator that counts the gateway's requests.
         last_contact_at: monotonic time of the gateway's last message.
     """
 
+    key: SessionKey
     limits: TenantLimitCoordinator
     last_contact_at: float
 
@@ -150,7 +152,7 @@
         self._limit_of = limit_of
         self._is_leadership_confirmed = is_leadership_confirmed
         self._limits = TenantLimitCoordinator(limit_of, monotonic())
-        self._permit_only_sessions: dict[SessionKey, _PermitOnlySession] = {}
+        self._permit_only_sessions: dict[HolderId, _PermitOnlySession] = {}
         self._granter: SlotGranter | None = None
         self._outboxes: dict[SessionKey, _Outbox] = {}
         self._answers: dict[tuple[SessionKey, SlotNumber], asyncio.Future[SlotInstruction]] = {}
@@ -208,10 +210,14 @@
         if granter is None and message.limits_only:
             await self._serve_permits_only(message, respond)
             return
-        if granter is None or message.limits_only:
+        key = SessionKey(HolderId(message.holder), message.session)
+        if (
+            granter is None
+            or message.limits_only
+            or _is_outdated(key, granter.session_of(key.holder))
+        ):
             await respond(Frame(slot_news=SlotNews(refused=True), last=True))
             return
-        key = SessionKey(HolderId(message.holder), message.session)
         outbox = _Outbox(self._distance(message.zone), monotonic(), message.address)
         self._outboxes[key] = outbox
         uses = tuple(use_from_message(use) for use in message.uses)
@@ -237,13 +243,17 @@
     async def _serve_permits_only(self, message: OpenSlotSession, respond: Respond) -> None:
         """Coordinate limits for a gateway that cannot reach the granting node."""
         sessions = self._permit_only_sessions
+        key = SessionKey(HolderId(message.holder), message.session)
+        known = sessions.get(key.holder)
+        if known is not None and _is_outdated(key, known.key):
+            await respond(Frame(slot_news=SlotNews(refused=True), last=True))
+            return
         if all(session.limits is not self._limits for session in sessions.values()):
             self._begin_limits()
-        key = SessionKey(HolderId(message.holder), message.session)
         limits = self._open_limits(message)
-        session = sessions[key] = _PermitOnlySession(limits, monotonic())
+        session = sessions[key.holder] = _PermitOnlySession(key, limits, monotonic())
         try:
-            while self._limits is limits:
+            while self._limits is limits and sessions.get(key.holder) is session:
                 now = monotonic()
                 load_snapshot = SlotSnapshot(
                     usage=limits.usage_by_tenant(now), gateways=limits.gateway_count(now)
@@ -252,9 +262,9 @@
                 await asyncio.sleep(SNAPSHOT_INTERVAL_S)
             await respond(Frame(slot_news=SlotNews(refused=True), last=True))
         finally:
-            now = monotonic()
-            del sessions[key]
-            if all(other.holder != key.holder for other in sessions):
+            if sessions.get(key.holder) is session:
+                del sessions[key.holder]
+                now = monotonic()
                 limits.holder_lost(key.holder, now - session.last_contact_at, now)
 
     async def serve_request(self, message: SlotRequest, respond: Respond) -> None:
@@ -294,8 +304,12 @@
         """Answer a gateway's request for a permit for one more request of a tenant."""
         key = SessionKey(HolderId(message.holder), message.session)
         grant: SlotGrant | None = SlotGrant(unsure=True)
-        permit_only = self._permit_only_sessions.get(key)
-        if permit_only is not None and permit_only.limits is self._limits:
+        permit_only = self._permit_only_sessions.get(key.holder)
+        if (
+            permit_only is not None
+            and permit_only.key == key
+            and permit_only.limits is self._limits
+        ):
             permit_only.last_contact_at = monotonic()
             grant = self._permit(key, message.tenant, "")
         elif self._granter is not None and self._granter.is_open(key):
@@ -466,6 +480,11 @@
             )
 
 
+def _is_outdated(key: SessionKey, known: SessionKey | None) -> bool:
+    """Whether the message that opens a session arrived after a later one, or twice."""
+    return known is not None and (key == known or key.precedes(known))
+
+
 def _grant_message(answer: SlotInstruction) -> SlotGrant:
     match answer:
         case Granted():
--- a/src/wharfcart/slots/session.py
+++ b/src/wharfcart/slots/session.py
@@ -28,6 +28,7 @@
 from wharfcart.errors import ServingError
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.slots.events import (
+    SESSION_ORIGIN_BITS,
     HolderId,
     RunResult,
     SessionKey,
@@ -37,6 +38,7 @@
     SlotRequested,
     SlotTaken,
     SlotUse,
+    session_number,
 )
 from wharfcart.slots.messages import (
     event_to_message,
@@ -162,7 +164,7 @@
         self._limits_only = limits_only
         self._uses_by_number: dict[SlotNumber, SlotUse] = {}
         self._next_number = 1
-        self._session = 0
+        self._session = session_number(getrandbits(SESSION_ORIGIN_BITS), 0)
         self._open_address: Address | None = None  # of the open session's node
         self._opening = False
         self._unsent: list[SlotEvent] = []
@@ -319,7 +321,7 @@
 
     async def _hold_session(self, address: Address) -> str:
         """Open a session and handle its updates; return why it closed."""
-        self._session = getrandbits(63)
+        self._session += 1
         self._unsent.clear()
         self._opening = True
         last_usage = self._limit_reports.reported_usage(self.group)
--- a/tests/slots/test_sessions.py
+++ b/tests/slots/test_sessions.py
@@ -6,8 +6,9 @@
 import pytest
 
 from tests.slots.network import ONE_WAY_S, SETTLE_S, Fleet, Holder, play, request
+from wharfcart.cluster.messages_pb2 import Frame, OpenSlotSession, SlotUse
 from wharfcart.routing.placement import NoSlotError, PlacementDecision, SendResult
-from wharfcart.slots.events import PreemptionCause
+from wharfcart.slots.events import PreemptionCause, session_number
 from wharfcart.slots.item_slots import ItemDemand, ItemSlot, ItemSlots
 from wharfcart.slots.service import MAX_SNAPSHOTS_PER_SECOND
 from wharfcart.slots.session import GRANT_TIMEOUT_S, PAUSE_AFTER_TIMEOUT_S, HeldSlot
@@ -191,6 +192,55 @@
     play(scenario)
 
 
+@pytest.mark.parametrize("limits_only", [False, True])
+def test_a_late_or_repeated_opening_does_not_replace_a_session(limits_only: bool) -> None:
+    """Guards against slots granted twice: the node forgets what the gateway holds for a second."""
+
+    async def scenario(fleet: Fleet) -> None:
+        service = fleet.nodes[1 if limits_only else 0].service
+        refused: list[int] = []
+
+        def opening(holder: str, session: int, *instance_ids: str) -> "asyncio.Task[None]":
+            async def respond(frame: Frame) -> None:
+                if frame.slot_news.refused:
+                    refused.append(session)
+
+            uses = [SlotUse(number=n, instance_id=used) for n, used in enumerate(instance_ids)]
+            message = OpenSlotSession(
+                holder=holder, session=session, uses=uses, limits_only=limits_only
+            )
+            return asyncio.create_task(service.serve_session(message, respond))
+
+        first = session_number(7, 1)
+        opening("g1", first + 1, "i0", "i1")
+        await asyncio.sleep(SETTLE_S)
+        late, repeated = opening("g1", first, "i0"), opening("g1", first + 1)
+        opening("g2", first, "i0")
+        await asyncio.wait((late, repeated), timeout=1.0)
+        assert refused == [first, first + 1]
+        assert fleet.in_use() == (0 if limits_only else 3)
+        restarted = session_number(6, 1)
+        opening("g1", restarted)
+        await asyncio.sleep(SETTLE_S)
+        assert restarted not in refused
+        assert fleet.in_use() == (0 if limits_only else 1)
+
+    play(scenario)
+
+
+def test_each_opening_of_a_gateway_has_a_higher_number() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        gateway = await fleet.gateway("g1")
+        earlier = gateway.sessions.by_group[0].key
+        fleet.network.break_connection("g1", fleet.leader)
+        await asyncio.sleep(SETTLE_S)
+        later = gateway.sessions.by_group[0].key
+        assert earlier.precedes(later)
+        assert not later.precedes(earlier)
+
+    play(scenario)
+
+
 def test_next_granting_node_knows_all_slots_within_a_fraction_of_a_second() -> None:
     async def scenario(fleet: Fleet) -> None:
         gateways = [await fleet.gateway(f"g{n}") for n in range(3)]
