Tests: late, repeated and foreign messages where none was handed in yet

sessions, load reports of an earlier life of a back end, batches of a mirror, result pages and cancellations.

--- a/tests/batch/test_job_service.py
+++ b/tests/batch/test_job_service.py
@@ -228,3 +228,27 @@
         asyncio.run(JobServiceHarness(100).service.cancel(EndJob(job_id="none"))).status
         == NOT_FOUND
     )
+
+
+def test_repeated_reads_and_cancellations_give_the_same_answer() -> None:
+    harness = JobServiceHarness(100)
+    harness.submit("a", 10)
+    leadership = harness.group.leadership
+    assert leadership is not None
+    leadership.append_result("a", ItemOutcome(item_id="a-1"))
+    harness.group.wake_sessions()
+
+    async def scenario() -> None:
+        for after, found in ((0, ["a-1"]), (1, []), (0, ["a-1"]), (7, [])):
+            page = await harness.service.read_results(ReadResults(job_id="a", after=after))
+            assert (page.status, page.total) == (DONE, 2)
+            assert [result.item_id for result in page.results] == found
+        for _ in range(2):
+            answer = await harness.service.cancel(EndJob(job_id="a"))
+            assert answer.status == DONE
+        other = await harness.service.cancel(EndJob(job_id="b"))
+        assert other.status == NOT_FOUND
+
+    asyncio.run(scenario())
+    assert harness.submit("a", 10) == DONE
+    assert leadership.jobs["a"].ended
--- a/tests/batch/test_lease_scheduler.py
+++ b/tests/batch/test_lease_scheduler.py
@@ -6,6 +6,8 @@
 from wharfcart.cluster.messages_pb2 import (
     UNKNOWN,
     Command,
+    FileAppend,
+    FileSeal,
     ItemResult,
     ItemsComplete,
     ItemsLease,
@@ -122,3 +124,43 @@
     state.apply(3, Command(at_ms=1, lease_end=LeaseEnd(lease_id="l", repeatable=True)))
     view = state.jobs["a"].to_view()
     assert (view.state, view.cancelled, view.total) == ("cancelled", 10, 10)
+
+
+def test_late_and_repeated_leases_and_ends_change_no_other_lease() -> None:
+    """Guards against items that run twice: a late end must not return rows of a later lease."""
+    state = _state([("a", "t", 2, 1)])
+
+    def apply(**body: ItemsLease | LeaseEnd) -> str:
+        command = Command(at_ms=1, **body)  # type: ignore[arg-type]
+        return state.apply(state.applied_index + 1, command).code
+
+    first = ItemsLease(lease_id="l1", job_id="a", holder="h", rows=[0, 1])
+    end = LeaseEnd(lease_id="l1", not_run=[0, 1])
+    second = ItemsLease(lease_id="l2", job_id="a", holder="h2", rows=[0, 1])
+    assert [apply(items_lease=first) for _ in range(2)] == ["ok", "ok"]
+    apply(lease_end=end)
+    apply(items_lease=second)
+    apply(lease_end=end)
+    assert apply(items_lease=first) == "nothing_leased"
+    assert apply(items_lease=ItemsLease(lease_id="l3", job_id="b", rows=[0])) == "nothing_leased"
+    assert list(state.leases) == ["l2"]
+    assert set(state.jobs["a"].states) == {ItemState.LEASED}
+
+
+def test_a_late_or_repeated_append_to_a_file_keeps_later_rows() -> None:
+    state = ShardState()
+
+    def append(first_row: int, *lines: bytes, file_id: str = "f") -> str:
+        body = FileAppend(
+            file_id=file_id, tenant="t", first_row=first_row, lines=lines, classes=bytes(len(lines))
+        )
+        return state.apply(state.applied_index + 1, Command(at_ms=1, file_append=body)).code
+
+    append(0, b"a", b"b")
+    append(2, b"c")
+    append(0, b"a", b"b")
+    append(0, b"x", file_id="other")
+    assert len(state.file_classes["f"]) == 3
+    seal = FileSeal(file_id="f", tenant="t", rows=3)
+    state.apply(state.applied_index + 1, Command(at_ms=1, file_seal=seal))
+    assert append(2, b"c") == "sealed"
--- a/tests/cluster/test_mirror.py
+++ b/tests/cluster/test_mirror.py
@@ -101,3 +101,12 @@
     peer.apply(ChangeBatch((change("a", 5, b"draining"), change("a", 6, None)), 6))
     (removal,) = lagging.apply(peer.changes_since(2))
     assert removal.value is None and removal.last_value == b"draining"
+
+
+def test_a_repeated_batch_changes_nothing() -> None:
+    mirror = Mirror()
+    batch = ChangeBatch((change("a", 2), change("b", 3, None)), 3)
+    mirror.apply(batch)
+    assert mirror.apply(batch) == []
+    assert mirror.apply(ChangeBatch(batch.changes, 3, complete=True)) == []
+    assert mirror.last_revision == 3
--- a/tests/node/test_backend_updates.py
+++ b/tests/node/test_backend_updates.py
@@ -87,3 +87,16 @@
     assert Event.BACKEND_ENTRY_REFUSED in node.logged_events()
     node.apply("a")
     assert node.selector.state("a") is not None
+
+
+def test_a_load_report_of_an_earlier_instance_does_not_count_for_the_next() -> None:
+    """Guards against a wrong choice: an answer may arrive after the restart is known."""
+    node = Node()
+    node.apply(born=1_000)
+    before = node.selector.state("a")
+    assert before is not None
+    node.apply(born=5_000)
+    node.selector.record_reported_load(before, 8, 8, 0.0)
+    state = node.selector.state("a")
+    assert state is not None
+    assert state.load(0.0) == 0
--- a/tests/slots/test_sessions.py
+++ b/tests/slots/test_sessions.py
@@ -6,7 +6,16 @@
 import pytest
 
 from tests.slots.network import ONE_WAY_S, SETTLE_S, Fleet, Holder, play, request
-from wharfcart.cluster.messages_pb2 import Frame, OpenSlotSession, SlotUse
+from wharfcart.cluster.messages_pb2 import (
+    Frame,
+    OpenSlotSession,
+    PermitRequest,
+    SlotEvent,
+    SlotEvents,
+    SlotRelease,
+    SlotRequest,
+    SlotUse,
+)
 from wharfcart.routing.placement import NoSlotError, PlacementDecision, SendResult
 from wharfcart.slots.events import PreemptionCause, session_number
 from wharfcart.slots.item_slots import ItemDemand, ItemSlot, ItemSlots
@@ -516,3 +525,48 @@
         assert fleet.in_use() == 1
 
     play(scenario, servers=1)
+
+
+def test_events_and_requests_of_another_session_are_ignored() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        gateway = await fleet.gateway("g1")
+        placed = await gateway.placement.place(request())
+        key = gateway.sessions.by_group[0].key
+        service = fleet.leader.service
+        answers: list[Frame] = []
+
+        async def respond(frame: Frame) -> None:
+            answers.append(frame)
+
+        for holder, session in (("g1", key.number - 1), ("g2", key.number)):
+            release = SlotEvent(released=SlotRelease(number=placed.slot.number))
+            taken = SlotEvent(taken=SlotUse(number=99, instance_id="i1"))
+            service.handle_events(
+                SlotEvents(holder=holder, session=session, events=[release, taken])
+            )
+            slot_request = SlotRequest(holder=holder, session=session, number=98, service="s")
+            await service.serve_request(slot_request, respond)
+            permit_request = PermitRequest(holder=holder, session=session, tenant="t")
+            await service.serve_permit(permit_request, respond)
+        assert fleet.in_use() == 1
+        assert [answer.slot_grant.no_session for answer in answers[::2]] == [True, True]
+        assert [answer.permit_answer.unsure for answer in answers[1::2]] == [True, True]
+
+    play(scenario)
+
+
+def test_a_repeated_event_counts_once() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        gateway = await fleet.gateway("g1")
+        key = gateway.sessions.by_group[0].key
+        for number, in_use in ((97, 1), (98, 2)):
+            taken = SlotEvent(taken=SlotUse(number=number, instance_id="i1"))
+            events = SlotEvents(holder="g1", session=key.number, events=[taken, taken])
+            fleet.leader.service.handle_events(events)
+            assert fleet.in_use() == in_use
+        released = SlotEvent(released=SlotRelease(number=97))
+        events = SlotEvents(holder="g1", session=key.number, events=[released, released])
+        fleet.leader.service.handle_events(events)
+        assert fleet.in_use() == 1
+
+    play(scenario)
--- a/tests/storage/test_replica.py
+++ b/tests/storage/test_replica.py
@@ -162,3 +162,32 @@
     requests = _sent(successor.receive(campaign, 10.2))
     assert {m.WhichOneof("body") for m in requests} == {"vote_request"}
     assert all(m.vote_request.transfer for m in requests)
+
+
+def _append(first: int, last: int, commit_index: int = 0) -> ReplicaMessage:
+    """Return a message of the leader of epoch 1 with some of its entries."""
+    request = AppendRequest(
+        previous_index=first - 1,
+        previous_epoch=1 if first > 1 else 0,
+        entries=[LogEntry(index=n, epoch=1, command=b"") for n in range(first, last + 1)],
+        commit_index=commit_index,
+    )
+    return ReplicaMessage(sender="a", target="b", epoch=1, append_request=request)
+
+
+def test_a_late_or_repeated_append_of_the_current_epoch_removes_nothing() -> None:
+    """Guards against lost entries: an earlier message ends before the newest entry."""
+    follower = _replica("b")
+    follower.receive(_append(1, 3, commit_index=3), 1.0)
+    for late in (_append(1, 1), _append(1, 3), _append(2, 2, commit_index=1)):
+        (answer,) = _sent(follower.receive(late, 1.0))
+        assert answer.append_response.accepted
+    assert (follower.last_index, follower.commit_index) == (3, 3)
+
+
+def test_an_append_after_a_gap_is_refused() -> None:
+    follower = _replica("b")
+    follower.receive(_append(1, 1), 1.0)
+    (answer,) = _sent(follower.receive(_append(3, 4), 1.0))
+    assert not answer.append_response.accepted
+    assert follower.last_index == 1
