Tenants' limits: a permit that arrives in a later session is not used

What callers would see: a tenant's limit is exceeded by the permits that were on their way when the coordinator changed.

Cause: a gateway used a coordinator's answer although it had opened another session meanwhile, maybe with another node. What it had sent when it opened that session did not include this request, so that the new coordinator never counted it. Slot grants are compared with the current session; permits were not.

Evidence: test_a_permit_of_an_earlier_session_does_not_count failed before (permitted: true).

Why this works: the gateway asks again, in the session that it has now. The unused permit lowers what the earlier coordinator still grants.

--- a/src/wharfcart/slots/session.py
+++ b/src/wharfcart/slots/session.py
@@ -268,7 +268,10 @@
                 self.release(request.number)
 
     async def request_permit(self, tenant: str) -> PermitAnswer | None:
-        """Request a permit for one more request of a tenant; None if the node does not respond."""
+        """Request a permit for one more request of a tenant; None if the node does not respond.
+
+        A permit of an earlier session is not used: the session's coordinator does not know of it.
+        """
         address = self._open_address
         if address is None:
             return None
@@ -286,7 +289,7 @@
             self._pause()
             return None
         self._record_contact()
-        return answer.permit_answer
+        return answer.permit_answer if self.key == key else None
 
     def _record_contact(self) -> None:
         self.last_contact_at = monotonic()
--- a/tests/slots/test_tenant_permits.py
+++ b/tests/slots/test_tenant_permits.py
@@ -261,3 +261,24 @@
         assert await gateway.permitted(1, 0.1) == 0
 
     play(scenario)
+
+
+def test_a_permit_of_an_earlier_session_does_not_count() -> None:
+    """Guards against an exceeded limit: the session's coordinator does not know of the permit."""
+
+    async def scenario(fleet: Fleet) -> None:
+        fleet.limits["t"] = LIMIT
+        gateway = await fleet.gateway("g1")
+        session = gateway.sessions.by_group[0]
+        fleet.network.one_way_s = 0.3
+        fleet.network.round_trip_s = 0.6
+        earlier = session.key
+        asked = asyncio.create_task(session.request_permit("t"))
+        await asyncio.sleep(0.31)  # permitted; the answer arrives after the next session has begun
+        fleet.leader = fleet.nodes[1]
+        fleet.leader.service.begin(2)
+        answer = await asked
+        assert earlier.precedes(session.key)
+        assert answer is None
+
+    play(scenario)
