--- a/src/wharfcart/slots/session.py
+++ b/src/wharfcart/slots/session.py
@@ -28,6 +28,7 @@
 from wharfcart.errors import ServingError
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.slots.events import (
+    SESSION_ORIGIN_BITS,
     HolderId,
     RunResult,
     SessionKey,
@@ -37,6 +38,7 @@
     SlotRequested,
     SlotTaken,
     SlotUse,
+    session_number,
 )
 from wharfcart.slots.messages import (
     event_to_message,
@@ -163,7 +165,7 @@
         self._limits_only = limits_only
         self._uses_by_number: dict[SlotNumber, SlotUse] = {}
         self._next_number = 1
-        self._session = 0
+        self._session = session_number(getrandbits(SESSION_ORIGIN_BITS), 0)
         self._open_address: Address | None = None  # of the open session's node
         self._opening = False
         self._unsent: list[SlotEvent] = []
@@ -267,7 +269,10 @@
                 self.release(request.number)
 
     async def request_permit(self, tenant: str) -> PermitAnswer | None:
-        """Request a permit for one more request of a tenant; None if the node does not respond."""
+        """Request a permit for one more request of a tenant; None if the node does not respond.
+
+        A permit of an earlier session is not used: the session's coordinator does not know of it.
+        """
         address = self._open_address
         if address is None:
             return None
@@ -285,7 +290,7 @@
             self._pause()
             return None
         self._record_contact()
-        return answer.permit_answer
+        return answer.permit_answer if self.key == key else None
 
     def _record_contact(self) -> None:
         self.last_contact_at = monotonic()
@@ -320,7 +325,7 @@
 
     async def _hold_session(self, address: Address) -> str:
         """Open a session and handle its updates; return why it closed."""
-        self._session = getrandbits(63)
+        self._session += 1
         self._unsent.clear()
         self._opening = True
         last_usage = self._limit_reports.reported_usage(self.group)
--- a/tests/slots/test_sessions.py
+++ b/tests/slots/test_sessions.py
@@ -6,8 +6,18 @@
 import pytest
 
 from tests.slots.network import ONE_WAY_S, SETTLE_S, Fleet, Holder, play, request
+from wharfcart.cluster.messages_pb2 import (
+    Frame,
+    OpenSlotSession,
+    PermitRequest,
+    SlotEvent,
+    SlotEvents,
+    SlotRelease,
+    SlotRequest,
+    SlotUse,
+)
 from wharfcart.routing.placement import NoSlotError, PlacementDecision, SendResult
-from wharfcart.slots.events import PreemptionCause
+from wharfcart.slots.events import PreemptionCause, session_number
 from wharfcart.slots.item_slots import ItemDemand, ItemSlot, ItemSlots
 from wharfcart.slots.service import MAX_SNAPSHOTS_PER_SECOND
 from wharfcart.slots.session import GRANT_TIMEOUT_S, PAUSE_AFTER_TIMEOUT_S, HeldSlot
@@ -191,6 +201,55 @@
     play(scenario)
 
 
+@pytest.mark.parametrize("limits_only", [False, True])
+def test_a_late_or_repeated_opening_does_not_replace_a_session(limits_only: bool) -> None:
+    """Guards against slots granted twice: the node forgets what the gateway holds for a second."""
+
+    async def scenario(fleet: Fleet) -> None:
+        service = fleet.nodes[1 if limits_only else 0].service
+        refused: list[int] = []
+
+        def opening(holder: str, session: int, *instance_ids: str) -> "asyncio.Task[None]":
+            async def respond(frame: Frame) -> None:
+                if frame.slot_news.refused:
+                    refused.append(session)
+
+            uses = [SlotUse(number=n, instance_id=used) for n, used in enumerate(instance_ids)]
+            message = OpenSlotSession(
+                holder=holder, session=session, uses=uses, limits_only=limits_only
+            )
+            return asyncio.create_task(service.serve_session(message, respond))
+
+        first = session_number(7, 1)
+        opening("g1", first + 1, "i0", "i1")
+        await asyncio.sleep(SETTLE_S)
+        late, repeated = opening("g1", first, "i0"), opening("g1", first + 1)
+        opening("g2", first, "i0")
+        await asyncio.wait((late, repeated), timeout=1.0)
+        assert refused == [first, first + 1]
+        assert fleet.in_use() == (0 if limits_only else 3)
+        restarted = session_number(6, 1)
+        opening("g1", restarted)
+        await asyncio.sleep(SETTLE_S)
+        assert restarted not in refused
+        assert fleet.in_use() == (0 if limits_only else 1)
+
+    play(scenario)
+
+
+def test_each_opening_of_a_gateway_has_a_higher_number() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        gateway = await fleet.gateway("g1")
+        earlier = gateway.sessions.by_group[0].key
+        fleet.network.break_connection("g1", fleet.leader)
+        await asyncio.sleep(SETTLE_S)
+        later = gateway.sessions.by_group[0].key
+        assert earlier.precedes(later)
+        assert not later.precedes(earlier)
+
+    play(scenario)
+
+
 def test_next_granting_node_knows_all_slots_within_a_fraction_of_a_second() -> None:
     async def scenario(fleet: Fleet) -> None:
         gateways = [await fleet.gateway(f"g{n}") for n in range(3)]
@@ -466,3 +525,48 @@
         assert fleet.in_use() == 1
 
     play(scenario, servers=1)
+
+
+def test_events_and_requests_of_another_session_are_ignored() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        gateway = await fleet.gateway("g1")
+        placed = await gateway.placement.place(request())
+        key = gateway.sessions.by_group[0].key
+        service = fleet.leader.service
+        answers: list[Frame] = []
+
+        async def respond(frame: Frame) -> None:
+            answers.append(frame)
+
+        for holder, session in (("g1", key.number - 1), ("g2", key.number)):
+            release = SlotEvent(released=SlotRelease(number=placed.slot.number))
+            taken = SlotEvent(taken=SlotUse(number=99, instance_id="i1"))
+            service.handle_events(
+                SlotEvents(holder=holder, session=session, events=[release, taken])
+            )
+            slot_request = SlotRequest(holder=holder, session=session, number=98, service="s")
+            await service.serve_request(slot_request, respond)
+            permit_request = PermitRequest(holder=holder, session=session, tenant="t")
+            await service.serve_permit(permit_request, respond)
+        assert fleet.in_use() == 1
+        assert [answer.slot_grant.no_session for answer in answers[::2]] == [True, True]
+        assert [answer.permit_answer.unsure for answer in answers[1::2]] == [True, True]
+
+    play(scenario)
+
+
+def test_a_repeated_event_counts_once() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        gateway = await fleet.gateway("g1")
+        key = gateway.sessions.by_group[0].key
+        for number, in_use in ((97, 1), (98, 2)):
+            taken = SlotEvent(taken=SlotUse(number=number, instance_id="i1"))
+            events = SlotEvents(holder="g1", session=key.number, events=[taken, taken])
+            fleet.leader.service.handle_events(events)
+            assert fleet.in_use() == in_use
+        released = SlotEvent(released=SlotRelease(number=97))
+        events = SlotEvents(holder="g1", session=key.number, events=[released, released])
+        fleet.leader.service.handle_events(events)
+        assert fleet.in_use() == 1
+
+    play(scenario)
