Soak: series that find both old faults, slow items that end one by one

Cause: as first written, the series found neither fault on the code before the fixes: no item ran long enough to be resumed and saved in between, and late messages rarely fell between results of one job.

Change: items of slow jobs run one to sixteen times as long, so that results of one job arrive one by one; the cut-off of leader_series ends before the items do, and the node that was cut off mostly restarts first; late_messages holds messages back several times before it kills the leader. A changed result is reported by the first line that differs. test_soak.py plays a third seed, so that both series are in it.

--- a/src/wharfcart/emulator/model_server.py
+++ b/src/wharfcart/emulator/model_server.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import itertools
+import re
 from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -23,10 +24,8 @@
 # Requests per second above which a cold server fails: its rate times the factor, plus the burst.
 COLD_RATE_FACTOR = 1.5
 COLD_BURST_REQUESTS = 5.0
-# A body with this prefix is streamed more slowly by this factor.
-SLOW_BODY_PREFIX = b"slow "
-SLOW_FACTOR = 8
 
+_SLOW_BODY = re.compile(rb"slow (\d+) ")
 # Runs are numbered across servers, also those that return under the id of another one.
 _run_numbers = itertools.count(1)
 
@@ -52,6 +51,16 @@
     number: int = 0
 
 
+def slow_body(factor: int, body: bytes) -> bytes:
+    """Return a body that is streamed more slowly by a factor."""
+    return b"slow %d " % factor + body
+
+
+def _slowness_of(body: bytes) -> int:
+    match = _SLOW_BODY.match(body)
+    return 1 if match is None else int(match[1])
+
+
 class ModelServer:
     """One instance of a server.
 
@@ -214,9 +223,7 @@
         cut_after = (
             (run.first_event + self._event_count) // 2 if self.switch.consume_stream_cut() else None
         )
-        interval_s = self._event_interval_s
-        if body.startswith(SLOW_BODY_PREFIX):
-            interval_s *= SLOW_FACTOR
+        interval_s = self._event_interval_s * _slowness_of(body)
         await response.prepare(request)
         for number in range(run.first_event, self._event_count):
             await asyncio.sleep(interval_s)
--- a/src/wharfcart/soak/faults.py
+++ b/src/wharfcart/soak/faults.py
@@ -8,6 +8,7 @@
 import typing as t
 from abc import ABC, abstractmethod
 from contextlib import suppress
+from time import monotonic
 
 import aiohttp
 
@@ -22,14 +23,18 @@
 SERIES_SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGTERM, signal.SIGKILL)
 SERIES_PAUSE_S = (0.05, 1.0)  # shortest and longest
 LINK_DELAY_S = 0.15
-# Time in which a leader goes on after late messages have arrived, before it is killed.
-LATE_MESSAGES_PAUSE_S = (0.1, 0.8)
+# The shortest is longer than a leader waits for an answer before it connects anew. The longest is
+# shorter than TCP's user timeout, after which the sender's host repeats no segment.
+HOLD_MESSAGES_S = (1.2, 2.3)
+# Time in which a leader goes on after late messages have arrived.
+LATE_MESSAGES_PAUSE_S = (0.2, 1.2)
 LEADER_DOWN_S = (0.3, 1.5)
-# Parts of a series' duration, then pauses between restarts; shortest and longest.
-CUT_OFF_PART = (0.2, 0.4)
-FREEZE_PART = (0.1, 0.2)
-RUN_ON_PART = (0.05, 0.35)
-RESTART_PAUSE_S = (0.0, 0.6)
+# Steps of a series of faults of the leader, shortest and longest; together LEADER_SERIES_S at most.
+CUT_OFF_S = (0.8, 2.0)
+FREEZE_S = (0.2, 0.6)
+RUN_ON_S = (0.4, 1.2)  # around the interval in which nodes save partial texts
+OLD_LEADER_FIRST_PROBABILITY = 0.75
+MAX_RESTARTS_S = 1.8
 STORE_DELAY_S = 0.2
 LOST_STORE_WRITES = 3
 LOST_SERVER_RESPONSES = 3
@@ -170,29 +175,41 @@
 class LateMessagesFault(Fault):
     """Holds back what is sent to one follower, while the leader gives up and connects anew.
 
-    After the late messages have arrived the leader is killed, so that another node leads.
+    This is repeated. After the last messages have arrived the leader is killed, so that another
+    node leads.
     """
 
     async def inject(self) -> None:
-        """Hold back the messages on the open connections."""
-        leader = self.fleet.leader()
-        followers = [node for node in self.fleet.stores if node is not leader]
-        follower = self.node if self.node in followers else followers[0]
-        self._proxy = self.fleet.proxies_by_node[follower.node_id]
-        await self.fleet.set_link_faults(self._proxy, late=True)
+        """Start to hold back messages."""
+        self._rng = random.Random(str(self.planned))
+        self._task = asyncio.create_task(self._repeat())
 
     async def recover(self) -> None:
-        """Deliver the messages, then kill and restart the leader."""
-        rng = random.Random(str(self.planned))
-        await self.fleet.set_link_faults(self._proxy)
-        await asyncio.sleep(rng.uniform(*LATE_MESSAGES_PAUSE_S))
+        """Wait until the last messages have arrived, then kill and restart the leader."""
+        await self._task
         leader = self.fleet.leader()
         if leader is None:
             return
         self.fleet.signal(leader, signal.SIGKILL)
-        await asyncio.sleep(rng.uniform(*LEADER_DOWN_S))
+        await asyncio.sleep(self._rng.uniform(*LEADER_DOWN_S))
         self.fleet.restart(leader)
 
+    async def _repeat(self) -> None:
+        ends_at = monotonic() + self.planned.duration_s
+        while monotonic() + HOLD_MESSAGES_S[1] + LATE_MESSAGES_PAUSE_S[1] < ends_at:
+            proxy = self.fleet.proxies_by_node[self._follower().node_id]
+            await self.fleet.set_link_faults(proxy, late=True)
+            try:
+                await asyncio.sleep(self._rng.uniform(*HOLD_MESSAGES_S))
+            finally:
+                await self.fleet.set_link_faults(proxy)
+            await asyncio.sleep(self._rng.uniform(*LATE_MESSAGES_PAUSE_S))
+
+    def _follower(self) -> ServingNodeProcess:
+        leader = self.fleet.leader()
+        followers = [node for node in self.fleet.stores if node is not leader]
+        return self.node if self.node in followers else followers[0]
+
 
 class LeaderSeriesFault(Fault):
     """Cuts the leader off, freezes it, then kills and restarts all storage nodes.
@@ -211,17 +228,16 @@
 
     async def _run(self) -> None:
         rng = random.Random(str(self.planned))
-        duration_s = self.planned.duration_s
         old_leader = self.fleet.leader() or self.node
         try:
             self.fleet.cut_off(old_leader)
-            await asyncio.sleep(duration_s * rng.uniform(*CUT_OFF_PART))
+            await asyncio.sleep(rng.uniform(*CUT_OFF_S))
             if rng.random() < 0.5:
                 self.fleet.signal(old_leader, signal.SIGSTOP)
             self.fleet.end_cut_off()
-            await asyncio.sleep(duration_s * rng.uniform(*FREEZE_PART))
+            await asyncio.sleep(rng.uniform(*FREEZE_S))
             self.fleet.signal(old_leader, signal.SIGCONT)
-            await asyncio.sleep(duration_s * rng.uniform(*RUN_ON_PART))
+            await asyncio.sleep(rng.uniform(*RUN_ON_S))
         finally:
             self.fleet.end_cut_off()
             self.fleet.signal(old_leader, signal.SIGCONT)
@@ -229,14 +245,14 @@
                 self.fleet.signal(node, signal.SIGKILL)
             for node in self._restart_order(rng, old_leader):
                 self.fleet.restart(node)
-                await asyncio.sleep(rng.uniform(*RESTART_PAUSE_S))
+                await asyncio.sleep(rng.uniform(0, MAX_RESTARTS_S / len(self.fleet.stores)))
 
     def _restart_order(
         self, rng: random.Random, old_leader: ServingNodeProcess
     ) -> list[ServingNodeProcess]:
         order = list(self.fleet.stores)
         rng.shuffle(order)
-        if rng.random() < 0.5:
+        if rng.random() < OLD_LEADER_FIRST_PROBABILITY:
             order.sort(key=lambda node: node is not old_leader)
         return order
 
--- a/src/wharfcart/soak/history.py
+++ b/src/wharfcart/soak/history.py
@@ -87,7 +87,7 @@
         """Record the result read at a position, or a conflict if it changed."""
         first = self.results.setdefault(position, result)
         if first != result:
-            self.conflicts.append(f"position {position}: {first}, then {result} {source}")
+            self.conflicts.append(f"position {position}: {_difference(first, result)} {source}")
 
     @property
     def is_complete(self) -> bool:
@@ -95,6 +95,15 @@
         return len(self.results) == self.item_count
 
 
+def _difference(first: tuple[str, str, str], result: tuple[str, str, str]) -> str:
+    """Describe how a result differs from the one that was read first."""
+    if first[:2] != result[:2]:
+        return f"{first[:2]}, then {result[:2]}"
+    lines = zip(first[2].split("\n"), result[2].split("\n"), strict=False)
+    changed = next((pair for pair in lines if pair[0] != pair[1]), ("", ""))
+    return f"{first[:2]}: {changed[0]!r}, then {changed[1]!r}"
+
+
 @dataclass
 class RouteRecord:
     """One route that was added during the soak.
--- a/src/wharfcart/soak/plan.py
+++ b/src/wharfcart/soak/plan.py
@@ -97,10 +97,8 @@
 MAX_SIGNAL_SERIES_S = 6.0
 # Probability that a run has one of the series of faults of storage nodes.
 STORAGE_SERIES_PROBABILITY = 0.6
-# The shortest is longer than a leader waits for an answer before it connects anew. The longest is
-# shorter than TCP's user timeout, after which the sender's host repeats no segment.
-LATE_MESSAGES_S = (1.2, 2.3)
-LEADER_SERIES_S = (4.0, 7.0)
+LATE_MESSAGES_S = (4.0, 8.0)
+LEADER_SERIES_S = 6.0
 
 
 @dataclass(frozen=True)
@@ -193,8 +191,8 @@
     if rng.random() >= STORAGE_SERIES_PROBABILITY:
         return faults
     kind = rng.choice((FaultKind.LATE_MESSAGES, FaultKind.LEADER_SERIES))
-    bounds = LATE_MESSAGES_S if kind is FaultKind.LATE_MESSAGES else LEADER_SERIES_S
-    duration_s = rng.uniform(*bounds)
+    is_late = kind is FaultKind.LATE_MESSAGES
+    duration_s = rng.uniform(*LATE_MESSAGES_S) if is_late else LEADER_SERIES_S
     start_s = rng.uniform(0, load_s - duration_s)
     series = PlannedFault(start_s, duration_s, kind, rng.randrange(stores), on_storage=True)
     distant = [
--- a/src/wharfcart/soak/workload.py
+++ b/src/wharfcart/soak/workload.py
@@ -10,7 +10,7 @@
 
 import aiohttp
 
-from wharfcart.emulator.model_server import SLOW_BODY_PREFIX
+from wharfcart.emulator.model_server import slow_body
 from wharfcart.experiments.serving_fleet import STREAM_SERVICE
 from wharfcart.platform import names
 from wharfcart.soak.fleet import SoakFleet
@@ -25,10 +25,11 @@
 LIMITED_REQUEST_INTERVAL_S = 0.06
 JOB_INTERVAL_S = 1.0
 MAX_ITEMS_PER_JOB = 8
-# Long jobs have results at most times of the load; slow items run during several faults.
-LONG_JOB_PROBABILITY = 0.2
+# Long and slow jobs have results at most times of the load; slow items run during several faults.
+LONG_JOB_PROBABILITY = 0.3
 MAX_ITEMS_PER_LONG_JOB = 40
-SLOW_JOB_PROBABILITY = 0.25
+SLOW_JOB_PROBABILITY = 0.3
+MAX_SLOWNESS = 16
 READ_INTERVAL_S = 0.4
 # Interval of reads of a job that is complete or cancelled.
 LATE_READ_INTERVAL_S = 1.5
@@ -262,15 +263,22 @@
 
 
 def _submission_body(job: JobRecord) -> bytes:
-    prefix = SLOW_BODY_PREFIX if job.is_slow else b""
     requests: list[dict[str, t.Any]] = [
         {
             "id": item_id(job, number),
             "path": "/jobs/run",
             "headers": {names.MODEL: STREAM_SERVICE},
-            "body": base64.b64encode(prefix + f"body {number}".encode()).decode(),
+            "body": base64.b64encode(_item_body(job, number)).decode(),
             "tokens": 10,
         }
         for number in range(job.item_count)
     ]
     return json.dumps({"requests": requests}).encode()
+
+
+def _item_body(job: JobRecord, number: int) -> bytes:
+    body = f"body {number}".encode()
+    if not job.is_slow:
+        return body
+    # Items of one job end at different times, so that its results arrive one by one.
+    return slow_body(1 + 5 * number % MAX_SLOWNESS, body)
--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -8,15 +8,18 @@
 from wharfcart.soak.plan import FaultKind
 from wharfcart.soak.run import SoakRun
 
-# Both plans hold series of signals to gateways that overlap with faults of storage nodes.
-SEEDS = (2, 12)
+# All plans hold series of signals to gateways that overlap with faults of storage nodes: messages
+# that arrive late at a follower, or a leader cut off and frozen before all storage nodes restart.
+SEEDS = (2, 12, 6)
 LOAD_S = 12.0
 
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_guarantees_hold_under_overlapping_faults(seed: int, tmp_path: Path) -> None:
     run = SoakRun(seed, LOAD_S, tmp_path)
-    assert any(fault.kind is FaultKind.SIGNAL_SERIES for fault in run.plan)
+    kinds = {fault.kind for fault in run.plan}
+    assert FaultKind.SIGNAL_SERIES in kinds
+    assert kinds & {FaultKind.LATE_MESSAGES, FaultKind.LEADER_SERIES}
     verdict = asyncio.run(run.execute())
     assert verdict.violations == []
     assert verdict.success_count > 100
