Job group simulation: late messages arrive, and a disk runs its calls in order

A message that a cut or a loss held back waited for 3,600 s, so that it never arrived late; the handler of a call ran in the caller's task and ended with it, and calls of a disk overtook each other.

SimulatedTransport has one connection per peer, like the real one: a task for each call at the target, frames that cancel calls, messages in order within a connection. Lost segments are retransmitted for as long as UNACKNOWLEDGED_TIMEOUT_MS allows, also after the caller has closed the connection, and can then arrive after messages of the next one. Nothing outlives the process that accepted the connection. A new fault cuts a node off for less time than its connections last.

--- a/src/wharfcart/experiments/job_group_simulation.py
+++ b/src/wharfcart/experiments/job_group_simulation.py
@@ -1,10 +1,10 @@
 """Seeded simulation of one job group: real drivers and cores, simulated network, disks and service.
 
 Runs in virtual time. Faults: processes are killed; disks are lost, full or slow; links are cut in
-one or both directions; messages are delayed or lost; the coordination service is down, loses
-answers or refuses nodes; machines are added and retired. Checks: acknowledged data stays, results
-keep their positions, a cancelled job does not grow, a confirmed leader never denies a job. A run is
-deterministic for its seed.
+one or both directions; messages are lost, or arrive after those of a later connection; the
+coordination service is down, loses answers or refuses nodes; machines are added and retired.
+Checks: acknowledged data stays, results keep their positions, a cancelled job does not grow, a
+confirmed leader never denies a job. A run is deterministic for its seed.
 """
 
 import asyncio
@@ -32,6 +32,7 @@
 )
 from wharfcart.cluster.topology import Distance, Topology
 from wharfcart.configuration.residence import Residence
+from wharfcart.experiments.simulated_network import UNACKNOWLEDGED_TIMEOUT_S
 from wharfcart.experiments.simulated_storage import (
     RETIRE_PREFIX,
     RefusingCoordination,
@@ -123,16 +124,29 @@
         """Return the zone of a node."""
         return self.zones.get(number, "")
 
-    async def transmit(self, source: int, target: int) -> None:
-        """Wait for the one-way delay; a cut or lost message waits longer than any timeout."""
+    # ---- the network ----
+
+    def one_way_delay_s(self, source: int, target: int) -> float:
+        """Record a message and return its delay in seconds."""
         message = f"{virtual_monotonic()} {source} {target};"
         self._messages_digest.update(message.encode())
-        await asyncio.sleep(self.random.uniform(0.0003, 0.004))
+        delay_s = self.random.uniform(0.0003, 0.004)
         if self.topology.distance(self.zone_of(source), self.zone_of(target)) is OTHER_REGION:
-            await asyncio.sleep(CROSS_REGION_DELAY_S)
-        cut = (source, target) in self.cut_links
-        if cut or (self.random.random() < 0.001 and not self._healed):
-            await asyncio.sleep(3600)
+            delay_s += CROSS_REGION_DELAY_S
+        return delay_s
+
+    def is_cut(self, source: int, target: int) -> bool:
+        """Whether nothing arrives from one node at another."""
+        return (source, target) in self.cut_links
+
+    def loses_segment(self) -> bool:
+        """Whether the path of a connection loses the next segments."""
+        return self.random.random() < 0.001 and not self._healed
+
+    def endpoint_of(self, number: int) -> SimulatedNode | None:
+        """Return a node if its process runs."""
+        node = self.nodes.get(number)
+        return None if node is None or node.group is None else node
 
     # ---- the run ----
 
@@ -284,6 +298,7 @@
             self._kill_all_nodes,
             self._lose_disk,
             self._isolate_node,
+            self._isolate_node_briefly,
             self._cut_one_way,
             self._fail_coordination,
             self._lose_coordination_answers,
@@ -333,11 +348,18 @@
         await asyncio.sleep(5.0)
 
     async def _isolate_node(self) -> None:
+        await self._isolate_node_for(self.random.uniform(1.0, 6.0))
+
+    async def _isolate_node_briefly(self) -> None:
+        """Cut a node off for less time than its connections last."""
+        await self._isolate_node_for(self.random.uniform(0.3, UNACKNOWLEDGED_TIMEOUT_S))
+
+    async def _isolate_node_for(self, seconds: float) -> None:
         isolated = self._random_node().number
         for other in self.nodes:
             if other != isolated:
                 self.cut_links |= {(isolated, other), (other, isolated)}
-        await asyncio.sleep(self.random.uniform(1.0, 6.0))
+        await asyncio.sleep(seconds)
         self.cut_links.clear()
 
     async def _cut_one_way(self) -> None:
--- a/src/wharfcart/experiments/simulated_storage.py
+++ b/src/wharfcart/experiments/simulated_storage.py
@@ -6,9 +6,10 @@
 import asyncio
 import math
 import random
-from collections.abc import Collection, Sequence
+from collections import deque
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, cast
+from typing import TYPE_CHECKING, Any, TypeVar, cast
 
 from wharfcart.batch.job_execution import JobExecution
 from wharfcart.batch.job_service import JobGroupService, OtherGroups
@@ -28,7 +29,8 @@
 )
 from wharfcart.cluster.mirror import Mirror
 from wharfcart.cluster.topology import RegionName
-from wharfcart.cluster.transport import PeerUnreachableError, TrafficClass, Transport
+from wharfcart.cluster.transport import Transport
+from wharfcart.experiments.simulated_network import Connection, SimulatedTransport
 from wharfcart.observability.decisions import DecisionLog
 from wharfcart.storage.disk import Disk, DiskFailedError
 from wharfcart.storage.group_context import GroupContext
@@ -48,61 +50,121 @@
 RETIRE_PREFIX = "retire/"
 COPIES = 2
 
+Answer = TypeVar("Answer")
+
+
+@dataclass
+class _DiskCall:
+    """A call of the simulated disk that waits or runs."""
+
+    work: Callable[[], Any]
+    writes: bool
+    answer: asyncio.Future[Any]
+
 
 @dataclass
 class SimulatedDisk:
-    """A disk with delays and failures; its content outlives the process of its node."""
+    """A disk with delays and failures; its content outlives the process of its node.
+
+    Like :class:`Disk` it runs one call after the other. A call whose caller is cancelled takes
+    effect if it has begun, and is skipped otherwise.
+    """
 
     random: random.Random
     database: JobDatabase
     full: bool = False
     delay_s: float = 0.002
-    generation: int = 0
+    _waiting: deque[_DiskCall] = field(default_factory=deque)
+    _running: _DiskCall | None = None
+    _writer: asyncio.Task[None] | None = None
 
     async def promised_epoch(self, group: int) -> int:
         """Return the promised epoch."""
-        await self._simulate_delay()
-        return self.database.promised_epoch(group)
+        return await self._run_on_writer(lambda: self.database.promised_epoch(group))
 
     async def promise_epoch(self, group: int, epoch: int) -> bool:
         """Promise an epoch."""
-        await self._simulate_delay(writes=True)
-        return self.database.promise_epoch(group, epoch)
+        return await self._run_on_writer(
+            lambda: self.database.promise_epoch(group, epoch), writes=True
+        )
 
     async def save_partial_texts(
         self, group: int, parts: Sequence[PartialText], finished_item_ids: Collection[str]
     ) -> list[str]:
         """Save events of items that still run."""
-        await self._simulate_delay(writes=True)
-        return self.database.save_partial_texts(group, parts, finished_item_ids)
+        return await self._run_on_writer(
+            lambda: self.database.save_partial_texts(group, parts, finished_item_ids), writes=True
+        )
 
     async def load_partial_texts(self, group: int) -> list[PartialText]:
         """Return the events of items of open jobs."""
-        await self._simulate_delay()
-        return self.database.load_partial_texts(group)
+        return await self._run_on_writer(lambda: self.database.load_partial_texts(group))
 
     async def job_states(self, group: int) -> list[JobState]:
         """Return the states of the group's jobs."""
-        await self._simulate_delay()
-        return self.database.job_states(group)
+        return await self._run_on_writer(lambda: self.database.job_states(group))
 
     async def apply_updates(
         self, group: int, epoch: int, updates: Sequence[JobUpdate]
     ) -> AppliedUpdates | None:
         """Apply job updates."""
-        await self._simulate_delay(writes=True)
-        return self.database.apply_updates(group, epoch, updates)
+        return await self._run_on_writer(
+            lambda: self.database.apply_updates(group, epoch, updates), writes=True
+        )
 
     async def load_jobs(self, job_ids: Sequence[str]) -> list[JobUpdate]:
         """Return the records of jobs."""
-        await self._simulate_delay()
-        return self.database.load_jobs(job_ids)
+        return await self._run_on_writer(lambda: self.database.load_jobs(job_ids))
+
+    def end_calls(self) -> None:
+        """End with the node's process; the running call may have taken effect."""
+        if self._writer is not None:
+            self._writer.cancel()
+            self._writer = None
+        running, self._running = self._running, None
+        waiting = list(self._waiting)
+        self._waiting.clear()
+        if running is not None:
+            if self.random.random() < 0.5 and not (running.writes and self.full):
+                running.work()
+            waiting.append(running)
+        for call in waiting:
+            if not call.answer.done():
+                call.answer.set_exception(DiskFailedError("simulated"))
+
+    async def _run_on_writer(self, work: Callable[[], Answer], writes: bool = False) -> Answer:
+        call = _DiskCall(work, writes, asyncio.get_running_loop().create_future())
+        if self._running is None:
+            self._running = call
+            self._writer = asyncio.create_task(self._run_calls())
+        else:
+            self._waiting.append(call)
+        return cast(Answer, await call.answer)
+
+    async def _run_calls(self) -> None:
+        while self._running is not None:
+            await asyncio.sleep(self.delay_s * self.random.uniform(0.5, 2.0))
+            call, self._running = self._running, self._next_call()
+            self._finish(call)
+
+    def _next_call(self) -> _DiskCall | None:
+        while self._waiting:
+            call = self._waiting.popleft()
+            if not call.answer.cancelled():
+                return call
+        return None
 
-    async def _simulate_delay(self, writes: bool = False) -> None:
-        generation = self.generation
-        await asyncio.sleep(self.delay_s * self.random.uniform(0.5, 2.0))
-        if generation != self.generation or (writes and self.full):
-            raise DiskFailedError("simulated")
+    def _finish(self, call: _DiskCall) -> None:
+        try:
+            if call.writes and self.full:
+                raise DiskFailedError("simulated")
+            result = call.work()
+        except DiskFailedError as error:
+            if not call.answer.done():
+                call.answer.set_exception(error)
+            return
+        if not call.answer.done():
+            call.answer.set_result(result)
 
 
 @dataclass
@@ -160,13 +222,17 @@
 
 
 class NullExecution:
-    """Job execution that does nothing; the simulation appends results itself."""
+    """Job execution that runs nothing; the simulation runs the items itself."""
+
+    def __init__(self, group: JobGroup) -> None:
+        self._group = group
 
     def job_accepted(self, job: RequestJob) -> None:
         """Do nothing."""
 
     def job_cancelled(self, job_id: str) -> None:
-        """Do nothing."""
+        """Remove the partial texts of the job's items."""
+        self._group.partial_texts.remove_job(job_id)
 
 
 class SimulatedNode:
@@ -181,6 +247,8 @@
         self.group: JobGroup | None = None
         self.service: JobGroupService | None = None
         self.refused = False
+        self.inbound: list[Connection] = []
+        self._transport = self._new_transport()
         self.resumed_at = -math.inf  # virtual time of the last resume after a suspension
         self._bootstrap_task: asyncio.Task[None] | None = None
 
@@ -192,12 +260,13 @@
     async def start(self) -> None:
         """Start the process."""
         self.mirror = Mirror()
+        self._transport = self._new_transport()
         self.simulation.coordination.put(f"nodes/{self.number}", self.identity.encode())
         log = DecisionLog(str(self.number))
         context = GroupContext(
             self.identity,
             cast(Disk, self.disk),
-            cast(Transport, SimulatedTransport(self.simulation, self)),
+            cast(Transport, self._transport),
             cast(CoordinationService, self.simulation.coordination_of(self)),
             self.mirror,
             self._identities,
@@ -213,7 +282,7 @@
         self.group = JobGroup(0, GROUP_KEY, context)
         self.service = JobGroupService(
             self.group,
-            cast(JobExecution, NullExecution()),
+            cast(JobExecution, NullExecution(self.group)),
             lambda: None,
             OtherGroups(lambda: [], cast(JobClient, None)),
             log,
@@ -227,13 +296,16 @@
 
     def kill(self) -> None:
         """Kill the process; the disk stays as it is."""
+        self._transport.abort()
+        for connection in list(self.inbound):
+            connection.reset_by_target()
         if self._bootstrap_task is not None:
             self._bootstrap_task.cancel()
         if self.group is not None:
             self.group.abort()
         self.group = None
         self.service = None
-        self.disk.generation += 1
+        self.disk.end_calls()
 
     def lose_disk(self) -> None:
         """Replace the disk by an empty one."""
@@ -253,6 +325,9 @@
                 return Frame(job_updates=await group.handle_fetch(frame.fetch_jobs))
         return None
 
+    def _new_transport(self) -> SimulatedTransport:
+        return SimulatedTransport(self.simulation, self.number, self.simulation.endpoint_of)
+
     def _new_disk(self) -> SimulatedDisk:
         database = JobDatabase(None, self.simulation.new_identity)
         return SimulatedDisk(self.simulation.random, database)
@@ -316,33 +391,3 @@
     def _check(self) -> None:
         if self._node.refused:
             raise CoordinationUnavailableError("refused")
-
-
-class SimulatedTransport:
-    """Transport of one node."""
-
-    def __init__(self, simulation: "JobGroupSimulation", node: SimulatedNode) -> None:
-        self._simulation = simulation
-        self._node = node
-
-    async def call(
-        self, address: Address, frame: Frame, traffic: TrafficClass = TrafficClass.BULK
-    ) -> Frame:
-        """Send a call and return its answer."""
-        simulation = self._simulation
-        await simulation.transmit(self._node.number, address.port)
-        target = simulation.nodes.get(address.port)
-        if target is None or target.group is None:
-            raise PeerUnreachableError(address, sent=False)
-        answer = await target.handle_call(Frame.FromString(frame.SerializeToString()))
-        await simulation.transmit(address.port, self._node.number)
-        if answer is None:
-            raise PeerUnreachableError(address, sent=True)
-        return answer
-
-    def round_trip_s(self, address: Address) -> float:
-        """Return 0: round trips are not observed."""
-        return 0.0
-
-    def drop(self, address: Address) -> None:
-        """Do nothing: connections are not simulated."""
