Disk: the docstring says which cancelled calls take effect

It said that a call whose caller is cancelled always runs. The executor skips a call that has not begun; shown of the real disk by test_the_real_disk_runs_a_call_whose_caller_was_cancelled_after_it_began. No change of behaviour.

--- a/src/wharfcart/storage/disk.py
+++ b/src/wharfcart/storage/disk.py
@@ -21,7 +21,7 @@
 class Disk:
     """A :class:`JobDatabase` whose calls don't block the event loop and run in order.
 
-    A call whose caller is cancelled runs all the same.
+    A call whose caller is cancelled takes effect if it has begun, and is skipped if it waits.
 
     Attributes:
         corrected_claims: see :class:`JobDatabase`; set once the disk is open.
