Job database: an update's fields are read once, and its conditions have a test each

The statement of the usual update reads its parameters by number; a message's order is checked without tuples.

Tests: a late update doesn't undo the end of a job; one that names a base newer than itself is refused. Each condition of the statement was broken once and a test of test_job_database.py seen to fail; for the conditions on the end and on the epoch, these two are the first that fail.

--- a/src/wharfcart/storage/job_database.py
+++ b/src/wharfcart/storage/job_database.py
@@ -47,8 +47,8 @@
 """
 
 _APPEND_TO_JOB = """
-update job set epoch=?, ended=?, results=?
-where job_id=? and results=? and ended<=? and epoch in (?, ?) and epoch<=?
+update job set epoch=?1, ended=?2, results=?3
+where job_id=?4 and results=?5 and ended<=?2 and epoch in (?1, ?6) and epoch<=?1
 """
 
 
@@ -307,16 +307,14 @@
         elif update.base_epoch == NO_EPOCH:
             return False
         else:
+            first = update.from_result
             parameters = (
                 update.epoch,
                 update.ended,
-                update.from_result + len(update.results),
+                first + len(update.results),
                 update.job_id,
-                update.from_result,
-                update.ended,
+                first,
                 update.base_epoch,
-                update.epoch,
-                update.epoch,
             )
             is_written = self._connection.execute(_APPEND_TO_JOB, parameters).rowcount > 0
         if is_written:
--- a/src/wharfcart/storage/message_order.py
+++ b/src/wharfcart/storage/message_order.py
@@ -52,7 +52,7 @@
         """
         if number.session == UNNUMBERED:
             return True
-        is_current = (epoch, number.session) == (self._epoch, self._last.session)
+        is_current = epoch == self._epoch and number.session == self._last.session
         if not is_current or number.sequence <= self._last.sequence:
             return False
         self._last = number
--- a/tests/storage/test_job_database.py
+++ b/tests/storage/test_job_database.py
@@ -95,6 +95,7 @@
         (make_step("d", 2, 2, first=3), False, "ab"),
         (make_step("x", 1), False, "ab"),
         (make_step("x", 1, 1, first=1), False, "ab"),
+        (make_step("c", 1, 2, first=2), False, "ab"),
     ],
 )
 def test_only_an_update_of_the_same_history_extends_a_job(
@@ -114,6 +115,20 @@
     assert state.version == 1 + len(results)
 
 
+def test_a_late_update_does_not_undo_the_end_of_a_job() -> None:
+    """Guards against items of a cancelled job that run again."""
+    database = JobDatabase(None)
+    database.apply_updates(0, 1, [make_step("ab", 1)])
+    late = make_step("", 1, 1, first=2)
+    end = make_step("", 1, 1, first=2)
+    end.ended = True
+    for update in (end, late, end):
+        applied = database.apply_updates(0, 1, [update])
+        assert applied is not None and applied.mismatches == ()
+        (held,) = database.load_jobs(["j"])
+        assert held.ended
+
+
 def test_a_refused_update_leaves_the_others_of_its_message_written() -> None:
     database = JobDatabase(None)
     database.apply_updates(0, 1, [make_step("a", 1)])
