--- a/src/wharfcart/experiments/journal_simulation.py
+++ b/src/wharfcart/experiments/journal_simulation.py
@@ -2,7 +2,7 @@
 
 Runs :class:`wharfcart.storage.shard.Shard` on simulated disks and a simulated network that drops,
 delays, duplicates and reorders messages, with random crashes, pauses, partitions and disk losses.
-Some messages arrive as late as the ones of a connection that was given up may.
+Some messages and calls arrive as late as those of a connection that was given up may.
 Simulated clients record their operations in an :class:`OperationHistory`, which checks them
 (:mod:`wharfcart.experiments.operation_history`). A run is deterministic for its seed.
 """
@@ -77,6 +77,7 @@
         self._cut_links: set[frozenset[str]] = set()
         self._healing = False
         self.late_messages = 0
+        self.late_calls = 0
         count = 3 + plan.spare_machines
         self.machines = [
             SimulatedMachine(f"m{n}", SimulatedJournalDisk(f"m{n}-0")) for n in range(count)
@@ -444,6 +445,16 @@
                 return
             self._process_output(machine)
 
+        generation = machine.generation
+
+        def arrive_late() -> None:
+            if machine.generation == generation:
+                self.late_calls += 1
+                self._run_on(machine, arrive)
+
+        if not self._healing and self.random.random() < self.plan.message_lateness:
+            self.call_later(self.random.uniform(MAX_DELAY_S, MAX_LATENESS_S), arrive_late)
+            return
         delay = self.random.uniform(MIN_DELAY_S, MAX_DELAY_S)
         self.call_later(delay, lambda: self._run_on(machine, arrive))
 
