Partial texts: an item's text belongs to its job, not to its id alone

What callers would see: two jobs of one group with an item of the same id, which callers choose, share a text: the second run is asked to go on after the first one's events, and its result holds text of the other job, possibly of another tenant.

Cause: texts in memory and on disk, what was sent of them, and running items were known by the item's id alone.

The two new tests can't be written against the interfaces before.

Why this works: the key is the job and the item, also in the file, whose table of texts is new; the old one is dropped, as its rows name no epoch and aren't used.

--- a/src/wharfcart/batch/job_execution.py
+++ b/src/wharfcart/batch/job_execution.py
@@ -110,7 +110,7 @@
         if scheduled is None:
             return
         for item_id in list(scheduled.running):
-            placed = self._placed.get(item_id)
+            placed = self._placed.get(job_id, item_id)
             if placed is not None:
                 placed.stop()
 
@@ -484,7 +484,7 @@
             due_in_s=round(scheduled.due_at - monotonic(), 2),
         )
         scheduled.progress.pop(item.item_id, None)
-        self._group.partial_texts.remove_item(item.item_id)
+        self._group.partial_texts.remove_item(job_id, item.item_id)
         if record.is_complete:
             self._scheduler.remove(job_id)
             self._log.write(Event.JOB_CLOSED, job=job_id, items=len(record.results))
--- a/src/wharfcart/batch/job_scheduler.py
+++ b/src/wharfcart/batch/job_scheduler.py
@@ -61,7 +61,9 @@
             accepted_at: monotonic time of acceptance.
         """
         waiting = [item for item in job.items if item.item_id not in finished_item_ids]
-        waiting.sort(key=lambda item: self.partial_texts.event_count(item.item_id), reverse=True)
+        waiting.sort(
+            key=lambda item: self.partial_texts.event_count(job.job_id, item.item_id), reverse=True
+        )
         scheduled = ScheduledJob(
             job,
             accepted_at + job.objective_s,
--- a/src/wharfcart/batch/placed_items.py
+++ b/src/wharfcart/batch/placed_items.py
@@ -9,6 +9,7 @@
 from wharfcart.slots.events import SlotNumber
 from wharfcart.slots.item_slots import ItemSlot
 from wharfcart.slots.session import HeldSlot
+from wharfcart.storage.partial_texts import ItemKey
 
 
 @dataclass(eq=False)
@@ -35,6 +36,11 @@
     started: bool = False
     is_stopping: bool = False
 
+    @property
+    def key(self) -> ItemKey:
+        """Job and id of the item."""
+        return ItemKey(self.scheduled.job.job_id, self.item.item_id)
+
     def stop(self) -> None:
         """Stop the item; its task requeues it."""
         self.is_stopping = True
@@ -46,18 +52,18 @@
 class PlacedItems:
     """Items of one leader that occupy slots, indexed by item and by slot."""
 
-    _by_item: dict[str, PlacedItem] = field(default_factory=dict)
+    _by_item: dict[ItemKey, PlacedItem] = field(default_factory=dict)
     _by_slot: dict[tuple[int, SlotNumber], PlacedItem] = field(default_factory=dict)
 
     def add(self, placed: PlacedItem) -> None:
         """Add an item."""
-        self._by_item[placed.item.item_id] = placed
+        self._by_item[placed.key] = placed
         self._by_slot[placed.slot.group, placed.slot.number] = placed
 
     def remove(self, placed: PlacedItem) -> None:
         """Remove an item that has released its slot."""
-        if self._by_item.get(placed.item.item_id) is placed:
-            del self._by_item[placed.item.item_id]
+        if self._by_item.get(placed.key) is placed:
+            del self._by_item[placed.key]
         self._by_slot.pop((placed.slot.group, placed.slot.number), None)
 
     def clear(self) -> list[PlacedItem]:
@@ -67,9 +73,9 @@
         self._by_slot.clear()
         return placed
 
-    def get(self, item_id: str) -> PlacedItem | None:
-        """Return an item by its id, or None."""
-        return self._by_item.get(item_id)
+    def get(self, job_id: str, item_id: str) -> PlacedItem | None:
+        """Return an item of a job, or None."""
+        return self._by_item.get(ItemKey(job_id, item_id))
 
     def get_by_slot(self, slot: HeldSlot) -> PlacedItem | None:
         """Return the item that occupies a slot, or None."""
--- a/src/wharfcart/experiments/job_group_simulation.py
+++ b/src/wharfcart/experiments/job_group_simulation.py
@@ -226,7 +226,7 @@
     def _check_texts(self, place: str, texts: PartialTexts) -> None:
         for job_id, known in self.jobs.items():
             for item_id in known.item_ids:
-                if not texts.event_count(item_id):
+                if not texts.event_count(job_id, item_id):
                     continue
                 events = texts.get_or_create(job_id, item_id).texts
                 fault = find_text_fault(events)
--- a/src/wharfcart/experiments/simulated_runs.py
+++ b/src/wharfcart/experiments/simulated_runs.py
@@ -144,8 +144,9 @@
         del self._runs[item_id]
         text = "\n".join(run.text.texts).encode()
         outcome = ItemOutcome(item_id=item_id, succeeded=True, text=text)
-        self.leadership.append_result(run.record.job.job_id, outcome)
-        self._group.partial_texts.remove_item(item_id)
+        job_id = run.record.job.job_id
+        self.leadership.append_result(job_id, outcome)
+        self._group.partial_texts.remove_item(job_id, item_id)
         self._group.wake_sessions()
 
 
--- a/src/wharfcart/experiments/simulated_storage.py
+++ b/src/wharfcart/experiments/simulated_storage.py
@@ -39,6 +39,7 @@
 from wharfcart.storage.job_group import JobGroup
 from wharfcart.storage.layout import Layout, layout_from_bytes
 from wharfcart.storage.layout_bootstrap import LayoutBootstrap
+from wharfcart.storage.partial_texts import ItemKey
 from wharfcart.storage.replica_placement import ReplicaPlacement
 from wharfcart.storage.replicated_job import JobState
 
@@ -89,11 +90,11 @@
         )
 
     async def save_partial_texts(
-        self, group: int, parts: Sequence[PartialText], finished_item_ids: Collection[str]
-    ) -> list[str]:
+        self, group: int, parts: Sequence[PartialText], finished_items: Collection[ItemKey]
+    ) -> list[ItemKey]:
         """Save events of items that still run."""
         return await self._run_on_writer(
-            lambda: self.database.save_partial_texts(group, parts, finished_item_ids), writes=True
+            lambda: self.database.save_partial_texts(group, parts, finished_items), writes=True
         )
 
     async def load_partial_texts(self, group: int) -> list[PartialText]:
--- a/src/wharfcart/storage/disk.py
+++ b/src/wharfcart/storage/disk.py
@@ -9,6 +9,7 @@
 
 from wharfcart.cluster.messages_pb2 import JobUpdate, PartialText
 from wharfcart.storage.job_database import AppliedUpdates, CorruptJobError, JobDatabase
+from wharfcart.storage.partial_texts import ItemKey
 from wharfcart.storage.replicated_job import JobState
 
 Answer = TypeVar("Answer")
@@ -78,15 +79,15 @@
         return await self._run_on_writer(lambda: self._require_open().load_jobs(job_ids))
 
     async def save_partial_texts(
-        self, group: int, parts: Sequence[PartialText], finished_item_ids: Collection[str]
-    ) -> list[str]:
+        self, group: int, parts: Sequence[PartialText], finished_items: Collection[ItemKey]
+    ) -> list[ItemKey]:
         """Save partial texts of running items and delete those of finished items.
 
         Returns:
             Items with a part that does not extend what the disk has; nothing is saved of them.
         """
         return await self._run_on_writer(
-            lambda: self._require_open().save_partial_texts(group, parts, finished_item_ids)
+            lambda: self._require_open().save_partial_texts(group, parts, finished_items)
         )
 
     async def load_partial_texts(self, group: int) -> list[PartialText]:
--- a/src/wharfcart/storage/group_replica.py
+++ b/src/wharfcart/storage/group_replica.py
@@ -5,7 +5,13 @@
 from contextlib import suppress
 from dataclasses import asdict
 
-from wharfcart.cluster.messages_pb2 import FenceGroup, FenceResult, ReplicateJobs, ReplicateResult
+from wharfcart.cluster.messages_pb2 import (
+    FenceGroup,
+    FenceResult,
+    ItemReference,
+    ReplicateJobs,
+    ReplicateResult,
+)
 from wharfcart.observability.decisions import Event
 from wharfcart.storage.disk import DiskFailedError
 from wharfcart.storage.group_context import CopyMismatch, GroupContext
@@ -85,7 +91,11 @@
             accepted=True,
             epoch=message.epoch,
             mismatched_jobs=[state_to_message(state) for state in applied.mismatches] or None,
-            mismatched_texts=[mismatch.item_id for mismatch in mismatches] or None,
+            mismatched_texts=[
+                ItemReference(job_id=mismatch.job_id, item_id=mismatch.item_id)
+                for mismatch in mismatches
+            ]
+            or None,
         )
 
     def _log_refused_message(self, message: ReplicateJobs) -> None:
@@ -109,7 +119,7 @@
             if update.ended or update.forgotten:
                 self.partial_texts.remove_job(update.job_id)
             for result in update.results:
-                self.partial_texts.remove_item(result.item_id)
+                self.partial_texts.remove_item(update.job_id, result.item_id)
         mismatches = self.partial_texts.apply(message.partial_texts)
         if mismatches:
             self._context.log.write(
@@ -146,13 +156,13 @@
         """
         while True:
             await asyncio.sleep(TEXT_SAVE_INTERVAL_S)
-            finished_item_ids = self.partial_texts.removed_items(saved)
+            finished_items = self.partial_texts.removed_items(saved)
             parts = self.partial_texts.take_unsent(saved)
-            if not parts and not finished_item_ids:
+            if not parts and not finished_items:
                 continue
             try:
                 mismatched_items = await self._context.disk.save_partial_texts(
-                    self.group, parts, finished_item_ids
+                    self.group, parts, finished_items
                 )
                 saved.forget(mismatched_items)
             except DiskFailedError:
--- a/src/wharfcart/storage/job_database.py
+++ b/src/wharfcart/storage/job_database.py
@@ -15,6 +15,7 @@
 import xxhash
 
 from wharfcart.cluster.messages_pb2 import ItemOutcome, JobUpdate, PartialText, RequestJob
+from wharfcart.storage.partial_texts import ItemKey
 from wharfcart.storage.replicated_job import NO_EPOCH, JobState, version_after, version_of
 
 DATABASE_NAME = "jobs.sqlite"
@@ -34,11 +35,11 @@
 create table if not exists result (
   job_id text not null, position integer not null, value blob not null, checksum integer not null,
   primary key (job_id, position)) without rowid;
-create table if not exists running_text (
-  item_id text not null, from_event integer not null, job_id text not null,
+drop table if exists running_text;
+create table if not exists partial_text (
+  job_id text not null, item_id text not null, from_event integer not null,
   job_group integer not null, value blob not null, checksum integer not null,
-  primary key (item_id, from_event)) without rowid;
-create index if not exists running_text_job on running_text (job_id);
+  primary key (job_id, item_id, from_event)) without rowid;
 """
 # Jobs with fewer results than their row says.
 _OVERSTATED_JOBS = """
@@ -46,6 +47,8 @@
   select count(*) from result where result.job_id = job.job_id and position < job.results)
 """
 
+_DELETE_TEXT = "delete from partial_text where job_id=? and item_id=?"
+
 _DELETE_UNCLAIMED_RESULTS = """
 delete from result where not exists (
   select 1 from job where job.job_id = result.job_id and result.position < job.results)
@@ -187,14 +190,14 @@
         return [record for record in found if record is not None]
 
     def save_partial_texts(
-        self, group: int, parts: Sequence[PartialText], finished_item_ids: Collection[str]
-    ) -> list[str]:
+        self, group: int, parts: Sequence[PartialText], finished_items: Collection[ItemKey]
+    ) -> list[ItemKey]:
         """Save partial texts of running items in one commit.
 
         Args:
             group: number of the items' group.
             parts: events that were not saved before.
-            finished_item_ids: items that no longer run; their partial texts are deleted.
+            finished_items: items that no longer run; their partial texts are deleted.
 
         Returns:
             Items with a part that does not extend what is saved; nothing is saved of them.
@@ -205,17 +208,17 @@
         try:
             for part in parts:
                 if part.from_event == 0:
-                    execute("delete from running_text where item_id=?", (part.item_id,))
+                    execute(_DELETE_TEXT, (part.job_id, part.item_id))
                 elif not self._extends_saved_text(part):
-                    mismatched_items.append(part.item_id)
+                    mismatched_items.append(ItemKey(part.job_id, part.item_id))
                     continue
                 value = part.SerializeToString()
                 execute(
-                    "insert or replace into running_text values (?, ?, ?, ?, ?, ?)",
-                    (part.item_id, part.from_event, part.job_id, group, value, _checksum(value)),
+                    "insert or replace into partial_text values (?, ?, ?, ?, ?, ?)",
+                    (part.job_id, part.item_id, part.from_event, group, value, _checksum(value)),
                 )
-            for item_id in finished_item_ids:
-                execute("delete from running_text where item_id=?", (item_id,))
+            for key in finished_items:
+                execute(_DELETE_TEXT, key)
             execute("commit")
         except BaseException:
             if self._connection.in_transaction:
@@ -230,9 +233,9 @@
         the later events of the item.
         """
         rows = self._connection.execute(
-            "select value, checksum from running_text where job_group=?"
+            "select value, checksum from partial_text where job_group=?"
             " and job_id in (select job_id from job where job_group=? and not ended)"
-            " order by item_id, from_event",
+            " order by job_id, item_id, from_event",
             (group, group),
         )
         return [
@@ -273,9 +276,9 @@
     def _extends_saved_text(self, part: PartialText) -> bool:
         """Whether a part begins where the saved text of its item ends, in the same epoch."""
         row = self._connection.execute(
-            "select value, checksum from running_text where item_id=?"
+            "select value, checksum from partial_text where job_id=? and item_id=?"
             " order by from_event desc limit 1",
-            (part.item_id,),
+            (part.job_id, part.item_id),
         ).fetchone()
         if row is None or _checksum(row[0]) != row[1]:
             return False
@@ -348,7 +351,7 @@
         return held is not _NOT_HELD and is_same_history and held.results >= update.from_result
 
     def _delete_job(self, job_id: str) -> None:
-        for table in ("job", "result", "running_text"):
+        for table in ("job", "result", "partial_text"):
             self._connection.execute(f"delete from {table} where job_id=?", (job_id,))
 
     def _replace_results(self, group: int, update: JobUpdate) -> None:
@@ -380,14 +383,14 @@
         """Insert an update's results, and delete texts that they or the job's end make obsolete."""
         execute = self._connection.execute
         if update.ended:
-            execute("delete from running_text where job_id=?", (update.job_id,))
+            execute("delete from partial_text where job_id=?", (update.job_id,))
         for position, outcome in enumerate(update.results, update.from_result):
             value = outcome.SerializeToString()
             execute(
                 "insert into result values (?, ?, ?, ?)",
                 (update.job_id, position, value, _checksum(value)),
             )
-            execute("delete from running_text where item_id=?", (outcome.item_id,))
+            execute(_DELETE_TEXT, (update.job_id, outcome.item_id))
 
     def _load_job(self, job_id: str) -> JobUpdate | None:
         row = self._connection.execute(
--- a/src/wharfcart/storage/partial_texts.py
+++ b/src/wharfcart/storage/partial_texts.py
@@ -19,6 +19,13 @@
 MAX_BYTES_PER_MESSAGE = 256 * 1024
 
 
+class ItemKey(NamedTuple):
+    """An item; callers choose its id, which is unique in its job only."""
+
+    job_id: str
+    item_id: str
+
+
 class EpochSpan(NamedTuple):
     """Consecutive events that the leader of one epoch added.
 
@@ -164,12 +171,12 @@
     An item that the receiver has refused or removed must be forgotten: it is then sent whole.
     """
 
-    by_item: dict[str, SentText] = field(default_factory=dict)
+    by_item: dict[ItemKey, SentText] = field(default_factory=dict)
 
-    def forget(self, item_ids: Iterable[str]) -> None:
+    def forget(self, keys: Iterable[ItemKey]) -> None:
         """Send some items whole the next time."""
-        for item_id in item_ids:
-            self.by_item.pop(item_id, None)
+        for key in keys:
+            self.by_item.pop(key, None)
 
 
 @dataclass(frozen=True, slots=True)
@@ -177,6 +184,7 @@
     """A part that does not extend the copy of its item.
 
     Attributes:
+        job_id: id of the item's job.
         item_id: id of the item.
         from_event: number of events before the part.
         base_epoch: epoch of the event before the part at the sender.
@@ -184,6 +192,7 @@
         held_epoch: epoch of the event before the part in the copy; 0 if there is none.
     """
 
+    job_id: str
     item_id: str
     from_event: int
     base_epoch: int
@@ -200,7 +209,7 @@
     """
 
     leader_epoch: int = NO_EPOCH
-    _texts: dict[str, ItemPartialText] = field(default_factory=dict)
+    _texts: dict[ItemKey, ItemPartialText] = field(default_factory=dict)
 
     def begin_epoch(self, epoch: int) -> None:
         """Add events in an epoch that this node leads from now on."""
@@ -210,52 +219,50 @@
 
     def get_or_create(self, job_id: str, item_id: str) -> ItemPartialText:
         """Return an item's partial text, which is created empty."""
-        text = self._texts.get(item_id)
+        key = ItemKey(job_id, item_id)
+        text = self._texts.get(key)
         if text is None:
-            text = self._texts[item_id] = ItemPartialText(job_id, self.leader_epoch)
+            text = self._texts[key] = ItemPartialText(job_id, self.leader_epoch)
         return text
 
-    def event_count(self, item_id: str) -> int:
+    def event_count(self, job_id: str, item_id: str) -> int:
         """Return the number of events that an item has produced so far."""
-        text = self._texts.get(item_id)
+        text = self._texts.get(ItemKey(job_id, item_id))
         return 0 if text is None else len(text.texts)
 
-    def remove_item(self, item_id: str) -> None:
+    def remove_item(self, job_id: str, item_id: str) -> None:
         """Remove an item that has its result."""
-        self._texts.pop(item_id, None)
+        self._texts.pop(ItemKey(job_id, item_id), None)
 
     def remove_job(self, job_id: str) -> None:
         """Remove the items of a finished job."""
-        finished = [item_id for item_id, text in self._texts.items() if text.job_id == job_id]
-        for item_id in finished:
-            del self._texts[item_id]
+        for key in [key for key in self._texts if key.job_id == job_id]:
+            del self._texts[key]
 
     def take_unsent(self, sent: SentOffsets) -> list[PartialText]:
         """Return the parts that were not sent yet, bounded in size, and record them as sent."""
         parts = []
         size = 0
         sent_of = sent.by_item.get
-        for item_id, text in self._texts.items():
-            known = sent_of(item_id, _NOTHING_SENT)
+        for key, text in self._texts.items():
+            known = sent_of(key, _NOTHING_SENT)
             if known.events == len(text.texts) and known.epoch == text.last_epoch:
                 # Most texts have no failures.
                 has_failures = text.failed_at or known.failed_at
                 if not has_failures or known.failed_at == tuple(text.failed_at):
                     continue
             for part in _unsent_parts(text, known):
-                part.item_id = item_id
+                part.item_id = key.item_id
                 parts.append(part)
                 size += part.ByteSize()
-            sent.by_item[item_id] = SentText(
-                len(text.texts), text.last_epoch, tuple(text.failed_at)
-            )
+            sent.by_item[key] = SentText(len(text.texts), text.last_epoch, tuple(text.failed_at))
             if size > MAX_BYTES_PER_MESSAGE:
                 break
         if not sent.by_item.keys() <= self._texts.keys():
             sent.forget(self.removed_items(sent))
         return parts
 
-    def removed_items(self, sent: SentOffsets) -> set[str]:
+    def removed_items(self, sent: SentOffsets) -> set[ItemKey]:
         """Return the items that were sent in part and no longer run."""
         return sent.by_item.keys() - self._texts.keys()
 
@@ -268,6 +275,7 @@
             if not text.apply(part):
                 mismatches.append(
                     TextMismatch(
+                        part.job_id,
                         part.item_id,
                         part.from_event,
                         part.base_epoch,
--- a/src/wharfcart/storage/replica_links.py
+++ b/src/wharfcart/storage/replica_links.py
@@ -17,6 +17,7 @@
 from wharfcart.errors import ServingError
 from wharfcart.storage.disk import Disk, DiskFailedError
 from wharfcart.storage.message_order import MessageNumber
+from wharfcart.storage.partial_texts import ItemKey
 from wharfcart.storage.replica_session import (
     HigherEpochError,
     Mismatches,
@@ -139,7 +140,7 @@
             raise self._refusal_error(answer.epoch, epoch)
         return Mismatches(
             tuple(state_from_message(digest) for digest in answer.mismatched_jobs),
-            tuple(answer.mismatched_texts),
+            tuple(ItemKey(one.job_id, one.item_id) for one in answer.mismatched_texts),
         )
 
     async def fetch(self, job_ids: Sequence[str]) -> list[JobUpdate]:
--- a/src/wharfcart/storage/replica_session.py
+++ b/src/wharfcart/storage/replica_session.py
@@ -14,7 +14,7 @@
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.storage.job_leadership import JobLeadership
 from wharfcart.storage.message_order import FIRST_SESSION, MessageNumber
-from wharfcart.storage.partial_texts import PartialTexts, SentOffsets
+from wharfcart.storage.partial_texts import ItemKey, PartialTexts, SentOffsets
 from wharfcart.storage.replicated_job import JobState
 
 HEARTBEAT_INTERVAL_S = 0.15
@@ -46,7 +46,7 @@
     """
 
     jobs: tuple[JobState, ...] = ()
-    text_items: tuple[str, ...] = ()
+    text_items: tuple[ItemKey, ...] = ()
 
 
 class ReplicaLink(Protocol):
--- a/tests/storage/test_job_database.py
+++ b/tests/storage/test_job_database.py
@@ -19,6 +19,7 @@
     CorruptJobError,
     JobDatabase,
 )
+from wharfcart.storage.partial_texts import ItemKey
 from wharfcart.storage.replicated_job import JobState
 
 # Written by commit cc0e024.
@@ -249,7 +250,7 @@
     database = JobDatabase(tmp_path)
     database.apply_updates(0, 1, [make_update()])
     database.save_partial_texts(0, [make_part("0", 0, "a", "b"), make_part("1", 0, "x")], [])
-    database.save_partial_texts(0, [make_part("0", 2, "c")], ["1"])
+    database.save_partial_texts(0, [make_part("0", 2, "c")], [ItemKey("j", "1")])
     again = JobDatabase(copy_folder(tmp_path))
     found = again.load_partial_texts(0)
     assert [(one.item_id, list(one.texts)) for one in found] == [("0", ["a", "b"]), ("0", ["c"])]
@@ -272,7 +273,7 @@
     unknown = make_part("0", 3, "x")
     unknown.base_epoch = 0
     for part in (foreign, gap, repeated, unknown):
-        assert database.save_partial_texts(0, [part], []) == ["0"]
+        assert database.save_partial_texts(0, [part], []) == [ItemKey("j", "0")]
     found = [(one.from_event, list(one.texts)) for one in database.load_partial_texts(0)]
     assert found == [(0, ["a", "b"]), (2, ["c"])]
 
@@ -298,6 +299,18 @@
     assert found == [(0, ["a"]), (1, ["b"])]
 
 
+def test_saved_texts_of_two_jobs_with_one_item_id_are_kept_apart() -> None:
+    """Guards against a result with the text of another job, possibly of another tenant."""
+    database = JobDatabase(None)
+    other = JobUpdate(job_id="k", epoch=1, job=RequestJob(job_id="k"))
+    database.apply_updates(0, 1, [make_update(), other])
+    parts = [make_part("0", 0, "a"), make_part("0", 0, "x", job_id="k"), make_part("0", 1, "b")]
+    assert database.save_partial_texts(0, parts, []) == []
+    database.save_partial_texts(0, [], [ItemKey("k", "0")])
+    found = [(one.job_id, list(one.texts)) for one in database.load_partial_texts(0)]
+    assert found == [("j", ["a"]), ("j", ["b"])]
+
+
 def copy_folder(folder: Path) -> Path:
     """Return a copy of the folder, as after a loss of power."""
     copy = folder.with_name(f"{folder.name}-copy")
@@ -325,7 +338,7 @@
     database.save_partial_texts(0, [make_part("0", 0, "a"), make_part("0", 1, "b")], [])
     database.close()
     raw = sqlite3.connect(tmp_path / DATABASE_NAME)
-    raw.execute("update running_text set checksum=checksum+1 where from_event=0")
+    raw.execute("update partial_text set checksum=checksum+1 where from_event=0")
     raw.commit()
     raw.close()
     again = JobDatabase(tmp_path)
--- a/tests/storage/test_job_group.py
+++ b/tests/storage/test_job_group.py
@@ -948,7 +948,7 @@
             await node.start()
         leader = await fleet.until_led(4.0)
         assert leader.group is not None
-        assert leader.group.partial_texts.event_count("a-1") == 40
+        assert leader.group.partial_texts.event_count("a", "a-1") == 40
 
     run_scenario(scenario)
 
--- a/tests/storage/test_partial_text_histories.py
+++ b/tests/storage/test_partial_text_histories.py
@@ -7,7 +7,7 @@
 
 from wharfcart.cluster.messages_pb2 import JobUpdate, PartialText, RequestItem, RequestJob
 from wharfcart.storage.job_database import JobDatabase
-from wharfcart.storage.partial_texts import PartialTexts, SentOffsets
+from wharfcart.storage.partial_texts import ItemKey, PartialTexts, SentOffsets
 
 STEPS = 150
 NODES = 3
@@ -108,7 +108,7 @@
         self.mismatches += len(mismatches)
         for sender in self.copies:
             if sender.leads and sender.texts.leader_epoch == epoch and target in sender.sent:
-                sender.sent[target].forget(one.item_id for one in mismatches)
+                sender.sent[target].forget(ItemKey(one.job_id, one.item_id) for one in mismatches)
 
     def lose_messages(self) -> None:
         self.messages = self.messages[-self.random.randrange(8) :]
--- a/tests/storage/test_partial_texts.py
+++ b/tests/storage/test_partial_texts.py
@@ -3,7 +3,13 @@
 import pytest
 
 from wharfcart.cluster.messages_pb2 import PartialText
-from wharfcart.storage.partial_texts import ItemPartialText, PartialTexts, SentOffsets, SentText
+from wharfcart.storage.partial_texts import (
+    ItemKey,
+    ItemPartialText,
+    PartialTexts,
+    SentOffsets,
+    SentText,
+)
 
 
 def test_a_replica_receives_each_part_once() -> None:
@@ -24,14 +30,14 @@
 
 def test_a_part_with_a_gap_before_it_is_refused_and_the_text_sent_whole() -> None:
     leader, replica = PartialTexts(leader_epoch=1), PartialTexts()
-    offsets = SentOffsets({"i": SentText(events=1, epoch=1)})
+    offsets = SentOffsets({ItemKey("j", "i"): SentText(events=1, epoch=1)})
     text = leader.get_or_create("j", "i")
     text.add_event(0, "a")
     text.add_event(1, "b")
     (mismatch,) = replica.apply(leader.take_unsent(offsets))
     assert replica.get_or_create("j", "i").texts == []
     assert (mismatch.item_id, mismatch.from_event, mismatch.held_events) == ("i", 1, 0)
-    offsets.forget(["i"])
+    offsets.forget([ItemKey("j", "i")])
     assert replica.apply(leader.take_unsent(offsets)) == []
     assert replica.get_or_create("j", "i").texts == ["a", "b"]
 
@@ -40,7 +46,7 @@
     texts = PartialTexts()
     texts.get_or_create("j", "i").add_event(0, "a")
     texts.get_or_create("k", "l").add_event(0, "a")
-    texts.remove_item("i")
+    texts.remove_item("j", "i")
     texts.remove_job("k")
     assert texts.take_unsent(SentOffsets()) == []
 
@@ -62,8 +68,8 @@
     saved = SentOffsets()
     texts.get_or_create("j", "i").add_event(0, "a")
     texts.take_unsent(saved)
-    texts.remove_item("i")
-    assert texts.removed_items(saved) == {"i"}
+    texts.remove_item("j", "i")
+    assert texts.removed_items(saved) == {ItemKey("j", "i")}
     texts.take_unsent(saved)
     assert texts.removed_items(saved) == set()
 
@@ -76,7 +82,7 @@
         texts.get_or_create("j", "i").add_event(number, str(number))
         parts += texts.take_unsent(saved)
     restored.apply([parts[0], parts[2]])
-    assert (restored.event_count("i"), restored.event_count("other")) == (1, 0)
+    assert (restored.event_count("j", "i"), restored.event_count("j", "other")) == (1, 0)
 
 
 def make_copy(*leaders: tuple[int, str]) -> ItemPartialText:
@@ -134,7 +140,7 @@
     texts.get_or_create("j", "i").add_event(1, "b")
     texts.take_unsent(sent)
     replacement = make_part(1, "xyz", 2, 1)
-    replacement.item_id = "i"
+    replacement.job_id, replacement.item_id = "j", "i"
     assert texts.apply([replacement]) == []
     parts = texts.take_unsent(sent)
     assert [(part.from_event, "".join(part.texts), part.epoch) for part in parts] == [
@@ -159,3 +165,16 @@
     assert copy.apply(make_part(2, "xyz", 3, 1))
     parts = [(part.from_event, "".join(part.texts), part.epoch) for part in copy.parts_after(0)]
     assert parts == [(0, "ab", 1), (2, "xyz", 3)]
+
+
+def test_items_of_two_jobs_with_one_id_have_texts_of_their_own() -> None:
+    """Guards against a result with the text of another job, possibly of another tenant."""
+    leader, replica = PartialTexts(leader_epoch=1), PartialTexts()
+    leader.get_or_create("j", "i").add_event(0, "a")
+    leader.get_or_create("k", "i").add_event(0, "b")
+    assert replica.apply(leader.take_unsent(SentOffsets())) == []
+    leader.remove_item("j", "i")
+    replica.remove_job("j")
+    for texts in (leader, replica):
+        assert texts.event_count("j", "i") == 0
+        assert texts.get_or_create("k", "i").texts == ["b"]
