Job group: a new leader shows a job only with all that an earlier one may have exposed

What callers saw: a page of a job ends before results that were read earlier (fault soak of 15 s: 14 results were read, then 11 after all processes were killed; complete later).

Cause: a new leader answered from the version that a quorum of the promises it had held of one epoch. A result that was committed with a replica that has not promised yet is missing there. A job written again in several messages was shown likewise after the first of them.

Why this works: an earlier leader exposed at most the newest state among the promises that a takeover needs. Until a quorum holds that state in the old epoch, or wrote it in the new one, the job can't be read, as states of several epochs already.

--- a/src/wharfcart/storage/job_leadership.py
+++ b/src/wharfcart/storage/job_leadership.py
@@ -385,10 +385,12 @@
         version = min(version, record.version)
         if version <= self._committed_versions.get(job_id, 0):
             return False
+        if job_id in self._undecided_jobs:
+            if version < self._inherited_states[job_id].version:
+                # An earlier leader may have exposed more, with a replica that did not promise.
+                return False
+            del self._undecided_jobs[job_id]
         self._committed_versions[job_id] = version
-        inherited = self._inherited_states.get(job_id)
-        if inherited is not None and version >= inherited.version:
-            self._undecided_jobs.pop(job_id, None)
         return True
 
     def _advance_all_commits(self) -> None:
