--- a/src/wharfcart/soak/fleet.py
+++ b/src/wharfcart/soak/fleet.py
@@ -170,11 +170,11 @@
         """
         others = [store for store in self.stores if store is not node]
         self.proxies_by_node[node.node_id].set_unreachable_peers(
-            lambda peer: any(_is_peer(store, peer) for store in others)
+            lambda peer: _is_peer(others, peer)
         )
         for store in others:
             self.proxies_by_node[store.node_id].set_unreachable_peers(
-                lambda peer: _is_peer(node, peer)
+                lambda peer: _is_peer([node], peer)
             )
 
     def end_cut_off(self) -> None:
@@ -312,6 +312,7 @@
         return self.folder / f"{node.node_id}.control.json"
 
 
-def _is_peer(node: ServingNodeProcess, peer: Endpoint) -> bool:
-    """Return whether a connection comes from a node's process, given its source address."""
-    return node.process is not None and has_connection_from(node.process.pid, peer[1])
+def _is_peer(nodes: list[ServingNodeProcess], peer: Endpoint) -> bool:
+    """Return whether a connection comes from one of some nodes, given its source address."""
+    pids = [node.process.pid for node in nodes if node.process is not None]
+    return has_connection_from(pids, peer[1])
--- a/src/wharfcart/soak/peer_processes.py
+++ b/src/wharfcart/soak/peer_processes.py
@@ -1,15 +1,20 @@
 """Finds the process at the other end of a loopback connection, by Linux's /proc."""
 
 import os
+from collections.abc import Iterable
 from pathlib import Path
 
 LOCAL_ADDRESS_COLUMN = 1
 INODE_COLUMN = 9
 
 
-def has_connection_from(pid: int, port: int) -> bool:
-    """Return whether a process has a TCP connection over IPv4 with this local port."""
+def has_connection_from(pids: Iterable[int], port: int) -> bool:
+    """Return whether one of some processes has a TCP connection over IPv4 with this local port."""
     links = {f"socket:[{inode}]" for inode in _inodes_of_port(port)}
+    return any(_has_descriptor(pid, links) for pid in pids)
+
+
+def _has_descriptor(pid: int, links: set[str]) -> bool:
     try:
         descriptors = list(os.scandir(f"/proc/{pid}/fd"))
     except OSError:
--- a/src/wharfcart/soak/plan.py
+++ b/src/wharfcart/soak/plan.py
@@ -99,6 +99,8 @@
 STORAGE_SERIES_PROBABILITY = 0.6
 LATE_MESSAGES_S = (4.0, 8.0)
 LEADER_SERIES_S = 6.0
+# With more, finding the process of each new connection takes too long.
+MAX_STORES_OF_LEADER_SERIES = 3
 
 
 @dataclass(frozen=True)
@@ -191,6 +193,8 @@
     if rng.random() >= STORAGE_SERIES_PROBABILITY:
         return faults
     kind = rng.choice((FaultKind.LATE_MESSAGES, FaultKind.LEADER_SERIES))
+    if stores > MAX_STORES_OF_LEADER_SERIES:
+        kind = FaultKind.LATE_MESSAGES
     is_late = kind is FaultKind.LATE_MESSAGES
     duration_s = rng.uniform(*LATE_MESSAGES_S) if is_late else LEADER_SERIES_S
     start_s = rng.uniform(0, load_s - duration_s)
