Soak: slow items begin to answer at once, and share no content between jobs

Slow items sent their first event after up to 0.32 s, and items of several jobs had one content.

Change: only events after the first are slow, and their bodies name the job. Quick items share contents as before, so that the soak still finds that fault; no check is changed.

--- a/src/wharfcart/emulator/model_server.py
+++ b/src/wharfcart/emulator/model_server.py
@@ -52,7 +52,7 @@
 
 
 def slow_body(factor: int, body: bytes) -> bytes:
-    """Return a body that is streamed more slowly by a factor."""
+    """Return a body whose events after the first are streamed more slowly by a factor."""
     return b"slow %d " % factor + body
 
 
@@ -223,10 +223,11 @@
         cut_after = (
             (run.first_event + self._event_count) // 2 if self.switch.consume_stream_cut() else None
         )
-        interval_s = self._event_interval_s * _slowness_of(body)
+        interval_s = self._event_interval_s
         await response.prepare(request)
         for number in range(run.first_event, self._event_count):
             await asyncio.sleep(interval_s)
+            interval_s = self._event_interval_s * _slowness_of(body)
             if body in self.poison_bodies and number == run.first_event + self.events_before_crash:
                 await self._crash(body)
             if number == cut_after:
--- a/src/wharfcart/soak/workload.py
+++ b/src/wharfcart/soak/workload.py
@@ -281,4 +281,4 @@
     if not job.is_slow:
         return body
     # Items of one job end at different times, so that its results arrive one by one.
-    return slow_body(1 + 5 * number % MAX_SLOWNESS, body)
+    return slow_body(1 + 5 * number % MAX_SLOWNESS, job.job_id.encode() + b" " + body)
