Job leadership: an update of a deleted job counts no longer once the job is submitted again

What callers would see: an accepted job or a result that no replica holds, if its leader is lost then. It needs a job id that is submitted again after its retention while an update of the deleted job is under way.

Cause: the acknowledgement of an update names the job and a version. After the deletion and the new submission it was counted for the new job.

Evidence: test_an_update_of_a_deleted_job_does_not_count_for_one_submitted_again failed before (committed version 2 in place of 0).

Why this works: until a replica has confirmed the deletion, no update of that id counts; the deletion goes first in the same message as the new job. A replica that was away since before the deletion is a known red (its test fails): states have to name their submission.

record_mismatches has a test: the next update is cut from what is held, and what a replica was thought to hold no longer counts; seen to fail with either taken out.

--- a/src/wharfcart/storage/job_leadership.py
+++ b/src/wharfcart/storage/job_leadership.py
@@ -195,7 +195,7 @@
             job_id = update.job_id
             record = self.jobs.get(job_id)
             version = version_after(update)
-            if record is None or version > record.version:
+            if record is None or job_id in progress.jobs_to_delete:
                 continue  # the job was deleted meanwhile, or deleted and submitted again
             progress.matched_versions[job_id] = version
             progress.written_versions[job_id] = version
--- a/tests/storage/test_job_leadership.py
+++ b/tests/storage/test_job_leadership.py
@@ -103,6 +103,66 @@
     assert [result.item_id for result in leadership.committed_results("j")] == ["0", "1"]
 
 
+def test_a_refused_update_is_cut_from_what_the_replica_holds() -> None:
+    """Guards against a replica that never catches up, and against counting what it lacks."""
+    leadership = inherited_leadership(JobState("j", 2, 3))
+    leadership.add_replica("b", [JobState("j", 2, 3)])
+    leadership.add_replica("c", [JobState("j", 2, 3)])
+    assert leadership.committed_version("j") == 3
+    for held, whole, first in (
+        (JobState("j", 2, 2), False, 1),
+        (JobState("j", 1, 3), True, 0),
+        (JobState("j", 0, 0), True, 0),
+    ):
+        leadership.record_mismatches("b", [held])
+        assert leadership.is_behind("b")
+        (update,) = leadership.updates_for("b")
+        assert (update.HasField("job"), update.from_result) == (whole, first)
+        assert update.base_epoch == (0 if whole else held.epoch)
+    assert leadership.committed_version("j") == 3
+    leadership.append_result("j", outcome("4"))
+    write(leadership, "c")
+    assert leadership.committed_version("j") == 3, "what the replica was thought to hold counts"
+    write(leadership, "b")
+    assert leadership.committed_version("j") == 4
+    assert not leadership.is_behind("b")
+
+
+def test_an_update_of_a_deleted_job_does_not_count_for_one_submitted_again() -> None:
+    """Guards against a result that counts as committed although no replica holds it."""
+    leadership = make_leadership()
+    leadership.accept_job(job())
+    leadership.append_result("j", outcome("0", b"old"))
+    in_flight = {identity: leadership.updates_for(identity) for identity in ("a", "b")}
+    leadership.delete_job("j")
+    leadership.accept_job(job())
+    leadership.append_result("j", outcome("0", b"new"))
+    for identity, updates in in_flight.items():
+        leadership.record_written(identity, updates)
+    assert leadership.committed_version("j") == 0
+    deletion, update = leadership.updates_for("a")
+    assert deletion.forgotten and update.HasField("job")
+    write(leadership, "a")
+    write(leadership, "b")
+    assert [result.text for result in leadership.committed_results("j")] == [b"new"]
+
+
+def test_a_replica_that_missed_a_deletion_does_not_count_for_a_job_submitted_again() -> None:
+    """Guards against results of the deleted job that return with a replica that was away."""
+    leadership = make_leadership()
+    leadership.accept_job(job())
+    leadership.append_result("j", outcome("0", b"old"))
+    for identity in MEMBERS:
+        write(leadership, identity)
+    leadership.remove_replica("c")
+    leadership.delete_job("j")
+    leadership.accept_job(job())
+    write(leadership, "a")
+    leadership.add_replica("c", [JobState("j", 1, 2)])
+    assert leadership.committed_version("j") == 0
+    assert leadership.is_behind("c")
+
+
 @pytest.mark.parametrize(
     ("first", "second"),
     [
