--- a/benchmarks/leader_failover.py
+++ b/benchmarks/leader_failover.py
@@ -15,6 +15,7 @@
     disk_loss_rate=0,
     message_loss=0.01,
     message_duplication=0.01,
+    message_lateness=0.0,
 )
 KILL_AT_S = 6.0
 STEP_S = 0.01
