--- a/tests/storage/test_job_leadership.py
+++ b/tests/storage/test_job_leadership.py
@@ -108,6 +108,8 @@
     leadership = inherited_leadership(JobState("j", 2, 3))
     leadership.add_replica("b", [JobState("j", 2, 3)])
     leadership.add_replica("c", [JobState("j", 2, 3)])
+    leadership.append_result("j", outcome("4"))
+    write(leadership, "b")
     assert leadership.committed_version("j") == 3
     for held, whole, first in (
         (JobState("j", 2, 2), False, 1),
@@ -119,8 +121,6 @@
         (update,) = leadership.updates_for("b")
         assert (update.HasField("job"), update.from_result) == (whole, first)
         assert update.base_epoch == (0 if whole else held.epoch)
-    assert leadership.committed_version("j") == 3
-    leadership.append_result("j", outcome("4"))
     write(leadership, "c")
     assert leadership.committed_version("j") == 3, "what the replica was thought to hold counts"
     write(leadership, "b")
