--- a/src/wharfcart/batch/job_execution.py
+++ b/src/wharfcart/batch/job_execution.py
@@ -97,10 +97,11 @@
 
     # ---- calls of the job service ----
 
-    def job_accepted(self, job: RequestJob) -> None:
+    def job_accepted(self, record: ReplicatedJob) -> None:
         """Start a committed job."""
-        if job.job_id not in self._scheduler.jobs:
-            self._add_job(job, set())
+        known = self._scheduler.jobs.get(record.job.job_id)
+        if known is None or known.submission != record.submission:
+            self._add_job(record, set())
             self._wake_up.set()
 
     def job_cancelled(self, job_id: str) -> None:
@@ -110,7 +111,7 @@
         if scheduled is None:
             return
         for item_id in list(scheduled.running):
-            placed = self._placed.get(job_id, item_id)
+            placed = self._placed.get(scheduled.key_of(item_id))
             if placed is not None:
                 placed.stop()
 
@@ -255,7 +256,7 @@
         for record in leadership.jobs.values():
             self._learn_item_sizes(record)
             if not record.ended and not record.is_complete:
-                self._add_job(record.job, {result.item_id for result in record.results})
+                self._add_job(record, {result.item_id for result in record.results})
         self._tasks.spawn(self._run())
 
     def _learn_item_sizes(self, record: ReplicatedJob) -> None:
@@ -276,9 +277,9 @@
             if not placed.started:
                 self._selector.record_finished(placed.state, placed.send_id)
 
-    def _add_job(self, job: RequestJob, finished_item_ids: set[str]) -> None:
-        age_s = max(0.0, time() - job.accepted_ms / 1000)
-        self._scheduler.add(job, finished_item_ids, monotonic() - age_s)
+    def _add_job(self, record: ReplicatedJob, finished_item_ids: set[str]) -> None:
+        age_s = max(0.0, time() - record.job.accepted_ms / 1000)
+        self._scheduler.add(record.job, finished_item_ids, monotonic() - age_s, record.submission)
 
     async def _run(self) -> None:
         while True:
@@ -357,7 +358,7 @@
             outcome = await self._attempt_item(placed, progress)
             backend_result = self._assess_backends(progress, placed.slot.instance_id, outcome)
         except asyncio.CancelledError:
-            if scheduled.job.job_id not in self._scheduler.jobs:
+            if not self._scheduler.is_scheduled(scheduled):
                 raise
             progress.not_before = monotonic() + PREEMPTED_RETRY_DELAY_S
             self._scheduler.requeue(scheduled, item)
@@ -466,7 +467,7 @@
         cause: str,
     ) -> None:
         leadership = self._group.leadership
-        if leadership is None:
+        if leadership is None or not self._scheduler.is_scheduled(scheduled):
             return
         job_id = scheduled.job.job_id
         outcome = ItemOutcome(item_id=item.item_id, succeeded=succeeded, text=text.encode())
@@ -484,7 +485,7 @@
             due_in_s=round(scheduled.due_at - monotonic(), 2),
         )
         scheduled.progress.pop(item.item_id, None)
-        self._group.partial_texts.remove_item(job_id, item.item_id)
+        self._group.partial_texts.remove_item(*scheduled.key_of(item.item_id))
         if record.is_complete:
             self._scheduler.remove(job_id)
             self._log.write(Event.JOB_CLOSED, job=job_id, items=len(record.results))
--- a/src/wharfcart/batch/job_scheduler.py
+++ b/src/wharfcart/batch/job_scheduler.py
@@ -9,7 +9,8 @@
 
 from wharfcart.batch.item_run import ItemProgress
 from wharfcart.cluster.messages_pb2 import RequestItem, RequestJob
-from wharfcart.storage.partial_texts import PartialTexts
+from wharfcart.storage.partial_texts import ItemKey, PartialTexts
+from wharfcart.storage.replicated_job import NO_SUBMISSION, SubmissionId
 
 
 @dataclass
@@ -18,6 +19,7 @@
 
     Attributes:
         job: the job.
+        submission: identity of the job's submission.
         due_at: monotonic time at which the completion objective ends.
         give_up_at: monotonic time after which unfinished items are given up.
         waiting: items by id that neither run nor have a result, in the order of their start.
@@ -27,6 +29,7 @@
     """
 
     job: RequestJob
+    submission: SubmissionId
     due_at: float
     give_up_at: float
     waiting: OrderedDict[str, RequestItem]
@@ -34,12 +37,16 @@
     progress: dict[str, ItemProgress] = field(default_factory=dict)
     running: set[str] = field(default_factory=set)
 
+    def key_of(self, item_id: str) -> ItemKey:
+        """Return the key of an item."""
+        return ItemKey(self.job.job_id, item_id, self.submission)
+
     def progress_of(self, item_id: str) -> ItemProgress:
         """Return the progress of an item."""
         known = self.progress.get(item_id)
         if known is None:
-            known = ItemProgress(self.partial_texts.get_or_create(self.job.job_id, item_id))
-            self.progress[item_id] = known
+            text = self.partial_texts.get_or_create(*self.key_of(item_id))
+            known = self.progress[item_id] = ItemProgress(text)
         return known
 
 
@@ -50,7 +57,13 @@
     partial_texts: PartialTexts
     jobs: dict[str, ScheduledJob] = field(default_factory=dict)
 
-    def add(self, job: RequestJob, finished_item_ids: set[str], accepted_at: float) -> ScheduledJob:
+    def add(
+        self,
+        job: RequestJob,
+        finished_item_ids: set[str],
+        accepted_at: float,
+        submission: SubmissionId = NO_SUBMISSION,
+    ) -> ScheduledJob:
         """Add a job and return it.
 
         Items with partial texts of an earlier leader come first, the most advanced one in front.
@@ -59,13 +72,16 @@
             job: the job.
             finished_item_ids: items that already have a result.
             accepted_at: monotonic time of acceptance.
+            submission: identity of the job's submission.
         """
         waiting = [item for item in job.items if item.item_id not in finished_item_ids]
         waiting.sort(
-            key=lambda item: self.partial_texts.event_count(job.job_id, item.item_id), reverse=True
+            key=lambda item: self.partial_texts.event_count(job.job_id, item.item_id, submission),
+            reverse=True,
         )
         scheduled = ScheduledJob(
             job,
+            submission,
             accepted_at + job.objective_s,
             accepted_at + job.give_up_after_s,
             OrderedDict((item.item_id, item) for item in waiting),
@@ -78,6 +94,10 @@
         """Remove a completed or cancelled job; return it, or None if it is unknown."""
         return self.jobs.pop(job_id, None)
 
+    def is_scheduled(self, scheduled: ScheduledJob) -> bool:
+        """Whether a job is still scheduled, and not another submission of its id."""
+        return self.jobs.get(scheduled.job.job_id) is scheduled
+
     def jobs_with_waiting_items(self) -> list[ScheduledJob]:
         """Return the jobs that have waiting items."""
         return [job for job in self.jobs.values() if job.waiting]
--- a/src/wharfcart/batch/job_service.py
+++ b/src/wharfcart/batch/job_service.py
@@ -15,6 +15,7 @@
     MAYBE_ELSEWHERE,
     NOT_FOUND,
     NOT_LEADING,
+    OTHER_SUBMISSION,
     OUTSIDE_RESIDENCE,
     REFUSED,
     TAKEN,
@@ -40,7 +41,7 @@
 from wharfcart.storage.job_group import JobGroup
 from wharfcart.storage.job_leadership import JobLeadership
 from wharfcart.storage.job_residence import RegionOf, all_in_residence
-from wharfcart.storage.replicated_job import ReplicatedJob
+from wharfcart.storage.replicated_job import NO_SUBMISSION, ReplicatedJob
 
 WRITE_TIMEOUT_S = 3.0
 CONFIRMATION_TIMEOUT_S = 0.8
@@ -157,10 +158,10 @@
                 return JobAnswer(status=refusal_status, leader=self._leader())
         record = leadership.accept_job(job)
         self._group.wake_sessions()
-        if not await self._wait_until_committed(leadership, job.job_id, 1):
+        if not await self._wait_until_committed(leadership, record, 1):
             return JobAnswer(status=UNSURE)
         if not record.ended and not record.is_complete:
-            self._execution.job_accepted(record.job)
+            self._execution.job_accepted(record)
         if not is_known:
             self._log.write(
                 Event.JOB_ACCEPTED,
@@ -168,8 +169,9 @@
                 items=len(job.items),
                 epoch=leadership.epoch,
                 objective_s=job.objective_s,
+                submission=record.submission,
             )
-        return JobAnswer(status=DONE)
+        return JobAnswer(status=DONE, submission=record.submission)
 
     async def _refusal_reason(
         self, leadership: JobLeadership, message: SubmitJob
@@ -254,10 +256,12 @@
             if leadership is None or record is None:
                 status = self._missing_status(leadership, message.job_id, message.tenant)
                 return ResultPage(status=status, leader=self._leader())
+            if not _is_named(record, message.submission):
+                return ResultPage(status=OTHER_SUBMISSION, submission=record.submission)
             results = leadership.committed_results(message.job_id, message.after)
             left_s = deadline - monotonic()
             if results or left_s <= 0 or record.ended or message.after >= len(record.job.items):
-                return _result_page(len(record.job.items), results)
+                return _result_page(record, results)
             await self._group.wait_for_progress(left_s)
 
     async def read_item_body(self, message: ReadItemBody) -> ItemBody:
@@ -287,14 +291,16 @@
             # its caller cancelled it.
             status = self._missing_status(leadership, message.job_id, message.tenant)
             return JobAnswer(status=status, leader=self._leader())
+        if not _is_named(known_job, message.submission):
+            return JobAnswer(status=OTHER_SUBMISSION, submission=known_job.submission)
         record = leadership.end_job(message.job_id)
         assert record is not None
         self._execution.job_cancelled(message.job_id)
         self._group.wake_sessions()
-        if not await self._wait_until_committed(leadership, message.job_id, record.version):
+        if not await self._wait_until_committed(leadership, record, record.version):
             return JobAnswer(status=UNSURE)
         self._log.write(Event.JOB_ENDED, job=message.job_id, results=len(record.results))
-        return JobAnswer(status=DONE)
+        return JobAnswer(status=DONE, submission=record.submission)
 
     def count_waiting_tokens(self, message: CountWaitingTokens) -> WaitingTokens:
         """Report the waiting tokens of a tenant and route to the leader of another group."""
@@ -355,12 +361,14 @@
         )
 
     async def _wait_until_committed(
-        self, leadership: JobLeadership, job_id: str, version: int
+        self, leadership: JobLeadership, record: ReplicatedJob, version: int
     ) -> bool:
+        job_id = record.job.job_id
         deadline = monotonic() + WRITE_TIMEOUT_S
         while leadership.committed_version(job_id) < version:
             left_s = deadline - monotonic()
-            if left_s <= 0 or self._group.leadership is not leadership:
+            is_deleted = leadership.jobs.get(job_id) is not record
+            if left_s <= 0 or is_deleted or self._group.leadership is not leadership:
                 return False
             await self._group.wait_for_progress(left_s)
         return True
@@ -415,8 +423,13 @@
     return not tenant or job.tenant in ("", tenant)
 
 
-def _result_page(total: int, results: list[ItemOutcome]) -> ResultPage:
-    page = ResultPage(status=DONE, total=total)
+def _is_named(record: ReplicatedJob, submission: int) -> bool:
+    """Whether a caller names a job's submission, or none."""
+    return submission in (NO_SUBMISSION, record.submission)
+
+
+def _result_page(record: ReplicatedJob, results: list[ItemOutcome]) -> ResultPage:
+    page = ResultPage(status=DONE, total=len(record.job.items), submission=record.submission)
     size = 0
     for outcome in results:
         size += outcome.ByteSize()
--- a/src/wharfcart/batch/placed_items.py
+++ b/src/wharfcart/batch/placed_items.py
@@ -38,8 +38,8 @@
 
     @property
     def key(self) -> ItemKey:
-        """Job and id of the item."""
-        return ItemKey(self.scheduled.job.job_id, self.item.item_id)
+        """Key of the item."""
+        return self.scheduled.key_of(self.item.item_id)
 
     def stop(self) -> None:
         """Stop the item; its task requeues it."""
@@ -73,9 +73,9 @@
         self._by_slot.clear()
         return placed
 
-    def get(self, job_id: str, item_id: str) -> PlacedItem | None:
-        """Return an item of a job, or None."""
-        return self._by_item.get(ItemKey(job_id, item_id))
+    def get(self, key: ItemKey) -> PlacedItem | None:
+        """Return an item, or None."""
+        return self._by_item.get(key)
 
     def get_by_slot(self, slot: HeldSlot) -> PlacedItem | None:
         """Return the item that occupies a slot, or None."""
--- a/src/wharfcart/experiments/job_group_simulation.py
+++ b/src/wharfcart/experiments/job_group_simulation.py
@@ -224,14 +224,10 @@
                     self._check_texts(f"memory of {node.number}", node.group.partial_texts)
 
     def _check_texts(self, place: str, texts: PartialTexts) -> None:
-        for job_id, known in self.jobs.items():
-            for item_id in known.item_ids:
-                if not texts.event_count(job_id, item_id):
-                    continue
-                events = texts.get_or_create(job_id, item_id).texts
-                fault = find_text_fault(events)
-                if fault or len(events) > event_count_of(item_id):
-                    raise InvariantViolationError(f"{item_id}, {place}: {fault}")
+        for key, text in texts.items():
+            fault = find_text_fault(text.texts)
+            if fault or len(text.texts) > event_count_of(key.item_id):
+                raise InvariantViolationError(f"{key.item_id}, {place}: {fault}")
 
     # ---- clients ----
 
--- a/src/wharfcart/experiments/simulated_runs.py
+++ b/src/wharfcart/experiments/simulated_runs.py
@@ -123,7 +123,9 @@
             return
         self._run_count += 1
         item_id = self._rng.choice(waiting_ids)
-        text = self._group.partial_texts.get_or_create(record.job.job_id, item_id)
+        text = self._group.partial_texts.get_or_create(
+            record.job.job_id, item_id, record.submission
+        )
         self._runs[item_id] = Run(f"{self._name}.{self._run_count}", record, text)
         self._counts.resumed += bool(text.texts)
         self._counts.inherited += text.last_epoch not in (NO_EPOCH, self.leadership.epoch)
@@ -146,7 +148,7 @@
         outcome = ItemOutcome(item_id=item_id, succeeded=True, text=text)
         job_id = run.record.job.job_id
         self.leadership.append_result(job_id, outcome)
-        self._group.partial_texts.remove_item(job_id, item_id)
+        self._group.partial_texts.remove_item(job_id, item_id, run.record.submission)
         self._group.wake_sessions()
 
 
--- a/src/wharfcart/experiments/simulated_slots.py
+++ b/src/wharfcart/experiments/simulated_slots.py
@@ -51,6 +51,7 @@
 from wharfcart.slots.sessions import SlotSessions
 from wharfcart.storage.job_group import JobGroup
 from wharfcart.storage.partial_texts import PartialTexts
+from wharfcart.storage.replicated_job import ReplicatedJob
 
 SERVICE = "writing"
 HOST = "batch.example"
@@ -330,9 +331,9 @@
             give_up_after_s=10 * deadline_s,
             items=items,
         )
-        record = SimpleNamespace(job=job, results=[], ended=False, is_complete=False)
+        record = ReplicatedJob(job, epoch=1)
         self.leadership.jobs[job_id] = record
-        self._execution.job_accepted(job)
+        self._execution.job_accepted(record)
 
     def _make_selector(self) -> BackendSelector:
         selector = BackendSelector(ZONE, Random(self._rng.random()))
--- a/src/wharfcart/experiments/simulated_storage.py
+++ b/src/wharfcart/experiments/simulated_storage.py
@@ -25,7 +25,6 @@
     Frame,
     JobUpdate,
     PartialText,
-    RequestJob,
 )
 from wharfcart.cluster.mirror import Mirror
 from wharfcart.cluster.topology import RegionName
@@ -41,7 +40,7 @@
 from wharfcart.storage.layout_bootstrap import LayoutBootstrap
 from wharfcart.storage.partial_texts import ItemKey
 from wharfcart.storage.replica_placement import ReplicaPlacement
-from wharfcart.storage.replicated_job import JobState
+from wharfcart.storage.replicated_job import JobState, ReplicatedJob
 
 if TYPE_CHECKING:
     from wharfcart.experiments.job_group_simulation import JobGroupSimulation
@@ -228,7 +227,7 @@
     def __init__(self, group: JobGroup) -> None:
         self._group = group
 
-    def job_accepted(self, job: RequestJob) -> None:
+    def job_accepted(self, record: ReplicatedJob) -> None:
         """Do nothing."""
 
     def job_cancelled(self, job_id: str) -> None:
--- a/src/wharfcart/gateway/job_calls.py
+++ b/src/wharfcart/gateway/job_calls.py
@@ -11,6 +11,7 @@
     DONE,
     MAYBE_ELSEWHERE,
     NOT_FOUND,
+    OTHER_SUBMISSION,
     OUTSIDE_RESIDENCE,
     REFUSED,
     TAKEN,
@@ -23,6 +24,7 @@
 )
 from wharfcart.configuration.residence import ANYWHERE, Residence, residence_to_message
 from wharfcart.configuration.serving import Route, ServingConfiguration
+from wharfcart.gateway.entity_tags import BadEntityTagError, entity_tag, submission_from
 from wharfcart.gateway.plain_responses import plain_response
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.observability.serving_metrics import ServingMetrics
@@ -30,6 +32,7 @@
 from wharfcart.storage.job_client import OUTSIDE_RESIDENCE as OUTSIDE_RESIDENCE_CAUSE
 from wharfcart.storage.job_client import JobCallFailure, JobClient
 from wharfcart.storage.job_move_tracker import JobMoveTracker
+from wharfcart.storage.replicated_job import NO_SUBMISSION, SubmissionId
 
 SUBMIT_TIMEOUT_S = 3.0
 SUBMIT_ATTEMPT_TIMEOUT_S = 2.0
@@ -41,6 +44,7 @@
 RETRY_AFTER_BY_STATUS_S = {503: 0.3, 429: 1.0}
 # Cause of a refusal by a leader that has newer knowledge of the group's disks than the gateway.
 GROUP_OUTSIDE_CAUSE = "a disk of the group is outside the residence"
+OTHER_SUBMISSION_CAUSE = "the id was submitted again"
 JSON_CONTENT_TYPE = ("content-type", "application/json")
 
 
@@ -109,26 +113,40 @@
             return self._refuse(job_id, "submit", 429, "too many tokens wait")
         if answer.job_answer.status == TAKEN:
             return self._refuse(job_id, "submit", 409, "the id is in use")
-        return plain_response(202 if answer.job_answer.status == DONE else 503)
+        if answer.job_answer.status != DONE:
+            return plain_response(503)
+        return plain_response(202, _tag_headers(answer.job_answer.submission))
 
     async def handle(self, request: Request, tenant: str) -> HTTPResponse:
         """Answer a tenant's call on a job; other tenants' jobs are not found."""
         path = request.raw_url.decode("latin-1").partition("?")[0]
         if path.startswith(names.JOB_PATH):
             job_id = path.removeprefix(names.JOB_PATH)
+            try:
+                submission = submission_from(request.headers.get("if-match"))
+            except BadEntityTagError as error:
+                return self._refuse(job_id, "if_match", 400, f"malformed entity tag: {error}")
             if request.method == "DELETE":
-                return await self._delete(request, job_id, tenant)
+                return await self._delete(request, job_id, tenant, submission)
             if request.method == "GET":
-                return await self._read(request, job_id, tenant)
+                return await self._read(request, job_id, tenant, submission)
         elif request.method == "GET":
             job_id = path.removeprefix(names.ITEM_BODY_PATH)
             return await self._read_body(request, job_id, tenant)
         return plain_response(405)
 
-    async def _read(self, request: Request, job_id: str, tenant: str) -> HTTPResponse:
+    async def _read(
+        self, request: Request, job_id: str, tenant: str, submission: SubmissionId
+    ) -> HTTPResponse:
         first = _parse_count(request.args.get("after"))
         wait_s = min(MAX_LONG_POLL_S, _parse_count(request.headers.get(names.WAIT_MS)) / 1000)
-        message = ReadResults(job_id=job_id, after=first, wait_ms=int(wait_s * 1000), tenant=tenant)
+        message = ReadResults(
+            job_id=job_id,
+            after=first,
+            wait_ms=int(wait_s * 1000),
+            tenant=tenant,
+            submission=submission,
+        )
         answer = await self._client.find(
             job_id,
             Frame(read_results=message),
@@ -142,9 +160,11 @@
         page = answer.result_page
         if page.status == NOT_FOUND:
             return self._refuse(job_id, "read", 404, "no such job")
+        if page.status == OTHER_SUBMISSION:
+            return self._refuse(job_id, "read", 412, OTHER_SUBMISSION_CAUSE)
         return plain_response(
             200,
-            [JSON_CONTENT_TYPE],
+            [JSON_CONTENT_TYPE, *_tag_headers(page.submission)],
             batch_bodies.encode_result_page(page.total, first, page.results),
         )
 
@@ -168,10 +188,12 @@
             200, [("content-type", "application/octet-stream")], answer.item_body.body
         )
 
-    async def _delete(self, request: Request, job_id: str, tenant: str) -> HTTPResponse:
+    async def _delete(
+        self, request: Request, job_id: str, tenant: str, submission: SubmissionId
+    ) -> HTTPResponse:
         answer = await self._client.find(
             job_id,
-            Frame(end_job=EndJob(job_id=job_id, tenant=tenant)),
+            Frame(end_job=EndJob(job_id=job_id, tenant=tenant, submission=submission)),
             "job_answer",
             DELETE_TIMEOUT_S,
             SUBMIT_ATTEMPT_TIMEOUT_S,
@@ -182,6 +204,8 @@
             return self._refuse(job_id, "end", status, answer.cause)
         if answer.job_answer.status == NOT_FOUND:
             return self._refuse(job_id, "end", 404, "no such job")
+        if answer.job_answer.status == OTHER_SUBMISSION:
+            return self._refuse(job_id, "end", 412, OTHER_SUBMISSION_CAUSE)
         return plain_response(200)
 
     def _may_have_moved(self, route: Route, tenant: str, residence: Residence) -> bool:
@@ -212,6 +236,10 @@
         return plain_response(status, headers)
 
 
+def _tag_headers(submission: int) -> list[tuple[str, str]]:
+    return [] if submission == NO_SUBMISSION else [("etag", entity_tag(submission))]
+
+
 def _host_of(request: Request) -> str:
     return (request.headers.get("host") or "").partition(":")[0]
 
--- a/src/wharfcart/storage/group_replica.py
+++ b/src/wharfcart/storage/group_replica.py
@@ -18,6 +18,7 @@
 from wharfcart.storage.message_order import UNNUMBERED, MessageNumber, MessageOrder
 from wharfcart.storage.partial_texts import PartialTexts, SentOffsets, TextMismatch
 from wharfcart.storage.replica_links import state_to_message
+from wharfcart.storage.replicated_job import SubmissionId
 
 # Interval of saving partial texts; newer events are lost if all nodes lose power.
 TEXT_SAVE_INTERVAL_S = 0.5
@@ -95,7 +96,11 @@
             epoch=message.epoch,
             mismatched_jobs=[state_to_message(state) for state in applied.mismatches] or None,
             mismatched_texts=[
-                ItemReference(job_id=mismatch.job_id, item_id=mismatch.item_id)
+                ItemReference(
+                    job_id=mismatch.job_id,
+                    item_id=mismatch.item_id,
+                    submission=mismatch.submission,
+                )
                 for mismatch in mismatches
             ]
             or None,
@@ -119,10 +124,13 @@
         if self._is_leading():
             return []  # the message of an earlier leader; the texts are this leader's own now
         for update in message.updates:
+            submission = SubmissionId(update.submission)
             if update.ended or update.forgotten:
                 self.partial_texts.remove_job(update.job_id)
+            elif update.HasField("job"):
+                self.partial_texts.remove_other_submissions(update.job_id, submission)
             for result in update.results:
-                self.partial_texts.remove_item(update.job_id, result.item_id)
+                self.partial_texts.remove_item(update.job_id, result.item_id, submission)
         mismatches = self.partial_texts.apply(message.partial_texts)
         if mismatches:
             self._context.log.write(
--- a/src/wharfcart/storage/job_database.py
+++ b/src/wharfcart/storage/job_database.py
@@ -15,8 +15,15 @@
 import xxhash
 
 from wharfcart.cluster.messages_pb2 import ItemOutcome, JobUpdate, PartialText, RequestJob
-from wharfcart.storage.partial_texts import ItemKey
-from wharfcart.storage.replicated_job import NO_EPOCH, JobState, version_after, version_of
+from wharfcart.storage.partial_texts import ItemKey, item_key_of
+from wharfcart.storage.replicated_job import (
+    NO_EPOCH,
+    NO_SUBMISSION,
+    JobState,
+    SubmissionId,
+    version_after,
+    version_of,
+)
 
 DATABASE_NAME = "jobs.sqlite"
 PAGE_BYTES = 8192
@@ -30,16 +37,23 @@
 create table if not exists promise (job_group integer primary key, epoch integer not null);
 create table if not exists job (
   job_id text primary key, job_group integer not null, epoch integer not null,
-  ended integer not null, results integer not null, spec blob not null, checksum integer not null
+  ended integer not null, results integer not null, spec blob not null, checksum integer not null,
+  submission integer not null default 0
 ) without rowid;
 create table if not exists result (
   job_id text not null, position integer not null, value blob not null, checksum integer not null,
   primary key (job_id, position)) without rowid;
 drop table if exists running_text;
-create table if not exists partial_text (
-  job_id text not null, item_id text not null, from_event integer not null,
-  job_group integer not null, value blob not null, checksum integer not null,
-  primary key (job_id, item_id, from_event)) without rowid;
+create table if not exists item_text (
+  job_id text not null, submission integer not null, item_id text not null,
+  from_event integer not null, job_group integer not null, value blob not null,
+  checksum integer not null,
+  primary key (job_id, submission, item_id, from_event)) without rowid;
+"""
+_ADD_SUBMISSION = "alter table job add column submission integer not null default 0"
+_MOVE_TEXTS = """
+insert into item_text
+  select job_id, 0, item_id, from_event, job_group, value, checksum from partial_text
 """
 # Jobs with fewer results than their row says.
 _OVERSTATED_JOBS = """
@@ -47,7 +61,7 @@
   select count(*) from result where result.job_id = job.job_id and position < job.results)
 """
 
-_DELETE_TEXT = "delete from partial_text where job_id=? and item_id=?"
+_DELETE_TEXT = "delete from item_text where job_id=? and submission=? and item_id=?"
 
 _DELETE_UNCLAIMED_RESULTS = """
 delete from result where not exists (
@@ -57,6 +71,7 @@
 _APPEND_TO_JOB = """
 update job set epoch=?1, ended=?2, results=?3
 where job_id=?4 and results=?5 and ended<=?2 and epoch in (?1, ?6) and epoch<=?1
+  and submission=?7
 """
 
 
@@ -70,13 +85,17 @@
     epoch: int
     results: int
     ended: int
+    submission: SubmissionId
 
     @property
     def version(self) -> int:
         return 0 if self.epoch == NO_EPOCH else version_of(self.results, bool(self.ended))
 
+    def state(self, job_id: str) -> JobState:
+        return JobState(job_id, self.epoch, self.version, self.submission)
+
 
-_NOT_HELD = _HeldJob(NO_EPOCH, 0, 0)
+_NOT_HELD = _HeldJob(NO_EPOCH, 0, 0, NO_SUBMISSION)
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,6 +142,7 @@
         execute(f"pragma cache_size=-{CACHE_KIB}")
         execute(f"pragma wal_autocheckpoint={CHECKPOINT_PAGES}")
         self._connection.executescript(_SCHEMA)
+        self._add_submissions()
         self.identity = self._read_identity(new_identity)
         # The lock on the file is exclusive: nobody else writes promises.
         self._promised_epochs: dict[int, int] = dict(
@@ -151,11 +171,11 @@
     def job_states(self, group: int) -> list[JobState]:
         """Return the state of every job of a group."""
         rows = self._connection.execute(
-            "select job_id, epoch, results, ended from job where job_group=?", (group,)
+            "select job_id, epoch, results, ended, submission from job where job_group=?", (group,)
         )
         return [
-            JobState(job_id, epoch, version_of(results, ended))
-            for job_id, epoch, results, ended in rows
+            JobState(job_id, epoch, version_of(results, ended), SubmissionId(submission))
+            for job_id, epoch, results, ended, submission in rows
         ]
 
     def apply_updates(
@@ -171,8 +191,7 @@
         try:
             for update in updates:
                 if not self._apply_update(group, update):
-                    held = self._held_job(update.job_id)
-                    mismatches.append(JobState(update.job_id, held.epoch, held.version))
+                    mismatches.append(self._held_job(update.job_id).state(update.job_id))
             self._connection.execute("commit")
         except BaseException:
             if self._connection.in_transaction:
@@ -207,18 +226,20 @@
         execute("begin immediate")
         try:
             for part in parts:
+                key = item_key_of(part)
                 if part.from_event == 0:
-                    execute(_DELETE_TEXT, (part.job_id, part.item_id))
+                    self._delete_text(key)
                 elif not self._extends_saved_text(part):
-                    mismatched_items.append(ItemKey(part.job_id, part.item_id))
+                    mismatched_items.append(key)
                     continue
                 value = part.SerializeToString()
+                row = (key.job_id, key.submission, key.item_id, part.from_event, group, value)
                 execute(
-                    "insert or replace into partial_text values (?, ?, ?, ?, ?, ?)",
-                    (part.job_id, part.item_id, part.from_event, group, value, _checksum(value)),
+                    "insert or replace into item_text values (?, ?, ?, ?, ?, ?, ?)",
+                    (*row, _checksum(value)),
                 )
             for key in finished_items:
-                execute(_DELETE_TEXT, key)
+                self._delete_text(key)
             execute("commit")
         except BaseException:
             if self._connection.in_transaction:
@@ -233,8 +254,8 @@
         the later events of the item.
         """
         rows = self._connection.execute(
-            "select value, checksum from partial_text where job_group=?"
-            " and job_id in (select job_id from job where job_group=? and not ended)"
+            "select value, item_text.checksum from item_text join job using (job_id, submission)"
+            " where item_text.job_group=? and job.job_group=? and not ended"
             " order by job_id, item_id, from_event",
             (group, group),
         )
@@ -246,6 +267,24 @@
 
     # ---- inner ----
 
+    def _add_submissions(self) -> None:
+        """Change a file of builds that gave submissions no identity."""
+        execute = self._connection.execute
+        if self._has_column("job", "submission"):
+            return
+        execute("begin immediate")
+        execute(_ADD_SUBMISSION)
+        if self._has_column("partial_text", "job_id"):
+            execute(_MOVE_TEXTS)
+            execute("drop table partial_text")
+        execute("commit")
+
+    def _has_column(self, table: str, column: str) -> bool:
+        found = self._connection.execute(
+            "select 1 from pragma_table_info(?) where name=?", (table, column)
+        )
+        return found.fetchone() is not None
+
     def _correct_claims_of_earlier_builds(self) -> list[JobState]:
         """Let rows of jobs claim no more results than are held; return the corrected states.
 
@@ -276,9 +315,9 @@
     def _extends_saved_text(self, part: PartialText) -> bool:
         """Whether a part begins where the saved text of its item ends, in the same epoch."""
         row = self._connection.execute(
-            "select value, checksum from partial_text where job_id=? and item_id=?"
+            "select value, checksum from item_text where job_id=? and submission=? and item_id=?"
             " order by from_event desc limit 1",
-            (part.job_id, part.item_id),
+            (part.job_id, part.submission, part.item_id),
         ).fetchone()
         if row is None or _checksum(row[0]) != row[1]:
             return False
@@ -296,10 +335,11 @@
             return True
         held = self._held_job(update.job_id)
         if update.forgotten:
-            if held.epoch <= update.base_epoch or update.base_epoch == NO_EPOCH:
+            if _is_deleted_by(update, held):
                 self._delete_job(update.job_id)
             return True
-        if held.epoch == update.epoch and held.version >= version_after(update):
+        is_same_history = (held.epoch, held.submission) == (update.epoch, update.submission)
+        if is_same_history and held.version >= version_after(update):
             return True  # arrived late or twice
         if not self._extends_held_job(update, held):
             return False
@@ -325,33 +365,40 @@
                 update.job_id,
                 first,
                 update.base_epoch,
+                update.submission,
             )
             is_written = self._connection.execute(_APPEND_TO_JOB, parameters).rowcount > 0
         if is_written:
             self._insert_results(update)
         return is_written
 
+    def _delete_text(self, key: ItemKey) -> None:
+        self._connection.execute(_DELETE_TEXT, (key.job_id, key.submission, key.item_id))
+
     def _held_job(self, job_id: str) -> _HeldJob:
         row = self._connection.execute(
-            "select epoch, results, ended from job where job_id=?", (job_id,)
+            "select epoch, results, ended, submission from job where job_id=?", (job_id,)
         ).fetchone()
         return _NOT_HELD if row is None else _HeldJob(*row)
 
     def _extends_held_job(self, update: JobUpdate, held: _HeldJob) -> bool:
         """Whether an update is complete or begins within what is held.
 
-        States of one epoch are prefixes of each other. Builds before this one name no base.
+        States of one epoch and submission are prefixes of each other. Some earlier builds name no
+        base.
         """
         if held.epoch > update.epoch:
             return False
         if update.HasField("job"):
-            return True
+            return held.epoch < update.epoch or held.submission <= update.submission
+        if held.submission != update.submission:
+            return False
         bases = (update.base_epoch, update.epoch)
         is_same_history = held.epoch in bases or update.base_epoch == NO_EPOCH
         return held is not _NOT_HELD and is_same_history and held.results >= update.from_result
 
     def _delete_job(self, job_id: str) -> None:
-        for table in ("job", "result", "partial_text"):
+        for table in ("job", "result", "item_text"):
             self._connection.execute(f"delete from {table} where job_id=?", (job_id,))
 
     def _replace_results(self, group: int, update: JobUpdate) -> None:
@@ -359,6 +406,10 @@
         execute = self._connection.execute
         if update.HasField("job"):
             self._insert_job("replace", group, update)
+            execute(
+                "delete from item_text where job_id=? and submission<>?",
+                (update.job_id, update.submission),
+            )
         else:
             results = update.from_result + len(update.results)
             execute(
@@ -376,29 +427,31 @@
         results = update.from_result + len(update.results)
         spec = update.job.SerializeToString()
         row = (update.job_id, group, update.epoch, update.ended, results, spec, _checksum(spec))
-        statement = f"insert or {on_conflict} into job values (?, ?, ?, ?, ?, ?, ?)"
-        return self._connection.execute(statement, row).rowcount > 0
+        statement = f"insert or {on_conflict} into job values (?, ?, ?, ?, ?, ?, ?, ?)"
+        return self._connection.execute(statement, (*row, update.submission)).rowcount > 0
 
     def _insert_results(self, update: JobUpdate) -> None:
         """Insert an update's results, and delete texts that they or the job's end make obsolete."""
         execute = self._connection.execute
         if update.ended:
-            execute("delete from partial_text where job_id=?", (update.job_id,))
+            execute("delete from item_text where job_id=?", (update.job_id,))
         for position, outcome in enumerate(update.results, update.from_result):
             value = outcome.SerializeToString()
             execute(
                 "insert into result values (?, ?, ?, ?)",
                 (update.job_id, position, value, _checksum(value)),
             )
-            execute(_DELETE_TEXT, (update.job_id, outcome.item_id))
+            self._delete_text(
+                ItemKey(update.job_id, outcome.item_id, SubmissionId(update.submission))
+            )
 
     def _load_job(self, job_id: str) -> JobUpdate | None:
         row = self._connection.execute(
-            "select epoch, ended, spec, checksum from job where job_id=?", (job_id,)
+            "select epoch, ended, submission, spec, checksum from job where job_id=?", (job_id,)
         ).fetchone()
         if row is None:
             return None
-        epoch, ended, spec, checksum = row
+        epoch, ended, submission, spec, checksum = row
         _verify_checksum(spec, checksum)
         rows = self._connection.execute(
             "select value, checksum from result where job_id=? order by position", (job_id,)
@@ -411,6 +464,7 @@
             job=RequestJob.FromString(spec),
             results=[ItemOutcome.FromString(value) for value, _ in rows],
             ended=bool(ended),
+            submission=submission,
         )
 
     def _read_identity(self, new_identity: Callable[[], str]) -> str:
@@ -423,6 +477,12 @@
         return identity
 
 
+def _is_deleted_by(update: JobUpdate, held: _HeldJob) -> bool:
+    """Whether a deletion covers what is held of its job, and not a later submission."""
+    is_older = held.epoch <= update.base_epoch or update.base_epoch == NO_EPOCH
+    return is_older and held.submission <= update.submission
+
+
 def _checksum(data: bytes) -> int:
     return xxhash.xxh32_intdigest(data)
 
--- a/src/wharfcart/storage/job_group.py
+++ b/src/wharfcart/storage/job_group.py
@@ -387,6 +387,7 @@
                 job_id=states[0].job_id,
                 held_epoch=states[0].epoch,
                 held_version=states[0].version,
+                held_submission=states[0].submission,
             )
 
     def _is_superseded(self, record: GroupRecord) -> bool:
@@ -414,6 +415,9 @@
         leadership = JobLeadership(record.epoch, self._context.write_quorum, record.members)
         leadership.inherit(newest_jobs)
         self.leadership = leadership
+        self.partial_texts.keep_submissions(
+            {job_id: job.submission for job_id, job in leadership.jobs.items()}
+        )
         self.partial_texts.begin_epoch(record.epoch)
         self._next_session_by_identity = {}
         self.may_have_successor = False
--- a/src/wharfcart/storage/job_leadership.py
+++ b/src/wharfcart/storage/job_leadership.py
@@ -13,6 +13,8 @@
   The leader exposes it at once. Any other state may still lose to a state of a newer epoch on an
   unreachable replica; the leader first replicates it in its own epoch.
 * During a change of the set a write needs a quorum in the old set and in the new one.
+* A job id that is submitted again after its deletion is another submission: what a replica reports
+  of an earlier one does not count, and the replica receives the job whole.
 
 Pure: no sockets, clock, files.
 """
@@ -24,7 +26,12 @@
 
 from wharfcart.cluster.messages_pb2 import ItemOutcome, JobUpdate, RequestJob
 from wharfcart.configuration.residence import Residence
-from wharfcart.storage.replicated_job import JobState, ReplicatedJob, version_after
+from wharfcart.storage.replicated_job import (
+    JobState,
+    ReplicatedJob,
+    submission_id,
+    version_after,
+)
 
 MAX_UPDATE_BYTES = 1024 * 1024
 MAX_CHANGED_JOBS_PER_MESSAGE = 64
@@ -42,7 +49,7 @@
         base_epochs: epoch of the replica's state, by job, unless it was written in this epoch.
         inherited_versions: version that the replica reported with its promise, by job, if it has
             the epoch of the state that the leader inherited.
-        jobs_to_delete: epoch of the newest state to delete, by job that the replica must delete.
+        jobs_to_delete: newest state to delete, by job that the replica must delete.
         changed_jobs: jobs that have changed since the promise and that the replica has not
             completely written, longest waiting first.
         backlog_jobs: all other jobs that the replica has not completely written in this epoch.
@@ -52,7 +59,7 @@
     written_versions: dict[str, int] = field(default_factory=dict)
     base_epochs: dict[str, int] = field(default_factory=dict)
     inherited_versions: dict[str, int] = field(default_factory=dict)
-    jobs_to_delete: dict[str, int] = field(default_factory=dict)
+    jobs_to_delete: dict[str, JobState] = field(default_factory=dict)
     changed_jobs: dict[str, None] = field(default_factory=dict)
     backlog_jobs: dict[str, None] = field(default_factory=dict)
 
@@ -81,6 +88,7 @@
     _replicas: dict[str, ReplicaProgress] = field(default_factory=dict)
     _committed_versions: dict[str, int] = field(default_factory=dict)
     _job_count_by_residence: Counter[Residence] = field(default_factory=Counter)
+    _submission_count: int = 0
 
     def __post_init__(self) -> None:
         self._inherited_members = self.members
@@ -96,7 +104,7 @@
         """Start with the newest state of each job among the replicas that promised."""
         for record in records:
             job_id = record.job.job_id
-            self._inherited_states[job_id] = JobState(job_id, record.epoch, record.version)
+            self._inherited_states[job_id] = record.state
             self._undecided_jobs[job_id] = None
             record.epoch = self.epoch
             self.jobs[job_id] = record
@@ -113,7 +121,7 @@
                 self._record_held(progress, state)
             else:
                 # Never committed, or deleted since: a later leader must not restore it.
-                progress.jobs_to_delete[state.job_id] = state.epoch
+                progress.jobs_to_delete[state.job_id] = state
         progress.inherited_versions = {
             job_id: version
             for job_id, version in progress.matched_versions.items()
@@ -151,8 +159,13 @@
         updates = []
         if progress.jobs_to_delete:
             updates = [
-                JobUpdate(job_id=job_id, forgotten=True, base_epoch=epoch)
-                for job_id, epoch in sorted(progress.jobs_to_delete.items())
+                JobUpdate(
+                    job_id=job_id,
+                    forgotten=True,
+                    base_epoch=state.epoch,
+                    submission=state.submission,
+                )
+                for job_id, state in sorted(progress.jobs_to_delete.items())
             ]
         size = 0
         for job_id in self._next_jobs(progress):
@@ -189,13 +202,15 @@
             return []
         changed = []
         for update in updates:
+            job_id = update.job_id
             if update.forgotten:
-                progress.jobs_to_delete.pop(update.job_id, None)
+                deleted = progress.jobs_to_delete.get(job_id)
+                if deleted is not None and deleted.submission == update.submission:
+                    del progress.jobs_to_delete[job_id]
                 continue
-            job_id = update.job_id
             record = self.jobs.get(job_id)
             version = version_after(update)
-            if record is None or job_id in progress.jobs_to_delete:
+            if record is None or record.submission != update.submission:
                 continue  # the job was deleted meanwhile, or deleted and submitted again
             progress.matched_versions[job_id] = version
             progress.written_versions[job_id] = version
@@ -268,7 +283,9 @@
         known = self.jobs.get(job.job_id)
         if known is not None:
             return known
-        record = ReplicatedJob(job, self.epoch)
+        self._submission_count += 1
+        submission = submission_id(self.epoch, self._submission_count)
+        record = ReplicatedJob(job, self.epoch, submission=submission)
         self.jobs[job.job_id] = record
         self._job_count_by_residence[record.residence] += 1
         self._mark_changed(job.job_id)
@@ -302,7 +319,7 @@
         self._inherited_states.pop(job_id, None)
         self._undecided_jobs.pop(job_id, None)
         for progress in self._replicas.values():
-            progress.jobs_to_delete[job_id] = self.epoch
+            progress.jobs_to_delete[job_id] = record.state
             progress.matched_versions.pop(job_id, None)
             progress.written_versions.pop(job_id, None)
             progress.base_epochs.pop(job_id, None)
@@ -328,7 +345,11 @@
 
     def _record_held(self, progress: ReplicaProgress, state: JobState) -> None:
         """Record the state of a job on a replica."""
-        job_id, epoch, version = state
+        job_id, epoch, version, submission = state
+        if submission != self.jobs[job_id].submission:
+            progress.matched_versions[job_id] = 0
+            progress.base_epochs[job_id] = epoch
+            return
         if epoch == self.epoch:
             progress.matched_versions[job_id] = version
             progress.written_versions[job_id] = version
--- a/src/wharfcart/storage/partial_texts.py
+++ b/src/wharfcart/storage/partial_texts.py
@@ -9,21 +9,27 @@
 event there refuses the part; the sender then sends the whole text.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
 from wharfcart.cluster.messages_pb2 import PartialText
-from wharfcart.storage.replicated_job import NO_EPOCH
+from wharfcart.storage.replicated_job import NO_EPOCH, NO_SUBMISSION, SubmissionId
 
 MAX_BYTES_PER_MESSAGE = 256 * 1024
 
 
 class ItemKey(NamedTuple):
-    """An item; callers choose its id, which is unique in its job only."""
+    """An item; callers choose its id, which is unique in its submission only."""
 
     job_id: str
     item_id: str
+    submission: SubmissionId = NO_SUBMISSION
+
+
+def item_key_of(part: PartialText) -> ItemKey:
+    """Return the item that a part belongs to."""
+    return ItemKey(part.job_id, part.item_id, SubmissionId(part.submission))
 
 
 class EpochSpan(NamedTuple):
@@ -186,6 +192,7 @@
     Attributes:
         job_id: id of the item's job.
         item_id: id of the item.
+        submission: submission of the job.
         from_event: number of events before the part.
         base_epoch: epoch of the event before the part at the sender.
         held_events: number of events of the copy.
@@ -194,6 +201,7 @@
 
     job_id: str
     item_id: str
+    submission: SubmissionId
     from_event: int
     base_epoch: int
     held_events: int
@@ -217,26 +225,46 @@
         for text in self._texts.values():
             text.leader_epoch = epoch
 
-    def get_or_create(self, job_id: str, item_id: str) -> ItemPartialText:
+    def items(self) -> Iterable[tuple[ItemKey, ItemPartialText]]:
+        """Return all items with their texts."""
+        return self._texts.items()
+
+    def get_or_create(
+        self, job_id: str, item_id: str, submission: SubmissionId = NO_SUBMISSION
+    ) -> ItemPartialText:
         """Return an item's partial text, which is created empty."""
-        key = ItemKey(job_id, item_id)
+        key = ItemKey(job_id, item_id, submission)
         text = self._texts.get(key)
         if text is None:
             text = self._texts[key] = ItemPartialText(job_id, self.leader_epoch)
         return text
 
-    def event_count(self, job_id: str, item_id: str) -> int:
+    def event_count(
+        self, job_id: str, item_id: str, submission: SubmissionId = NO_SUBMISSION
+    ) -> int:
         """Return the number of events that an item has produced so far."""
-        text = self._texts.get(ItemKey(job_id, item_id))
+        text = self._texts.get(ItemKey(job_id, item_id, submission))
         return 0 if text is None else len(text.texts)
 
-    def remove_item(self, job_id: str, item_id: str) -> None:
+    def remove_item(
+        self, job_id: str, item_id: str, submission: SubmissionId = NO_SUBMISSION
+    ) -> None:
         """Remove an item that has its result."""
-        self._texts.pop(ItemKey(job_id, item_id), None)
+        self._texts.pop(ItemKey(job_id, item_id, submission), None)
 
     def remove_job(self, job_id: str) -> None:
-        """Remove the items of a finished job."""
+        """Remove the items of a finished job, of all its submissions."""
+        self.remove_other_submissions(job_id, None)
+
+    def remove_other_submissions(self, job_id: str, submission: SubmissionId | None) -> None:
+        """Remove a job's items, except those of one submission."""
         for key in [key for key in self._texts if key.job_id == job_id]:
+            if key.submission != submission:
+                del self._texts[key]
+
+    def keep_submissions(self, submissions: Mapping[str, SubmissionId]) -> None:
+        """Remove the items of all other submissions than these, given by job."""
+        for key in [key for key in self._texts if submissions.get(key.job_id) != key.submission]:
             del self._texts[key]
 
     def take_unsent(self, sent: SentOffsets) -> list[PartialText]:
@@ -253,6 +281,7 @@
                     continue
             for part in _unsent_parts(text, known):
                 part.item_id = key.item_id
+                part.submission = key.submission
                 parts.append(part)
                 size += part.ByteSize()
             sent.by_item[key] = SentText(len(text.texts), text.last_epoch, tuple(text.failed_at))
@@ -270,13 +299,14 @@
         """Apply parts of a leader or of the own disk; return those that fit no copy."""
         mismatches = []
         for part in parts:
-            text = self.get_or_create(part.job_id, part.item_id)
+            text = self.get_or_create(*item_key_of(part))
             text.failed_at = list(part.failed_at)
             if not text.apply(part):
                 mismatches.append(
                     TextMismatch(
                         part.job_id,
                         part.item_id,
+                        SubmissionId(part.submission),
                         part.from_event,
                         part.base_epoch,
                         len(text.texts),
--- a/src/wharfcart/storage/replica_links.py
+++ b/src/wharfcart/storage/replica_links.py
@@ -8,6 +8,7 @@
     FenceGroup,
     FetchJobs,
     Frame,
+    ItemReference,
     JobDigest,
     JobUpdate,
     PartialText,
@@ -23,7 +24,7 @@
     Mismatches,
     ReplicaFailedError,
 )
-from wharfcart.storage.replicated_job import NO_EPOCH, JobState, version_of
+from wharfcart.storage.replicated_job import NO_EPOCH, JobState, SubmissionId, version_of
 
 CALL_TIMEOUT_S = 0.9
 
@@ -140,7 +141,7 @@
             raise self._refusal_error(answer.epoch, epoch)
         return Mismatches(
             tuple(state_from_message(digest) for digest in answer.mismatched_jobs),
-            tuple(ItemKey(one.job_id, one.item_id) for one in answer.mismatched_texts),
+            tuple(key_from_message(item) for item in answer.mismatched_texts),
         )
 
     async def fetch(self, job_ids: Sequence[str]) -> list[JobUpdate]:
@@ -184,9 +185,20 @@
     """Decode a digest."""
     if digest.epoch == NO_EPOCH:
         return JobState(digest.job_id, NO_EPOCH, 0)
-    return JobState(digest.job_id, digest.epoch, version_of(digest.results, digest.ended))
+    version = version_of(digest.results, digest.ended)
+    return JobState(digest.job_id, digest.epoch, version, SubmissionId(digest.submission))
 
 
 def state_to_message(state: JobState) -> JobDigest:
     """Encode a state; the end marker counts as part of ``results``, only the length matters."""
-    return JobDigest(job_id=state.job_id, epoch=state.epoch, results=max(0, state.version - 1))
+    return JobDigest(
+        job_id=state.job_id,
+        epoch=state.epoch,
+        results=max(0, state.version - 1),
+        submission=state.submission,
+    )
+
+
+def key_from_message(item: ItemReference) -> ItemKey:
+    """Decode a reference to an item."""
+    return ItemKey(item.job_id, item.item_id, SubmissionId(item.submission))
--- a/src/wharfcart/storage/replica_session.py
+++ b/src/wharfcart/storage/replica_session.py
@@ -215,6 +215,7 @@
             job_id=states[0].job_id,
             held_epoch=states[0].epoch,
             held_version=states[0].version,
+            held_submission=states[0].submission,
         )
 
     def _handle_missed_heartbeat(self) -> None:
--- a/src/wharfcart/storage/replicated_job.py
+++ b/src/wharfcart/storage/replicated_job.py
@@ -4,10 +4,13 @@
 the leader that last wrote the job and the length of its history identify a state: each epoch has
 one leader, so two replicas with the same epoch and length hold the same history, and of two lengths
 in one epoch the shorter is a prefix of the longer.
+
+A job id may be submitted again after its job was deleted. The leader that accepts a job therefore
+gives the submission an identity, and states of different submissions are different histories.
 """
 
 from dataclasses import dataclass, field
-from typing import NamedTuple
+from typing import NamedTuple, NewType
 
 from wharfcart.cluster.messages_pb2 import ItemOutcome, JobUpdate, RequestJob
 from wharfcart.configuration.residence import Residence, residence_from_message
@@ -15,6 +18,22 @@
 # No leader has this epoch; a replica that lacks a job reports it with this epoch.
 NO_EPOCH = 0
 
+# Identity of a submission in its group; a later submission has a higher one.
+SubmissionId = NewType("SubmissionId", int)
+# Jobs that were accepted by builds without identities of submissions.
+NO_SUBMISSION = SubmissionId(0)
+_SUBMISSION_NUMBER_BITS = 32
+
+
+def submission_id(epoch: int, number: int) -> SubmissionId:
+    """Return the identity of a submission.
+
+    Args:
+        epoch: epoch of the leader that accepted it.
+        number: number of the submission in that epoch, from 1.
+    """
+    return SubmissionId(epoch << _SUBMISSION_NUMBER_BITS | number)
+
 
 @dataclass
 class ReplicatedJob:
@@ -25,6 +44,7 @@
         epoch: epoch of the leader that last wrote the job.
         results: results of items, in the order of their arrival.
         ended: whether the caller ended the job; an ended job accepts no results.
+        submission: identity of the job's submission.
         waiting_tokens: tokens of the items without a result; 0 once the job has ended.
         residence: regions that may hold the job's data, fixed at its submission.
     """
@@ -33,6 +53,7 @@
     epoch: int
     results: list[ItemOutcome] = field(default_factory=list)
     ended: bool = False
+    submission: SubmissionId = NO_SUBMISSION
     waiting_tokens: int = field(init=False)
     residence: Residence = field(init=False)
     _pending_tokens_by_item: dict[str, int] = field(init=False, repr=False)
@@ -50,6 +71,11 @@
         """Length of the history: the acceptance, each result and the end count one each."""
         return 1 + len(self.results) + self.ended
 
+    @property
+    def state(self) -> "JobState":
+        """Identity of the history so far."""
+        return JobState(self.job.job_id, self.epoch, self.version, self.submission)
+
     @property
     def is_complete(self) -> bool:
         """Whether every item has a result."""
@@ -84,15 +110,29 @@
             results=self.results[first:],
             ended=self.ended,
             base_epoch=base_epoch if version else NO_EPOCH,
+            submission=self.submission,
         )
 
 
 class JobState(NamedTuple):
-    """Epoch and version of a job's state on one replica."""
+    """Epoch, version and submission of a job's state on one replica."""
 
     job_id: str
     epoch: int
     version: int
+    submission: SubmissionId = NO_SUBMISSION
+
+    def is_newer_than(self, other: "JobState") -> bool:
+        """Whether this state of a job replaces another one at a takeover.
+
+        Within an epoch a later submission follows the deletion of the earlier one. States of builds
+        that name no submission are compared by epoch and version alone.
+        """
+        if self.epoch != other.epoch:
+            return self.epoch > other.epoch
+        if NO_SUBMISSION not in (self.submission, other.submission):
+            return (self.submission, self.version) > (other.submission, other.version)
+        return self.version > other.version
 
 
 def version_of(results: int, ended: bool) -> int:
@@ -107,4 +147,10 @@
 
 def job_from_update(update: JobUpdate) -> ReplicatedJob:
     """Build a job from an update with its complete history."""
-    return ReplicatedJob(update.job, update.epoch, list(update.results), update.ended)
+    return ReplicatedJob(
+        update.job,
+        update.epoch,
+        list(update.results),
+        update.ended,
+        SubmissionId(update.submission),
+    )
--- a/src/wharfcart/storage/takeover.py
+++ b/src/wharfcart/storage/takeover.py
@@ -91,8 +91,7 @@
             for state in self.states_by_identity[identity]:
                 job_id = state.job_id
                 known = newest.get(job_id)
-                # One job: the order of the states is that of their ranks.
-                if known is None or state > known:
+                if known is None or state.is_newer_than(known):
                     newest[job_id] = state
                     holders[job_id] = identity
         states_by_identity: dict[str, list[JobState]] = {}
@@ -111,8 +110,8 @@
         corrected = []
         for job_id, state in reported.items():
             held = records[job_id]
-            if held.epoch != state.epoch or held.version != state.version:
-                corrected.append(JobState(job_id, held.epoch, held.version))
+            if held.state != state:
+                corrected.append(held.state)
                 del records[job_id]
         if corrected:
             self._correct_claims(identity, corrected)
--- a/tests/batch/test_job_execution.py
+++ b/tests/batch/test_job_execution.py
@@ -52,6 +52,7 @@
 from wharfcart.slots.session import HeldSlot
 from wharfcart.slots.urgency import Urgency
 from wharfcart.storage.partial_texts import PartialTexts
+from wharfcart.storage.replicated_job import ReplicatedJob
 
 OBJECTIVE_S = 20.0
 LEADER = SessionKey(HolderId("leader/0"), 1)
@@ -226,19 +227,18 @@
     def submit(
         self, job_id: str, items: int, age_s: float = 0.0, residence: Residence = ANYWHERE
     ) -> None:
-        self.execution.job_accepted(
-            RequestJob(
-                job_id=job_id,
-                host="h",
-                path=f"/jobs/{job_id}",
-                accepted_ms=int((time() - age_s) * 1000),
-                objective_s=OBJECTIVE_S,
-                give_up_after_s=60.0,
-                most_attempts=3,
-                items=[RequestItem(item_id=f"{job_id}-{n}") for n in range(items)],
-                residence=residence_to_message(residence),
-            )
+        job = RequestJob(
+            job_id=job_id,
+            host="h",
+            path=f"/jobs/{job_id}",
+            accepted_ms=int((time() - age_s) * 1000),
+            objective_s=OBJECTIVE_S,
+            give_up_after_s=60.0,
+            most_attempts=3,
+            items=[RequestItem(item_id=f"{job_id}-{n}") for n in range(items)],
+            residence=residence_to_message(residence),
         )
+        self.execution.job_accepted(ReplicatedJob(job, epoch=1))
 
     async def settle(self) -> None:
         for _ in range(20):
--- a/tests/batch/test_job_service.py
+++ b/tests/batch/test_job_service.py
@@ -8,6 +8,7 @@
     DONE,
     NOT_FOUND,
     NOT_LEADING,
+    OTHER_SUBMISSION,
     REFUSED,
     TAKEN,
     UNSURE,
@@ -252,3 +253,28 @@
     asyncio.run(scenario())
     assert harness.submit("a", 10) == DONE
     assert leadership.jobs["a"].ended
+
+
+def test_a_caller_that_names_a_deleted_submission_learns_that_it_is_another() -> None:
+    """Guards against a position or a late cancellation that is applied to the next job of an id."""
+    harness = JobServiceHarness(100)
+    leadership = harness.group.leadership
+    assert leadership is not None
+    harness.submit("a", 10)
+    deleted = leadership.jobs["a"].submission
+    leadership.delete_job("a")
+    harness.submit("a", 10)
+    current = leadership.jobs["a"].submission
+    assert current > deleted
+
+    async def scenario() -> None:
+        read, cancel = harness.service.read_results, harness.service.cancel
+        for submission, status in ((deleted, OTHER_SUBMISSION), (current, DONE), (0, DONE)):
+            page = await read(ReadResults(job_id="a", submission=submission))
+            assert (page.status, page.submission) == (status, current)
+        assert (await cancel(EndJob(job_id="a", submission=deleted))).status == OTHER_SUBMISSION
+        assert not leadership.jobs["a"].ended
+        assert (await cancel(EndJob(job_id="a", submission=current))).status == DONE
+        assert leadership.jobs["a"].ended
+
+    asyncio.run(scenario())
--- a/tests/storage/test_job_database.py
+++ b/tests/storage/test_job_database.py
@@ -338,9 +338,79 @@
     database.save_partial_texts(0, [make_part("0", 0, "a"), make_part("0", 1, "b")], [])
     database.close()
     raw = sqlite3.connect(tmp_path / DATABASE_NAME)
-    raw.execute("update partial_text set checksum=checksum+1 where from_event=0")
+    raw.execute("update item_text set checksum=checksum+1 where from_event=0")
     raw.commit()
     raw.close()
     again = JobDatabase(tmp_path)
     assert [one.from_event for one in again.load_partial_texts(0)] == [1]
     again.close()
+
+
+def of_submission(update: JobUpdate, submission: int) -> JobUpdate:
+    """Return an update that names a submission."""
+    update.submission = submission
+    return update
+
+
+def test_an_update_of_another_submission_is_refused() -> None:
+    """Guards against results of a deleted job that join those of the job submitted again."""
+    database = JobDatabase(None)
+    database.apply_updates(0, 1, [of_submission(make_update(2), 5)])
+    for update in (
+        of_submission(make_update(1, first=2, whole=False), 4),
+        of_submission(make_update(1, first=2, whole=False), 6),
+        of_submission(make_update(3), 4),
+    ):
+        update.base_epoch = 1
+        applied = database.apply_updates(0, 1, [update])
+        assert applied is not None and applied.mismatches == (JobState("j", 1, 3, 5),)
+    assert database.apply_updates(0, 1, [of_submission(make_update(1), 6)]) == AppliedUpdates()
+    (held,) = database.load_jobs(["j"])
+    assert (held.submission, len(held.results)) == (6, 1)
+
+
+def test_a_deletion_spares_a_later_submission_of_its_epoch() -> None:
+    """Guards against the loss of a job that was submitted again within an epoch."""
+    database = JobDatabase(None)
+    database.apply_updates(0, 1, [of_submission(make_update(2), 6)])
+    deletion = JobUpdate(job_id="j", forgotten=True, base_epoch=1, submission=5)
+    for _ in range(2):
+        assert database.apply_updates(0, 1, [deletion]) == AppliedUpdates()
+        assert database.job_states(0) == [JobState("j", 1, 3, 6)]
+    deletion.submission = 6
+    database.apply_updates(0, 1, [deletion])
+    assert database.job_states(0) == []
+
+
+def test_only_the_text_of_the_held_submission_is_loaded() -> None:
+    """Guards against an item that goes on with the text of a deleted job."""
+    database = JobDatabase(None)
+    database.apply_updates(0, 1, [of_submission(make_update(), 5)])
+    old, new = make_part("0", 0, "old"), make_part("0", 0, "new")
+    old.submission, new.submission = 5, 6
+    database.save_partial_texts(0, [old], [])
+    database.apply_updates(0, 1, [of_submission(make_update(), 6)])
+    assert database.load_partial_texts(0) == []
+    database.save_partial_texts(0, [new, old], [])
+    assert [list(part.texts) for part in database.load_partial_texts(0)] == [["new"]]
+
+
+def test_a_file_of_builds_without_submissions_keeps_its_jobs_and_texts(tmp_path: Path) -> None:
+    """Guards against items that begin anew, and jobs that are sent whole, after an upgrade."""
+    database = JobDatabase(tmp_path)
+    database.apply_updates(0, 1, [make_update(1)])
+    database.save_partial_texts(0, [make_part("0", 0, "a", "b")], [])
+    database.close()
+    with sqlite3.connect(tmp_path / DATABASE_NAME) as connection:
+        connection.execute("alter table job drop column submission")
+        connection.execute(
+            "create table partial_text as select job_id, item_id, from_event, job_group, value,"
+            " checksum from item_text"
+        )
+        connection.execute("drop table item_text")
+    connection.close()
+    for _ in range(2):
+        upgraded = JobDatabase(tmp_path)
+        assert upgraded.job_states(0) == [JobState("j", 1, 2)]
+        assert [list(part.texts) for part in upgraded.load_partial_texts(0)] == [["a", "b"]]
+        upgraded.close()
--- a/tests/storage/test_job_group.py
+++ b/tests/storage/test_job_group.py
@@ -41,6 +41,7 @@
 from wharfcart.storage.group_record import GroupRecord, group_record_from
 from wharfcart.storage.group_replica import TEXT_SAVE_INTERVAL_S
 from wharfcart.storage.layout import layout_from_bytes
+from wharfcart.storage.partial_texts import ItemPartialText
 
 WEST, EAST = RegionName("west"), RegionName("east")
 TOPOLOGY = Topology({"w1": WEST, "w2": WEST, "e1": EAST})
@@ -940,7 +941,7 @@
         leader = await fleet.until_led()
         assert leader.group is not None
         for number in range(40):
-            leader.group.partial_texts.get_or_create("a", "a-1").add_event(number, "x")
+            text_of(leader, "a-1").add_event(number, "x")
         await asyncio.sleep(2 * TEXT_SAVE_INTERVAL_S + 0.1)
         for node in fleet.nodes.values():
             node.kill()
@@ -948,7 +949,7 @@
             await node.start()
         leader = await fleet.until_led(4.0)
         assert leader.group is not None
-        assert leader.group.partial_texts.event_count("a", "a-1") == 40
+        assert len(text_of(leader, "a-1").texts) == 40
 
     run_scenario(scenario)
 
@@ -989,25 +990,30 @@
         fleet.simulation.cut_links.clear()
         for node in fleet.nodes.values():
             await node.start()
-            assert node.group is not None
-            texts = node.group.partial_texts.get_or_create("a", "a-1").texts
+            texts = text_of(node, "a-1").texts
             assert len(texts) >= 6, "the first run is missing"
             check_runs(texts)
 
     run_scenario(scenario)
 
 
+def text_of(node: SimulatedNode, item_id: str) -> ItemPartialText:
+    """Return the partial text of an item of the submission that the node's disk has."""
+    assert node.group is not None
+    job_id = item_id.partition("-")[0]
+    states = {state.job_id: state for state in node.disk.database.job_states(0)}
+    return node.group.partial_texts.get_or_create(job_id, item_id, states[job_id].submission)
+
+
 def add_run(node: SimulatedNode, item_id: str, run: str, events: int) -> None:
     """Add the events of a run that was asked to go on after the last event of a text."""
-    assert node.group is not None
-    text = node.group.partial_texts.get_or_create(item_id.partition("-")[0], item_id)
+    text = text_of(node, item_id)
     add_events(node, item_id, run, len(text.texts), events)
 
 
 def add_events(node: SimulatedNode, item_id: str, run: str, asked_after: int, events: int) -> None:
     """Add events that name their run and the number of events that it was asked to skip."""
-    assert node.group is not None
-    text = node.group.partial_texts.get_or_create(item_id.partition("-")[0], item_id)
+    text = text_of(node, item_id)
     for _ in range(events):
         number = len(text.texts)
         text.add_event(number, f"{run}/{asked_after}/{number}")
--- a/tests/storage/test_job_leadership.py
+++ b/tests/storage/test_job_leadership.py
@@ -390,3 +390,17 @@
         leadership.is_behind(identity)
     assert leadership.committed_version("large") == 2002
     assert len(version_reads) <= 10
+
+
+def test_a_late_deletion_of_an_earlier_submission_does_not_confirm_the_next_one() -> None:
+    """Guards against a replica that keeps the second of two deleted jobs of one id."""
+    leadership = make_leadership()
+    leadership.accept_job(job())
+    leadership.delete_job("j")
+    in_flight = leadership.updates_for("a")
+    leadership.accept_job(job())
+    leadership.delete_job("j")
+    leadership.record_written("a", in_flight)
+    (deletion,) = leadership.updates_for("a")
+    assert deletion.forgotten
+    assert deletion.submission > in_flight[0].submission
--- a/tests/storage/test_partial_texts.py
+++ b/tests/storage/test_partial_texts.py
@@ -10,6 +10,7 @@
     SentOffsets,
     SentText,
 )
+from wharfcart.storage.replicated_job import SubmissionId
 
 
 def test_a_replica_receives_each_part_once() -> None:
@@ -178,3 +179,25 @@
     for texts in (leader, replica):
         assert texts.event_count("j", "i") == 0
         assert texts.get_or_create("k", "i").texts == ["b"]
+
+
+def test_a_part_of_another_submission_changes_no_copy() -> None:
+    """Guards against a text that goes on with the text of a deleted job."""
+    old_leader, leader, replica = PartialTexts(1), PartialTexts(1), PartialTexts()
+    old_leader.get_or_create("j", "i", SubmissionId(5)).texts += ["old 0", "old 1"]
+    old_leader.get_or_create("j", "i", SubmissionId(5)).add_event(2, "old 2")
+    replica.apply(old_leader.take_unsent(SentOffsets()))
+    leader.get_or_create("j", "i", SubmissionId(6)).add_event(0, "new 0")
+    replica.apply(leader.take_unsent(SentOffsets()))
+    assert replica.get_or_create("j", "i", SubmissionId(6)).texts == ["new 0"]
+    replica.remove_other_submissions("j", SubmissionId(6))
+    assert [key for key, _ in replica.items()] == [ItemKey("j", "i", SubmissionId(6))]
+
+
+def test_a_leader_keeps_texts_of_the_submissions_that_it_took_over() -> None:
+    """Guards against texts of deleted jobs that stay in memory and are sent on."""
+    texts = PartialTexts(leader_epoch=1)
+    for key in (("j", "i", SubmissionId(5)), ("j", "i", SubmissionId(6)), ("k", "i")):
+        texts.get_or_create(*key).add_event(0, "a")
+    texts.keep_submissions({"j": SubmissionId(6)})
+    assert [key for key, _ in texts.items()] == [ItemKey("j", "i", SubmissionId(6))]
--- a/tests/storage/test_replica_session.py
+++ b/tests/storage/test_replica_session.py
@@ -17,7 +17,7 @@
 from wharfcart.storage.message_order import MessageNumber
 from wharfcart.storage.partial_texts import ItemKey, PartialTexts
 from wharfcart.storage.replica_session import Mismatches, ReplicaFailedError, ReplicaSession
-from wharfcart.storage.replicated_job import JobState
+from wharfcart.storage.replicated_job import JobState, submission_id
 
 EPOCH = 3
 
@@ -61,6 +61,10 @@
         return
 
 
+# The first submission that the leader of the epoch accepts.
+SUBMISSION = submission_id(EPOCH, 1)
+
+
 def make_leadership(results: int) -> JobLeadership:
     """Return the leadership of a group whose write quorum is this one replica."""
     leadership = JobLeadership(EPOCH, 1, frozenset({"b"}))
@@ -96,7 +100,10 @@
 def test_a_refused_update_is_not_committed_and_the_rest_is_sent_from_what_is_held() -> None:
     """Guards against an acknowledgement of results that no replica holds."""
     leadership = make_leadership(results=4)
-    link = FakeLink(Mismatches(jobs=(JobState("j", EPOCH, 2),)), states=[JobState("j", EPOCH, 4)])
+    link = FakeLink(
+        Mismatches(jobs=(JobState("j", EPOCH, 2, SUBMISSION),)),
+        states=[JobState("j", EPOCH, 4, SUBMISSION)],
+    )
     committed: list[int] = []
     replicate = link.replicate
 
@@ -116,7 +123,9 @@
 def test_a_job_that_the_replica_lacks_is_sent_whole() -> None:
     """Guards against a replica that refuses the same update for ever."""
     leadership = make_leadership(results=2)
-    link = FakeLink(Mismatches(jobs=(JobState("j", 0, 0),)), states=[JobState("j", EPOCH, 2)])
+    link = FakeLink(
+        Mismatches(jobs=(JobState("j", 0, 0),)), states=[JobState("j", EPOCH, 2, SUBMISSION)]
+    )
     run_session(link, leadership, PartialTexts(), 0.1)
     assert not link.updates[0][0].HasField("job")
     assert link.updates[1][0].HasField("job") and len(link.updates[1][0].results) == 2
@@ -125,7 +134,7 @@
 
 def test_the_same_refusal_again_costs_no_busy_loop() -> None:
     """Guards against a processor and a log that are used up by one job."""
-    link = FakeLink(states=[JobState("j", EPOCH, 2)])
+    link = FakeLink(states=[JobState("j", EPOCH, 2, SUBMISSION)])
     link.always = Mismatches(jobs=(JobState("j", 1, 1),))
     run_session(link, make_leadership(results=2), PartialTexts(), 5.0)
     assert 10 < len(link.numbers) < 30
@@ -139,7 +148,7 @@
     link = FakeLink(
         Mismatches(),
         Mismatches(text_items=(ItemKey("j", "0"),)),
-        states=[JobState("j", EPOCH, 1)],
+        states=[JobState("j", EPOCH, 1, SUBMISSION)],
     )
     replicate = link.replicate
 
@@ -157,7 +166,9 @@
 
 def test_a_session_after_a_failure_has_a_higher_number() -> None:
     """Guards against late messages that a replica can't tell from those of the next session."""
-    link = FakeLink(Mismatches(), ReplicaFailedError("lost"), states=[JobState("j", EPOCH, 1)])
+    link = FakeLink(
+        Mismatches(), ReplicaFailedError("lost"), states=[JobState("j", EPOCH, 1, SUBMISSION)]
+    )
     run_session(link, make_leadership(results=0), PartialTexts(), 1.0)
     assert link.fences == [1, 2]
     assert link.numbers[:3] == [(1, 1), (1, 2), (2, 1)]
--- a/tests/storage/test_takeover.py
+++ b/tests/storage/test_takeover.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Sequence
 
+import pytest
+
 from wharfcart.cluster.messages_pb2 import ItemOutcome, JobUpdate, RequestJob
 from wharfcart.storage.group_record import GroupRecord
 from wharfcart.storage.replicated_job import JobState
@@ -79,3 +81,18 @@
     assert sorted(asyncio.run(scenario())) == sorted(f"j{n}" for n in range(count))
     assert links["a"].fetch_sizes == []
     assert max(links["b"].fetch_sizes) == MAX_JOBS_PER_FETCH
+
+
+@pytest.mark.parametrize(
+    ("older", "newer"),
+    [
+        pytest.param(JobState("j", 3, 9, 5), JobState("j", 3, 1, 6), id="later submission"),
+        pytest.param(JobState("j", 3, 9, 6), JobState("j", 4, 1, 5), id="later epoch"),
+        pytest.param(JobState("j", 3, 1, 5), JobState("j", 3, 2, 5), id="longer history"),
+        pytest.param(JobState("j", 3, 1, 5), JobState("j", 3, 2), id="of an earlier build"),
+    ],
+)
+def test_a_takeover_prefers_the_newer_state(older: JobState, newer: JobState) -> None:
+    """Guards against a deleted job that a new leader takes for the one submitted again."""
+    assert newer.is_newer_than(older)
+    assert not older.is_newer_than(newer)
