Batch, older path: a lease that its runner never received is taken back

Callers would see: an item that was never sent ends as unknown, ten seconds after the answer to a poll was lost, if its service may not be repeated.

Cause: a poll commits its leases before its answer goes out. The runner's next poll names the leases that it has, but not which polls it has given up, so that the leader can't tell a lease that never arrived from one that ends.

Fix: each attempt of a runner's poll for items has a number, which its leases keep. What a lower number was granted, and the poll names neither among the leases held nor among those whose end is not confirmed, was never received: its items become pending as not sent. Leases of polls that were cancelled under the leader are taken back, too. A shard without an answer is polled first.

--- a/src/wharfcart/batch/held_leases.py
+++ b/src/wharfcart/batch/held_leases.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import logging
+import uuid
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from functools import partial
 
 from wharfcart.batch.lines import now_ms
 from wharfcart.cluster.messages_pb2 import (
@@ -23,6 +25,8 @@
 MAX_UNFLUSHED_RESULTS = 64
 # Revocations remembered for unknown leases, since a revocation may arrive before its grant.
 MAX_EARLY_REVOCATIONS = 256
+# These expire at the leader within a lease's term.
+MAX_UNCONFIRMED_ENDS = 64
 
 logger = logging.getLogger(__name__)
 
@@ -64,6 +68,10 @@
         self._backend_id = backend_id
         self._journal = journal
         self._leases: dict[str, HeldLease] = {}
+        self._runner_id = uuid.uuid4().hex
+        self._last_poll = 0
+        # Leases whose end is not confirmed; the leader must not take them for never received.
+        self._ending: dict[str, None] = {}
         self._early_revocations: dict[str, None] = {}  # lease ids, oldest first
         self._flush_requested = asyncio.Event()
 
@@ -95,32 +103,50 @@
     async def poll(self, shard: int, targets: Iterable[str], max_items: int) -> LeaseGrant:
         """Renew the leases of a shard and request up to ``max_items`` new items.
 
+        Each attempt has a number of its own: the leader takes back what it granted to an earlier
+        one and this runner does not name. So there is one such poll at a time.
+
         Raises:
             ServingError: the shard's leader could not be reached or refused the poll.
         """
-        poll = LeasePoll(
+
+        def make_frame() -> Frame:
+            poll = self._renewal(shard)
+            self._last_poll += 1
+            poll.runner = self._runner_id
+            poll.number = self._last_poll
+            poll.ending.extend(self._ending)
+            poll.targets.extend(targets)
+            poll.most = max_items
+            return Frame(lease_poll=poll)
+
+        return (await self._journal.ask_leader(shard, make_frame, POLL_TIMEOUT_S)).lease_grant
+
+    def _renewal(self, shard: int) -> LeasePoll:
+        return LeasePoll(
             shard=shard,
             holder=self._holder,
-            targets=targets,
-            most=max_items,
             held=[lease.lease_id for lease in self._leases.values() if lease.shard == shard],
             backend_id=self._backend_id,
         )
-        answer = await self._journal.ask_leader(shard, Frame(lease_poll=poll), POLL_TIMEOUT_S)
-        return answer.lease_grant
 
     async def renew_all(self) -> list[str]:
         """Renew all leases; return the ids of those that ended or whose job was cancelled."""
         revoked: list[str] = []
         for shard in {lease.shard for lease in self._leases.values()}:
             try:
-                grant = await self.poll(shard, (), 0)
+                answer = await self._journal.ask_leader(
+                    shard, partial(self._renewal_frame, shard), POLL_TIMEOUT_S
+                )
             except ServingError as error:
                 logger.debug("lease renewal failed", extra={"shard": shard, "cause": str(error)})
                 continue
-            revoked.extend(grant.revoked)
+            revoked.extend(answer.lease_grant.revoked)
         return revoked
 
+    def _renewal_frame(self, shard: int) -> Frame:
+        return Frame(lease_poll=self._renewal(shard))
+
     # ---- results ----
 
     def record(self, lease_id: str, result: ItemResult) -> None:
@@ -188,11 +214,21 @@
             await self._commit(lease)
         if lease.results:
             return  # the lease expires later; flushes propose the results again until then
-        self._leases.pop(lease.lease_id, None)
         if lease.open_rows:
-            await self._propose_lease_end(lease, LeaseEnd(not_run=not_run))
+            self._add_ending(lease.lease_id)
+            self._leases.pop(lease.lease_id, None)
+            if await self._propose_lease_end(lease, LeaseEnd(not_run=not_run)):
+                self._ending.pop(lease.lease_id, None)
+        else:
+            self._leases.pop(lease.lease_id, None)
+
+    def _add_ending(self, lease_id: str) -> None:
+        self._ending[lease_id] = None
+        if len(self._ending) > MAX_UNCONFIRMED_ENDS:
+            del self._ending[next(iter(self._ending))]
 
-    async def _propose_lease_end(self, lease: HeldLease, end: LeaseEnd) -> None:
+    async def _propose_lease_end(self, lease: HeldLease, end: LeaseEnd) -> bool:
+        """Propose the end of a lease or of some of its rows; return whether it is committed."""
         end.lease_id = lease.lease_id
         end.repeatable = lease.repeatable
         command = Command(at_ms=now_ms(), lease_end=end)
@@ -203,3 +239,5 @@
                 "release of a lease failed; it will expire",
                 extra={"lease": lease.lease_id, "cause": str(error)},
             )
+            return False
+        return True
--- a/src/wharfcart/batch/leader.py
+++ b/src/wharfcart/batch/leader.py
@@ -62,11 +62,15 @@
         self._send_revocation = send_revocation
         self._retention_ms = int(retention_hours * 3_600_000)
         self._schedulers: dict[int, LeaseScheduler] = {}
+        # Leases of polls that were cancelled before their answer, and when, by shard. They may be
+        # committed later.
+        self._undelivered: dict[int, dict[str, float]] = {}
         self._last_expire_at = 0.0
 
     def leadership_changed(self, shard: int, leads: bool) -> None:
         """Start or stop scheduling a shard; scheduling state does not survive the change."""
         self._schedulers.pop(shard, None)
+        self._undelivered.pop(shard, None)
         if leads:
             state = self._journal.shards[shard].state
             self._schedulers[shard] = LeaseScheduler(state, self._weight_of, self._target_of)
@@ -91,6 +95,7 @@
             ServingError: ``not_leader`` if this node does not lead the shard.
         """
         shard = self._journal.leading_shard(poll.shard)
+        await self._take_back_unreceived(shard, poll)
         scheduler = self._scheduler_of(shard)
         now = monotonic()
         grant = LeaseGrant(lease_ms=int(LEASE_TERM_S * 1000))
@@ -112,17 +117,66 @@
             holder=poll.holder,
             rows=choice.rows,
             backend_id=poll.backend_id,
+            runner=poll.runner,
+            poll=poll.number,
         )
         try:
             # Commits the lease before any item is sent: it records that the items may have started.
             result = await self._journal.propose(shard.number, stamped_command(items_lease=items))
+            lease = shard.state.leases.get(lease_id)
+            if result.code != "ok" or lease is None:
+                return None
+            scheduler.renew([lease_id], monotonic())
+            return await self._granted_lease(shard, lease)
+        except asyncio.CancelledError:
+            self._undelivered.setdefault(shard.number, {})[lease_id] = monotonic()
+            raise
         finally:
             scheduler.release_reservation(choice)
-        lease = shard.state.leases.get(lease_id)
-        if result.code != "ok" or lease is None:
-            return None
-        scheduler.renew([lease_id], monotonic())
-        return await self._granted_lease(shard, lease)
+
+    async def _take_back_unreceived(self, shard: Shard, poll: LeasePoll) -> None:
+        """Return the items of leases that their holder never received.
+
+        These are leases of polls that were cancelled before their answer, and those that were
+        granted to an earlier poll of the same runner, which does not name them.
+        """
+        await self._take_back_undelivered(shard)
+        if not poll.runner:
+            return
+        known = {*poll.held, *poll.ending}
+        unreceived = [
+            lease
+            for lease in shard.state.leases.values()
+            if lease.runner == poll.runner
+            and lease.poll < poll.number
+            and lease.lease_id not in known
+        ]
+        for lease in unreceived:
+            await self._take_back(shard, lease, f"not received by poll {poll.number}")
+
+    async def _take_back_undelivered(self, shard: Shard) -> None:
+        undelivered = self._undelivered.get(shard.number, {})
+        for lease_id, cancelled_at in list(undelivered.items()):
+            lease = shard.state.leases.get(lease_id)
+            if lease is not None:
+                await self._take_back(shard, lease, "its poll was cancelled")
+            if lease is not None or monotonic() - cancelled_at > LEASE_TERM_S:
+                undelivered.pop(lease_id, None)
+
+    async def _take_back(self, shard: Shard, lease: Lease, cause: str) -> None:
+        """End a lease of which no item was sent."""
+        logger.info(
+            "lease taken back",
+            extra={
+                "lease": lease.lease_id,
+                "job": lease.job_id,
+                "holder": lease.holder,
+                "items": len(lease.rows),
+                "cause": cause,
+            },
+        )
+        end = LeaseEnd(lease_id=lease.lease_id, not_run=lease.rows)
+        await self._journal.propose(shard.number, stamped_command(lease_end=end))
 
     async def _granted_lease(self, shard: Shard, lease: Lease) -> GrantedLease:
         job = shard.state.jobs[lease.job_id]
@@ -180,6 +234,7 @@
 
     async def _housekeep_shard(self, number: int, now: float, expire: bool) -> None:
         shard = self._journal.leading_shard(number)
+        await self._take_back_undelivered(shard)
         for lease_id in self._scheduler_of(shard).expired_leases(now):
             lease = shard.state.leases[lease_id]
             job = shard.state.jobs[lease.job_id]
--- a/src/wharfcart/batch/runner.py
+++ b/src/wharfcart/batch/runner.py
@@ -94,6 +94,8 @@
         self._waiting: deque[_LeasedItem] = deque()
         self._running: dict[str, asyncio.Task[None]] = {}
         self._productive_shards: list[int] = []
+        # Their leaders may have granted items to a poll without an answer.
+        self._unanswered_shards: dict[int, None] = {}
         self._next_poll_at = 0.0
         self._poll_task: asyncio.Task[None] | None = None
         self._wind_down_tasks: set[asyncio.Task[None]] = set()
@@ -170,13 +172,14 @@
             self.owned.capacity_changed.set()
 
     def _shards_to_poll(self) -> list[int]:
-        """Return the shards that gave work last and a few others at random.
+        """Return the shards without an answer, those that gave work last, and a few others.
 
         Polling all shards would not scale with their number.
         """
         count = self._placement.shard_count
         others = random.sample(range(count), min(SHARDS_PER_POLL, count))
-        return list(dict.fromkeys([*self._productive_shards, *others]))
+        unanswered = list(self._unanswered_shards)[:SHARDS_PER_POLL]
+        return list(dict.fromkeys([*unanswered, *self._productive_shards, *others]))
 
     async def _poll_shard(self, shard: int) -> int:
         targets = sorted(self.owned.backend.targets)
@@ -184,7 +187,10 @@
             grant = await self._leases.poll(shard, targets, MAX_ITEMS_PER_LEASE)
         except ServingError as error:
             logger.debug("lease poll failed", extra={"shard": shard, "cause": str(error)})
+            self._unanswered_shards.pop(shard, None)
+            self._unanswered_shards[shard] = None
             return 0
+        self._unanswered_shards.pop(shard, None)
         self.revoke(list(grant.revoked))
         accepted = sum(self._accept_lease(shard, granted) for granted in grant.leases)
         self._productive_shards = [other for other in self._productive_shards if other != shard]
--- a/src/wharfcart/storage/journal_client.py
+++ b/src/wharfcart/storage/journal_client.py
@@ -112,11 +112,21 @@
         answer = await self._ask_leader(query.shard, Frame(job_query=query), CALL_TIMEOUT_S)
         return list(answer.job_views.jobs)
 
-    async def ask_leader(self, shard: int, frame: Frame, timeout_seconds: float) -> Frame:
-        """Send a frame to a shard's leader and return the answer."""
+    async def ask_leader(
+        self, shard: int, frame: Frame | Callable[[], Frame], timeout_seconds: float
+    ) -> Frame:
+        """Send a frame to a shard's leader and return the answer.
+
+        Args:
+            shard: number of the shard.
+            frame: the frame, or a function that returns the frame of the next attempt.
+            timeout_seconds: timeout of all attempts.
+        """
         return await self._ask_leader(shard, frame, timeout_seconds)
 
-    async def _ask_leader(self, shard: int, frame: Frame, timeout_seconds: float) -> Frame:
+    async def _ask_leader(
+        self, shard: int, frame: Frame | Callable[[], Frame], timeout_seconds: float
+    ) -> Frame:
         deadline = monotonic() + timeout_seconds
         delay = RETRY_DELAY_S
         may_have_run = False
@@ -126,7 +136,8 @@
             if identity is not None:
                 tried.append(identity)
                 try:
-                    return await self._ask(identity, shard, frame, deadline - monotonic())
+                    attempt = frame if isinstance(frame, Frame) else frame()
+                    return await self._ask(identity, shard, attempt, deadline - monotonic())
                 except PeerUnreachableError as error:
                     may_have_run = may_have_run or error.sent
                 except TimeoutError:
--- a/src/wharfcart/storage/shard_state.py
+++ b/src/wharfcart/storage/shard_state.py
@@ -340,6 +340,8 @@
             rows=rows,
             at_ms=now_ms,
             backend_id=lease.backend_id,
+            runner=lease.runner,
+            poll=lease.poll,
         )
         self.leases[lease.lease_id] = record
         self._put(RowKind.LEASE, lease.lease_id, 0, record.SerializeToString())
--- a/tests/batch/test_runner.py
+++ b/tests/batch/test_runner.py
@@ -20,6 +20,7 @@
 from wharfcart.cluster.placement_map import PlacementMap
 from wharfcart.configuration.schema import PreemptionPolicy
 from wharfcart.configuration.services import Service
+from wharfcart.errors import ServingError
 from wharfcart.experiments.virtual_time import run_in_virtual_time
 from wharfcart.observability.metrics import Metrics
 from wharfcart.routing.owner import APPLICATION_CAPACITY, BackendOwner, OwnedBackend
@@ -195,3 +196,21 @@
     """Let all ready tasks run."""
     for _ in range(20):
         await asyncio.sleep(0)
+
+
+def test_a_shard_whose_answer_was_lost_is_polled_next(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against items that stay with a lost grant until its term ends."""
+
+    class _UnavailableJournal(_FakeJournal):
+        async def ask_leader(self, _shard: int, _frame: Frame, _timeout_s: float) -> Frame:
+            raise ServingError("journal_unavailable", "no answer", 503)
+
+    async def scenario() -> None:
+        journal = _UnavailableJournal()
+        journal.placement.merge([], 64)
+        runner = _runner(journal, _FakeOwner(), monkeypatch)
+        assert await runner._poll_shard(63) == 0
+        for _ in range(20):
+            assert runner._shards_to_poll()[0] == 63
+
+    asyncio.run(scenario())
