Poison requests: a crash that a suspected request explains clears bystanders

Callers saw (fault soak): requests of one popular content refused with 503 "suspected" for 30 s, though back ends answer them.

Cause: two poison requests crash four back ends within 1.2 s. A popular content had begun to be answered at each, and four crashes of half a weight add up to a quarantine, although the poison requests, suspected already, explain each of them.

Fix: a crash is no evidence against a request whose answer had begun there if another request ran there without an answer and is suspected by such crashes alone. Runs without an answer are never explained away. Four tests guard the limits of that rule.

--- a/src/wharfcart/admission/poison_requests.py
+++ b/src/wharfcart/admission/poison_requests.py
@@ -4,7 +4,8 @@
 retry it at any gateway, and gateways retry it themselves, so evidence is kept by request
 fingerprint, across attempts, nodes and restarts. Other requests also run at a back end when it
 crashes, so one crash is weak evidence against each of them. The others are answered elsewhere,
-which clears their evidence; the poison request never is.
+which clears their evidence; the poison request never is. A crash that a suspected poison request
+explains is no evidence against requests that had begun to be answered there.
 
 This module does no I/O. Times are wall-clock seconds, since nodes share the evidence.
 """
@@ -94,6 +95,41 @@
         """Return the sum of the weights of all crashes."""
         return sum(crash.weight for crash in self.crashes_by_key.values())
 
+    def unanswered(self) -> "PoisonEvidence":
+        """Return the crashes before the first byte of an answer."""
+        return PoisonEvidence(
+            {
+                key: crash
+                for key, crash in self.crashes_by_key.items()
+                if crash.weight >= UNANSWERED_WEIGHT
+            }
+        )
+
+    def without_explained(self, suspects: Iterable["PoisonEvidence"]) -> "PoisonEvidence":
+        """Return the crashes that no other request explains.
+
+        A run whose answer had begun is weak evidence: a suspect whose run at the same crash had no
+        answer explains the crash instead.
+
+        Args:
+            suspects: unanswered crashes of each request that is suspected by these alone.
+        """
+        crash_times: dict[str, list[float]] = {}
+        for suspect in suspects:
+            for key, crash in suspect.crashes_by_key.items():
+                crash_times.setdefault(_instance_id_of(key), []).append(crash.at)
+        return PoisonEvidence(
+            {
+                key: crash
+                for key, crash in self.crashes_by_key.items()
+                if crash.weight >= UNANSWERED_WEIGHT
+                or not any(
+                    abs(at - crash.at) <= SAME_CRASH_S
+                    for at in crash_times.get(_instance_id_of(key), ())
+                )
+            }
+        )
+
     def last_crash_at(self) -> float:
         """Return the time of the latest crash; 0 if there is none."""
         return max((crash.at for crash in self.crashes_by_key.values()), default=0.0)
@@ -190,9 +226,11 @@
     _local: dict[RequestFingerprint, PoisonEvidence] = field(default_factory=dict)
     _unpublished: set[RequestFingerprint] = field(default_factory=set)
     _cleared: set[RequestFingerprint] = field(default_factory=set)
+    # Unexplained evidence by fingerprint; emptied by each change of any evidence.
+    _unexplained: dict[RequestFingerprint, PoisonEvidence] = field(default_factory=dict)
 
     def __len__(self) -> int:
-        return len(self._shared.keys() | self._local.keys())
+        return len(self._fingerprints())
 
     def quarantine_left_s(self, fingerprint: Callable[[], RequestFingerprint], now: float) -> float:
         """Return the remaining seconds of a request's quarantine; 0 if it may be sent.
@@ -203,7 +241,8 @@
         """
         if not self._shared and not self._local:
             return 0.0
-        return self.evidence(fingerprint()).quarantine_left_s(now - self.release_jitter_s)
+        evidence = self.unexplained_evidence(fingerprint())
+        return evidence.quarantine_left_s(now - self.release_jitter_s)
 
     def evidence(self, fingerprint: RequestFingerprint) -> PoisonEvidence:
         """Return the shared and local evidence against a request."""
@@ -211,11 +250,19 @@
             self._local.get(fingerprint, PoisonEvidence())
         )
 
+    def unexplained_evidence(self, fingerprint: RequestFingerprint) -> PoisonEvidence:
+        """Return the evidence against a request that no other suspected request explains."""
+        found = self._unexplained.get(fingerprint)
+        if found is None:
+            found = self._find_unexplained(fingerprint)
+            self._unexplained[fingerprint] = found
+        return found
+
     def quarantined_count(self, now: float) -> int:
         """Return the number of quarantined fingerprints."""
-        fingerprints = self._shared.keys() | self._local.keys()
         return sum(
-            self.evidence(fingerprint).quarantine_left_s(now) > 0 for fingerprint in fingerprints
+            self.unexplained_evidence(fingerprint).quarantine_left_s(now) > 0
+            for fingerprint in self._fingerprints()
         )
 
     # ---- local observations ----
@@ -240,6 +287,7 @@
             return
         self._local.pop(known, None)
         self._shared.pop(known, None)
+        self._unexplained.clear()
         self._unpublished.discard(known)
         self._cleared.add(known)
         self.on_update()
@@ -257,6 +305,7 @@
         self, fingerprint: RequestFingerprint, evidence: PoisonEvidence | None
     ) -> None:
         """Apply shared evidence; None means that it was removed."""
+        self._unexplained.clear()
         if evidence is None:
             self._shared.pop(fingerprint, None)
             if fingerprint not in self._unpublished:
@@ -299,12 +348,25 @@
 
     def _add_local(self, fingerprint: RequestFingerprint, added: PoisonEvidence) -> None:
         """Add evidence that is not shared yet; an earlier answer does not clear it."""
+        self._unexplained.clear()
         self._local[fingerprint] = self._local.get(fingerprint, PoisonEvidence()).merged(added)
         self._cleared.discard(fingerprint)
         self._unpublished.add(fingerprint)
         self._evict_oldest()
         self.on_update()
 
+    def _fingerprints(self) -> set[RequestFingerprint]:
+        return self._shared.keys() | self._local.keys()
+
+    def _find_unexplained(self, fingerprint: RequestFingerprint) -> PoisonEvidence:
+        evidence = self.evidence(fingerprint)
+        if evidence.total_weight() < QUARANTINE_WEIGHT:
+            return evidence
+        others = (self.evidence(other).unanswered() for other in self._fingerprints())
+        return evidence.without_explained(
+            suspect for suspect in others if suspect.total_weight() >= QUARANTINE_WEIGHT
+        )
+
     def _evict_oldest(self) -> None:
         while len(self._local) > MAX_FINGERPRINTS:
             oldest = min(
--- a/src/wharfcart/routing/crash_detection.py
+++ b/src/wharfcart/routing/crash_detection.py
@@ -87,6 +87,7 @@
         now = time()
         instance_id = run.instance.instance_id
         evidence = self.poison_requests.record_crash(run.fingerprint, instance_id, weight, now)
+        unexplained = self.poison_requests.unexplained_evidence(run.fingerprint)
         self._log.write(
             Event.REQUEST_SUSPECTED,
             request=run.request_id,
@@ -96,7 +97,8 @@
             ran_s=round(run.ran_s, 3),
             ends=len(evidence.crashes_by_key),
             weight=evidence.total_weight(),
-            held_s=round(evidence.quarantine_left_s(now), 1),
+            explained=evidence.total_weight() - unexplained.total_weight(),
+            held_s=round(unexplained.quarantine_left_s(now), 1),
         )
 
     async def _has_crashed(self, instance: BackendInstance) -> bool:
--- a/tests/admission/test_poison_requests.py
+++ b/tests/admission/test_poison_requests.py
@@ -270,3 +270,46 @@
         crash(poison_requests, instance, at=number * 0.4 + 0.01, weight=UNANSWERED_WEIGHT)
     assert poison_requests.evidence(FINGERPRINT).total_weight() == 3 * PARTIAL_ANSWER_WEIGHT
     assert seconds_left(poison_requests, 1.0) == 0.0
+
+
+def test_a_crash_that_no_suspected_request_explains_counts() -> None:
+    """Guards against a poison request that answers first and hides behind bystanders."""
+    poison_requests = PoisonRequests()
+    for n in range(4):
+        crash(poison_requests, str(n), at=float(n), weight=PARTIAL_ANSWER_WEIGHT)
+        bystander = RequestFingerprint(f"bystander-{n}")
+        poison_requests.record_crash(bystander, str(n), UNANSWERED_WEIGHT, float(n))
+    assert seconds_left(poison_requests, 3.0) > 0.0
+
+
+def test_a_suspected_request_explains_only_crashes_at_which_it_ran() -> None:
+    """Guards against a poison request that another one frees, also after a restart of one id."""
+    poison_requests = PoisonRequests()
+    for at in (0.0, 5.0):
+        poison_requests.record_crash(OTHER_FINGERPRINT, "a", UNANSWERED_WEIGHT, at)
+    for at in (0.0, 10.0, 20.0, 30.0):
+        crash(poison_requests, "a", at=at, weight=PARTIAL_ANSWER_WEIGHT)
+    assert seconds_left(poison_requests, 30.0) == 0.0
+    crash(poison_requests, "a", at=40.0, weight=PARTIAL_ANSWER_WEIGHT)
+    assert seconds_left(poison_requests, 40.0) > 0.0
+
+
+def test_two_requests_without_an_answer_do_not_explain_each_other() -> None:
+    """Guards against two poison requests that are sent together and both run on."""
+    poison_requests = PoisonRequests()
+    for instance in ("a", "b"):
+        crash(poison_requests, instance)
+        poison_requests.record_crash(OTHER_FINGERPRINT, instance, UNANSWERED_WEIGHT, 0.0)
+    assert seconds_left(poison_requests, 0.0) > 0.0
+    assert seconds_left(poison_requests, 0.0, OTHER_FINGERPRINT) > 0.0
+
+
+def test_a_crash_counts_again_once_the_request_that_explained_it_is_answered() -> None:
+    """Guards against evidence that stays explained by a request that turned out harmless."""
+    poison_requests = PoisonRequests()
+    for n in range(4):
+        crash(poison_requests, str(n), weight=PARTIAL_ANSWER_WEIGHT)
+        poison_requests.record_crash(OTHER_FINGERPRINT, str(n), UNANSWERED_WEIGHT, 0.0)
+    assert seconds_left(poison_requests, 0.0) == 0.0
+    poison_requests.record_answer(lambda: OTHER_FINGERPRINT)
+    assert seconds_left(poison_requests, 0.0) > 0.0
