Directory, older path: nodes compare digests, not their newest stamps

Callers would see: after two parts of a fleet were separated for more than ten seconds and both learnt of machines, the nodes of one part never learn what the other published, until the entry changes again.

Cause: entries are stamped by their writers' clocks. A node announced the newest stamp that it knew, and a peer with a newer one never pulled. Of several writers that does not tell what a node lacks. Two values of one key with equal stamps stayed different for ever.

Peers of earlier builds are asked by stamp as before.

--- a/src/wharfcart/cluster/gossip.py
+++ b/src/wharfcart/cluster/gossip.py
@@ -66,25 +66,30 @@
         if self._transport is not None:
             self._transport.close()
 
-    def announce(self, configuration: int, placement_digest: int, directory: int) -> None:
+    def announce(
+        self, configuration: int, placement_digest: int, directory: int, directory_digest: int
+    ) -> None:
         """Announce the revisions known here to peers, if any has changed.
 
         Args:
             configuration: revision of the configuration.
             placement_digest: digest of the shard placement.
             directory: revision of the directory.
+            directory_digest: digest of the directory.
         """
         membership = self.membership
         before = (
             membership.configuration_revision,
             membership.placement_version,
             membership.directory_revision,
+            membership.directory_digest,
         )
-        if before == (configuration, placement_digest, directory):
+        if before == (configuration, placement_digest, directory, directory_digest):
             return
         membership.configuration_revision = configuration
         membership.placement_version = placement_digest
         membership.directory_revision = directory
+        membership.directory_digest = directory_digest
         self._execute(membership.announce_revision())
 
     def address_of(self, node_id: str) -> Address | None:
--- a/src/wharfcart/cluster/membership.py
+++ b/src/wharfcart/cluster/membership.py
@@ -92,12 +92,14 @@
         configuration_revision: revision of its configuration.
         placement_version: digest of its shard placement.
         directory_revision: revision of its directory.
+        directory_digest: digest of its directory; 0 from builds that announce none.
     """
 
     node_id: str
     configuration_revision: int
     placement_version: int
     directory_revision: int
+    directory_digest: int
 
 
 MembershipAction = SendGossip | MemberChanged | PeerRevisions
@@ -143,6 +145,7 @@
         configuration_revision: configuration revision that this node announces.
         placement_version: placement digest that this node announces.
         directory_revision: directory revision that this node announces.
+        directory_digest: directory digest that this node announces.
         members: all other known members by node id, including dead ones.
     """
 
@@ -152,6 +155,7 @@
     configuration_revision: int = 0
     placement_version: int = 0
     directory_revision: int = 0
+    directory_digest: int = 0
     members: dict[str, Member] = field(default_factory=dict)
     _suspected_until: dict[str, float] = field(default_factory=dict)
     _dead_since: dict[str, float] = field(default_factory=dict)
@@ -229,6 +233,7 @@
                     message.configuration_revision,
                     message.placement_version,
                     message.directory_revision,
+                    message.directory_digest,
                 )
             )
         actions.extend(self._request_sync(message, sender, now))
@@ -544,6 +549,7 @@
             configuration_revision=self.configuration_revision,
             placement_version=self.placement_version,
             directory_revision=self.directory_revision,
+            directory_digest=self.directory_digest,
             members_digest=self.members_digest,
         )
         message.updates.extend(self._select_rumours(receiver))
--- a/src/wharfcart/configuration/revisioned_map.py
+++ b/src/wharfcart/configuration/revisioned_map.py
@@ -9,22 +9,19 @@
 
 from wharfcart.cluster.messages_pb2 import Entry
 
+# Longer than the clocks of writers differ.
 DIRECTORY_OVERLAP_MS = 10_000
 
 
 @dataclass
 class RevisionedMap:
-    """Entries by key, each with the revision that set it.
+    """Entries by key, each with the revision that set it; all revisions come from one sequence.
 
     Attributes:
-        pull_overlap: how far below the own revision a pull starts. Zero if all revisions come from
-            one sequence (configuration); a time span if several writers stamp entries with their
-            clocks (directory), so that an entry with a slightly earlier stamp is not missed.
         revision: newest known revision.
         entries: entries by key, including deleted ones.
     """
 
-    pull_overlap: int = 0
     revision: int = 0
     entries: dict[str, Entry] = field(default_factory=dict)
 
@@ -46,7 +43,7 @@
 
     def pull_revision(self) -> int:
         """Return the revision after which a pull requests entries."""
-        return max(0, self.revision - self.pull_overlap)
+        return self.revision
 
     def live_values(self) -> dict[str, bytes]:
         """Return the values of entries that are not deleted, by key."""
--- a/src/wharfcart/node/propagation.py
+++ b/src/wharfcart/node/propagation.py
@@ -31,7 +31,8 @@
 from wharfcart.cluster.placement_map import PlacementMap
 from wharfcart.cluster.rendezvous import rendezvous_order
 from wharfcart.cluster.transport import PeerUnreachableError, Transport
-from wharfcart.configuration.revisioned_map import DIRECTORY_OVERLAP_MS, RevisionedMap
+from wharfcart.configuration.directory_map import DirectoryMap
+from wharfcart.configuration.revisioned_map import RevisionedMap
 from wharfcart.errors import ServingError
 from wharfcart.observability.tasks import BackgroundTasks
 from wharfcart.platform.key_value import KeyValueUnavailableError
@@ -85,7 +86,7 @@
         hooks: PropagationHooks,
     ) -> None:
         self.configuration = RevisionedMap()
-        self.directory = RevisionedMap(pull_overlap=DIRECTORY_OVERLAP_MS)
+        self.directory = DirectoryMap()
         self.placement = PlacementMap()
         self._gossip = gossip
         self._transport = transport
@@ -155,7 +156,10 @@
 
     def _announce(self) -> None:
         self._gossip.announce(
-            self.configuration.revision, self.placement.digest, self.directory.revision
+            self.configuration.revision,
+            self.placement.digest,
+            self.directory.revision,
+            self.directory.digest,
         )
 
     # ---- updates from peers ----
@@ -167,9 +171,10 @@
         if address is None:
             return
         if peer.configuration_revision > self.configuration.revision:
-            self._start_pull("configuration", self._pull_entries(address, CONFIGURATION))
-        if peer.directory_revision > self.directory.revision:
-            self._start_pull("directory", self._pull_entries(address, DIRECTORY))
+            self._start_pull("configuration", self._pull_configuration(address))
+        if self._may_lack_directory_entries_of(peer):
+            has_digest = peer.directory_digest != 0
+            self._start_pull("directory", self._pull_directory(address, has_digest))
         if peer.placement_version not in (0, self.placement.digest):
             self._start_pull("placement", self._pull_placement(address))
 
@@ -181,17 +186,33 @@
         task = self._tasks.spawn(work)
         task.add_done_callback(lambda _: self._pulling.discard(kind))
 
-    async def _pull_entries(self, address: Address, namespace: Namespace) -> None:
-        since = self._map_of(namespace).pull_revision()
-        call = Frame(pull_entries=PullEntries(namespace=namespace, since_revision=since))
+    def _may_lack_directory_entries_of(self, peer: PeerRevisions) -> bool:
+        if peer.directory_digest:
+            return peer.directory_digest != self.directory.digest
+        return peer.directory_revision > self.directory.revision
+
+    async def _pull_configuration(self, address: Address) -> None:
+        since = self.configuration.pull_revision()
+        call = Frame(pull_entries=PullEntries(namespace=CONFIGURATION, since_revision=since))
         answer = await self._call(address, call)
-        if answer is None:
-            return
-        entries = answer.entries
-        if namespace == CONFIGURATION:
-            self.apply_configuration(entries.entries, entries.revision)
+        if answer is not None:
+            self.apply_configuration(answer.entries.entries, answer.entries.revision)
+
+    async def _pull_directory(self, address: Address, has_digest: bool) -> None:
+        """Pull the entries of the buckets that differ.
+
+        Args:
+            address: address of the peer.
+            has_digest: whether the peer compares digests.
+        """
+        pull = PullEntries(namespace=DIRECTORY, since_revision=self.directory.pull_revision())
+        if has_digest:
+            pull.bucket_digests.extend(self.directory.bucket_digests)
         else:
-            self._apply_directory(entries.entries, entries.revision)
+            pull.since_revision = self.directory.overlapping_revision()
+        answer = await self._call(address, Frame(pull_entries=pull))
+        if answer is not None:
+            self._apply_directory(answer.entries.entries, answer.entries.revision)
 
     async def _pull_placement(self, address: Address) -> None:
         answer = await self._call(address, Frame(pull_placement=PullPlacement()))
@@ -209,6 +230,12 @@
 
     def serve_pull(self, pull: PullEntries) -> Entries:
         """Answer a peer's pull."""
+        if pull.namespace == DIRECTORY and pull.bucket_digests:
+            return Entries(
+                namespace=DIRECTORY,
+                revision=self.directory.revision,
+                entries=self.directory.entries_of_other_buckets(pull.bucket_digests),
+            )
         known = self._map_of(pull.namespace)
         return Entries(
             namespace=pull.namespace,
--- a/tests/node/test_propagation_directory.py
+++ b/tests/node/test_propagation_directory.py
@@ -1,10 +1,13 @@
 """Directory entries of nodes that were separated."""
 
+import asyncio
 from typing import Any, cast
 from unittest import mock
 
+from wharfcart.cluster.address import Address
 from wharfcart.cluster.membership import PeerRevisions
-from wharfcart.cluster.messages_pb2 import DIRECTORY, PullEntries
+from wharfcart.cluster.messages_pb2 import DIRECTORY, Entry, Frame, PullEntries
+from wharfcart.configuration.directory_map import BUCKET_COUNT
 from wharfcart.configuration.revisioned_map import DIRECTORY_OVERLAP_MS
 from wharfcart.node import propagation
 from wharfcart.node.propagation import PropagationDriver, PropagationHooks
@@ -47,3 +50,38 @@
         _pull_if_announced(second, first)
     assert first.directory.live_values().keys() == {"machine/a", "machine/b"}
     assert second.directory.live_values().keys() == {"machine/a", "machine/b"}
+
+
+def _revisions_of(peer: PropagationDriver, has_digest: bool) -> PeerRevisions:
+    digest = peer.directory.digest if has_digest else 0
+    return PeerRevisions("peer", 0, 0, peer.directory.revision, digest)
+
+
+def test_a_node_pulls_only_from_peers_whose_directory_differs() -> None:
+    """Guards against pulls at each probe, and against none from a peer with older stamps."""
+    first, second, third = _driver(), _driver(), _driver()
+    for driver in (first, second):
+        driver._apply_directory([Entry(key="machine/a", value=b"a", revision=7)], 7)
+    third._apply_directory([Entry(key="machine/b", value=b"b", revision=3)], 3)
+    for has_digest in (True, False):
+        assert not first._may_lack_directory_entries_of(_revisions_of(second, has_digest))
+    assert first._may_lack_directory_entries_of(_revisions_of(third, True))
+    assert third._may_lack_directory_entries_of(_revisions_of(first, False))
+
+
+def test_peers_of_earlier_builds_are_asked_by_revision() -> None:
+    """Guards against pulls of the whole directory from peers that compare no digests."""
+    first, second = _driver(), _driver()
+    first._apply_directory([Entry(key="machine/a", value=b"a", revision=50_000)], 50_000)
+    calls: list[PullEntries] = []
+
+    async def call(_address: object, frame: Frame) -> None:
+        calls.append(frame.pull_entries)
+
+    for has_digest in (True, False):
+        with mock.patch.object(first, "_call", call):
+            asyncio.run(first._pull_directory(Address("h", 1), has_digest))
+    assert [call.since_revision for call in calls] == [0, 50_000 - DIRECTORY_OVERLAP_MS]
+    assert [len(call.bucket_digests) for call in calls] == [BUCKET_COUNT, 0]
+    assert list(second.serve_pull(calls[0]).entries) == []
+    assert [entry.key for entry in first.serve_pull(calls[1]).entries] == ["machine/a"]
