Job retention counts from the end of a job

Callers would see: a job that takes longer than keep_jobs_s (180 s) is gone within five seconds of its last result, before its caller has read it.

Cause: retention was counted from the acceptance, by the wall clock.

Fix: it counts from when the leader finds the last result or the end committed, on a clock that counts suspensions and that no change of the time of day moves; a new leader counts it anew, never less. Each deletion is logged (job_deleted).

--- a/src/wharfcart/batch/job_execution.py
+++ b/src/wharfcart/batch/job_execution.py
@@ -13,6 +13,7 @@
 
 from wharfcart.admission.poison_requests import PoisonRequests
 from wharfcart.batch.item_run import ItemAttempt, ItemProgress, ItemRunner, RunOutcome
+from wharfcart.batch.job_retention import JobRetention
 from wharfcart.batch.job_scheduler import JobScheduler, ScheduledJob
 from wharfcart.batch.placed_items import PlacedItem, PlacedItems
 from wharfcart.batch.retry_policy import has_failed_permanently
@@ -30,7 +31,6 @@
 from wharfcart.slots.session import HeldSlot
 from wharfcart.slots.urgency import Urgency
 from wharfcart.storage.job_group import JobGroup
-from wharfcart.storage.job_leadership import JobLeadership
 from wharfcart.storage.replicated_job import ReplicatedJob
 
 # Longest time with open jobs, and shortest time, between two demand reports.
@@ -58,7 +58,7 @@
         selector: tracks the state of the back ends on this node.
         configuration: returns the current configuration, or None.
         slots: receives slot offers and preemptions for items.
-        keep_jobs_s: age up to which a completed or cancelled job stays readable.
+        keep_jobs_s: time for which a completed or cancelled job stays readable.
         log: decision log.
         metrics: counters of items.
         poison_requests: quarantine of requests that are suspected of crashing back ends.
@@ -81,7 +81,7 @@
         self._selector = selector
         self._configuration = configuration
         self._slots = slots
-        self._keep_jobs_s = keep_jobs_s
+        self._retention = JobRetention(keep_jobs_s)
         self._log = log
         self._metrics = metrics
         self._poison_requests = poison_requests
@@ -255,7 +255,7 @@
         assert leadership is not None
         for record in leadership.jobs.values():
             self._learn_item_sizes(record)
-            if not record.ended and not record.is_complete:
+            if not record.is_finished:
                 self._add_job(record, {result.item_id for result in record.results})
         self._tasks.spawn(self._run())
 
@@ -272,6 +272,7 @@
         """Stop all items after the loss of leadership."""
         self._tasks.cancel()
         self._scheduler = JobScheduler(self._group.partial_texts)
+        self._retention = JobRetention(self._retention.keep_s)
         self._reported_demand = set()
         for placed in self._placed.clear():
             if not placed.started:
@@ -501,14 +502,16 @@
         if leadership is None or now < self._next_deletion_at:
             return
         self._next_deletion_at = now + DELETION_INTERVAL_S
-        for job_id in _expired_job_ids(leadership, time(), self._keep_jobs_s):
+        for record in self._retention.expired_jobs(leadership.finished_jobs(), now):
+            job_id = record.job.job_id
             leadership.delete_job(job_id)
+            self._log.write(
+                Event.JOB_DELETED,
+                job=job_id,
+                submission=record.submission,
+                results=len(record.results),
+                accepted_s_ago=round(time() - record.job.accepted_ms / 1000, 1),
+                kept_s=self._retention.keep_s,
+                cause="retention",
+            )
         self._group.wake_sessions()
-
-
-def _expired_job_ids(leadership: JobLeadership, now_s: float, keep_s: float) -> list[str]:
-    return [
-        job_id
-        for job_id, record in leadership.jobs.items()
-        if (record.ended or record.is_complete) and now_s - record.job.accepted_ms / 1000 > keep_s
-    ]
--- a/src/wharfcart/batch/job_service.py
+++ b/src/wharfcart/batch/job_service.py
@@ -160,7 +160,7 @@
         self._group.wake_sessions()
         if not await self._wait_until_committed(leadership, record, 1):
             return JobAnswer(status=UNSURE)
-        if not record.ended and not record.is_complete:
+        if not record.is_finished:
             self._execution.job_accepted(record)
         if not is_known:
             self._log.write(
--- a/src/wharfcart/experiments/simulated_slots.py
+++ b/src/wharfcart/experiments/simulated_slots.py
@@ -132,6 +132,10 @@
         self.jobs[job_id].results.append(outcome)
         return True
 
+    def finished_jobs(self) -> list[ReplicatedJob]:
+        """Return all finished jobs."""
+        return [record for record in self.jobs.values() if record.is_finished]
+
     def delete_job(self, job_id: str) -> None:
         """Delete a job."""
         self.jobs.pop(job_id, None)
--- a/src/wharfcart/node/hosted_group.py
+++ b/src/wharfcart/node/hosted_group.py
@@ -29,7 +29,7 @@
         context: dependencies of the replicas.
         runner: sends items to back ends.
         jobs: client for calls to the leaders of other groups.
-        keep_jobs_s: how long in seconds a finished job stays readable.
+        keep_jobs_s: how long in seconds a finished job stays readable after its end.
     """
 
     node: ServingNode
--- a/src/wharfcart/observability/decisions.py
+++ b/src/wharfcart/observability/decisions.py
@@ -79,6 +79,7 @@
     JOB_REFUSED = "job_refused"
     JOB_ENDED = "job_ended"
     JOB_CLOSED = "job_closed"
+    JOB_DELETED = "job_deleted"
     ITEM_STARTED = "item_started"
     ITEM_FINISHED = "item_finished"
     ITEM_RETRIED = "item_retried"
--- a/src/wharfcart/settings/serving.py
+++ b/src/wharfcart/settings/serving.py
@@ -99,7 +99,7 @@
     Attributes:
         data_folder: folder on the node's disk.
         job_groups: number of job groups; cannot change later.
-        keep_jobs_s: how long a finished job stays readable, in seconds.
+        keep_jobs_s: how long a finished job stays readable after its end, in seconds.
     """
 
     data_folder: Path = checked(directory_path)
--- a/src/wharfcart/storage/job_leadership.py
+++ b/src/wharfcart/storage/job_leadership.py
@@ -327,6 +327,12 @@
             progress.changed_jobs.pop(job_id, None)
             progress.backlog_jobs.pop(job_id, None)
 
+    def finished_jobs(self) -> Iterator[ReplicatedJob]:
+        """Yield the jobs whose last result or end is committed."""
+        for job_id, record in self.jobs.items():
+            if record.is_finished and self.committed_version(job_id) == record.version:
+                yield record
+
     def committed_version(self, job_id: str) -> int:
         """Return the committed version of a job; 0 for none."""
         return self._committed_versions.get(job_id, 0)
--- a/src/wharfcart/storage/replicated_job.py
+++ b/src/wharfcart/storage/replicated_job.py
@@ -81,6 +81,11 @@
         """Whether every item has a result."""
         return len(self.results) >= len(self.job.items)
 
+    @property
+    def is_finished(self) -> bool:
+        """Whether no item of the job runs any more."""
+        return self.ended or self.is_complete
+
     def append_result(self, outcome: ItemOutcome) -> bool:
         """Append a result; return False if the job has ended or the item already has a result."""
         if self.ended or outcome.item_id not in self._pending_tokens_by_item:
--- a/tests/batch/test_job_execution.py
+++ b/tests/batch/test_job_execution.py
@@ -7,6 +7,7 @@
 from random import Random
 from time import time
 from types import SimpleNamespace
+from typing import Any
 
 from wharfcart.admission.poison_requests import PoisonRequests
 from wharfcart.batch import job_execution
@@ -163,7 +164,7 @@
     epoch = 1
 
     def __init__(self) -> None:
-        self.jobs: dict[str, SimpleNamespace] = {}
+        self.jobs: dict[str, Any] = {}
         self.outcomes: list[ItemOutcome] = []
 
     def append_result(self, job_id: str, outcome: ItemOutcome) -> bool:
@@ -171,6 +172,9 @@
         self.jobs.setdefault(job_id, SimpleNamespace(results=[], is_complete=False))
         return True
 
+    def finished_jobs(self) -> list[ReplicatedJob]:
+        return []
+
 
 class ExecutionHarness:
     """A job execution with back ends whose items run until they are stopped."""
@@ -526,9 +530,7 @@
         lines = "\n".join(["x"] * 100).encode()
         results = [ItemOutcome(item_id=f"d-{n}", succeeded=True, text=lines) for n in range(2)]
         job = RequestJob(job_id="d", host="h", path="/jobs/d", objective_s=OBJECTIVE_S)
-        harness.leadership.jobs["d"] = SimpleNamespace(
-            job=job, results=results, ended=False, is_complete=True
-        )
+        harness.leadership.jobs["d"] = ReplicatedJob(job, 1, results)
         for number in range(91):
             harness.group.partial_texts.get_or_create("j", "j-7").add_event(number, "x")
         reported: list[Urgency] = []
