Job groups: a deletion is remembered until every replica has it on disk

Callers would see: a job whose retention is over answers again after a change of leader; if the copy that came back lacks results, its remaining items run once more.

Cause: a deletion left nothing behind. A replica that was away over it and one that has deleted the job are a quorum of promises, and the copy of before is the only one that they know.

Fix: a deletion is a state that follows all states of its submission. It stays on the disks, is inherited and written again by a new leader, and is dropped once every replica of the set, present or away, has written it. A set changes only to one whose quorum has each deletion.

--- a/src/wharfcart/experiments/job_group_simulation.py
+++ b/src/wharfcart/experiments/job_group_simulation.py
@@ -496,6 +496,8 @@
         for node in self.nodes.values():
             database = node.disk.database
             for state in database.job_states(0):
+                if state.is_deleted:
+                    continue
                 (held,) = database.load_jobs([state.job_id])
                 if (held.epoch, version_after(held)) != (state.epoch, state.version):
                     raise InvariantViolationError(f"disk of {node.number}: {state}, held {held}")
--- a/src/wharfcart/storage/group_replica.py
+++ b/src/wharfcart/storage/group_replica.py
@@ -66,7 +66,10 @@
             return FenceResult(granted=False, epoch=0)
         self._on_leader_contact(message.epoch, message.leader)
         return FenceResult(
-            granted=True, epoch=message.epoch, jobs=[state_to_message(state) for state in states]
+            granted=True,
+            epoch=message.epoch,
+            jobs=[state_to_message(state) for state in states if not state.is_deleted],
+            deleted_jobs=[state_to_message(state) for state in states if state.is_deleted],
         )
 
     async def write(self, message: ReplicateJobs) -> ReplicateResult:
@@ -79,7 +82,8 @@
             if not self._message_order.admit(message.epoch, number):
                 self._log_refused_message(message)
                 return ReplicateResult(accepted=False, epoch=await disk.promised_epoch(self.group))
-            applied = await disk.apply_updates(self.group, message.epoch, list(message.updates))
+            updates = [*message.updates, *message.confirmed_deletions]
+            applied = await disk.apply_updates(self.group, message.epoch, updates)
             if applied is None:
                 return ReplicateResult(accepted=False, epoch=await disk.promised_epoch(self.group))
         except DiskFailedError:
--- a/src/wharfcart/storage/job_database.py
+++ b/src/wharfcart/storage/job_database.py
@@ -14,7 +14,14 @@
 
 import xxhash
 
-from wharfcart.cluster.messages_pb2 import ItemOutcome, JobUpdate, PartialText, RequestJob
+from wharfcart.cluster.messages_pb2 import (
+    CONFIRMED,
+    REMEMBER,
+    ItemOutcome,
+    JobUpdate,
+    PartialText,
+    RequestJob,
+)
 from wharfcart.storage.partial_texts import ItemKey, item_key_of
 from wharfcart.storage.replicated_job import (
     NO_EPOCH,
@@ -40,6 +47,10 @@
   ended integer not null, results integer not null, spec blob not null, checksum integer not null,
   submission integer not null default 0
 ) without rowid;
+create table if not exists deleted_job (
+  job_id text primary key, job_group integer not null, epoch integer not null,
+  submission integer not null
+) without rowid;
 create table if not exists result (
   job_id text not null, position integer not null, value blob not null, checksum integer not null,
   primary key (job_id, position)) without rowid;
@@ -169,14 +180,22 @@
         return True
 
     def job_states(self, group: int) -> list[JobState]:
-        """Return the state of every job of a group."""
+        """Return the state of every job of a group, and of every deletion that is remembered."""
         rows = self._connection.execute(
             "select job_id, epoch, results, ended, submission from job where job_group=?", (group,)
         )
-        return [
+        states = [
             JobState(job_id, epoch, version_of(results, ended), SubmissionId(submission))
             for job_id, epoch, results, ended, submission in rows
         ]
+        deletions = self._connection.execute(
+            "select job_id, epoch, submission from deleted_job where job_group=?", (group,)
+        )
+        states += [
+            JobState(job_id, epoch, 0, SubmissionId(submission), is_deleted=True)
+            for job_id, epoch, submission in deletions
+        ]
+        return states
 
     def apply_updates(
         self, group: int, epoch: int, updates: Sequence[JobUpdate]
@@ -335,8 +354,7 @@
             return True
         held = self._held_job(update.job_id)
         if update.forgotten:
-            if _is_deleted_by(update, held):
-                self._delete_job(update.job_id)
+            self._apply_deletion(group, update, held)
             return True
         is_same_history = (held.epoch, held.submission) == (update.epoch, update.submission)
         if is_same_history and held.version >= version_after(update):
@@ -370,6 +388,8 @@
             is_written = self._connection.execute(_APPEND_TO_JOB, parameters).rowcount > 0
         if is_written:
             self._insert_results(update)
+            if update.HasField("job"):
+                self._connection.execute("delete from deleted_job where job_id=?", (update.job_id,))
         return is_written
 
     def _delete_text(self, key: ItemKey) -> None:
@@ -397,6 +417,24 @@
         is_same_history = held.epoch in bases or update.base_epoch == NO_EPOCH
         return held is not _NOT_HELD and is_same_history and held.results >= update.from_result
 
+    def _apply_deletion(self, group: int, update: JobUpdate, held: _HeldJob) -> None:
+        """Delete a job, or remember or drop the record of its deletion."""
+        execute = self._connection.execute
+        if update.deletion == CONFIRMED:
+            execute(
+                "delete from deleted_job where job_id=? and submission<=?",
+                (update.job_id, update.submission),
+            )
+            return
+        if not _is_deleted_by(update, held):
+            return
+        self._delete_job(update.job_id)
+        if update.deletion == REMEMBER:
+            execute(
+                "insert or replace into deleted_job values (?, ?, ?, ?)",
+                (update.job_id, group, update.base_epoch, update.submission),
+            )
+
     def _delete_job(self, job_id: str) -> None:
         for table in ("job", "result", "item_text"):
             self._connection.execute(f"delete from {table} where job_id=?", (job_id,))
--- a/src/wharfcart/storage/job_group.py
+++ b/src/wharfcart/storage/job_group.py
@@ -43,7 +43,7 @@
     ReplicaSession,
 )
 from wharfcart.storage.replica_set_changer import ReplicaSetChanger
-from wharfcart.storage.replicated_job import JobState, ReplicatedJob
+from wharfcart.storage.replicated_job import ReplicatedJob
 from wharfcart.storage.takeover import Takeover
 
 TICK_INTERVAL_S = 0.05
@@ -374,7 +374,7 @@
         except ReplicaFailedError:
             return
         self._log_corrected_claims(takeover)
-        self._start_leading(record, jobs, takeover.states_by_identity, started_at)
+        self._start_leading(record, jobs, takeover, started_at)
 
     def _log_corrected_claims(self, takeover: Takeover) -> None:
         for identity, states in takeover.corrected_by_identity.items():
@@ -409,11 +409,12 @@
         self,
         record: GroupRecord,
         newest_jobs: list[ReplicatedJob],
-        states: dict[str, list[JobState]],
+        takeover: Takeover,
         requested_at: float,
     ) -> None:
         leadership = JobLeadership(record.epoch, self._context.write_quorum, record.members)
-        leadership.inherit(newest_jobs)
+        leadership.inherit(newest_jobs, takeover.deletions())
+        states = takeover.states_by_identity
         self.leadership = leadership
         self.partial_texts.keep_submissions(
             {job_id: job.submission for job_id, job in leadership.jobs.items()}
@@ -434,6 +435,7 @@
             members=sorted(record.members),
             jobs=len(newest_jobs),
             undecided_jobs=leadership.undecided_count,
+            deleted_jobs=leadership.deletion_count,
             gathering_s=round(monotonic() - requested_at, 3),
         )
         self.on_leadership_gained()
--- a/src/wharfcart/storage/job_leadership.py
+++ b/src/wharfcart/storage/job_leadership.py
@@ -15,6 +15,8 @@
 * During a change of the set a write needs a quorum in the old set and in the new one.
 * A job id that is submitted again after its deletion is another submission: what a replica reports
   of an earlier one does not count, and the replica receives the job whole.
+* A deletion is remembered on the disks until every replica of the set, present or away, has it on
+  disk. Otherwise a leader could inherit the copy of a replica that missed the deletion.
 
 Pure: no sockets, clock, files.
 """
@@ -24,7 +26,15 @@
 from dataclasses import dataclass, field
 from itertools import chain, islice
 
-from wharfcart.cluster.messages_pb2 import ItemOutcome, JobUpdate, RequestJob
+from wharfcart.cluster.messages_pb2 import (
+    CONFIRMED,
+    DISCARD,
+    REMEMBER,
+    Deletion,
+    ItemOutcome,
+    JobUpdate,
+    RequestJob,
+)
 from wharfcart.configuration.residence import Residence
 from wharfcart.storage.replicated_job import (
     JobState,
@@ -50,6 +60,7 @@
         inherited_versions: version that the replica reported with its promise, by job, if it has
             the epoch of the state that the leader inherited.
         jobs_to_delete: newest state to delete, by job that the replica must delete.
+        confirmed_deletions: deletions whose record the replica may drop, by job.
         changed_jobs: jobs that have changed since the promise and that the replica has not
             completely written, longest waiting first.
         backlog_jobs: all other jobs that the replica has not completely written in this epoch.
@@ -60,10 +71,24 @@
     base_epochs: dict[str, int] = field(default_factory=dict)
     inherited_versions: dict[str, int] = field(default_factory=dict)
     jobs_to_delete: dict[str, JobState] = field(default_factory=dict)
+    confirmed_deletions: dict[str, JobState] = field(default_factory=dict)
     changed_jobs: dict[str, None] = field(default_factory=dict)
     backlog_jobs: dict[str, None] = field(default_factory=dict)
 
 
+@dataclass
+class PendingDeletion:
+    """A deletion that some replica may not have on disk.
+
+    Attributes:
+        state: the deletion.
+        written_by: replicas that have it on disk in this epoch.
+    """
+
+    state: JobState
+    written_by: set[str] = field(default_factory=set)
+
+
 @dataclass
 class JobLeadership:
     """Jobs of a group and the progress of each replica.
@@ -89,6 +114,7 @@
     _committed_versions: dict[str, int] = field(default_factory=dict)
     _job_count_by_residence: Counter[Residence] = field(default_factory=Counter)
     _submission_count: int = 0
+    _pending_deletions: dict[str, PendingDeletion] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self._inherited_members = self.members
@@ -100,8 +126,15 @@
         """Replicas of the set that must promise before the leader knows every committed write."""
         return len(self.members) - self.write_quorum + 1
 
-    def inherit(self, records: Iterable[ReplicatedJob]) -> None:
-        """Start with the newest state of each job among the replicas that promised."""
+    def inherit(self, records: Iterable[ReplicatedJob], deletions: Iterable[JobState] = ()) -> None:
+        """Start with the newest state of each job among the replicas that promised.
+
+        Args:
+            records: jobs in their newest state.
+            deletions: newest states that are deletions.
+        """
+        for deletion in deletions:
+            self._remember_deletion(deletion)
         for record in records:
             job_id = record.job.job_id
             self._inherited_states[job_id] = record.state
@@ -116,10 +149,15 @@
         """Add a replica that promised this epoch, with the states of its jobs."""
         progress = ReplicaProgress()
         self._replicas[identity] = progress
+        progress.jobs_to_delete = {
+            job_id: pending.state for job_id, pending in self._pending_deletions.items()
+        }
         for state in states:
-            if state.job_id in self.jobs:
+            if state.is_deleted:
+                self._record_held_deletion(identity, state)
+            elif state.job_id in self.jobs:
                 self._record_held(progress, state)
-            else:
+            elif state.job_id not in self._pending_deletions:
                 # Never committed, or deleted since: a later leader must not restore it.
                 progress.jobs_to_delete[state.job_id] = state
         progress.inherited_versions = {
@@ -156,17 +194,14 @@
         progress = self._replicas.get(identity)
         if progress is None:
             return []
-        updates = []
-        if progress.jobs_to_delete:
-            updates = [
-                JobUpdate(
-                    job_id=job_id,
-                    forgotten=True,
-                    base_epoch=state.epoch,
-                    submission=state.submission,
-                )
-                for job_id, state in sorted(progress.jobs_to_delete.items())
-            ]
+        updates = [
+            _deletion_update(state, REMEMBER if state.is_deleted else DISCARD)
+            for _, state in sorted(progress.jobs_to_delete.items())
+        ]
+        updates += [
+            _deletion_update(state, CONFIRMED)
+            for _, state in sorted(progress.confirmed_deletions.items())
+        ]
         size = 0
         for job_id in self._next_jobs(progress):
             update = self.jobs[job_id].update_since(
@@ -204,9 +239,7 @@
         for update in updates:
             job_id = update.job_id
             if update.forgotten:
-                deleted = progress.jobs_to_delete.get(job_id)
-                if deleted is not None and deleted.submission == update.submission:
-                    del progress.jobs_to_delete[job_id]
+                self._record_deletion_written(identity, progress, update)
                 continue
             record = self.jobs.get(job_id)
             version = version_after(update)
@@ -253,7 +286,7 @@
         once quorums of both sets have it.
         """
         target = self.target_members
-        if target is None:
+        if target is None or not self._are_deletions_safe(target):
             return False
         return all(
             self._replicated_version(job_id, target) >= self._readable_version(job_id)
@@ -265,6 +298,8 @@
         self.members = members
         self.target_members = None
         self._advance_all_commits()
+        for job_id in list(self._pending_deletions):
+            self._finish_deletion_if_written(job_id)
 
     # ---- jobs ----
 
@@ -273,6 +308,11 @@
         """Number of inherited jobs whose inherited state is not known to be committed."""
         return len(self._undecided_jobs)
 
+    @property
+    def deletion_count(self) -> int:
+        """Number of deletions that some replica may not have on disk."""
+        return len(self._pending_deletions)
+
     @property
     def residences(self) -> frozenset[Residence]:
         """Residences of all jobs, including finished jobs that are still retained."""
@@ -287,6 +327,7 @@
         submission = submission_id(self.epoch, self._submission_count)
         record = ReplicatedJob(job, self.epoch, submission=submission)
         self.jobs[job.job_id] = record
+        self._forget_deletion(job.job_id)
         self._job_count_by_residence[record.residence] += 1
         self._mark_changed(job.job_id)
         return record
@@ -318,8 +359,8 @@
         self._committed_versions.pop(job_id, None)
         self._inherited_states.pop(job_id, None)
         self._undecided_jobs.pop(job_id, None)
+        self._remember_deletion(record.state)
         for progress in self._replicas.values():
-            progress.jobs_to_delete[job_id] = record.state
             progress.matched_versions.pop(job_id, None)
             progress.written_versions.pop(job_id, None)
             progress.base_epochs.pop(job_id, None)
@@ -349,9 +390,73 @@
             progress.backlog_jobs.pop(job_id, None)
             progress.changed_jobs[job_id] = None
 
+    def _remember_deletion(self, state: JobState) -> None:
+        """Have all replicas write a deletion in this epoch."""
+        deletion = state._replace(epoch=self.epoch, is_deleted=True)
+        self._pending_deletions[state.job_id] = PendingDeletion(deletion)
+        for progress in self._replicas.values():
+            progress.jobs_to_delete[state.job_id] = deletion
+            progress.confirmed_deletions.pop(state.job_id, None)
+
+    def _forget_deletion(self, job_id: str) -> None:
+        """Drop a deletion whose job was submitted again; the new copies replace its records."""
+        self._pending_deletions.pop(job_id, None)
+        for progress in self._replicas.values():
+            progress.confirmed_deletions.pop(job_id, None)
+
+    def _record_held_deletion(self, identity: str, state: JobState) -> None:
+        """Record a deletion that a replica remembers."""
+        if state.job_id in self.jobs:
+            return  # not committed, or the job was submitted again: the replica receives it whole
+        pending = self._pending_deletions.get(state.job_id)
+        if pending is None:
+            self._remember_deletion(state)
+        elif (state.epoch, state.submission) == (pending.state.epoch, pending.state.submission):
+            self._replicas[identity].jobs_to_delete.pop(state.job_id, None)
+            pending.written_by.add(identity)
+            self._finish_deletion_if_written(state.job_id)
+
+    def _record_deletion_written(
+        self, identity: str, progress: ReplicaProgress, update: JobUpdate
+    ) -> None:
+        is_confirmed = update.deletion == CONFIRMED
+        sent = progress.confirmed_deletions if is_confirmed else progress.jobs_to_delete
+        state = sent.get(update.job_id)
+        if state is None or state.submission != update.submission:
+            return  # the job was submitted and deleted again meanwhile
+        del sent[update.job_id]
+        pending = self._pending_deletions.get(update.job_id)
+        if pending is not None and pending.state == state:
+            pending.written_by.add(identity)
+            self._finish_deletion_if_written(update.job_id)
+
+    def _finish_deletion_if_written(self, job_id: str) -> None:
+        """Let the replicas drop a deletion once every replica of the set has it on disk."""
+        pending = self._pending_deletions[job_id]
+        required = self.members | (self.target_members or frozenset())
+        if not required <= pending.written_by:
+            return
+        del self._pending_deletions[job_id]
+        for progress in self._replicas.values():
+            progress.confirmed_deletions[job_id] = pending.state
+
+    def _are_deletions_safe(self, target: frozenset[str]) -> bool:
+        """Whether every leader of a target set inherits each deletion.
+
+        A quorum of the set has them on disk, and no replica that joins it holds a deleted job.
+        """
+        for identity in target - self.members:
+            progress = self._replicas.get(identity)
+            if progress is None or progress.jobs_to_delete:
+                return False
+        return all(
+            len(pending.written_by & target) >= self.write_quorum
+            for pending in self._pending_deletions.values()
+        )
+
     def _record_held(self, progress: ReplicaProgress, state: JobState) -> None:
         """Record the state of a job on a replica."""
-        job_id, epoch, version, submission = state
+        job_id, epoch, version, submission, _ = state
         if submission != self.jobs[job_id].submission:
             progress.matched_versions[job_id] = 0
             progress.base_epochs[job_id] = epoch
@@ -425,3 +530,13 @@
             return
         for job_id in self.jobs:
             self._advance_commit(job_id)
+
+
+def _deletion_update(state: JobState, deletion: Deletion) -> JobUpdate:
+    return JobUpdate(
+        job_id=state.job_id,
+        forgotten=True,
+        base_epoch=state.epoch,
+        submission=state.submission,
+        deletion=deletion,
+    )
--- a/src/wharfcart/storage/replica_links.py
+++ b/src/wharfcart/storage/replica_links.py
@@ -5,6 +5,7 @@
 
 from wharfcart.cluster.address import Address
 from wharfcart.cluster.messages_pb2 import (
+    CONFIRMED,
     FenceGroup,
     FetchJobs,
     Frame,
@@ -116,7 +117,8 @@
         answer = (await self._call(Frame(fence_group=message))).fence_result
         if not answer.granted:
             raise self._refusal_error(answer.epoch, epoch)
-        return [state_from_message(digest) for digest in answer.jobs]
+        states = [state_from_message(digest) for digest in answer.jobs]
+        return states + [deletion_from_message(digest) for digest in answer.deleted_jobs]
 
     async def replicate(
         self,
@@ -131,8 +133,9 @@
             epoch=epoch,
             leader=self._leader,
             target=self._target,
-            updates=updates,
+            updates=[update for update in updates if update.deletion != CONFIRMED],
             partial_texts=partial_texts,
+            confirmed_deletions=[update for update in updates if update.deletion == CONFIRMED],
             session=number.session,
             sequence=number.sequence,
         )
@@ -189,6 +192,11 @@
     return JobState(digest.job_id, digest.epoch, version, SubmissionId(digest.submission))
 
 
+def deletion_from_message(digest: JobDigest) -> JobState:
+    """Decode the digest of a deleted job."""
+    return JobState(digest.job_id, digest.epoch, 0, SubmissionId(digest.submission), True)
+
+
 def state_to_message(state: JobState) -> JobDigest:
     """Encode a state; the end marker counts as part of ``results``, only the length matters."""
     return JobDigest(
--- a/src/wharfcart/storage/replicated_job.py
+++ b/src/wharfcart/storage/replicated_job.py
@@ -120,24 +120,34 @@
 
 
 class JobState(NamedTuple):
-    """Epoch, version and submission of a job's state on one replica."""
+    """Epoch, version and submission of a job's state on one replica.
+
+    Attributes:
+        job_id: id of the job.
+        epoch: epoch of the leader that last wrote or deleted the job.
+        version: length of its history.
+        submission: identity of its submission.
+        is_deleted: whether the replica has deleted the job and keeps a record of that.
+    """
 
     job_id: str
     epoch: int
     version: int
     submission: SubmissionId = NO_SUBMISSION
+    is_deleted: bool = False
 
     def is_newer_than(self, other: "JobState") -> bool:
         """Whether this state of a job replaces another one at a takeover.
 
-        Within an epoch a later submission follows the deletion of the earlier one. States of builds
-        that name no submission are compared by epoch and version alone.
+        Within an epoch a deletion follows all states of its submission, and a later submission
+        follows the deletion. States of builds that name no submission are compared without it.
         """
         if self.epoch != other.epoch:
             return self.epoch > other.epoch
-        if NO_SUBMISSION not in (self.submission, other.submission):
-            return (self.submission, self.version) > (other.submission, other.version)
-        return self.version > other.version
+        are_named = NO_SUBMISSION not in (self.submission, other.submission)
+        if are_named and self.submission != other.submission:
+            return self.submission > other.submission
+        return (self.is_deleted, self.version) > (other.is_deleted, other.version)
 
 
 def version_of(results: int, ended: bool) -> int:
--- a/src/wharfcart/storage/takeover.py
+++ b/src/wharfcart/storage/takeover.py
@@ -82,8 +82,22 @@
             newest = {} if all_fetched else self._newest_states(jobs.keys())
         return list(jobs.values())
 
+    def deletions(self) -> list[JobState]:
+        """Return the deletions that follow every other state of their job."""
+        newest, _ = self._newest_state_by_job()
+        return [state for state in newest.values() if state.is_deleted]
+
     def _newest_states(self, fetched: Collection[str]) -> dict[str, list[JobState]]:
         """Return the newest state of each job that was not fetched yet, by replica."""
+        newest, holders = self._newest_state_by_job()
+        states_by_identity: dict[str, list[JobState]] = {}
+        for job_id, state in newest.items():
+            if job_id not in fetched and not state.is_deleted:
+                states_by_identity.setdefault(holders[job_id], []).append(state)
+        return states_by_identity
+
+    def _newest_state_by_job(self) -> tuple[dict[str, JobState], dict[str, str]]:
+        """Return the newest state of each job, and the replica that reported it."""
         newest: dict[str, JobState] = {}
         holders: dict[str, str] = {}
         ordered = sorted(self.states_by_identity, key=lambda identity: identity != self._identity)
@@ -94,11 +108,7 @@
                 if known is None or state.is_newer_than(known):
                     newest[job_id] = state
                     holders[job_id] = identity
-        states_by_identity: dict[str, list[JobState]] = {}
-        for job_id, state in newest.items():
-            if job_id not in fetched:
-                states_by_identity.setdefault(holders[job_id], []).append(state)
-        return states_by_identity
+        return newest, holders
 
     async def _fetch(self, identity: str, states: list[JobState]) -> dict[str, ReplicatedJob]:
         """Fetch jobs; return those whose states are the reported ones, and correct the others."""
--- a/tests/storage/test_job_database.py
+++ b/tests/storage/test_job_database.py
@@ -7,6 +7,8 @@
 import pytest
 
 from wharfcart.cluster.messages_pb2 import (
+    CONFIRMED,
+    REMEMBER,
     ItemOutcome,
     JobUpdate,
     PartialText,
@@ -414,3 +416,31 @@
         assert upgraded.job_states(0) == [JobState("j", 1, 2)]
         assert [list(part.texts) for part in upgraded.load_partial_texts(0)] == [["a", "b"]]
         upgraded.close()
+
+
+def test_a_deletion_is_remembered_until_it_is_confirmed() -> None:
+    """Guards against a deleted job that a new leader takes from a copy of before the deletion."""
+    database = JobDatabase(None)
+    database.apply_updates(0, 1, [of_submission(make_update(2), 5)])
+    deletion = JobUpdate(job_id="j", forgotten=True, base_epoch=1, submission=5, deletion=REMEMBER)
+    for _ in range(2):
+        database.apply_updates(0, 1, [deletion])
+        assert database.job_states(0) == [JobState("j", 1, 0, 5, is_deleted=True)]
+    assert database.load_jobs(["j"]) == []
+    confirmed = JobUpdate(job_id="j", forgotten=True, submission=4, deletion=CONFIRMED)
+    database.apply_updates(0, 1, [confirmed])
+    assert database.job_states(0), "the confirmation of another deletion"
+    confirmed.submission = 5
+    database.apply_updates(0, 1, [confirmed])
+    assert database.job_states(0) == []
+
+
+def test_a_job_submitted_again_replaces_the_record_of_the_deletion() -> None:
+    """Guards against a job that a late confirmation deletes, or a deletion that outlives it."""
+    database = JobDatabase(None)
+    deletion = JobUpdate(job_id="j", forgotten=True, base_epoch=1, submission=5, deletion=REMEMBER)
+    confirmed = JobUpdate(job_id="j", forgotten=True, submission=5, deletion=CONFIRMED)
+    database.apply_updates(0, 1, [deletion, of_submission(make_update(1), 6)])
+    for late in (confirmed, deletion):
+        database.apply_updates(0, 1, [late])
+        assert database.job_states(0) == [JobState("j", 1, 2, 6)]
--- a/tests/storage/test_job_leadership.py
+++ b/tests/storage/test_job_leadership.py
@@ -2,9 +2,15 @@
 
 import pytest
 
-from wharfcart.cluster.messages_pb2 import ItemOutcome, RequestItem, RequestJob
+from wharfcart.cluster.messages_pb2 import (
+    CONFIRMED,
+    REMEMBER,
+    ItemOutcome,
+    RequestItem,
+    RequestJob,
+)
 from wharfcart.storage.job_leadership import JobLeadership
-from wharfcart.storage.replicated_job import JobState, ReplicatedJob
+from wharfcart.storage.replicated_job import JobState, ReplicatedJob, submission_id
 
 MEMBERS = frozenset({"a", "b", "c"})
 
@@ -404,3 +410,52 @@
     (deletion,) = leadership.updates_for("a")
     assert deletion.forgotten
     assert deletion.submission > in_flight[0].submission
+
+
+def test_a_deletion_is_confirmed_once_every_replica_of_the_set_has_written_it() -> None:
+    """Guards against a replica that was away, whose copy outlives the record of the deletion."""
+    leadership = make_leadership()
+    leadership.accept_job(job())
+    for identity in MEMBERS:
+        write(leadership, identity)
+    leadership.remove_replica("c")
+    leadership.delete_job("j")
+    for identity in ("a", "b"):
+        write(leadership, identity)
+        assert leadership.updates_for(identity) == []
+    leadership.add_replica("c", [JobState("j", 1, 1, submission_id(1, 1))])
+    (deletion,) = leadership.updates_for("c")
+    assert deletion.deletion == REMEMBER
+    leadership.record_written("c", [deletion])
+    for identity in MEMBERS:
+        (confirmation,) = leadership.updates_for(identity)
+        assert confirmation.deletion == CONFIRMED
+        leadership.record_written(identity, [confirmation])
+        assert leadership.updates_for(identity) == []
+
+
+def test_a_new_leader_has_an_inherited_deletion_written_again() -> None:
+    """Guards against the record of an older epoch, which a copy of a later epoch would follow."""
+    leadership = JobLeadership(4, 2, MEMBERS)
+    deletion = JobState("j", 2, 0, submission_id(1, 1), is_deleted=True)
+    leadership.inherit([], [deletion])
+    for identity in MEMBERS:
+        leadership.add_replica(identity, [deletion])
+        (update,) = leadership.updates_for(identity)
+        assert (update.deletion, update.base_epoch) == (REMEMBER, 4)
+
+
+def test_the_replica_set_changes_only_to_one_that_remembers_each_deletion() -> None:
+    """Guards against a set whose quorum lacks a deletion that a member missed."""
+    leadership = make_leadership()
+    leadership.accept_job(job())
+    for identity in MEMBERS:
+        write(leadership, identity)
+    leadership.delete_job("j")
+    leadership.begin_set_change(frozenset({"b", "c", "d"}))
+    assert not leadership.is_set_change_safe(), "the joining replica was never reached"
+    leadership.add_replica("d", [])
+    write(leadership, "b")
+    assert not leadership.is_set_change_safe(), "one record is no quorum"
+    write(leadership, "d")
+    assert leadership.is_set_change_safe()
--- a/tests/storage/test_job_resubmission.py
+++ b/tests/storage/test_job_resubmission.py
@@ -6,7 +6,7 @@
 import pytest
 
 from tests.storage.test_job_group import Fleet, run_scenario
-from wharfcart.cluster.messages_pb2 import DONE, ItemOutcome, ReadResults
+from wharfcart.cluster.messages_pb2 import DONE, NOT_FOUND, ItemOutcome, ReadResults
 from wharfcart.experiments.simulated_storage import SimulatedNode
 
 RETURN_DELAYS_S = (0.0, 0.6)
@@ -103,3 +103,39 @@
             assert texts == seen
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("replica", (0, 1))
+@pytest.mark.parametrize("is_killed", (False, True))
+@pytest.mark.parametrize("seed", range(3))
+def test_a_deleted_job_does_not_come_back_with_a_replica_that_missed_the_deletion(
+    seed: int, replica: int, is_killed: bool
+) -> None:
+    """Guards against a deleted job whose remaining items run again under the next leader."""
+
+    async def scenario() -> None:
+        fleet = Fleet(seed=seed)
+        await fleet.start()
+        await fleet.submit("a", 6)
+        append_results(fleet, "old", range(2))
+        await asyncio.sleep(1.0)
+        leader = await fleet.until_led()
+        away = [node for node in fleet.nodes.values() if node is not leader][replica]
+        await separate(fleet, away, is_killed)
+        append_results(fleet, "old", range(2, 6))
+        await asyncio.sleep(1.0)
+        assert leader.group is not None and leader.group.leadership is not None
+        leader.group.leadership.delete_job("a")
+        leader.group.wake_sessions()
+        await asyncio.sleep(0.3)
+        leader.kill()
+        await rejoin(fleet, away, is_killed)
+        await fleet.until(lambda: fleet.leader not in (None, leader), 8.0)
+        assert fleet.leader is not None and fleet.leader.service is not None
+        page = await fleet.leader.service.read_results(ReadResults(job_id="a"))
+        assert page.status == NOT_FOUND
+        await leader.start()
+        disks = [node.disk.database for node in fleet.nodes.values()]
+        await fleet.until(lambda: not any(disk.job_states(0) for disk in disks), 5.0)
+
+    run_scenario(scenario)
--- a/tests/storage/test_leadership_histories.py
+++ b/tests/storage/test_leadership_histories.py
@@ -1,5 +1,7 @@
 """Random histories of a group's leaders: what one leader exposed, every later leader exposes."""
 
+from collections import Counter
+from collections.abc import Callable
 from random import Random
 
 import pytest
@@ -8,7 +10,7 @@
 from wharfcart.storage import job_leadership
 from wharfcart.storage.job_database import JobDatabase
 from wharfcart.storage.job_leadership import JobLeadership
-from wharfcart.storage.replicated_job import job_from_update
+from wharfcart.storage.replicated_job import JobState, SubmissionId, job_from_update
 
 GROUP = 0
 WRITE_QUORUM = 2
@@ -34,8 +36,9 @@
         self.set_changes = 0
         self.elect()
 
-    def run(self) -> None:
-        actions = [
+    def actions(self) -> list[tuple[Callable[[], None], float]]:
+        """Return the steps of a history with their weights."""
+        return [
             (self.elect, 1),
             (self.promise_late, 3),
             (self.write, 16),
@@ -46,8 +49,10 @@
             (self.begin_set_change, 1),
             (self.finish_set_change, 4),
         ]
-        names, weights = zip(*actions, strict=True)
-        for action in self.random.choices(names, weights, k=STEPS):
+
+    def run(self) -> None:
+        steps, weights = zip(*self.actions(), strict=True)
+        for action in self.random.choices(steps, weights, k=STEPS):
             action()
             self.check()
 
@@ -64,6 +69,13 @@
                 if len(texts) > common:
                     self.exposed[job_id] = texts
 
+    def check_inherited(self, leader: JobLeadership) -> None:
+        """Check that a new leader has all that was exposed."""
+        for job_id, texts in self.exposed.items():
+            assert job_id in leader.jobs, f"{job_id}: an exposed job was lost"
+            inherited = [result.text for result in leader.jobs[job_id].results]
+            assert inherited[: len(texts)] == texts, f"{job_id}: an exposed result was lost"
+
     # ---- leaders ----
 
     def elect(self) -> None:
@@ -75,22 +87,23 @@
         for name in promising:
             assert self.disks[name].promise_epoch(GROUP, self.epoch)
             states[name] = self.disks[name].job_states(GROUP)
-        newest = {}
+        newest: dict[str, tuple[JobState, str]] = {}
         for name in promising:
             for state in states[name]:
-                rank = (state.epoch, state.version)
-                if rank > newest.get(state.job_id, ((0, 0), ""))[0]:
-                    newest[state.job_id] = (rank, name)
+                known = newest.get(state.job_id)
+                if known is None or state.is_newer_than(known[0]):
+                    newest[state.job_id] = (state, name)
         leader = JobLeadership(self.epoch, WRITE_QUORUM, self.members)
         leader.inherit(
-            job_from_update(update)
-            for job_id, (_, name) in newest.items()
-            for update in self.disks[name].load_jobs([job_id])
+            (
+                job_from_update(update)
+                for job_id, (state, name) in newest.items()
+                if not state.is_deleted
+                for update in self.disks[name].load_jobs([job_id])
+            ),
+            [state for state, _ in newest.values() if state.is_deleted],
         )
-        for job_id, texts in self.exposed.items():
-            assert job_id in leader.jobs, f"{job_id}: an exposed job was lost"
-            inherited = [result.text for result in leader.jobs[job_id].results]
-            assert inherited[: len(texts)] == texts, f"{job_id}: an exposed result was lost"
+        self.check_inherited(leader)
         for name in promising:
             leader.add_replica(name, states[name])
         self.exposed_before_rewrite += sum(
@@ -178,6 +191,63 @@
         self.set_changes += 1
 
 
+class ResubmissionHistory(LeaderHistory):
+    """Leaders also delete jobs, whose ids are then submitted again."""
+
+    def __init__(self, seed: int) -> None:
+        self.exposed_by_submission: dict[tuple[str, SubmissionId], list[bytes]] = {}
+        self.deleted: set[tuple[str, SubmissionId]] = set()
+        self.resubmitted: set[tuple[str, SubmissionId]] = set()
+        super().__init__(seed)
+
+    def actions(self) -> list[tuple[Callable[[], None], float]]:
+        return [*super().actions(), (self.delete, 1)]
+
+    def delete(self) -> None:
+        leader = self.leaders[-1]
+        committed = [job_id for job_id in sorted(leader.jobs) if leader.committed_version(job_id)]
+        if committed:
+            leader.delete_job(self.random.choice(committed))
+
+    def check(self) -> None:
+        """Check each submission by itself, and that deleted ones stay deleted."""
+        self.record_deletions()
+        for leader in self.leaders:
+            for job_id, record in leader.jobs.items():
+                if leader.committed_version(job_id) == 0:
+                    continue
+                key = (job_id, record.submission)
+                if leader is self.leaders[-1]:
+                    assert key not in self.deleted, f"{job_id}: a deleted job came back"
+                if any(deleted_id == job_id for deleted_id, _ in self.deleted):
+                    self.resubmitted.add(key)
+                texts = [outcome.text for outcome in leader.committed_results(job_id)]
+                known = self.exposed_by_submission.setdefault(key, [])
+                common = min(len(known), len(texts))
+                assert texts[:common] == known[:common], f"{job_id}: an exposed result changed"
+                if len(texts) > common:
+                    self.exposed_by_submission[key] = texts
+
+    def record_deletions(self) -> None:
+        """Note the deletions that a quorum of the set has on disk in the current epoch."""
+        counts = Counter(
+            (state.job_id, state.submission)
+            for name in self.members
+            for state in self.disks[name].job_states(GROUP)
+            if state.is_deleted and state.epoch == self.epoch
+        )
+        self.deleted |= {key for key, count in counts.items() if count >= WRITE_QUORUM}
+
+    def check_inherited(self, leader: JobLeadership) -> None:
+        """Check that a new leader has what was exposed and not deleted, and nothing deleted."""
+        for job_id, record in leader.jobs.items():
+            key = (job_id, record.submission)
+            assert key not in self.deleted, f"{job_id}: a deleted job came back"
+            texts = self.exposed_by_submission.get(key, [])
+            inherited = [result.text for result in record.results]
+            assert inherited[: len(texts)] == texts, f"{job_id}: an exposed result was lost"
+
+
 @pytest.mark.parametrize("first_seed", range(0, 200, 50))
 def test_exposed_jobs_and_results_stay_under_every_later_leader(
     first_seed: int, monkeypatch: pytest.MonkeyPatch
@@ -193,3 +263,20 @@
         set_changes += history.set_changes
     assert exposed_before_rewrite > 20
     assert set_changes > 20
+
+
+@pytest.mark.parametrize("first_seed", range(0, 200, 50))
+def test_a_deleted_job_stays_deleted_and_leaves_the_next_submission_alone(
+    first_seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a deleted job whose items run again, and its results in the next one."""
+    monkeypatch.setattr(job_leadership, "MAX_CHANGED_JOBS_PER_MESSAGE", 1)
+    monkeypatch.setattr(job_leadership, "MAX_BACKLOG_JOBS_PER_MESSAGE", 1)
+    deletions = resubmissions = 0
+    for seed in range(first_seed, first_seed + 50):
+        history = ResubmissionHistory(seed)
+        history.run()
+        deletions += len(history.deleted)
+        resubmissions += len(history.resubmitted)
+    assert deletions > 50
+    assert resubmissions > 20
