Soak: a back end that crashes while it is replaced no longer ends the soak

Cause: the replacement chose a server, waited, and looked for it in the list, from which a restart after a crash had taken it. It now takes whichever server stands at that place when the new one is ready, and a restart gives way to a replacement. Back ends of the soak only; what is checked is as before.

--- a/src/wharfcart/soak/fleet.py
+++ b/src/wharfcart/soak/fleet.py
@@ -200,15 +200,16 @@
 
     async def replace_server(self, server_index: int) -> None:
         """Add a back end and drain the one that it replaces."""
-        old = self.stream_servers[server_index % len(self.stream_servers)]
+        index = server_index % len(self.stream_servers)
         new = ModelServer(f"i-lm-{self._next_server_number}", 12, 0.02)
         self._next_server_number += 1
         await new.server.start("127.0.0.1", 0)
         await self._add_server_proxy(new)
+        # The server at this place may have crashed and restarted meanwhile.
+        old, self.stream_servers[index] = self.stream_servers[index], new
+        self.retired_servers.append(old)
         await self.announce(new, STREAM_SERVICE)
         await self.announce(old, STREAM_SERVICE, "draining")
-        self.stream_servers[self.stream_servers.index(old)] = new
-        self.retired_servers.append(old)
 
     def has_run(self, request_id: str) -> bool:
         """Return whether any back end has run the request."""
@@ -278,9 +279,9 @@
         await self.proxies_by_server[old.instance_id].stop()
         is_stream_server = old in self.stream_servers
         servers = self.stream_servers if is_stream_server else self.plain_servers
+        await asyncio.sleep(RESTART_DELAY_S)
         if old not in servers:
             return  # it was draining and has been replaced already
-        await asyncio.sleep(RESTART_DELAY_S)
         mode = RESTART_MODES[self._restart_count % len(RESTART_MODES)]
         self._restart_count += 1
         if mode is RestartMode.NEW_ID:
@@ -296,6 +297,9 @@
         event_count, event_interval_s = (12, 0.02) if is_stream_server else (0, 0.02)
         new = ModelServer(instance_id, event_count, event_interval_s)
         await new.server.start("127.0.0.1", 0)
+        if old not in servers:
+            await new.server.stop()
+            return
         servers[servers.index(old)] = new
         self.retired_servers.append(old)
         await self.announce(new, STREAM_SERVICE if is_stream_server else PLAIN_SERVICE)
