Job groups: only the update that writes a deletion counts as written

Found by reading the change before: an acknowledgement of a copy that was discarded, of the same submission, counted as the record of its deletion if that was found meanwhile; and a cancelled change of the replica set left records until the next one. Both tests fail without this.

--- a/src/wharfcart/storage/job_leadership.py
+++ b/src/wharfcart/storage/job_leadership.py
@@ -194,13 +194,9 @@
         progress = self._replicas.get(identity)
         if progress is None:
             return []
-        updates = [
-            _deletion_update(state, REMEMBER if state.is_deleted else DISCARD)
-            for _, state in sorted(progress.jobs_to_delete.items())
-        ]
+        updates = [_deletion_update(state) for _, state in sorted(progress.jobs_to_delete.items())]
         updates += [
-            _deletion_update(state, CONFIRMED)
-            for _, state in sorted(progress.confirmed_deletions.items())
+            _confirmation_update(state) for _, state in sorted(progress.confirmed_deletions.items())
         ]
         size = 0
         for job_id in self._next_jobs(progress):
@@ -278,6 +274,7 @@
     def begin_set_change(self, target_members: frozenset[str] | None) -> None:
         """Require a quorum in this set as well from now on; None cancels the change."""
         self.target_members = target_members
+        self._finish_written_deletions()
 
     def is_set_change_safe(self) -> bool:
         """Whether a quorum of the target set has every state that a caller may have read.
@@ -298,8 +295,7 @@
         self.members = members
         self.target_members = None
         self._advance_all_commits()
-        for job_id in list(self._pending_deletions):
-            self._finish_deletion_if_written(job_id)
+        self._finish_written_deletions()
 
     # ---- jobs ----
 
@@ -419,16 +415,22 @@
     def _record_deletion_written(
         self, identity: str, progress: ReplicaProgress, update: JobUpdate
     ) -> None:
-        is_confirmed = update.deletion == CONFIRMED
-        sent = progress.confirmed_deletions if is_confirmed else progress.jobs_to_delete
-        state = sent.get(update.job_id)
-        if state is None or state.submission != update.submission:
-            return  # the job was submitted and deleted again meanwhile
-        del sent[update.job_id]
-        pending = self._pending_deletions.get(update.job_id)
+        job_id = update.job_id
+        confirmed = progress.confirmed_deletions.get(job_id)
+        if confirmed is not None and _confirmation_update(confirmed) == update:
+            del progress.confirmed_deletions[job_id]
+        state = progress.jobs_to_delete.get(job_id)
+        if state is None or _deletion_update(state) != update:
+            return  # another deletion of the id is to be written since
+        del progress.jobs_to_delete[job_id]
+        pending = self._pending_deletions.get(job_id)
         if pending is not None and pending.state == state:
             pending.written_by.add(identity)
-            self._finish_deletion_if_written(update.job_id)
+            self._finish_deletion_if_written(job_id)
+
+    def _finish_written_deletions(self) -> None:
+        for job_id in list(self._pending_deletions):
+            self._finish_deletion_if_written(job_id)
 
     def _finish_deletion_if_written(self, job_id: str) -> None:
         """Let the replicas drop a deletion once every replica of the set has it on disk."""
@@ -532,7 +534,17 @@
             self._advance_commit(job_id)
 
 
-def _deletion_update(state: JobState, deletion: Deletion) -> JobUpdate:
+def _deletion_update(state: JobState) -> JobUpdate:
+    """Return the update that deletes a copy, or has the deletion of its job remembered."""
+    return _update_that_forgets(state, REMEMBER if state.is_deleted else DISCARD)
+
+
+def _confirmation_update(state: JobState) -> JobUpdate:
+    """Return the update that drops the record of a deletion."""
+    return _update_that_forgets(state, CONFIRMED)
+
+
+def _update_that_forgets(state: JobState, deletion: Deletion) -> JobUpdate:
     return JobUpdate(
         job_id=state.job_id,
         forgotten=True,
--- a/tests/storage/test_job_leadership.py
+++ b/tests/storage/test_job_leadership.py
@@ -4,6 +4,7 @@
 
 from wharfcart.cluster.messages_pb2 import (
     CONFIRMED,
+    DISCARD,
     REMEMBER,
     ItemOutcome,
     RequestItem,
@@ -459,3 +460,28 @@
     assert not leadership.is_set_change_safe(), "one record is no quorum"
     write(leadership, "d")
     assert leadership.is_set_change_safe()
+
+
+def test_a_discarded_copy_does_not_count_as_a_remembered_deletion() -> None:
+    """Guards against a record that is dropped although one replica never wrote it."""
+    leadership = make_leadership()
+    submission = submission_id(0, 1)
+    leadership.add_replica("a", [JobState("j", 0, 2, submission)])
+    discarding = leadership.updates_for("a")
+    assert [update.deletion for update in discarding] == [DISCARD]
+    leadership.add_replica("b", [JobState("j", 0, 0, submission, is_deleted=True)])
+    leadership.record_written("a", discarding)
+    assert [update.deletion for update in leadership.updates_for("a")] == [REMEMBER]
+
+
+def test_a_deletion_is_confirmed_once_a_change_of_the_set_is_cancelled() -> None:
+    """Guards against records that stay for a replica that did not join."""
+    leadership = make_leadership()
+    leadership.accept_job(job())
+    leadership.begin_set_change(frozenset({"a", "b", "d"}))
+    leadership.delete_job("j")
+    for identity in MEMBERS:
+        write(leadership, identity)
+        assert leadership.updates_for(identity) == []
+    leadership.begin_set_change(None)
+    assert [update.deletion for update in leadership.updates_for("a")] == [CONFIRMED]
