Takeover: states that replicas report alike are compared once

A takeover compared each pair of reported states in full and looked for deletions in a second pass over all jobs.

--- a/src/wharfcart/storage/job_leadership.py
+++ b/src/wharfcart/storage/job_leadership.py
@@ -7,7 +7,7 @@
   (write_quorum = tolerated failures + 1).
 * A new leader first obtains promises of its epoch, along with the state of every job, from all but
   ``write_quorum - 1`` replicas. Together these know every committed write. For each job the leader
-  takes the state with the highest epoch, then the greatest length.
+  takes the state with the highest epoch, then of the latest submission, then the greatest length.
 * A state that *write_quorum* replicas of the set report with the same older epoch was committed in
   that epoch: every leader since obtained a promise from one of them, and so inherited the state.
   The leader exposes it at once. Any other state may still lose to a state of a newer epoch on an
--- a/src/wharfcart/storage/takeover.py
+++ b/src/wharfcart/storage/takeover.py
@@ -62,7 +62,7 @@
         return True
 
     async def newest_jobs(self) -> list[ReplicatedJob]:
-        """Return each job in the state with the highest epoch, then the greatest length.
+        """Return each job in its newest state (:meth:`JobState.is_newer_than`).
 
         A replica that holds another state than it reported is ranked by what it holds.
 
@@ -84,8 +84,16 @@
 
     def deletions(self) -> list[JobState]:
         """Return the deletions that follow every other state of their job."""
+        reported = {
+            state.job_id
+            for states in self.states_by_identity.values()
+            for state in states
+            if state.is_deleted
+        }
+        if not reported:
+            return []
         newest, _ = self._newest_state_by_job()
-        return [state for state in newest.values() if state.is_deleted]
+        return [newest[job_id] for job_id in reported if newest[job_id].is_deleted]
 
     def _newest_states(self, fetched: Collection[str]) -> dict[str, list[JobState]]:
         """Return the newest state of each job that was not fetched yet, by replica."""
@@ -105,7 +113,8 @@
             for state in self.states_by_identity[identity]:
                 job_id = state.job_id
                 known = newest.get(job_id)
-                if known is None or state.is_newer_than(known):
+                # Most replicas report the same state.
+                if known is None or (state != known and state.is_newer_than(known)):
                     newest[job_id] = state
                     holders[job_id] = identity
         return newest, holders
--- a/tests/storage/test_takeover.py
+++ b/tests/storage/test_takeover.py
@@ -7,7 +7,7 @@
 
 from wharfcart.cluster.messages_pb2 import ItemOutcome, JobUpdate, RequestJob
 from wharfcart.storage.group_record import GroupRecord
-from wharfcart.storage.replicated_job import JobState
+from wharfcart.storage.replicated_job import JobState, SubmissionId
 from wharfcart.storage.takeover import MAX_JOBS_PER_FETCH, Takeover
 
 
@@ -52,6 +52,7 @@
     def __init__(self, states: list[JobState]) -> None:
         self.states = states
         self.fetch_sizes: list[int] = []
+        self.submission = 0
 
     async def fence(self, epoch: int, session: int) -> list[JobState]:
         return self.states
@@ -59,7 +60,13 @@
     async def fetch(self, job_ids: Sequence[str]) -> list[JobUpdate]:
         self.fetch_sizes.append(len(job_ids))
         return [
-            JobUpdate(job_id=job_id, epoch=1, job=RequestJob(job_id=job_id)) for job_id in job_ids
+            JobUpdate(
+                job_id=job_id,
+                epoch=1,
+                job=RequestJob(job_id=job_id),
+                submission=self.submission,
+            )
+            for job_id in job_ids
         ]
 
 
@@ -96,3 +103,27 @@
     """Guards against a deleted job that a new leader takes for the one submitted again."""
     assert newer.is_newer_than(older)
     assert not older.is_newer_than(newer)
+
+
+def test_a_job_that_one_replica_has_deleted_is_not_taken_over() -> None:
+    """Guards against a deleted job that comes back with a replica that missed the deletion."""
+    deletion = JobState("j", 1, 0, SubmissionId(5), is_deleted=True)
+    kept, missed = JobState("k", 1, 1, SubmissionId(6)), JobState("j", 1, 3, SubmissionId(5))
+    links = {
+        "a": FakeLink([missed, deletion._replace(job_id="k")]),
+        "b": FakeLink([deletion, kept]),
+    }
+    takeover = Takeover(
+        GroupRecord(2, "a", frozenset({"a", "b"})),
+        "a",
+        1,
+        lambda identity: links[identity],  # type: ignore[arg-type,return-value]
+    )
+
+    async def scenario() -> list[str]:
+        assert await takeover.collect_promises(lambda: False)
+        links["b"].submission = 6
+        return [record.job.job_id for record in await takeover.newest_jobs()]
+
+    assert asyncio.run(scenario()) == ["k"], "the deletion is of an earlier submission"
+    assert takeover.deletions() == [deletion]
