--- a/tests/batch/test_lease_scheduler.py
+++ b/tests/batch/test_lease_scheduler.py
@@ -164,3 +164,19 @@
     seal = FileSeal(file_id="f", tenant="t", rows=3)
     state.apply(state.applied_index + 1, Command(at_ms=1, file_seal=seal))
     assert append(2, b"c") == "sealed"
+
+
+def test_a_late_renewal_keeps_a_lease_for_one_more_term_and_brings_no_ended_one_back() -> None:
+    """Guards against a lease that a late message of its former holder keeps for ever."""
+    state = _state([("j", "t", 2, 1)])
+    scheduler = _scheduler(state)
+    (choice,) = scheduler.choose({"model"}, 2)
+    _lease(state, scheduler, choice, "l")
+    assert scheduler.renew(["l"], 0.0) == []
+    assert scheduler.renew(["l"], 8.0) == [], "sent before the end of the holder, arrived late"
+    assert scheduler.expired_leases(8.0 + LEASE_TERM_S - 0.1) == []
+    assert scheduler.expired_leases(8.0 + LEASE_TERM_S) == ["l"]
+    end = LeaseEnd(lease_id="l", not_run=[0, 1])
+    state.apply(state.applied_index + 1, Command(at_ms=2, lease_end=end))
+    assert scheduler.renew(["l"], 20.0) == ["l"]
+    assert scheduler.expired_leases(60.0) == []
