Ingress: a kept connection's later requests are not taken for pending ones

Callers saw (fault soak of 15 s): a restarted gateway refused requests with 503 "deadline" at once, 5 to 15 s after its start.

Cause: a request counts from when the socket began to listen if it is the first online one of a connection accepted at the start. A kept connection whose first request was of another kind, or that was idle, has its first online request later, whenever that is.

Evidence: 13 refused requests in request_ended, all with the same receive time, that of the listening socket.

Fix: the first request of any kind uses the claim up, and only one whose bytes are read within 0.25 s of the accept may have waited for the start.

--- a/src/wharfcart/gateway/ingress.py
+++ b/src/wharfcart/gateway/ingress.py
@@ -33,6 +33,8 @@
 BACKLOG = 1024
 # The event loop accepts all pending connections within this time after the start.
 BACKLOG_ACCEPT_S = 0.02
+# A request that was pending when its connection was accepted is read within this time.
+BACKLOG_READ_S = 0.25
 
 # The last argument is the name of the caller's tenant, '' if callers need no key.
 BatchHandler = Callable[[Request, Route, str], Awaitable[HTTPResponse]]
@@ -41,20 +43,32 @@
 
 
 class _Connection(HttpProtocol):
-    """A caller's connection with the time at which it was accepted."""
+    """A caller's connection with the times at which it was accepted and first read."""
 
-    __slots__ = ("_had_request", "accepted_at")
+    __slots__ = ("_had_request", "accepted_at", "first_read_at")
 
     def connection_made(self, transport: Any) -> None:
         self.accepted_at = monotonic()
+        self.first_read_at: float | None = None
         self._had_request = False
         super().connection_made(transport)  # type: ignore[no-untyped-call]
 
+    def data_received(self, data: bytes) -> None:
+        if self.first_read_at is None:
+            self.first_read_at = monotonic()
+        super().data_received(data)
+
     def claim_first_request(self) -> bool:
         """Return True on the first call only."""
         first, self._had_request = not self._had_request, True
         return first
 
+    def was_pending(self, serving_since: float) -> bool:
+        """Whether the first request may have waited for the start of the server."""
+        if self.first_read_at is None or self.first_read_at - self.accepted_at > BACKLOG_READ_S:
+            return False
+        return self.accepted_at < serving_since + BACKLOG_ACCEPT_S
+
 
 class _SanicAnswerSink:
     """Answer sink that writes to the connection of a Sanic request."""
@@ -227,6 +241,7 @@
     async def _track_in_progress(
         self, request: Request, response: Awaitable[HTTPResponse | None]
     ) -> HTTPResponse | None:
+        request.ctx.received_at = self._received_at(request)
         self._in_progress += 1
         try:
             return await response
@@ -297,7 +312,7 @@
             facts=facts,
             route=route,
             service=self._splitter.service_for(route),
-            received_at=self._received_at(request),
+            received_at=request.ctx.received_at,
             tenant=tenant,
         )
         sink = _SanicAnswerSink(request)
@@ -311,7 +326,7 @@
         return await sink.finish()
 
     def _received_at(self, request: Request) -> float:
-        """Return the monotonic time at which a request was received.
+        """Return the monotonic time at which a request was received; called once for each.
 
         A connection that waited in the backlog for the start may have arrived at any time since
         the socket began to listen. The earliest time is used, so that such a request does not
@@ -321,11 +336,10 @@
         connection = None if stream is None else stream.protocol
         if self._listening_since is None or not isinstance(connection, _Connection):
             return monotonic()
-        in_backlog = (
-            connection.claim_first_request()
-            and connection.accepted_at < self._serving_since + BACKLOG_ACCEPT_S
-        )
-        return self._listening_since if in_backlog else monotonic()
+        is_first = connection.claim_first_request()
+        if is_first and connection.was_pending(self._serving_since):
+            return self._listening_since
+        return monotonic()
 
     def _refuse(self, request: Request, status: int, cause: str) -> HTTPResponse:
         self._log.write(
--- a/tests/gateway/test_ingress.py
+++ b/tests/gateway/test_ingress.py
@@ -7,7 +7,7 @@
 from sanic import Sanic
 
 from wharfcart.configuration.serving import Route, RouteKind, ServingConfiguration, TrafficShare
-from wharfcart.gateway.ingress import BACKLOG_ACCEPT_S, Ingress
+from wharfcart.gateway.ingress import BACKLOG_ACCEPT_S, BACKLOG_READ_S, Ingress
 from wharfcart.observability.decisions import DecisionLog
 from wharfcart.routing.caller_request import AnswerSink, CallerRequest
 
@@ -65,3 +65,37 @@
     assert waiting.received_at == opened_at
     assert second.received_at >= serving_at
     assert new.received_at >= serving_at
+
+
+def test_requests_on_a_connection_from_before_the_start_have_their_own_receive_time() -> None:
+    """Guards against 503 for requests that are taken for as old as the listening socket.
+
+    One connection's earlier request was of another kind, the other one was idle.
+    """
+
+    async def scenario() -> tuple[list[CallerRequest], float]:
+        Sanic.test_mode = True
+        route = Route("r", "h", "/look/", RouteKind.REPEATABLE, (TrafficShare("s", 1.0),), 5.0, 0.3)
+        configuration = ServingConfiguration(1, (route,), {})
+        forwarder = RecordingForwarder()
+        ingress = Ingress(
+            lambda: configuration, lambda: 0.0, forwarder, None, None, DecisionLog("test")
+        )
+        front, readiness = listening_socket(), listening_socket()
+        opened_at = monotonic()
+        used = await asyncio.open_connection(*front.getsockname())
+        idle = await asyncio.open_connection(*front.getsockname())
+        used[1].write(b"GET /elsewhere HTTP/1.1\r\nHost: h\r\n\r\n")
+        await asyncio.sleep(0)
+        await ingress.start(front, readiness, opened_at)
+        serving_at = monotonic()
+        await used[0].readuntil(b"\r\n\r\n")
+        while monotonic() < serving_at + BACKLOG_ACCEPT_S + BACKLOG_READ_S:
+            await asyncio.sleep(BACKLOG_READ_S)
+        for connection in (used, idle):
+            await exchange(*connection)
+        return forwarder.requests, serving_at
+
+    requests, serving_at = asyncio.run(asyncio.wait_for(scenario(), 20))
+    assert len(requests) == 2
+    assert all(request.received_at >= serving_at for request in requests)
