Decision log: software versions of back ends, and what a resumed stream resumes

The entry's version is parsed now (an entry without one has a version of its own, one of another type is refused), the caller's header Resumes is parsed, and request_placed, request_ended, stream_resumed, backend_* and item_started name the version; the first two also the last event that the caller has and the request that brought its first event. Nothing is decided by them yet.

--- a/src/wharfcart/batch/job_execution.py
+++ b/src/wharfcart/batch/job_execution.py
@@ -343,6 +343,7 @@
             item=item.item_id,
             job=scheduled.job.job_id,
             backend=state.instance.instance_id,
+            version=state.instance.version,
             group=slot.group,
             after_event=scheduled.progress_of(item.item_id).partial_text.last_event,
             text_spans=scheduled.progress_of(item.item_id).partial_text.spans,
--- a/src/wharfcart/configuration/instances.py
+++ b/src/wharfcart/configuration/instances.py
@@ -1,6 +1,11 @@
 """Back-end instances as reported by service discovery."""
 
 from dataclasses import dataclass
+from typing import NewType
+
+SoftwareVersion = NewType("SoftwareVersion", str)
+# Of back ends whose entries name no version; as such a version of its own.
+UNNAMED_VERSION = SoftwareVersion("")
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,6 +25,8 @@
         cold_for_s: remaining cold time after a start, as of the writing of the entry.
         started_at_ms: start time by its own wall clock, in milliseconds since the epoch, or None if
             not reported. Distinguishes instances of a back end that restarts under the same id.
+        version: version of its software. Versions of a service have no order, and a stream that one
+            version began can go on at the same version only.
     """
 
     instance_id: str
@@ -31,6 +38,7 @@
     accepting: bool
     cold_for_s: float = 0.0
     started_at_ms: int | None = None
+    version: SoftwareVersion = UNNAMED_VERSION
 
     def is_restart_of(self, other: "BackendInstance") -> bool:
         """Whether this instance started later than another one of the same id."""
--- a/src/wharfcart/node/backend_updates.py
+++ b/src/wharfcart/node/backend_updates.py
@@ -1,7 +1,7 @@
 """Applies service discovery entries of back ends to the selector and the connection pool.
 
-Changes that arrive together share one log line per event and service, because a start, a release
-or an outage changes many back ends at once.
+Changes that arrive together share one log line per event, service and version, because a start, a
+release or an outage changes many back ends at once.
 """
 
 from collections.abc import Callable
@@ -10,7 +10,7 @@
 from wharfcart.backends.connection_pool import ConnectionPool
 from wharfcart.clock import monotonic
 from wharfcart.cluster.coordination import KeyChange
-from wharfcart.configuration.instances import BackendInstance
+from wharfcart.configuration.instances import BackendInstance, SoftwareVersion
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.platform import documents, names, server_entry
 from wharfcart.routing.backend_selection import BackendSelector
@@ -23,6 +23,7 @@
     event: Event
     instance_id: str
     service: str
+    version: SoftwareVersion
     revision: int
     drained: bool = False
 
@@ -64,24 +65,23 @@
             self._selector.remove(instance_id, monotonic(), self._in_outage(), drained)
             self._pool.drop_instance(instance_id)
             if known is not None:
-                service = known.instance.service
-                self._add_event(Event.BACKEND_GONE, instance_id, service, change, drained)
+                self._add_event(Event.BACKEND_GONE, known.instance, change, drained)
             return
         if known is not None and known.instance.is_restart_of(instance):
             return  # a late entry of an earlier instance
         if known is not None and instance.is_restart_of(known.instance):
             self._pool.drop_instance(instance_id)
-            self._add_event(Event.BACKEND_RESTARTED, instance_id, instance.service, change)
+            self._add_event(Event.BACKEND_RESTARTED, instance, change)
         was_accepting = known is not None and known.instance.accepting
         was_cold = known is not None and self._selector.is_cold(known, monotonic())
         self._selector.put(instance, monotonic(), change.revision)
         if known is None:
-            self._add_event(Event.BACKEND_SEEN, instance_id, instance.service, change)
+            self._add_event(Event.BACKEND_SEEN, instance, change)
         elif was_accepting and not instance.accepting:
-            self._add_event(Event.BACKEND_DRAINING, instance_id, instance.service, change)
+            self._add_event(Event.BACKEND_DRAINING, instance, change)
         state = self._selector.state(instance_id)
         if state is not None and self._selector.is_cold(state, monotonic()) and not was_cold:
-            self._add_event(Event.BACKEND_COLD, instance_id, instance.service, change)
+            self._add_event(Event.BACKEND_COLD, instance, change)
 
     def _parse(self, change: KeyChange) -> BackendInstance | None:
         """Return the instance in an entry; None if the entry was removed or is invalid.
@@ -103,9 +103,10 @@
     def log_pending(self) -> None:
         """Log the events since the last call."""
         events, self._pending_events = self._pending_events, []
-        by_kind: dict[tuple[Event, str, bool], list[_BackendEvent]] = {}
+        by_kind: dict[tuple[Event, str, SoftwareVersion, bool], list[_BackendEvent]] = {}
         for item in events:
-            by_kind.setdefault((item.event, item.service, item.drained), []).append(item)
+            kind = item.event, item.service, item.version, item.drained
+            by_kind.setdefault(kind, []).append(item)
         for group in by_kind.values():
             if len(group) <= MAX_UNGROUPED_LINES:
                 for item in group:
@@ -114,10 +115,17 @@
                 self._write(group[-1], {"backends": [item.instance_id for item in group]})
 
     def _add_event(
-        self, event: Event, instance_id: str, service: str, change: KeyChange, drained: bool = False
+        self, event: Event, instance: BackendInstance, change: KeyChange, drained: bool = False
     ) -> None:
         self._pending_events.append(
-            _BackendEvent(event, instance_id, service, change.revision, drained)
+            _BackendEvent(
+                event,
+                instance.instance_id,
+                instance.service,
+                instance.version,
+                change.revision,
+                drained,
+            )
         )
 
     def _write(self, item: _BackendEvent, backend_fields: dict[str, object]) -> None:
@@ -125,6 +133,7 @@
             item.event,
             **backend_fields,
             service=item.service,
+            version=item.version,
             revision=item.revision,
             drained=item.drained,
             age_s=round(self._age_s(), 2),
--- a/src/wharfcart/platform/http_headers.py
+++ b/src/wharfcart/platform/http_headers.py
@@ -52,6 +52,8 @@
         prompt: parts of the prompt in order; the last one is specific to the request.
         output_tokens: maximum number of generated tokens.
         resume_after: number of the last event that the client received, or None.
+        origin_request: id of the request that brought the first event of the stream that the client
+            resumes, or ''.
     """
 
     request_id: str
@@ -59,6 +61,7 @@
     prompt: tuple[PromptPart, ...]
     output_tokens: int
     resume_after: int | None
+    origin_request: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,6 +92,7 @@
         prompt=_parse_prompt(found.get(names.PROMPT_PREFIX, "")),
         output_tokens=int(output or 0),
         resume_after=None if resume_after is None else int(resume_after),
+        origin_request=found.get(names.RESUMES, "").strip(),
     )
 
 
--- a/src/wharfcart/platform/server_entry.py
+++ b/src/wharfcart/platform/server_entry.py
@@ -10,7 +10,11 @@
 from typing import Any, NoReturn
 
 from wharfcart.cluster.coordination import KeyChange
-from wharfcart.configuration.instances import BackendInstance
+from wharfcart.configuration.instances import (
+    UNNAMED_VERSION,
+    BackendInstance,
+    SoftwareVersion,
+)
 from wharfcart.platform import names
 
 # Names appear in log lines, which must stay short.
@@ -52,6 +56,7 @@
         started_at_ms=None
         if entry.get("born") is None
         else _parse_integer(entry, "born", 0, MAX_STARTED_AT_MS),
+        version=_parse_version(entry),
     )
 
 
@@ -83,6 +88,12 @@
     return text
 
 
+def _parse_version(entry: dict[str, Any]) -> SoftwareVersion:
+    if entry.get("version") in (None, ""):
+        return UNNAMED_VERSION
+    return SoftwareVersion(_parse_name(entry, "version"))
+
+
 def _parse_address(entry: dict[str, Any]) -> tuple[str, int]:
     host, _, port = _parse_name(entry, "address").rpartition(":")
     try:
--- a/src/wharfcart/routing/request_log.py
+++ b/src/wharfcart/routing/request_log.py
@@ -40,6 +40,8 @@
             Event.REQUEST_PLACED,
             request=request.facts.request_id,
             backend=state.instance.instance_id,
+            version=state.instance.version,
+            **_resumption_fields(request, progress),
             granted=decision.granted,
             waited_s=round(now - request.received_at, 4),
             sends=progress.sends,
@@ -70,10 +72,12 @@
 
     def resumed(self, request: CallerRequest, progress: RequestProgress) -> None:
         """Log that a stream resumes at another back end."""
+        state = self._selector.state(progress.last_backend)
         self._log.write(
             Event.STREAM_RESUMED,
             request=request.facts.request_id,
             backend=progress.last_backend,
+            version=None if state is None else state.instance.version,
             after_event=progress.last_event,
         )
 
@@ -120,6 +124,8 @@
             status=status,
             cause=progress.cause,
             backend=progress.last_backend,
+            version=None if state is None else state.instance.version,
+            **_resumption_fields(request, progress),
             sends=progress.sends,
             refusals=progress.refusals,
             connect_failures=progress.connect_failures,
@@ -133,3 +139,13 @@
             **optional_fields,
             deadline_left_s=round(request.deadline - now, 3),
         )
+
+
+def _resumption_fields(request: CallerRequest, progress: RequestProgress) -> dict[str, object]:
+    """Return which stream a request takes up and after which event; nothing for a new stream."""
+    fields: dict[str, object] = {}
+    if request.facts.origin_request:
+        fields["origin_request"] = request.facts.origin_request
+    if request.facts.resume_after is not None or progress.last_event is not None:
+        fields["resume_after"] = progress.last_received_event(request.facts)
+    return fields
--- a/src/wharfcart/routing/request_progress.py
+++ b/src/wharfcart/routing/request_progress.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from wharfcart.platform.http_headers import RequestMetadata
 from wharfcart.routing.placement import SendResult
 
 RETRY_AFTER_FULL_S = 0.2
@@ -44,3 +45,11 @@
     retry_after_s: float = RETRY_AFTER_FULL_S
     answer_ok: bool = True
     send_result: SendResult = SendResult.UNKNOWN
+
+    def last_received_event(self, facts: RequestMetadata) -> int | None:
+        """Return the number of the last event that the caller has, also from an earlier request.
+
+        Args:
+            facts: fields read from the request's headers.
+        """
+        return facts.resume_after if self.last_event is None else self.last_event
--- a/src/wharfcart/routing/sender.py
+++ b/src/wharfcart/routing/sender.py
@@ -246,7 +246,7 @@
                 request.headers,
                 state.instance.instance_id,
                 request.deadline - monotonic(),
-                _last_received_event(request, progress),
+                progress.last_received_event(request.facts),
                 request.tenant_name,
             ),
             request.body,
@@ -381,11 +381,6 @@
         self._request_log.avoided(state, cause, avoid_s)
 
 
-def _last_received_event(request: CallerRequest, progress: RequestProgress) -> int | None:
-    """Return the number of the last event that the caller has, possibly from an earlier request."""
-    return request.facts.resume_after if progress.last_event is None else progress.last_event
-
-
 def _take_new_events(
     splitter: EventSplitter, data: bytes, request: CallerRequest, progress: RequestProgress
 ) -> tuple[bytes, bool]:
@@ -393,7 +388,7 @@
     forwarded: list[bytes] = []
     for event in splitter.feed(data):
         if event.number is not None:
-            last = _last_received_event(request, progress)
+            last = progress.last_received_event(request.facts)
             if last is not None and event.number <= last:
                 continue
             if last is not None and event.number > last + 1:
--- a/tests/platform/test_server_entry.py
+++ b/tests/platform/test_server_entry.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from wharfcart.cluster.coordination import KeyChange
-from wharfcart.configuration.instances import BackendInstance
+from wharfcart.configuration.instances import UNNAMED_VERSION, BackendInstance, SoftwareVersion
 from wharfcart.platform import server_entry
 
 VALID_ENTRY: dict[str, Any] = {
@@ -43,7 +43,7 @@
 
 def test_valid_entry_is_parsed() -> None:
     assert parse_entry(VALID_ENTRY) == BackendInstance(
-        "i-1", "s", "10.0.0.9", 80, "z", 3, True, 0.25, 1_764_700_000_000
+        "i-1", "s", "10.0.0.9", 80, "z", 3, True, 0.25, 1_764_700_000_000, SoftwareVersion("v1")
     )
     assert server_entry.parse_instance(KeyChange("servers/i-1", 4, None)) is None
 
@@ -53,6 +53,7 @@
     instance = parse_entry(entry)
     assert instance is not None
     assert (instance.cold_for_s, instance.started_at_ms) == (0.0, None)
+    assert instance.version == UNNAMED_VERSION
 
 
 @pytest.mark.parametrize(
@@ -68,6 +69,9 @@
         ("address", ":80"),
         ("address", "a\r\nb:80"),
         ("zone", 3),
+        ("version", 2),
+        ("version", ["v1"]),
+        ("version", "\ud800"),
         ("slots", -5),
         ("slots", 10**30),
         ("slots", 2.7),
