A broken stream goes on at the software version that began it

Cause: a gateway that resumed a broken stream selected any back end of the service; the version of a server's software was in its entry and nowhere else.

Change: the request keeps the version that wrote its first event. Placement, granting node, queue, local choice and the check before a send exclude other versions, in the one place that excludes back ends. A stream that waits for its version has a queue of its own, so that it neither blocks others nor is blocked by them; retry times and stall time-outs count the back ends of its version alone. Where all of them were tried, they are asked again, as often as the route allows: one that broke a connection may still serve. Where none is left the answer is cut at once.

The new tests need the new field and fail without it.

--- a/src/wharfcart/routing/backend_selection.py
+++ b/src/wharfcart/routing/backend_selection.py
@@ -17,7 +17,7 @@
 
 from wharfcart.cluster.randomness import RandomSource
 from wharfcart.cluster.topology import Distance
-from wharfcart.configuration.instances import BackendInstance
+from wharfcart.configuration.instances import BackendInstance, SoftwareVersion
 from wharfcart.configuration.residence import ANYWHERE, Residence
 from wharfcart.configuration.serving import ColdLimit
 from wharfcart.routing.cold_backends import PERMIT_TTL_S, ColdBackends, ColdPeriod, LocalColdShares
@@ -228,12 +228,22 @@
         return self._states.values()
 
     def accepting_instances(
-        self, service: str, now: float, residence: Residence = ANYWHERE
+        self,
+        service: str,
+        now: float,
+        residence: Residence = ANYWHERE,
+        version: SoftwareVersion | None = None,
     ) -> list[InstanceState]:
         """Return the instances of a service that accept new requests of a residence.
 
         If more instances have vanished than are left, the vanished ones are included. That is safe:
         each request names the instance it is meant for, so no other process runs it.
+
+        Args:
+            service: name of the service.
+            now: monotonic time in seconds.
+            residence: regions in which the request's data may be processed.
+            version: software version that began its answer; None for a new answer.
         """
         states = self._by_service.get(service, {}).values()
         listed = [state for state in states if not self.exclusion_reason(state, residence)]
@@ -242,13 +252,19 @@
             for state in self._vanished_of(service, now)
             if not self.exclusion_reason(state, residence)
         ]
-        return listed + vanished if len(vanished) > len(listed) else listed
+        accepting = listed + vanished if len(vanished) > len(listed) else listed
+        if version is None:
+            return accepting
+        return [state for state in accepting if state.instance.version == version]
 
     def exclusion_reason(
-        self, state: InstanceState, residence: Residence = ANYWHERE
+        self,
+        state: InstanceState,
+        residence: Residence = ANYWHERE,
+        version: SoftwareVersion | None = None,
     ) -> ExclusionReason | None:
         """Return why an instance is excluded for a request, or None if it is eligible."""
-        return self.eligibility.exclusion_reason(state.instance, residence)
+        return self.eligibility.exclusion_reason(state.instance, residence, version)
 
     def exclusion_before_send(
         self,
@@ -256,6 +272,7 @@
         placed_at: float,
         now: float,
         residence: Residence = ANYWHERE,
+        version: SoftwareVersion | None = None,
     ) -> ExclusionReason | None:
         """Return why a placed request must not be sent, or None if it may.
 
@@ -266,8 +283,9 @@
             placed_at: monotonic time in seconds at which the request was placed.
             now: monotonic time in seconds.
             residence: residence of the request.
+            version: software version that began its answer; None for a new answer.
         """
-        reason = self.exclusion_reason(state, residence)
+        reason = self.exclusion_reason(state, residence, version)
         if reason is None and now - placed_at > PERMIT_TTL_S and self.is_cold(state, now):
             return ExclusionReason.COLD
         return reason
@@ -319,6 +337,7 @@
         excluded: Collection[str] = (),
         affinity_key: str = "",
         residence: Residence = ANYWHERE,
+        version: SoftwareVersion | None = None,
     ) -> InstanceState | None:
         """Return the instance to send a request to, or None if there is none.
 
@@ -328,8 +347,11 @@
             excluded: ids of instances that the request was already sent to.
             affinity_key: key of the long shared prompt, '' if there is none.
             residence: regions in which the request's data may be processed.
+            version: software version that began its answer; None for a new answer.
         """
-        candidates = self.usable_instances(service, now, excluded, residence=residence)
+        candidates = self.usable_instances(
+            service, now, excluded, residence=residence, version=version
+        )
         candidates = self._prefer_warm(candidates, now)
         if not candidates:
             return None
@@ -372,6 +394,7 @@
         is_candidate: Callable[[BackendInstance], bool] = lambda _instance: True,
         is_unresponsive: Callable[[str], bool] = lambda _instance_id: False,
         residence: Residence = ANYWHERE,
+        version: SoftwareVersion | None = None,
     ) -> list[InstanceState]:
         """Return the instances that a request may go to, without those to avoid.
 
@@ -382,10 +405,11 @@
             is_candidate: whether an instance is considered at all.
             is_unresponsive: whether an instance is known to be unresponsive from other sources.
             residence: regions in which the request's data may be processed.
+            version: software version that began its answer; None for a new answer.
         """
         usable = [
             state
-            for state in self.accepting_instances(service, now, residence)
+            for state in self.accepting_instances(service, now, residence, version)
             if state.instance.instance_id not in excluded and is_candidate(state.instance)
         ]
         candidates = [
--- a/src/wharfcart/routing/eligibility.py
+++ b/src/wharfcart/routing/eligibility.py
@@ -10,7 +10,7 @@
 from enum import Enum
 
 from wharfcart.cluster.topology import Topology
-from wharfcart.configuration.instances import BackendInstance
+from wharfcart.configuration.instances import BackendInstance, SoftwareVersion
 from wharfcart.configuration.residence import ANYWHERE, Residence
 
 
@@ -21,12 +21,14 @@
         DRAINING: it accepts no new requests.
         EVACUATED: the operator has evacuated its zone.
         OUTSIDE_RESIDENCE: the request's data may not be processed in its region.
+        OTHER_VERSION: it runs another software version than the one that began the answer.
         COLD: it is cold, and the permit to send to it has expired.
     """
 
     DRAINING = "leaving"
     EVACUATED = "evacuated"
     OUTSIDE_RESIDENCE = "outside_residence"
+    OTHER_VERSION = "other_version"
     COLD = "cold"
 
 
@@ -45,13 +47,17 @@
         self.evacuated_zones: frozenset[str] = frozenset()
 
     def exclusion_reason(
-        self, instance: BackendInstance, residence: Residence = ANYWHERE
+        self,
+        instance: BackendInstance,
+        residence: Residence = ANYWHERE,
+        version: SoftwareVersion | None = None,
     ) -> ExclusionReason | None:
         """Return why a back end is excluded for a request, or None if it is eligible.
 
         Args:
             instance: the back end's entry in discovery.
             residence: residence of the request.
+            version: software version that began its answer; None for a new answer.
         """
         if not instance.accepting:
             return ExclusionReason.DRAINING
@@ -59,4 +65,6 @@
             return ExclusionReason.EVACUATED
         if not residence.allows(self.topology.region(instance.zone)):
             return ExclusionReason.OUTSIDE_RESIDENCE
+        if version is not None and instance.version != version:
+            return ExclusionReason.OTHER_VERSION
         return None
--- a/src/wharfcart/routing/forwarder.py
+++ b/src/wharfcart/routing/forwarder.py
@@ -38,9 +38,11 @@
 RETRY_AFTER_NO_BACKEND_S = 0.4
 # All back ends are outside the regions allowed for the request's data.
 OUTSIDE_RESIDENCE = ExclusionReason.OUTSIDE_RESIDENCE.value
+# No back end of the software version that began the answer is left.
+VERSION_GONE = "version_gone"
 # The allowed regions are unreachable.
 REGION_UNREACHABLE = "region_unreachable"
-NO_BACKEND_CAUSES = ("no_backend", OUTSIDE_RESIDENCE, REGION_UNREACHABLE)
+NO_BACKEND_CAUSES = ("no_backend", OUTSIDE_RESIDENCE, REGION_UNREACHABLE, VERSION_GONE)
 # Operators do not cancel an evacuation sooner than this.
 RETRY_AFTER_EVACUATED_S = 2.0
 # Share of the caller's patience spent waiting for a slot.
@@ -113,7 +115,7 @@
                 await self._fail_request(request, sink, progress, STATUS_BAD_GATEWAY)
                 return
             try:
-                decision = await self._placement.place(_placement_request(request, progress))
+                decision = await self._placement.place(self._placement_request(request, progress))
             except NoSlotError as error:
                 progress.cause = "no_slot"
                 progress.retry_after_s = error.retry_after_s
@@ -149,6 +151,8 @@
     def _no_backend_cause(self, request: CallerRequest, progress: RequestProgress) -> str:
         if self._selector.is_fully_evacuated(request.service):
             return ExclusionReason.EVACUATED.value
+        if progress.version is not None and not self._accepting_instances(request, progress):
+            return VERSION_GONE
         if progress.cause:
             return progress.cause
         elsewhere = request.residence.is_restricted and self._selector.accepting_instances(
@@ -201,8 +205,35 @@
         retry_after_s = f"{error.retry_after_s:g}"
         await sink.send_whole(status, [(http_headers.RETRY_AFTER_HEADER, retry_after_s)], b"")
 
+    def _accepting_instances(self, request: CallerRequest, progress: RequestProgress) -> set[str]:
+        """Return the instances that accept a request, of the version that began its answer."""
+        accepting = self._selector.accepting_instances(
+            request.service, monotonic(), request.residence, progress.version
+        )
+        return {state.instance.instance_id for state in accepting}
+
+    def _excluded_instances(
+        self, request: CallerRequest, progress: RequestProgress
+    ) -> frozenset[str]:
+        """Return the instances that are not asked again.
+
+        Where all instances of the version that began the answer were tried, they are asked again:
+        a back end that broke a connection may still serve.
+        """
+        tried = frozenset(progress.tried_instances)
+        if progress.version is None or self._accepting_instances(request, progress) - tried:
+            return tried
+        return frozenset()
+
+    def _placement_request(
+        self, request: CallerRequest, progress: RequestProgress
+    ) -> PlacementRequest:
+        return _placement_request(request, progress, self._excluded_instances(request, progress))
+
 
-def _placement_request(request: CallerRequest, progress: RequestProgress) -> PlacementRequest:
+def _placement_request(
+    request: CallerRequest, progress: RequestProgress, excluded: frozenset[str]
+) -> PlacementRequest:
     route = request.route
     patience_s = min(route.caller_timeout_s, request.deadline - request.received_at)
     start_by = request.received_at + route.objective_s
@@ -213,7 +244,7 @@
         queue_until = request.deadline
     return PlacementRequest(
         service=request.service,
-        excluded=frozenset(progress.tried_instances),
+        excluded=excluded,
         affinity_key=request.affinity_key,
         unread_tokens=request.unread_tokens,
         request_id=request.facts.request_id,
@@ -224,4 +255,5 @@
         tenant=request.tenant_name,
         limit=None if request.tenant is None or progress.placed else request.tenant.limit,
         residence=request.residence,
+        version=progress.version,
     )
--- a/src/wharfcart/routing/placement.py
+++ b/src/wharfcart/routing/placement.py
@@ -5,6 +5,7 @@
 from enum import Enum
 
 from wharfcart.clock import monotonic
+from wharfcart.configuration.instances import SoftwareVersion
 from wharfcart.configuration.residence import ANYWHERE, Residence
 from wharfcart.configuration.serving import RequestLimit
 from wharfcart.routing.backend_selection import BackendSelector, InstanceState
@@ -32,6 +33,7 @@
         limit: limit of the tenant that the request counts towards; None if there is none or the
             request was already counted.
         residence: regions in which its data may be processed.
+        version: software version that began its answer; None for a new answer.
     """
 
     service: str
@@ -46,6 +48,7 @@
     tenant: str = ""
     limit: RequestLimit | None = None
     residence: Residence = ANYWHERE
+    version: SoftwareVersion | None = None
 
 
 class SendResult(Enum):
@@ -140,11 +143,16 @@
             request.excluded,
             request.affinity_key,
             request.residence,
+            request.version,
         )
         if state is not None:
             return PlacementDecision(state, granted=False)
         if self._selector.usable_instances(
-            request.service, now, request.excluded, residence=request.residence
+            request.service,
+            now,
+            request.excluded,
+            residence=request.residence,
+            version=request.version,
         ):
             raise NoSlotError(RETRY_AFTER_COLD_S)
         return None
--- a/src/wharfcart/routing/request_progress.py
+++ b/src/wharfcart/routing/request_progress.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from wharfcart.configuration.instances import SoftwareVersion
 from wharfcart.platform.http_headers import RequestMetadata
 from wharfcart.routing.placement import SendResult
 
@@ -21,6 +22,7 @@
         may_have_run: whether a back end may have run it.
         answer_started: whether the caller has received the start of the answer.
         last_event: number of the last event that the caller has received.
+        version: software version that began the answer; None while none has.
         last_backend: id of the instance of the last send.
         first_byte_s: seconds from the arrival of the request to the first byte of the answer.
         cause: why the last send or placement failed.
@@ -38,6 +40,7 @@
     may_have_run: bool = False
     answer_started: bool = False
     last_event: int | None = None
+    version: SoftwareVersion | None = None
     last_backend: str = ""
     first_byte_s: float | None = None
     cause: str = ""
--- a/src/wharfcart/routing/sender.py
+++ b/src/wharfcart/routing/sender.py
@@ -16,6 +16,7 @@
 from wharfcart.backends.connection_pool import ConnectionLimitError, ConnectionPool
 from wharfcart.clock import monotonic
 from wharfcart.cluster.topology import RegionName
+from wharfcart.configuration.instances import SoftwareVersion
 from wharfcart.configuration.serving import RouteKind
 from wharfcart.http.connection import (
     BreakCause,
@@ -158,7 +159,7 @@
             self._avoid(state, "connect")
             return SendFailure(False, "connect")
         exclusion = self._selector.exclusion_before_send(
-            state, placed_at, monotonic(), request.residence
+            state, placed_at, monotonic(), request.residence, progress.version
         )
         if exclusion is not None:
             # Not counted as an attempt: nothing was sent, and the back end did not fail.
@@ -239,6 +240,7 @@
         connection: HttpConnection,
         send_id: int,
     ) -> SendFailure | None:
+        version = state.instance.version  # an entry may change while the answer is read
         connection.send(
             request.method,
             request.target,
@@ -272,7 +274,7 @@
         if not http_headers.is_signed(head) and head.status < 300:
             raise ConnectionBrokenError("answer is not signed")
         if request.route.kind is RouteKind.STREAM and head.status < 300:
-            await self._forward_stream(request, sink, progress, connection, head)
+            await self._forward_stream(request, sink, progress, version, connection, head)
             return None
         return await self._forward_whole(request, sink, progress, connection, head)
 
@@ -303,6 +305,7 @@
         request: CallerRequest,
         sink: AnswerSink,
         progress: RequestProgress,
+        version: SoftwareVersion,
         connection: HttpConnection,
         head: ResponseHead,
     ) -> None:
@@ -317,6 +320,7 @@
             if splitter is not None:
                 part, is_event_missing = _take_new_events(splitter, part, request, progress)
             if part:
+                progress.version = version
                 await self._ensure_started(request, sink, progress, head)
                 await sink.send_part(part)
             if is_event_missing:
@@ -349,10 +353,15 @@
         if not route.repeatable or progress.sends >= route.max_backends:
             return None
         accepting = self._selector.accepting_instances(
-            request.service, monotonic(), request.residence
+            request.service, monotonic(), request.residence, progress.version
         )
-        others = len(accepting) - len(progress.tried_instances)
-        if others < 2:
+        untried = [
+            state
+            for state in accepting
+            if state.instance.instance_id not in progress.tried_instances
+        ]
+        # One of them is the back end that is waited for.
+        if len(untried) < 2:
             return None
         if route.kind is RouteKind.STREAM:
             return STREAM_STALL_TIMEOUT_S
--- a/src/wharfcart/slots/events.py
+++ b/src/wharfcart/slots/events.py
@@ -10,6 +10,7 @@
 from enum import Enum
 from typing import NewType
 
+from wharfcart.configuration.instances import SoftwareVersion
 from wharfcart.configuration.residence import ANYWHERE, Residence
 from wharfcart.slots.urgency import Urgency
 
@@ -134,6 +135,7 @@
         priority: 0 is the most urgent.
         request_id: the caller's id of the request.
         residence: regions where the request's data may be processed.
+        version: software version that began its answer; None for a new answer.
     """
 
     session: SessionKey
@@ -149,6 +151,7 @@
     priority: int = 0
     request_id: str = ""
     residence: Residence = ANYWHERE
+    version: SoftwareVersion | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wharfcart/slots/granted_placement.py
+++ b/src/wharfcart/slots/granted_placement.py
@@ -111,11 +111,21 @@
 
     def _steps(self, request: PlacementRequest) -> list[RequestStep]:
         capacities = self._sessions.available_capacities(request.service, request.residence)
+        if request.version is not None:
+            groups = self._groups_with_version(request)
+            capacities = {group: capacities[group] for group in capacities.keys() & groups}
         distances = {group: self._distance(group) for group in capacities}
         if request.affinity_key:
             return order_groups_by_affinity(capacities, request.affinity_key, distances)
         return order_groups(capacities, distances)
 
+    def _groups_with_version(self, request: PlacementRequest) -> set[int | None]:
+        """Return the groups with back ends of the version that began a request's answer."""
+        accepting = self._selector.accepting_instances(
+            request.service, monotonic(), request.residence, request.version
+        )
+        return {self._sessions.group_of(state.instance.instance_id) for state in accepting}
+
     async def _request_slot(
         self, session: SlotSession, request: PlacementRequest, mode: RequestMode, permit: Permit
     ) -> PlacementDecision | None:
@@ -146,6 +156,7 @@
             priority=request.priority,
             request_id=request.request_id,
             residence=request.residence,
+            version=request.version,
         )
 
     def _connected_of(self, group: int, service: str) -> frozenset[str]:
@@ -174,7 +185,7 @@
         state = self._selector.state(grant.instance_id)
         if (
             state is None
-            or self._selector.exclusion_reason(state, slot_request.residence)
+            or self._selector.exclusion_reason(state, slot_request.residence, slot_request.version)
             or state.has_failed_recently(monotonic())
         ):
             session.release(slot.number)
--- a/src/wharfcart/slots/granter.py
+++ b/src/wharfcart/slots/granter.py
@@ -43,7 +43,7 @@
 )
 from wharfcart.slots.group_backends import GroupBackends
 from wharfcart.slots.ledger import SlotLedger, TakenSlot
-from wharfcart.slots.queue import SlotQueue, WaitingRequest
+from wharfcart.slots.queue import QueueKey, SlotQueue, WaitingRequest
 from wharfcart.slots.snapshot import ServiceCapacity, SlotSnapshot
 from wharfcart.slots.urgency import Urgency
 
@@ -252,12 +252,10 @@
     # ---- online requests ----
 
     def _handle_request(self, request: SlotRequested, now: float) -> list[SlotInstruction]:
-        candidates = self._backends.candidates(
-            request.service, request.residence, now, request.excluded
-        )
+        candidates = self._candidates(request, now)
         if not candidates or not self._ledger.is_open(request.session):
             return [NoSlot(request.session, request.number)]
-        others_wait = self._queue.count_in(request.service, request.residence) > 0
+        others_wait = self._queue.count_in(request.service, _queue_key(request)) > 0
         if not others_wait and self._has_slot(candidates, request.mode, now):
             return self._grant(request, candidates, now)
         if request.mode is not RequestMode.WAIT:
@@ -267,7 +265,7 @@
             request.start_deadline,
             request.queue_deadline,
             request.priority,
-            request.residence,
+            _queue_key(request),
         )
         if waiting is None:
             return [self._refuse(request, RefusalCause.QUEUE_FULL, now)]
@@ -275,6 +273,11 @@
         self._waiting_by_slot[request.session, request.number] = waiting
         return self._assign_free_slots(now)
 
+    def _candidates(self, request: SlotRequested, now: float) -> list[InstanceState]:
+        return self._backends.candidates(
+            request.service, request.residence, now, request.excluded, request.version
+        )
+
     def _has_slot(self, candidates: list[InstanceState], mode: RequestMode, now: float) -> bool:
         candidates = self._backends.accepting(candidates, now)
         if any(self._backends.has_free_slot(state) for state in candidates):
@@ -327,9 +330,11 @@
         waiting = self._waiting_by_slot.get(key)
         if waiting is not None:
             self._dequeue(key, waiting)
-        candidates = self._backends.candidates(request.service, request.residence, now)
+        candidates = self._backends.candidates(
+            request.service, request.residence, now, version=request.version
+        )
         slots = sum(state.instance.slots for state in candidates)
-        others = self._queue.count_in(request.service, request.residence)
+        others = self._queue.count_in(request.service, _queue_key(request))
         freed_per_s = sum(self._backends.turnover_per_s(state, now) for state in candidates)
         retry_after_s = (1 + others) / max(1.0, freed_per_s)
         retry_after_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, retry_after_s))
@@ -348,14 +353,12 @@
 
     def _serve_queue(self, now: float) -> Iterator[SlotInstruction]:
         for service in self._queue.services():
-            full: set[Residence] = set()
+            full: set[QueueKey] = set()
             while (waiting := self._queue.next(service, now, full)) is not None:
                 request = self._request_by_queue_number[waiting.number]
-                candidates = self._backends.candidates(
-                    service, request.residence, now, request.excluded
-                )
+                candidates = self._candidates(request, now)
                 if candidates and not self._has_slot(candidates, RequestMode.WAIT, now):
-                    full.add(request.residence)
+                    full.add(waiting.key)
                     continue
                 self._dequeue((request.session, request.number), waiting)
                 if not candidates:
@@ -413,8 +416,8 @@
         Only requests that may use one of the slots reserve them.
         """
         free_ids = {state.instance.instance_id for state in free}
-        for waiting_residence in self._queue.residences(service):
-            usable = self._backends.candidates(service, waiting_residence, now)
+        for key in self._queue.keys(service):
+            usable = self._backends.candidates(service, key.residence, now, version=key.version)
             if any(state.instance.instance_id in free_ids for state in usable):
                 return True
         return not self._worth_starting(service, residence, now)
@@ -484,3 +487,7 @@
             preemptible,
             self._queue.count(service),
         )
+
+
+def _queue_key(request: SlotRequested) -> QueueKey:
+    return QueueKey(request.residence, request.version)
--- a/src/wharfcart/slots/group_backends.py
+++ b/src/wharfcart/slots/group_backends.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 
-from wharfcart.configuration.instances import BackendInstance
+from wharfcart.configuration.instances import BackendInstance, SoftwareVersion
 from wharfcart.configuration.residence import Residence
 from wharfcart.routing.backend_selection import (
     UNREAD_TOKENS_PER_LOAD,
@@ -45,34 +45,41 @@
     is_leadership_confirmed: Callable[[], bool]
     ledger: SlotLedger
     _cold_buckets: ColdBuckets = field(default_factory=ColdBuckets)
-    # By service and residence; a configuration has few of them.
-    _usable: dict[tuple[str, Residence], tuple[float, list[InstanceState]]] = field(
-        default_factory=dict
-    )
+    # By service, residence and version; there are few of them.
+    _usable: dict[
+        tuple[str, Residence, SoftwareVersion | None], tuple[float, list[InstanceState]]
+    ] = field(default_factory=dict)
 
     # ---- candidates ----
 
     def candidates(
-        self, service: str, residence: Residence, now: float, excluded: Collection[str] = ()
+        self,
+        service: str,
+        residence: Residence,
+        now: float,
+        excluded: Collection[str] = (),
+        version: SoftwareVersion | None = None,
     ) -> list[InstanceState]:
         """Return the back ends that a request may go to, without those that seem to fail."""
-        usable = self._usable_in(service, residence, now)
+        usable = self._usable_in(service, residence, version, now)
         if not excluded:
             return usable
         remaining = [state for state in usable if state.instance.instance_id not in excluded]
         if remaining:
             return remaining
         return self.selector.usable_instances(
-            service, now, excluded, self.owns, self._is_unresponsive, residence
+            service, now, excluded, self.owns, self._is_unresponsive, residence, version
         )
 
-    def _usable_in(self, service: str, residence: Residence, now: float) -> list[InstanceState]:
-        cached_at, usable = self._usable.get((service, residence), (-USABLE_TTL_S, []))
+    def _usable_in(
+        self, service: str, residence: Residence, version: SoftwareVersion | None, now: float
+    ) -> list[InstanceState]:
+        cached_at, usable = self._usable.get((service, residence, version), (-USABLE_TTL_S, []))
         if now - cached_at >= USABLE_TTL_S:
             usable = self.selector.usable_instances(
-                service, now, (), self.owns, self._is_unresponsive, residence
+                service, now, (), self.owns, self._is_unresponsive, residence, version
             )
-            self._usable[service, residence] = (now, usable)
+            self._usable[service, residence, version] = (now, usable)
         return usable
 
     def refresh(self) -> None:
--- a/src/wharfcart/slots/messages.py
+++ b/src/wharfcart/slots/messages.py
@@ -5,6 +5,7 @@
 
 from wharfcart.admission.tenant_limits import PermittedSend, TenantUsage
 from wharfcart.cluster import messages_pb2 as pb
+from wharfcart.configuration.instances import SoftwareVersion
 from wharfcart.configuration.residence import residence_from_message, residence_to_message
 from wharfcart.slots.events import (
     BackendFailureReported,
@@ -157,6 +158,7 @@
         manner=_MODES[request.mode],
         tenant=tenant,
         residence=residence_to_message(request.residence),
+        version=request.version,
     )
 
 
@@ -176,6 +178,7 @@
         priority=message.priority,
         request_id=message.request_id,
         residence=residence_from_message(message),
+        version=SoftwareVersion(message.version) if message.HasField("version") else None,
     )
 
 
--- a/src/wharfcart/slots/queue.py
+++ b/src/wharfcart/slots/queue.py
@@ -9,13 +9,30 @@
 from collections.abc import Collection
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
+from typing import NamedTuple
 
+from wharfcart.configuration.instances import SoftwareVersion
 from wharfcart.configuration.residence import ANYWHERE, Residence
 
-# Per service and residence.
+# Per service, residence and version.
 MAX_WAITING = 400
 
 
+class QueueKey(NamedTuple):
+    """Which back ends of a service the requests of a queue may go to.
+
+    Attributes:
+        residence: regions where the requests' data may be processed.
+        version: software version that began their answers; None for new answers.
+    """
+
+    residence: Residence = ANYWHERE
+    version: SoftwareVersion | None = None
+
+
+ANY_BACKEND = QueueKey()
+
+
 @dataclass(frozen=True)
 class WaitingRequest:
     """A request that waits for a slot.
@@ -25,7 +42,7 @@
         start_deadline: latest monotonic time to start and still answer in time.
         queue_deadline: monotonic time at which the request stops waiting.
         priority: 0 is the most urgent.
-        residence: regions where the request's data may be processed.
+        key: which back ends the request may go to.
     """
 
     number: int
@@ -33,7 +50,7 @@
     start_deadline: float
     queue_deadline: float
     priority: int = 0
-    residence: Residence = ANYWHERE
+    key: QueueKey = ANY_BACKEND
 
     @property
     def order(self) -> tuple[int, float, int]:
@@ -53,8 +70,8 @@
 
 
 @dataclass
-class _ResidenceQueue:
-    """Requests that wait for one service with the same residence.
+class _KeyQueue:
+    """Requests that wait for the same back ends of one service.
 
     Attributes:
         waiting_by_number: all waiting requests. The heaps also hold removed requests, which are
@@ -88,13 +105,13 @@
 
 @dataclass
 class SlotQueue:
-    """Waiting requests by service and residence.
+    """Waiting requests by service and key.
 
-    Each residence has a queue of its own, so that a request whose regions are full does not block
-    requests for other regions.
+    Each key has a queue of its own, so that a request whose regions or whose version are full does
+    not block requests for others.
     """
 
-    _queues_by_service: dict[str, dict[Residence, _ResidenceQueue]] = field(default_factory=dict)
+    _queues_by_service: dict[str, dict[QueueKey, _KeyQueue]] = field(default_factory=dict)
     _next_number: int = 0
 
     def add(
@@ -103,24 +120,22 @@
         start_deadline: float,
         queue_deadline: float,
         priority: int,
-        residence: Residence = ANYWHERE,
+        key: QueueKey = ANY_BACKEND,
     ) -> WaitingRequest | None:
         """Add a request and return it; None if its queue is full."""
-        queue = self._queues_by_service.setdefault(service, {}).setdefault(
-            residence, _ResidenceQueue()
-        )
+        queue = self._queues_by_service.setdefault(service, {}).setdefault(key, _KeyQueue())
         if len(queue.waiting_by_number) >= MAX_WAITING:
             return None
         self._next_number += 1
         waiting = WaitingRequest(
-            self._next_number, service, start_deadline, queue_deadline, priority, residence
+            self._next_number, service, start_deadline, queue_deadline, priority, key
         )
         queue.add(waiting)
         return waiting
 
     def remove(self, waiting: WaitingRequest) -> None:
         """Remove a request that got its slot or stopped waiting."""
-        queue = self._queues_by_service.get(waiting.service, {}).get(waiting.residence)
+        queue = self._queues_by_service.get(waiting.service, {}).get(waiting.key)
         if queue is not None:
             queue.waiting_by_number.pop(waiting.number, None)
 
@@ -129,9 +144,9 @@
         queues = self._queues_by_service.get(service, {}).values()
         return sum(len(queue.waiting_by_number) for queue in queues)
 
-    def count_in(self, service: str, residence: Residence) -> int:
-        """Return the number of requests of one residence that wait for a service."""
-        queue = self._queues_by_service.get(service, {}).get(residence)
+    def count_in(self, service: str, key: QueueKey) -> int:
+        """Return the number of requests with one key that wait for a service."""
+        queue = self._queues_by_service.get(service, {}).get(key)
         return 0 if queue is None else len(queue.waiting_by_number)
 
     def total(self) -> int:
@@ -142,19 +157,19 @@
         """Return the services that have waiting requests."""
         return [service for service in self._queues_by_service if self.count(service)]
 
-    def residences(self, service: str) -> list[Residence]:
-        """Return the residences of a service's waiting requests."""
+    def keys(self, service: str) -> list[QueueKey]:
+        """Return the keys of a service's waiting requests."""
         queues = self._queues_by_service.get(service, {})
-        return [residence for residence, queue in queues.items() if queue.waiting_by_number]
+        return [key for key, queue in queues.items() if queue.waiting_by_number]
 
     def next(
-        self, service: str, now: float, skipped: Collection[Residence] = ()
+        self, service: str, now: float, skipped: Collection[QueueKey] = ()
     ) -> WaitingRequest | None:
-        """Return the request to serve next over all residences except the skipped ones."""
+        """Return the request to serve next over all keys except the skipped ones."""
         queues = self._queues_by_service.get(service, {})
         heads = [
             head
-            for residence, queue in queues.items()
-            if residence not in skipped and (head := queue.first(now)) is not None
+            for key, queue in queues.items()
+            if key not in skipped and (head := queue.first(now)) is not None
         ]
         return min(heads, key=lambda head: head.rank(now), default=None)
--- a/tests/routing/test_software_versions.py
+++ b/tests/routing/test_software_versions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from functools import partial
 from random import Random
 
@@ -9,6 +10,7 @@
 
 from tests.routing.versioned_backends import (
     EVENTS_PER_STREAM,
+    ROUTE,
     StreamCaller,
     StreamGateway,
     backend,
@@ -144,3 +146,57 @@
     for seed in range(40):
         play(partial(VersionedFleet, versions, seed), scenario)
     assert mixed == []
+
+
+def stream_over_backends(
+    versions: tuple[str, ...], breaks: Callable[[BackendInstance], bool]
+) -> tuple[StreamCaller, list[str]]:
+    """Request a stream of back ends; return its caller and the instances that were asked."""
+
+    async def stream() -> tuple[StreamCaller, list[str]]:
+        selector = BackendSelector("z", Random(1))
+        for instance in backends_of(versions):
+            selector.put(instance)
+        gateway = StreamGateway(selector, LocalPlacement(selector))
+        gateway.pool.breaks = breaks
+        caller = StreamCaller()
+        await gateway.request("q", caller)
+        return caller, [instance.instance_id for instance in gateway.pool.used]
+
+    with virtual_clock(ROUTING_CLOCK_MODULES):
+        return run_in_virtual_time(stream())
+
+
+# Guards against a stream that is given up although the only back end of its version still serves.
+def test_the_last_back_end_of_a_version_is_asked_again_after_it_broke_a_connection() -> None:
+    caller, asked = stream_over_backends(("v1",), breaks_once())
+    assert caller.versions == ["v1"] * EVENTS_PER_STREAM
+    assert asked == ["i0", "i0"]
+
+
+# Guards against a stream that asks the last back end of its version again and again.
+def test_a_back_end_that_breaks_each_connection_is_asked_as_often_as_the_route_allows() -> None:
+    caller, asked = stream_over_backends(("v1",), lambda _instance: True)
+    assert caller.is_cut
+    assert len(asked) == ROUTE.max_backends
+
+
+# Guards against a stream that waits for a version which has no back end left.
+def test_a_stream_whose_version_has_gone_is_cut_at_once() -> None:
+    async def scenario(fleet: VersionedFleet) -> None:
+        holder, gateway = await fleet.stream_gateway("a")
+        caller = StreamCaller()
+
+        def end(instance: BackendInstance) -> bool:
+            for selector in (holder.selector, fleet.leader.selector):
+                selector.put(replace(instance, accepting=False))
+            return True
+
+        gateway.pool.breaks = end
+        began_at = asyncio.get_running_loop().time()
+        await gateway.request("q", caller)
+        assert caller.is_cut
+        assert len(gateway.pool.used) == 1
+        assert asyncio.get_running_loop().time() - began_at < 0.1
+
+    play(partial(VersionedFleet, ("v1", "v2")), scenario)
--- a/tests/routing/versioned_backends.py
+++ b/tests/routing/versioned_backends.py
@@ -23,7 +23,7 @@
 METRICS = ServingMetrics()
 SERVICE = "s"
 EVENT_INTERVAL_S = 0.01
-EVENTS_PER_STREAM = 6
+EVENTS_PER_STREAM = 9
 # Events of a run that breaks, of which the last one is incomplete.
 EVENTS_BEFORE_BREAK = 3
 ROUTE = Route(
