--- a/src/wharfcart/node/storage_process.py
+++ b/src/wharfcart/node/storage_process.py
@@ -186,6 +186,12 @@
             case "permit_request":
                 permit = frame.permit_request
                 await self._group(permit.group).slots.serve_permit(permit, respond)
+            case "report_stream_origin":
+                report = frame.report_stream_origin
+                self._group(report.group).slots.record_origin(report)
+            case "find_stream_origin":
+                lookup = frame.find_stream_origin
+                await self._group(lookup.group).slots.serve_find_origin(lookup, respond)
             case "open_slot_session":
                 session = frame.open_slot_session
                 await self._group(session.group).slots.serve_session(session, respond)
--- a/src/wharfcart/observability/decisions.py
+++ b/src/wharfcart/observability/decisions.py
@@ -63,6 +63,7 @@
     GRANTER_FOUND = "granter_found"
     GRANTER_LOST = "granter_lost"
     STREAM_RESUMED = "stream_resumed"
+    STREAM_ORIGIN = "stream_origin"
     FLEET_FOUNDED = "fleet_founded"
     LEADERSHIP_TAKEN = "leadership_taken"
     LEADERSHIP_LOST = "leadership_lost"
--- a/src/wharfcart/observability/serving_metrics.py
+++ b/src/wharfcart/observability/serving_metrics.py
@@ -98,6 +98,11 @@
         self.placements = self._counter(
             "wharfcart_placements", "Choices of a back end, by who made them", "by"
         )
+        self.stream_origins = self._counter(
+            "wharfcart_stream_origins",
+            "Streams that callers resumed, by what shows which software began them",
+            "evidence",
+        )
         self._peer_bytes = PrometheusCounter(
             "wharfcart_peer_bytes",
             "Bytes sent to other nodes, by distance of the node and kind of message",
--- a/src/wharfcart/routing/backend_selection.py
+++ b/src/wharfcart/routing/backend_selection.py
@@ -25,6 +25,7 @@
 from wharfcart.routing.load_balancing import fill_level, pick_below
 from wharfcart.routing.outcome_record import OutcomeRecord, counts_as_failing
 from wharfcart.routing.send_rates import SendRates
+from wharfcart.routing.version_history import KnownVersions, VersionHistory
 
 MAX_REPORT_AGE_S = 1.5
 MIN_AVOID_S = 0.5
@@ -163,6 +164,7 @@
     _send_rates: SendRates = field(default_factory=SendRates)
     _fleet_rates: dict[str, float] = field(default_factory=dict)  # by service
     _fleet_rates_at: float = -1e9
+    _version_history: VersionHistory = field(default_factory=VersionHistory)
 
     def put(self, instance: BackendInstance, now: float = 0.0, revision: int = 0) -> None:
         """Add or update an instance from its entry in discovery.
@@ -180,7 +182,7 @@
         if state is not None and state.instance.is_restart_of(instance):
             return
         if state is not None and instance.is_restart_of(state.instance):
-            self._forget(state)
+            self._forget(state, now)
             state = None
         if state is None:
             state = InstanceState(instance)
@@ -189,8 +191,11 @@
             self._by_service.get(state.instance.service, {}).pop(instance.instance_id, None)
             if instance.started_at_ms is None:
                 instance = replace(instance, started_at_ms=state.instance.started_at_ms)
+            if instance.software != state.instance.software:
+                self._version_history.backend_removed(state.instance.software, now)
             state.instance = instance
         self._by_service.setdefault(instance.service, {})[instance.instance_id] = state
+        self._version_history.service_listed(instance.service, now)
         self.cold.report_received(state.cold, instance.cold_for_s, now, revision)
 
     def remove(
@@ -207,13 +212,14 @@
         state = self._states.get(instance_id)
         if state is None:
             return
-        self._forget(state)
+        self._forget(state, now)
         if state.instance.accepting and not drained:
             ttl_s = VANISHED_TTL_IN_OUTAGE_S if in_outage else VANISHED_TTL_S
             self._vanished[instance_id] = (now + ttl_s, state)
 
-    def _forget(self, state: InstanceState) -> None:
+    def _forget(self, state: InstanceState, now: float) -> None:
         instance_id = state.instance.instance_id
+        self._version_history.backend_removed(state.instance.software, now)
         del self._states[instance_id]
         self._by_service.get(state.instance.service, {}).pop(instance_id, None)
         if self.local_cold_shares is not None:
@@ -227,6 +233,12 @@
         """Return the states of all instances in discovery."""
         return self._states.values()
 
+    def known_versions(self, service: str, now: float) -> KnownVersions:
+        """Return the software versions of a service that this node has seen recently."""
+        states = self._by_service.get(service, {}).values()
+        listed = {state.instance.version for state in states}
+        return self._version_history.known_versions(service, listed, now)
+
     def accepting_instances(
         self,
         service: str,
--- a/src/wharfcart/routing/caller_request.py
+++ b/src/wharfcart/routing/caller_request.py
@@ -6,7 +6,7 @@
 
 from wharfcart.admission.request_fingerprint import RequestFingerprint, fingerprint_of
 from wharfcart.configuration.residence import Residence
-from wharfcart.configuration.serving import Route, ServedTenant
+from wharfcart.configuration.serving import Route, RouteKind, ServedTenant
 from wharfcart.platform import http_headers
 from wharfcart.routing.backend_selection import MIN_AFFINITY_TOKENS
 
@@ -58,6 +58,16 @@
             else route_residence.intersect(self.tenant.residence)
         )
 
+    @property
+    def is_resumable(self) -> bool:
+        """Whether its answer is a stream that can be resumed at another back end."""
+        return self.route.kind is RouteKind.STREAM and self.route.resumable
+
+    @property
+    def resumes_stream(self) -> bool:
+        """Whether the caller has the start of its answer from an earlier request."""
+        return self.is_resumable and self.facts.resume_after is not None
+
     @property
     def priority(self) -> int:
         """Priority while waiting, 0 first: the tenant's if it has one, else the route's."""
--- a/src/wharfcart/routing/forwarder.py
+++ b/src/wharfcart/routing/forwarder.py
@@ -11,6 +11,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 
 from wharfcart.backends.connection_pool import ConnectionPool
 from wharfcart.clock import monotonic
@@ -22,6 +23,7 @@
 from wharfcart.routing.crash_detection import CrashDetector
 from wharfcart.routing.deadlines import Deadlines
 from wharfcart.routing.eligibility import ExclusionReason
+from wharfcart.routing.origin_resolution import OriginEvidence, decide_origin
 from wharfcart.routing.placement import (
     NoSlotError,
     OverLimitError,
@@ -40,9 +42,19 @@
 OUTSIDE_RESIDENCE = ExclusionReason.OUTSIDE_RESIDENCE.value
 # No back end of the software version that began the answer is left.
 VERSION_GONE = "version_gone"
+# The route no longer leads to the service that began the answer.
+ORIGIN_NOT_ROUTED = "origin_not_routed"
 # The allowed regions are unreachable.
 REGION_UNREACHABLE = "region_unreachable"
-NO_BACKEND_CAUSES = ("no_backend", OUTSIDE_RESIDENCE, REGION_UNREACHABLE, VERSION_GONE)
+NO_BACKEND_CAUSES = (
+    "no_backend",
+    OUTSIDE_RESIDENCE,
+    REGION_UNREACHABLE,
+    VERSION_GONE,
+    ORIGIN_NOT_ROUTED,
+    OriginEvidence.UNKNOWN.value,
+    OriginEvidence.UNCONFIRMED.value,
+)
 # Operators do not cancel an evacuation sooner than this.
 RETRY_AFTER_EVACUATED_S = 2.0
 # Share of the caller's patience spent waiting for a slot.
@@ -95,7 +107,12 @@
         self._sender.record_request()
         try:
             async with self.deadlines.enforce(request.deadline):
-                await self._try_backends(request, sink, progress)
+                if request.resumes_stream:
+                    request = await self._find_origin(request, progress)
+                if progress.cause:
+                    await self._fail_request(request, sink, progress, STATUS_BAD_GATEWAY)
+                else:
+                    await self._try_backends(request, sink, progress)
         except TimeoutError:
             progress.cause = "deadline"
             await self._fail_request(request, sink, progress, STATUS_TIMEOUT)
@@ -103,6 +120,23 @@
             self._request_log.finished(request, progress, "caller_left", 0)
             raise
 
+    async def _find_origin(
+        self, request: CallerRequest, progress: RequestProgress
+    ) -> CallerRequest:
+        """Return a request for the software that began its stream; set a cause if there is none."""
+        report = await self._placement.find_origin(request.facts.origin_request, request.service)
+        decision = decide_origin(request.service, report)
+        self._request_log.origin_decided(request, report, decision)
+        software = decision.software
+        if software is None:
+            progress.cause = decision.evidence.value
+            return request
+        if software.service not in {share.service for share in request.route.shares}:
+            progress.cause = ORIGIN_NOT_ROUTED
+            return request
+        progress.version = software.version
+        return replace(request, service=software.service)
+
     async def _try_backends(
         self, request: CallerRequest, sink: AnswerSink, progress: RequestProgress
     ) -> None:
@@ -130,6 +164,7 @@
                 return
             state = decision.state
             progress.placed = True
+            progress.placements += 1
             self._request_log.placed(request, progress, decision)
             failure = await self._sender.send(request, sink, progress, decision)
             if failure is None:
@@ -238,9 +273,10 @@
     patience_s = min(route.caller_timeout_s, request.deadline - request.received_at)
     start_by = request.received_at + route.objective_s
     queue_until = request.received_at + patience_s * SLOT_WAIT_SHARE
-    if progress.answer_started:
-        # The caller has the start of the answer: the request takes precedence and waits longer.
+    if progress.answer_started or request.resumes_stream:
+        # The caller has the start of the answer: the request takes precedence.
         start_by = monotonic() + route.objective_s / 2
+    if progress.answer_started:
         queue_until = request.deadline
     return PlacementRequest(
         service=request.service,
@@ -256,4 +292,5 @@
         limit=None if request.tenant is None or progress.placed else request.tenant.limit,
         residence=request.residence,
         version=progress.version,
+        is_resumable=request.is_resumable,
     )
--- a/src/wharfcart/routing/placement.py
+++ b/src/wharfcart/routing/placement.py
@@ -1,7 +1,7 @@
 """Placement of online requests: by a granted slot or by the gateway's local choice."""
 
 from abc import ABC, abstractmethod
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 from wharfcart.clock import monotonic
@@ -9,6 +9,8 @@
 from wharfcart.configuration.residence import ANYWHERE, Residence
 from wharfcart.configuration.serving import RequestLimit
 from wharfcart.routing.backend_selection import BackendSelector, InstanceState
+from wharfcart.routing.origin_resolution import OriginReport
+from wharfcart.routing.stream_origins import StreamOrigin, StreamOrigins
 
 # Retry time if all back ends are cold and this gateway has no share left; a granting node is found
 # within it.
@@ -34,6 +36,7 @@
             request was already counted.
         residence: regions in which its data may be processed.
         version: software version that began its answer; None for a new answer.
+        is_resumable: whether its answer is a stream that can be resumed.
     """
 
     service: str
@@ -49,6 +52,7 @@
     limit: RequestLimit | None = None
     residence: Residence = ANYWHERE
     version: SoftwareVersion | None = None
+    is_resumable: bool = False
 
 
 class SendResult(Enum):
@@ -66,10 +70,12 @@
     Attributes:
         state: state of the instance.
         granted: whether a granting node selected it instead of this gateway.
+        sequence: number of the placement, as in :class:`StreamOrigin`.
     """
 
     state: InstanceState
     granted: bool
+    sequence: int = field(default=0, kw_only=True)
 
 
 class NoSlotError(Exception):
@@ -111,6 +117,30 @@
             OverLimitError: The tenant's request limit is reached.
         """
 
+    @abstractmethod
+    async def find_origin(self, request_id: str, service: str) -> OriginReport:
+        """Return what is known of the software that began the stream of a request.
+
+        Args:
+            request_id: the request that brought the stream's first event.
+            service: service of the route.
+        """
+
+    @abstractmethod
+    def stream_begun(
+        self, request_id: str, decision: PlacementDecision, was_placed_before: bool
+    ) -> None:
+        """Record that the first event of a resumable stream has come.
+
+        Called before the caller receives the event, so that a caller can only resume streams whose
+        origin is recorded.
+
+        Args:
+            request_id: the request.
+            decision: where it was sent.
+            was_placed_before: whether it had been placed elsewhere, where it brought no event.
+        """
+
     @abstractmethod
     def is_granter_reachable(self, service: str, residence: Residence) -> bool:
         """Whether a granting node of the service in the allowed regions is reachable."""
@@ -129,6 +159,7 @@
 
     def __init__(self, selector: BackendSelector) -> None:
         self._selector = selector
+        self._origins = StreamOrigins()
 
     async def place(self, request: PlacementRequest) -> PlacementDecision | None:
         """Return where to send a request, or None if there is no back end.
@@ -157,6 +188,19 @@
             raise NoSlotError(RETRY_AFTER_COLD_S)
         return None
 
+    async def find_origin(self, request_id: str, service: str) -> OriginReport:
+        """Return what this gateway knows of the software that began a stream."""
+        now = monotonic()
+        known = self._selector.known_versions(service, now)
+        return OriginReport(self._origins.find(request_id, now), known)
+
+    def stream_begun(
+        self, request_id: str, decision: PlacementDecision, was_placed_before: bool
+    ) -> None:
+        """Record the software that began a stream."""
+        software = decision.state.instance.software
+        self._origins.record(StreamOrigin(request_id, software), monotonic())
+
     def is_granter_reachable(self, service: str, residence: Residence) -> bool:
         """Return False: local placement has no granting node."""
         return False
--- a/src/wharfcart/routing/request_log.py
+++ b/src/wharfcart/routing/request_log.py
@@ -7,6 +7,7 @@
 from wharfcart.routing.backend_selection import BackendSelector, InstanceState
 from wharfcart.routing.caller_request import CallerRequest
 from wharfcart.routing.eligibility import ExclusionReason
+from wharfcart.routing.origin_resolution import OriginDecision, OriginReport
 from wharfcart.routing.placement import PlacementDecision
 from wharfcart.routing.request_progress import RequestProgress
 
@@ -81,6 +82,25 @@
             after_event=progress.last_event,
         )
 
+    def origin_decided(
+        self, request: CallerRequest, report: OriginReport, decision: OriginDecision
+    ) -> None:
+        """Log which software a resumed stream goes on at, and what the decision rests on."""
+        self._metrics.stream_origins.add(decision.evidence.value)
+        self._log.write(
+            Event.STREAM_ORIGIN,
+            request=request.facts.request_id,
+            origin_request=request.facts.origin_request,
+            resume_after=request.facts.resume_after,
+            evidence=decision.evidence.value,
+            service=None if decision.software is None else decision.software.service,
+            version=None if decision.software is None else decision.software.version,
+            known_versions=sorted(report.known.versions),
+            known_s=round(report.known.known_s, 1),
+            asked=report.asked,
+            answered=report.answered,
+        )
+
     def avoided(self, state: InstanceState, cause: str, seconds: float) -> None:
         """Log that a back end is avoided for a time."""
         self._log.write(
--- a/src/wharfcart/routing/request_progress.py
+++ b/src/wharfcart/routing/request_progress.py
@@ -16,6 +16,7 @@
     Attributes:
         tried_instances: ids of instances that it was sent to.
         placed: whether it was placed before and so counts towards its tenant's limit.
+        placements: number of placements.
         sends: number of sends, without those that provably did not run.
         refusals: number of refusals by back ends that did not run it.
         connect_failures: number of failed connects.
@@ -34,6 +35,7 @@
 
     tried_instances: set[str] = field(default_factory=set)
     placed: bool = False
+    placements: int = 0
     sends: int = 0
     refusals: int = 0
     connect_failures: int = 0
--- a/src/wharfcart/routing/sender.py
+++ b/src/wharfcart/routing/sender.py
@@ -127,7 +127,7 @@
         send_id = self._selector.record_sent(state, monotonic(), request.unread_tokens)
         try:
             return await self._connect_and_send(
-                request, sink, progress, state, send_id, monotonic()
+                request, sink, progress, decision, send_id, monotonic()
             )
         finally:
             self._selector.record_finished(state, send_id)
@@ -138,10 +138,11 @@
         request: CallerRequest,
         sink: AnswerSink,
         progress: RequestProgress,
-        state: InstanceState,
+        decision: PlacementDecision,
         send_id: int,
         placed_at: float,
     ) -> SendFailure | None:
+        state = decision.state
         instance = state.instance
         try:
             connection = await self._pool.acquire(
@@ -175,7 +176,7 @@
             self._pool.release(instance, connection)
             raise TimeoutError
         try:
-            failure = await self._exchange(request, sink, progress, state, connection, send_id)
+            failure = await self._exchange(request, sink, progress, decision, connection, send_id)
         except ConnectionBrokenError as error:
             self._pool.discard(instance, connection)
             if not error.sent:
@@ -236,10 +237,11 @@
         request: CallerRequest,
         sink: AnswerSink,
         progress: RequestProgress,
-        state: InstanceState,
+        decision: PlacementDecision,
         connection: HttpConnection,
         send_id: int,
     ) -> SendFailure | None:
+        state = decision.state
         version = state.instance.version  # an entry may change while the answer is read
         connection.send(
             request.method,
@@ -274,7 +276,7 @@
         if not http_headers.is_signed(head) and head.status < 300:
             raise ConnectionBrokenError("answer is not signed")
         if request.route.kind is RouteKind.STREAM and head.status < 300:
-            await self._forward_stream(request, sink, progress, version, connection, head)
+            await self._forward_stream(request, sink, progress, decision, version, connection, head)
             return None
         return await self._forward_whole(request, sink, progress, connection, head)
 
@@ -305,6 +307,7 @@
         request: CallerRequest,
         sink: AnswerSink,
         progress: RequestProgress,
+        decision: PlacementDecision,
         version: SoftwareVersion,
         connection: HttpConnection,
         head: ResponseHead,
@@ -320,6 +323,10 @@
             if splitter is not None:
                 part, is_event_missing = _take_new_events(splitter, part, request, progress)
             if part:
+                if progress.version is None and request.is_resumable:
+                    self._placement.stream_begun(
+                        request.facts.request_id, decision, progress.placements > 1
+                    )
                 progress.version = version
                 await self._ensure_started(request, sink, progress, head)
                 await sink.send_part(part)
--- a/src/wharfcart/slots/events.py
+++ b/src/wharfcart/slots/events.py
@@ -12,6 +12,7 @@
 
 from wharfcart.configuration.instances import SoftwareVersion
 from wharfcart.configuration.residence import ANYWHERE, Residence
+from wharfcart.routing.stream_origins import StreamOrigin
 from wharfcart.slots.urgency import Urgency
 
 HolderId = NewType("HolderId", str)
@@ -106,11 +107,16 @@
 
 @dataclass(frozen=True, slots=True)
 class SessionOpened:
-    """A holder opens a session and reports every slot that it has taken."""
+    """A holder opens a session and reports every slot that it has taken.
+
+    Attributes:
+        origins: origins of recent streams, with their ages in seconds.
+    """
 
     session: SessionKey
     zone: str
     uses: tuple[SlotUse, ...] = ()
+    origins: tuple[tuple[float, StreamOrigin], ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,6 +142,8 @@
         request_id: the caller's id of the request.
         residence: regions where the request's data may be processed.
         version: software version that began its answer; None for a new answer.
+        origin_sequence: sequence of the origin to record with the grant; 0 if the answer is no
+            stream that can be resumed.
     """
 
     session: SessionKey
@@ -152,6 +160,7 @@
     request_id: str = ""
     residence: Residence = ANYWHERE
     version: SoftwareVersion | None = None
+    origin_sequence: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -228,6 +237,14 @@
     tenant: str
 
 
+@dataclass(frozen=True, slots=True)
+class StreamBegun:
+    """A stream began at software that the granting node did not grant."""
+
+    session: SessionKey
+    origin: StreamOrigin
+
+
 SlotEvent = (
     SessionOpened
     | SessionClosed
@@ -239,6 +256,7 @@
     | ItemsWaiting
     | ItemStarted
     | SentWithoutPermit
+    | StreamBegun
 )
 
 # ---- instructions ----
--- a/src/wharfcart/slots/granted_placement.py
+++ b/src/wharfcart/slots/granted_placement.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Collection
 from dataclasses import dataclass
+from itertools import count
 
 from wharfcart.clock import monotonic
 from wharfcart.cluster.messages_pb2 import SlotGrant
@@ -9,6 +10,7 @@
 from wharfcart.configuration.residence import Residence
 from wharfcart.observability.decisions import Counter
 from wharfcart.routing.backend_selection import BackendSelector
+from wharfcart.routing.origin_resolution import OriginReport
 from wharfcart.routing.placement import (
     LocalPlacement,
     NoSlotError,
@@ -19,8 +21,11 @@
     SendResult,
 )
 from wharfcart.routing.running_quantile import RunningQuantile
-from wharfcart.slots.events import RequestMode, RunResult, SlotRequested, SlotUse
+from wharfcart.routing.stream_origins import StreamOrigin
+from wharfcart.slots.events import RequestMode, RunResult, SlotRequested, SlotUse, StreamBegun
 from wharfcart.slots.group_order import RequestStep, order_groups, order_groups_by_affinity
+from wharfcart.slots.origin_keepers import select_keepers
+from wharfcart.slots.origin_lookup import OriginLookup
 from wharfcart.slots.permit_relays import PermitRelays
 from wharfcart.slots.permits import Permit
 from wharfcart.slots.session import HeldSlot, SlotSession
@@ -72,6 +77,8 @@
         self._relays = relays
         self._local = LocalPlacement(selector)
         self._first_byte_by_route: dict[str, RunningQuantile] = {}
+        self._sequence = count(1)
+        self._origin_lookup = OriginLookup(selector, sessions)
 
     async def place(self, request: PlacementRequest) -> PlacementDecision | None:
         """Return where to send a request; None if there is no back end.
@@ -93,6 +100,35 @@
         await permit.obtain()
         return await self._place_locally(request)
 
+    async def find_origin(self, request_id: str, service: str) -> OriginReport:
+        """Return what this gateway and other nodes know of the software that began a stream."""
+        return await self._origin_lookup.find(request_id, service)
+
+    def stream_begun(
+        self, request_id: str, decision: PlacementDecision, was_placed_before: bool
+    ) -> None:
+        """Record the software that began a stream, and report it unless a grant has done so.
+
+        Granting nodes at which the request was placed before may have recorded other software; all
+        of them learn the right one.
+        """
+        now = monotonic()
+        origin = StreamOrigin(request_id, decision.state.instance.software, decision.sequence)
+        keepers = []
+        if decision.granted and isinstance(decision, PlacedInSlot):
+            keepers = [decision.slot.group]
+        if was_placed_before or not keepers:
+            available = [session.group for session in self._sessions.available()]
+            if not was_placed_before:
+                available = select_keepers(request_id, available)
+            for group in available:
+                session = self._sessions.by_group[group]
+                session.send(StreamBegun(session.key, origin))
+            keepers += available
+            if not available:
+                self._sessions.report_origin(origin)
+        self._sessions.origin_keepers.record(origin, keepers, now)
+
     def is_granter_reachable(self, service: str, residence: Residence) -> bool:
         """Whether a node that grants slots of a service in a residence is available."""
         return bool(self._sessions.available_capacities(service, residence))
@@ -157,6 +193,7 @@
             request_id=request.request_id,
             residence=request.residence,
             version=request.version,
+            origin_sequence=next(self._sequence) if request.is_resumable else 0,
         )
 
     def _connected_of(self, group: int, service: str) -> frozenset[str]:
@@ -190,7 +227,7 @@
         ):
             session.release(slot.number)
             return None
-        return PlacedInSlot(state, True, slot)
+        return PlacedInSlot(state, True, slot, sequence=slot_request.origin_sequence)
 
     async def _place_locally(self, request: PlacementRequest) -> PlacementDecision | None:
         placed = await self._local.place(request)
@@ -201,7 +238,9 @@
         if session is None:
             return placed
         use = SlotUse(session.new_number(), instance_id, request.unread_tokens)
-        return PlacedInSlot(placed.state, False, session.take_without_grant(use))
+        return PlacedInSlot(
+            placed.state, False, session.take_without_grant(use), sequence=next(self._sequence)
+        )
 
     def _first_byte_s(self, route_name: str) -> RunningQuantile:
         return self._first_byte_by_route.setdefault(
--- a/src/wharfcart/slots/granter.py
+++ b/src/wharfcart/slots/granter.py
@@ -15,6 +15,7 @@
 from wharfcart.configuration.residence import ANYWHERE, Residence
 from wharfcart.routing.backend_selection import BackendSelector, InstanceState, select_by_affinity
 from wharfcart.routing.send_rates import SendRates
+from wharfcart.routing.stream_origins import StreamOrigin, StreamOrigins
 from wharfcart.slots.events import (
     BackendFailureReported,
     Granted,
@@ -40,6 +41,7 @@
     SlotRequested,
     SlotTaken,
     SlotUse,
+    StreamBegun,
 )
 from wharfcart.slots.group_backends import GroupBackends
 from wharfcart.slots.ledger import SlotLedger, TakenSlot
@@ -98,11 +100,13 @@
         selector: state of all back ends.
         owns: whether this node grants the slots of a back end.
         is_leadership_confirmed: whether no other node can grant yet.
+        origins: software that began recent streams.
     """
 
     selector: BackendSelector
     owns: Callable[[BackendInstance], bool]
     is_leadership_confirmed: Callable[[], bool] = lambda: True
+    origins: StreamOrigins = field(default_factory=StreamOrigins)
     _ledger: SlotLedger = field(default_factory=SlotLedger)
     _queue: SlotQueue = field(default_factory=SlotQueue)
     _request_by_queue_number: dict[int, SlotRequested] = field(default_factory=dict)
@@ -149,6 +153,9 @@
             case ItemStarted():
                 self._start_item(event)
                 return []
+            case StreamBegun():
+                self.origins.record(event.origin, now)
+                return []
         return self._assign_free_slots(now)
 
     def tick(self, now: float) -> list[SlotInstruction]:
@@ -212,6 +219,8 @@
         if previous is not None:
             self._close(previous)
         self._ledger.open(event.session, event.zone, event.uses, now)
+        for age_s, origin in event.origins:
+            self.origins.record(origin, now - age_s)
         next_numbers = [use.number + 1 for use in event.uses if use.number >= FIRST_OFFER_NUMBER]
         self._next_offer = max([self._next_offer, *next_numbers])
 
@@ -300,6 +309,10 @@
         self._backends.record_grant(use.instance_id)
         self._ledger.take(request.session, use, now)
         self._rates.record(request.service, now)
+        if request.origin_sequence:
+            software = state.instance.software
+            origin = StreamOrigin(request.request_id, software, request.origin_sequence)
+            self.origins.record(origin, now)
         instructions.append(Granted(request.session, request.number, use.instance_id))
         return instructions
 
--- a/src/wharfcart/slots/messages.py
+++ b/src/wharfcart/slots/messages.py
@@ -5,8 +5,10 @@
 
 from wharfcart.admission.tenant_limits import PermittedSend, TenantUsage
 from wharfcart.cluster import messages_pb2 as pb
-from wharfcart.configuration.instances import SoftwareVersion
+from wharfcart.configuration.instances import BackendSoftware, SoftwareVersion
 from wharfcart.configuration.residence import residence_from_message, residence_to_message
+from wharfcart.routing.stream_origins import StreamOrigin
+from wharfcart.routing.version_history import KnownVersions
 from wharfcart.slots.events import (
     BackendFailureReported,
     ItemStarted,
@@ -22,6 +24,7 @@
     SlotRequested,
     SlotTaken,
     SlotUse,
+    StreamBegun,
 )
 from wharfcart.slots.snapshot import BackendLoad, ServiceCapacity, SlotSnapshot
 from wharfcart.slots.urgency import Urgency
@@ -33,6 +36,7 @@
     RunResult.BACKEND_OK: pb.GOOD,
     RunResult.BACKEND_FAILED: pb.BAD,
 }
+MAX_UINT32 = 2**32 - 1
 _RESULTS_BY_VALUE = {value: result for result, value in _RESULTS.items()}
 
 
@@ -130,6 +134,40 @@
     return TenantUsage(message.tenant, message.count)
 
 
+def origin_to_message(origin: StreamOrigin, age_s: float = 0.0) -> pb.StreamOrigin:
+    """Convert the origin of a stream to a message."""
+    return pb.StreamOrigin(
+        request_id=origin.request_id,
+        service=origin.software.service,
+        version=origin.software.version,
+        sequence=origin.sequence,
+        age_ms=_milliseconds(age_s),
+    )
+
+
+def origin_from_message(message: pb.StreamOrigin) -> StreamOrigin:
+    """Convert a message to the origin of a stream."""
+    software = BackendSoftware(message.service, SoftwareVersion(message.version))
+    return StreamOrigin(message.request_id, software, message.sequence)
+
+
+def origin_answer_to_message(
+    origin: StreamOrigin | None, known: KnownVersions
+) -> pb.StreamOriginAnswer:
+    """Convert what a node knows of a stream to a message."""
+    return pb.StreamOriginAnswer(
+        origin=None if origin is None else origin_to_message(origin),
+        versions=sorted(known.versions),
+        known_ms=min(MAX_UINT32, _milliseconds(known.known_s)),
+    )
+
+
+def known_versions_from_message(message: pb.StreamOriginAnswer) -> KnownVersions:
+    """Convert a message to the versions of a service that a node knows."""
+    versions = frozenset(SoftwareVersion(version) for version in message.versions)
+    return KnownVersions(versions, message.known_ms / 1000)
+
+
 def request_to_message(
     group: int, request: SlotRequested, tenant: str, now: float
 ) -> pb.SlotRequest:
@@ -159,6 +197,7 @@
         tenant=tenant,
         residence=residence_to_message(request.residence),
         version=request.version,
+        origin_sequence=request.origin_sequence,
     )
 
 
@@ -179,6 +218,7 @@
         request_id=message.request_id,
         residence=residence_from_message(message),
         version=SoftwareVersion(message.version) if message.HasField("version") else None,
+        origin_sequence=message.origin_sequence,
     )
 
 
@@ -208,6 +248,8 @@
             return pb.SlotEvent(begun=pb.BegunItem(number=event.number, urgency=urgency))
         case SentWithoutPermit():
             return pb.SlotEvent(sent_unasked=event.tenant)
+        case StreamBegun():
+            return pb.SlotEvent(stream_begun=origin_to_message(event.origin))
     raise TypeError(f"no message for {type(event).__name__}")
 
 
@@ -236,6 +278,8 @@
             return ItemStarted(session, SlotNumber(message.begun.number), urgency)
         case "sent_unasked":
             return SentWithoutPermit(session, message.sent_unasked)
+        case "stream_begun":
+            return StreamBegun(session, origin_from_message(message.stream_begun))
     raise ValueError("slot event message has no known event")
 
 
--- a/src/wharfcart/slots/service.py
+++ b/src/wharfcart/slots/service.py
@@ -12,12 +12,14 @@
 from wharfcart.admission.tenant_limits import TenantLimitCoordinator
 from wharfcart.clock import monotonic
 from wharfcart.cluster.messages_pb2 import (
+    FindStreamOrigin,
     Frame,
     ItemLeave,
     ItemOffer,
     OpenSlotSession,
     PermitAnswer,
     PermitRequest,
+    ReportStreamOrigin,
     SlotEvents,
     SlotGrant,
     SlotNews,
@@ -30,6 +32,7 @@
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.observability.serving_metrics import Gauge
 from wharfcart.routing.backend_selection import BackendSelector
+from wharfcart.routing.stream_origins import StreamOrigins
 from wharfcart.slots.events import (
     Granted,
     HolderId,
@@ -49,6 +52,8 @@
 from wharfcart.slots.granter import SlotGranter
 from wharfcart.slots.messages import (
     event_from_message,
+    origin_answer_to_message,
+    origin_from_message,
     request_from_message,
     send_from_message,
     snapshot_to_message,
@@ -155,6 +160,7 @@
         self._limits = TenantLimitCoordinator(limit_of, monotonic())
         self._permit_only_sessions: dict[HolderId, _PermitOnlySession] = {}
         self._granter: SlotGranter | None = None
+        self._origins = StreamOrigins()
         self._outboxes: dict[SessionKey, _Outbox] = {}
         self._answers: dict[tuple[SessionKey, SlotNumber], asyncio.Future[SlotInstruction]] = {}
         self._same_zone_sent_at = 0.0
@@ -176,7 +182,7 @@
 
     def new_granter(self) -> SlotGranter:
         """Return the granter of a new leadership."""
-        return SlotGranter(self._selector, self._owns, self._is_leadership_confirmed)
+        return SlotGranter(self._selector, self._owns, self._is_leadership_confirmed, self._origins)
 
     def end(self) -> None:
         """Stop granting, as another node grants now."""
@@ -223,7 +229,10 @@
         self._outboxes[key] = outbox
         uses = tuple(use_from_message(use) for use in message.uses)
         limits = self._open_limits(message)
-        self._apply(granter, SessionOpened(key, message.zone, uses))
+        origins = tuple(
+            (origin.age_ms / 1000, origin_from_message(origin)) for origin in message.origins
+        )
+        self._apply(granter, SessionOpened(key, message.zone, uses, origins))
         load_snapshot = granter.snapshot(monotonic())
         if outbox.distance is Distance.OTHER_REGION:
             load_snapshot = load_snapshot.for_other_region()
@@ -301,6 +310,18 @@
             if not sent and self._granter is granter:
                 self._apply(granter, SlotReleased(key, request.number))
 
+    async def serve_find_origin(self, message: FindStreamOrigin, respond: Respond) -> None:
+        """Answer a gateway's request for the software that began a stream."""
+        now = monotonic()
+        origin = self._origins.find(message.request_id, now)
+        known = self._selector.known_versions(message.service, now)
+        answer = origin_answer_to_message(origin, known)
+        await respond(Frame(stream_origin_answer=answer, last=True))
+
+    def record_origin(self, message: ReportStreamOrigin) -> None:
+        """Record the software that began a stream, for a gateway without a session."""
+        self._origins.record(origin_from_message(message.origin), monotonic())
+
     async def serve_permit(self, message: PermitRequest, respond: Respond) -> None:
         """Answer a gateway's request for a permit for one more request of a tenant."""
         key = SessionKey(HolderId(message.holder), message.session)
--- a/src/wharfcart/slots/session.py
+++ b/src/wharfcart/slots/session.py
@@ -15,6 +15,7 @@
 from wharfcart.clock import monotonic
 from wharfcart.cluster.address import Address
 from wharfcart.cluster.messages_pb2 import (
+    FindStreamOrigin,
     Frame,
     OpenSlotSession,
     PermitAnswer,
@@ -22,11 +23,13 @@
     SlotEvents,
     SlotGrant,
     SlotNews,
+    StreamOriginAnswer,
     TenantUsage,
 )
 from wharfcart.cluster.transport import PeerUnreachableError, TrafficClass, Transport
 from wharfcart.errors import ServingError
 from wharfcart.observability.decisions import DecisionLog, Event
+from wharfcart.routing.stream_origins import StreamOrigin
 from wharfcart.slots.events import (
     SESSION_ORIGIN_BITS,
     HolderId,
@@ -42,6 +45,7 @@
 )
 from wharfcart.slots.messages import (
     event_to_message,
+    origin_to_message,
     request_to_message,
     send_to_message,
     snapshot_from_message,
@@ -62,6 +66,7 @@
 BACKUP_TIMEOUT_S = 0.15
 # Of the check whether another node grants now.
 ADDRESS_CHECK_INTERVAL_S = 0.1
+ORIGIN_LOOKUP_ERRORS = (TimeoutError, PeerUnreachableError, ServingError)
 # Mean of a random delay.
 REOPEN_DELAY_S = 0.1
 
@@ -89,8 +94,8 @@
     gateways: int
 
 
-class LimitReports(Protocol):
-    """What a holder reports to a limit coordinator."""
+class HolderReports(Protocol):
+    """What a holder reports to a granting node or a limit coordinator."""
 
     def sends_of(self, group: int) -> list[PermittedSend]:
         """Return the holder's recent requests of the tenants that a group coordinates."""
@@ -100,6 +105,10 @@
         """Return the last usage that a coordinator of these tenants reported."""
         ...
 
+    def origins_of(self, group: int) -> list[tuple[float, StreamOrigin]]:
+        """Return origins of the holder's streams that a group keeps, with ages in seconds."""
+        ...
+
     @property
     def own_address(self) -> str:
         """Address for other gateways; '' if the holder is not a gateway."""
@@ -130,7 +139,7 @@
         address: current address of a group's node, or None.
         listener: receives updates.
         log: receives when the node is found and lost.
-        limit_reports: reports to the limit coordinator.
+        reports: what the holder reports when it opens a session.
         limits_only: the session is with a backup coordinator, for permits only.
 
     Attributes:
@@ -151,7 +160,7 @@
         address: Callable[[int], Address | None],
         listener: SlotUpdateListener,
         log: DecisionLog,
-        limit_reports: LimitReports,
+        reports: HolderReports,
         limits_only: bool = False,
     ) -> None:
         self.group = group
@@ -161,7 +170,7 @@
         self._address = address
         self._listener = listener
         self._log = log
-        self._limit_reports = limit_reports
+        self._reports = reports
         self._limits_only = limits_only
         self._uses_by_number: dict[SlotNumber, SlotUse] = {}
         self._next_number = 1
@@ -292,6 +301,19 @@
         self._record_contact()
         return answer.permit_answer if self.key == key else None
 
+    async def find_origin(self, request_id: str, service: str) -> StreamOriginAnswer | None:
+        """Request the software that began a stream; None if the node does not respond."""
+        address = self._open_address
+        if address is None:
+            return None
+        try:
+            answer = await request_origin(self._transport, address, self.group, request_id, service)
+        except ORIGIN_LOOKUP_ERRORS:
+            self._pause()
+            return None
+        self._record_contact()
+        return answer
+
     def _record_contact(self) -> None:
         self.last_contact_at = monotonic()
         self.failing = False
@@ -328,7 +350,7 @@
         self._session += 1
         self._unsent.clear()
         self._opening = True
-        last_usage = self._limit_reports.reported_usage(self.group)
+        last_usage = self._reports.reported_usage(self.group)
         frame = Frame(
             open_slot_session=OpenSlotSession(
                 group=self.group,
@@ -336,7 +358,7 @@
                 session=self._session,
                 zone=self._zone,
                 uses=[use_to_message(use) for use in self._uses_by_number.values()],
-                sends=[send_to_message(send) for send in self._limit_reports.sends_of(self.group)],
+                sends=[send_to_message(send) for send in self._reports.sends_of(self.group)],
                 usage=[
                     TenantUsage(tenant=tenant, count=count)
                     for tenant, count in last_usage.by_tenant.items()
@@ -344,7 +366,11 @@
                 usage_age_ms=int((monotonic() - last_usage.received_at) * 1000),
                 gateways_heard=last_usage.gateways,
                 limits_only=self._limits_only,
-                address=self._limit_reports.own_address,
+                address=self._reports.own_address,
+                origins=[
+                    origin_to_message(origin, age_s)
+                    for age_s, origin in self._reports.origins_of(self.group)
+                ],
             )
         )
         answers = self._transport.stream(address, frame, TrafficClass.SLOTS)
@@ -422,3 +448,17 @@
             group=self.group, holder=self._holder, session=self._session, events=events
         )
         self._transport.send(address, Frame(slot_events=message), TrafficClass.SLOTS)
+
+
+async def request_origin(
+    transport: Transport, address: Address, group: int, request_id: str, service: str
+) -> StreamOriginAnswer:
+    """Request the software that began a stream from a storage node.
+
+    Raises:
+        TimeoutError, PeerUnreachableError, ServingError: the node does not respond.
+    """
+    lookup = FindStreamOrigin(group=group, request_id=request_id, service=service)
+    async with asyncio.timeout(GRANT_TIMEOUT_S + transport.round_trip_s(address)):
+        answer = await transport.call(address, Frame(find_stream_origin=lookup), TrafficClass.SLOTS)
+    return answer.stream_origin_answer
--- a/src/wharfcart/slots/sessions.py
+++ b/src/wharfcart/slots/sessions.py
@@ -6,13 +6,23 @@
 from wharfcart.admission.tenant_limits import PermittedSend, SendHistory
 from wharfcart.clock import monotonic
 from wharfcart.cluster.address import Address
-from wharfcart.cluster.transport import Transport
+from wharfcart.cluster.messages_pb2 import Frame, ReportStreamOrigin, StreamOriginAnswer
+from wharfcart.cluster.transport import TrafficClass, Transport
 from wharfcart.configuration.residence import ANYWHERE, Residence
 from wharfcart.observability.decisions import DecisionLog
 from wharfcart.observability.tasks import BackgroundTasks
 from wharfcart.routing.backend_selection import BackendSelector
+from wharfcart.routing.stream_origins import StreamOrigin
 from wharfcart.slots.events import HolderId, ResponsivenessChanged
-from wharfcart.slots.session import ReportedUsage, SlotSession, SlotUpdateListener
+from wharfcart.slots.messages import origin_to_message
+from wharfcart.slots.origin_keepers import OriginKeepers, select_keepers
+from wharfcart.slots.session import (
+    ORIGIN_LOOKUP_ERRORS,
+    ReportedUsage,
+    SlotSession,
+    SlotUpdateListener,
+    request_origin,
+)
 from wharfcart.slots.snapshot import ServiceCapacity
 from wharfcart.storage.job_residence import hash_to_group
 
@@ -42,6 +52,7 @@
         own_address: address for other gateways; '' if the holder is not a gateway.
         by_group: sessions with the granting nodes, by group.
         sends: recent requests of the holder, by tenant.
+        origin_keepers: origins of the holder's streams, and the groups that keep them.
     """
 
     def __init__(
@@ -76,6 +87,7 @@
         self._unresponsive_sent_in: dict[int, int] = {}  # session by group
         self.by_group: dict[int, SlotSession] = {}
         self.sends = SendHistory()
+        self.origin_keepers = OriginKeepers()
 
     async def run(self) -> None:
         """Keep all sessions open until cancelled."""
@@ -92,6 +104,42 @@
         """Whether the sessions with all granting nodes are open."""
         return bool(self.by_group) and all(session.is_open for session in self.by_group.values())
 
+    def available(self) -> list[SlotSession]:
+        """Return the sessions whose nodes can be sent a request now."""
+        now = monotonic()
+        return [session for session in self.by_group.values() if session.is_available(now)]
+
+    def replicas(self) -> list[tuple[Address, int]]:
+        """Return the other replicas' addresses of groups, each address with one of its groups."""
+        groups_by_address: dict[Address, int] = {}
+        if self._backups is not None:
+            for group in self.by_group:
+                groups_by_address |= dict.fromkeys(self._backups(group), group)
+        return list(groups_by_address.items())
+
+    def report_origin(self, origin: StreamOrigin) -> None:
+        """Report the software that began a stream to storage nodes, without a session."""
+        group_by_address = dict(self.replicas())
+        for group in self.by_group:
+            address = self._address(group)
+            if address is not None:
+                group_by_address[address] = group
+        for address in select_keepers(origin.request_id, group_by_address):
+            report = ReportStreamOrigin(
+                group=group_by_address[address], origin=origin_to_message(origin)
+            )
+            frame = Frame(report_stream_origin=report)
+            self._transport.send(address, frame, TrafficClass.SLOTS)
+
+    async def find_origin_at_replica(
+        self, address: Address, group: int, request_id: str, service: str
+    ) -> StreamOriginAnswer | None:
+        """Request the software that began a stream; None if the replica does not respond."""
+        try:
+            return await request_origin(self._transport, address, group, request_id, service)
+        except ORIGIN_LOOKUP_ERRORS:
+            return None
+
     def of_instance(self, instance_id: str) -> SlotSession | None:
         """Return the session with the node that grants a back end's slots, open or not."""
         group = self.group_of(instance_id)
@@ -162,6 +210,10 @@
         recent = self.sends.recent(monotonic())
         return [send for send in recent if self._coordinator_group(send.tenant) == group]
 
+    def origins_of(self, group: int) -> list[tuple[float, StreamOrigin]]:
+        """Return the holder's streams that a group keeps the origin of, or that lack a keeper."""
+        return self.origin_keepers.take_for(group, monotonic())
+
     def reported_usage(self, group: int) -> ReportedUsage:
         """Return the usage that the coordinator or its backup reported last."""
         sessions = [self.by_group[group], self._backup_sessions.get(group)]
--- a/tests/routing/test_software_versions.py
+++ b/tests/routing/test_software_versions.py
@@ -1,6 +1,7 @@
 """Streams go on at the software version that began them, in one answer and over several tries."""
 
 import asyncio
+import random
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 from functools import partial
@@ -17,6 +18,7 @@
 )
 from tests.slots.network import SETTLE_S, Fleet, Holder, request
 from wharfcart.configuration.instances import BackendInstance
+from wharfcart.configuration.serving import TrafficShare
 from wharfcart.experiments.simulated_slots import VIRTUAL_CLOCK_MODULES
 from wharfcart.experiments.virtual_time import run_in_virtual_time, virtual_clock
 from wharfcart.routing.backend_selection import BackendSelector
@@ -27,6 +29,8 @@
     ("v1", "v1", "v1", "v2", "v2", "v2"),
     ("v1", "v1", "v2", "v2", "v3", "v3", "v3"),
 )
+# Of the streams that callers resume; new ones all begin here.
+RESUMED_SHARE = 0.9
 ROUTING_CLOCK_MODULES = (
     "wharfcart.routing.forwarder",
     "wharfcart.routing.sender",
@@ -53,6 +57,7 @@
         self.versions = versions
         super().__init__()
         self.rng = Random(seed)
+        random.seed(seed)  # of the sessions' random delays
 
     def new_selector(self, zone: str = "z") -> BackendSelector:
         selector = BackendSelector(zone, self.rng)
@@ -200,3 +205,166 @@
         assert asyncio.get_running_loop().time() - began_at < 0.1
 
     play(partial(VersionedFleet, ("v1", "v2")), scenario)
+
+
+async def resume(fleet: VersionedFleet, gateway: StreamGateway) -> StreamCaller:
+    """Resume the stream that q1 began after its second event."""
+    caller = StreamCaller()
+    await gateway.request("q2", caller, 1, "q1")
+    return caller
+
+
+# Guards against an origin that is lost with the granting node, or that only its gateway knew.
+@pytest.mark.parametrize("loss", ["leader_moved", "local_choice", "local_choice_before_session"])
+def test_the_origin_of_a_stream_is_known_elsewhere_after_a_loss(loss: str) -> None:
+    mixed = []
+
+    async def scenario(fleet: VersionedFleet) -> None:
+        first_holder, first = await fleet.stream_gateway("a")
+        second_holder, second = await fleet.stream_gateway("b")
+        before = StreamCaller()
+        address = fleet.leader.address
+        if loss == "local_choice":
+            first_holder.sessions.by_group[0].request_slot = refuse  # type: ignore[method-assign]
+        if loss == "local_choice_before_session":
+            fleet.network.break_connection("a", fleet.leader)
+            fleet.network.unreachable.add(address)
+            await asyncio.sleep(0)
+        await leave_midway(first, "q1", before)
+        fleet.network.unreachable.clear()
+        await asyncio.sleep(2.0)
+        if loss == "leader_moved":
+            fleet.change_leader()
+            await asyncio.sleep(2.0)
+        fleet.kill(first_holder)
+        await asyncio.sleep(SETTLE_S)
+        await fleet.take_slots(second_holder)
+        after = await resume(fleet, second)
+        assert len(before.versions + after.versions) == EVENTS_PER_STREAM
+        if len(set(before.versions + after.versions)) > 1:
+            mixed.append(before.versions + after.versions)
+
+    for seed in range(20):
+        play(partial(VersionedFleet, VERSION_MIXES[0], seed), scenario)
+    assert mixed == []
+
+
+async def refuse(*_arguments: object) -> None:
+    """Stand in for a granting node that grants nothing."""
+
+
+# Guards against a record of a back end that brought no event: the stream began elsewhere.
+def test_a_request_that_was_placed_twice_has_the_origin_of_its_first_event() -> None:
+    async def scenario(fleet: VersionedFleet) -> None:
+        first_holder, first = await fleet.stream_gateway("a")
+        _, second = await fleet.stream_gateway("b")
+        first.pool.refuses = {"i0"}
+        before = StreamCaller()
+        await leave_midway(first, "q1", before)
+        assert set(before.versions) == {"v2"}
+        fleet.kill(first_holder)
+        await asyncio.sleep(SETTLE_S)
+        after = await resume(fleet, second)
+        assert set(after.versions) == {"v2"}
+
+    play(partial(VersionedFleet, ("v1", "v2")), scenario)
+
+
+# Guards against a guess where no node knows which version began a stream, and against a caller that
+# waits for it.
+def test_a_stream_of_unknown_origin_is_refused_at_once() -> None:
+    async def scenario(fleet: VersionedFleet) -> None:
+        _, gateway = await fleet.stream_gateway("a")
+        began_at = asyncio.get_running_loop().time()
+        caller = await resume(fleet, gateway)
+        assert (caller.status, caller.versions) == (503, [])
+        assert float(caller.headers["retry-after"]) > 0
+        assert asyncio.get_running_loop().time() - began_at < 0.1
+        assert gateway.pool.used == []
+
+    play(partial(VersionedFleet, ("v1", "v2")), scenario)
+
+
+# Guards against streams that are given up without need: one version leaves nothing to guess.
+def test_a_stream_of_unknown_origin_goes_on_at_the_only_version() -> None:
+    async def scenario(fleet: VersionedFleet) -> None:
+        _, gateway = await fleet.stream_gateway("a")
+        caller = await resume(fleet, gateway)
+        assert len(caller.versions) == EVENTS_PER_STREAM - 2
+
+    play(partial(VersionedFleet, ("v1", "v1")), scenario)
+
+
+# Guards against a gateway that takes the only version that it has seen for the only one there was.
+def test_a_gateway_that_has_just_started_asks_for_other_versions() -> None:
+    async def scenario(fleet: VersionedFleet) -> None:
+        holder, _ = await fleet.stream_gateway("a")
+        now = asyncio.get_running_loop().time()
+        fleet.leader.selector.remove("i0", now)
+        holder.selector = BackendSelector("z", fleet.rng)
+        fresh = StreamGateway(holder.selector, holder.placement)
+        holder.placement._origin_lookup._selector = holder.selector
+        holder.selector.put(backend("i1", "v2"), now)
+        caller = await resume(fleet, fresh)
+        assert (caller.status, caller.versions) == (503, [])
+
+    play(partial(VersionedFleet, ("v1", "v2")), scenario)
+
+
+# Guards against a stream that goes on at another service than the one that began it.
+def test_a_stream_whose_service_is_no_longer_routed_is_refused() -> None:
+    async def scenario(fleet: VersionedFleet) -> None:
+        _, gateway = await fleet.stream_gateway("a")
+        before, after = StreamCaller(), StreamCaller()
+        await leave_midway(gateway, "q1", before)
+        moved = replace(ROUTE, shares=(TrafficShare("other", 1.0),))
+        await gateway.request("q2", after, 1, "q1", service="other", route=moved)
+        assert (after.status, after.versions) == (503, [])
+
+    play(partial(VersionedFleet, ("v1", "v2")), scenario)
+
+
+# Guards against mixed streams and against resumptions that are given up: random versions, losses
+# of gateways, moves of the granting node and tries of tries, beside a plain list of who wrote what.
+@pytest.mark.parametrize("seed", range(30))
+def test_resumed_streams_go_on_at_their_version_under_random_losses(seed: int) -> None:
+    counts = {"resumed": 0, "went_on": 0}
+
+    async def scenario(fleet: VersionedFleet) -> None:
+        rng = Random(f"{seed} losses")
+        fleet.backups = fleet.nodes
+        gateways = [await fleet.stream_gateway(f"g{n}") for n in range(4)]
+        for number in range(12):
+            request_id = f"{number}-0"
+            caller = StreamCaller()
+            holder, gateway = rng.choice(gateways)
+            await fleet.take_slots(holder)
+            await leave_midway(gateway, request_id, caller)
+            received = caller.versions
+            for retry in range(1, 4):
+                match rng.randrange(4):
+                    case 0 if len(gateways) > 2:
+                        gateways.remove((holder, gateway))
+                        fleet.kill(holder)
+                    case 1:
+                        fleet.change_leader()
+                await asyncio.sleep(rng.choice([0.01, 1.0]))
+                holder, gateway = rng.choice(gateways)
+                caller = StreamCaller()
+                leaves = rng.random() < 0.5
+                try_id = f"{number}-{retry}"
+                coroutine = gateway.request(try_id, caller, len(received) - 1, request_id)
+                task = asyncio.create_task(coroutine)
+                while not task.done() and not (leaves and caller.versions):
+                    await asyncio.sleep(0.001)
+                task.cancel()
+                await asyncio.wait((task,))
+                counts["resumed"] += 1
+                counts["went_on"] += bool(caller.versions)
+                received = received + caller.versions
+                if len(received) == EVENTS_PER_STREAM:
+                    break
+            assert len(set(received)) == 1, (number, received)
+
+    play(partial(VersionedFleet, VERSION_MIXES[seed % len(VERSION_MIXES)], seed), scenario)
+    assert counts["went_on"] >= RESUMED_SHARE * counts["resumed"]
--- a/tests/routing/versioned_backends.py
+++ b/tests/routing/versioned_backends.py
@@ -9,7 +9,12 @@
 from wharfcart.backends.connection_pool import ConnectionPool
 from wharfcart.configuration.instances import BackendInstance, SoftwareVersion
 from wharfcart.configuration.serving import Route, RouteKind, TrafficShare
-from wharfcart.http.connection import ConnectionBrokenError, HttpConnection, ResponseHead
+from wharfcart.http.connection import (
+    ConnectFailedError,
+    ConnectionBrokenError,
+    HttpConnection,
+    ResponseHead,
+)
 from wharfcart.observability.decisions import DecisionLog
 from wharfcart.observability.serving_metrics import ServingMetrics
 from wharfcart.platform import names
@@ -52,15 +57,19 @@
 
     Attributes:
         breaks: whether the next run breaks, given its instance.
+        refuses: ids of instances that can't be connected to.
         used: instances that were sent a request, in order.
     """
 
     breaks: Callable[[BackendInstance], bool] = lambda _instance: False
+    refuses: set[str] = field(default_factory=set)
     used: list[BackendInstance] = field(default_factory=list)
 
     async def acquire(
         self, instance: BackendInstance, limit: int, force_new: bool = False
     ) -> HttpConnection:
+        if instance.instance_id in self.refuses:
+            raise ConnectFailedError("refused", refused=True)
         return _VersionedConnection(instance, self)
 
     def release(self, instance: BackendInstance, connection: HttpConnection) -> None:
@@ -162,11 +171,12 @@
         resume_after: int | None = None,
         origin_request: str = "",
         service: str = SERVICE,
+        route: Route = ROUTE,
     ) -> None:
         """Forward a request of a resumable stream to the end of its answer."""
         facts = RequestMetadata(request_id, None, (), 0, resume_after, origin_request)
         headers = [("host", "h")]
-        request = CallerRequest("POST", "/x", headers, b"", facts, ROUTE, service, monotonic())
+        request = CallerRequest("POST", "/x", headers, b"", facts, route, service, monotonic())
         try:
             await self.forwarder.forward(request, caller)
         except AnswerTruncatedError:
--- a/tests/slots/network.py
+++ b/tests/slots/network.py
@@ -8,7 +8,7 @@
 from typing import cast
 
 from wharfcart.cluster.address import Address
-from wharfcart.cluster.messages_pb2 import Frame, SlotEvents
+from wharfcart.cluster.messages_pb2 import Frame
 from wharfcart.cluster.topology import Distance
 from wharfcart.cluster.transport import PeerUnreachableError, TrafficClass, Transport
 from wharfcart.configuration.instances import BackendInstance
@@ -122,6 +122,8 @@
             work = service.serve_request(frame.slot_request, answer)
         elif frame.WhichOneof("body") == "permit_request":
             work = service.serve_permit(frame.permit_request, answer)
+        elif frame.WhichOneof("body") == "find_stream_origin":
+            work = service.serve_find_origin(frame.find_stream_origin, answer)
         else:
             work = service.serve_session(frame.open_slot_session, answer)
         task = asyncio.create_task(work)
@@ -151,18 +153,22 @@
 
     def send(self, address: Address, frame: Frame, _traffic: TrafficClass) -> None:
         """Send the events of a session in order."""
-        events = Frame.FromString(frame.SerializeToString()).slot_events
+        sent = Frame.FromString(frame.SerializeToString())
         key = (self._holder, address)
         previous = self._sent.get(key)
-        self._sent[key] = asyncio.create_task(self._deliver(address, events, previous))
+        self._sent[key] = asyncio.create_task(self._deliver(address, sent, previous))
 
     async def _deliver(
-        self, address: Address, events: SlotEvents, previous: asyncio.Task[None] | None
+        self, address: Address, frame: Frame, previous: asyncio.Task[None] | None
     ) -> None:
         await self._network.reach(address)
         if previous is not None:
             await previous
-        self._network.nodes[address].service.handle_events(events)
+        service = self._network.nodes[address].service
+        if frame.WhichOneof("body") == "report_stream_origin":
+            service.record_origin(frame.report_stream_origin)
+        else:
+            service.handle_events(frame.slot_events)
 
     def round_trip_s(self, address: Address) -> float:
         return self._network.round_trip_s
