Items: a text holds events of one software version

Cause: a leader sent the number of a text's last event to whatever server it was offered; texts in memory, on replicas and on disk named no version.

Change: a text names the version that wrote it (with its first part only, so that later parts cost nothing more). At a server of another version the item begins anew, in a term of its own, so that no replica, disk or late message joins the two texts (design 0018). Files of earlier builds name no version; their texts begin anew at a named one. An item waits for a slot of its version, reported and offered as such, for at most as long as repeating its events takes, then begins anew wherever it is offered a slot; at once if its version has gone. Logged (item_started: version, text_version) and counted.

--- a/src/wharfcart/batch/item_run.py
+++ b/src/wharfcart/batch/item_run.py
@@ -54,6 +54,8 @@
         last_instance_id: back end of the last attempt, or ''.
         attempts: number of attempts under this leader.
         run_time_s: total duration of the attempts under this leader.
+        restart_at: monotonic time from which the item begins anew at another software version
+            instead of waiting for its own; None while it does not wait.
     """
 
     partial_text: ItemPartialText
@@ -61,6 +63,7 @@
     last_instance_id: str = ""
     attempts: int = 0
     run_time_s: float = 0.0
+    restart_at: float | None = None
     _fingerprint: RequestFingerprint | None = None
 
     def fingerprint_of(self, item: RequestItem, host: str, tenant: str) -> RequestFingerprint:
@@ -222,6 +225,7 @@
         if attempt.tenant:
             headers = http_headers.without_api_key(headers)
         attempt.progress.attempts += 1
+        attempt.progress.partial_text.continue_at(attempt.state.instance.version)
         connection.send(
             ITEM_METHOD,
             item.path,
--- a/src/wharfcart/batch/job_execution.py
+++ b/src/wharfcart/batch/job_execution.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Collection, Iterator
 from functools import partial
 from itertools import islice
 from time import time
@@ -20,6 +20,7 @@
 from wharfcart.batch.run_estimate import RunEstimate
 from wharfcart.clock import monotonic
 from wharfcart.cluster.messages_pb2 import ItemOutcome, RequestItem, RequestJob
+from wharfcart.configuration.instances import SoftwareVersion
 from wharfcart.configuration.residence import Residence, residence_from_message
 from wharfcart.configuration.serving import Route, ServingConfiguration
 from wharfcart.observability.decisions import DecisionLog, Event
@@ -49,6 +50,12 @@
 DELETION_INTERVAL_S = 5.0
 
 
+NO_DEMAND = ItemDemand(0, 0, Urgency(0.0, 0.0))
+
+# Service, residence and version of waiting items.
+DemandKey = tuple[str, Residence, SoftwareVersion | None]
+
+
 class JobExecution:
     """Execution of one group's jobs on the group's leader.
 
@@ -88,7 +95,7 @@
         self._scheduler = JobScheduler(group.partial_texts)
         self._placed = PlacedItems()
         self._estimates_by_service: dict[str, RunEstimate] = {}
-        self._reported_demand: set[tuple[str, Residence]] = set()
+        self._reported_demand: set[DemandKey] = set()
         self._tasks = BackgroundTasks()
         self._wake_up = asyncio.Event()
         self._next_deletion_at = 0.0
@@ -152,11 +159,15 @@
         """Return the first item that may start at a back end, by the due times of the jobs."""
         now = monotonic()
         instance_id = state.instance.instance_id
+        served = self._served_versions(service, now)
         for scheduled in self._jobs_by_due_time(service):
             residence = self._residence_of(scheduled.job)
             if self._selector.eligibility.exclusion_reason(state.instance, residence) is not None:
                 continue
             for item in self._startable_items(scheduled, now):
+                version = self._awaited_version(scheduled, item, service, served, now)
+                if version not in (None, state.instance.version):
+                    continue
                 if instance_id not in self._excluded_instances(scheduled, item, service, now):
                     return scheduled, item
         return None
@@ -202,18 +213,56 @@
         usable = self._selector.usable_instances(service, now, excluded, residence=residence)
         return excluded if usable else set()
 
+    def _served_versions(self, service: str, now: float) -> frozenset[SoftwareVersion]:
+        """Return the software versions of the back ends that accept items."""
+        accepting = self._selector.accepting_instances(service, now)
+        return frozenset(state.instance.version for state in accepting)
+
+    def _awaited_version(
+        self,
+        scheduled: ScheduledJob,
+        item: RequestItem,
+        service: str,
+        served: Collection[SoftwareVersion],
+        now: float,
+    ) -> SoftwareVersion | None:
+        """Return the version that an item waits for; None if it may run at any.
+
+        An item with a text goes on at the version that wrote it. It begins anew once that version
+        has gone, or once it has waited for as long as the repeated events take.
+        """
+        progress = scheduled.progress_of(item.item_id)
+        text = progress.partial_text
+        if not text.texts or text.version not in served:
+            return None
+        if progress.restart_at is None:
+            repeat_s = self._estimate(service).repeat_s(
+                len(text.texts), scheduled.job.objective_s, progress.run_time_s
+            )
+            progress.restart_at = now + repeat_s
+        return text.version if now < progress.restart_at else None
+
     def _report_demand(self) -> None:
-        """Report waiting items to the granting nodes, by service and residence."""
-        current_demand = {
+        """Report waiting items to the granting nodes, by service, residence and version."""
+        current_demand: dict[DemandKey, ItemDemand] = {}
+        for service, residence in {
             (service, self._residence_of(scheduled.job))
             for scheduled in self._scheduler.jobs_with_waiting_items()
             if (service := self._service_of(scheduled.job))
-        }
-        for service, residence in current_demand | self._reported_demand:
-            self._slots.report_demand(service, self._demand(service, residence), residence)
-        self._reported_demand = current_demand
+        }:
+            for version, demand in self._demands(service, residence).items():
+                current_demand[service, residence, version] = demand
+        for key in self._reported_demand | current_demand.keys():
+            service, residence, version = key
+            self._slots.report_demand(
+                service, current_demand.get(key, NO_DEMAND), residence, version
+            )
+        self._reported_demand = set(current_demand)
 
-    def _demand(self, service: str, residence: Residence) -> ItemDemand:
+    def _demands(
+        self, service: str, residence: Residence
+    ) -> dict[SoftwareVersion | None, ItemDemand]:
+        """Return the waiting items by the version that they wait for."""
         now = monotonic()
         startable = (
             (scheduled, item)
@@ -221,9 +270,18 @@
             if self._residence_of(scheduled.job) == residence
             for item in self._startable_items(scheduled, now)
         )
-        found = list(islice(startable, MAX_COUNTED_ITEMS))
+        served = self._served_versions(service, now)
+        found: dict[SoftwareVersion | None, list[tuple[ScheduledJob, RequestItem]]] = {None: []}
+        for scheduled, item in islice(startable, MAX_COUNTED_ITEMS):
+            version = self._awaited_version(scheduled, item, service, served, now)
+            found.setdefault(version, []).append((scheduled, item))
+        return {version: self._demand_of(items, service, now) for version, items in found.items()}
+
+    def _demand_of(
+        self, found: list[tuple[ScheduledJob, RequestItem]], service: str, now: float
+    ) -> ItemDemand:
         if not found:
-            return ItemDemand(0, 0, Urgency(0.0, 0.0))
+            return NO_DEMAND
         urgencies = [self._urgency(scheduled, item, service) for scheduled, item in found]
         excluded: set[str] = set()
         if len(found) <= MAX_ITEMS_FOR_EXCLUSION:
@@ -331,6 +389,8 @@
         self, scheduled: ScheduledJob, item: RequestItem, state: InstanceState, slot: ItemSlot
     ) -> None:
         urgency = self._urgency(scheduled, item, slot.service)
+        text = scheduled.progress_of(item.item_id).partial_text
+        scheduled.progress_of(item.item_id).restart_at = None
         self._scheduler.start_item(scheduled, item)
         placed = PlacedItem(
             scheduled, item, state, self._selector.record_sent(state, monotonic()), slot
@@ -345,8 +405,9 @@
             backend=state.instance.instance_id,
             version=state.instance.version,
             group=slot.group,
-            after_event=scheduled.progress_of(item.item_id).partial_text.last_event,
-            text_spans=scheduled.progress_of(item.item_id).partial_text.spans,
+            after_event=text.last_event,
+            text_version=text.version if text.texts else None,
+            text_spans=text.spans,
             due_in_s=round(urgency.until_due_s, 2),
             slack_s=round(urgency.slack_s, 2),
         )
@@ -355,6 +416,7 @@
         scheduled, item = placed.scheduled, placed.item
         progress = scheduled.progress_of(item.item_id)
         started_at = monotonic()
+        restarts = progress.partial_text.restarts
         backend_result = RunResult.UNKNOWN
         try:
             outcome = await self._attempt_item(placed, progress)
@@ -367,6 +429,8 @@
             return
         finally:
             progress.run_time_s += monotonic() - started_at
+            if progress.partial_text.restarts != restarts:
+                self._metrics.items_restarted.add(placed.slot.service)
             scheduled.running.discard(item.item_id)
             self._placed.remove(placed)
             self._slots.release(placed.slot, backend_result)
--- a/src/wharfcart/batch/run_estimate.py
+++ b/src/wharfcart/batch/run_estimate.py
@@ -56,6 +56,17 @@
                 events - self.mean_events
             )
 
+    def repeat_s(self, events_done: int, objective_s: float, run_time_s: float = 0.0) -> float:
+        """Return the estimated run time that is lost if an item begins anew.
+
+        The arguments are those of :meth:`remaining_s`.
+        """
+        if self.seconds_per_event:
+            return events_done * self.seconds_per_event
+        # Of an item that an earlier leader ran, the run time is unknown.
+        planned_s = objective_s * DEFAULT_SHARE_OF_OBJECTIVE
+        return max(run_time_s, planned_s * MIN_REMAINING_SHARE)
+
     def remaining_s(self, events_done: int, objective_s: float, run_time_s: float = 0.0) -> float:
         """Return the estimated remaining run time of an item, without interruptions.
 
--- a/src/wharfcart/experiments/simulated_runs.py
+++ b/src/wharfcart/experiments/simulated_runs.py
@@ -7,6 +7,7 @@
 import xxhash
 
 from wharfcart.cluster.messages_pb2 import ItemOutcome
+from wharfcart.configuration.instances import SoftwareVersion
 from wharfcart.storage.job_group import JobGroup
 from wharfcart.storage.job_leadership import JobLeadership
 from wharfcart.storage.partial_texts import ItemPartialText
@@ -19,6 +20,8 @@
 FAILED_SHARE = 0.02
 MIN_EVENTS = 2
 MAX_EVENTS = 12
+# Software versions of the back ends, one of which a run is at.
+VERSIONS = (SoftwareVersion("v1"), SoftwareVersion("v2"))
 
 
 def event_count_of(item_id: str) -> int:
@@ -29,7 +32,8 @@
 def find_text_fault(events: Sequence[str]) -> str:
     """Return what is wrong with the events of an item's text, or an empty string.
 
-    Each event has its position and follows the events that its run has sent or was asked to skip.
+    Each event has its position and follows the events that its run has sent or was asked to skip,
+    at the same software version.
     """
     run_before = ""
     preceding = xxhash.xxh32()
@@ -41,11 +45,17 @@
             return f"joined at position {position}: {list(events)}"
         if digest != preceding.hexdigest():
             return f"another text before position {position}: {list(events)}"
+        if run_before and _version_of(run) != _version_of(run_before):
+            return f"two versions at position {position}: {list(events)}"
         run_before = run
         preceding.update(event.encode())
     return ""
 
 
+def _version_of(run: str) -> str:
+    return run.rpartition("@")[2]
+
+
 @dataclass
 class RunCounts:
     """Numbers of runs that went on with a text.
@@ -60,14 +70,21 @@
 
 
 class Run:
-    """One run of an item, which goes on after the events that are known when it begins."""
+    """One run of an item at a version, which goes on after the events that are known there."""
 
-    def __init__(self, name: str, record: ReplicatedJob, text: ItemPartialText) -> None:
+    def __init__(
+        self,
+        name: str,
+        record: ReplicatedJob,
+        text: ItemPartialText,
+        version: SoftwareVersion,
+    ) -> None:
+        text.continue_at(version)
         self.record = record
         self.text = text
         self.next_step_at = 0.0
         self.position = len(text.texts)
-        self._prefix = f"{name}/{self.position}"
+        self._prefix = f"{name}@{version}/{self.position}"
         self._preceding = xxhash.xxh32("".join(text.texts).encode())
 
     def add_event(self) -> None:
@@ -126,7 +143,9 @@
         text = self._group.partial_texts.get_or_create(
             record.job.job_id, item_id, record.submission
         )
-        self._runs[item_id] = Run(f"{self._name}.{self._run_count}", record, text)
+        # Drawn apart, so that seeds kept from earlier builds play the same runs.
+        version = random.Random(f"{self._name}.{self._run_count}").choice(VERSIONS)
+        self._runs[item_id] = Run(f"{self._name}.{self._run_count}", record, text, version)
         self._counts.resumed += bool(text.texts)
         self._counts.inherited += text.last_epoch not in (NO_EPOCH, self.leadership.epoch)
 
--- a/src/wharfcart/observability/serving_metrics.py
+++ b/src/wharfcart/observability/serving_metrics.py
@@ -8,6 +8,7 @@
 from prometheus_client import Histogram as PrometheusHistogram
 
 # Bounds the number of time series.
+MAX_SERVICE_LABELS = 100
 MAX_TENANT_LABELS = 300
 OTHER_LABELS = "(others)"
 MAX_ZONE_LABELS = 64
@@ -146,6 +147,14 @@
         self.items_preempted = self._counter(
             "wharfcart_items_yielded", "Items that left a slot for online requests", "cause"
         )
+        self.items_restarted = BoundedCounter(
+            self._counter(
+                "wharfcart_items_restarted",
+                "Items that began anew at another software version than their text's",
+                "service",
+            ),
+            MAX_SERVICE_LABELS,
+        )
         self.requests_waiting = self._gauge(
             "wharfcart_requests_waiting", "Requests that wait for a slot, at the node that grants"
         )
--- a/src/wharfcart/slots/events.py
+++ b/src/wharfcart/slots/events.py
@@ -208,6 +208,7 @@
         excluded: instances that none of the items can use.
         offers_seen: offers for such items that the holder received earlier in this session.
         residence: regions where the items' data may be processed.
+        version: software version that began their texts; None for items without a text.
     """
 
     session: SessionKey
@@ -218,6 +219,7 @@
     excluded: frozenset[str] = frozenset()
     offers_seen: int = 0
     residence: Residence = ANYWHERE
+    version: SoftwareVersion | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -299,13 +301,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ItemOffered:
-    """A slot is reserved for a batch item of a residence; the leader chooses the item."""
+    """A slot is reserved for a batch item of a residence and version; the leader chooses it."""
 
     session: SessionKey
     number: SlotNumber
     service: str
     instance_id: str
     residence: Residence = ANYWHERE
+    version: SoftwareVersion | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wharfcart/slots/granter.py
+++ b/src/wharfcart/slots/granter.py
@@ -10,9 +10,10 @@
 
 from collections.abc import Callable, Collection, Iterator
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from wharfcart.configuration.instances import BackendInstance
-from wharfcart.configuration.residence import ANYWHERE, Residence
+from wharfcart.configuration.residence import ANYWHERE
 from wharfcart.routing.backend_selection import BackendSelector, InstanceState, select_by_affinity
 from wharfcart.routing.send_rates import SendRates
 from wharfcart.routing.stream_origins import StreamOrigin, StreamOrigins
@@ -62,13 +63,23 @@
 FIRST_OFFER_NUMBER = 1 << 40
 
 
-# The session, the service and the residence of waiting items.
-DemandKey = tuple[SessionKey, str, Residence]
+class DemandKey(NamedTuple):
+    """Which items of a holder wait, and which back ends they may use.
+
+    Attributes:
+        session: session of the holder.
+        service: service that runs the items.
+        backends: which back ends of the service they may use.
+    """
+
+    session: SessionKey
+    service: str
+    backends: QueueKey
 
 
 @dataclass
 class _Demand:
-    """Items of one holder and one residence that wait for one service.
+    """Items of one holder that wait for the same back ends of one service.
 
     Attributes:
         reported: the last report of the holder.
@@ -230,9 +241,9 @@
         for key, waiting in list(self._waiting_by_slot.items()):
             if key[0] == session:
                 self._dequeue(key, waiting)
-        for demand in [key for key in self._demands if key[0] == session]:
+        for demand in [key for key in self._demands if key.session == session]:
             del self._demands[demand]
-        for offers in [key for key in self._offer_counts if key[0] == session]:
+        for offers in [key for key in self._offer_counts if key.session == session]:
             del self._offer_counts[offers]
 
     def _record_taken(self, event: SlotTaken, now: float) -> None:
@@ -383,7 +394,8 @@
     # ---- batch items ----
 
     def _update_demand(self, event: ItemsWaiting, now: float) -> None:
-        key = (event.session, event.service, event.residence)
+        backends = QueueKey(event.residence, event.version)
+        key = DemandKey(event.session, event.service, backends)
         if not self._ledger.is_open(event.session):
             return
         if event.count <= 0:
@@ -397,22 +409,23 @@
         self._ledger.item_started(event.session, event.number, event.urgency)
 
     def _offer_to_items(self, now: float) -> Iterator[SlotInstruction]:
-        for service in {service for _, service, _ in self._demands}:
+        for service in {key.service for key in self._demands}:
             while (offer := self._next_item_offer(service, now)) is not None:
                 yield offer
 
     def _next_item_offer(self, service: str, now: float) -> ItemOffered | None:
         """Offer a free slot to the items due first, unless it is reserved for online requests."""
         for key, demand in self._demands_in_order(service, now):
-            residence = key[2]
-            candidates = self._backends.accepting(
-                self._backends.candidates(service, residence, now), now
-            )
+            usable = self._usable(service, key.backends, now)
+            candidates = self._backends.accepting(usable, now)
             free = [state for state in candidates if self._backends.has_free_slot(state)]
             if not free:
                 continue
             warm = [state for state in free if not self.selector.is_cold(state, now)]
-            if self._reserved_for_online(service, residence, free, now) and not demand.has_urgent:
+            if (
+                self._reserved_for_online(service, key.backends, free, now)
+                and not demand.has_urgent
+            ):
                 continue
             state = self._least_costly(warm, demand.reported.excluded, now)
             if state is None and demand.has_urgent:
@@ -422,7 +435,7 @@
         return None
 
     def _reserved_for_online(
-        self, service: str, residence: Residence, free: list[InstanceState], now: float
+        self, service: str, backends: QueueKey, free: list[InstanceState], now: float
     ) -> bool:
         """Whether free slots are reserved for online requests, from items that are not urgent.
 
@@ -430,16 +443,16 @@
         """
         free_ids = {state.instance.instance_id for state in free}
         for key in self._queue.keys(service):
-            usable = self._backends.candidates(service, key.residence, now, version=key.version)
+            usable = self._usable(service, key, now)
             if any(state.instance.instance_id in free_ids for state in usable):
                 return True
-        return not self._worth_starting(service, residence, now)
+        return not self._worth_starting(service, backends, now)
 
     def _demands_in_order(self, service: str, now: float) -> list[tuple[DemandKey, _Demand]]:
         waiting = [
             (key, demand)
             for key, demand in self._demands.items()
-            if key[1] == service and demand.count > 0
+            if key.service == service and demand.count > 0
         ]
 
         def order(entry: tuple[DemandKey, _Demand]) -> tuple[bool, float]:
@@ -457,7 +470,7 @@
     def _offer(
         self, key: DemandKey, demand: _Demand, state: InstanceState, now: float
     ) -> ItemOffered:
-        session, service, residence = key
+        session, service, backends = key
         number = SlotNumber(self._next_offer)
         self._next_offer += 1
         use = SlotUse(number, state.instance.instance_id, item=demand.current_urgency(now))
@@ -465,12 +478,16 @@
         self._ledger.take(session, use, now)
         demand.offered += 1
         self._offer_counts[key] = self._offer_counts.get(key, 0) + 1
-        return ItemOffered(session, number, service, use.instance_id, residence)
+        return ItemOffered(session, number, service, use.instance_id, *backends)
+
+    def _usable(self, service: str, key: QueueKey, now: float) -> list[InstanceState]:
+        return self._backends.candidates(service, key.residence, now, version=key.version)
 
-    def _worth_starting(self, service: str, residence: Residence, now: float) -> bool:
+    def _worth_starting(self, service: str, backends: QueueKey, now: float) -> bool:
         """Whether online requests probably leave a slot free until a start has paid off."""
         needed_soon = self._rates.rates(now).get(service, 0.0) * RESTART_COST_S
-        return self._backends.free_slots(service, residence, now) >= 1 + needed_soon
+        free_slots = self._backends.free_slots(self._usable(service, backends, now), now)
+        return free_slots >= 1 + needed_soon
 
     def _preempt_excess_items(self, now: float) -> Iterator[SlotInstruction]:
         """Preempt items at back ends that have more runs than slots."""
@@ -496,7 +513,7 @@
         return ServiceCapacity(
             service,
             sum(state.instance.slots for state in candidates),
-            self._backends.free_slots(service, ANYWHERE, now),
+            self._backends.free_slots(candidates, now),
             preemptible,
             self._queue.count(service),
         )
--- a/src/wharfcart/slots/group_backends.py
+++ b/src/wharfcart/slots/group_backends.py
@@ -6,7 +6,7 @@
 This module does no I/O; callers pass in the time in seconds.
 """
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 
 from wharfcart.configuration.instances import BackendInstance, SoftwareVersion
@@ -172,11 +172,9 @@
         """Whether a back end has a free slot."""
         return self.ledger.in_use(state.instance.instance_id) < state.instance.slots
 
-    def free_slots(self, service: str, residence: Residence, now: float) -> int:
-        """Return how many requests of a residence a service can take now."""
-        return sum(
-            self._free_slots_of(state, now) for state in self.candidates(service, residence, now)
-        )
+    def free_slots(self, candidates: Iterable[InstanceState], now: float) -> int:
+        """Return how many requests some back ends can take now."""
+        return sum(self._free_slots_of(state, now) for state in candidates)
 
     def _free_slots_of(self, state: InstanceState, now: float) -> int:
         """Return how many requests a back end can take now."""
--- a/src/wharfcart/slots/item_slots.py
+++ b/src/wharfcart/slots/item_slots.py
@@ -6,6 +6,7 @@
 
 from wharfcart.clock import monotonic
 from wharfcart.cluster.messages_pb2 import SlotNews
+from wharfcart.configuration.instances import SoftwareVersion
 from wharfcart.configuration.residence import ANYWHERE, Residence, residence_from_message
 from wharfcart.slots.events import (
     BackendFailureReported,
@@ -16,6 +17,7 @@
     SlotNumber,
     SlotUse,
 )
+from wharfcart.slots.messages import version_from_message
 from wharfcart.slots.session import HeldSlot, SlotUpdateListener
 from wharfcart.slots.sessions import SlotSessions
 from wharfcart.slots.snapshot import ServiceCapacity, SlotSnapshot
@@ -54,8 +56,8 @@
     excluded: frozenset[str] = frozenset()
 
 
-# Group, service and residence of a reported demand.
-_DemandKey = tuple[int, str, Residence]
+# Group, service, residence and version of a reported demand.
+_DemandKey = tuple[int, str, Residence, SoftwareVersion | None]
 
 
 @dataclass(frozen=True)
@@ -124,18 +126,28 @@
     # ---- reports of the leader ----
 
     def report_demand(
-        self, service: str, demand: ItemDemand, residence: Residence = ANYWHERE
+        self,
+        service: str,
+        demand: ItemDemand,
+        residence: Residence = ANYWHERE,
+        version: SoftwareVersion | None = None,
     ) -> None:
-        """Report waiting items of a residence, divided over the granting nodes.
+        """Report waiting items, divided over the granting nodes.
 
         Groups that grant no slots in the regions of the residence get no report.
+
+        Args:
+            service: service that runs the items.
+            demand: the items.
+            residence: regions where their data may be processed.
+            version: software version that began their texts; None for items that can begin.
         """
         capacities = self.sessions.reported_capacities(service, residence)
         remote = frozenset(group for group in capacities if self._is_remote(group))
         for group, count in divide_items(demand.count, capacities, remote).items():
             urgent = min(count, demand.urgent_count)
             part = ItemDemand(count, urgent, demand.first_urgency, demand.excluded)
-            self._send_demand(group, service, residence, part)
+            self._send_demand((group, service, residence, version), part)
 
     def report_started(self, slot: ItemSlot, urgency: Urgency) -> None:
         """Report that an item runs in a slot, with its urgency."""
@@ -171,7 +183,8 @@
     def item_updates_received(self, group: int, updates: SlotNews) -> None:
         """Pass on slot offers and preemptions."""
         for offer in updates.offers:
-            key = (group, offer.service, residence_from_message(offer))
+            residence, version = residence_from_message(offer), version_from_message(offer)
+            key = (group, offer.service, residence, version)
             self._offers_seen[key] = self._offers_seen.get(key, 0) + 1
             number = SlotNumber(offer.number)
             self.on_offer(ItemSlot(group, number, offer.service, offer.instance_id))
@@ -181,11 +194,9 @@
 
     # ---- inner ----
 
-    def _send_demand(
-        self, group: int, service: str, residence: Residence, demand: ItemDemand
-    ) -> None:
+    def _send_demand(self, key: _DemandKey, demand: ItemDemand) -> None:
         now = monotonic()
-        key = (group, service, residence)
+        group, service, residence, version = key
         offers_seen = self._offers_seen.get(key, 0)
         last = self._reported.get(key)
         if last is None and not demand.count:
@@ -204,6 +215,7 @@
                 demand.excluded,
                 offers_seen,
                 residence,
+                version,
             )
         )
 
--- a/src/wharfcart/slots/messages.py
+++ b/src/wharfcart/slots/messages.py
@@ -134,6 +134,13 @@
     return TenantUsage(message.tenant, message.count)
 
 
+def version_from_message(
+    message: pb.SlotRequest | pb.WaitingItems | pb.ItemOffer,
+) -> SoftwareVersion | None:
+    """Return the software version that a message demands, or None."""
+    return SoftwareVersion(message.version) if message.HasField("version") else None
+
+
 def origin_to_message(origin: StreamOrigin, age_s: float = 0.0) -> pb.StreamOrigin:
     """Convert the origin of a stream to a message."""
     return pb.StreamOrigin(
@@ -217,7 +224,7 @@
         priority=message.priority,
         request_id=message.request_id,
         residence=residence_from_message(message),
-        version=SoftwareVersion(message.version) if message.HasField("version") else None,
+        version=version_from_message(message),
         origin_sequence=message.origin_sequence,
     )
 
@@ -292,6 +299,7 @@
         excluded=event.excluded,
         offers_seen=event.offers_seen,
         residence=residence_to_message(event.residence),
+        version=event.version,
     )
 
 
@@ -305,6 +313,7 @@
         excluded=frozenset(message.excluded),
         offers_seen=message.offers_seen,
         residence=residence_from_message(message),
+        version=version_from_message(message),
     )
 
 
--- a/src/wharfcart/slots/service.py
+++ b/src/wharfcart/slots/service.py
@@ -421,6 +421,7 @@
                         service=instruction.service,
                         instance_id=instruction.instance_id,
                         residence=residence_to_message(instruction.residence),
+                        version=instruction.version,
                     )
                     self._send_updates(instruction.session, SlotNews(offers=[offer]))
                 case ItemPreempted():
--- a/src/wharfcart/storage/partial_texts.py
+++ b/src/wharfcart/storage/partial_texts.py
@@ -7,6 +7,9 @@
 it, and a leader only appends, so that two copies whose events at one position have the same epoch
 are equal up to that position. A part names the epoch of the event before it. A copy with another
 event there refuses the part; the sender then sends the whole text.
+
+A text has events of one software version. Where an item begins anew at another one, its leader
+adds events in a new term, which differs from all earlier epochs, so that no copy joins the texts.
 """
 
 from collections.abc import Iterable, Mapping
@@ -14,9 +17,12 @@
 from typing import NamedTuple
 
 from wharfcart.cluster.messages_pb2 import PartialText
+from wharfcart.configuration.instances import UNNAMED_VERSION, SoftwareVersion
 from wharfcart.storage.replicated_job import NO_EPOCH, NO_SUBMISSION, SubmissionId
 
 MAX_BYTES_PER_MESSAGE = 256 * 1024
+# Above the bits of epochs, which count changes of leader.
+RESTART_SHIFT = 48
 
 
 class ItemKey(NamedTuple):
@@ -37,7 +43,7 @@
 
     Attributes:
         start: number of events before the span.
-        epoch: epoch of the leader.
+        epoch: epoch of the leader; after a restart of the item, its term.
     """
 
     start: int
@@ -57,6 +63,8 @@
         texts: data of the events, in order.
         spans: epochs of the events, in order.
         failed_at: back-end instances that returned a failure, one entry per failure.
+        version: software version that wrote the events; texts of earlier builds have none.
+        restarts: how often the item began anew at another version under this node.
     """
 
     job_id: str
@@ -66,10 +74,25 @@
     texts: list[str] = field(default_factory=list)
     spans: list[EpochSpan] = field(default_factory=list)
     failed_at: list[str] = field(default_factory=list)
+    version: SoftwareVersion = UNNAMED_VERSION
+    restarts: int = 0
+
+    @property
+    def term(self) -> int:
+        """Epoch of the events that this node adds; it changes when the item begins anew."""
+        return self.leader_epoch | self.restarts << RESTART_SHIFT
+
+    def continue_at(self, version: SoftwareVersion) -> None:
+        """Let a version write the next events; drop the events of another version."""
+        if self.texts and version != self.version:
+            self._truncate(0)
+            self.last_event = None
+            self.restarts += 1
+        self.version = version
 
     def add_event(self, number: int, text: str) -> None:
         """Append the next event."""
-        self._append(self.leader_epoch, number, [text])
+        self._append(self.term, number, [text])
 
     def epoch_before(self, position: int) -> int:
         """Return the epoch of the event before a position; NO_EPOCH if there is none."""
@@ -94,6 +117,8 @@
         if self.epoch_before(start + len(texts)) != epoch:
             if start < len(self.texts):
                 self._truncate(start)
+            if start == 0:
+                self.version = SoftwareVersion(part.version)
             self._append(epoch, part.last_event, texts)
         return True
 
@@ -115,6 +140,7 @@
                     failed_at=self.failed_at or None,
                     epoch=span.epoch,
                     base_epoch=span.epoch if start > span.start else self.epoch_before(start),
+                    version="" if start else self.version,
                 )
                 parts.append(part)
             if span.start <= position:
--- a/tests/batch/test_job_execution.py
+++ b/tests/batch/test_job_execution.py
@@ -15,7 +15,7 @@
 from wharfcart.batch.job_execution import JobExecution
 from wharfcart.cluster.messages_pb2 import ItemOutcome, RequestItem, RequestJob
 from wharfcart.cluster.topology import RegionName, Topology
-from wharfcart.configuration.instances import BackendInstance
+from wharfcart.configuration.instances import BackendInstance, SoftwareVersion
 from wharfcart.configuration.residence import (
     ANYWHERE,
     Residence,
@@ -90,7 +90,7 @@
     def __init__(self, selector: BackendSelector) -> None:
         super().__init__()
         self.granter = SlotGranter(selector, lambda _instance: True)
-        self._offers: Counter[Residence] = Counter()
+        self._offers: Counter[tuple[Residence, SoftwareVersion | None]] = Counter()
         self._last_number = 0
         for key in (LEADER, GATEWAY):
             self.handle_event(SessionOpened(key, "z"))
@@ -100,7 +100,7 @@
         for instruction in self.granter.handle(event, loop.time()):
             match instruction:
                 case ItemOffered():
-                    self._offers[instruction.residence] += 1
+                    self._offers[instruction.residence, instruction.version] += 1
                     slot = ItemSlot(0, instruction.number, "s", instruction.instance_id)
                     loop.call_soon(self.on_offer, slot)
                 case ItemPreempted():
@@ -131,7 +131,11 @@
         self.handle_event(SlotReleased(GATEWAY, number))
 
     def report_demand(
-        self, service: str, demand: ItemDemand, residence: Residence = ANYWHERE
+        self,
+        service: str,
+        demand: ItemDemand,
+        residence: Residence = ANYWHERE,
+        version: SoftwareVersion | None = None,
     ) -> None:
         self.handle_event(
             ItemsWaiting(
@@ -141,8 +145,9 @@
                 demand.urgent_count,
                 demand.first_urgency,
                 demand.excluded,
-                self._offers[residence],
+                self._offers[residence, version],
                 residence,
+                version,
             )
         )
 
--- a/tests/routing/versioned_backends.py
+++ b/tests/routing/versioned_backends.py
@@ -59,11 +59,13 @@
         breaks: whether the next run breaks, given its instance.
         refuses: ids of instances that can't be connected to.
         used: instances that were sent a request, in order.
+        resumed_after: number of the last event that each of these requests named, or None.
     """
 
     breaks: Callable[[BackendInstance], bool] = lambda _instance: False
     refuses: set[str] = field(default_factory=set)
     used: list[BackendInstance] = field(default_factory=list)
+    resumed_after: list[int | None] = field(default_factory=list)
 
     async def acquire(
         self, instance: BackendInstance, limit: int, force_new: bool = False
@@ -89,7 +91,9 @@
 
     def send(self, *arguments: object) -> None:
         headers = dict(arguments[2])  # type: ignore[call-overload]
-        self._next_event = int(headers.get(names.LAST_EVENT_ID, "-1")) + 1
+        after = headers.get(names.LAST_EVENT_ID)
+        self._next_event = 0 if after is None else int(after) + 1
+        self._pool.resumed_after.append(None if after is None else int(after))
         self._pool.used.append(self._instance)
         self._break_at = None
         if self._pool.breaks(self._instance):
