Soak: releases of back-end software, and callers that resume streams

No stand-in, simulation or soak had a second software version, so that nothing could show a stream of two. Stand-in servers carry a version and name it in each event; what two versions write doesn't fit. One to three releases a run, forward or back, overlap with each other and with all faults; a crashed server may return under its id with the released version. Callers leave streams midway and resume them at any gateway, up to four times. Checked: no stream or text of two versions; while two servers of the version serve, resumptions go on at least half as often as new streams begin (the users' rule).

--- a/src/wharfcart/cli/soak.py
+++ b/src/wharfcart/cli/soak.py
@@ -48,6 +48,9 @@
         "requests": verdict.request_count,
         "answered": verdict.success_count,
         "jobs": verdict.job_count,
+        "streams_begun": round(verdict.resumed_shares[0], 2),
+        "resumptions_gone_on": round(verdict.resumed_shares[1], 2),
+        "resumptions": verdict.resumed_shares[2],
         "seconds": verdict.duration_s,
         "logs": None if verdict.logs_folder is None else str(verdict.logs_folder),
     }
--- a/src/wharfcart/emulator/model_server.py
+++ b/src/wharfcart/emulator/model_server.py
@@ -70,6 +70,7 @@
         event_interval_s: time between events, or until a complete body is sent.
         slot_count: requests that run at once.
         queue_size: requests that wait for a slot; the server refuses further ones.
+        version: version of its software.
 
     Attributes:
         started_at_ms: start time, in wall clock milliseconds.
@@ -90,8 +91,10 @@
         event_interval_s: float,
         slot_count: int = 8,
         queue_size: int = 8,
+        version: str = "v1",
     ) -> None:
         self.instance_id = instance_id
+        self.version = version
         self.started_at_ms = round(time() * 1000)
         self.runs: list[RunRecord] = []
         self.finished_by_id: Counter[str] = Counter()
@@ -135,7 +138,7 @@
             "backend": service,
             "address": self.server.address,
             "zone": zone,
-            "version": "v1",
+            "version": self.version,
             "slots": self._slot_count,
             "state": state,
             "warmupLeftMs": self.cold_ms,
@@ -233,7 +236,9 @@
             if number == cut_after:
                 await response.write(f"id: {number}\ndata: half an ev".encode())
                 drop_connection(request)
-            event = StreamEvent(run.request_id, number, run.number, run.first_event - 1)
+            event = StreamEvent(
+                run.request_id, number, run.number, run.first_event - 1, self.version
+            )
             await response.write(event.server_sent)
         await response.write_eof()
         self.finished_by_id[run.request_id] += 1
--- a/src/wharfcart/emulator/stream_events.py
+++ b/src/wharfcart/emulator/stream_events.py
@@ -1,16 +1,16 @@
 """Events of the emulated model servers' streams, and checks of texts that callers received.
 
-The data of an event name the run that sent it and the Last-Event-ID with which this run was
-requested, so that texts of different runs differ.
+The data of an event name the run that sent it, the Last-Event-ID with which this run was requested,
+and the software version of its server, so that texts of different runs and versions differ.
 """
 
 import re
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
 NO_LAST_EVENT_ID = -1
 
-_EVENT_DATA = re.compile(r"(.+)-(\d+) run (\d+) after (-?\d+)")
+_EVENT_DATA = re.compile(r"(.+)-(\d+) run (\d+) after (-?\d+) at (\S*)")
 _SERVER_SENT_EVENT = re.compile(r"id: (\d+)\ndata: (.*)")
 
 
@@ -23,15 +23,20 @@
         number: position in the stream, which is also the event's id.
         run_number: number of the run that sent the event.
         last_event_id: Last-Event-ID with which the run was requested, or NO_LAST_EVENT_ID.
+        version: software version of the server.
     """
 
     request_id: str
     number: int
     run_number: int = 0
     last_event_id: int = NO_LAST_EVENT_ID
+    version: str = ""
 
     def __str__(self) -> str:
-        return f"{self.request_id}-{self.number} run {self.run_number} after {self.last_event_id}"
+        return (
+            f"{self.request_id}-{self.number} run {self.run_number} after {self.last_event_id}"
+            f" at {self.version}"
+        )
 
     @property
     def server_sent(self) -> bytes:
@@ -44,8 +49,8 @@
         match = _EVENT_DATA.fullmatch(data)
         if match is None:
             return None
-        request_id, number, run_number, last_event_id = match.groups()
-        return cls(request_id, int(number), int(run_number), int(last_event_id))
+        request_id, number, run_number, last_event_id, version = match.groups()
+        return cls(request_id, int(number), int(run_number), int(last_event_id), version)
 
 
 def find_stream_faults(request_id: str, body: bytes, event_count: int) -> list[str]:
@@ -64,7 +69,7 @@
     """Return a description of each fault of a complete text, which has one line per event.
 
     A text lacks no event and holds none twice. It goes on after an event only with a run that was
-    requested with the id of this event as its Last-Event-ID.
+    requested with the id of this event as its Last-Event-ID, at the same software version.
     """
     lines = text.split("\n")
     events = [StreamEvent.parse(line) for line in lines]
@@ -77,7 +82,7 @@
     numbers = [event.number for event in whole_events]
     if numbers != list(range(event_count)):
         faults.append(f"events are missing, repeated or out of order: {numbers}")
-    return faults + list(_find_wrong_resumptions(whole_events))
+    return faults + list(_find_wrong_resumptions(whole_events)) + find_mixed_versions(whole_events)
 
 
 def _find_wrong_resumptions(events: list[StreamEvent]) -> Iterator[str]:
@@ -89,3 +94,17 @@
                 f"with Last-Event-ID {event.last_event_id}"
             )
         run_number = event.run_number
+
+
+def find_mixed_versions(events: Iterable[StreamEvent]) -> list[str]:
+    """Return a description of the software versions that wrote the events, if several did."""
+    versions = list(dict.fromkeys(event.version for event in events))
+    return [f"has events of several versions: {versions}"] if len(versions) > 1 else []
+
+
+def events_of_part(data: bytes) -> list[StreamEvent]:
+    """Return the complete events in the first bytes of a stream."""
+    *events, _rest = data.decode(errors="replace").split("\n\n")
+    matches = [_SERVER_SENT_EVENT.fullmatch(event) for event in events]
+    parsed = [StreamEvent.parse(match[2]) for match in matches if match is not None]
+    return [event for event in parsed if event is not None]
--- a/src/wharfcart/soak/faults.py
+++ b/src/wharfcart/soak/faults.py
@@ -406,6 +406,25 @@
         await self.fleet.replace_server(self.planned.target_index)
 
 
+class ReleaseFault(Fault):
+    """Replaces the stream servers one after the other by servers of another software version."""
+
+    async def inject(self) -> None:
+        """Start the release."""
+        self._task = asyncio.create_task(self._run())
+
+    async def recover(self) -> None:
+        """Wait for the end of the release."""
+        await self._task
+
+    async def _run(self) -> None:
+        version = f"v{self.planned.target_index + 1}"
+        self.fleet.released_version = version
+        for index in range(len(self.fleet.stream_servers)):
+            await self.fleet.replace_server(index, version)
+            await asyncio.sleep(self.planned.duration_s / len(self.fleet.stream_servers))
+
+
 class AddedRouteFault(Fault):
     """Adds a route to the configuration, as the operator does."""
 
@@ -486,6 +505,7 @@
     FaultKind.SIGNAL_SERIES: SignalSeriesFault,
     FaultKind.LATE_MESSAGES: LateMessagesFault,
     FaultKind.LEADER_SERIES: LeaderSeriesFault,
+    FaultKind.RELEASE: ReleaseFault,
 }
 
 
--- a/src/wharfcart/soak/fleet.py
+++ b/src/wharfcart/soak/fleet.py
@@ -87,6 +87,7 @@
         self._poison_bodies: set[bytes] = set()
         self.crashes_by_body: Counter[bytes] = Counter()
         self._replacements = BackgroundTasks()
+        self.released_version = self.stream_servers[0].version
 
     async def request(
         self, gateway: int, path: str, request_id: str, deadline_ms: int = 8000, **more: t.Any
@@ -198,10 +199,22 @@
                 return node
         return None
 
-    async def replace_server(self, server_index: int) -> None:
-        """Add a back end and drain the one that it replaces."""
+    def serving_count(self, version: str) -> int:
+        """Return the number of stream servers of a version that neither drain nor have crashed."""
+        return sum(
+            server.version == version and not server.has_crashed for server in self.stream_servers
+        )
+
+    async def replace_server(self, server_index: int, version: str = "") -> None:
+        """Add a back end and drain the one that it replaces.
+
+        Args:
+            server_index: place of the back end.
+            version: software version of the new one; '' for that of the old one.
+        """
         index = server_index % len(self.stream_servers)
-        new = ModelServer(f"i-lm-{self._next_server_number}", 12, 0.02)
+        version = version or self.stream_servers[index].version
+        new = ModelServer(f"i-lm-{self._next_server_number}", 12, 0.02, version=version)
         self._next_server_number += 1
         await new.server.start("127.0.0.1", 0)
         await self._add_server_proxy(new)
@@ -295,7 +308,9 @@
         if mode is RestartMode.SAME_ID_AFTER_REMOVAL:
             await asyncio.sleep(ENTRY_ABSENCE_S)
         event_count, event_interval_s = (12, 0.02) if is_stream_server else (0, 0.02)
-        new = ModelServer(instance_id, event_count, event_interval_s)
+        # A back end may return under its id with the version that is being released.
+        version = self.released_version if is_stream_server else old.version
+        new = ModelServer(instance_id, event_count, event_interval_s, version=version)
         await new.server.start("127.0.0.1", 0)
         if old not in servers:
             await new.server.stop()
--- a/src/wharfcart/soak/history.py
+++ b/src/wharfcart/soak/history.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from wharfcart.emulator.stream_events import StreamEvent
+
 
 class RequestKind(Enum):
     """Kinds of requests; the value is the first segment of the route's path."""
@@ -104,6 +106,39 @@
     return f"{first[:2]}: {changed[0]!r}, then {changed[1]!r}"
 
 
+@dataclass
+class StreamTry:
+    """One request of a stream that its caller resumes.
+
+    Attributes:
+        request_id: id of the request.
+        status: HTTP status; None if the caller received none.
+        events: events that the caller received.
+        counts: whether two servers of the stream's version served when the request was sent.
+    """
+
+    request_id: str
+    status: int | None = None
+    events: list[StreamEvent] = field(default_factory=list)
+    counts: bool = True
+
+
+@dataclass
+class ResumedStream:
+    """A stream that its caller left and resumed, possibly several times.
+
+    Attributes:
+        tries: its requests, the first of which began it.
+    """
+
+    tries: list[StreamTry] = field(default_factory=list)
+
+    @property
+    def events(self) -> list[StreamEvent]:
+        """Events of all tries, in order."""
+        return [event for stream_try in self.tries for event in stream_try.events]
+
+
 @dataclass
 class RouteRecord:
     """One route that was added during the soak.
@@ -144,5 +179,6 @@
 
     started_at: float = 0.0
     requests: list[RequestRecord] = field(default_factory=list)
+    resumed_streams: list[ResumedStream] = field(default_factory=list)
     jobs_by_id: dict[str, JobRecord] = field(default_factory=dict)
     routes: list[RouteRecord] = field(default_factory=list)
--- a/src/wharfcart/soak/invariants.py
+++ b/src/wharfcart/soak/invariants.py
@@ -6,12 +6,17 @@
 from dataclasses import dataclass
 
 from wharfcart.emulator.model_server import ModelServer, RunRecord
-from wharfcart.emulator.stream_events import find_stream_faults, find_text_faults
+from wharfcart.emulator.stream_events import (
+    find_mixed_versions,
+    find_stream_faults,
+    find_text_faults,
+)
 from wharfcart.soak.history import (
     EvacuationRecord,
     JobRecord,
     RequestKind,
     RequestRecord,
+    ResumedStream,
     SoakHistory,
 )
 from wharfcart.soak.tenants import (
@@ -20,9 +25,8 @@
     LIMITED_TENANT,
     tenant_of,
 )
-from wharfcart.soak.workload import item_id
+from wharfcart.soak.workload import EVENTS_PER_STREAM, item_id
 
-EVENTS_PER_STREAM = 12
 MAX_RUNS_BY_KIND = {RequestKind.REPEATABLE: 2, RequestKind.RESUMABLE: 3}
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 # An accepted job may be unknown to a node for this long.
@@ -37,6 +41,9 @@
 EVACUATION_DELAY_S = 2.0
 # Each gateway process quarantines a poison request after this count, even with no peer updates.
 MAX_CRASHES_PER_GATEWAY_PROCESS = 2
+# The users' rule: streams that are taken up go on at least half as often as new ones begin.
+MIN_RESUMED_SHARE = 0.5
+MIN_RESUMED_STREAMS = 12
 
 
 @dataclass(frozen=True)
@@ -107,6 +114,9 @@
     violations = [
         violation for record in history.requests for violation in _check_request(record, run_counts)
     ]
+    for stream in history.resumed_streams:
+        violations += _check_resumed_stream(stream, run_counts)
+    violations += _check_resumed_share(history.resumed_streams)
     violations += _check_tenants([run for server in servers for run in server.runs])
     for job in history.jobs_by_id.values():
         violations += _check_job(job, run_counts)
@@ -137,6 +147,38 @@
         yield f"{label}: rejected by a rate limit, although its tenant has none"
 
 
+def _check_resumed_stream(stream: ResumedStream, run_counts: Counter[str]) -> Iterator[str]:
+    label = stream.tries[0].request_id
+    yield from (f"{label}: {fault}" for fault in find_mixed_versions(stream.events))
+    numbers = [event.number for event in stream.events]
+    if numbers != list(range(len(numbers))):
+        yield f"{label}: events are missing, repeated or out of order: {numbers}"
+    for stream_try in stream.tries:
+        if stream_try.status in NOT_RUN_STATUSES and run_counts[stream_try.request_id]:
+            yield f"{stream_try.request_id}: refused with {stream_try.status}, but ran"
+
+
+def resumed_shares(streams: list[ResumedStream]) -> tuple[float, float, int]:
+    """Return the share of streams that began, of resumptions that went on, and their number.
+
+    Resumptions count while two servers of the stream's version serve.
+    """
+    begun = [bool(stream.tries[0].events) for stream in streams]
+    resumed = [
+        bool(stream_try.events)
+        for stream in streams
+        for stream_try in stream.tries[1:]
+        if stream_try.counts
+    ]
+    return sum(begun) / max(1, len(begun)), sum(resumed) / max(1, len(resumed)), len(resumed)
+
+
+def _check_resumed_share(streams: list[ResumedStream]) -> Iterator[str]:
+    begun, resumed, count = resumed_shares(streams)
+    if count >= MIN_RESUMED_STREAMS and resumed < MIN_RESUMED_SHARE * begun:
+        yield f"{resumed:.2f} of {count} resumed streams went on, but {begun:.2f} of new ones began"
+
+
 def _check_tenants(runs: list[RunRecord]) -> Iterator[str]:
     for run in runs:
         owner = tenant_of(run.request_id)
--- a/src/wharfcart/soak/plan.py
+++ b/src/wharfcart/soak/plan.py
@@ -43,6 +43,7 @@
     SIGNAL_SERIES = "signal_series"
     LATE_MESSAGES = "late_messages"
     LEADER_SERIES = "leader_series"
+    RELEASE = "release"
 
 
 STORAGE_FAULTS = (
@@ -101,6 +102,8 @@
 LEADER_SERIES_S = 6.0
 # With more, finding the process of each new connection takes too long.
 MAX_STORES_OF_LEADER_SERIES = 3
+MAX_RELEASES = 3
+RELEASE_S = (2.0, 6.0)
 
 
 @dataclass(frozen=True)
@@ -111,8 +114,8 @@
         start_s: start time, in seconds since the start of the load.
         duration_s: duration in seconds.
         kind: what happens.
-        target_index: index of the gateway, storage node, back end or zone; unused by kinds that
-            affect the whole fleet.
+        target_index: index of the gateway, storage node, back end or zone, or number of the
+            released version; unused by kinds that affect the whole fleet.
         on_storage: whether ``target_index`` is that of a storage node.
     """
 
@@ -159,6 +162,7 @@
         faults = _insert_storage_series(random.Random(f"{seed} storage"), faults, load_s, stores)
     faults += _generate_poison_requests(random.Random(f"{seed} fatal"), load_s, gateways)
     faults += _generate_signal_series(random.Random(f"{seed} series"), load_s, gateways)
+    faults += _generate_releases(random.Random(f"{seed} releases"), load_s)
     return sorted(faults, key=lambda fault: fault.start_s)
 
 
@@ -186,6 +190,17 @@
     return faults
 
 
+def _generate_releases(rng: random.Random, load_s: float) -> list[PlannedFault]:
+    """Generate releases of back-end software; these overlap with each other and with all faults."""
+    faults = []
+    for _ in range(rng.randint(1, MAX_RELEASES)):
+        duration_s = min(rng.uniform(*RELEASE_S), load_s)
+        start_s = rng.uniform(0, load_s - duration_s)
+        version_number = rng.randrange(MAX_RELEASES)
+        faults.append(PlannedFault(start_s, duration_s, FaultKind.RELEASE, version_number))
+    return faults
+
+
 def _insert_storage_series(
     rng: random.Random, faults: list[PlannedFault], load_s: float, stores: int
 ) -> list[PlannedFault]:
--- a/src/wharfcart/soak/run.py
+++ b/src/wharfcart/soak/run.py
@@ -17,6 +17,7 @@
     find_excessive_crashes,
     find_runs_in_evacuated_zone,
     find_violations,
+    resumed_shares,
 )
 from wharfcart.soak.plan import FaultKind, PlannedFault, generate_plan
 from wharfcart.soak.workload import SoakWorkload
@@ -43,6 +44,7 @@
         request_count: requests sent.
         success_count: requests answered with status 200.
         job_count: batch jobs submitted.
+        resumed_shares: share of streams that began, of resumptions that went on, and their number.
         duration_s: duration of the run, including start and recovery.
         logs_folder: folder with plan, logs and verdict; None if the run passed.
     """
@@ -53,6 +55,7 @@
     request_count: int
     success_count: int
     job_count: int
+    resumed_shares: tuple[float, float, int]
     duration_s: float
     logs_folder: Path | None = None
 
@@ -113,6 +116,7 @@
             len(history.requests),
             success_count,
             len(history.jobs_by_id),
+            resumed_shares(history.resumed_streams),
             round(monotonic() - started_at, 1),
             logs_folder,
         )
--- a/src/wharfcart/soak/workload.py
+++ b/src/wharfcart/soak/workload.py
@@ -11,10 +11,19 @@
 import aiohttp
 
 from wharfcart.emulator.model_server import slow_body
+from wharfcart.emulator.stream_events import events_of_part
 from wharfcart.experiments.serving_fleet import STREAM_SERVICE
 from wharfcart.platform import names
 from wharfcart.soak.fleet import SoakFleet
-from wharfcart.soak.history import JobRecord, RequestKind, RequestRecord, RouteRecord, SoakHistory
+from wharfcart.soak.history import (
+    JobRecord,
+    RequestKind,
+    RequestRecord,
+    ResumedStream,
+    RouteRecord,
+    SoakHistory,
+    StreamTry,
+)
 from wharfcart.soak.open_connection import OpenConnection
 from wharfcart.soak.tenants import LIMITED_REQUEST_PREFIX
 
@@ -41,6 +50,11 @@
 CANCEL_PROBABILITY = 0.15
 MAX_CANCEL_ATTEMPTS = 25
 PROBE_INTERVAL_S = 0.3
+RESUMED_STREAM_INTERVAL_S = 0.25
+MAX_STREAM_TRIES = 5
+MAX_EVENTS_PER_TRY = 5
+EVENTS_PER_STREAM = 12
+RESUME_PAUSE_S = (0.02, 0.6)  # shortest and longest
 
 
 class SoakWorkload:
@@ -51,6 +65,7 @@
         self._fleet = fleet
         self._rng = random.Random(f"{seed} load")
         self._job_rng = random.Random(f"{seed} jobs")
+        self._resume_rng = random.Random(f"{seed} resumptions")
         self._job_tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -65,6 +80,7 @@
             for kind in RequestKind:
                 group.create_task(self._send_requests(kind, load_s))
             group.create_task(self._send_limited_requests(load_s))
+            group.create_task(self._send_resumed_streams(load_s))
             group.create_task(self._start_jobs(load_s))
             group.create_task(self._probe_routes(load_s))
             for gateway in range(min(MAX_OPEN_CONNECTIONS, len(self._fleet.gateways))):
@@ -145,6 +161,59 @@
         finally:
             record.finished_at = self.now
 
+    # -- resumed streams -----------------------------------------------
+
+    async def _send_resumed_streams(self, load_s: float) -> None:
+        number = 0
+        async with asyncio.TaskGroup() as group:
+            while self.now < load_s:
+                number += 1
+                group.create_task(self._resume_stream(f"resumed-{number}"))
+                await asyncio.sleep(RESUMED_STREAM_INTERVAL_S * self._resume_rng.uniform(0.5, 1.5))
+
+    async def _resume_stream(self, label: str) -> None:
+        """Begin a stream, leave it midway and resume it at any gateway until it has ended."""
+        stream = ResumedStream()
+        rng = random.Random(f"{label} {self._resume_rng.random()}")
+        origin = f"{label}-0"
+        for number in range(MAX_STREAM_TRIES):
+            headers = {}
+            if number:
+                headers = {names.LAST_EVENT_ID: str(len(stream.events) - 1), names.RESUMES: origin}
+            stream_try = StreamTry(f"{label}-{number}")
+            version = stream.events[0].version if stream.events else ""
+            stream_try.counts = self._fleet.serving_count(version) > 1
+            stream.tries.append(stream_try)
+            leave_after = rng.randint(1, MAX_EVENTS_PER_TRY)
+            await self._read_some_events(stream_try, headers, leave_after)
+            if not stream.events or len(stream.events) == EVENTS_PER_STREAM:
+                break
+            await asyncio.sleep(rng.uniform(*RESUME_PAUSE_S))
+        self.history.resumed_streams.append(stream)
+
+    async def _read_some_events(
+        self, stream_try: StreamTry, headers: dict[str, str], leave_after: int
+    ) -> None:
+        """Send a request of a stream; close the connection after some of its events."""
+        url = f"http://{self._fleet.gateways[self._random_gateway()].listen}/read/x"
+        headers = headers | self._fleet.headers_of(stream_try.request_id, DEADLINE_MS)
+        received = b""
+        try:
+            async with (
+                asyncio.timeout(DEADLINE_MS / 1000 + CALLER_TIMEOUT_MARGIN_S),
+                self._fleet.session.post(url, headers=headers) as response,
+            ):
+                stream_try.status = response.status
+                async for data in response.content.iter_any():
+                    received += data
+                    if received.count(b"\n\n") >= leave_after:
+                        response.close()
+                        break
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            pass  # the events before the break were received
+        finally:
+            stream_try.events = events_of_part(received)
+
     # -- batch jobs ----------------------------------------------------
 
     async def _start_jobs(self, load_s: float) -> None:
