Stream origins: the software that a request was sent to, not that of a later entry

A back end's entry may change between the send and the first event; the gateway then recorded the version of the new entry as the stream's origin, and the stream would have gone on at a version that had not begun it. The software is taken at the send. The virtual clock of simulations covers the lookup, without which tests never used a gateway's own record.

--- a/src/wharfcart/experiments/simulated_slots.py
+++ b/src/wharfcart/experiments/simulated_slots.py
@@ -67,6 +67,7 @@
     "wharfcart.slots.fleet_load",
     "wharfcart.slots.granted_placement",
     "wharfcart.slots.item_slots",
+    "wharfcart.slots.origin_lookup",
     "wharfcart.slots.permits",
     "wharfcart.slots.service",
     "wharfcart.slots.session",
--- a/src/wharfcart/routing/placement.py
+++ b/src/wharfcart/routing/placement.py
@@ -5,7 +5,7 @@
 from enum import Enum
 
 from wharfcart.clock import monotonic
-from wharfcart.configuration.instances import SoftwareVersion
+from wharfcart.configuration.instances import BackendSoftware, SoftwareVersion
 from wharfcart.configuration.residence import ANYWHERE, Residence
 from wharfcart.configuration.serving import RequestLimit
 from wharfcart.routing.backend_selection import BackendSelector, InstanceState
@@ -128,7 +128,11 @@
 
     @abstractmethod
     def stream_begun(
-        self, request_id: str, decision: PlacementDecision, was_placed_before: bool
+        self,
+        request_id: str,
+        software: BackendSoftware,
+        decision: PlacementDecision,
+        was_placed_before: bool,
     ) -> None:
         """Record that the first event of a resumable stream has come.
 
@@ -137,6 +141,7 @@
 
         Args:
             request_id: the request.
+            software: software of the back end when the request was sent.
             decision: where it was sent.
             was_placed_before: whether it had been placed elsewhere, where it brought no event.
         """
@@ -195,10 +200,13 @@
         return OriginReport(self._origins.find(request_id, now), known)
 
     def stream_begun(
-        self, request_id: str, decision: PlacementDecision, was_placed_before: bool
+        self,
+        request_id: str,
+        software: BackendSoftware,
+        decision: PlacementDecision,
+        was_placed_before: bool,
     ) -> None:
         """Record the software that began a stream."""
-        software = decision.state.instance.software
         self._origins.record(StreamOrigin(request_id, software), monotonic())
 
     def is_granter_reachable(self, service: str, residence: Residence) -> bool:
--- a/src/wharfcart/routing/sender.py
+++ b/src/wharfcart/routing/sender.py
@@ -16,7 +16,7 @@
 from wharfcart.backends.connection_pool import ConnectionLimitError, ConnectionPool
 from wharfcart.clock import monotonic
 from wharfcart.cluster.topology import RegionName
-from wharfcart.configuration.instances import SoftwareVersion
+from wharfcart.configuration.instances import BackendSoftware
 from wharfcart.configuration.serving import RouteKind
 from wharfcart.http.connection import (
     BreakCause,
@@ -242,7 +242,7 @@
         send_id: int,
     ) -> SendFailure | None:
         state = decision.state
-        version = state.instance.version  # an entry may change while the answer is read
+        software = state.instance.software  # an entry may change while the answer is read
         connection.send(
             request.method,
             request.target,
@@ -276,7 +276,9 @@
         if not http_headers.is_signed(head) and head.status < 300:
             raise ConnectionBrokenError("answer is not signed")
         if request.route.kind is RouteKind.STREAM and head.status < 300:
-            await self._forward_stream(request, sink, progress, decision, version, connection, head)
+            await self._forward_stream(
+                request, sink, progress, decision, software, connection, head
+            )
             return None
         return await self._forward_whole(request, sink, progress, connection, head)
 
@@ -308,7 +310,7 @@
         sink: AnswerSink,
         progress: RequestProgress,
         decision: PlacementDecision,
-        version: SoftwareVersion,
+        software: BackendSoftware,
         connection: HttpConnection,
         head: ResponseHead,
     ) -> None:
@@ -325,9 +327,9 @@
             if part:
                 if progress.version is None and request.is_resumable:
                     self._placement.stream_begun(
-                        request.facts.request_id, decision, progress.placements > 1
+                        request.facts.request_id, software, decision, progress.placements > 1
                     )
-                progress.version = version
+                progress.version = software.version
                 await self._ensure_started(request, sink, progress, head)
                 await sink.send_part(part)
             if is_event_missing:
--- a/src/wharfcart/slots/granted_placement.py
+++ b/src/wharfcart/slots/granted_placement.py
@@ -7,6 +7,7 @@
 from wharfcart.clock import monotonic
 from wharfcart.cluster.messages_pb2 import SlotGrant
 from wharfcart.cluster.topology import Distance
+from wharfcart.configuration.instances import BackendSoftware
 from wharfcart.configuration.residence import Residence
 from wharfcart.observability.decisions import Counter
 from wharfcart.routing.backend_selection import BackendSelector
@@ -105,7 +106,11 @@
         return await self._origin_lookup.find(request_id, service)
 
     def stream_begun(
-        self, request_id: str, decision: PlacementDecision, was_placed_before: bool
+        self,
+        request_id: str,
+        software: BackendSoftware,
+        decision: PlacementDecision,
+        was_placed_before: bool,
     ) -> None:
         """Record the software that began a stream, and report it unless a grant has done so.
 
@@ -113,7 +118,7 @@
         of them learn the right one.
         """
         now = monotonic()
-        origin = StreamOrigin(request_id, decision.state.instance.software, decision.sequence)
+        origin = StreamOrigin(request_id, software, decision.sequence)
         keepers = []
         if decision.granted and isinstance(decision, PlacedInSlot):
             keepers = [decision.slot.group]
--- a/tests/routing/test_software_versions.py
+++ b/tests/routing/test_software_versions.py
@@ -368,3 +368,22 @@
 
     play(partial(VersionedFleet, VERSION_MIXES[seed % len(VERSION_MIXES)], seed), scenario)
     assert counts["went_on"] >= RESUMED_SHARE * counts["resumed"]
+
+
+# Guards against an origin that names the version of a later entry: the entry of a back end changes
+# between the send and the first event.
+def test_the_origin_of_a_stream_is_the_version_that_it_was_sent_to() -> None:
+    async def scenario(fleet: VersionedFleet) -> None:
+        holder, gateway = await fleet.stream_gateway("a")
+
+        def change_entry(instance: BackendInstance) -> bool:
+            holder.selector.put(backend(instance.instance_id, "v3"))
+            return False
+
+        gateway.pool.breaks = change_entry
+        await leave_midway(gateway, "q1", StreamCaller())
+        report = await holder.placement.find_origin("q1", "s")
+        assert report.origin is not None
+        assert report.origin.software.version == "v1"
+
+    play(partial(VersionedFleet, ("v1",)), scenario)
