--- a/src/wharfcart/gateway/job_calls.py
+++ b/src/wharfcart/gateway/job_calls.py
@@ -41,6 +41,7 @@
 DELETE_TIMEOUT_S = 3.0
 MAX_LONG_POLL_S = 1.0
 # Capacity for a job takes longer to free up than a leader takes to be elected.
+STATUS_BAD_REQUEST = 400
 RETRY_AFTER_BY_STATUS_S = {503: 0.3, 429: 1.0}
 # Cause of a refusal by a leader that has newer knowledge of the group's disks than the gateway.
 GROUP_OUTSIDE_CAUSE = "a disk of the group is outside the residence"
@@ -77,9 +78,9 @@
         try:
             items = batch_bodies.parse_items(request.body)
         except batch_bodies.BadSubmissionError as error:
-            return self._refuse(job_id, "submit", 400, f"malformed: {error}")
+            return self._refuse(job_id, "submit", STATUS_BAD_REQUEST, f"malformed: {error}")
         if not job_id:
-            return self._refuse(job_id, "submit", 400, "no id")
+            return self._refuse(job_id, "submit", STATUS_BAD_REQUEST, "no id")
         configuration = self._configuration()
         residence = route.residence
         if configuration is not None:
@@ -125,7 +126,8 @@
             try:
                 submission = submission_from(request.headers.get("if-match"))
             except BadEntityTagError as error:
-                return self._refuse(job_id, "if_match", 400, f"malformed entity tag: {error}")
+                cause = f"malformed entity tag: {error}"
+                return self._refuse(job_id, "if_match", STATUS_BAD_REQUEST, cause)
             if request.method == "DELETE":
                 return await self._delete(request, job_id, tenant, submission)
             if request.method == "GET":
@@ -233,7 +235,8 @@
         )
         retry_after_s = RETRY_AFTER_BY_STATUS_S.get(status)
         headers = [] if retry_after_s is None else [(names.RETRY_AFTER, f"{retry_after_s:g}")]
-        return plain_response(status, headers)
+        body = cause.encode() if status == STATUS_BAD_REQUEST else b""
+        return plain_response(status, headers, body)
 
 
 def _tag_headers(submission: int) -> list[tuple[str, str]]:
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -161,3 +161,21 @@
 def test_malformed_submission_is_rejected(body: bytes) -> None:
     with pytest.raises(batch_bodies.BadSubmissionError):
         batch_bodies.parse_items(body)
+
+
+def submission_of(*item_ids: object) -> bytes:
+    return json.dumps({"requests": [{"id": one, "path": "/p/"} for one in item_ids]}).encode()
+
+
+# Guards against a job that is accepted and never complete: of two items with one id only one
+# could have a result.
+def test_a_submission_with_an_item_id_twice_is_rejected_and_named() -> None:
+    with pytest.raises(batch_bodies.BadSubmissionError, match="item 2: id 'a' occurs twice"):
+        batch_bodies.parse_items(submission_of("a", "b", "a"))
+
+
+# Guards against items that no result can name.
+@pytest.mark.parametrize("item_id", ["", 3, None])
+def test_an_item_without_an_id_is_rejected_and_named(item_id: object) -> None:
+    with pytest.raises(batch_bodies.BadSubmissionError, match="item 1: "):
+        batch_bodies.parse_items(submission_of("a", item_id))
