Stream origins: a second keeper while a service has several versions

While a service has one version the record that comes with a grant is still enough; while it has several, a gateway also reports an origin to one more storage node (some 90 bytes a stream). Versions are counted as entries come and go, so that asking for them doesn't walk all back ends for each stream.

--- a/src/wharfcart/routing/backend_selection.py
+++ b/src/wharfcart/routing/backend_selection.py
@@ -187,15 +187,16 @@
         if state is None:
             state = InstanceState(instance)
             self._states[instance.instance_id] = state
+            self._version_history.backend_listed(instance.software, now)
         else:
             self._by_service.get(state.instance.service, {}).pop(instance.instance_id, None)
             if instance.started_at_ms is None:
                 instance = replace(instance, started_at_ms=state.instance.started_at_ms)
             if instance.software != state.instance.software:
                 self._version_history.backend_removed(state.instance.software, now)
+                self._version_history.backend_listed(instance.software, now)
             state.instance = instance
         self._by_service.setdefault(instance.service, {})[instance.instance_id] = state
-        self._version_history.service_listed(instance.service, now)
         self.cold.report_received(state.cold, instance.cold_for_s, now, revision)
 
     def remove(
@@ -235,9 +236,11 @@
 
     def known_versions(self, service: str, now: float) -> KnownVersions:
         """Return the software versions of a service that this node has seen recently."""
-        states = self._by_service.get(service, {}).values()
-        listed = {state.instance.version for state in states}
-        return self._version_history.known_versions(service, listed, now)
+        return self._version_history.known_versions(service, now)
+
+    def has_several_versions(self, service: str, now: float) -> bool:
+        """Whether streams of a service may have been begun by several software versions."""
+        return self._version_history.has_several_versions(service, now)
 
     def accepting_instances(
         self,
--- a/src/wharfcart/routing/version_history.py
+++ b/src/wharfcart/routing/version_history.py
@@ -5,7 +5,7 @@
 This module does no I/O; callers pass in the time in seconds.
 """
 
-from collections.abc import Iterable
+from collections import Counter
 from dataclasses import dataclass, field
 
 from wharfcart.configuration.instances import BackendSoftware, SoftwareVersion
@@ -36,28 +36,33 @@
 
 @dataclass
 class VersionHistory:
-    """Services that a node knows, and versions that it no longer lists."""
+    """Software of the back ends that a node lists, and of those that it no longer lists."""
 
     _known_since: dict[str, float] = field(default_factory=dict)  # by service
+    _listed: Counter[BackendSoftware] = field(default_factory=Counter)
     _last_listed: dict[BackendSoftware, float] = field(default_factory=dict)
 
-    def service_listed(self, service: str, now: float) -> None:
-        """Record that a back end of a service is listed."""
-        self._known_since.setdefault(service, now)
+    def backend_listed(self, software: BackendSoftware, now: float) -> None:
+        """Record that a back end is listed with its software."""
+        self._known_since.setdefault(software.service, now)
+        self._listed[software] += 1
 
     def backend_removed(self, software: BackendSoftware, now: float) -> None:
-        """Record that a back end is no longer listed with its version."""
+        """Record that a back end is no longer listed with its software."""
+        self._listed[software] -= 1
         self._last_listed[software] = now
 
-    def known_versions(
-        self, service: str, listed: Iterable[SoftwareVersion], now: float
-    ) -> KnownVersions:
+    def known_versions(self, service: str, now: float) -> KnownVersions:
         """Return the versions of a service that are listed now or were until recently."""
-        self._last_listed = {
-            software: at for software, at in self._last_listed.items() if now - at < ORIGIN_TTL_S
-        }
-        removed = {
-            software.version for software in self._last_listed if software.service == service
+        versions = {
+            software.version
+            for software, count in self._listed.items()
+            if software.service == service
+            and (count > 0 or now - self._last_listed[software] < ORIGIN_TTL_S)
         }
         known_s = now - self._known_since.get(service, now)
-        return KnownVersions(frozenset(removed.union(listed)), known_s)
+        return KnownVersions(frozenset(versions), known_s)
+
+    def has_several_versions(self, service: str, now: float) -> bool:
+        """Whether streams of a service may have been begun by several versions."""
+        return len(self.known_versions(service, now).versions) > 1
--- a/src/wharfcart/slots/granted_placement.py
+++ b/src/wharfcart/slots/granted_placement.py
@@ -25,7 +25,7 @@
 from wharfcart.routing.stream_origins import StreamOrigin
 from wharfcart.slots.events import RequestMode, RunResult, SlotRequested, SlotUse, StreamBegun
 from wharfcart.slots.group_order import RequestStep, order_groups, order_groups_by_affinity
-from wharfcart.slots.origin_keepers import select_keepers
+from wharfcart.slots.origin_keepers import KEEPERS_PER_STREAM, select_keepers
 from wharfcart.slots.origin_lookup import OriginLookup
 from wharfcart.slots.permit_relays import PermitRelays
 from wharfcart.slots.permits import Permit
@@ -112,26 +112,30 @@
         decision: PlacementDecision,
         was_placed_before: bool,
     ) -> None:
-        """Record the software that began a stream, and report it unless a grant has done so.
+        """Record the software that began a stream, and see to it that two nodes keep it.
 
-        Granting nodes at which the request was placed before may have recorded other software; all
-        of them learn the right one.
+        While the service has one version, the record that comes with a grant is enough. Granting
+        nodes at which the request was placed before may have recorded other software; all of them
+        learn the right one.
         """
         now = monotonic()
         origin = StreamOrigin(request_id, software, decision.sequence)
-        keepers = []
+        granted_by = None
         if decision.granted and isinstance(decision, PlacedInSlot):
-            keepers = [decision.slot.group]
-        if was_placed_before or not keepers:
+            granted_by = decision.slot.group
+        keepers = set() if granted_by is None else {granted_by}
+        if was_placed_before or granted_by is None:
             available = [session.group for session in self._sessions.available()]
             if not was_placed_before:
                 available = select_keepers(request_id, available)
             for group in available:
                 session = self._sessions.by_group[group]
                 session.send(StreamBegun(session.key, origin))
-            keepers += available
-            if not available:
-                self._sessions.report_origin(origin)
+            keepers |= set(available)
+        if len(keepers) < KEEPERS_PER_STREAM and (
+            not keepers or self._selector.has_several_versions(software.service, now)
+        ):
+            self._sessions.report_origin(origin, next(iter(keepers), None))
         self._sessions.origin_keepers.record(origin, keepers, now)
 
     def is_granter_reachable(self, service: str, residence: Residence) -> bool:
--- a/src/wharfcart/slots/sessions.py
+++ b/src/wharfcart/slots/sessions.py
@@ -15,7 +15,7 @@
 from wharfcart.routing.stream_origins import StreamOrigin
 from wharfcart.slots.events import HolderId, ResponsivenessChanged
 from wharfcart.slots.messages import origin_to_message
-from wharfcart.slots.origin_keepers import OriginKeepers, select_keepers
+from wharfcart.slots.origin_keepers import KEEPERS_PER_STREAM, OriginKeepers, select_keepers
 from wharfcart.slots.session import (
     ORIGIN_LOOKUP_ERRORS,
     ReportedUsage,
@@ -117,14 +117,27 @@
                 groups_by_address |= dict.fromkeys(self._backups(group), group)
         return list(groups_by_address.items())
 
-    def report_origin(self, origin: StreamOrigin) -> None:
-        """Report the software that began a stream to storage nodes, without a session."""
+    def report_origin(self, origin: StreamOrigin, granted_by: int | None) -> None:
+        """Report the software that began a stream to storage nodes, without a session.
+
+        Args:
+            origin: the origin.
+            granted_by: group whose granting node has it, or None.
+        """
         group_by_address = dict(self.replicas())
         for group in self.by_group:
             address = self._address(group)
             if address is not None:
                 group_by_address[address] = group
-        for address in select_keepers(origin.request_id, group_by_address):
+        count = KEEPERS_PER_STREAM
+        if granted_by is not None:
+            group_by_address = {
+                address: group
+                for address, group in group_by_address.items()
+                if address != self._address(granted_by)
+            }
+            count -= 1
+        for address in select_keepers(origin.request_id, group_by_address)[:count]:
             report = ReportStreamOrigin(
                 group=group_by_address[address], origin=origin_to_message(origin)
             )
--- a/tests/routing/test_software_versions.py
+++ b/tests/routing/test_software_versions.py
@@ -23,6 +23,7 @@
 from wharfcart.experiments.virtual_time import run_in_virtual_time, virtual_clock
 from wharfcart.routing.backend_selection import BackendSelector
 from wharfcart.routing.placement import LocalPlacement
+from wharfcart.routing.stream_origins import StreamOrigins
 
 VERSION_MIXES = (
     ("v1", "v1", "v2", "v2"),
@@ -387,3 +388,27 @@
         assert report.origin.software.version == "v1"
 
     play(partial(VersionedFleet, ("v1",)), scenario)
+
+
+# Guards against an origin that is lost when its gateway and the node that granted its slot end
+# together, while several versions serve.
+def test_the_origin_of_a_stream_outlives_its_gateway_and_its_granting_node() -> None:
+    async def scenario(fleet: VersionedFleet) -> None:
+        fleet.backups = fleet.nodes
+        first_holder, first = await fleet.stream_gateway("a")
+        second_holder, second = await fleet.stream_gateway("b")
+        before = StreamCaller()
+        await leave_midway(first, "q1", before)
+        lost = fleet.leader
+        fleet.kill(first_holder)
+        fleet.network.break_connection("b", lost)
+        lost.service._origins = StreamOrigins()
+        fleet.change_leader()
+        await asyncio.sleep(2.0)
+        await fleet.take_slots(second_holder)
+        after = await resume(fleet, second)
+        assert set(before.versions + after.versions) == set(before.versions)
+        assert len(after.versions) == EVENTS_PER_STREAM - len(before.versions)
+
+    for seed in range(20):
+        play(partial(VersionedFleet, VERSION_MIXES[0], seed), scenario)
