Stream origins: a gateway on its own knows sooner that a service has one version

A gateway that could ask no storage node refused resumed streams until it had known the service for 120 s, also where the service had one version only: on such a fleet callers were served worse than before, while the storage nodes were away. A stream is resumed within four requests of the route's time limit each, so that a gateway that has known one version for so long needs no record.

--- a/src/wharfcart/routing/forwarder.py
+++ b/src/wharfcart/routing/forwarder.py
@@ -34,9 +34,12 @@
 from wharfcart.routing.request_log import RequestLog
 from wharfcart.routing.request_progress import RequestProgress
 from wharfcart.routing.sender import Sender, SendFailure
+from wharfcart.routing.stream_origins import ORIGIN_TTL_S
 
 MAX_REFUSED_SENDS = 3
 MAX_CONNECT_FAILURES = 4
+# A caller resumes a stream in so many requests at most, each within the time limit of the route.
+MAX_CALLER_ATTEMPTS = 4
 RETRY_AFTER_NO_BACKEND_S = 0.4
 # All back ends are outside the regions allowed for the request's data.
 OUTSIDE_RESIDENCE = ExclusionReason.OUTSIDE_RESIDENCE.value
@@ -124,7 +127,10 @@
         self, request: CallerRequest, progress: RequestProgress
     ) -> CallerRequest:
         """Return a request for the software that began its stream; set a cause if there is none."""
-        report = await self._placement.find_origin(request.facts.origin_request, request.service)
+        lifetime_s = min(ORIGIN_TTL_S, MAX_CALLER_ATTEMPTS * request.route.time_limit_s)
+        report = await self._placement.find_origin(
+            request.facts.origin_request, request.service, lifetime_s
+        )
         decision = decide_origin(request.service, report)
         self._request_log.origin_decided(request, report, decision)
         software = decision.software
--- a/src/wharfcart/routing/origin_resolution.py
+++ b/src/wharfcart/routing/origin_resolution.py
@@ -41,18 +41,24 @@
         known: versions of the service, as this node and those that answered know them.
         asked: number of nodes that were asked.
         answered: number of nodes that answered.
+        lifetime_s: seconds after which no caller resumes a stream.
     """
 
     origin: StreamOrigin | None
     known: KnownVersions
+    lifetime_s: float
     asked: int = 0
     answered: int = 0
 
     @property
     def needs_no_other_answer(self) -> bool:
         """Whether the origin is known, or follows from the versions of the service."""
-        is_sole = len(self.known.versions) == 1 and self.known.covers_streams
-        return self.origin is not None or is_sole
+        return self.origin is not None or (len(self.known.versions) == 1 and self.covers_streams)
+
+    @property
+    def covers_streams(self) -> bool:
+        """Whether no stream of the service can be older than what is known."""
+        return self.known.known_s >= self.lifetime_s
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,12 +85,10 @@
         return OriginDecision(OriginEvidence.RECORDED, report.origin.software)
     if len(report.known.versions) > 1:
         return OriginDecision(OriginEvidence.UNKNOWN, None)
-    if not report.known.covers_streams and not report.answered:
+    if not report.covers_streams and not report.answered:
         return OriginDecision(OriginEvidence.UNCONFIRMED, None)
     evidence = (
-        OriginEvidence.SOLE_VERSION
-        if report.known.covers_streams
-        else OriginEvidence.NO_OTHER_VERSION
+        OriginEvidence.SOLE_VERSION if report.covers_streams else OriginEvidence.NO_OTHER_VERSION
     )
     for version in report.known.versions:
         return OriginDecision(evidence, BackendSoftware(service, version))
--- a/src/wharfcart/routing/placement.py
+++ b/src/wharfcart/routing/placement.py
@@ -118,12 +118,13 @@
         """
 
     @abstractmethod
-    async def find_origin(self, request_id: str, service: str) -> OriginReport:
+    async def find_origin(self, request_id: str, service: str, lifetime_s: float) -> OriginReport:
         """Return what is known of the software that began the stream of a request.
 
         Args:
             request_id: the request that brought the stream's first event.
             service: service of the route.
+            lifetime_s: seconds after which no caller resumes a stream.
         """
 
     @abstractmethod
@@ -193,11 +194,11 @@
             raise NoSlotError(RETRY_AFTER_COLD_S)
         return None
 
-    async def find_origin(self, request_id: str, service: str) -> OriginReport:
+    async def find_origin(self, request_id: str, service: str, lifetime_s: float) -> OriginReport:
         """Return what this gateway knows of the software that began a stream."""
         now = monotonic()
         known = self._selector.known_versions(service, now)
-        return OriginReport(self._origins.find(request_id, now), known)
+        return OriginReport(self._origins.find(request_id, now), known, lifetime_s)
 
     def stream_begun(
         self,
--- a/src/wharfcart/slots/granted_placement.py
+++ b/src/wharfcart/slots/granted_placement.py
@@ -101,9 +101,9 @@
         await permit.obtain()
         return await self._place_locally(request)
 
-    async def find_origin(self, request_id: str, service: str) -> OriginReport:
+    async def find_origin(self, request_id: str, service: str, lifetime_s: float) -> OriginReport:
         """Return what this gateway and other nodes know of the software that began a stream."""
-        return await self._origin_lookup.find(request_id, service)
+        return await self._origin_lookup.find(request_id, service, lifetime_s)
 
     def stream_begun(
         self,
--- a/src/wharfcart/slots/origin_lookup.py
+++ b/src/wharfcart/slots/origin_lookup.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Iterable
+from dataclasses import replace
 
 from wharfcart.clock import monotonic
 from wharfcart.cluster.messages_pb2 import StreamOriginAnswer
@@ -33,18 +34,19 @@
         self._selector = selector
         self._sessions = sessions
 
-    async def find(self, request_id: str, service: str) -> OriginReport:
+    async def find(self, request_id: str, service: str, lifetime_s: float) -> OriginReport:
         """Return what this gateway and other nodes know of the stream of a request.
 
         Args:
             request_id: the request that brought the stream's first event.
             service: service of the route.
+            lifetime_s: seconds after which no caller resumes a stream.
         """
         known = self._selector.known_versions(service, monotonic())
         own = self._sessions.origin_keepers.find(request_id, monotonic())
         if own is not None:
-            return OriginReport(own, known)
-        report = OriginReport(None, known)
+            return OriginReport(own, known, lifetime_s)
+        report = OriginReport(None, known, lifetime_s)
         wait_until = monotonic() + SESSION_WAIT_S
         while True:
             sessions = self._sessions.available()
@@ -78,9 +80,10 @@
     origins = [
         origin_from_message(answer.origin) for answer in answers if answer.HasField("origin")
     ]
-    return OriginReport(
-        max(origins, key=lambda origin: origin.sequence, default=report.origin),
-        known,
-        report.asked + len(results),
-        report.answered + len(answers),
+    return replace(
+        report,
+        origin=max(origins, key=lambda origin: origin.sequence, default=report.origin),
+        known=known,
+        asked=report.asked + len(results),
+        answered=report.answered + len(answers),
     )
