Items: the served versions are listed at most twenty times a second

Each offer of a slot listed all back ends of a service to see whether the version of an item's text still serves: at 1,100 back ends and some 370 offers a second a leader would spend a good part of a core on it (by reading; not measured).

--- a/src/wharfcart/batch/job_execution.py
+++ b/src/wharfcart/batch/job_execution.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable, Collection, Iterator
 from functools import partial
 from itertools import islice
@@ -41,6 +42,8 @@
 MAX_COUNTED_ITEMS = 256
 # Demand reports of up to this many items name the back ends that none of the items may use.
 MAX_ITEMS_FOR_EXCLUSION = 8
+# Lifetime of the cached versions of a service, since each offer of a slot reads them.
+VERSIONS_TTL_S = 0.05
 REFUSED_RETRY_DELAY_S = 0.15
 INTERRUPTED_RETRY_DELAY_S = 0.05
 FAILED_RETRY_DELAY_S = 0.3
@@ -95,6 +98,7 @@
         self._scheduler = JobScheduler(group.partial_texts)
         self._placed = PlacedItems()
         self._estimates_by_service: dict[str, RunEstimate] = {}
+        self._versions_by_service: dict[str, tuple[float, frozenset[SoftwareVersion]]] = {}
         self._reported_demand: set[DemandKey] = set()
         self._tasks = BackgroundTasks()
         self._wake_up = asyncio.Event()
@@ -215,8 +219,12 @@
 
     def _served_versions(self, service: str, now: float) -> frozenset[SoftwareVersion]:
         """Return the software versions of the back ends that accept items."""
-        accepting = self._selector.accepting_instances(service, now)
-        return frozenset(state.instance.version for state in accepting)
+        listed_at, versions = self._versions_by_service.get(service, (-math.inf, frozenset()))
+        if now - listed_at >= VERSIONS_TTL_S:
+            accepting = self._selector.accepting_instances(service, now)
+            versions = frozenset(state.instance.version for state in accepting)
+            self._versions_by_service[service] = now, versions
+        return versions
 
     def _awaited_version(
         self,
