--- a/src/wharfcart/routing/version_history.py
+++ b/src/wharfcart/routing/version_history.py
@@ -46,6 +46,7 @@
         """Record that a back end is no longer listed with its software."""
         self._listed[software] -= 1
         self._last_listed[software] = now
+        self._forget_expired(now)
 
     def known_versions(self, service: str, now: float) -> KnownVersions:
         """Return the versions of a service that are listed now or were until recently."""
@@ -58,6 +59,16 @@
         known_s = now - self._known_since.get(service, now)
         return KnownVersions(frozenset(versions), known_s)
 
+    def _forget_expired(self, now: float) -> None:
+        expired = [
+            software
+            for software, at in self._last_listed.items()
+            if now - at >= ORIGIN_TTL_S and not self._listed[software]
+        ]
+        for software in expired:
+            del self._listed[software]
+            del self._last_listed[software]
+
     def has_several_versions(self, service: str, now: float) -> bool:
         """Whether streams of a service may have been begun by several versions."""
         return len(self.known_versions(service, now).versions) > 1
--- a/tests/routing/test_stream_origins.py
+++ b/tests/routing/test_stream_origins.py
@@ -9,7 +9,7 @@
 from wharfcart.routing.backend_selection import BackendSelector
 from wharfcart.routing.origin_resolution import OriginEvidence, OriginReport, decide_origin
 from wharfcart.routing.stream_origins import ORIGIN_TTL_S, StreamOrigin, StreamOrigins
-from wharfcart.routing.version_history import KnownVersions
+from wharfcart.routing.version_history import KnownVersions, VersionHistory
 
 LIFETIME_S = 40.0
 V1, V2 = SoftwareVersion("v1"), SoftwareVersion("v2")
@@ -82,3 +82,13 @@
     assert decided(None, {V1}, long_s, 0) == (OriginEvidence.SOLE_VERSION, S1)
     assert decided(None, {V1}, 1.0, 0) == (OriginEvidence.UNCONFIRMED, None)
     assert decided(None, {V1}, 1.0, 1) == (OriginEvidence.NO_OTHER_VERSION, S1)
+
+
+# Guards against a process that grows with every release.
+def test_versions_whose_streams_have_ended_are_forgotten() -> None:
+    history = VersionHistory()
+    for n in range(50):
+        software = BackendSoftware("s", SoftwareVersion(f"v{n}"))
+        history.backend_listed(software, n * ORIGIN_TTL_S)
+        history.backend_removed(software, n * ORIGIN_TTL_S + 1.0)
+    assert len(history._listed) == len(history._last_listed) <= 2
