Version memory: a version that went before a restart of all nodes is known after it

After a restart of all processes no node remembered that another version had served until shortly before; a stream that it had begun would have gone on at the version that was left, as the only one known (a guess; found by reading). Storage nodes keep on disk which software they have seen within the lifetime of a stream, write it when a version comes or goes, and load it at a start. What a node knows is indexed by service, and a look for changes costs one comparison, as there may be very many tiny services.

--- a/src/wharfcart/node/storage_process.py
+++ b/src/wharfcart/node/storage_process.py
@@ -20,6 +20,7 @@
 from wharfcart.node.group_placement import GroupPlacement
 from wharfcart.node.hosted_group import GroupParts, HostedGroup
 from wharfcart.node.serving_node import ServingNode
+from wharfcart.node.version_memory import VersionMemory
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.platform import documents, names
 from wharfcart.settings.base import split_endpoint
@@ -56,7 +57,10 @@
     async def start(self) -> None:
         """Open the disk, join the fleet and start the replicas of the job groups."""
         identity = await self._open_disk()
+        versions = VersionMemory(self._node.selector, self._disk, self._log)
+        await versions.load()
         await self._node.start()
+        self._node.tasks.spawn(versions.run())
         host, port = split_endpoint(self._settings.cluster_address)
         entry = NodeEntry(
             self._settings.node_id,
--- a/src/wharfcart/observability/decisions.py
+++ b/src/wharfcart/observability/decisions.py
@@ -64,6 +64,7 @@
     GRANTER_LOST = "granter_lost"
     STREAM_RESUMED = "stream_resumed"
     STREAM_ORIGIN = "stream_origin"
+    VERSIONS_LOADED = "versions_loaded"
     FLEET_FOUNDED = "fleet_founded"
     LEADERSHIP_TAKEN = "leadership_taken"
     LEADERSHIP_LOST = "leadership_lost"
--- a/src/wharfcart/routing/backend_selection.py
+++ b/src/wharfcart/routing/backend_selection.py
@@ -17,7 +17,7 @@
 
 from wharfcart.cluster.randomness import RandomSource
 from wharfcart.cluster.topology import Distance
-from wharfcart.configuration.instances import BackendInstance, SoftwareVersion
+from wharfcart.configuration.instances import BackendInstance, BackendSoftware, SoftwareVersion
 from wharfcart.configuration.residence import ANYWHERE, Residence
 from wharfcart.configuration.serving import ColdLimit
 from wharfcart.routing.cold_backends import PERMIT_TTL_S, ColdBackends, ColdPeriod, LocalColdShares
@@ -238,6 +238,19 @@
         """Return the software versions of a service that this node has seen recently."""
         return self._version_history.known_versions(service, now)
 
+    @property
+    def software_changes(self) -> int:
+        """How often the first back end of a version was listed or the last one removed."""
+        return self._version_history.changes
+
+    def recent_software(self, now: float) -> frozenset[BackendSoftware]:
+        """Return the software of all back ends that this node has seen recently."""
+        return self._version_history.recent(now)
+
+    def remember_software(self, software: BackendSoftware, now: float) -> None:
+        """Record software that this node had seen before it restarted."""
+        self._version_history.remember(software, now)
+
     def has_several_versions(self, service: str, now: float) -> bool:
         """Whether streams of a service may have been begun by several software versions."""
         return self._version_history.has_several_versions(service, now)
--- a/src/wharfcart/routing/version_history.py
+++ b/src/wharfcart/routing/version_history.py
@@ -5,7 +5,7 @@
 This module does no I/O; callers pass in the time in seconds.
 """
 
-from collections import Counter
+import math
 from dataclasses import dataclass, field
 
 from wharfcart.configuration.instances import BackendSoftware, SoftwareVersion
@@ -29,46 +29,79 @@
         return KnownVersions(self.versions | other.versions, max(self.known_s, other.known_s))
 
 
+@dataclass
+class _Listing:
+    """Back ends of one version.
+
+    Attributes:
+        count: back ends that are listed now.
+        removed_at: monotonic time at which the last one was removed.
+    """
+
+    count: int = 0
+    removed_at: float = -math.inf
+
+    def is_recent(self, now: float) -> bool:
+        return self.count > 0 or now - self.removed_at < ORIGIN_TTL_S
+
+
 @dataclass
 class VersionHistory:
-    """Software of the back ends that a node lists, and of those that it no longer lists."""
+    """Software of the back ends that a node lists, and of those that it listed until recently.
+
+    Attributes:
+        changes: how often the first back end of a version was listed or the last one removed.
+    """
 
+    changes: int = 0
     _known_since: dict[str, float] = field(default_factory=dict)  # by service
-    _listed: Counter[BackendSoftware] = field(default_factory=Counter)
-    _last_listed: dict[BackendSoftware, float] = field(default_factory=dict)
+    _listings: dict[str, dict[SoftwareVersion, _Listing]] = field(default_factory=dict)
 
     def backend_listed(self, software: BackendSoftware, now: float) -> None:
         """Record that a back end is listed with its software."""
         self._known_since.setdefault(software.service, now)
-        self._listed[software] += 1
+        listing = self._listing(software)
+        listing.count += 1
+        self.changes += listing.count == 1
 
     def backend_removed(self, software: BackendSoftware, now: float) -> None:
         """Record that a back end is no longer listed with its software."""
-        self._listed[software] -= 1
-        self._last_listed[software] = now
-        self._forget_expired(now)
+        listing = self._listing(software)
+        listing.count -= 1
+        listing.removed_at = now
+        self.changes += listing.count == 0
+        self._forget_expired(software.service, now)
+
+    def remember(self, software: BackendSoftware, now: float) -> None:
+        """Record software of back ends that were listed before a restart of this node."""
+        self._listing(software).removed_at = now
+
+    def recent(self, now: float) -> frozenset[BackendSoftware]:
+        """Return the software of back ends that are listed now or were until recently."""
+        return frozenset(
+            BackendSoftware(service, version)
+            for service in self._listings
+            for version in self._recent_versions(service, now)
+        )
 
     def known_versions(self, service: str, now: float) -> KnownVersions:
         """Return the versions of a service that are listed now or were until recently."""
-        versions = {
-            software.version
-            for software, count in self._listed.items()
-            if software.service == service
-            and (count > 0 or now - self._last_listed[software] < ORIGIN_TTL_S)
-        }
         known_s = now - self._known_since.get(service, now)
-        return KnownVersions(frozenset(versions), known_s)
-
-    def _forget_expired(self, now: float) -> None:
-        expired = [
-            software
-            for software, at in self._last_listed.items()
-            if now - at >= ORIGIN_TTL_S and not self._listed[software]
-        ]
-        for software in expired:
-            del self._listed[software]
-            del self._last_listed[software]
+        return KnownVersions(frozenset(self._recent_versions(service, now)), known_s)
 
     def has_several_versions(self, service: str, now: float) -> bool:
         """Whether streams of a service may have been begun by several versions."""
-        return len(self.known_versions(service, now).versions) > 1
+        return len(self._recent_versions(service, now)) > 1
+
+    def _listing(self, software: BackendSoftware) -> _Listing:
+        listings = self._listings.setdefault(software.service, {})
+        return listings.setdefault(software.version, _Listing())
+
+    def _recent_versions(self, service: str, now: float) -> list[SoftwareVersion]:
+        listings = self._listings.get(service, {})
+        return [version for version, listing in listings.items() if listing.is_recent(now)]
+
+    def _forget_expired(self, service: str, now: float) -> None:
+        listings = self._listings[service]
+        for version in [name for name, listing in listings.items() if not listing.is_recent(now)]:
+            del listings[version]
--- a/src/wharfcart/storage/disk.py
+++ b/src/wharfcart/storage/disk.py
@@ -8,6 +8,7 @@
 from typing import TypeVar
 
 from wharfcart.cluster.messages_pb2 import JobUpdate, PartialText
+from wharfcart.configuration.instances import BackendSoftware
 from wharfcart.storage.job_database import AppliedUpdates, CorruptJobError, JobDatabase
 from wharfcart.storage.partial_texts import ItemKey
 from wharfcart.storage.replicated_job import JobState
@@ -94,6 +95,14 @@
         """Return the partial texts of open jobs."""
         return await self._run_on_writer(lambda: self._require_open().load_partial_texts(group))
 
+    async def load_software(self) -> frozenset[BackendSoftware]:
+        """Return the software of back ends that was saved last."""
+        return await self._run_on_writer(lambda: self._require_open().load_software())
+
+    async def save_software(self, software: Collection[BackendSoftware]) -> None:
+        """Replace the saved software of back ends."""
+        await self._run_on_writer(lambda: self._require_open().save_software(software))
+
     def _require_open(self) -> JobDatabase:
         if self._database is None:
             raise DiskFailedError("not open")
--- a/src/wharfcart/storage/job_database.py
+++ b/src/wharfcart/storage/job_database.py
@@ -22,6 +22,7 @@
     PartialText,
     RequestJob,
 )
+from wharfcart.configuration.instances import BackendSoftware
 from wharfcart.storage.partial_texts import ItemKey, item_key_of
 from wharfcart.storage.replicated_job import (
     NO_EPOCH,
@@ -54,6 +55,8 @@
 create table if not exists result (
   job_id text not null, position integer not null, value blob not null, checksum integer not null,
   primary key (job_id, position)) without rowid;
+create table if not exists software (
+  service text not null, version text not null, primary key (service, version)) without rowid;
 drop table if exists running_text;
 create table if not exists item_text (
   job_id text not null, submission integer not null, item_id text not null,
@@ -284,6 +287,24 @@
             if _checksum(value) == checksum
         ]
 
+    def load_software(self) -> frozenset[BackendSoftware]:
+        """Return the software that was saved last."""
+        rows = self._connection.execute("select service, version from software")
+        return frozenset(BackendSoftware(service, version) for service, version in rows)
+
+    def save_software(self, software: Collection[BackendSoftware]) -> None:
+        """Replace the saved software of back ends in one commit."""
+        execute = self._connection.execute
+        execute("begin immediate")
+        try:
+            execute("delete from software")
+            self._connection.executemany("insert into software values (?, ?)", software)
+            execute("commit")
+        except BaseException:
+            if self._connection.in_transaction:
+                execute("rollback")
+            raise
+
     # ---- inner ----
 
     def _add_submissions(self) -> None:
--- a/tests/routing/test_stream_origins.py
+++ b/tests/routing/test_stream_origins.py
@@ -91,4 +91,4 @@
         software = BackendSoftware("s", SoftwareVersion(f"v{n}"))
         history.backend_listed(software, n * ORIGIN_TTL_S)
         history.backend_removed(software, n * ORIGIN_TTL_S + 1.0)
-    assert len(history._listed) == len(history._last_listed) <= 2
+    assert len(history._listings["s"]) <= 2
