Stream origins: a grant counts only while its service has one version

The gateway no longer waited for the answer, selected a back end itself (v3), and reported that to two nodes, not including the granting node. The gateway that the caller came to asked the granting node first, and was told v2.

Change: with several versions a grant is no evidence of what a gateway used. A granting node records it only while it knows one version of the service; else the gateway reports the origin to two nodes before the first event leaves. A lookup asks all that may keep one while several versions are known, and takes the latest.

--- a/src/wharfcart/routing/origin_resolution.py
+++ b/src/wharfcart/routing/origin_resolution.py
@@ -52,8 +52,12 @@
 
     @property
     def needs_no_other_answer(self) -> bool:
-        """Whether the origin is known, or follows from the versions of the service."""
-        return self.origin is not None or (len(self.known.versions) == 1 and self.covers_streams)
+        """Whether the service has one version and no other answer can change the decision.
+
+        Of a service with several versions another node may have a later origin.
+        """
+        has_evidence = self.origin is not None or self.covers_streams
+        return len(self.known.versions) == 1 and has_evidence
 
     @property
     def covers_streams(self) -> bool:
--- a/src/wharfcart/slots/granted_placement.py
+++ b/src/wharfcart/slots/granted_placement.py
@@ -112,31 +112,40 @@
         decision: PlacementDecision,
         was_placed_before: bool,
     ) -> None:
-        """Record the software that began a stream, and see to it that two nodes keep it.
+        """Record the software that began a stream, and see to it that other nodes keep it.
 
-        While the service has one version, the record that comes with a grant is enough. Granting
-        nodes at which the request was placed before may have recorded other software; all of them
-        learn the right one.
+        While the service has one version, the record that comes with a grant is enough. Else two
+        nodes keep what this gateway reports.
         """
         now = monotonic()
         origin = StreamOrigin(request_id, software, decision.sequence)
         granted_by = None
         if decision.granted and isinstance(decision, PlacedInSlot):
             granted_by = decision.slot.group
-        keepers = set() if granted_by is None else {granted_by}
-        if was_placed_before or granted_by is None:
-            available = [session.group for session in self._sessions.available()]
-            if not was_placed_before:
-                available = select_keepers(request_id, available)
-            for group in available:
-                session = self._sessions.by_group[group]
-                session.send(StreamBegun(session.key, origin))
-            keepers |= set(available)
-        if len(keepers) < KEEPERS_PER_STREAM and (
-            not keepers or self._selector.has_several_versions(software.service, now)
-        ):
-            self._sessions.report_origin(origin, next(iter(keepers), None))
-        self._sessions.origin_keepers.record(origin, keepers, now)
+        has_several = self._selector.has_several_versions(software.service, now)
+        if granted_by is not None and not has_several and not was_placed_before:
+            self._sessions.origin_keepers.record(origin, {granted_by}, now)
+            return
+        groups = self._report_origin(origin, granted_by, was_placed_before)
+        self._sessions.origin_keepers.record(origin, groups, now)
+
+    def _report_origin(
+        self, origin: StreamOrigin, granted_by: int | None, was_placed_before: bool
+    ) -> list[int]:
+        """Report an origin to two nodes, and return the groups whose granting nodes are among them.
+
+        Granting nodes at which the request was placed before may have recorded other software; all
+        of them learn the right one.
+        """
+        groups = [session.group for session in self._sessions.available()]
+        if not was_placed_before:
+            groups = select_keepers(origin.request_id, groups, preferred=granted_by)
+        for group in groups:
+            session = self._sessions.by_group[group]
+            session.send(StreamBegun(session.key, origin))
+        if len(groups) < KEEPERS_PER_STREAM:
+            self._sessions.report_origin(origin, groups)
+        return groups
 
     def is_granter_reachable(self, service: str, residence: Residence) -> bool:
         """Whether a node that grants slots of a service in a residence is available."""
--- a/src/wharfcart/slots/granter.py
+++ b/src/wharfcart/slots/granter.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from wharfcart.configuration.instances import BackendInstance
+from wharfcart.configuration.instances import BackendInstance, BackendSoftware
 from wharfcart.configuration.residence import ANYWHERE
 from wharfcart.routing.backend_selection import BackendSelector, InstanceState, select_by_affinity
 from wharfcart.routing.send_rates import SendRates
@@ -321,12 +321,20 @@
         self._ledger.take(request.session, use, now)
         self._rates.record(request.service, now)
         if request.origin_sequence:
-            software = state.instance.software
-            origin = StreamOrigin(request.request_id, software, request.origin_sequence)
-            self.origins.record(origin, now)
+            self._record_origin(request, state.instance.software, now)
         instructions.append(Granted(request.session, request.number, use.instance_id))
         return instructions
 
+    def _record_origin(self, request: SlotRequested, software: BackendSoftware, now: float) -> None:
+        """Record which software began a stream, if that follows from the grant.
+
+        A gateway that never receives the grant selects a back end itself, which is of the same
+        version only while there is one. Else gateways report what began their streams.
+        """
+        if not self.selector.has_several_versions(request.service, now):
+            origin = StreamOrigin(request.request_id, software, request.origin_sequence)
+            self.origins.record(origin, now)
+
     def _best_backend(
         self, request: SlotRequested, candidates: list[InstanceState], now: float
     ) -> InstanceState:
--- a/src/wharfcart/slots/origin_keepers.py
+++ b/src/wharfcart/slots/origin_keepers.py
@@ -1,8 +1,9 @@
 """Origins of a gateway's streams, and the granting nodes that keep a copy of them.
 
-A granting node records the origin of each stream that it grants a slot. Where a gateway selected
-the back end itself, it reports the origin to a few granting nodes. A node that begins to grant
-receives the origins that its group keeps when gateways open their sessions.
+While a service has one version, a granting node records the origin of each stream that it grants a
+slot. Else the gateway reports it to two nodes, and so it does where it selected the back end
+itself. A node that begins to grant receives the origins that its group keeps when gateways open
+their sessions.
 
 This module does no I/O; callers pass in the time in seconds.
 """
@@ -16,7 +17,7 @@
 from wharfcart.routing.stream_origins import StreamOrigin, StreamOrigins
 
 Keeper = TypeVar("Keeper", int, Address)
-# Two, so that the loss of a granting node together with the gateway loses no origin.
+# Two, so that the loss of one of them together with the gateway loses no origin.
 KEEPERS_PER_STREAM = 2
 # Newest first; more would delay the opening of a session.
 MAX_REPORTED_ORIGINS = 2000
@@ -60,13 +61,17 @@
         }
 
 
-def select_keepers(request_id: str, candidates: Collection[Keeper]) -> list[Keeper]:
-    """Return the keepers of the origin of a stream which no granting node granted.
+def select_keepers(
+    request_id: str, candidates: Collection[Keeper], preferred: Keeper | None = None
+) -> list[Keeper]:
+    """Return the keepers of the origin of a stream: the preferred one, and others by hashing.
 
     Rendezvous hashing spreads the streams over the candidates.
     """
-    ranked = sorted(
-        candidates,
-        key=lambda candidate: xxhash.xxh64_intdigest(f"{request_id}/{candidate}".encode()),
-    )
+
+    def rank(candidate: Keeper) -> tuple[bool, int]:
+        digest = xxhash.xxh64_intdigest(f"{request_id}/{candidate}".encode())
+        return candidate != preferred, digest
+
+    ranked = sorted(candidates, key=rank)
     return ranked[:KEEPERS_PER_STREAM]
--- a/src/wharfcart/slots/origin_lookup.py
+++ b/src/wharfcart/slots/origin_lookup.py
@@ -1,8 +1,8 @@
 """A gateway's lookup of the software that began a stream.
 
-The granting nodes keep the origins of the streams that they granted. After a move of a group's
-leadership the former granting node still has them until gateways have reported theirs to the new
-one, so that a group's other replicas are asked next. A gateway that has no session with a granting
+Granting nodes keep origins, and so do the other replicas of their groups: some are reported to
+them, and a former granting node still has its own. Where a service has several versions all of them
+are asked, as the latest origin of a request holds. A gateway that has no session with a granting
 node, as after its own start, waits for it for a moment.
 """
 
@@ -63,7 +63,8 @@
                 ],
             )
             are_all_asked = len(sessions) == len(self._sessions.by_group) > 0
-            if report.needs_no_other_answer or are_all_asked or monotonic() > wait_until:
+            is_found = report.origin is not None or report.needs_no_other_answer
+            if is_found or are_all_asked or monotonic() > wait_until:
                 return report
             await asyncio.sleep(CHECK_INTERVAL_S)
 
@@ -80,9 +81,11 @@
     origins = [
         origin_from_message(answer.origin) for answer in answers if answer.HasField("origin")
     ]
+    if report.origin is not None:
+        origins.append(report.origin)
     return replace(
         report,
-        origin=max(origins, key=lambda origin: origin.sequence, default=report.origin),
+        origin=max(origins, key=lambda origin: origin.sequence, default=None),
         known=known,
         asked=report.asked + len(results),
         answered=report.answered + len(answers),
--- a/src/wharfcart/slots/sessions.py
+++ b/src/wharfcart/slots/sessions.py
@@ -1,7 +1,7 @@
 """All slot sessions of one holder, one with each group's granting node."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from wharfcart.admission.tenant_limits import PermittedSend, SendHistory
 from wharfcart.clock import monotonic
@@ -117,26 +117,23 @@
                 groups_by_address |= dict.fromkeys(self._backups(group), group)
         return list(groups_by_address.items())
 
-    def report_origin(self, origin: StreamOrigin, granted_by: int | None) -> None:
+    def report_origin(self, origin: StreamOrigin, told_groups: Collection[int]) -> None:
         """Report the software that began a stream to storage nodes, without a session.
 
         Args:
             origin: the origin.
-            granted_by: group whose granting node has it, or None.
+            told_groups: groups whose granting nodes learn it within their sessions.
         """
         group_by_address = dict(self.replicas())
         for group in self.by_group:
             address = self._address(group)
             if address is not None:
                 group_by_address[address] = group
-        count = KEEPERS_PER_STREAM
-        if granted_by is not None:
-            group_by_address = {
-                address: group
-                for address, group in group_by_address.items()
-                if address != self._address(granted_by)
-            }
-            count -= 1
+        for group in told_groups:
+            told = self._address(group)
+            if told is not None:
+                group_by_address.pop(told, None)
+        count = KEEPERS_PER_STREAM - len(told_groups)
         for address in select_keepers(origin.request_id, group_by_address)[:count]:
             report = ReportStreamOrigin(
                 group=group_by_address[address], origin=origin_to_message(origin)
--- a/tests/routing/test_software_versions.py
+++ b/tests/routing/test_software_versions.py
@@ -17,6 +17,9 @@
     backend,
 )
 from tests.slots.network import SETTLE_S, Fleet, Holder, request
+from wharfcart.cluster.address import Address
+from wharfcart.cluster.messages_pb2 import Frame
+from wharfcart.cluster.transport import TrafficClass
 from wharfcart.configuration.instances import BackendInstance
 from wharfcart.configuration.serving import TrafficShare
 from wharfcart.experiments.simulated_slots import VIRTUAL_CLOCK_MODULES
@@ -25,6 +28,7 @@
 from wharfcart.routing.forwarder import MAX_CALLER_ATTEMPTS
 from wharfcart.routing.placement import LocalPlacement
 from wharfcart.routing.stream_origins import StreamOrigins
+from wharfcart.slots.events import SlotRequested
 
 VERSION_MIXES = (
     ("v1", "v1", "v2", "v2"),
@@ -431,3 +435,42 @@
         assert asyncio.get_running_loop().time() - began_at < 0.2
 
     play(partial(VersionedFleet, ("v1", "v1")), scenario)
+
+
+# Guards against the record of a grant whose answer was lost (soak seed 276426006): the gateway
+# selected another back end itself, at another version, and the granting node told the first one.
+def test_a_grant_that_its_gateway_never_received_is_no_origin() -> None:
+    mixed = []
+
+    async def scenario(fleet: VersionedFleet) -> None:
+        fleet.backups = fleet.nodes
+        first_holder, first = await fleet.stream_gateway("a")
+        second_holder, second = await fleet.stream_gateway("b")
+        session = first_holder.sessions.by_group[0]
+        request_slot = session.request_slot
+
+        async def lose_answer(slot_request: SlotRequested, tenant: str = "") -> None:
+            await request_slot(slot_request, tenant)
+            session.release(slot_request.number)
+            session._pause()
+
+        def lose_reports(address: Address, frame: Frame, traffic: TrafficClass) -> None:
+            if address != fleet.leader.address:
+                send(address, frame, traffic)
+
+        send = session._transport.send
+        session.request_slot = lose_answer  # type: ignore[assignment, method-assign]
+        session._transport.send = lose_reports  # type: ignore[method-assign]
+        before = StreamCaller()
+        await leave_midway(first, "q1", before)
+        fleet.kill(first_holder)
+        await asyncio.sleep(SETTLE_S)
+        await fleet.take_slots(second_holder)
+        after = await resume(fleet, second)
+        assert len(before.versions + after.versions) == EVENTS_PER_STREAM
+        if len(set(before.versions + after.versions)) > 1:
+            mixed.append(before.versions + after.versions)
+
+    for seed in range(40):
+        play(partial(VersionedFleet, VERSION_MIXES[0], seed), scenario)
+    assert mixed == []
