Answers: the log tells framing, an end inside an event and the bytes that came

Now `framing`, `inside_event` and `answer_bytes` stand there where an answer had neither length nor chunks, or ended inside an event. No decision changes. Cost: one look at the last bytes of each part of a stream; framed answers write the same line as before.

--- a/src/wharfcart/http/connection.py
+++ b/src/wharfcart/http/connection.py
@@ -27,6 +27,18 @@
 NO_BODY_STATUSES = frozenset({204, 304})
 
 
+class Framing(StrEnum):
+    """How a response tells where its body ends.
+
+    Attributes:
+        DELIMITED: by a length, by chunks, or because its status has no body.
+        UNTIL_CLOSE: by the end of the connection, which proves nothing if the peer's process ended.
+    """
+
+    DELIMITED = "delimited"
+    UNTIL_CLOSE = "until_close"
+
+
 class ConnectFailedError(Exception):
     """The connection could not be opened, so nothing was sent.
 
@@ -71,13 +83,23 @@
 
 
 class ResponseHead:
-    """Status and headers of a response; header names are in lower case."""
+    """Status and headers of a response; header names are in lower case.
 
-    __slots__ = ("headers", "status")
+    Attributes:
+        framing: how the response tells where its body ends.
+    """
+
+    __slots__ = ("framing", "headers", "status")
 
-    def __init__(self, status: int, headers: list[tuple[str, str]]) -> None:
+    def __init__(
+        self,
+        status: int,
+        headers: list[tuple[str, str]],
+        framing: Framing = Framing.DELIMITED,
+    ) -> None:
         self.status = status
         self.headers = headers
+        self.framing = framing
 
     def get(self, name: str) -> str | None:
         """Return the first value of a header, or None."""
@@ -199,7 +221,8 @@
         while not self._response.head_ready:
             self._raise_failure()
             await self._wait()
-        return ResponseHead(self._response.status, self._response.headers)
+        framing = Framing.UNTIL_CLOSE if self._response.until_close else Framing.DELIMITED
+        return ResponseHead(self._response.status, self._response.headers, framing)
 
     async def read_part(self) -> bytes | None:
         """Return the next bytes of the body, or None at the end of a complete response.
--- a/src/wharfcart/routing/event_stream.py
+++ b/src/wharfcart/routing/event_stream.py
@@ -8,6 +8,9 @@
 
 _EVENT_END = b"\n\n"
 _EVENT_END_CRLF = b"\r\n\r\n"
+# Ends of an empty line after a line, for each line ending that the format allows.
+_EMPTY_LINE_ENDS = (b"\n\n", b"\n\r\n", b"\r\r")
+_MAX_EMPTY_LINE_BYTES = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,6 +52,22 @@
         return lf + len(_EVENT_END) if lf >= 0 else -1
 
 
+class EventBoundary:
+    """Tracks whether a byte stream stands between two events, without buffering them."""
+
+    def __init__(self) -> None:
+        self._tail = b""
+
+    @property
+    def inside_event(self) -> bool:
+        """Whether bytes came after the end of the last complete event."""
+        return bool(self._tail) and not self._tail.endswith(_EMPTY_LINE_ENDS)
+
+    def feed(self, data: bytes) -> None:
+        """Add bytes."""
+        self._tail = (self._tail + data[-_MAX_EMPTY_LINE_BYTES:])[-_MAX_EMPTY_LINE_BYTES:]
+
+
 def _parse(raw: bytes) -> StreamEvent:
     number = None
     data = []
--- a/src/wharfcart/routing/request_log.py
+++ b/src/wharfcart/routing/request_log.py
@@ -2,6 +2,7 @@
 
 from wharfcart.admission.poison_requests import POISON_CAUSE
 from wharfcart.clock import monotonic
+from wharfcart.http.connection import Framing
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.observability.serving_metrics import ServingMetrics
 from wharfcart.routing.backend_selection import BackendSelector, InstanceState
@@ -127,6 +128,10 @@
         optional_fields: dict[str, object] = {}
         if progress.break_cause:
             optional_fields["broke"] = progress.break_cause
+        if progress.framing is Framing.UNTIL_CLOSE or progress.inside_event:
+            optional_fields["framing"] = progress.framing
+            optional_fields["inside_event"] = progress.inside_event
+            optional_fields["answer_bytes"] = progress.answer_bytes
         if progress.break_cause or progress.cause == POISON_CAUSE:
             optional_fields["content"] = request.fingerprint
         if progress.cause == ExclusionReason.OUTSIDE_RESIDENCE.value:
--- a/src/wharfcart/routing/request_progress.py
+++ b/src/wharfcart/routing/request_progress.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from wharfcart.configuration.instances import SoftwareVersion
+from wharfcart.http.connection import Framing
 from wharfcart.platform.http_headers import RequestMetadata
 from wharfcart.routing.placement import SendResult
 
@@ -27,6 +28,9 @@
         last_backend: id of the instance of the last send.
         first_byte_s: seconds from the arrival of the request to the first byte of the answer.
         cause: why the last send or placement failed.
+        framing: how the last answer tells where it ends; None while none has begun.
+        inside_event: whether the last stream ended inside an event.
+        answer_bytes: bytes of the last answer's body.
         break_cause: why the last interrupted send broke; '' if none did.
         retry_after_s: retry time for the caller in case of a refusal.
         answer_ok: whether the last answer shows a working back end.
@@ -46,6 +50,9 @@
     last_backend: str = ""
     first_byte_s: float | None = None
     cause: str = ""
+    framing: Framing | None = None
+    inside_event: bool = False
+    answer_bytes: int = 0
     break_cause: str = ""
     retry_after_s: float = RETRY_AFTER_FULL_S
     answer_ok: bool = True
--- a/src/wharfcart/routing/sender.py
+++ b/src/wharfcart/routing/sender.py
@@ -29,7 +29,7 @@
 from wharfcart.routing.backend_selection import BackendSelector, InstanceState
 from wharfcart.routing.caller_request import AnswerSink, CallerRequest
 from wharfcart.routing.crash_detection import CrashDetector, InterruptedRun
-from wharfcart.routing.event_stream import EventSplitter
+from wharfcart.routing.event_stream import EventBoundary, EventSplitter
 from wharfcart.routing.placement import Placement, PlacementDecision, SendResult
 from wharfcart.routing.region_reachability import RegionReachability
 from wharfcart.routing.request_log import RequestLog
@@ -260,6 +260,7 @@
         progress.sends += 1
         sent_at = monotonic()
         head = await self._with_timeout(request, progress, connection.read_head())
+        progress.framing = head.framing
         self._selector.record_first_byte(state, send_id)
         self._reachability.record_success(self._region_of(state))
         self._placement.first_byte_received(request.route.name, monotonic() - sent_at)
@@ -291,6 +292,7 @@
         head: ResponseHead,
     ) -> SendFailure | None:
         body = await connection.read_body()
+        progress.answer_bytes = len(body)
         failed = head.status >= STATUS_SERVER_ERROR
         progress.answer_ok = not failed or head.status == STATUS_TIMEOUT
         if failed and progress.answer_started:
@@ -317,10 +319,15 @@
         if progress.answer_started:
             self._request_log.resumed(request, progress)
         splitter = EventSplitter() if request.route.resumable else None
+        boundary = EventBoundary()
+        progress.answer_bytes = 0
         while True:
             part = await self._with_timeout(request, progress, connection.read_part())
             if part is None:
                 break
+            boundary.feed(part)
+            progress.inside_event = boundary.inside_event
+            progress.answer_bytes += len(part)
             is_event_missing = False
             if splitter is not None:
                 part, is_event_missing = _take_new_events(splitter, part, request, progress)
