Answers without length and chunks: their end is decided, not assumed

Cause: an answer with neither length nor chunks was whole as soon as its connection ended in order. A back end that breaks off closes in order as well, and so does the machine of a process that ended. Whether a stream ended inside an event was asked for resumable routes alone; nobody asked whether the back end was still there; and such an answer cleared the evidence against its request.

Change: one place decides whether an answer ended whole (http/answer_end.py): its framing, else its form (an event or a JSON document that is not complete), else whether its back end refuses connections. Only an answer known to be whole clears evidence. Events pass on as they come; the last chunk of an unframed answer waits for one connection to its back end (20 ms and a round trip). Framed answers take no further step.

Why it works: inside an event the bytes themselves contradict the end; between two events a process that has ended refuses the connection that is opened after the end. What remains open by HTTP (RFC 9112, 6.3): an end in order between two events, or of a body that is not JSON, at a back end that serves on; logged and counted as unknown (answer_end, wharfcart_answer_ends).

--- a/src/wharfcart/backends/http_responses.py
+++ b/src/wharfcart/backends/http_responses.py
@@ -15,6 +15,9 @@
     BackendRequest,
 )
 from wharfcart.errors import Outcome
+from wharfcart.http.answer_end import AnswerEnd, decide_by_backend, decide_by_form, form_of_body
+from wharfcart.http.connection import NO_BODY_STATUSES, Framing, ResponseHead
+from wharfcart.http.liveness import refuses_connections
 
 CONNECT_TIMEOUT_S = 1.0
 CONTROL_TIMEOUT_S = 2.0
@@ -83,9 +86,29 @@
 
 
 async def read_response(response: aiohttp.ClientResponse) -> BackendPart:
-    """Read a complete response as one part."""
+    """Read a complete response as one part.
+
+    Raises:
+        BackendError: With outcome ``unknown`` if the response was broken off.
+    """
     data = await response.read()
+    if await _is_broken_off(response, data):
+        raise BackendError("the response was broken off", Outcome.UNKNOWN)
     headers = {
         name: response.headers[name] for name in FORWARDED_HEADERS if name in response.headers
     }
     return BackendPart(0, data, True, response.status, headers)
+
+
+async def _is_broken_off(response: aiohttp.ClientResponse, data: bytes) -> bool:
+    """Whether a response that ended with its connection ended too early."""
+    is_chunked = "chunked" in response.headers.get("Transfer-Encoding", "").lower()
+    if is_chunked or response.content_length is not None or response.status in NO_BODY_STATUSES:
+        return False
+    headers = [(name.lower(), value) for name, value in response.headers.items()]
+    form = form_of_body(ResponseHead(response.status, headers), data)
+    decision = decide_by_form(Framing.UNTIL_CLOSE, form)
+    if decision is None:
+        host, port = response.url.host or "", response.url.port or 0
+        decision = decide_by_backend(await refuses_connections(host, port))
+    return decision.end is AnswerEnd.BROKEN_OFF
--- a/src/wharfcart/batch/item_run.py
+++ b/src/wharfcart/batch/item_run.py
@@ -10,6 +10,12 @@
 from wharfcart.backends.connection_pool import ConnectionLimitError, ConnectionPool
 from wharfcart.clock import monotonic
 from wharfcart.cluster.messages_pb2 import RequestItem
+from wharfcart.http.answer_end import (
+    AnswerEnd,
+    broken_off_error,
+    end_by_framing,
+    form_of_stream,
+)
 from wharfcart.http.connection import (
     ConnectFailedError,
     ConnectionBrokenError,
@@ -40,7 +46,15 @@
 
 
 # Outcomes of runs that the back end finished without a crash.
-_FINISHED_RUNS = frozenset({RunOutcome.SUCCEEDED, RunOutcome.FAILED, RunOutcome.UNPROCESSABLE})
+_ANSWERED_RUNS = frozenset({RunOutcome.SUCCEEDED, RunOutcome.FAILED, RunOutcome.UNPROCESSABLE})
+
+
+@dataclass(frozen=True, slots=True)
+class _FinishedRun:
+    """Outcome of a run whose answer ended, and whether the answer is known to be whole."""
+
+    outcome: RunOutcome
+    end: AnswerEnd = AnswerEnd.UNKNOWN
 
 
 @dataclass
@@ -173,7 +187,7 @@
         started_at = monotonic()
         events_before = len(attempt.progress.partial_text.texts)
         try:
-            outcome = await self._send_and_receive(connection, attempt)
+            run = await self._send_and_receive(connection, attempt)
         except TimeoutError:
             self._pool.discard(instance, connection)
             return RunOutcome.INTERRUPTED
@@ -195,13 +209,13 @@
             self._pool.discard(instance, connection)
             raise
         self._pool.release(instance, connection)
-        if outcome in _FINISHED_RUNS:
+        if run.outcome in _ANSWERED_RUNS and run.end is AnswerEnd.WHOLE:
             self._crash_detector.poison_requests.record_answer(attempt.fingerprint)
-        return outcome
+        return run.outcome
 
     async def _send_and_receive(
         self, connection: HttpConnection, attempt: ItemAttempt
-    ) -> RunOutcome:
+    ) -> _FinishedRun:
         self._send_request(connection, attempt)
         async with asyncio.timeout(READ_TIMEOUT_S):
             head = await connection.read_head()
@@ -213,10 +227,11 @@
             )
         if head.status >= 300:
             await connection.read_body()
-            return self._outcome_of_error(head, attempt.state)
+            outcome = self._outcome_of_error(head, attempt.state)
+            return _FinishedRun(outcome, end_by_framing(head.framing))
         if not http_headers.is_signed(head):
-            return RunOutcome.INTERRUPTED
-        return await self._read_events(connection, attempt.progress)
+            return _FinishedRun(RunOutcome.INTERRUPTED)
+        return await self._read_events(connection, attempt, head)
 
     def _send_request(self, connection: HttpConnection, attempt: ItemAttempt) -> None:
         item = attempt.item
@@ -250,7 +265,10 @@
             return RunOutcome.UNPROCESSABLE
         return RunOutcome.FAILED if head.status == STATUS_SERVER_ERROR else RunOutcome.INTERRUPTED
 
-    async def _read_events(self, connection: HttpConnection, progress: ItemProgress) -> RunOutcome:
+    async def _read_events(
+        self, connection: HttpConnection, attempt: ItemAttempt, head: ResponseHead
+    ) -> _FinishedRun:
+        progress = attempt.progress
         splitter = EventSplitter()
         while True:
             async with asyncio.timeout(READ_TIMEOUT_S):
@@ -264,6 +282,15 @@
                 if last_event is not None and event.number <= last_event:
                     continue
                 if last_event is not None and event.number > last_event + 1:
-                    return RunOutcome.INTERRUPTED
+                    return _FinishedRun(RunOutcome.INTERRUPTED)
                 progress.partial_text.add_event(event.number, event.data)
-        return RunOutcome.INTERRUPTED if splitter.remainder else RunOutcome.SUCCEEDED
+        has_events = bool(progress.partial_text.texts)
+        decision = await self._crash_detector.decide_end(
+            attempt.item.item_id,
+            attempt.state.instance,
+            head.framing,
+            form_of_stream(head.framing, bool(splitter.remainder), has_events),
+        )
+        if decision.end is AnswerEnd.BROKEN_OFF:
+            raise broken_off_error(head.framing, decision)
+        return _FinishedRun(RunOutcome.SUCCEEDED, decision.end)
--- a/src/wharfcart/node/serving_node.py
+++ b/src/wharfcart/node/serving_node.py
@@ -132,7 +132,7 @@
         poison_requests = PoisonRequests(
             release_jitter_s=self.random.uniform(0.0, RELEASE_JITTER_S)
         )
-        self.crash_detector = CrashDetector(poison_requests, log)
+        self.crash_detector = CrashDetector(poison_requests, log, self.metrics.answer_ends.add)
         self._poison_evidence_sync = PoisonEvidenceSync(
             poison_requests, self.coordination, self.mirror, self.random, self._relay_crashes
         )
--- a/src/wharfcart/observability/decisions.py
+++ b/src/wharfcart/observability/decisions.py
@@ -43,6 +43,7 @@
     BACKEND_DRAINING = "backend_draining"
     BACKEND_GONE = "backend_gone"
     BACKEND_ENDED = "backend_ended"
+    ANSWER_END = "answer_end"
     BACKEND_ENTRY_REFUSED = "backend_entry_refused"
     BACKEND_RESTARTED = "backend_restarted"
     BACKEND_COLD = "backend_cold"
--- a/src/wharfcart/observability/serving_metrics.py
+++ b/src/wharfcart/observability/serving_metrics.py
@@ -99,6 +99,11 @@
         self.placements = self._counter(
             "wharfcart_placements", "Choices of a back end, by who made them", "by"
         )
+        self.answer_ends = self._counter(
+            "wharfcart_answer_ends",
+            "Ends of answers that no length or chunks prove, by what they were taken for",
+            "end",
+        )
         self.stream_origins = self._counter(
             "wharfcart_stream_origins",
             "Streams that callers resumed, by what shows which software began them",
--- a/src/wharfcart/routing/crash_detection.py
+++ b/src/wharfcart/routing/crash_detection.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections import OrderedDict
+from collections.abc import Callable
 from dataclasses import dataclass
 from time import time
 
@@ -15,18 +16,20 @@
 from wharfcart.admission.request_fingerprint import RequestFingerprint
 from wharfcart.clock import monotonic
 from wharfcart.configuration.instances import BackendInstance
-from wharfcart.http.connection import BreakCause, ConnectFailedError, HttpConnection
+from wharfcart.http.answer_end import (
+    AnswerEnd,
+    BodyForm,
+    EndDecision,
+    decide_by_backend,
+    decide_by_form,
+)
+from wharfcart.http.connection import BreakCause, Framing
+from wharfcart.http.liveness import refuses_connections
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.observability.tasks import BackgroundTasks
 
-# Longer than a round trip to another region, in which a connection is accepted or refused.
-CHECK_TIMEOUT_S = 0.3
-# A crashing process resets its connections one after the other; one that was accepted meanwhile is
-# reset within this time.
-RESET_DELAY_S = 0.02
 # Upper bound of the delay of a retry by the inspection.
 MAX_INSPECTION_WAIT_S = 0.1
-MAX_CONNECTION_CHECKS = 2
 # All runs of a crashed back end are interrupted within this time. Shorter than a restart, which
 # takes 3 s: a run interrupted later may have run on a restarted back end.
 CRASH_TTL_S = 1.0
@@ -56,16 +59,24 @@
 
 
 class CrashDetector:
-    """Inspects the interrupted runs of one node.
+    """Inspects the interrupted runs of one node and the ends of its answers.
 
     Args:
         poison_requests: receives evidence against requests that ran at a crash.
-        log: receives a line for each crash and for each request that ran at one.
+        log: receives a line for each crash, for each request that ran at one, and for each end of
+            an answer that is not known by its framing.
+        count_end: called with each such end.
     """
 
-    def __init__(self, poison_requests: PoisonRequests, log: DecisionLog) -> None:
+    def __init__(
+        self,
+        poison_requests: PoisonRequests,
+        log: DecisionLog,
+        count_end: Callable[[AnswerEnd], None] = lambda _end: None,
+    ) -> None:
         self.poison_requests = poison_requests
         self._log = log
+        self._count_end = count_end
         self._tasks = BackgroundTasks()
         self._checks_by_instance: dict[str, asyncio.Task[None]] = {}
         self._crashed_at: OrderedDict[str, float] = OrderedDict()
@@ -78,6 +89,40 @@
         """Inspect a run and wait for the result for a bounded time."""
         await asyncio.wait((self.start_inspection(run),), timeout=MAX_INSPECTION_WAIT_S)
 
+    async def decide_end(
+        self, request_id: str, instance: BackendInstance, framing: Framing, form: BodyForm
+    ) -> EndDecision:
+        """Decide whether an answer ended whole; ask for its back end only where that decides.
+
+        Args:
+            request_id: id of the request or item.
+            instance: the instance that answered.
+            framing: how the answer tells where it ends.
+            form: what its body says about its end.
+        """
+        decision = decide_by_form(framing, form)
+        if decision is None:
+            decision = decide_by_backend(await self._is_gone(instance))
+        if framing is Framing.UNTIL_CLOSE or decision.end is not AnswerEnd.WHOLE:
+            self._count_end(decision.end)
+            self._log.write(
+                Event.ANSWER_END,
+                request=request_id,
+                backend=instance.instance_id,
+                framing=framing,
+                form=form,
+                end=decision.end,
+                evidence=decision.evidence,
+            )
+        return decision
+
+    async def _is_gone(self, instance: BackendInstance) -> bool:
+        """Whether an instance has crashed, by a check that begins after the call."""
+        earlier_check = self._checks_by_instance.get(instance.instance_id)
+        if earlier_check is not None:
+            await asyncio.shield(earlier_check)
+        return await self._has_crashed(instance)
+
     async def _inspect(self, run: InterruptedRun) -> None:
         if run.cause is not BreakCause.CLOSED or not await self._has_crashed(run.instance):
             return
@@ -118,25 +163,10 @@
         return crashed_at is not None and monotonic() - crashed_at < CRASH_TTL_S
 
     async def _check(self, instance: BackendInstance) -> None:
-        if not await _refuses_connections(instance):
+        if not await refuses_connections(instance.host, instance.port):
             return
         self._crashed_at[instance.instance_id] = monotonic()
         self._crashed_at.move_to_end(instance.instance_id)
         if len(self._crashed_at) > MAX_REMEMBERED_CRASHES:
             self._crashed_at.popitem(last=False)
         self._log.write(Event.BACKEND_ENDED, backend=instance.instance_id, service=instance.service)
-
-
-async def _refuses_connections(instance: BackendInstance) -> bool:
-    """Whether an instance refuses connections."""
-    for _ in range(MAX_CONNECTION_CHECKS):
-        try:
-            connection = await HttpConnection.open(instance.host, instance.port, CHECK_TIMEOUT_S)
-        except ConnectFailedError as error:
-            return error.refused
-        await asyncio.sleep(RESET_DELAY_S)
-        was_reset = connection.closed
-        connection.close()
-        if not was_reset:
-            return False
-    return False
--- a/src/wharfcart/routing/request_progress.py
+++ b/src/wharfcart/routing/request_progress.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from wharfcart.configuration.instances import SoftwareVersion
+from wharfcart.http.answer_end import AnswerEnd
 from wharfcart.http.connection import Framing
 from wharfcart.platform.http_headers import RequestMetadata
 from wharfcart.routing.placement import SendResult
@@ -29,6 +30,7 @@
         first_byte_s: seconds from the arrival of the request to the first byte of the answer.
         cause: why the last send or placement failed.
         framing: how the last answer tells where it ends; None while none has begun.
+        end: whether the last answer is known to be whole.
         inside_event: whether the last stream ended inside an event.
         answer_bytes: bytes of the last answer's body.
         break_cause: why the last interrupted send broke; '' if none did.
@@ -51,6 +53,7 @@
     first_byte_s: float | None = None
     cause: str = ""
     framing: Framing | None = None
+    end: AnswerEnd = AnswerEnd.UNKNOWN
     inside_event: bool = False
     answer_bytes: int = 0
     break_cause: str = ""
--- a/src/wharfcart/routing/sender.py
+++ b/src/wharfcart/routing/sender.py
@@ -16,12 +16,21 @@
 from wharfcart.backends.connection_pool import ConnectionLimitError, ConnectionPool
 from wharfcart.clock import monotonic
 from wharfcart.cluster.topology import RegionName
-from wharfcart.configuration.instances import BackendSoftware
+from wharfcart.configuration.instances import BackendInstance, BackendSoftware
 from wharfcart.configuration.serving import RouteKind
+from wharfcart.http.answer_end import (
+    AnswerEnd,
+    BodyForm,
+    broken_off_error,
+    end_by_framing,
+    form_of_body,
+    form_of_stream,
+)
 from wharfcart.http.connection import (
     BreakCause,
     ConnectFailedError,
     ConnectionBrokenError,
+    Framing,
     HttpConnection,
     ResponseHead,
 )
@@ -200,7 +209,8 @@
             raise
         self._pool.release(instance, connection)
         if failure is None or failure.possibly_ran:
-            self._crash_detector.poison_requests.record_answer(lambda: request.fingerprint)
+            if progress.end is AnswerEnd.WHOLE:
+                self._crash_detector.poison_requests.record_answer(lambda: request.fingerprint)
             self._record_outcome(state, progress, failure is None and progress.answer_ok)
         return failure
 
@@ -261,6 +271,7 @@
         sent_at = monotonic()
         head = await self._with_timeout(request, progress, connection.read_head())
         progress.framing = head.framing
+        progress.end = end_by_framing(head.framing)
         self._selector.record_first_byte(state, send_id)
         self._reachability.record_success(self._region_of(state))
         self._placement.first_byte_received(request.route.name, monotonic() - sent_at)
@@ -281,18 +292,22 @@
                 request, sink, progress, decision, software, connection, head
             )
             return None
-        return await self._forward_whole(request, sink, progress, connection, head)
+        return await self._forward_whole(request, sink, progress, decision, connection, head)
 
     async def _forward_whole(
         self,
         request: CallerRequest,
         sink: AnswerSink,
         progress: RequestProgress,
+        decision: PlacementDecision,
         connection: HttpConnection,
         head: ResponseHead,
     ) -> SendFailure | None:
         body = await connection.read_body()
         progress.answer_bytes = len(body)
+        if head.framing is Framing.UNTIL_CLOSE and head.status < 300:
+            form = form_of_body(head, body)
+            await self._require_whole(request, progress, decision.state.instance, head, form)
         failed = head.status >= STATUS_SERVER_ERROR
         progress.answer_ok = not failed or head.status == STATUS_TIMEOUT
         if failed and progress.answer_started:
@@ -341,11 +356,33 @@
                 await sink.send_part(part)
             if is_event_missing:
                 raise ConnectionBrokenError("an event is missing")
-        if splitter is not None and splitter.remainder:
-            raise ConnectionBrokenError("ended inside an event")
+        has_remainder = splitter is not None and bool(splitter.remainder)
+        has_events = progress.answer_started or progress.answer_bytes > 0
+        form = form_of_stream(head.framing, boundary.inside_event or has_remainder, has_events)
+        await self._require_whole(request, progress, decision.state.instance, head, form)
         await self._ensure_started(request, sink, progress, head)
         self._request_log.finished(request, progress, "answered", head.status)
 
+    async def _require_whole(
+        self,
+        request: CallerRequest,
+        progress: RequestProgress,
+        instance: BackendInstance,
+        head: ResponseHead,
+        form: BodyForm,
+    ) -> None:
+        """Decide whether an answer that ended is whole.
+
+        Raises:
+            ConnectionBrokenError: The answer was broken off.
+        """
+        decision = await self._crash_detector.decide_end(
+            request.facts.request_id, instance, head.framing, form
+        )
+        progress.end = decision.end
+        if decision.end is AnswerEnd.BROKEN_OFF:
+            raise broken_off_error(head.framing, decision)
+
     async def _with_timeout(
         self, request: CallerRequest, progress: RequestProgress, answer: Awaitable[Answer]
     ) -> Answer:
--- a/tests/gateway/test_ingress.py
+++ b/tests/gateway/test_ingress.py
@@ -9,7 +9,7 @@
 from wharfcart.configuration.serving import Route, RouteKind, ServingConfiguration, TrafficShare
 from wharfcart.gateway.ingress import BACKLOG_ACCEPT_S, BACKLOG_READ_S, Ingress
 from wharfcart.observability.decisions import DecisionLog
-from wharfcart.routing.caller_request import AnswerSink, CallerRequest
+from wharfcart.routing.caller_request import AnswerSink, AnswerTruncatedError, CallerRequest
 
 REQUEST = b"GET /look/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: r\r\n\r\n"
 
@@ -99,3 +99,47 @@
     requests, serving_at = asyncio.run(asyncio.wait_for(scenario(), 20))
     assert len(requests) == 2
     assert all(request.received_at >= serving_at for request in requests)
+
+
+class TruncatingForwarder:
+    """Answers the first request whole and breaks every later answer off."""
+
+    def __init__(self) -> None:
+        self._has_answered = False
+
+    async def forward(self, request: CallerRequest, sink: AnswerSink) -> None:
+        await sink.start(200, [("content-type", "text/event-stream")])
+        await sink.send_part(b"id: 0\ndata: x\n\n")
+        if self._has_answered:
+            raise AnswerTruncatedError
+        self._has_answered = True
+
+
+# Guards against a broken-off stream that looks whole in the caller's own framing.
+def test_a_truncated_stream_on_a_kept_connection_has_no_last_chunk() -> None:
+    async def scenario() -> tuple[bytes, bytes]:
+        Sanic.test_mode = True
+        route = Route("r", "h", "/look/", RouteKind.STREAM, (TrafficShare("s", 1.0),), 5.0, 0.3)
+        configuration = ServingConfiguration(1, (route,), {})
+        forwarder = TruncatingForwarder()
+        ingress = Ingress(
+            lambda: configuration, lambda: 0.0, forwarder, None, None, DecisionLog("test")
+        )
+        front, readiness = listening_socket(), listening_socket()
+        await ingress.start(front, readiness)
+        reader, writer = await asyncio.open_connection(*front.getsockname())
+        writer.write(REQUEST)
+        whole = await reader.readuntil(b"0\r\n\r\n")
+        writer.write(REQUEST)
+        received = b""
+        try:
+            while part := await reader.read(4096):
+                received += part
+        except ConnectionError:
+            pass
+        return whole, received
+
+    whole, truncated = asyncio.run(asyncio.wait_for(scenario(), 20))
+    assert b"transfer-encoding: chunked" in whole.lower()
+    assert b"data: x" in truncated
+    assert b"0\r\n\r\n" not in truncated
--- a/tests/routing/shaped_backends.py
+++ b/tests/routing/shaped_backends.py
@@ -30,13 +30,14 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             writer.close()
             return
-        request_id = next(
+        id_prefix = names.REQUEST_ID.lower().encode() + b":"
+        ids = [
             line.partition(b":")[2].strip().decode()
             for line in head.split(b"\r\n")
-            if line.lower().startswith(names.REQUEST_ID.lower().encode())
-        )
+            if line.lower().startswith(id_prefix)
+        ]
         headers = [
-            (names.REQUEST_ID, request_id),
+            *((names.REQUEST_ID, request_id) for request_id in ids),
             (names.RESPONSE_STAMP, "s"),
             ("Content-Type", self._content_type),
         ]
