Soak: streams without length and chunks, some broken off inside an event

The soak's model servers now draw, by seed and server, streams that end with their connection (a quarter) and streams that are broken off (3 in 100), closed in order or reset.

--- a/src/wharfcart/emulator/answer_shapes.py
+++ b/src/wharfcart/emulator/answer_shapes.py
@@ -1,16 +1,17 @@
 """How a back end may frame, break off and end its answers, as the protocol allows.
 
-A shape says what one answer looks like on the wire. :class:`ShapeDraw` draws shapes for a seed, so
-that tests, the soak and the demo meet them all; :func:`write_shaped` writes one to a connection.
+A shape says what one answer looks like on the wire; :func:`write_shaped` writes one to a
+connection. :class:`ShapeDraw` draws framings and ends for a seed, so that the soak meets them.
 """
 
 import random
 import socket
 import struct
-from asyncio import StreamWriter, WriteTransport
+from asyncio import BaseTransport, StreamWriter, Transport
 from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import StrEnum
+from typing import cast
 
 # With this option the kernel resets a connection that is closed.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -75,30 +76,34 @@
 
 
 class ShapeDraw:
-    """Draws the shapes of a back end's answers.
+    """Draws how a back end frames its answers and how it ends those that it breaks off.
 
     Args:
         rng: source of randomness.
         until_close_share: share of the answers without length and chunks.
-        cut_share: share of the answers that are broken off.
+        break_share: share of the answers that are broken off.
     """
 
     def __init__(
-        self, rng: random.Random, until_close_share: float = 0.0, cut_share: float = 0.0
+        self, rng: random.Random, until_close_share: float = 0.0, break_share: float = 0.0
     ) -> None:
         self._rng = rng
         self._until_close_share = until_close_share
-        self._cut_share = cut_share
+        self._break_share = break_share
 
-    def draw(self) -> AnswerShape:
-        """Return the shape of the next answer; its back end serves on."""
-        framing = AnswerFraming.CHUNKS
+    def draw_framing(self) -> AnswerFraming:
+        """Return the framing of the next answer."""
         if self._rng.random() < self._until_close_share:
-            framing = AnswerFraming.UNTIL_CLOSE
-        if self._rng.random() >= self._cut_share:
-            return AnswerShape(framing)
-        cut = self._rng.choice((Cut.BEFORE_BODY, Cut.INSIDE_EVENT))
-        return AnswerShape(framing, cut, self._rng.choice(list(ConnectionEnd)))
+            return AnswerFraming.UNTIL_CLOSE
+        return AnswerFraming.CHUNKS
+
+    def draw_break(self) -> bool:
+        """Return whether the next answer is broken off."""
+        return self._rng.random() < self._break_share
+
+    def draw_end(self) -> ConnectionEnd:
+        """Return how the connection of a broken-off answer ends."""
+        return self._rng.choice(list(ConnectionEnd))
 
 
 def head_of(
@@ -141,12 +146,12 @@
             return [*parts[: half - 1], parts[half - 1][: len(parts[half - 1]) // 2]]
 
 
-def end_connection(transport: WriteTransport, end: ConnectionEnd) -> None:
+def end_connection(transport: BaseTransport, end: ConnectionEnd) -> None:
     """Close or reset a connection."""
     if end is ConnectionEnd.RESET:
         raw = transport.get_extra_info("socket")
         raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
-        transport.abort()
+        cast(Transport, transport).abort()
         return
     transport.close()
 
--- a/src/wharfcart/emulator/faults.py
+++ b/src/wharfcart/emulator/faults.py
@@ -10,6 +10,8 @@
 from aiohttp import web
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
+from wharfcart.emulator.answer_shapes import ConnectionEnd, end_connection
+
 
 class Faults(BaseModel):
     """Faults of one emulated service."""
@@ -90,3 +92,14 @@
     if request.transport is not None:
         request.transport.abort()
     raise ConnectionResetError("fault")
+
+
+def break_off(request: web.Request, end: ConnectionEnd) -> None:
+    """End the connection in the middle of an answer, and end the handler.
+
+    Raises:
+        ConnectionResetError: always.
+    """
+    if request.transport is not None:
+        end_connection(request.transport, end)
+    raise ConnectionResetError("fault")
--- a/src/wharfcart/emulator/model_server.py
+++ b/src/wharfcart/emulator/model_server.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import itertools
+import random
 import re
 from collections import Counter, deque
 from collections.abc import Callable
@@ -13,7 +14,8 @@
 
 from aiohttp import web
 
-from wharfcart.emulator.faults import FaultSwitch, drop_connection
+from wharfcart.emulator.answer_shapes import AnswerFraming, ShapeDraw
+from wharfcart.emulator.faults import FaultSwitch, break_off
 from wharfcart.emulator.stream_events import StreamEvent
 from wharfcart.emulator.web_server import WebServer
 from wharfcart.platform import names
@@ -61,6 +63,12 @@
     return 1 if match is None else int(match[1])
 
 
+class _UntilCloseResponse(web.StreamResponse):
+    """A response with neither a length nor chunks."""
+
+    _length_check = False  # else aiohttp would send chunks
+
+
 class ModelServer:
     """One instance of a server.
 
@@ -71,8 +79,11 @@
         slot_count: requests that run at once.
         queue_size: requests that wait for a slot; the server refuses further ones.
         version: version of its software.
+        shapes: draws how its streams are framed and which are broken off; if None, all are whole
+            and in chunks.
 
     Attributes:
+        shapes: draws how its streams are framed and which are broken off.
         started_at_ms: start time, in wall clock milliseconds.
         failure_status_by_id: status of every response to a request id.
         failure_status: status of every response; None if the server does not fail.
@@ -92,9 +103,11 @@
         slot_count: int = 8,
         queue_size: int = 8,
         version: str = "v1",
+        shapes: ShapeDraw | None = None,
     ) -> None:
         self.instance_id = instance_id
         self.version = version
+        self.shapes = shapes or ShapeDraw(random.Random(0))
         self.started_at_ms = round(time() * 1000)
         self.runs: list[RunRecord] = []
         self.finished_by_id: Counter[str] = Counter()
@@ -220,12 +233,9 @@
     async def _stream(
         self, request: web.Request, run: RunRecord, body: bytes
     ) -> web.StreamResponse:
-        response = web.StreamResponse(
-            headers=self._response_headers(run.request_id) | {"Content-Type": STREAM_CONTENT_TYPE}
-        )
-        cut_after = (
-            (run.first_event + self._event_count) // 2 if self.switch.consume_stream_cut() else None
-        )
+        response = self._new_stream(run)
+        is_cut = self.switch.consume_stream_cut() or self.shapes.draw_break()
+        cut_after = (run.first_event + self._event_count) // 2 if is_cut else None
         interval_s = self._event_interval_s
         await response.prepare(request)
         for number in range(run.first_event, self._event_count):
@@ -235,7 +245,7 @@
                 await self._crash(body)
             if number == cut_after:
                 await response.write(f"id: {number}\ndata: half an ev".encode())
-                drop_connection(request)
+                break_off(request, self.shapes.draw_end())
             event = StreamEvent(
                 run.request_id, number, run.number, run.first_event - 1, self.version
             )
@@ -244,6 +254,14 @@
         self.finished_by_id[run.request_id] += 1
         return response
 
+    def _new_stream(self, run: RunRecord) -> web.StreamResponse:
+        headers = self._response_headers(run.request_id) | {"Content-Type": STREAM_CONTENT_TYPE}
+        if self.shapes.draw_framing() is AnswerFraming.CHUNKS:
+            return web.StreamResponse(headers=headers)
+        response = _UntilCloseResponse(headers=headers)
+        response.force_close()
+        return response
+
     async def _crash(self, body: bytes) -> None:
         """Abort all connections, as the crash of the process does."""
         await asyncio.sleep(self._event_interval_s)
--- a/src/wharfcart/soak/fleet.py
+++ b/src/wharfcart/soak/fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 import shutil
 import signal
 import sys
@@ -11,6 +12,7 @@
 from pathlib import Path
 from time import monotonic
 
+from wharfcart.emulator.answer_shapes import ShapeDraw
 from wharfcart.emulator.fault_proxy import Endpoint, FaultProxy, ProxyFaults
 from wharfcart.emulator.model_server import ModelServer
 from wharfcart.emulator.operator_documents import repeatable_route_fields
@@ -36,6 +38,9 @@
 HOOKS_FOLDER = Path(hooks.__file__).parent
 # Time from the crash of a back end to its restart.
 RESTART_DELAY_S = 0.6
+# Share of the streams without length and chunks.
+UNTIL_CLOSE_SHARE = 0.25
+BREAK_SHARE = 0.03
 # Time for which the store has no entry of the back end, with SAME_ID_AFTER_REMOVAL.
 ENTRY_ABSENCE_S = 0.5
 
@@ -70,6 +75,8 @@
     def __init__(self, seed: int, gateways: int, stores: int) -> None:
         super().__init__(gateways=gateways, stores=stores, event_s=0.02)
         self._seed = seed
+        for server in self.stream_servers:
+            server.shapes = self._shapes_of(server.instance_id)
         self.proxies_by_node: dict[str, FaultProxy] = {}
         self.proxies_by_server: dict[str, FaultProxy] = {}
         self._address_by_server: dict[str, str] = {}
@@ -214,7 +221,9 @@
         """
         index = server_index % len(self.stream_servers)
         version = version or self.stream_servers[index].version
-        new = ModelServer(f"i-lm-{self._next_server_number}", 12, 0.02, version=version)
+        instance_id = f"i-lm-{self._next_server_number}"
+        shapes = self._shapes_of(instance_id)
+        new = ModelServer(instance_id, 12, 0.02, version=version, shapes=shapes)
         self._next_server_number += 1
         await new.server.start("127.0.0.1", 0)
         await self._add_server_proxy(new)
@@ -224,6 +233,11 @@
         await self.announce(new, STREAM_SERVICE)
         await self.announce(old, STREAM_SERVICE, "draining")
 
+    def _shapes_of(self, instance_id: str) -> ShapeDraw:
+        """Return how a back end frames and breaks off its answers."""
+        rng = random.Random(f"{self._seed} {instance_id}")
+        return ShapeDraw(rng, UNTIL_CLOSE_SHARE, BREAK_SHARE)
+
     def has_run(self, request_id: str) -> bool:
         """Return whether any back end has run the request."""
         return any(
@@ -310,7 +324,10 @@
         event_count, event_interval_s = (12, 0.02) if is_stream_server else (0, 0.02)
         # A back end may return under its id with the version that is being released.
         version = self.released_version if is_stream_server else old.version
-        new = ModelServer(instance_id, event_count, event_interval_s, version=version)
+        shapes = self._shapes_of(instance_id)
+        new = ModelServer(
+            instance_id, event_count, event_interval_s, version=version, shapes=shapes
+        )
         await new.server.start("127.0.0.1", 0)
         if old not in servers:
             await new.server.stop()
--- a/tests/soak/test_fleet.py
+++ b/tests/soak/test_fleet.py
@@ -10,6 +10,7 @@
     """Back ends only; one crashes and is restarted while another fault replaces it."""
 
     def __init__(self) -> None:
+        self._seed = 1
         self.crashed = ModelServer("i-lm-0", 12, 0.02)
         self.restarted = ModelServer("i-after-end-1", 12, 0.02)
         self.stream_servers = [self.crashed]
