--- a/src/wharfcart/batch/item_run.py
+++ b/src/wharfcart/batch/item_run.py
@@ -6,6 +6,7 @@
 from enum import StrEnum
 from time import time
 
+from wharfcart.admission.prompt_parts import PromptPartKey, shared_part_keys
 from wharfcart.admission.request_fingerprint import RequestFingerprint, fingerprint_of
 from wharfcart.backends.connection_pool import ConnectionLimitError, ConnectionPool
 from wharfcart.clock import monotonic
@@ -70,6 +71,7 @@
         run_time_s: total duration of the attempts under this leader.
         restart_at: monotonic time from which the item begins anew at another software version
             instead of waiting for its own; None while it does not wait.
+        body_began_at: monotonic time of the first bytes of the last answer's body; None before.
     """
 
     partial_text: ItemPartialText
@@ -78,7 +80,9 @@
     attempts: int = 0
     run_time_s: float = 0.0
     restart_at: float | None = None
+    body_began_at: float | None = None
     _fingerprint: RequestFingerprint | None = None
+    _part_keys: tuple[PromptPartKey, ...] | None = None
 
     def fingerprint_of(self, item: RequestItem, host: str, tenant: str) -> RequestFingerprint:
         """Return the item's fingerprint, equal to that of an identical request of its tenant.
@@ -92,6 +96,18 @@
             self._fingerprint = fingerprint_of(host, ITEM_METHOD, item.path, tenant, item.body)
         return self._fingerprint
 
+    def part_keys_of(self, item: RequestItem, service: str) -> tuple[PromptPartKey, ...]:
+        """Return the parts of the item's prompt that other requests may share."""
+        if self._part_keys is None:
+            headers = ((header.name, header.value) for header in item.headers)
+            prompt = http_headers.parse_request_metadata(headers).prompt
+            self._part_keys = shared_part_keys(service, [part.part_id for part in prompt])
+        return self._part_keys
+
+    def written_s(self, now: float) -> float | None:
+        """Return the seconds since the last answer's body began, or None if it has not."""
+        return None if self.body_began_at is None else now - self.body_began_at
+
     @property
     def failure_count(self) -> int:
         """Number of answers that reported a failure."""
@@ -129,6 +145,10 @@
         """Return the item's fingerprint, which is the same for all attempts."""
         return self.progress.fingerprint_of(self.item, self.host, self.tenant)
 
+    def part_keys(self) -> tuple[PromptPartKey, ...]:
+        """Return the parts of the item's prompt that other requests may share."""
+        return self.progress.part_keys_of(self.item, self.state.instance.service)
+
 
 class ItemRunner:
     """Runs items at back ends.
@@ -185,6 +205,7 @@
             self._pool.release(instance, connection)
             return RunOutcome.REFUSED
         started_at = monotonic()
+        attempt.progress.body_began_at = None
         events_before = len(attempt.progress.partial_text.texts)
         try:
             run = await self._send_and_receive(connection, attempt)
@@ -202,6 +223,8 @@
                     error.cause,
                     answer_started,
                     monotonic() - started_at,
+                    attempt.part_keys(),
+                    attempt.progress.written_s(monotonic()),
                 )
             )
             return RunOutcome.INTERRUPTED
@@ -275,6 +298,8 @@
                 part = await connection.read_part()
             if part is None:
                 break
+            if progress.body_began_at is None:
+                progress.body_began_at = monotonic()
             for event in splitter.feed(part):
                 if event.number is None:
                     continue
--- a/src/wharfcart/routing/caller_request.py
+++ b/src/wharfcart/routing/caller_request.py
@@ -4,6 +4,7 @@
 from functools import cached_property
 from typing import Protocol
 
+from wharfcart.admission.prompt_parts import PromptPartKey, shared_part_keys
 from wharfcart.admission.request_fingerprint import RequestFingerprint, fingerprint_of
 from wharfcart.configuration.residence import Residence
 from wharfcart.configuration.serving import Route, RouteKind, ServedTenant
@@ -48,6 +49,11 @@
         host = self.route.host
         return fingerprint_of(host, self.method, self.target, self.tenant_name, self.body)
 
+    @cached_property
+    def part_keys(self) -> tuple[PromptPartKey, ...]:
+        """Parts of its prompt that other requests may share."""
+        return shared_part_keys(self.service, [part.part_id for part in self.facts.prompt])
+
     @property
     def residence(self) -> Residence:
         """Regions in which its data may be processed: those allowed by both route and tenant."""
--- a/src/wharfcart/routing/crash_detection.py
+++ b/src/wharfcart/routing/crash_detection.py
@@ -13,6 +13,7 @@
 from time import time
 
 from wharfcart.admission.poison_requests import PoisonRequests, crash_weight
+from wharfcart.admission.prompt_parts import PromptPartKey
 from wharfcart.admission.request_fingerprint import RequestFingerprint
 from wharfcart.clock import monotonic
 from wharfcart.configuration.instances import BackendInstance
@@ -48,6 +49,8 @@
         cause: why the connection broke.
         answer_begun: whether any byte of the answer had arrived in this run.
         ran_s: seconds since the send.
+        parts: the parts of its prompt that other requests may share.
+        written_s: seconds since the first bytes of the answer's body, or None if there were none.
     """
 
     request_id: str
@@ -56,6 +59,8 @@
     cause: BreakCause
     answer_begun: bool
     ran_s: float
+    parts: tuple[PromptPartKey, ...] = ()
+    written_s: float | None = None
 
 
 class CrashDetector:
@@ -140,6 +145,8 @@
             backend=instance_id,
             answer_begun=run.answer_begun,
             ran_s=round(run.ran_s, 3),
+            written_s=None if run.written_s is None else round(run.written_s, 3),
+            parts=run.parts,
             ends=len(evidence.crashes_by_key),
             weight=evidence.total_weight(),
             explained=evidence.total_weight() - unexplained.total_weight(),
--- a/src/wharfcart/routing/request_progress.py
+++ b/src/wharfcart/routing/request_progress.py
@@ -33,6 +33,7 @@
         end: whether the last answer is known to be whole.
         inside_event: whether the last stream ended inside an event.
         answer_bytes: bytes of the last answer's body.
+        body_began_at: monotonic time of the first bytes of the last answer's body; None before.
         break_cause: why the last interrupted send broke; '' if none did.
         retry_after_s: retry time for the caller in case of a refusal.
         answer_ok: whether the last answer shows a working back end.
@@ -56,6 +57,7 @@
     end: AnswerEnd = AnswerEnd.UNKNOWN
     inside_event: bool = False
     answer_bytes: int = 0
+    body_began_at: float | None = None
     break_cause: str = ""
     retry_after_s: float = RETRY_AFTER_FULL_S
     answer_ok: bool = True
--- a/src/wharfcart/routing/sender.py
+++ b/src/wharfcart/routing/sender.py
@@ -200,7 +200,7 @@
             if connection.response_count == 0:
                 self._avoid(state, "broken")
             await self._inspect_interruption(
-                request, state, send_id, error.cause, monotonic() - sent_at
+                request, progress, state, send_id, error.cause, monotonic() - sent_at
             )
             return SendFailure(True, "broken")
         except BaseException:
@@ -217,12 +217,14 @@
     async def _inspect_interruption(
         self,
         request: CallerRequest,
+        progress: RequestProgress,
         state: InstanceState,
         send_id: int,
         cause: BreakCause,
         ran_s: float,
     ) -> None:
         """Inspect whether the back end crashed; a repeatable request waits for the result."""
+        began_at = progress.body_began_at
         run = InterruptedRun(
             request.facts.request_id,
             request.fingerprint,
@@ -230,6 +232,8 @@
             cause,
             send_id not in state.unanswered_since,
             ran_s,
+            request.part_keys,
+            None if began_at is None else monotonic() - began_at,
         )
         if request.route.repeatable:
             await self._crash_detector.inspect(run)
@@ -252,6 +256,7 @@
         send_id: int,
     ) -> SendFailure | None:
         state = decision.state
+        progress.body_began_at = None
         software = state.instance.software  # an entry may change while the answer is read
         connection.send(
             request.method,
@@ -340,6 +345,8 @@
             part = await self._with_timeout(request, progress, connection.read_part())
             if part is None:
                 break
+            if progress.body_began_at is None:
+                progress.body_began_at = monotonic()
             boundary.feed(part)
             progress.inside_event = boundary.inside_event
             progress.answer_bytes += len(part)
