Prompt parts that crash back ends: requests that hold them are quarantined

Cause: evidence was kept by whole requests (host, method, target, tenant, body). Of requests that differ each time every one is new, so nothing was ever held back.

Change: each crash names the parts of the runs that had not been written or for at most 0.3 s; a part is sound as of the moment at which a back end began to write an answer to it and went on. The part at the most crashes explains them (greedy set cover); parts at the same crashes can't be told apart, and only requests that hold all of them are refused, so that others show which it is. Three crashes, at most of those of their time, or five; half a second later, for 30 s, then ten minutes. Each node writes a key of its own per crash, without conflicts; that a part is sound is shared only where it is about to be suspected. Storage nodes write for nodes that the service refuses. Items are held back alike. Refusals name parts and crashes.

Why it works: whatever else a request holds, the bad part is at each crash and never sound; what is sound is answered elsewhere within tenths of a second.

A test changed: gateways that the service refuses now relay to two storage nodes, as processes do; before, each gateway of the harness relayed to all others.

--- /dev/null
+++ b/src/wharfcart/admission/crashing_parts.py
@@ -0,0 +1,316 @@
+"""Quarantine of requests whose prompts hold a part that crashes back ends.
+
+One part of a prompt may crash every back end that begins to answer it, in requests that are never
+alike otherwise. Each crash names all parts of the runs that it may have been: those that had just
+begun to be written, or not yet. A part is sound as of the moment at which a back end began to write
+an answer to it and went on. What is left over several crashes is suspected, as in group testing:
+
+* the part at the most crashes explains them, and they say nothing against the parts beside it;
+* parts that were at the same crashes can't be told apart. Only requests that hold all of them are
+  quarantined, so that requests with some of them show which one it is.
+
+Nodes share what they saw; each concludes by itself. This module does no I/O. Times are wall-clock
+seconds, since nodes share them.
+"""
+
+from collections import defaultdict
+from collections.abc import Callable, Collection, Iterable, Mapping
+from dataclasses import dataclass, field, replace
+from typing import NewType
+
+from wharfcart.admission.prompt_parts import PromptPartKey
+
+# Identifies one crash: the instance that ended by it.
+CrashId = NewType("CrashId", str)
+
+# A back end that has written an answer for this time was not crashed by it.
+MIN_SOUND_S = 0.3
+# A content that crashes back ends again and again may do so alone, whatever parts it has.
+FIRST_CRASH_WEIGHT = 1.0
+REPEATED_CRASH_WEIGHT = 0.5
+QUARANTINE_WEIGHT = 3.0
+# With less weight than this a part must be at most of the crashes of its time: where back ends
+# crash for causes of their own, some parts are at three of many crashes by chance.
+CERTAIN_WEIGHT = 5.0
+MIN_CRASH_SHARE = 0.75
+# Parts are suspected this long after the crash that brought them to the weight, in which sound ones
+# begin to be answered elsewhere.
+SETTLE_S = 0.5
+# Grows by the factor per further crash.
+FIRST_QUARANTINE_S = 30.0
+QUARANTINE_GROWTH = 20.0
+EVIDENCE_TTL_S = 600.0
+# The oldest crashes are evicted beyond this number.
+MAX_CRASHES = 128
+# From this weight of crashes on, nodes share that a part is sound: one more would suspect it.
+SHARE_SOUND_WEIGHT = QUARANTINE_WEIGHT - FIRST_CRASH_WEIGHT
+
+
+@dataclass(frozen=True, slots=True)
+class CrashReport:
+    """The parts of the runs that may have caused a crash.
+
+    Attributes:
+        crash_id: the crash.
+        at: time of the crash.
+        weights: weight of the evidence by part.
+    """
+
+    crash_id: CrashId
+    at: float
+    weights: Mapping[PromptPartKey, float]
+
+    def merged(self, other: "CrashReport") -> "CrashReport":
+        """Return what both say of one crash, at the time of the earlier one."""
+        weights = dict(self.weights)
+        for part, weight in other.weights.items():
+            weights[part] = max(weight, weights.get(part, 0.0))
+        return CrashReport(self.crash_id, min(self.at, other.at), weights)
+
+    def covers(self, other: "CrashReport") -> bool:
+        """Whether this holds everything that the other report of the crash says."""
+        return all(self.weights.get(part, 0.0) >= weight for part, weight in other.weights.items())
+
+
+@dataclass(frozen=True, slots=True)
+class Suspicion:
+    """Parts that crash back ends together or alone; what crashed can't tell them apart.
+
+    Attributes:
+        parts: the parts; a request that holds all of them is quarantined.
+        crashes: the crashes that they explain.
+        weight: weight of these crashes.
+        last_crash_at: time of the last one.
+    """
+
+    parts: frozenset[PromptPartKey]
+    crashes: frozenset[CrashId]
+    weight: float
+    last_crash_at: float
+
+    def quarantine_left_s(self, now: float) -> float:
+        """Return the remaining seconds of the quarantine."""
+        growth: float = QUARANTINE_GROWTH ** (self.weight - QUARANTINE_WEIGHT)
+        quarantine_s = min(EVIDENCE_TTL_S, FIRST_QUARANTINE_S * growth)
+        return max(0.0, self.last_crash_at + quarantine_s - now)
+
+
+@dataclass
+class CrashingParts:
+    """Evidence against parts of prompts that one node knows: its own and that of others.
+
+    Attributes:
+        on_update: called when there is something to share.
+    """
+
+    on_update: Callable[[], None] = lambda: None
+    _reports: dict[CrashId, CrashReport] = field(default_factory=dict)
+    _own_reports: dict[CrashId, CrashReport] = field(default_factory=dict)
+    _unpublished: set[CrashId] = field(default_factory=set)
+    _sound_at: dict[PromptPartKey, float] = field(default_factory=dict)
+    _shared_sound_at: dict[PromptPartKey, float] = field(default_factory=dict)
+    _suspicions: list[Suspicion] | None = None
+    _valid_until: float = 0.0
+
+    def __len__(self) -> int:
+        return len(self._reports)
+
+    # ---- decisions ----
+
+    def quarantine_left_s(self, parts: Collection[PromptPartKey], now: float) -> float:
+        """Return the remaining seconds of the quarantine of a request with these parts."""
+        suspicion = self.suspicion_of(parts, now)
+        return 0.0 if suspicion is None else suspicion.quarantine_left_s(now)
+
+    def suspicion_of(self, parts: Collection[PromptPartKey], now: float) -> Suspicion | None:
+        """Return what quarantines a request with these parts for longest, or None."""
+        if not self._reports or not parts:
+            return None
+        found = [one for one in self.suspicions(now) if one.parts.issubset(parts)]
+        held = max(found, key=lambda one: one.quarantine_left_s(now), default=None)
+        return held if held is not None and held.quarantine_left_s(now) else None
+
+    def suspicions(self, now: float) -> list[Suspicion]:
+        """Return what is suspected now, the most crashes first."""
+        if self._suspicions is None or now >= self._valid_until:
+            self._forget_expired(now)
+            self._suspicions, self._valid_until = _explain(
+                self._reports.values(), self._sound_at, now
+            )
+        return self._suspicions
+
+    # ---- local observations ----
+
+    def record_crash(self, report: CrashReport) -> None:
+        """Record what this node saw of a crash."""
+        own = self._own_reports.get(report.crash_id)
+        self._own_reports[report.crash_id] = report if own is None else own.merged(report)
+        self._unpublished.add(report.crash_id)
+        self._add(report)
+        self.on_update()
+
+    def record_sound(self, parts: Iterable[PromptPartKey], began_at: float) -> None:
+        """Record that a back end began to write an answer to these parts and went on.
+
+        Args:
+            parts: parts of the request.
+            began_at: time at which it began.
+        """
+        if not self._reports:
+            return
+        weights = self._weights(self._sound_at)
+        later = [
+            part for part in parts if part in weights and began_at > self._sound_at.get(part, 0.0)
+        ]
+        if not later:
+            return
+        self._sound_at.update(dict.fromkeys(later, began_at))
+        self._suspicions = None
+        if self.unpublished_sound():
+            self.on_update()
+
+    # ---- shared evidence ----
+
+    def apply_report(self, report: CrashReport) -> bool:
+        """Apply another node's report; return whether it says anything new."""
+        known = self._reports.get(report.crash_id)
+        if known is not None and known.covers(report):
+            return False
+        self._add(report)
+        if self.unpublished_sound():
+            self.on_update()
+        return True
+
+    def relay_report(self, report: CrashReport) -> None:
+        """Apply a report of a node that could not share it, and share it in its place."""
+        if self.apply_report(report):
+            self.record_crash(report)
+
+    def apply_sound(self, part: PromptPartKey, began_at: float) -> None:
+        """Apply that a part was sound at a time, as another node has shared."""
+        self._shared_sound_at[part] = max(began_at, self._shared_sound_at.get(part, 0.0))
+        if began_at > self._sound_at.get(part, 0.0):
+            self._sound_at[part] = began_at
+            self._suspicions = None
+
+    def unpublished_reports(self, limit: int) -> list[CrashReport]:
+        """Return own reports that were not shared."""
+        return [self._own_reports[crash_id] for crash_id in sorted(self._unpublished)[:limit]]
+
+    def mark_published(self, published: Iterable[CrashReport]) -> None:
+        """Record shared reports; what was seen since they were taken remains unpublished."""
+        for report in published:
+            own = self._own_reports.get(report.crash_id)
+            if own is None or report.covers(own):
+                self._unpublished.discard(report.crash_id)
+
+    def unpublished_sound(self) -> dict[PromptPartKey, float]:
+        """Return parts that others are about to suspect, with the time at which they were sound."""
+        weights = self._weights(self._shared_sound_at)
+        return {
+            part: sound_at
+            for part, sound_at in self._sound_at.items()
+            if sound_at > self._shared_sound_at.get(part, 0.0)
+            and weights.get(part, 0.0) >= SHARE_SOUND_WEIGHT
+        }
+
+    # ---- internals ----
+
+    def _add(self, report: CrashReport) -> None:
+        known = self._reports.get(report.crash_id)
+        self._reports[report.crash_id] = report if known is None else known.merged(report)
+        self._suspicions = None
+        while len(self._reports) > MAX_CRASHES:
+            self._forget(min(self._reports, key=lambda crash_id: self._reports[crash_id].at))
+
+    def _forget_expired(self, now: float) -> None:
+        for report in list(self._reports.values()):
+            if report.at > now:
+                # A node's clock that runs ahead would extend the quarantine.
+                self._reports[report.crash_id] = replace(report, at=now)
+            elif now - report.at > EVIDENCE_TTL_S:
+                self._forget(report.crash_id)
+
+    def _forget(self, crash_id: CrashId) -> None:
+        del self._reports[crash_id]
+        self._own_reports.pop(crash_id, None)
+        self._unpublished.discard(crash_id)
+        live = {part for report in self._reports.values() for part in report.weights}
+        for times in (self._sound_at, self._shared_sound_at):
+            for part in times.keys() - live:
+                del times[part]
+
+    def _weights(self, sound_at: Mapping[PromptPartKey, float]) -> dict[PromptPartKey, float]:
+        """Return the weight against each part of the crashes since it was last sound."""
+        weights: dict[PromptPartKey, float] = defaultdict(float)
+        for report in self._reports.values():
+            for part, weight in report.weights.items():
+                if report.at > sound_at.get(part, 0.0):
+                    weights[part] += weight
+        return weights
+
+
+def _explain(
+    reports: Collection[CrashReport], sound_at: Mapping[PromptPartKey, float], now: float
+) -> tuple[list[Suspicion], float]:
+    """Return the fewest parts that explain the crashes, and until when this holds."""
+    crashes_by_part: dict[PromptPartKey, dict[CrashId, CrashReport]] = defaultdict(dict)
+    for report in reports:
+        for part in report.weights:
+            if report.at > sound_at.get(part, 0.0):
+                crashes_by_part[part][report.crash_id] = report
+    suspicions: list[Suspicion] = []
+    explained: set[CrashId] = set()
+    valid_until = now + EVIDENCE_TTL_S
+    while True:
+        suspicion = _strongest(reports, crashes_by_part, explained)
+        if suspicion is None:
+            return suspicions, valid_until
+        settled_at = _settled_at(suspicion, crashes_by_part)
+        if settled_at <= now:
+            suspicions.append(suspicion)
+        else:
+            valid_until = min(valid_until, settled_at)
+        explained |= suspicion.crashes
+
+
+def _strongest(
+    all_reports: Collection[CrashReport],
+    crashes_by_part: Mapping[PromptPartKey, Mapping[CrashId, CrashReport]],
+    explained: set[CrashId],
+) -> Suspicion | None:
+    """Return the parts at the most crashes that nothing explains yet, if they weigh enough."""
+    parts_by_crashes: dict[frozenset[CrashId], set[PromptPartKey]] = defaultdict(set)
+    for part, crashes in crashes_by_part.items():
+        unexplained = frozenset(crashes.keys() - explained)
+        if unexplained:
+            parts_by_crashes[unexplained].add(part)
+    found: Suspicion | None = None
+    for crash_ids, parts in parts_by_crashes.items():
+        reports = [crashes_by_part[min(parts)][crash_id] for crash_id in crash_ids]
+        weight = sum(max(report.weights[part] for part in parts) for report in reports)
+        if weight < QUARANTINE_WEIGHT or (found is not None and weight <= found.weight):
+            continue
+        first_crash_at = min(report.at for report in reports)
+        last_crash_at = max(report.at for report in reports)
+        meanwhile = sum(
+            first_crash_at <= report.at <= last_crash_at and report.crash_id not in explained
+            for report in all_reports
+        )
+        if weight < CERTAIN_WEIGHT and len(reports) < MIN_CRASH_SHARE * meanwhile:
+            continue
+        found = Suspicion(frozenset(parts), crash_ids, weight, last_crash_at)
+    return found
+
+
+def _settled_at(
+    suspicion: Suspicion, crashes_by_part: Mapping[PromptPartKey, Mapping[CrashId, CrashReport]]
+) -> float:
+    """Return when the crash that brought the parts to the weight is old enough."""
+    crashes = crashes_by_part[min(suspicion.parts)]
+    weight = 0.0
+    for report in sorted((crashes[one] for one in suspicion.crashes), key=lambda one: one.at):
+        weight += max(report.weights[part] for part in suspicion.parts)
+        if weight >= QUARANTINE_WEIGHT:
+            return report.at + SETTLE_S
+    return suspicion.last_crash_at + SETTLE_S
--- a/src/wharfcart/admission/poison_requests.py
+++ b/src/wharfcart/admission/poison_requests.py
@@ -10,9 +10,11 @@
 This module does no I/O. Times are wall-clock seconds, since nodes share the evidence.
 """
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, field, replace
 
+from wharfcart.admission.crashing_parts import CrashingParts
+from wharfcart.admission.prompt_parts import PromptPartKey
 from wharfcart.admission.request_fingerprint import RequestFingerprint
 
 # Cause of a refusal in the decision log.
@@ -215,12 +217,14 @@
 
     Attributes:
         on_update: called when there are changes to publish to the fleet.
+        parts: evidence against parts of prompts, which crash back ends in requests that differ.
         release_jitter_s: seconds that this node adds to each quarantine. Each node picks it at
             random, so that nodes release copies of one request one after the other and later nodes
             learn the outcome of the first.
     """
 
     on_update: Callable[[], None] = lambda: None
+    parts: CrashingParts = field(default_factory=CrashingParts)
     release_jitter_s: float = 0.0
     _shared: dict[RequestFingerprint, PoisonEvidence] = field(default_factory=dict)
     _local: dict[RequestFingerprint, PoisonEvidence] = field(default_factory=dict)
@@ -232,17 +236,24 @@
     def __len__(self) -> int:
         return len(self._fingerprints())
 
-    def quarantine_left_s(self, fingerprint: Callable[[], RequestFingerprint], now: float) -> float:
+    def quarantine_left_s(
+        self,
+        fingerprint: Callable[[], RequestFingerprint],
+        now: float,
+        parts: Collection[PromptPartKey] = (),
+    ) -> float:
         """Return the remaining seconds of a request's quarantine; 0 if it may be sent.
 
         Args:
             fingerprint: computes the request's fingerprint; called only if there is any evidence.
             now: wall-clock seconds.
+            parts: parts of its prompt that other requests may share.
         """
+        left_s = self.parts.quarantine_left_s(parts, now - self.release_jitter_s)
         if not self._shared and not self._local:
-            return 0.0
+            return left_s
         evidence = self.unexplained_evidence(fingerprint())
-        return evidence.quarantine_left_s(now - self.release_jitter_s)
+        return max(left_s, evidence.quarantine_left_s(now - self.release_jitter_s))
 
     def evidence(self, fingerprint: RequestFingerprint) -> PoisonEvidence:
         """Return the shared and local evidence against a request."""
--- a/src/wharfcart/batch/item_run.py
+++ b/src/wharfcart/batch/item_run.py
@@ -6,6 +6,7 @@
 from enum import StrEnum
 from time import time
 
+from wharfcart.admission.crashing_parts import MIN_SOUND_S
 from wharfcart.admission.prompt_parts import PromptPartKey, shared_part_keys
 from wharfcart.admission.request_fingerprint import RequestFingerprint, fingerprint_of
 from wharfcart.backends.connection_pool import ConnectionLimitError, ConnectionPool
@@ -82,7 +83,7 @@
     restart_at: float | None = None
     body_began_at: float | None = None
     _fingerprint: RequestFingerprint | None = None
-    _part_keys: tuple[PromptPartKey, ...] | None = None
+    _part_ids: tuple[str, ...] | None = None
 
     def fingerprint_of(self, item: RequestItem, host: str, tenant: str) -> RequestFingerprint:
         """Return the item's fingerprint, equal to that of an identical request of its tenant.
@@ -98,11 +99,11 @@
 
     def part_keys_of(self, item: RequestItem, service: str) -> tuple[PromptPartKey, ...]:
         """Return the parts of the item's prompt that other requests may share."""
-        if self._part_keys is None:
+        if self._part_ids is None:
             headers = ((header.name, header.value) for header in item.headers)
             prompt = http_headers.parse_request_metadata(headers).prompt
-            self._part_keys = shared_part_keys(service, [part.part_id for part in prompt])
-        return self._part_keys
+            self._part_ids = tuple(part.part_id for part in prompt)
+        return shared_part_keys(service, self._part_ids)
 
     def written_s(self, now: float) -> float | None:
         """Return the seconds since the last answer's body began, or None if it has not."""
@@ -175,7 +176,10 @@
     def _is_quarantined(self, attempt: ItemAttempt) -> bool:
         """Whether the item is suspected of crashing back ends."""
         return (
-            self._crash_detector.poison_requests.quarantine_left_s(attempt.fingerprint, time()) > 0
+            self._crash_detector.poison_requests.quarantine_left_s(
+                attempt.fingerprint, time(), attempt.part_keys()
+            )
+            > 0
         )
 
     async def run(self, attempt: ItemAttempt) -> RunOutcome:
@@ -233,6 +237,8 @@
             raise
         self._pool.release(instance, connection)
         if run.outcome in _ANSWERED_RUNS and run.end is AnswerEnd.WHOLE:
+            if run.outcome is RunOutcome.SUCCEEDED:
+                self._crash_detector.record_sound(attempt.part_keys(), started_at)
             self._crash_detector.poison_requests.record_answer(attempt.fingerprint)
         return run.outcome
 
@@ -293,6 +299,7 @@
     ) -> _FinishedRun:
         progress = attempt.progress
         splitter = EventSplitter()
+        is_sound = False
         while True:
             async with asyncio.timeout(READ_TIMEOUT_S):
                 part = await connection.read_part()
@@ -300,6 +307,9 @@
                 break
             if progress.body_began_at is None:
                 progress.body_began_at = monotonic()
+            elif not is_sound and monotonic() - progress.body_began_at > MIN_SOUND_S:
+                is_sound = True
+                self._crash_detector.record_sound(attempt.part_keys(), progress.body_began_at)
             for event in splitter.feed(part):
                 if event.number is None:
                     continue
--- a/src/wharfcart/batch/job_execution.py
+++ b/src/wharfcart/batch/job_execution.py
@@ -185,10 +185,12 @@
         if not self._group.is_confirmed_since_resume:
             return
         job = scheduled.job
+        service = self._service_of(job) or ""
         for item in self._scheduler.startable_items(scheduled, now):
             progress = scheduled.progress_of(item.item_id)
             fingerprint = partial(progress.fingerprint_of, item, job.host, job.tenant)
-            if not self._poison_requests.quarantine_left_s(fingerprint, time()):
+            parts = progress.part_keys_of(item, service)
+            if not self._poison_requests.quarantine_left_s(fingerprint, time(), parts):
                 yield item
 
     def _jobs_by_due_time(self, service: str) -> list[ScheduledJob]:
--- a/src/wharfcart/node/fleet_keys.py
+++ b/src/wharfcart/node/fleet_keys.py
@@ -9,6 +9,8 @@
 NODE_PREFIX = "wharfcart/nodes/"
 GROUP_PREFIX = "wharfcart/groups/"
 POISON_REQUEST_PREFIX = "wharfcart/suspects/"
+CRASH_REPORT_PREFIX = "wharfcart/crashes/"
+SOUND_PART_PREFIX = "wharfcart/sound-parts/"
 LAYOUT_KEY = "wharfcart/layout"
 
 
--- a/src/wharfcart/node/poison_evidence_sync.py
+++ b/src/wharfcart/node/poison_evidence_sync.py
@@ -1,6 +1,7 @@
 """Shares evidence of poison requests between nodes through the coordination service.
 
-The service stores one key per request fingerprint. The mirror delivers it to all nodes, including
+The service stores one key per request fingerprint, and the reports on parts of prompts
+(:mod:`.crash_report_keys`). The mirror delivers it to all nodes, including
 ones that start later and ones in other regions. A node that cannot write to the service relays its
 evidence to some storage nodes, which write it or relay it further. During an outage of the service,
 each node uses the evidence it has.
@@ -10,10 +11,18 @@
 import json
 from collections.abc import Callable
 from contextlib import suppress
+from dataclasses import replace
 from time import time
 
-from wharfcart.admission.poison_requests import BackendCrash, PoisonEvidence, PoisonRequests
+from wharfcart.admission.poison_requests import (
+    EVIDENCE_TTL_S,
+    BackendCrash,
+    PoisonEvidence,
+    PoisonRequests,
+)
+from wharfcart.admission.prompt_parts import PromptPartKey
 from wharfcart.admission.request_fingerprint import RequestFingerprint
+from wharfcart.clock import monotonic
 from wharfcart.cluster.coordination import (
     ConditionFailedError,
     CoordinationService,
@@ -24,7 +33,21 @@
 from wharfcart.cluster.messages_pb2 import BackendEnds, ContentEnds, InstanceEnd
 from wharfcart.cluster.mirror import Mirror
 from wharfcart.cluster.randomness import RandomSource
-from wharfcart.node.fleet_keys import POISON_REQUEST_PREFIX
+from wharfcart.node.crash_report_keys import (
+    report_from,
+    report_from_message,
+    report_key,
+    report_to_bytes,
+    reports_to_message,
+    sound_part_from,
+    sound_part_key,
+    sound_part_to_bytes,
+)
+from wharfcart.node.fleet_keys import (
+    CRASH_REPORT_PREFIX,
+    POISON_REQUEST_PREFIX,
+    SOUND_PART_PREFIX,
+)
 
 # All runs of a crashed back end are interrupted within this time and written together.
 BATCH_DELAY_S = 0.01
@@ -35,6 +58,8 @@
 MAX_RETRY_S = 4.0
 # Between two removals of expired evidence.
 CLEANUP_INTERVAL_S = 60.0
+# Of the random name of a process in the keys of its reports.
+WRITER_BITS = 48
 # Limits of one transaction, in which each of these keys also has a condition.
 MAX_KEYS_WRITTEN = 10
 MAX_KEYS_REMOVED = 6
@@ -66,16 +91,37 @@
         self._random = random
         self._failures = 0
         self._pending = asyncio.Event()
+        self._parts = poison_requests.parts
+        self._writer = f"{int(random.random() * 2**WRITER_BITS):x}"
+        self._next_cleanup_at = 0.0
         poison_requests.on_update = self._pending.set
+        self._parts.on_update = self._pending.set
 
     def apply_change(self, change: KeyChange) -> None:
-        """Apply a change of the shared evidence on a request fingerprint."""
+        """Apply a change of the shared evidence on a fingerprint, a crash or a part of prompts."""
+        if change.key.startswith(CRASH_REPORT_PREFIX):
+            self._apply_report(change)
+            return
+        if change.key.startswith(SOUND_PART_PREFIX):
+            self._apply_sound_part(change)
+            return
         fingerprint = RequestFingerprint(change.key.removeprefix(POISON_REQUEST_PREFIX))
         record = record_from(change.value)
         self._poison_requests.apply_shared(
             fingerprint, None if record is None else record.clamped_to(time())
         )
 
+    def _apply_report(self, change: KeyChange) -> None:
+        report = report_from(change.value)
+        if report is not None:
+            self._parts.apply_report(replace(report, at=min(report.at, time())))
+
+    def _apply_sound_part(self, change: KeyChange) -> None:
+        sound = sound_part_from(change.value)
+        if sound is not None:
+            part, at = sound
+            self._parts.apply_sound(part, min(at, time()))
+
     def apply_relayed(self, message: BackendEnds) -> None:
         """Apply evidence that another node could not write to the service."""
         for evidence in message.contents:
@@ -84,6 +130,11 @@
             }
             record = PoisonEvidence(crashes).clamped_to(time())
             self._poison_requests.record_peer_evidence(RequestFingerprint(evidence.content), record)
+        for entry in message.reports:
+            report = report_from_message(entry)
+            self._parts.relay_report(replace(report, at=min(report.at, time())))
+        for sound in message.sound_parts:
+            self._parts.record_sound([PromptPartKey(sound.part)], min(sound.at, time()))
 
     async def run(self) -> None:
         """Write pending evidence and remove expired evidence until cancelled."""
@@ -93,9 +144,51 @@
                     await self._pending.wait()
             self._pending.clear()
             await asyncio.sleep(BATCH_DELAY_S)
+            # Reports first: their keys are this node's own, so that no conflict delays them.
+            while not await self._write_reports():
+                pass
             while not await self._write_pending():
                 pass
 
+    async def _write_reports(self) -> bool:
+        """Write pending reports and remove expired ones; False if there is more or a retry."""
+        reports = self._parts.unpublished_reports(MAX_KEYS_WRITTEN)
+        sound_at = dict(list(self._parts.unpublished_sound().items())[:MAX_KEYS_WRITTEN])
+        expired = self._expired_keys()[:MAX_KEYS_REMOVED]
+        if not reports and not sound_at and not expired:
+            return True
+        put = {report_key(report, self._writer): report_to_bytes(report) for report in reports}
+        for part, at in sound_at.items():
+            put[sound_part_key(part)] = sound_part_to_bytes(part, at)
+        expected = {change.key: change.revision for change in expired}
+        try:
+            await self._service.commit(Transaction(expected, put, tuple(expected)))
+        except ConditionFailedError:
+            await self._back_off(CONFLICT_RETRY_S)
+            return False
+        except CoordinationUnavailableError:
+            if reports or sound_at:
+                self._relay(reports_to_message(reports, sound_at))
+            await self._back_off(UNAVAILABLE_RETRY_S)
+            return False
+        self._failures = 0
+        self._parts.mark_published(reports)
+        for part, at in sound_at.items():
+            self._parts.apply_sound(part, at)
+        return False
+
+    def _expired_keys(self) -> list[KeyChange]:
+        """Return the keys of expired reports, looked up once in each cleanup interval."""
+        now = monotonic()
+        if now < self._next_cleanup_at:
+            return []
+        self._next_cleanup_at = now + CLEANUP_INTERVAL_S * self._jitter()
+        entries = [
+            *self._mirror.with_prefix(CRASH_REPORT_PREFIX),
+            *self._mirror.with_prefix(SOUND_PART_PREFIX),
+        ]
+        return [change for change in entries if time() - _written_at(change) > EVIDENCE_TTL_S]
+
     async def _write_pending(self) -> bool:
         """Write pending evidence; False if there is more or a retry is needed."""
         pending = self._poison_requests.unpublished(MAX_KEYS_WRITTEN)
@@ -146,6 +239,15 @@
         return 0.5 + self._random.random()
 
 
+def _written_at(change: KeyChange) -> float:
+    """Return the time that a report or a sound part tells; 0 if it is malformed."""
+    report = report_from(change.value)
+    if report is not None:
+        return report.at
+    sound = sound_part_from(change.value)
+    return 0.0 if sound is None else sound[1]
+
+
 def crashes_to_message(
     record_by_fingerprint: dict[RequestFingerprint, PoisonEvidence],
 ) -> BackendEnds:
--- a/src/wharfcart/node/serving_node.py
+++ b/src/wharfcart/node/serving_node.py
@@ -32,10 +32,12 @@
 from wharfcart.node.backend_updates import BackendUpdates
 from wharfcart.node.evacuations import ZoneEvacuations
 from wharfcart.node.fleet_keys import (
+    CRASH_REPORT_PREFIX,
     GROUP_PREFIX,
     LAYOUT_KEY,
     NODE_PREFIX,
     POISON_REQUEST_PREFIX,
+    SOUND_PART_PREFIX,
     NodeEntry,
     NodeKind,
     node_entry_from,
@@ -139,6 +141,9 @@
         self.metrics.quarantined_fingerprints.set_function(
             lambda: poison_requests.quarantined_count(time())
         )
+        self.metrics.quarantined_parts.set_function(
+            lambda: len(poison_requests.parts.suspicions(time()))
+        )
         self.metrics.cold_backends.set_function(
             lambda: len(self.selector.cold_instances(monotonic()))
         )
@@ -290,7 +295,9 @@
                 self._backend_updates.apply(change)
             elif change.key.startswith(names.EVACUATE_PREFIX):
                 self._evacuations.apply(change)
-            elif change.key.startswith(POISON_REQUEST_PREFIX):
+            elif change.key.startswith(
+                (POISON_REQUEST_PREFIX, CRASH_REPORT_PREFIX, SOUND_PART_PREFIX)
+            ):
                 self._poison_evidence_sync.apply_change(change)
             elif change.key.startswith(NODE_PREFIX):
                 self._apply_node_entry(change)
--- a/src/wharfcart/observability/serving_metrics.py
+++ b/src/wharfcart/observability/serving_metrics.py
@@ -148,6 +148,10 @@
             "wharfcart_contents_held_back",
             "Contents of requests that are held back since back ends ended while they ran them",
         )
+        self.quarantined_parts = self._gauge(
+            "wharfcart_parts_held_back",
+            "Parts of prompts, or sets that can't be told apart, that crash back ends",
+        )
         self.open_items = self._gauge("wharfcart_open_items", "Batch items not finished, if leader")
         self.items_preempted = self._counter(
             "wharfcart_items_yielded", "Items that left a slot for online requests", "cause"
--- a/src/wharfcart/routing/crash_detection.py
+++ b/src/wharfcart/routing/crash_detection.py
@@ -8,10 +8,17 @@
 
 import asyncio
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from time import time
 
+from wharfcart.admission.crashing_parts import (
+    FIRST_CRASH_WEIGHT,
+    MIN_SOUND_S,
+    REPEATED_CRASH_WEIGHT,
+    CrashId,
+    CrashReport,
+)
 from wharfcart.admission.poison_requests import PoisonRequests, crash_weight
 from wharfcart.admission.prompt_parts import PromptPartKey
 from wharfcart.admission.request_fingerprint import RequestFingerprint
@@ -131,10 +138,11 @@
     async def _inspect(self, run: InterruptedRun) -> None:
         if run.cause is not BreakCause.CLOSED or not await self._has_crashed(run.instance):
             return
+        now = time()
+        self._record_parts(run, now)
         weight = crash_weight(run.answer_begun, run.ran_s)
         if not weight:
             return
-        now = time()
         instance_id = run.instance.instance_id
         evidence = self.poison_requests.record_crash(run.fingerprint, instance_id, weight, now)
         unexplained = self.poison_requests.unexplained_evidence(run.fingerprint)
@@ -153,6 +161,30 @@
             held_s=round(unexplained.quarantine_left_s(now), 1),
         )
 
+    def record_sound(self, parts: Collection[PromptPartKey], began_at: float) -> None:
+        """Record that a back end began to write an answer to some parts and went on.
+
+        Args:
+            parts: parts of the request.
+            began_at: monotonic time at which it began.
+        """
+        if parts and self.poison_requests.parts:
+            wall_clock_began_at = time() - (monotonic() - began_at)
+            self.poison_requests.parts.record_sound(parts, wall_clock_began_at)
+
+    def _record_parts(self, run: InterruptedRun, now: float) -> None:
+        """Record what a crash says of the parts of a run's prompt."""
+        if not run.parts:
+            return
+        if run.written_s is not None and run.written_s > MIN_SOUND_S:
+            self.poison_requests.parts.record_sound(run.parts, now - run.written_s)
+            return
+        evidence = self.poison_requests.evidence(run.fingerprint)
+        weight = REPEATED_CRASH_WEIGHT if evidence.crashes_by_key else FIRST_CRASH_WEIGHT
+        self.poison_requests.parts.record_crash(
+            CrashReport(_crash_id_of(run.instance), now, dict.fromkeys(run.parts, weight))
+        )
+
     async def _has_crashed(self, instance: BackendInstance) -> bool:
         instance_id = instance.instance_id
         if self._crashed_recently(instance_id):
@@ -177,3 +209,9 @@
         if len(self._crashed_at) > MAX_REMEMBERED_CRASHES:
             self._crashed_at.popitem(last=False)
         self._log.write(Event.BACKEND_ENDED, backend=instance.instance_id, service=instance.service)
+
+
+def _crash_id_of(instance: BackendInstance) -> CrashId:
+    """Return the id of the crash of an instance, which crashes once."""
+    started_at = "" if instance.started_at_ms is None else f"@{instance.started_at_ms}"
+    return CrashId(instance.instance_id + started_at)
--- a/src/wharfcart/routing/request_log.py
+++ b/src/wharfcart/routing/request_log.py
@@ -1,5 +1,7 @@
 """Decision-log lines and metrics of forwarded requests."""
 
+from time import time
+
 from wharfcart.admission.poison_requests import POISON_CAUSE
 from wharfcart.clock import monotonic
 from wharfcart.http.connection import Framing
@@ -134,6 +136,12 @@
             optional_fields["answer_bytes"] = progress.answer_bytes
         if progress.break_cause or progress.cause == POISON_CAUSE:
             optional_fields["content"] = request.fingerprint
+        if progress.suspicion is not None:
+            suspicion = progress.suspicion
+            optional_fields["suspected_parts"] = sorted(suspicion.parts)
+            optional_fields["crashes"] = len(suspicion.crashes)
+            optional_fields["crashes_weight"] = suspicion.weight
+            optional_fields["last_crash_age_s"] = round(time() - suspicion.last_crash_at, 1)
         if progress.cause == ExclusionReason.OUTSIDE_RESIDENCE.value:
             self._metrics.outside_residence.add("request")
         if request.residence.regions is not None:
--- a/src/wharfcart/routing/request_progress.py
+++ b/src/wharfcart/routing/request_progress.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from wharfcart.admission.crashing_parts import Suspicion
 from wharfcart.configuration.instances import SoftwareVersion
 from wharfcart.http.answer_end import AnswerEnd
 from wharfcart.http.connection import Framing
@@ -35,6 +36,7 @@
         answer_bytes: bytes of the last answer's body.
         body_began_at: monotonic time of the first bytes of the last answer's body; None before.
         break_cause: why the last interrupted send broke; '' if none did.
+        suspicion: the parts of its prompt that quarantine it, if they do.
         retry_after_s: retry time for the caller in case of a refusal.
         answer_ok: whether the last answer shows a working back end.
         send_result: what the last send showed about its back end.
@@ -59,6 +61,7 @@
     answer_bytes: int = 0
     body_began_at: float | None = None
     break_cause: str = ""
+    suspicion: Suspicion | None = None
     retry_after_s: float = RETRY_AFTER_FULL_S
     answer_ok: bool = True
     send_result: SendResult = SendResult.UNKNOWN
--- a/src/wharfcart/routing/sender.py
+++ b/src/wharfcart/routing/sender.py
@@ -11,6 +11,7 @@
 from time import time
 from typing import TypeVar
 
+from wharfcart.admission.crashing_parts import MIN_SOUND_S
 from wharfcart.admission.hedging import HedgeBudget
 from wharfcart.admission.poison_requests import POISON_CAUSE
 from wharfcart.backends.connection_pool import ConnectionLimitError, ConnectionPool
@@ -111,11 +112,14 @@
         Checked before each send, since a poison request also interrupts all other requests at the
         back end that it crashes.
         """
-        remaining_s = self._crash_detector.poison_requests.quarantine_left_s(
-            lambda: request.fingerprint, time()
+        now = time()
+        poison_requests = self._crash_detector.poison_requests
+        remaining_s = poison_requests.quarantine_left_s(
+            lambda: request.fingerprint, now, request.part_keys
         )
         if not remaining_s:
             return False
+        progress.suspicion = poison_requests.parts.suspicion_of(request.part_keys, now)
         progress.cause = POISON_CAUSE
         progress.retry_after_s = math.ceil(remaining_s)
         return True
@@ -210,6 +214,8 @@
         self._pool.release(instance, connection)
         if failure is None or failure.possibly_ran:
             if progress.end is AnswerEnd.WHOLE:
+                if failure is None and progress.answer_ok:
+                    self._crash_detector.record_sound(request.part_keys, sent_at)
                 self._crash_detector.poison_requests.record_answer(lambda: request.fingerprint)
             self._record_outcome(state, progress, failure is None and progress.answer_ok)
         return failure
@@ -340,6 +346,7 @@
             self._request_log.resumed(request, progress)
         splitter = EventSplitter() if request.route.resumable else None
         boundary = EventBoundary()
+        is_sound = False
         progress.answer_bytes = 0
         while True:
             part = await self._with_timeout(request, progress, connection.read_part())
@@ -347,6 +354,9 @@
                 break
             if progress.body_began_at is None:
                 progress.body_began_at = monotonic()
+            elif not is_sound and monotonic() - progress.body_began_at > MIN_SOUND_S:
+                is_sound = True
+                self._crash_detector.record_sound(request.part_keys, progress.body_began_at)
             boundary.feed(part)
             progress.inside_event = boundary.inside_event
             progress.answer_bytes += len(part)
--- a/tests/routing/test_crashing_parts.py
+++ b/tests/routing/test_crashing_parts.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from tests.node.test_poison_evidence_sync import Node
 from tests.routing.crashing_backends import CrashingFleet, Outcome, virtual_fleet
 from wharfcart.experiments.virtual_time import run_in_virtual_time
 
@@ -99,10 +100,12 @@
     return
 
 
-def refuse_the_service(fleet: CrashingFleet) -> None:
-    fleet.service.is_down = True
+def refuse_gateways(fleet: CrashingFleet) -> None:
+    """Let the service refuse gateways; two storage nodes write what gateways relay to them."""
+    storage_nodes = [Node(fleet.service, number) for number in (10_001, 10_002)]
     for gateway in fleet.gateways:
-        gateway.node.relays = [other.node for other in fleet.gateways if other is not gateway]
+        fleet.service.refused_nodes.add(gateway.node.number)
+        gateway.node.relays = storage_nodes
 
 
 # Guards against back ends that crash one after the other under requests that are never alike but
@@ -122,10 +125,10 @@
 
 
 # Guards against evidence that stays at the gateways that saw the crashes, while the coordination
-# service refuses them.
+# service refuses gateways.
 @pytest.mark.parametrize("seed", SEEDS)
-def test_parts_are_held_back_while_the_service_refuses_writes(seed: int) -> None:
-    fleet = play(seed, bad_second_part, refuse_the_service, gateways=8)
+def test_parts_are_held_back_while_the_service_refuses_gateways(seed: int) -> None:
+    fleet = play(seed, bad_second_part, refuse_gateways, gateways=8)
     assert late_requests(fleet, "bad") <= MAX_LATE_REQUESTS
 
 
