Soak: requests that share a part that crashes back ends

All requests of the soak now have prompts with a common first part; in every other run a caller sends ten requests a second that are never alike but share a bad part. By the users' rule: after the fifth crash and 3 s three requests with it reach back ends, for each gateway process.

--- a/src/wharfcart/emulator/model_server.py
+++ b/src/wharfcart/emulator/model_server.py
@@ -90,8 +90,10 @@
         is_unresponsive: requests get no response.
         overload_count: requests that failed since they exceeded the capacity of the cold server.
         poison_bodies: bodies of requests that crash the server when they run.
+        poison_parts: ids of parts of prompts that crash the server once it begins to answer.
         events_before_crash: events that a poison request receives before the crash.
-        on_crash: called with the server and the body of the request that crashed it.
+        on_crash: called with the server and what crashed it: the body of a request, or the id of
+            a part of its prompt.
         has_crashed: whether a request has crashed the server.
     """
 
@@ -116,6 +118,7 @@
         self.failure_status: int | None = None
         self.is_unresponsive = False
         self.poison_bodies: set[bytes] = set()
+        self.poison_parts: set[str] = set()
         self.events_before_crash = 0
         self.on_crash: Callable[[ModelServer, bytes], None] = lambda _server, _body: None
         self.has_crashed = False
@@ -237,12 +240,13 @@
         is_cut = self.switch.consume_stream_cut() or self.shapes.draw_break()
         cut_after = (run.first_event + self._event_count) // 2 if is_cut else None
         interval_s = self._event_interval_s
+        poison = self._poison_of(request, body)
         await response.prepare(request)
         for number in range(run.first_event, self._event_count):
             await asyncio.sleep(interval_s)
             interval_s = self._event_interval_s * _slowness_of(body)
-            if body in self.poison_bodies and number == run.first_event + self.events_before_crash:
-                await self._crash(body)
+            if poison is not None and number == run.first_event + self.events_before_crash:
+                await self._crash(poison)
             if number == cut_after:
                 await response.write(f"id: {number}\ndata: half an ev".encode())
                 break_off(request, self.shapes.draw_end())
@@ -262,13 +266,22 @@
         response.force_close()
         return response
 
-    async def _crash(self, body: bytes) -> None:
+    def _poison_of(self, request: web.Request, body: bytes) -> bytes | None:
+        """Return what crashes the server when it answers a request, or None."""
+        if body in self.poison_bodies:
+            return body
+        prompt = request.headers.get(names.PROMPT_PREFIX, "").split(",")
+        parts = {part.partition(":")[0] for part in prompt[:-1]}
+        found = sorted(parts & self.poison_parts)
+        return found[0].encode() if found else None
+
+    async def _crash(self, poison: bytes) -> None:
         """Abort all connections, as the crash of the process does."""
         await asyncio.sleep(self._event_interval_s)
         if not self.has_crashed:
             self.has_crashed = True
             self.server.crash()
-            self.on_crash(self, body)
+            self.on_crash(self, poison)
         raise ConnectionResetError("a poison request crashed the server")
 
     def _response_headers(self, request_id: str) -> dict[str, str]:
--- a/src/wharfcart/soak/faults.py
+++ b/src/wharfcart/soak/faults.py
@@ -14,7 +14,9 @@
 
 from wharfcart.emulator.faults import Faults
 from wharfcart.experiments.serving_fleet import ServingNodeProcess
-from wharfcart.soak.fleet import SoakFleet
+from wharfcart.observability.tasks import BackgroundTasks
+from wharfcart.platform import names
+from wharfcart.soak.fleet import COMMON_PART, SoakFleet, prompt_of
 from wharfcart.soak.plan import FaultKind, PlannedFault
 
 CLOCK_STEP_S = 3.0
@@ -43,6 +45,7 @@
 # Interval and timeout of the caller that repeats a poison request.
 POISON_RETRY_INTERVAL_S = 0.3
 POISON_REQUEST_TIMEOUT_S = 4.0
+POISON_PART_INTERVAL_S = 0.1
 POISON_PATH = "/chat/x"
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
@@ -473,6 +476,37 @@
             await asyncio.sleep(POISON_RETRY_INTERVAL_S)
 
 
+class PoisonPartFault(Fault):
+    """Sends requests that are never alike but share a part that crashes back ends."""
+
+    async def inject(self) -> None:
+        """Start to send requests."""
+        self._senders = BackgroundTasks()
+        self._task = asyncio.create_task(self._send_all())
+
+    async def recover(self) -> None:
+        """Stop sending requests."""
+        self._task.cancel()
+        await asyncio.wait((self._task,))
+        await self._senders.stop()
+
+    async def _send_all(self) -> None:
+        part_id = self.fleet.add_poison_part()
+        for number in itertools.count(self.planned.target_index):
+            self._senders.spawn(self._send(part_id, number))
+            await asyncio.sleep(POISON_PART_INTERVAL_S)
+
+    async def _send(self, part_id: str, number: int) -> None:
+        request_id = f"{part_id}-{number}"
+        headers = {names.PROMPT_PREFIX: prompt_of(COMMON_PART, part_id, request_id)}
+        gateway = number % len(self.fleet.gateways)
+        with suppress(aiohttp.ClientError, TimeoutError, OSError):
+            async with asyncio.timeout(POISON_REQUEST_TIMEOUT_S):
+                await self.fleet.request(
+                    gateway, POISON_PATH, request_id, data=request_id.encode(), headers=headers
+                )
+
+
 FAULTS_BY_KIND: dict[FaultKind, type[Fault]] = {
     FaultKind.KILL: KillFault,
     FaultKind.FREEZE: FreezeFault,
@@ -502,6 +536,7 @@
     FaultKind.ROUTE_ADDED: AddedRouteFault,
     FaultKind.ZONE_EVACUATED: ZoneEvacuationFault,
     FaultKind.POISON_REQUEST: PoisonRequestFault,
+    FaultKind.POISON_PART: PoisonPartFault,
     FaultKind.SIGNAL_SERIES: SignalSeriesFault,
     FaultKind.LATE_MESSAGES: LateMessagesFault,
     FaultKind.LEADER_SERIES: LeaderSeriesFault,
--- a/src/wharfcart/soak/fleet.py
+++ b/src/wharfcart/soak/fleet.py
@@ -11,6 +11,7 @@
 from enum import Enum
 from pathlib import Path
 from time import monotonic
+from zlib import crc32
 
 from wharfcart.emulator.answer_shapes import ShapeDraw
 from wharfcart.emulator.fault_proxy import Endpoint, FaultProxy, ProxyFaults
@@ -41,6 +42,11 @@
 # Share of the streams without length and chunks.
 UNTIL_CLOSE_SHARE = 0.25
 BREAK_SHARE = 0.03
+# The first part of all prompts.
+COMMON_PART = "first"
+SECOND_PARTS = 12
+# Few, so that no prompt ties its request to one back end.
+TOKENS_PER_PART = 10
 # Time for which the store has no entry of the back end, with SAME_ID_AFTER_REMOVAL.
 ENTRY_ABSENCE_S = 0.5
 
@@ -63,6 +69,16 @@
 RESTART_MODES = tuple(RestartMode)
 
 
+def prompt_of(*part_ids: str) -> str:
+    """Return the header's value for a prompt with these parts."""
+    return ",".join(f"{part_id}:{TOKENS_PER_PART}" for part_id in part_ids)
+
+
+def sound_prompt_of(request_id: str) -> str:
+    """Return the prompt of a sound request, whose first part many others share."""
+    return prompt_of(COMMON_PART, f"second{crc32(request_id.encode()) % SECOND_PARTS}", request_id)
+
+
 class SoakFleet(ServingFleet):
     """A fleet with fault injection into links, clocks and disks.
 
@@ -92,7 +108,9 @@
         self.evacuations: list[EvacuationRecord] = []
         self._zones_by_server: dict[str, str] = {}
         self._poison_bodies: set[bytes] = set()
+        self._poison_parts: set[str] = set()
         self.crashes_by_body: Counter[bytes] = Counter()
+        self.crash_times_by_part: dict[str, list[float]] = {}
         self._replacements = BackgroundTasks()
         self.released_version = self.stream_servers[0].version
 
@@ -101,11 +119,15 @@
     ) -> tuple[int, bytes, dict[str, str]]:
         """Send one request with its tenant's key; see :meth:`ServingFleet.request`."""
         key = tenant_of(request_id).key
-        return await super().request(gateway, path, request_id, deadline_ms, key=key, **more)
+        headers = {names.PROMPT_PREFIX: sound_prompt_of(request_id)} | more.pop("headers", {})
+        return await super().request(
+            gateway, path, request_id, deadline_ms, key=key, headers=headers, **more
+        )
 
     def headers_of(self, request_id: str, deadline_ms: int) -> dict[str, str]:
         """Return the headers of a request with its tenant's key."""
-        return request_headers(request_id, deadline_ms, tenant_of(request_id).key)
+        headers = request_headers(request_id, deadline_ms, tenant_of(request_id).key)
+        return headers | {names.PROMPT_PREFIX: sound_prompt_of(request_id)}
 
     # -- lifecycle -----------------------------------------------------
 
@@ -250,6 +272,13 @@
         self._poison_bodies.add(body)
         return body
 
+    def add_poison_part(self) -> str:
+        """Register a new part of prompts that crashes back ends and return its id."""
+        part_id = f"bad{len(self._poison_parts)}"
+        self._poison_parts.add(part_id)
+        self.crash_times_by_part[part_id] = []
+        return part_id
+
     async def evacuate_zone(self, zone_index: int) -> EvacuationRecord:
         """Evacuate a zone, as the operator does."""
         zone = ZONES[zone_index % len(ZONES)]
@@ -292,14 +321,18 @@
         if server.instance_id not in self._address_by_server:
             await self._add_server_proxy(server)
             server.poison_bodies = self._poison_bodies
+            server.poison_parts = self._poison_parts
             server.on_crash = self._on_server_crash
         await super().announce(server, service, state)
 
     # -- crashed back ends ---------------------------------------------
 
-    def _on_server_crash(self, server: ModelServer, body: bytes) -> None:
+    def _on_server_crash(self, server: ModelServer, poison: bytes) -> None:
         """Count the crash of a back end and schedule its restart."""
-        self.crashes_by_body[body] += 1
+        if poison in self._poison_bodies:
+            self.crashes_by_body[poison] += 1
+        else:
+            self.crash_times_by_part[poison.decode()].append(monotonic())
         self._replacements.spawn(self._restart_crashed(server))
 
     async def _restart_crashed(self, old: ModelServer) -> None:
--- a/src/wharfcart/soak/invariants.py
+++ b/src/wharfcart/soak/invariants.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass
 
 from wharfcart.emulator.model_server import ModelServer, RunRecord
@@ -41,6 +41,11 @@
 EVACUATION_DELAY_S = 2.0
 # Each gateway process quarantines a poison request after this count, even with no peer updates.
 MAX_CRASHES_PER_GATEWAY_PROCESS = 2
+# The users' rule: after the fifth crash and this time, three requests with a part that crashes back
+# ends reach one; here for each process, since some learn nothing from their peers.
+PART_CRASHES = 5
+PART_KNOWN_S = 3.0
+MAX_LATE_PART_RUNS = 3
 # The users' rule: streams that are taken up go on at least half as often as new ones begin.
 MIN_RESUMED_SHARE = 0.5
 MIN_RESUMED_STREAMS = 12
@@ -100,6 +105,35 @@
     ]
 
 
+def find_late_poison_parts(
+    crash_times_by_part: Mapping[str, Sequence[float]],
+    servers: Sequence[ModelServer],
+    gateway_processes: int,
+) -> list[str]:
+    """Return a description of every part that reached back ends long after it had crashed some.
+
+    Args:
+        crash_times_by_part: monotonic times at which each part crashed back ends, in order.
+        servers: every back end of the run. The ids of requests with a part begin with its id.
+        gateway_processes: number of gateway processes of the run, including restarted ones.
+    """
+    violations = []
+    for part, crash_times in crash_times_by_part.items():
+        if len(crash_times) < PART_CRASHES:
+            continue
+        known_at = crash_times[PART_CRASHES - 1] + PART_KNOWN_S
+        late = sum(
+            run.request_id.startswith(f"{part}-") and run.run_at > known_at
+            for server in servers
+            for run in server.runs
+        )
+        if late > MAX_LATE_PART_RUNS * gateway_processes:
+            violations.append(
+                f"{part}: {late} requests reached back ends {PART_KNOWN_S} s after the fifth crash"
+            )
+    return violations
+
+
 def find_violations(history: SoakHistory, servers: list[ModelServer]) -> list[str]:
     """Return a description of every violated invariant.
 
--- a/src/wharfcart/soak/plan.py
+++ b/src/wharfcart/soak/plan.py
@@ -40,6 +40,7 @@
     ROUTE_ADDED = "configuration"
     ZONE_EVACUATED = "zone_evacuated"
     POISON_REQUEST = "fatal_request"
+    POISON_PART = "fatal_part"
     SIGNAL_SERIES = "signal_series"
     LATE_MESSAGES = "late_messages"
     LEADER_SERIES = "leader_series"
@@ -93,6 +94,7 @@
 # Probability that a run kills all processes at once.
 KILL_ALL_PROBABILITY = 0.25
 MAX_POISON_REQUESTS = 2
+POISON_PART_PROBABILITY = 0.5
 MAX_SIGNAL_SERIES = 2
 MIN_SIGNAL_SERIES_S = 2.0
 MAX_SIGNAL_SERIES_S = 6.0
@@ -161,11 +163,21 @@
     else:
         faults = _insert_storage_series(random.Random(f"{seed} storage"), faults, load_s, stores)
     faults += _generate_poison_requests(random.Random(f"{seed} fatal"), load_s, gateways)
+    faults += _generate_poison_parts(random.Random(f"{seed} fatal parts"), load_s, gateways)
     faults += _generate_signal_series(random.Random(f"{seed} series"), load_s, gateways)
     faults += _generate_releases(random.Random(f"{seed} releases"), load_s)
     return sorted(faults, key=lambda fault: fault.start_s)
 
 
+def _generate_poison_parts(rng: random.Random, load_s: float, gateways: int) -> list[PlannedFault]:
+    """Generate callers of requests with a part that crashes back ends, in every other run."""
+    if rng.random() >= POISON_PART_PROBABILITY:
+        return []
+    duration_s = rng.uniform(load_s / 2, load_s * 0.8)
+    start_s = rng.uniform(0, load_s - duration_s)
+    return [PlannedFault(start_s, duration_s, FaultKind.POISON_PART, rng.randrange(gateways))]
+
+
 def _generate_poison_requests(
     rng: random.Random, load_s: float, gateways: int
 ) -> list[PlannedFault]:
--- a/src/wharfcart/soak/run.py
+++ b/src/wharfcart/soak/run.py
@@ -15,6 +15,7 @@
     EVACUATION_DELAY_S,
     ZoneBackend,
     find_excessive_crashes,
+    find_late_poison_parts,
     find_runs_in_evacuated_zone,
     find_violations,
     resumed_shares,
@@ -104,6 +105,11 @@
             violations += find_excessive_crashes(
                 self._fleet.crashes_by_body, self._fleet.gateway_process_count
             )
+            violations += find_late_poison_parts(
+                self._fleet.crash_times_by_part,
+                self._fleet.all_servers,
+                self._fleet.gateway_process_count,
+            )
             logs_folder = self._save_logs(violations) if violations else None
         finally:
             await self._fleet.stop()
--- a/tests/soak/test_invariants.py
+++ b/tests/soak/test_invariants.py
@@ -16,6 +16,7 @@
     EVENTS_PER_STREAM,
     ZoneBackend,
     find_excessive_crashes,
+    find_late_poison_parts,
     find_runs_in_evacuated_zone,
     find_violations,
 )
@@ -163,6 +164,19 @@
     assert violations_of([], jobs=(job,))
 
 
+# Guards against a soak that overlooks a part of prompts that goes on reaching back ends.
+def test_part_that_reaches_backends_after_it_is_known_is_a_violation() -> None:
+    server = ModelServer("i", EVENTS_PER_STREAM, 0.0)
+    server.runs = [RunRecord(f"bad0-{n}", 0, 1000, run_at=8.1) for n in range(7)]
+    server.runs += [RunRecord(f"bad0-{n}", 0, 1000, run_at=7.9) for n in range(7, 20)]
+    crashes = {"bad0": [1.0, 2.0, 3.0, 4.0, 5.0]}
+    assert find_late_poison_parts(crashes, [server], 2) == [
+        "bad0: 7 requests reached back ends 3.0 s after the fifth crash"
+    ]
+    assert find_late_poison_parts(crashes, [server], 3) == []
+    assert find_late_poison_parts({"bad0": crashes["bad0"][:4]}, [server], 2) == []
+
+
 def test_poison_request_that_crashes_too_many_backends_is_a_violation() -> None:
     assert find_excessive_crashes({b"fatal 0": 6, b"fatal 1": 7}, 3) == [
         "fatal 1: 7 back ends crashed while they ran it, 6 allowed"
