Connections: a granted slot has a connection beyond the node's share

What callers would see: while most new connections of a zone reach one gateway, it refuses requests for which slots were granted (503, connection_limit), at the first attempt.

Cause: a node's connections to a back end were its share by the number of nodes, as if all had the same load: 6 of 570 at 90 nodes, for back ends with 9 slots.

Change: for a granted request the limit is the back end's slots, if that is more. Of all nodes together that adds at most the slots to what their shares allow.

--- a/src/wharfcart/routing/sender.py
+++ b/src/wharfcart/routing/sender.py
@@ -158,9 +158,7 @@
         state = decision.state
         instance = state.instance
         try:
-            connection = await self._pool.acquire(
-                instance, self._connection_limit(instance.service)
-            )
+            connection = await self._pool.acquire(instance, self._connections_for(decision))
         except ConnectionLimitError:
             progress.refusals += 1
             return SendFailure(False, "connection_limit")
@@ -220,6 +218,16 @@
             self._record_outcome(state, progress, failure is None and progress.answer_ok)
         return failure
 
+    def _connections_for(self, decision: PlacementDecision) -> int:
+        """Return how many connections this node may have to the back end of a request.
+
+        Its share of the back end's connections supposes that all nodes get the same load. A granted
+        slot is this node's alone, so that its connections never add up to more than the slots.
+        """
+        instance = decision.state.instance
+        share = self._connection_limit(instance.service)
+        return max(share, instance.slots) if decision.granted else share
+
     async def _inspect_interruption(
         self,
         request: CallerRequest,
