Prompt parts: that a part is sound counts also where it arrives before its crashes

A node that learned that a part was sound before it had any report of a crash with it ignored that, and would have held sound requests back while others let them through (a sound mark is shared once only). Such marks are kept, the 1,024 latest. Found by reading; test_that_a_part_is_sound_may_arrive_before_the_crashes fails without it.

--- a/src/wharfcart/admission/crashing_parts.py
+++ b/src/wharfcart/admission/crashing_parts.py
@@ -42,6 +42,8 @@
 EVIDENCE_TTL_S = 600.0
 # The oldest crashes are evicted beyond this number.
 MAX_CRASHES = 128
+# The parts that were sound the longest ago are forgotten beyond this number.
+MAX_SOUND_PARTS = 1024
 # From this weight of crashes on, nodes share that a part is sound: one more would suspect it.
 SHARE_SOUND_WEIGHT = QUARANTINE_WEIGHT - FIRST_CRASH_WEIGHT
 
@@ -202,12 +204,15 @@
 
     def apply_sound(self, part: PromptPartKey, began_at: float) -> None:
         """Apply that a part was sound at a time, as another node has shared."""
-        if part not in self._crashes_by_part:
-            return
+        # Kept for parts at no known crash too: the report of a crash may arrive later.
         self._shared_sound_at[part] = max(began_at, self._shared_sound_at.get(part, 0.0))
         if began_at > self._sound_at.get(part, 0.0):
             self._sound_at[part] = began_at
             self._suspicions = None
+        if len(self._shared_sound_at) > MAX_SOUND_PARTS:
+            oldest = min(self._shared_sound_at, key=lambda one: self._shared_sound_at[one])
+            del self._shared_sound_at[oldest]
+            self._sound_at.pop(oldest, None)
 
     def unpublished_reports(self, limit: int) -> list[CrashReport]:
         """Return own reports that were not shared."""
--- a/tests/admission/test_crashing_parts.py
+++ b/tests/admission/test_crashing_parts.py
@@ -10,6 +10,7 @@
     FIRST_CRASH_WEIGHT,
     FIRST_QUARANTINE_S,
     MAX_CRASHES,
+    MAX_SOUND_PARTS,
     REPEATED_CRASH_WEIGHT,
     SETTLE_S,
     CrashId,
@@ -78,6 +79,16 @@
     assert not held(parts, "sound")
 
 
+# Guards against a sound part that is held back at a node that learns of the crashes last.
+def test_that_a_part_is_sound_may_arrive_before_the_crashes() -> None:
+    parts = CrashingParts()
+    parts.apply_sound(part("popular"), NOW + 0.1)
+    for n in range(3):
+        parts.apply_report(report(n, "popular", "bad"))
+    assert held(parts, "other", "bad")
+    assert not held(parts, "popular", "other")
+
+
 # Guards against a part that each late answer of before its crashes clears.
 def test_an_answer_that_began_before_the_crashes_clears_nothing() -> None:
     parts = evidence(*(report(n, "bad") for n in range(3)))
@@ -153,6 +164,10 @@
     assert len(parts) == MAX_CRASHES
     assert len(parts._sound_at) <= 2 * MAX_CRASHES
     assert len(parts._own_reports) == len(parts._unpublished) == MAX_CRASHES
+    for n in range(2 * MAX_SOUND_PARTS):
+        parts.apply_sound(part(f"c{n}"), NOW + n)
+    assert len(parts._shared_sound_at) <= MAX_SOUND_PARTS
+    assert len(parts._sound_at) <= 2 * MAX_CRASHES + MAX_SOUND_PARTS
     ids = [f"{n:x}" for n in range(1000)]
     assert len(shared_part_keys("s", ids)) == MAX_PARTS_PER_REQUEST
     assert all(len(key) < 50 for key in shared_part_keys("s", ["f" * 16_000, "last"]))
