Prompt parts: bystanders of many crashes are not held back

Traced in their logs, two causes:

- Popular contents were quarantined (503 suspected, no parts named): crashes that a bad part explains counted as evidence against each content that was there.
- The first part of all requests was suspected alone (4 crashes, weight 3.5, in), as the gateways that had run the bad one were frozen or cut off and never reported it.
Then no request could have shown that it is sound.

Change: crashes that suspected parts explain are no evidence against contents (a request that holds the parts is quarantined for them). A part that was sound after one of its crashes needs a weight of ten: a bad part never is.

--- a/src/wharfcart/admission/crashing_parts.py
+++ b/src/wharfcart/admission/crashing_parts.py
@@ -23,6 +23,10 @@
 # Identifies one crash: the instance that ended by it.
 CrashId = NewType("CrashId", str)
 
+# Separates instance id and start time in the id of a crash.
+START_SEPARATOR = "@"
+# Nodes detect one crash within this time.
+SAME_CRASH_S = 0.5
 # A back end that has written an answer for this time was not crashed by it.
 MIN_SOUND_S = 0.3
 # A content that crashes back ends again and again may do so alone, whatever parts it has.
@@ -33,6 +37,8 @@
 # crash for causes of their own, some parts are at three of many crashes by chance.
 CERTAIN_WEIGHT = 5.0
 MIN_CRASH_SHARE = 0.75
+# Parts that were sound after a crash are probably bystanders of the later ones too.
+PROVEN_WEIGHT = 10.0
 # Parts are suspected this long after the crash that brought them to the weight, in which sound ones
 # begin to be answered elsewhere.
 SETTLE_S = 0.5
@@ -48,6 +54,23 @@
 SHARE_SOUND_WEIGHT = QUARANTINE_WEIGHT - FIRST_CRASH_WEIGHT
 
 
+def crash_id_of(instance_id: str, started_at_ms: int | None) -> CrashId:
+    """Return the id of the crash of an instance, which crashes once.
+
+    Args:
+        instance_id: id of the instance.
+        started_at_ms: its start time in milliseconds, which tells restarts under one id apart.
+    """
+    start = "" if started_at_ms is None else f"{START_SEPARATOR}{started_at_ms}"
+    return CrashId(instance_id + start)
+
+
+def instance_of(crash_id: CrashId) -> str:
+    """Return the id of the instance that crashed."""
+    instance_id, separator, start = crash_id.rpartition(START_SEPARATOR)
+    return instance_id if separator and start.isdigit() else crash_id
+
+
 @dataclass(frozen=True, slots=True)
 class CrashReport:
     """The parts of the runs that may have caused a crash.
@@ -143,11 +166,22 @@
         """Return what is suspected now, the most crashes first."""
         if self._suspicions is None or now >= self._valid_until:
             self._forget_expired(now)
+            causes = self._possible_causes()
+            proven = {part for part in causes if self._was_sound_after_a_crash(part)}
             self._suspicions, self._valid_until = _explain(
-                self._reports.values(), self._possible_causes(), now
+                self._reports.values(), causes, proven, now
             )
         return self._suspicions
 
+    def explains(self, instance_id: str, at: float, now: float) -> bool:
+        """Whether suspected parts explain the crash of an instance at a time."""
+        return any(
+            instance_of(crash_id) == instance_id
+            and abs(self._reports[crash_id].at - at) <= SAME_CRASH_S
+            for suspicion in self.suspicions(now)
+            for crash_id in suspicion.crashes
+        )
+
     # ---- local observations ----
 
     def record_crash(self, report: CrashReport) -> None:
@@ -272,6 +306,12 @@
     def _weight_since(self, part: PromptPartKey, sound_at: float) -> float:
         return sum(report.weights[part] for report in self._crashes_since(part, sound_at).values())
 
+    def _was_sound_after_a_crash(self, part: PromptPartKey) -> bool:
+        sound_at = self._sound_at.get(part, 0.0)
+        return any(
+            self._reports[crash_id].at < sound_at for crash_id in self._crashes_by_part[part]
+        )
+
     def _possible_causes(self) -> dict[PromptPartKey, dict[CrashId, CrashReport]]:
         """Return the parts that weigh enough to be suspected, each with its crashes."""
         causes = {}
@@ -285,6 +325,7 @@
 def _explain(
     reports: Collection[CrashReport],
     crashes_by_part: Mapping[PromptPartKey, Mapping[CrashId, CrashReport]],
+    proven: Collection[PromptPartKey],
     now: float,
 ) -> tuple[list[Suspicion], float]:
     """Return the fewest parts that explain the crashes, and until when this holds."""
@@ -292,7 +333,7 @@
     explained: set[CrashId] = set()
     valid_until = now + EVIDENCE_TTL_S
     while True:
-        suspicion = _strongest(reports, crashes_by_part, explained)
+        suspicion = _strongest(reports, crashes_by_part, proven, explained)
         if suspicion is None:
             return suspicions, valid_until
         settled_at = _settled_at(suspicion, crashes_by_part)
@@ -306,9 +347,17 @@
 def _strongest(
     all_reports: Collection[CrashReport],
     crashes_by_part: Mapping[PromptPartKey, Mapping[CrashId, CrashReport]],
+    proven: Collection[PromptPartKey],
     explained: set[CrashId],
 ) -> Suspicion | None:
-    """Return the parts at the most crashes that nothing explains yet, if they weigh enough."""
+    """Return the parts at the most crashes that nothing explains yet, if they weigh enough.
+
+    Args:
+        all_reports: every crash.
+        crashes_by_part: crashes since each part was last sound.
+        proven: parts that were sound after some crash.
+        explained: crashes that other parts explain.
+    """
     parts_by_crashes: dict[frozenset[CrashId], set[PromptPartKey]] = defaultdict(set)
     for part, crashes in crashes_by_part.items():
         unexplained = frozenset(crashes.keys() - explained)
@@ -318,7 +367,9 @@
     for crash_ids, parts in parts_by_crashes.items():
         reports = [crashes_by_part[min(parts)][crash_id] for crash_id in crash_ids]
         weight = sum(max(report.weights[part] for part in parts) for report in reports)
-        if weight < QUARANTINE_WEIGHT or (found is not None and weight <= found.weight):
+        is_proven = all(part in proven for part in parts)
+        least_weight = PROVEN_WEIGHT if is_proven else QUARANTINE_WEIGHT
+        if weight < least_weight or (found is not None and weight <= found.weight):
             continue
         first_crash_at = min(report.at for report in reports)
         last_crash_at = max(report.at for report in reports)
--- a/src/wharfcart/admission/poison_requests.py
+++ b/src/wharfcart/admission/poison_requests.py
@@ -132,6 +132,19 @@
             }
         )
 
+    def without_crashes_of(self, parts: CrashingParts, now: float) -> "PoisonEvidence":
+        """Return the crashes that no suspected parts of prompts explain.
+
+        A request that holds the suspected parts is quarantined for these.
+        """
+        return PoisonEvidence(
+            {
+                key: crash
+                for key, crash in self.crashes_by_key.items()
+                if not parts.explains(_instance_id_of(key), crash.at, now)
+            }
+        )
+
     def last_crash_at(self) -> float:
         """Return the time of the latest crash; 0 if there is none."""
         return max((crash.at for crash in self.crashes_by_key.values()), default=0.0)
@@ -254,6 +267,8 @@
         if not self._shared and not self._local:
             return left_s
         evidence = self.unexplained_evidence(fingerprint())
+        if self.parts and evidence.total_weight() >= QUARANTINE_WEIGHT:
+            evidence = evidence.without_crashes_of(self.parts, now)
         return max(left_s, evidence.quarantine_left_s(now - self.release_jitter_s))
 
     def evidence(self, fingerprint: RequestFingerprint) -> PoisonEvidence:
--- a/src/wharfcart/routing/crash_detection.py
+++ b/src/wharfcart/routing/crash_detection.py
@@ -16,8 +16,8 @@
     FIRST_CRASH_WEIGHT,
     MIN_SOUND_S,
     REPEATED_CRASH_WEIGHT,
-    CrashId,
     CrashReport,
+    crash_id_of,
 )
 from wharfcart.admission.poison_requests import PoisonRequests, crash_weight
 from wharfcart.admission.prompt_parts import PromptPartKey
@@ -181,8 +181,9 @@
             return
         evidence = self.poison_requests.evidence(run.fingerprint)
         weight = REPEATED_CRASH_WEIGHT if evidence.crashes_by_key else FIRST_CRASH_WEIGHT
+        crash_id = crash_id_of(run.instance.instance_id, run.instance.started_at_ms)
         self.poison_requests.parts.record_crash(
-            CrashReport(_crash_id_of(run.instance), now, dict.fromkeys(run.parts, weight))
+            CrashReport(crash_id, now, dict.fromkeys(run.parts, weight))
         )
 
     async def _has_crashed(self, instance: BackendInstance) -> bool:
@@ -209,9 +210,3 @@
         if len(self._crashed_at) > MAX_REMEMBERED_CRASHES:
             self._crashed_at.popitem(last=False)
         self._log.write(Event.BACKEND_ENDED, backend=instance.instance_id, service=instance.service)
-
-
-def _crash_id_of(instance: BackendInstance) -> CrashId:
-    """Return the id of the crash of an instance, which crashes once."""
-    started_at = "" if instance.started_at_ms is None else f"@{instance.started_at_ms}"
-    return CrashId(instance.instance_id + started_at)
--- a/tests/admission/test_crashing_parts.py
+++ b/tests/admission/test_crashing_parts.py
@@ -17,11 +17,13 @@
     CrashingParts,
     CrashReport,
 )
+from wharfcart.admission.poison_requests import UNANSWERED_WEIGHT, PoisonRequests
 from wharfcart.admission.prompt_parts import (
     MAX_PARTS_PER_REQUEST,
     PromptPartKey,
     shared_part_keys,
 )
+from wharfcart.admission.request_fingerprint import RequestFingerprint
 
 NOW = 1000.0
 SETTLED = NOW + SETTLE_S
@@ -138,6 +140,35 @@
     assert len(parts) == 0
 
 
+# Guards against a part of all requests that is held back once it is at some crashes whose causes
+# nobody reported: then no request could show that it is sound.
+def test_a_part_that_was_sound_between_crashes_needs_more_evidence() -> None:
+    parts = evidence(report(0, "popular"))
+    parts.record_sound([part("popular")], NOW + 0.1)
+    for n in range(1, 6):
+        parts.record_crash(report(n, "popular", at=NOW + 1.0))
+    assert not held(parts, "popular", now=NOW + 2.0)
+    for n in range(6, 11):
+        parts.record_crash(report(n, "popular", at=NOW + 1.0))
+    assert held(parts, "popular", now=NOW + 2.0)
+
+
+# Guards against sound contents that are quarantined for crashes that a bad part explains.
+def test_crashes_of_a_suspected_part_are_no_evidence_against_contents() -> None:
+    requests = PoisonRequests()
+    bystander = RequestFingerprint("bystander")
+    for n in range(3):
+        requests.record_crash(bystander, f"i-{n}", UNANSWERED_WEIGHT, NOW)
+        requests.parts.record_crash(report(n, "bad", "popular"))
+    assert requests.quarantine_left_s(lambda: bystander, NOW, lambda: [part("popular")]) > 0
+    requests.parts.record_sound([part("popular")], NOW + 0.1)
+    assert requests.quarantine_left_s(lambda: bystander, SETTLED, lambda: [part("popular")]) == 0
+    assert requests.quarantine_left_s(lambda: bystander, SETTLED, lambda: [part("bad")]) > 0
+    requests.record_crash(bystander, "i-8", UNANSWERED_WEIGHT, NOW)
+    requests.record_crash(bystander, "i-9", UNANSWERED_WEIGHT, NOW)
+    assert requests.quarantine_left_s(lambda: bystander, SETTLED, lambda: [part("popular")]) > 0
+
+
 # Guards against a quarantine that begins later at nodes that end it later.
 def test_the_release_jitter_of_a_node_only_delays_the_release() -> None:
     parts = evidence(*(report(n, "bad") for n in range(3)))
