Fault proxy: a reset arrives as a reset

Traced: the proxy between nodes and servers closed in order the connections that it should reset, and the item's answer had neither length nor chunks; its end between two events at a server that serves on can't be told from a whole answer (RFC 9112, 6.3; answer_end tells unknown, backend_serves).

Change: the proxy resets both sides, also where one side was reset; an end in order stays one. The stand-in node of its tests takes a reset for an end.

--- a/src/wharfcart/emulator/answer_shapes.py
+++ b/src/wharfcart/emulator/answer_shapes.py
@@ -147,7 +147,9 @@
 
 
 def end_connection(transport: BaseTransport, end: ConnectionEnd) -> None:
-    """Close or reset a connection."""
+    """Close or reset a connection that is open."""
+    if transport.is_closing():
+        return
     if end is ConnectionEnd.RESET:
         raw = transport.get_extra_info("socket")
         raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
--- a/src/wharfcart/emulator/fault_proxy.py
+++ b/src/wharfcart/emulator/fault_proxy.py
@@ -13,6 +13,7 @@
 from aiohttp import web
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
+from wharfcart.emulator.answer_shapes import ConnectionEnd, end_connection
 from wharfcart.emulator.web_server import WebServer
 from wharfcart.settings.base import split_endpoint
 from wharfcart.settings.schema import ProxySettings
@@ -44,6 +45,10 @@
     broken_connections: int = Field(default=0, ge=0, description="so many connections are reset")
 
 
+class _EndedInOrderError(Exception):
+    """The node closed the connection."""
+
+
 class _Connection:
     """A peer's connection to the node.
 
@@ -113,7 +118,7 @@
             connection.is_late = faults.late
             connection.was_late |= faults.late
         for writer in self._writers()[: faults.broken_connections]:
-            writer.transport.abort()
+            end_connection(writer.transport, ConnectionEnd.RESET)
         self._signal_change()
 
     def set_unreachable_peers(self, is_unreachable: Callable[[Endpoint], bool]) -> None:
@@ -154,17 +159,20 @@
         connection = _Connection(writer, upstream_writer)
         connection.is_unreachable = self._is_unreachable(connection.peer)
         self._connections.add(connection)
+        end = ConnectionEnd.IN_ORDER
         try:
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._receive(reader, connection))
                 group.create_task(self._forward(connection))
                 group.create_task(self._return(upstream_reader, connection))
-        except* OSError:
+        except* _EndedInOrderError:
             pass
+        except* OSError:
+            end = ConnectionEnd.RESET
         finally:
             self._connections.discard(connection)
-            writer.close()
-            upstream_writer.close()
+            for one in (writer, upstream_writer):
+                end_connection(one.transport, end)
 
     async def _receive(self, reader: asyncio.StreamReader, connection: _Connection) -> None:
         """Read the peer's bytes, so that the end of the connection is seen at once."""
@@ -206,7 +214,7 @@
             with suppress(OSError):
                 await connection.peer_writer.drain()
         # Ends the task group, which closes both connections.
-        raise ConnectionResetError
+        raise _EndedInOrderError
 
     async def _wait_until_open(self, connection: _Connection, *, to_node: bool) -> None:
         """Wait while the link is stalled; it buffers bytes and keeps both ends open."""
--- a/tests/emulator/test_fault_proxy.py
+++ b/tests/emulator/test_fault_proxy.py
@@ -5,6 +5,9 @@
 import socket
 import struct
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
+
+import pytest
 
 from wharfcart.emulator.fault_proxy import Endpoint, FaultProxy, ProxyFaults
 from wharfcart.experiments.dev_fleet import free_endpoint
@@ -22,9 +25,10 @@
         self.changed = asyncio.Condition()
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        while data := await reader.read(1000):
-            await self._record(data)
-            writer.write(str(len(data)).encode())
+        with suppress(ConnectionResetError):
+            while data := await reader.read(1000):
+                await self._record(data)
+                writer.write(str(len(data)).encode())
         await self._record(END)
         writer.close()
 
@@ -149,3 +153,18 @@
         writer.close()
 
     run_scenario(scenario)
+
+
+# Guards against a proxy that ends connections in order where it should reset them, which no
+# reader of an answer without a length can tell from its end.
+def test_a_reset_reaches_the_peer_as_a_reset() -> None:
+    async def scenario(_node: Node, proxy: FaultProxy, listen: Endpoint) -> None:
+        reader, writer = await asyncio.open_connection(*listen)
+        await send(writer, b"a")
+        assert await reader.read(1) == b"1"
+        proxy.set_faults(ProxyFaults(broken_connections=1))
+        with pytest.raises(ConnectionResetError):
+            await reader.read(1)
+        writer.close()
+
+    run_scenario(scenario)
