Soak: what is poison crashes the back ends of releases too

Back ends that a release or a replacement started knew no poison requests and parts: they were told only if they had no proxy yet, and had one by then. The check stays as it is.

--- a/src/wharfcart/soak/fleet.py
+++ b/src/wharfcart/soak/fleet.py
@@ -320,9 +320,6 @@
         """Write a back end's entry, after its proxy has started."""
         if server.instance_id not in self._address_by_server:
             await self._add_server_proxy(server)
-            server.poison_bodies = self._poison_bodies
-            server.poison_parts = self._poison_parts
-            server.on_crash = self._on_server_crash
         await super().announce(server, service, state)
 
     # -- crashed back ends ---------------------------------------------
@@ -370,6 +367,10 @@
         await self.announce(new, STREAM_SERVICE if is_stream_server else PLAIN_SERVICE)
 
     async def _add_server_proxy(self, server: ModelServer) -> None:
+        """Put a proxy before a back end, and let what is poison crash it."""
+        server.poison_bodies = self._poison_bodies
+        server.poison_parts = self._poison_parts
+        server.on_crash = self._on_server_crash
         address = free_endpoint()
         target = split_endpoint(server.server.address)
         proxy = FaultProxy(split_endpoint(address), target, self._seed)
