--- a/review/standins.py
+++ b/review/standins.py
@@ -728,6 +728,8 @@
 
 def run_case(folder: Path, case: Callable[[Fleet, bool], Awaitable[bool]], fleet_of: Any) -> None:
     """Run a case and exit with 1 if the rule was broken, 0 if it held, 2 if it couldn't run."""
+    # A case that is ended from outside still ends the processes that it started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(CANNOT_RUN))
     record = Record(folder / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"trouble: {trouble}")
