--- a/review/standins.py
+++ b/review/standins.py
@@ -480,10 +480,13 @@
 
 
 class Fleet:
-    """A small deployment: three front and three store machines in three zones."""
+    """A small deployment: three front machines and some store machines in three zones."""
 
-    def __init__(self, record: Record, fronts: int = 3, stores: int = 3) -> None:
+    def __init__(
+        self, record: Record, fronts: int = 3, stores: int = 3, tolerated_machines: int = 1
+    ) -> None:
         self.record = record
+        self.tolerated_machines = tolerated_machines
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.net = f"127.{random.randint(20, 250)}.{random.randint(1, 250)}"
         self.port = random.randint(20000, 28000)
@@ -582,7 +585,7 @@
             "lossCounts": machine.kind == "store",
             "zones": dict.fromkeys(ZONES, REGION),
             "listen": listen,
-            "faultTolerance": {"machines": 1, "zones": 0, "regions": 0},
+            "faultTolerance": {"machines": self.tolerated_machines, "zones": 0, "regions": 0},
             "bounds": {"graceS": 8},
             "platform": {"address": self.store.address, "form": "kv"},
         }
