--- a/review/standins.py
+++ b/review/standins.py
@@ -719,11 +719,13 @@
 
 
 def _dependencies() -> str:
-    """Return the Python path of the served programs, as the users' build made it."""
+    """Return the Python path of the served programs: the users' build, else `make install`."""
     built = ROOT / "target/deps"
     if (built / "wharfcart").is_dir():
         return str(built)
-    raise CannotRunError("target/deps is missing: run the line `build` of deploy/system.toml")
+    for packages in sorted(ROOT.glob(".venv/lib/python3*/site-packages")):
+        return f"{ROOT / 'src'}:{packages}"
+    raise CannotRunError("nothing is built: run the line `build` of deploy/system.toml")
 
 
 # ---- cases ----
