--- a/review/standins.py
+++ b/review/standins.py
@@ -271,7 +271,9 @@
     path: str
     after: int
     headers: list[tuple[str, str]]
+    began_at: float = field(default_factory=time.monotonic)
     ended_at: float | None = None
+    finished: bool = False
 
 
 @dataclass
@@ -312,6 +314,10 @@
         }
         store.put(f"servers/{self.instance_id}", entry)
 
+    async def pause(self, request_id: str) -> None:
+        """Wait before an event of a request."""
+        await asyncio.sleep(self.event_s)
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while True:
             request = await read_head(reader)
@@ -372,13 +378,14 @@
             for number, text in enumerate(self.text_of(request_id), 1):
                 if number <= after:
                     continue
-                await asyncio.sleep(self.event_s)
+                await self.pause(request_id)
                 data = f"id: {number}\ndata: {text}\n\n".encode()
                 data = self.spoil(self, request_id, number, text) or data
                 writer.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
                 await writer.drain()
             writer.write(b"0\r\n\r\n")
             await writer.drain()
+            run.finished = True
             self.record.write(f"server {self.instance_id} has run {request_id} to its end")
         finally:
             run.ended_at = time.monotonic()
@@ -500,6 +507,7 @@
         self.fronts = [self._machine("front", number) for number in range(fronts)]
         self.stores = [self._machine("store", number) for number in range(stores)]
         self.servers: list[ModelServer] = []
+        self.started_pids: list[int] = []
         self._python_path = _dependencies()
 
     def _machine(self, kind: str, number: int) -> Machine:
@@ -543,7 +551,8 @@
             machine.process = subprocess.Popen(
                 command, env=environment, stdout=log, stderr=log, cwd=ROOT
             )
-        self.record.write(f"platform starts the process of {machine.name}")
+        self.started_pids.append(machine.process.pid)
+        self.record.write(f"platform starts the process of {machine.name}: {machine.process.pid}")
 
     def signal(self, machine: Machine, number: signal.Signals) -> None:
         """Send a signal to the process of a machine; wait for the end after a kill."""
@@ -566,6 +575,7 @@
                 machine.process.kill()
                 machine.process.wait()
         shutil.rmtree(self.folder, ignore_errors=True)
+        self.record.write(f"all {len(self.started_pids)} processes have ended: {self.started_pids}")
 
     def _settings(self, machine: Machine) -> dict[str, Any]:
         listen = {}
@@ -650,10 +660,12 @@
             await asyncio.sleep(0.5)
         return status
 
-    async def read(self, job_id: str, after: int = 0, node: int = 0) -> tuple[int, dict[str, Any]]:
+    async def read(
+        self, job_id: str, after: int = 0, node: int = 0, wait_ms: int = 500
+    ) -> tuple[int, dict[str, Any]]:
         """Read results of a batch job from a position on; return status and page."""
         path = f"/api/lots/{job_id}?after={after}"
-        headers = {"X-Wait-Ms": "500"}
+        headers = {"X-Wait-Ms": str(wait_ms)}
         answer = await call(self.front_address(node), "GET", path, headers, b"", 3.0)
         status = status_of(answer)
         return status, json.loads(answer.body) if answer and status == 200 else {}
