Batch: an item whose run ends by an unexpected error is run again

What callers saw: an accepted item was listed neither as succeeded nor as dead letter, for as long as its leader led, not even after its time limit. Other items went on.

Cause: JobExecution._run_item took the item out of the running ones in its `finally`, but only a cancellation or an outcome put it anywhere else. An exception of any kind left it neither waiting nor running nor finished. BackgroundTasks logged "task failed" without the task's name; no metric, no line named the item.

Change: each end of a run is handled. After an unexpected error the item waits, with a delay that doubles from 0.3 to 10 s, and runs at another back end; it is given up at the time limit of its job, not sooner, since nothing tells that the item is at fault. The task of a run starts before anything that can fail; a connection is closed if an error comes before the send.

--- a/src/wharfcart/batch/item_run.py
+++ b/src/wharfcart/batch/item_run.py
@@ -38,13 +38,23 @@
 
 
 class RunOutcome(StrEnum):
-    """Outcome of one attempt to run an item."""
+    """Outcome of one attempt to run an item.
+
+    Attributes:
+        SUCCEEDED: the text is whole.
+        FAILED: the back end reported a failure.
+        UNPROCESSABLE: the back end can never run the item.
+        REFUSED: the item did not run.
+        INTERRUPTED: the answer was cut off, malformed or too slow.
+        ERROR: the attempt ended by an unexpected error of this process.
+    """
 
     SUCCEEDED = "succeeded"
     FAILED = "failed"
     UNPROCESSABLE = "impossible"
     REFUSED = "refused"
     INTERRUPTED = "broken"
+    ERROR = "error"
 
 
 # Outcomes of runs that the back end finished without a crash.
@@ -73,6 +83,7 @@
         restart_at: monotonic time from which the item begins anew at another software version
             instead of waiting for its own; None while it does not wait.
         body_began_at: monotonic time of the first bytes of the last answer's body; None before.
+        error_delay_s: delay after the last attempt that ended by an unexpected error, or 0.
     """
 
     partial_text: ItemPartialText
@@ -82,6 +93,7 @@
     run_time_s: float = 0.0
     restart_at: float | None = None
     body_began_at: float | None = None
+    error_delay_s: float = 0.0
     _fingerprint: RequestFingerprint | None = None
     _part_ids: tuple[str, ...] | None = None
 
@@ -202,16 +214,13 @@
         instance = attempt.state.instance
         placed_at = monotonic()
         connection = await self._pool.acquire(instance, self._connection_limit(instance.service))
-        is_excluded = (
-            self._selector.exclusion_before_send(attempt.state, placed_at, monotonic()) is not None
-        )
-        if is_excluded or self._is_quarantined(attempt):
-            self._pool.release(instance, connection)
-            return RunOutcome.REFUSED
         started_at = monotonic()
         attempt.progress.body_began_at = None
         events_before = len(attempt.progress.partial_text.texts)
         try:
+            if self._may_not_send(attempt, placed_at):
+                self._pool.release(instance, connection)
+                return RunOutcome.REFUSED
             run = await self._send_and_receive(connection, attempt)
         except TimeoutError:
             self._pool.discard(instance, connection)
@@ -242,6 +251,11 @@
             self._crash_detector.poison_requests.record_answer(attempt.fingerprint)
         return run.outcome
 
+    def _may_not_send(self, attempt: ItemAttempt, placed_at: float) -> bool:
+        """Whether the back end or the item was excluded while the connection was opened."""
+        exclusion = self._selector.exclusion_before_send(attempt.state, placed_at, monotonic())
+        return exclusion is not None or self._is_quarantined(attempt)
+
     async def _send_and_receive(
         self, connection: HttpConnection, attempt: ItemAttempt
     ) -> _FinishedRun:
--- a/src/wharfcart/batch/job_execution.py
+++ b/src/wharfcart/batch/job_execution.py
@@ -26,7 +26,7 @@
 from wharfcart.configuration.serving import Route, ServingConfiguration
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.observability.serving_metrics import ServingMetrics
-from wharfcart.observability.tasks import BackgroundTasks
+from wharfcart.observability.tasks import BackgroundTasks, record_failure
 from wharfcart.routing.backend_selection import BackendSelector, InstanceState
 from wharfcart.slots.events import PreemptionCause, RunResult
 from wharfcart.slots.item_slots import ItemDemand, ItemSlot, ItemSlots
@@ -47,12 +47,17 @@
 REFUSED_RETRY_DELAY_S = 0.15
 INTERRUPTED_RETRY_DELAY_S = 0.05
 FAILED_RETRY_DELAY_S = 0.3
+# After an unexpected error; doubles with each one of the item.
+MIN_ERROR_RETRY_DELAY_S = 0.3
+MAX_ERROR_RETRY_DELAY_S = 10.0
 PREEMPTED_RETRY_DELAY_S = 0.05
 # Tolerates a clock difference between the accepting gateway and a later leader.
 GIVE_UP_MARGIN_S = 6.0
 DELETION_INTERVAL_S = 5.0
 
 
+# Name of the task in logs and metrics.
+ITEM_RUN_TASK = "JobExecution._run_item"
 NO_DEMAND = ItemDemand(0, 0, Urgency(0.0, 0.0))
 
 # Service, residence and version of waiting items.
@@ -406,8 +411,8 @@
             scheduled, item, state, self._selector.record_sent(state, monotonic()), slot
         )
         self._placed.add(placed)
-        self._slots.report_started(slot, urgency)
         placed.task = self._tasks.spawn(self._run_item(placed))
+        self._slots.report_started(slot, urgency)
         self._log.write(
             Event.ITEM_STARTED,
             item=item.item_id,
@@ -423,33 +428,75 @@
         )
 
     async def _run_item(self, placed: PlacedItem) -> None:
+        """Run an item in its slot; however the run ends, the item then waits or has a result."""
         scheduled, item = placed.scheduled, placed.item
         progress = scheduled.progress_of(item.item_id)
-        started_at = monotonic()
-        restarts = progress.partial_text.restarts
-        backend_result = RunResult.UNKNOWN
         try:
-            outcome = await self._attempt_item(placed, progress)
-            backend_result = self._assess_backends(progress, placed.slot.instance_id, outcome)
+            outcome = await self._run_in_slot(placed, progress)
+            self._handle_outcome(scheduled, item, progress, outcome)
         except asyncio.CancelledError:
             if not self._scheduler.is_scheduled(scheduled):
                 raise
             progress.not_before = monotonic() + PREEMPTED_RETRY_DELAY_S
             self._scheduler.requeue(scheduled, item)
-            return
+        except Exception as error:
+            record_failure(ITEM_RUN_TASK, error)
+            self._retry_after_error(scheduled, item, progress, error)
+        finally:
+            self._wake_up.set()
+
+    async def _run_in_slot(self, placed: PlacedItem, progress: ItemProgress) -> RunOutcome:
+        """Run an item and release its slot."""
+        started_at = monotonic()
+        restarts = progress.partial_text.restarts
+        backend_result = RunResult.UNKNOWN
+        try:
+            outcome = await self._attempt_item(placed, progress)
+            backend_result = self._assess_backends(progress, placed.slot.instance_id, outcome)
         finally:
             progress.run_time_s += monotonic() - started_at
             if progress.partial_text.restarts != restarts:
                 self._metrics.items_restarted.add(placed.slot.service)
-            scheduled.running.discard(item.item_id)
+            placed.scheduled.running.discard(placed.item.item_id)
             self._placed.remove(placed)
             self._slots.release(placed.slot, backend_result)
-            self._wake_up.set()
         self._metrics.item_runs.add(outcome.value)
         if outcome is RunOutcome.SUCCEEDED:
             events = len(progress.partial_text.texts)
             self._estimate(placed.slot.service).record_finished(events, progress.run_time_s)
-        self._handle_outcome(scheduled, item, progress, outcome)
+        return outcome
+
+    def _retry_after_error(
+        self,
+        scheduled: ScheduledJob,
+        item: RequestItem,
+        progress: ItemProgress,
+        error: Exception,
+    ) -> None:
+        """Let an item wait after an unexpected error, longer after each one.
+
+        Nothing tells whether the item, the back end or this node is at fault. So the item runs at
+        another back end, and is given up no sooner than at the time limit of its job.
+        """
+        if not self._scheduler.is_scheduled(scheduled):
+            return
+        delay_s = min(
+            MAX_ERROR_RETRY_DELAY_S, progress.error_delay_s * 2 or MIN_ERROR_RETRY_DELAY_S
+        )
+        progress.error_delay_s = delay_s
+        progress.not_before = monotonic() + delay_s
+        self._scheduler.requeue(scheduled, item)
+        self._metrics.item_runs.add(RunOutcome.ERROR.value)
+        self._log.write(
+            Event.ITEM_RETRIED,
+            item=item.item_id,
+            job=scheduled.job.job_id,
+            backend=progress.last_instance_id,
+            cause=RunOutcome.ERROR.value,
+            error=type(error).__name__,
+            delay_s=delay_s,
+            last_event=progress.partial_text.last_event,
+        )
 
     async def _attempt_item(self, placed: PlacedItem, progress: ItemProgress) -> RunOutcome:
         if placed.is_stopping:
--- a/src/wharfcart/observability/serving_metrics.py
+++ b/src/wharfcart/observability/serving_metrics.py
@@ -1,11 +1,16 @@
 """Metrics of one serving process, in the Prometheus text format."""
 
+from collections.abc import Iterator
 from typing import Protocol
 
 from prometheus_client import CollectorRegistry, generate_latest, start_http_server
 from prometheus_client import Counter as PrometheusCounter
 from prometheus_client import Gauge as PrometheusGauge
 from prometheus_client import Histogram as PrometheusHistogram
+from prometheus_client.core import CounterMetricFamily
+from prometheus_client.registry import Collector
+
+from wharfcart.observability.tasks import failures_by_task
 
 # Bounds the number of time series.
 MAX_SERVICE_LABELS = 100
@@ -77,11 +82,24 @@
         ...
 
 
+class _TaskFailures(Collector):
+    """Unexpected errors of the process's tasks, by task."""
+
+    def collect(self) -> Iterator[CounterMetricFamily]:
+        family = CounterMetricFamily(
+            "wharfcart_task_failures", "Unexpected errors of tasks", labels=["task"]
+        )
+        for task, count in sorted(failures_by_task.items()):
+            family.add_metric([task], count)
+        yield family
+
+
 class ServingMetrics:
     """Counters, gauges and histograms of a gateway or storage process."""
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
+        self.registry.register(_TaskFailures())
         self.requests = self._counter("wharfcart_answers", "Answers to callers", "outcome")
         self.limited_requests = BoundedCounter(
             self._counter("wharfcart_limited", "Requests over their tenant's limit", "tenant"),
