Event streams: an event's number is ASCII digits, or the event is malformed

One number beyond 64 bits cost the leadership of the whole job group.

Cause: the check didn't match the conversion after it. `str.isdigit` is true for superscripts, which `int` refuses; `int` raises above 4,300 digits; nothing bounded the number by the fields that carry it. An event without a number, or with one that isn't a number, was skipped: of the last event nothing else tells that it is missing.

An event with data has a number of at most 18 digits, which fits all fields; otherwise its answer counts as broken off before it, and the run or the stream goes on elsewhere after the last whole event. An event of over 1 MiB is malformed, too; the buffer isn't searched from its start with each part. `item_retried` tells why a run was interrupted.

--- a/src/wharfcart/batch/item_run.py
+++ b/src/wharfcart/batch/item_run.py
@@ -19,6 +19,7 @@
     form_of_stream,
 )
 from wharfcart.http.connection import (
+    BreakCause,
     ConnectFailedError,
     ConnectionBrokenError,
     HttpConnection,
@@ -83,6 +84,7 @@
         restart_at: monotonic time from which the item begins anew at another software version
             instead of waiting for its own; None while it does not wait.
         body_began_at: monotonic time of the first bytes of the last answer's body; None before.
+        interruption: why the last interrupted attempt got no whole answer, or ''.
         error_delay_s: delay after the last attempt that ended by an unexpected error, or 0.
     """
 
@@ -93,6 +95,7 @@
     run_time_s: float = 0.0
     restart_at: float | None = None
     body_began_at: float | None = None
+    interruption: str = ""
     error_delay_s: float = 0.0
     _fingerprint: RequestFingerprint | None = None
     _part_ids: tuple[str, ...] | None = None
@@ -216,6 +219,7 @@
         connection = await self._pool.acquire(instance, self._connection_limit(instance.service))
         started_at = monotonic()
         attempt.progress.body_began_at = None
+        attempt.progress.interruption = ""
         events_before = len(attempt.progress.partial_text.texts)
         try:
             if self._may_not_send(attempt, placed_at):
@@ -223,9 +227,11 @@
                 return RunOutcome.REFUSED
             run = await self._send_and_receive(connection, attempt)
         except TimeoutError:
+            attempt.progress.interruption = str(BreakCause.TIMED_OUT)
             self._pool.discard(instance, connection)
             return RunOutcome.INTERRUPTED
         except ConnectionBrokenError as error:
+            attempt.progress.interruption = f"{error.cause}: {error}"
             self._pool.discard(instance, connection)
             answer_started = len(attempt.progress.partial_text.texts) > events_before
             await self._crash_detector.inspect(
@@ -331,8 +337,10 @@
                 if last_event is not None and event.number <= last_event:
                     continue
                 if last_event is not None and event.number > last_event + 1:
-                    return _FinishedRun(RunOutcome.INTERRUPTED)
+                    raise ConnectionBrokenError("an event is missing")
                 progress.partial_text.add_event(event.number, event.data)
+            if splitter.malformed:
+                raise ConnectionBrokenError(splitter.malformed)
         has_events = bool(progress.partial_text.texts)
         decision = await self._crash_detector.decide_end(
             attempt.item.item_id,
--- a/src/wharfcart/batch/job_execution.py
+++ b/src/wharfcart/batch/job_execution.py
@@ -577,6 +577,7 @@
             job=scheduled.job.job_id,
             backend=progress.last_instance_id,
             cause=outcome.value,
+            reason=progress.interruption,
             failures=progress.failure_count,
             last_event=progress.partial_text.last_event,
         )
--- a/src/wharfcart/routing/sender.py
+++ b/src/wharfcart/routing/sender.py
@@ -368,9 +368,9 @@
             boundary.feed(part)
             progress.inside_event = boundary.inside_event
             progress.answer_bytes += len(part)
-            is_event_missing = False
+            fault = ""
             if splitter is not None:
-                part, is_event_missing = _take_new_events(splitter, part, request, progress)
+                part, fault = _take_new_events(splitter, part, request, progress)
             if part:
                 if progress.version is None and request.is_resumable:
                     self._placement.stream_begun(
@@ -379,8 +379,8 @@
                 progress.version = software.version
                 await self._ensure_started(request, sink, progress, head)
                 await sink.send_part(part)
-            if is_event_missing:
-                raise ConnectionBrokenError("an event is missing")
+            if fault:
+                raise ConnectionBrokenError(fault)
         has_remainder = splitter is not None and bool(splitter.remainder)
         has_events = progress.answer_started or progress.answer_bytes > 0
         form = form_of_stream(head.framing, boundary.inside_event or has_remainder, has_events)
@@ -470,8 +470,8 @@
 
 def _take_new_events(
     splitter: EventSplitter, data: bytes, request: CallerRequest, progress: RequestProgress
-) -> tuple[bytes, bool]:
-    """Return the complete events that the caller lacks, and whether one is missing after them."""
+) -> tuple[bytes, str]:
+    """Return the complete events that the caller lacks, and what is wrong after them, or ''."""
     forwarded: list[bytes] = []
     for event in splitter.feed(data):
         if event.number is not None:
@@ -479,7 +479,7 @@
             if last is not None and event.number <= last:
                 continue
             if last is not None and event.number > last + 1:
-                return b"".join(forwarded), True
+                return b"".join(forwarded), "an event is missing"
             progress.last_event = event.number
         forwarded.append(event.raw)
-    return b"".join(forwarded), False
+    return b"".join(forwarded), splitter.malformed
--- a/tests/routing/test_event_stream.py
+++ b/tests/routing/test_event_stream.py
@@ -1,11 +1,13 @@
 """Splitting of event streams."""
 
 import itertools
+import re
 
-from hypothesis import given
+import pytest
+from hypothesis import example, given
 from hypothesis import strategies as st
 
-from wharfcart.routing.event_stream import EventBoundary, EventSplitter
+from wharfcart.routing.event_stream import MAX_EVENT_BYTES, EventBoundary, EventSplitter
 
 EVENT_BYTES = len(b"id: 0\ndata: part 0\n\n")
 STREAM = b"".join(f"id: {n}\ndata: part {n}\n\n".encode() for n in range(6))
@@ -56,3 +58,57 @@
     for start, stop in itertools.pairwise(edges):
         boundary.feed(stream[start:stop])
     assert boundary.inside_event == (end % EVENT_BYTES != 0)
+
+
+def split(stream: bytes, cuts: list[int]) -> tuple[list[tuple[int | None, str]], EventSplitter]:
+    """Return number and data of the events of a stream that arrives in parts."""
+    splitter = EventSplitter()
+    edges = [0, *sorted(min(cut, len(stream)) for cut in cuts), len(stream)]
+    events = [
+        (event.number, event.data)
+        for start, stop in itertools.pairwise(edges)
+        for event in splitter.feed(stream[start:stop])
+    ]
+    return events, splitter
+
+
+# Guards against an item's run that ends by an exception at a number which `int` refuses.
+@given(st.text(st.characters(categories=["Nd", "Nl", "No", "Po", "Pd", "Sm"]), max_size=6))
+@example("\u00b2")
+@example("\u0663")
+@example("9" * 19)
+@example("9" * 5000)
+@example("")
+@example("-1")
+@example("+1")
+@example("1_0")
+@example("1e3")
+@example("nan")
+def test_an_event_has_a_number_of_ascii_digits_or_is_malformed(text: str) -> None:
+    is_number = re.fullmatch("[0-9]{1,18}", text) is not None
+    splitter = EventSplitter()
+    events = splitter.feed(f"id: 1\ndata: a\n\nid: {text}\ndata: b\n\nid: 3\ndata: c\n\n".encode())
+    assert [event.data for event in events] == (["a", "b", "c"] if is_number else ["a"])
+    assert bool(splitter.malformed) != is_number
+
+
+# Guards against a text that lacks an event whose number was spoilt.
+@pytest.mark.parametrize("id_line", [b"", b"i\xff: 2\n", b"ID: 2\n", b"id\n", b"id: 2\x00\n"])
+@pytest.mark.parametrize("place", [0, 1, 2])
+def test_an_event_with_data_and_without_a_number_is_malformed(id_line: bytes, place: int) -> None:
+    stream = [f"id: {number}\ndata: {number}\n\n".encode() for number in range(3)]
+    stream[place] = id_line + b"data: x\n\n"
+    events, splitter = split(b"".join(stream), [])
+    assert events == [(number, str(number)) for number in range(place)]
+    assert splitter.malformed
+    assert splitter.feed(b"id: 3\ndata: 3\n\n") == []
+
+
+# Guards against an answer without an end of an event that fills the memory.
+def test_an_event_beyond_the_bound_is_malformed() -> None:
+    splitter = EventSplitter()
+    fed = 0
+    while not splitter.malformed:
+        assert splitter.feed(b"data: " + b"x" * 4000) == []
+        fed += 4006
+        assert fed <= MAX_EVENT_BYTES + 2 * 4006
