Event streams: only LF, CR and CRLF end a line

CR-only streams were never split at all.

Cause: `str.splitlines` ends lines at these characters, too; the format ends them at LF, CR and CRLF alone.

Change: lines are split in the bytes, by the HTML standard: also a byte order mark at the start and fields without a colon. A CR at the end of a part waits for the next byte where it may be half of a CRLF.

--- a/src/wharfcart/routing/event_stream.py
+++ b/src/wharfcart/routing/event_stream.py
@@ -1,18 +1,23 @@
-"""Splitting of a byte stream into server-sent events.
+"""Splitting of a byte stream into server-sent events, by the grammar of the HTML standard.
 
 Only complete events of a resumable stream are forwarded: a back end may stop in the middle of an
 event, and the next back end resumes after the last complete one.
 """
 
+import re
 from dataclasses import dataclass
 
 from wharfcart.http.grammar import parse_whole_number
 
 # More than a page of results holds.
 MAX_EVENT_BYTES = 1024 * 1024
-_EVENT_END = b"\n\n"
-_EVENT_END_CRLF = b"\r\n\r\n"
-# Ends of an empty line after a line, for each line ending that the format allows.
+_BYTE_ORDER_MARK = b"\xef\xbb\xbf"
+# Of these alone; a text may contain other characters that Python takes for ends of lines.
+_LINE_END = re.compile(rb"\r\n|\n|\r")
+# An empty line after a line. The group is atomic, so that one CRLF is no two ends.
+_EVENT_END = re.compile(rb"(?>\r\n|\n|\r)(?>\r\n|\n|\r)")
+# The next byte tells whether the last line end is a CR or a CRLF.
+_HALF_EVENT_END = b"\n\r"
 _EMPTY_LINE_ENDS = (b"\n\n", b"\n\r\n", b"\r\r")
 _MAX_EMPTY_LINE_BYTES = 3
 _MAX_EVENT_END_BYTES = 4
@@ -44,12 +49,13 @@
     def __init__(self) -> None:
         self._buffer = bytearray()
         self._searched = 0
+        self._is_at_start = True
         self.malformed = ""
 
     @property
     def remainder(self) -> bytes:
-        """Bytes after the last complete event."""
-        return bytes(self._buffer)
+        """Bytes after the last complete event; without the rest of its last line end."""
+        return bytes(self._buffer).lstrip(b"\r\n")
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Add bytes and return the events completed by them."""
@@ -71,23 +77,29 @@
 
     def _find_event_end(self) -> int:
         """Return the position after the first event; 0 if none is complete."""
-        lf = self._buffer.find(_EVENT_END, self._searched)
-        crlf = self._buffer.find(_EVENT_END_CRLF, self._searched)
-        if crlf >= 0 and (lf < 0 or crlf < lf):
-            return crlf + len(_EVENT_END_CRLF)
-        return lf + len(_EVENT_END) if lf >= 0 else 0
+        if self._buffer.find(b"\r", self._searched) < 0:
+            start = self._buffer.find(b"\n\n", self._searched)
+            return 0 if start < 0 else start + len(b"\n\n")
+        found = _EVENT_END.search(self._buffer, self._searched)
+        if found is None:
+            return 0
+        is_half = found.end() == len(self._buffer) and found.group().endswith(_HALF_EVENT_END)
+        return 0 if is_half else found.end()
 
     def _parse(self, raw: bytes) -> StreamEvent | None:
         """Return an event, or None if it is malformed: a text would lack its data."""
+        is_first, self._is_at_start = self._is_at_start, False
         number = None
         data = []
-        for line in raw.decode("utf-8", "replace").splitlines():
-            name, _, value = line.partition(":")
-            value = value.removeprefix(" ")
-            if name == "data":
-                data.append(value)
-            elif name == "id":
-                number = parse_whole_number(value)
+        text = raw.removeprefix(_BYTE_ORDER_MARK) if is_first else raw
+        lines = _LINE_END.split(text) if b"\r" in text else text.split(b"\n")
+        for line in lines:
+            name, _, value = line.partition(b":")
+            value = value.removeprefix(b" ")
+            if name == b"data":
+                data.append(value.decode("utf-8", "replace"))
+            elif name == b"id":
+                number = parse_whole_number(value.decode("latin-1"))
                 if number is None:
                     self.malformed = f"the number of an event is {value[:32]!r}"
                     return None
--- a/tests/batch/test_item_malformed_answers.py
+++ b/tests/batch/test_item_malformed_answers.py
@@ -82,3 +82,16 @@
         assert backend.progress.partial_text.texts == expected
 
     uvloop.run(scenario())
+
+
+# Guards against a text that ends at a character which Python takes for the end of a line.
+@pytest.mark.parametrize("character", "\f\x1e\x85\u2028\u2029")
+def test_a_text_keeps_all_its_characters(character: str) -> None:
+    async def scenario() -> None:
+        backend = OneBackend()
+        data = f"a{character}b"
+        events = [f"id: {number}\ndata: {data}\n\n".encode() for number in range(3)]
+        assert await backend.run(events) is RunOutcome.SUCCEEDED
+        assert backend.progress.partial_text.texts == [data] * 3
+
+    uvloop.run(scenario())
--- a/tests/routing/test_event_stream.py
+++ b/tests/routing/test_event_stream.py
@@ -104,6 +104,40 @@
     assert splitter.feed(b"id: 3\ndata: 3\n\n") == []
 
 
+# Guards against a text that is cut at a character which Python takes for the end of a line.
+@pytest.mark.parametrize("character", "\v\f\x1c\x1d\x1e\x85\u2028\u2029")
+def test_only_lf_cr_and_crlf_end_a_line(character: str) -> None:
+    data = f"a{character}b"
+    events, _ = split(f"id: 1\ndata: {data}\n\n".encode(), [])
+    assert events == [(1, data)]
+
+
+TEXT = st.text(
+    st.characters(exclude_characters="\r\n", exclude_categories=["Cs"]), min_size=1, max_size=8
+)
+
+
+# Guards against events that depend on how a stream arrives, or on how its lines end.
+@given(
+    st.lists(st.lists(TEXT, min_size=1, max_size=3), max_size=4),
+    st.sampled_from(["\n", "\r\n", "\r"]),
+    st.booleans(),
+    st.lists(st.integers(0, 200), max_size=12),
+)
+@example([["a"], ["b"]], "\r\n", False, [17, 18, 19])
+def test_events_are_those_that_were_written(
+    texts: list[list[str]], line_end: str, has_mark: bool, cuts: list[int]
+) -> None:
+    lines = ["\ufeff: a comment", ""] if has_mark else []
+    for number, text in enumerate(texts):
+        lines += [f"id: {number}", "retry", *(f"data: {line}" for line in text), ""]
+    events, splitter = split("".join(line + line_end for line in lines).encode(), cuts)
+    written = [(number, "\n".join(text)) for number, text in enumerate(texts)]
+    assert [event for event in events if event[0] is not None] == written
+    assert splitter.remainder == b""
+    assert not splitter.malformed
+
+
 # Guards against an answer without an end of an event that fills the memory.
 def test_an_event_beyond_the_bound_is_malformed() -> None:
     splitter = EventSplitter()
