Headers: numbers of clients and servers are read by their grammar

What callers saw, with sound servers: an accepted item with `X-Prompt-Prefix` of a superscript digit or 5,000 digits, or with `X-Token-Count: 60,nan` or `60,inf`, was never listed; an online request with such a value, or with `Last-Event-Id: inf`, got a 500; a deadline of NaN was no deadline for any comparison. A leader that met such an item beside a suspected part stopped to report its demand at all.

Change: values are parsed once by http/grammar.py. A malformed value of an online request is a 400 that names the header; event ids may have any form where streams aren't resumed. In items of jobs that are accepted already it counts as missing, so that they run. The same for `after`, `X-Wait-Ms`, entity tags of over 64 bits, the idle limit and the load that servers tell, and on the older path for revisions, limits of lists, event numbers of engines and their Retry-After.

--- a/src/wharfcart/admin/handlers.py
+++ b/src/wharfcart/admin/handlers.py
@@ -35,6 +35,7 @@
 from wharfcart.gateway.interface import HttpRoute
 from wharfcart.gateway.online import parse_json
 from wharfcart.gateway.responses import bad_request, error_body, validation_error
+from wharfcart.http.grammar import parse_whole_number
 from wharfcart.platform.key_value import KeyValueUnavailableError
 
 IN_FORCE_POLL_INTERVAL_S = 0.05
@@ -105,7 +106,9 @@
 
     async def history(self, request: Request) -> HTTPResponse:
         """Return the accepted changes, newest first."""
-        since = int(request.args.get("since", "0"))
+        since = parse_whole_number(request.args.get("since", "0"))
+        if since is None:
+            raise bad_request("since must be a revision")
         records = await _await_store(self._store.read_history(since))
         newest = sorted(records, key=lambda record: -record.revision)[:MAX_HISTORY_RECORDS]
         return json({"records": [record.model_dump(mode="json") for record in newest]})
@@ -240,10 +243,10 @@
     text = request.headers.get("If-Match")
     if text is None:
         return None
-    digits = text.strip().strip('"')
-    if not digits.isdigit():
+    revision = parse_whole_number(text.strip().strip('"'))
+    if revision is None:
         raise bad_request("If-Match must hold a revision")
-    return int(digits)
+    return revision
 
 
 def _conflict_response(conflict: RevisionConflictError) -> HTTPResponse:
--- a/src/wharfcart/backends/engine_client.py
+++ b/src/wharfcart/backends/engine_client.py
@@ -8,6 +8,7 @@
 from wharfcart.backends.http_responses import CONTROL_TIMEOUT_S, open_response, read_response
 from wharfcart.backends.interface import BackendError, BackendPart, BackendRequest, EngineCommand
 from wharfcart.errors import Outcome
+from wharfcart.http.grammar import parse_whole_number
 
 MAX_RESUMES = 2
 DONE_MARKER = b"[DONE]"
@@ -159,6 +160,13 @@
     return BackendRequest(request.request_id, "GET", path, headers, b"", request.stream)
 
 
+def _parse_event_number(value: bytes) -> int:
+    number = parse_whole_number(value.decode("latin-1"))
+    if number is None:
+        raise BackendError("the number of an event is malformed", Outcome.UNKNOWN)
+    return number
+
+
 class _OrderedStreamReader:
     """Reads the numbered events of a stream over several connections, in order and once each."""
 
@@ -183,7 +191,7 @@
         data = b""
         for line in event.split(b"\n"):
             if line.startswith(b"id:"):
-                number = int(line[3:])
+                number = _parse_event_number(line[3:])
             elif line.startswith(b"data:"):
                 data = line[5:].strip()
         if number >= self.next_sequence and len(self._reordered) < MAX_REORDERED_EVENTS:
--- a/src/wharfcart/backends/http_responses.py
+++ b/src/wharfcart/backends/http_responses.py
@@ -17,6 +17,7 @@
 from wharfcart.errors import Outcome
 from wharfcart.http.answer_end import AnswerEnd, decide_by_backend, decide_by_form, form_of_body
 from wharfcart.http.connection import NO_BODY_STATUSES, Framing, ResponseHead
+from wharfcart.http.grammar import parse_decimal
 from wharfcart.http.liveness import refuses_connections
 
 CONNECT_TIMEOUT_S = 1.0
@@ -74,7 +75,8 @@
 
 def _check_head(response: aiohttp.ClientResponse, request: BackendRequest) -> None:
     if response.headers.get(OUTCOME_HEADER) == Outcome.NOT_RUN:
-        retry_after = float(response.headers.get("Retry-After", "1"))
+        # A date is a value, too; it is not read.
+        retry_after = parse_decimal(response.headers.get("Retry-After", "")) or 1.0
         raise BackendError(
             f"refused with {response.status}", Outcome.NOT_RUN, STATUS_OVERLOADED, retry_after
         )
--- a/src/wharfcart/gateway/batches.py
+++ b/src/wharfcart/gateway/batches.py
@@ -26,6 +26,7 @@
     validation_error,
 )
 from wharfcart.gateway.schema import BatchRequest
+from wharfcart.http.grammar import parse_whole_number
 
 OUTPUT_PREFIX = "output-"
 ERRORS_PREFIX = "errors-"
@@ -274,6 +275,7 @@
     text = request.args.get(name)
     if text is None:
         return default
-    if not text.isdigit() or not minimum <= int(text) <= maximum:
+    number = parse_whole_number(text)
+    if number is None or not minimum <= number <= maximum:
         raise bad_request(f"{name} must be a number from {minimum} to {maximum}")
-    return int(text)
+    return number
--- a/src/wharfcart/gateway/entity_tags.py
+++ b/src/wharfcart/gateway/entity_tags.py
@@ -4,9 +4,13 @@
 caller that sends it back in ``If-Match`` gets 412 once the id stands for another submission.
 """
 
+import re
+
 from wharfcart.storage.replicated_job import NO_SUBMISSION, SubmissionId
 
 ANY = "*"
+# At most 64 bits, as in the messages between nodes.
+_TAG = re.compile(r'"([1-9a-f][0-9a-f]{0,15})"')
 
 
 class BadEntityTagError(Exception):
@@ -32,10 +36,7 @@
     """
     if if_match is None or if_match.strip() == ANY:
         return NO_SUBMISSION
-    try:
-        submission = SubmissionId(int(if_match.strip().strip('"'), 16))
-    except ValueError as error:
-        raise BadEntityTagError(if_match) from error
-    if submission <= NO_SUBMISSION or entity_tag(submission) != if_match.strip():
+    found = _TAG.fullmatch(if_match.strip())
+    if found is None:
         raise BadEntityTagError(if_match)
-    return submission
+    return SubmissionId(int(found[1], 16))
--- a/src/wharfcart/gateway/ingress.py
+++ b/src/wharfcart/gateway/ingress.py
@@ -29,6 +29,7 @@
 MAX_HEADER_BYTES = 16_384
 MAX_BODY_BYTES = 64 * 1024 * 1024
 RETRY_AFTER_UNCONFIGURED_S = 0.3
+STATUS_BAD_REQUEST = 400
 # Pending connections; the caller's kernel retries a dropped connection only after 1 s.
 BACKLOG = 1024
 # The event loop accepts all pending connections within this time after the start.
@@ -302,6 +303,9 @@
     ) -> HTTPResponse | None:
         headers = list(request.headers.items())
         facts = http_headers.parse_request_metadata(headers)
+        malformed = _malformed_header(facts, route)
+        if malformed:
+            return self._refuse(request, STATUS_BAD_REQUEST, f"malformed: {malformed}")
         if configuration.tenants is not None:
             headers = http_headers.without_api_key(headers)
         caller_request = CallerRequest(
@@ -352,7 +356,19 @@
             key=short_digest_of(http_headers.parse_api_key(request.headers.items())),
         )
         headers = [(names.RETRY_AFTER, f"{RETRY_AFTER_UNCONFIGURED_S:g}")] if status == 503 else []
-        return plain_response(status, headers)
+        body = cause.encode() if status == STATUS_BAD_REQUEST else b""
+        return plain_response(status, headers, body)
+
+
+def _malformed_header(facts: http_headers.RequestMetadata, route: Route) -> str:
+    """Return the name of a header that prevents the request from being served, or ''.
+
+    Event ids may be of any form where streams are not resumed.
+    """
+    for name in facts.malformed:
+        if name != names.LAST_EVENT_ID or route.resumable:
+            return name
+    return ""
 
 
 def _host_of(request: Request) -> str:
--- a/src/wharfcart/gateway/job_calls.py
+++ b/src/wharfcart/gateway/job_calls.py
@@ -26,6 +26,7 @@
 from wharfcart.configuration.serving import Route, ServingConfiguration
 from wharfcart.gateway.entity_tags import BadEntityTagError, entity_tag, submission_from
 from wharfcart.gateway.plain_responses import plain_response
+from wharfcart.http.grammar import parse_whole_number
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.observability.serving_metrics import ServingMetrics
 from wharfcart.platform import batch_bodies, names
@@ -42,6 +43,8 @@
 MAX_LONG_POLL_S = 1.0
 # Capacity for a job takes longer to free up than a leader takes to be elected.
 STATUS_BAD_REQUEST = 400
+# Of an unsigned 32-bit field.
+MAX_COUNT = 2**32 - 1
 RETRY_AFTER_BY_STATUS_S = {503: 0.3, 429: 1.0}
 # Cause of a refusal by a leader that has newer knowledge of the group's disks than the gateway.
 GROUP_OUTSIDE_CAUSE = "a disk of the group is outside the residence"
@@ -141,7 +144,13 @@
         self, request: Request, job_id: str, tenant: str, submission: SubmissionId
     ) -> HTTPResponse:
         first = _parse_count(request.args.get("after"))
-        wait_s = min(MAX_LONG_POLL_S, _parse_count(request.headers.get(names.WAIT_MS)) / 1000)
+        wait_ms = _parse_count(request.headers.get(names.WAIT_MS))
+        if first is None or wait_ms is None:
+            field = "after" if first is None else names.WAIT_MS
+            return self._refuse(
+                job_id, "read", STATUS_BAD_REQUEST, f"malformed: {field} is no whole number"
+            )
+        wait_s = min(MAX_LONG_POLL_S, wait_ms / 1000)
         message = ReadResults(
             job_id=job_id,
             after=first,
@@ -247,5 +256,10 @@
     return (request.headers.get("host") or "").partition(":")[0]
 
 
-def _parse_count(text: str | None) -> int:
-    return int(text) if text is not None and text.isdigit() else 0
+def _parse_count(text: str | None) -> int | None:
+    """Return a count, 0 if there is none; None if it is malformed.
+
+    One that no message can carry is beyond the last result of every job, as is the largest.
+    """
+    count = 0 if text is None else parse_whole_number(text)
+    return None if count is None else min(count, MAX_COUNT)
--- a/src/wharfcart/http/connection.py
+++ b/src/wharfcart/http/connection.py
@@ -20,6 +20,7 @@
 import httptools
 
 from wharfcart.http.dead_peer_detection import enable_dead_peer_detection
+from wharfcart.http.grammar import parse_whole_number
 
 # Longer than the retransmission of lost packets takes, shorter than callers wait.
 UNACKNOWLEDGED_TIMEOUT_MS = 1500
@@ -401,8 +402,9 @@
         self.idle_limit_s = 0.0
         for part in (head.get("keep-alive") or "").split(","):
             name, _, value = part.strip().partition("=")
-            if name.lower() == "timeout" and value.strip().isdigit():
-                self.idle_limit_s = float(value)
+            seconds = parse_whole_number(value)
+            if name.lower() == "timeout" and seconds is not None:
+                self.idle_limit_s = float(seconds)
 
     def _raise_failure(self) -> None:
         if self._failure is not None:
--- a/src/wharfcart/platform/http_headers.py
+++ b/src/wharfcart/platform/http_headers.py
@@ -1,16 +1,20 @@
 """Headers of requests and responses between clients, wharfcart and model servers."""
 
 import json
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from typing import Any, TypeVar
 
 from wharfcart.configuration.instances import BackendInstance
 from wharfcart.http.connection import ResponseHead
+from wharfcart.http.grammar import parse_decimal, parse_whole_number
 from wharfcart.platform import names
 
 REQUEST_ID_HEADER = names.REQUEST_ID
 RETRY_AFTER_HEADER = names.RETRY_AFTER
 STATUS_WRONG_INSTANCE = 421
+# A larger number of requests is a mistake.
+MAX_REPORTED = 1_000_000
 
 # Headers that apply to one connection only, and headers that each hop sets itself.
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -33,6 +37,8 @@
 )
 _AUTHORIZATION_SCHEME = "bearer"
 
+Value = TypeVar("Value")
+
 
 @dataclass(frozen=True, slots=True)
 class PromptPart:
@@ -54,6 +60,7 @@
         resume_after: number of the last event that the client received, or None.
         origin_request: id of the request that brought the first event of the stream that the client
             resumes, or ''.
+        malformed: names of the headers that the pages define and whose values don't match them.
     """
 
     request_id: str
@@ -62,6 +69,7 @@
     output_tokens: int
     resume_after: int | None
     origin_request: str = ""
+    malformed: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,20 +87,41 @@
     slots: int
 
 
+class _HeaderReader:
+    """Reads values of headers; notes those that are malformed."""
+
+    def __init__(self, headers: Iterable[tuple[str, str]]) -> None:
+        self._values = {name.lower(): value for name, value in headers}
+        self.malformed: list[str] = []
+
+    def text(self, name: str) -> str:
+        """Return a value as it is, or ''."""
+        return self._values.get(name, "")
+
+    def parse(self, name: str, parser: Callable[[str], Value | None]) -> Value | None:
+        """Return a parsed value; None if there is none or it is malformed."""
+        text = self._values.get(name)
+        if text is None:
+            return None
+        value = parser(text)
+        if value is None:
+            self.malformed.append(name)
+        return value
+
+
 def parse_request_metadata(headers: Iterable[tuple[str, str]]) -> RequestMetadata:
-    """Parse a client's headers; ignore values that are malformed."""
-    found = {name.lower(): value for name, value in headers}
-    deadline_ms = _parse_number(found.get(names.DEADLINE_MS))
-    tokens = (found.get(names.TOKEN_COUNT) or "").split(",")
-    output = _parse_number(tokens[1]) if len(tokens) > 1 else None
-    resume_after = _parse_number(found.get(names.LAST_EVENT_ID))
+    """Parse a client's headers; values that are malformed count as missing and are named."""
+    reader = _HeaderReader(headers)
+    deadline_ms = reader.parse(names.DEADLINE_MS, parse_decimal)
+    tokens = reader.parse(names.TOKEN_COUNT, _parse_token_counts) or ()
     return RequestMetadata(
-        request_id=found.get(names.REQUEST_ID, ""),
+        request_id=reader.text(names.REQUEST_ID),
         deadline_s=None if deadline_ms is None else deadline_ms / 1000,
-        prompt=_parse_prompt(found.get(names.PROMPT_PREFIX, "")),
-        output_tokens=int(output or 0),
-        resume_after=None if resume_after is None else int(resume_after),
-        origin_request=found.get(names.RESUMES, "").strip(),
+        prompt=reader.parse(names.PROMPT_PREFIX, _parse_prompt) or (),
+        output_tokens=tokens[1] if len(tokens) > 1 else 0,
+        resume_after=reader.parse(names.LAST_EVENT_ID, parse_whole_number),
+        origin_request=reader.text(names.RESUMES).strip(),
+        malformed=tuple(reader.malformed),
     )
 
 
@@ -161,35 +190,48 @@
 def parse_request_count(report: bytes) -> int | None:
     """Return the number of running and queued requests in a report; None if it is malformed."""
     try:
-        state = json.loads(report)
-        return int(state["activeRequests"]) + int(state["queuedRequests"])
-    except (ValueError, LookupError, TypeError):
+        state: Any = json.loads(report)
+        counts: list[object] = [state["activeRequests"], state["queuedRequests"]]
+    except (ValueError, LookupError, TypeError, RecursionError):
         return None
+    numbers = [count for count in counts if type(count) is int and 0 <= count <= MAX_REPORTED]
+    return sum(numbers) if len(numbers) == len(counts) else None
 
 
 def parse_reported_load(head: ResponseHead) -> ReportedLoad | None:
     """Return the load in a response's header, or None if it is missing or malformed."""
-    parts = (head.get(names.SERVER_LOAD) or "").split(",")
-    if len(parts) != 3:
-        return None
-    try:
-        running, waiting, slots = (int(part) for part in parts)
-    except ValueError:
+    numbers = _parse_numbers(head.get(names.SERVER_LOAD) or "")
+    if numbers is None or len(numbers) != 3 or max(numbers) > MAX_REPORTED:
         return None
-    return ReportedLoad(running, waiting, slots)
+    return ReportedLoad(*numbers)
 
 
-def _parse_prompt(text: str) -> tuple[PromptPart, ...]:
-    parts = []
+def _parse_numbers(text: str) -> tuple[int, ...] | None:
+    """Return whole numbers that are separated by commas; None if one is malformed."""
+    numbers = []
     for part in text.split(","):
-        part_id, _, tokens = part.strip().partition(":")
-        if part_id and tokens.isdigit():
-            parts.append(PromptPart(part_id, int(tokens)))
-    return tuple(parts)
+        number = parse_whole_number(part)
+        if number is None:
+            return None
+        numbers.append(number)
+    return tuple(numbers)
 
 
-def _parse_number(text: str | None) -> float | None:
-    try:
-        return None if text is None else float(text.strip())
-    except ValueError:
-        return None
+def _parse_token_counts(text: str) -> tuple[int, ...] | None:
+    """Return the tokens of a prompt and the most that are generated."""
+    counts = _parse_numbers(text)
+    return counts if counts is not None and len(counts) <= 2 else None
+
+
+def _parse_prompt(text: str) -> tuple[PromptPart, ...] | None:
+    """Return the parts of a prompt; None if one is malformed."""
+    if not text.strip():
+        return ()
+    parts = []
+    for part in text.split(","):
+        part_id, _, digits = part.strip(" \t").partition(":")
+        tokens = parse_whole_number(digits)
+        if not part_id or tokens is None:
+            return None
+        parts.append(PromptPart(part_id, tokens))
+    return tuple(parts)
