Headers: bytes beyond ASCII pass unchanged, and no value ends a line

What callers saw: `X-Model` with bytes C3 A1 arrived at the server as E1, and a server's header came back with other bytes; with Cyrillic letters the gateway answered 500. A bare LF, a CR or a NUL in a value, and `Transfer-Encoding : chunked`, reached the server, which may read another header or another request.

Cause: sanic reads a head as UTF-8 with surrogate escapes and writes it so, while the client connection wrote and read Latin-1. Nothing checked names and values on their way from the one to the other.

Change: both sides of the connection use UTF-8 with surrogate escapes. A name that is no token, or a value with a control character, is a 400 that names it; so is an id that isn't text, since messages between nodes carry it. The connection refuses a head with a line end inside a line as the last check, which no caller should reach.

--- a/src/wharfcart/gateway/ingress.py
+++ b/src/wharfcart/gateway/ingress.py
@@ -16,6 +16,7 @@
 from wharfcart.gateway.authentication import CallerRefusedError, authenticate
 from wharfcart.gateway.plain_responses import plain_response
 from wharfcart.gateway.traffic_shares import TrafficSplitter
+from wharfcart.http.grammar import is_field_name, is_field_value
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.platform import http_headers, names
 from wharfcart.routing.caller_request import AnswerTruncatedError, CallerRequest
@@ -303,7 +304,7 @@
     ) -> HTTPResponse | None:
         headers = list(request.headers.items())
         facts = http_headers.parse_request_metadata(headers)
-        malformed = _malformed_header(facts, route)
+        malformed = _unsendable_header(headers) or _malformed_header(facts, route)
         if malformed:
             return self._refuse(request, STATUS_BAD_REQUEST, f"malformed: {malformed}")
         if configuration.tenants is not None:
@@ -360,6 +361,14 @@
         return plain_response(status, headers, body)
 
 
+def _unsendable_header(headers: list[tuple[str, str]]) -> str:
+    """Return the name of a header that would end its line in a request to a back end, or ''."""
+    for name, value in headers:
+        if not is_field_name(name) or not is_field_value(value):
+            return ascii(name)
+    return ""
+
+
 def _malformed_header(facts: http_headers.RequestMetadata, route: Route) -> str:
     """Return the name of a header that prevents the request from being served, or ''.
 
--- a/src/wharfcart/http/connection.py
+++ b/src/wharfcart/http/connection.py
@@ -83,6 +83,10 @@
         self.cause = cause
 
 
+class UnsendableRequestError(Exception):
+    """The head of a request has a line end or NUL in a value; nothing was sent."""
+
+
 class ResponseHead:
     """Status and headers of a response; header names are in lower case.
 
@@ -197,8 +201,11 @@
         A response with an ``id_header`` that differs from ``expected_id`` is dropped; one without
         the header is accepted.
 
+        Text is sent as UTF-8; bytes that are none, as sanic reads them, are sent unchanged.
+
         Raises:
             ConnectionBrokenError: the connection is not reusable; ``sent`` is False.
+            UnsendableRequestError: the peer would read another request; the connection stays open.
         """
         if not self.reusable or self._transport is None or self._transport.is_closing():
             raise ConnectionBrokenError("connection is closed", sent=False)
@@ -206,7 +213,7 @@
         lines += [f"{name}: {value}" for name, value in headers]
         if body or method in ("POST", "PUT", "PATCH"):
             lines.append(f"content-length: {len(body)}")
-        head = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1", "surrogateescape")
+        head = _encode_head(lines)
         self._response = _Response()
         self._busy = True
         self._id_header = id_header
@@ -335,7 +342,9 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header."""
         if not self._response.has_extra_response:
-            self._response.headers.append((name.decode("latin-1").lower(), value.decode("latin-1")))
+            self._response.headers.append(
+                (name.decode("latin-1").lower(), value.decode("utf-8", "surrogateescape"))
+            )
 
     def on_headers_complete(self) -> None:
         """Check the response's request id and how its body ends."""
@@ -425,3 +434,16 @@
     async def _wait(self) -> None:
         self._waiter = asyncio.get_running_loop().create_future()
         await self._waiter
+
+
+def _encode_head(lines: list[str]) -> bytes:
+    """Return the head of a request.
+
+    Raises:
+        UnsendableRequestError: a line has an end of its own.
+    """
+    text = "\r\n".join(lines)
+    line_ends = len(lines) - 1
+    if text.count("\r") != line_ends or text.count("\n") != line_ends or "\0" in text:
+        raise UnsendableRequestError
+    return (text + "\r\n\r\n").encode("utf-8", "surrogateescape")
--- a/src/wharfcart/http/grammar.py
+++ b/src/wharfcart/http/grammar.py
@@ -13,7 +13,7 @@
 _DECIMAL = re.compile(r"[0-9]{1,15}(?:\.[0-9]{1,15})?")
 _TOKEN = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 _TARGET = re.compile(r"/[!-~]*")
-_FIELD_VALUE = re.compile(r"[^\x00\r\n]*")
+_FIELD_VALUE = re.compile(r"[^\x00-\x08\x0a-\x1f\x7f]*")
 _OPTIONAL_WHITESPACE = " \t"
 
 
--- a/src/wharfcart/platform/http_headers.py
+++ b/src/wharfcart/platform/http_headers.py
@@ -35,6 +35,8 @@
 _REPLACED_HEADERS = frozenset(
     {names.DEADLINE_MS, names.EXPECT_INSTANCE, names.LAST_EVENT_ID, names.TENANT}
 )
+# A batch item has them from its id and its job.
+_ITEM_HEADERS = frozenset({"host", names.REQUEST_ID})
 _AUTHORIZATION_SCHEME = "bearer"
 
 Value = TypeVar("Value")
@@ -95,8 +97,8 @@
         self.malformed: list[str] = []
 
     def text(self, name: str) -> str:
-        """Return a value as it is, or ''."""
-        return self._values.get(name, "")
+        """Return a value as it is; '' if there is none or it is no text."""
+        return self.parse(name, _parse_text) or ""
 
     def parse(self, name: str, parser: Callable[[str], Value | None]) -> Value | None:
         """Return a parsed value; None if there is none or it is malformed."""
@@ -167,6 +169,20 @@
     return passed
 
 
+def headers_for_item(
+    item_id: str, host: str, headers: Iterable[tuple[str, str]]
+) -> list[tuple[str, str]]:
+    """Return the headers of a batch item; its id and the host of its job are the only ones."""
+    own = [("host", host), (names.REQUEST_ID, item_id)]
+    return own + [(name, value) for name, value in headers if name.lower() not in _ITEM_HEADERS]
+
+
+def malformed_metadata(headers: Iterable[tuple[str, str]]) -> str:
+    """Return the name of a client's header that is malformed and reaches servers, or ''."""
+    malformed = parse_request_metadata(headers).malformed
+    return next((name for name in malformed if name not in _REPLACED_HEADERS), "")
+
+
 def headers_for_client(head: ResponseHead) -> list[tuple[str, str]]:
     """Return the headers of a server's response that are forwarded to the client."""
     return [(name, value) for name, value in head.headers if name not in _HOP_BY_HOP_HEADERS]
@@ -206,6 +222,11 @@
     return ReportedLoad(*numbers)
 
 
+def _parse_text(text: str) -> str | None:
+    """Return a text that messages between nodes can carry; None if some bytes are no characters."""
+    return text if text.isprintable() else None
+
+
 def _parse_numbers(text: str) -> tuple[int, ...] | None:
     """Return whole numbers that are separated by commas; None if one is malformed."""
     numbers = []
@@ -231,7 +252,7 @@
     for part in text.split(","):
         part_id, _, digits = part.strip(" \t").partition(":")
         tokens = parse_whole_number(digits)
-        if not part_id or tokens is None:
+        if not part_id or not part_id.isprintable() or tokens is None:
             return None
         parts.append(PromptPart(part_id, tokens))
     return tuple(parts)
--- a/tests/http/test_grammar.py
+++ b/tests/http/test_grammar.py
@@ -70,9 +70,9 @@
 @example("a\x00")
 @example("/x HTTP/1.1\r\nx: y")
 def test_nothing_that_matches_ends_a_line(text: str) -> None:
-    line_ends = set("\r\n\x00")
+    controls = {chr(code) for code in (*range(32), 127)} - {"\t"}
     if grammar.is_field_value(text):
-        assert not line_ends & set(text)
+        assert not controls & set(text)
     if grammar.is_field_name(text):
         assert text and text.isascii() and not set(text) & set(":, \t\r\n\x00")
     if grammar.is_target(text):
