Batch: an item is accepted only if a request can carry it

What callers saw, with sound servers: an item with a header value beyond Latin-1 was accepted with 202 and never sent, never listed. A value with CR LF put a second header, or a second request with an id that no client had sent, into a server. `tokens: Infinity` was a 500.

Cause: a submission's fields were converted, not checked; names, values, path and id went into the request as they were.

Headers that frame or address a request are refused; an item's own id and its job's host are the only ones sent. An item of a job of an earlier build that no request can carry ends at once as given up, with the cause `unsendable`.

--- a/src/wharfcart/batch/item_run.py
+++ b/src/wharfcart/batch/item_run.py
@@ -25,7 +25,7 @@
     HttpConnection,
     ResponseHead,
 )
-from wharfcart.platform import http_headers
+from wharfcart.platform import batch_bodies, http_headers
 from wharfcart.routing.backend_selection import BackendSelector, InstanceState
 from wharfcart.routing.crash_detection import CrashDetector, InterruptedRun
 from wharfcart.routing.event_stream import EventSplitter
@@ -45,6 +45,7 @@
         SUCCEEDED: the text is whole.
         FAILED: the back end reported a failure.
         UNPROCESSABLE: the back end can never run the item.
+        UNSENDABLE: no request can carry the item.
         REFUSED: the item did not run.
         INTERRUPTED: the answer was cut off, malformed or too slow.
         ERROR: the attempt ended by an unexpected error of this process.
@@ -53,6 +54,7 @@
     SUCCEEDED = "succeeded"
     FAILED = "failed"
     UNPROCESSABLE = "impossible"
+    UNSENDABLE = "unsendable"
     REFUSED = "refused"
     INTERRUPTED = "broken"
     ERROR = "error"
@@ -204,6 +206,8 @@
         """
         attempt.progress.last_instance_id = attempt.state.instance.instance_id
         try:
+            if batch_bodies.unsendable_field(attempt.item):
+                return RunOutcome.UNSENDABLE
             return await self._connect_and_send(attempt)
         except ConnectFailedError:
             self._selector.record_failure(attempt.state, monotonic())
@@ -284,8 +288,8 @@
 
     def _send_request(self, connection: HttpConnection, attempt: ItemAttempt) -> None:
         item = attempt.item
-        headers = [("host", attempt.host), (http_headers.REQUEST_ID_HEADER, item.item_id)]
-        headers += [(header.name, header.value) for header in item.headers]
+        item_headers = ((header.name, header.value) for header in item.headers)
+        headers = http_headers.headers_for_item(item.item_id, attempt.host, item_headers)
         if attempt.tenant:
             headers = http_headers.without_api_key(headers)
         attempt.progress.attempts += 1
--- a/src/wharfcart/batch/job_execution.py
+++ b/src/wharfcart/batch/job_execution.py
@@ -559,8 +559,8 @@
                 scheduled, item, True, "\n".join(progress.partial_text.texts), "succeeded"
             )
             return
-        if outcome is RunOutcome.UNPROCESSABLE:
-            self._finish_item(scheduled, item, False, "", "impossible")
+        if outcome in (RunOutcome.UNPROCESSABLE, RunOutcome.UNSENDABLE):
+            self._finish_item(scheduled, item, False, "", outcome.value)
             return
         if outcome is RunOutcome.FAILED and self._has_failed_permanently(scheduled, progress):
             self._finish_item(scheduled, item, False, "", f"failed {progress.failure_count} times")
--- a/src/wharfcart/gateway/job_calls.py
+++ b/src/wharfcart/gateway/job_calls.py
@@ -82,7 +82,7 @@
             items = batch_bodies.parse_items(request.body)
         except batch_bodies.BadSubmissionError as error:
             return self._refuse(job_id, "submit", STATUS_BAD_REQUEST, f"malformed: {error}")
-        if not job_id:
+        if not job_id or not job_id.isprintable():
             return self._refuse(job_id, "submit", STATUS_BAD_REQUEST, "no id")
         configuration = self._configuration()
         residence = route.residence
