Tasks: loops go on after an unexpected error, and no takeover stays half done

What callers could see: a process or a leader that goes on while a part of it stands still for good. One error in the loop that reports demand, and no item of the group starts any more; in a replica's session, and that replica is never updated; in the loop of the slot sessions, and all sessions of a gateway close for good; in the start of a group's replica (a failing disk is enough), and the node never has one. A malformed entry of the store took the changes after it with it. An error in the midst of a stream was left to the HTTP library.

Cause: a task's exception ended it with a log line, and nothing else knew.

A slot session that meets an error closes and opens again. A takeover that does steps down. Each change of the store is applied by itself (`entry_refused`). An answer that had begun ends broken off, one that hadn't is a 500, which promises nothing.

--- a/src/wharfcart/batch/job_execution.py
+++ b/src/wharfcart/batch/job_execution.py
@@ -330,7 +330,7 @@
             self._learn_item_sizes(record)
             if not record.is_finished:
                 self._add_job(record, {result.item_id for result in record.results})
-        self._tasks.spawn(self._run())
+        self._tasks.supervise(self._run)
 
     def _learn_item_sizes(self, record: ReplicatedJob) -> None:
         """Learn the size of a job's items from the results of earlier leaders."""
--- a/src/wharfcart/gateway/ingress.py
+++ b/src/wharfcart/gateway/ingress.py
@@ -18,6 +18,7 @@
 from wharfcart.gateway.traffic_shares import TrafficSplitter
 from wharfcart.http.grammar import is_field_name, is_field_value
 from wharfcart.observability.decisions import DecisionLog, Event
+from wharfcart.observability.tasks import record_failure
 from wharfcart.platform import http_headers, names
 from wharfcart.routing.caller_request import AnswerTruncatedError, CallerRequest
 from wharfcart.routing.forwarder import Forwarder
@@ -31,6 +32,7 @@
 MAX_BODY_BYTES = 64 * 1024 * 1024
 RETRY_AFTER_UNCONFIGURED_S = 0.3
 STATUS_BAD_REQUEST = 400
+STATUS_SERVER_ERROR = 500
 # Pending connections; the caller's kernel retries a dropped connection only after 1 s.
 BACKLOG = 1024
 # The event loop accepts all pending connections within this time after the start.
@@ -92,6 +94,13 @@
     async def send_part(self, data: bytes) -> None:
         await self._stream.send(data)
 
+    def fail(self) -> HTTPResponse | None:
+        """Return a response that promises nothing, or abort a started one and return None."""
+        if self._stream is None:
+            return plain_response(STATUS_SERVER_ERROR)
+        self.abort_connection()
+        return None
+
     async def finish(self) -> HTTPResponse | None:
         """Return the complete response, or end the streamed one and return None."""
         if self._stream is not None:
@@ -326,6 +335,9 @@
         except AnswerTruncatedError:
             sink.abort_connection()
             return None
+        except Exception as error:
+            record_failure("Ingress._forward", error)
+            return sink.fail()
         if self.draining:
             _close_after_response(request)
         return await sink.finish()
--- a/src/wharfcart/node/gateway_process.py
+++ b/src/wharfcart/node/gateway_process.py
@@ -117,7 +117,7 @@
     async def start(self) -> None:
         """Start to serve; the gateway is ready once it has a configuration."""
         await self._node.start()
-        self._node.tasks.spawn(self._sessions.run())
+        self._node.tasks.supervise(self._sessions.run)
         await self._wait_for_configuration(MAX_CONFIGURATION_WAIT_S)
         await _wait_until(lambda: self._sessions.all_open, MAX_SESSIONS_WAIT_S)
         await self._ingress.start(
@@ -125,7 +125,7 @@
             self._endpoint(self._settings.readiness_listen),
             self._sockets.opened_at if self._sockets.by_endpoint else None,
         )
-        self._node.tasks.spawn(self._become_ready())
+        self._node.tasks.supervise(self._become_ready)
 
     def reload(self, settings: ServingSettings) -> None:
         """Apply changed settings."""
--- a/src/wharfcart/node/hosted_group.py
+++ b/src/wharfcart/node/hosted_group.py
@@ -118,9 +118,9 @@
         )
         self._item_slots.begin(sessions)
         self.slots.begin(leadership.epoch)
-        self._tasks.spawn(self.slots.run())
+        self._tasks.supervise(self.slots.run)
         self._tasks.spawn(self._watch_orphaned_runs())
-        self._tasks.spawn(sessions.run())
+        self._tasks.supervise(sessions.run)
         self._execution.start()
 
     async def _watch_orphaned_runs(self) -> None:
--- a/src/wharfcart/node/node.py
+++ b/src/wharfcart/node/node.py
@@ -220,10 +220,10 @@
 
     def _start_loops(self) -> None:
         self._tasks.spawn(self._fleet.run())
-        self._tasks.spawn(self._metrics_loop())
+        self._tasks.supervise(self._metrics_loop)
         if self._batch_leader is not None:
             self._tasks.spawn(self._batch_leader.run())
-            self._tasks.spawn(self._placement_loop())
+            self._tasks.supervise(self._placement_loop)
 
     @property
     def ready(self) -> bool:
--- a/src/wharfcart/node/propagation.py
+++ b/src/wharfcart/node/propagation.py
@@ -111,8 +111,8 @@
 
     def start(self) -> None:
         """Start to read from the platform."""
-        self._tasks.spawn(self._read_key_value())
-        self._tasks.spawn(self._read_machines())
+        self._tasks.supervise(self._read_key_value)
+        self._tasks.supervise(self._read_machines)
 
     async def stop(self) -> None:
         """Stop all reads and pulls."""
--- a/src/wharfcart/node/roles.py
+++ b/src/wharfcart/node/roles.py
@@ -18,6 +18,7 @@
 from wharfcart.node.settings_reloader import SettingsReloader
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.observability.logs import configure_logging
+from wharfcart.observability.tasks import BackgroundTasks
 from wharfcart.settings.serving import (
     GatewaySettings,
     ServingSettings,
@@ -87,9 +88,10 @@
     await process.start()
     _enable_garbage_collection()
     log.write(Event.STARTED)
-    watching = asyncio.create_task(reloader.run())
+    tasks = BackgroundTasks()
+    tasks.supervise(reloader.run)
     await stopping.wait()
-    watching.cancel()
+    tasks.cancel()
     await process.stop()
     log.flush()
 
--- a/src/wharfcart/node/serving_node.py
+++ b/src/wharfcart/node/serving_node.py
@@ -47,7 +47,7 @@
 from wharfcart.node.suspension_watch import SuspensionWatch
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.observability.serving_metrics import ServingMetrics
-from wharfcart.observability.tasks import BackgroundTasks
+from wharfcart.observability.tasks import BackgroundTasks, record_failure
 from wharfcart.platform import documents, names
 from wharfcart.platform.metadata_store import MetadataStore
 from wharfcart.routing.backend_selection import BackendSelector
@@ -60,6 +60,7 @@
 
 ANNOUNCE_RETRY_S = 0.5
 MAX_LOGGED_FINDINGS = 20  # of one configuration
+MAX_REASON_LENGTH = 200  # of a refused entry in the log
 MIN_CONNECTIONS = 2
 MAX_AGE_S = 1e6  # shown by the metric until the mirror is first confirmed
 # Storage nodes that receive evidence when the coordination service is unavailable here: more than
@@ -160,11 +161,11 @@
         await self.transport.start(Address(host, port))
         if self.settings.metrics_listen is not None:
             self.metrics.serve(*split_endpoint(self.settings.metrics_listen))
-        self.tasks.spawn(self.log.run())
-        self.tasks.spawn(self.mirror_sync.run())
-        self.tasks.spawn(self._evacuations.run())
-        self.tasks.spawn(self._poison_evidence_sync.run())
-        self.tasks.spawn(self.suspension_watch.run())
+        self.tasks.supervise(self.log.run)
+        self.tasks.supervise(self.mirror_sync.run)
+        self.tasks.supervise(self._evacuations.run)
+        self.tasks.supervise(self._poison_evidence_sync.run)
+        self.tasks.supervise(self.suspension_watch.run)
 
     async def stop(self) -> None:
         """Stop all tasks and close all connections."""
@@ -291,25 +292,39 @@
     # ---- mirror ----
 
     def _apply_changes(self, changes: list[KeyChange]) -> None:
+        """Apply changes; one that is malformed leaves what was known of its key in force.
+
+        Any process may write to the coordination service, and the mirror delivers a change once.
+        """
         for change in changes:
-            if change.key == names.CONFIGURATION_KEY:
-                self._apply_configuration(change)
-            elif change.key.startswith(names.SERVER_PREFIX):
-                self._backend_updates.apply(change)
-            elif change.key.startswith(names.EVACUATE_PREFIX):
-                self._evacuations.apply(change)
-            elif change.key.startswith(
-                (POISON_REQUEST_PREFIX, CRASH_REPORT_PREFIX, SOUND_PART_PREFIX)
-            ):
-                self._poison_evidence_sync.apply_change(change)
-            elif change.key.startswith(NODE_PREFIX):
-                self._apply_node_entry(change)
-            elif change.key.startswith(GROUP_PREFIX):
-                self._apply_group_record(change)
-            elif change.key == LAYOUT_KEY and change.value is not None:
-                self.layout = layout_from_bytes(change.value)
+            try:
+                self._apply_change(change)
+            except Exception as error:
+                record_failure("ServingNode._apply_change", error)
+                self.log.write(
+                    Event.ENTRY_REFUSED,
+                    key=change.key,
+                    revision=change.revision,
+                    reason=f"{type(error).__name__}: {error}"[:MAX_REASON_LENGTH],
+                )
         self._backend_updates.log_pending()
 
+    def _apply_change(self, change: KeyChange) -> None:
+        if change.key == names.CONFIGURATION_KEY:
+            self._apply_configuration(change)
+        elif change.key.startswith(names.SERVER_PREFIX):
+            self._backend_updates.apply(change)
+        elif change.key.startswith(names.EVACUATE_PREFIX):
+            self._evacuations.apply(change)
+        elif change.key.startswith((POISON_REQUEST_PREFIX, CRASH_REPORT_PREFIX, SOUND_PART_PREFIX)):
+            self._poison_evidence_sync.apply_change(change)
+        elif change.key.startswith(NODE_PREFIX):
+            self._apply_node_entry(change)
+        elif change.key.startswith(GROUP_PREFIX):
+            self._apply_group_record(change)
+        elif change.key == LAYOUT_KEY and change.value is not None:
+            self.layout = layout_from_bytes(change.value)
+
     def _apply_configuration(self, change: KeyChange) -> None:
         if change.value is None:
             return
--- a/src/wharfcart/node/storage_process.py
+++ b/src/wharfcart/node/storage_process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Sequence
+from functools import partial
 
 from wharfcart.batch.item_run import ItemRunner
 from wharfcart.batch.job_service import JobGroupService
@@ -53,6 +54,8 @@
         self._node.role_handler = self._handle_call
         self._disk = Disk(settings.data_folder)
         self._groups: list[HostedGroup] = []
+        self._opened: list[HostedGroup] = []
+        self._unopened: list[HostedGroup] | None = None
 
     async def start(self) -> None:
         """Open the disk, join the fleet and start the replicas of the job groups."""
@@ -60,7 +63,7 @@
         versions = VersionMemory(self._node.selector, self._disk, self._log)
         await versions.load()
         await self._node.start()
-        self._node.tasks.spawn(versions.run())
+        self._node.tasks.supervise(versions.run)
         host, port = split_endpoint(self._settings.cluster_address)
         entry = NodeEntry(
             self._settings.node_id,
@@ -70,7 +73,7 @@
             self._settings.zone,
             identity,
         )
-        self._node.tasks.spawn(self._node.announce(entry))
+        self._node.tasks.supervise(partial(self._node.announce, entry))
         context = GroupContext(
             identity,
             self._disk,
@@ -91,9 +94,9 @@
         layout_bootstrap = LayoutBootstrap(
             context, LAYOUT_KEY, group_key, self._zones_by_identity, self._node.topology
         )
-        self._node.tasks.spawn(layout_bootstrap.run())
-        self._node.tasks.spawn(self._open_groups(context))
-        self._node.tasks.spawn(self._report_retirements())
+        self._node.tasks.supervise(layout_bootstrap.run)
+        self._node.tasks.supervise(partial(self._open_groups, context))
+        self._node.tasks.supervise(self._report_retirements)
 
     def reload(self, settings: ServingSettings) -> None:
         """Apply changed settings."""
@@ -110,9 +113,20 @@
         self._log.write(Event.STOPPED)
 
     async def _open_groups(self, context: GroupContext) -> None:
-        """Start the replicas of all groups once the layout is known."""
+        """Start the replicas of all groups once the layout is known.
+
+        Called again after an error of a disk, it goes on with the group that failed.
+        """
         while self._node.layout is None:
             await asyncio.sleep(LAYOUT_POLL_INTERVAL_S)
+        if self._unopened is None:
+            self._unopened = self._new_groups(context)
+        while self._unopened:
+            await self._unopened[0].replica.start()
+            self._opened.append(self._unopened.pop(0))
+        self._groups = self._opened
+
+    def _new_groups(self, context: GroupContext) -> list[HostedGroup]:
         node = self._node
         parts = GroupParts(
             node,
@@ -127,10 +141,7 @@
             ),
             self._settings.keep_jobs_s,
         )
-        groups = [HostedGroup(number, parts) for number in range(node.group_count)]
-        for group in groups:
-            await group.replica.start()
-        self._groups = groups
+        return [HostedGroup(number, parts) for number in range(node.group_count)]
 
     async def _open_disk(self) -> str:
         while True:
--- a/src/wharfcart/observability/decisions.py
+++ b/src/wharfcart/observability/decisions.py
@@ -44,6 +44,7 @@
     BACKEND_GONE = "backend_gone"
     BACKEND_ENDED = "backend_ended"
     ANSWER_END = "answer_end"
+    ENTRY_REFUSED = "entry_refused"
     BACKEND_ENTRY_REFUSED = "backend_entry_refused"
     BACKEND_RESTARTED = "backend_restarted"
     BACKEND_COLD = "backend_cold"
--- a/src/wharfcart/observability/tasks.py
+++ b/src/wharfcart/observability/tasks.py
@@ -4,6 +4,7 @@
 import logging
 from collections import Counter
 from collections.abc import Callable, Coroutine
+from functools import partial
 from typing import Any
 
 from wharfcart.clock import monotonic
@@ -98,4 +99,5 @@
 
 
 def _name_of(work: object) -> str:
-    return str(getattr(work, "__qualname__", type(work).__name__))
+    function = work.func if isinstance(work, partial) else work
+    return str(getattr(function, "__qualname__", type(function).__name__))
--- a/src/wharfcart/slots/session.py
+++ b/src/wharfcart/slots/session.py
@@ -29,6 +29,7 @@
 from wharfcart.cluster.transport import PeerUnreachableError, TrafficClass, Transport
 from wharfcart.errors import ServingError
 from wharfcart.observability.decisions import DecisionLog, Event
+from wharfcart.observability.tasks import record_failure
 from wharfcart.routing.stream_origins import StreamOrigin
 from wharfcart.slots.events import (
     SESSION_ORIGIN_BITS,
@@ -333,7 +334,7 @@
         """Hold a session until it closes, if the node's address is known; then wait for a delay."""
         address = self._address(self.group)
         if address is not None:
-            reason = await self._hold_session(address)
+            reason = await self._hold_until_closed(address)
             self._opening = False
             if self.is_open:
                 self._open_address = None
@@ -345,6 +346,14 @@
                 )
         await asyncio.sleep(REOPEN_DELAY_S * (0.5 + random()))
 
+    async def _hold_until_closed(self, address: Address) -> str:
+        """Hold a session; an unexpected error closes it, too."""
+        try:
+            return await self._hold_session(address)
+        except Exception as error:
+            record_failure("SlotSession.hold_once", error)
+            return type(error).__name__
+
     async def _hold_session(self, address: Address) -> str:
         """Open a session and handle its updates; return why it closed."""
         self._session += 1
--- a/src/wharfcart/slots/sessions.py
+++ b/src/wharfcart/slots/sessions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Collection
+from functools import partial
 
 from wharfcart.admission.tenant_limits import PermittedSend, SendHistory
 from wharfcart.clock import monotonic
@@ -90,14 +91,15 @@
         self.origin_keepers = OriginKeepers()
 
     async def run(self) -> None:
-        """Keep all sessions open until cancelled."""
+        """Keep all sessions open until cancelled; they stay open after an unexpected error."""
         try:
             while True:
                 self._open_missing()
                 self._send_responsiveness()
                 await asyncio.sleep(CHECK_INTERVAL_S)
-        finally:
+        except asyncio.CancelledError:
             self._tasks.cancel()
+            raise
 
     @property
     def all_open(self) -> bool:
@@ -271,7 +273,7 @@
                 self,
             )
             self.by_group[group] = session
-            self._tasks.spawn(session.run())
+            self._tasks.supervise(session.run)
             if self._backups is not None:
                 self._open_backup(group)
 
@@ -288,7 +290,7 @@
             limits_only=True,
         )
         self._backup_sessions[group] = session
-        self._tasks.spawn(self._hold_backup_sessions(group, session))
+        self._tasks.supervise(partial(self._hold_backup_sessions, group, session))
 
     def _send_responsiveness(self) -> None:
         """Report back ends that stopped responding to this holder or respond again."""
--- a/src/wharfcart/storage/group_replica.py
+++ b/src/wharfcart/storage/group_replica.py
@@ -13,6 +13,7 @@
     ReplicateResult,
 )
 from wharfcart.observability.decisions import Event
+from wharfcart.observability.tasks import record_failure
 from wharfcart.storage.disk import DiskFailedError
 from wharfcart.storage.group_context import CopyMismatch, GroupContext
 from wharfcart.storage.message_order import UNNUMBERED, MessageNumber, MessageOrder
@@ -171,14 +172,19 @@
         """
         while True:
             await asyncio.sleep(TEXT_SAVE_INTERVAL_S)
-            finished_items = self.partial_texts.removed_items(saved)
-            parts = self.partial_texts.take_unsent(saved)
-            if not parts and not finished_items:
-                continue
             try:
-                mismatched_items = await self._context.disk.save_partial_texts(
-                    self.group, parts, finished_items
-                )
-                saved.forget(mismatched_items)
+                await self._save_new_texts(saved)
             except DiskFailedError:
                 saved = SentOffsets()
+            except Exception as error:
+                record_failure("GroupReplica.save_partial_texts", error)
+                saved = SentOffsets()
+
+    async def _save_new_texts(self, saved: SentOffsets) -> None:
+        finished_items = self.partial_texts.removed_items(saved)
+        parts = self.partial_texts.take_unsent(saved)
+        if parts or finished_items:
+            mismatched_items = await self._context.disk.save_partial_texts(
+                self.group, parts, finished_items
+            )
+            saved.forget(mismatched_items)
--- a/src/wharfcart/storage/job_group.py
+++ b/src/wharfcart/storage/job_group.py
@@ -197,7 +197,7 @@
             self._context.disk.promised_epoch(self.group), self._replica.load_partial_texts()
         )
         self._last_led_epoch = self._promised_epoch_at_start
-        self._tasks.spawn(self._run())
+        self._tasks.supervise(self._run)
         self._tasks.spawn(self._replica.save_partial_texts(saved))
 
     async def stop(self) -> None:
@@ -257,9 +257,19 @@
         while True:
             record = self.record
             if record is not None:
-                await self._follow_record(record)
+                await self._follow_or_step_down(record)
             await asyncio.sleep(TICK_INTERVAL_S)
 
+    async def _follow_or_step_down(self, record: GroupRecord) -> None:
+        """Follow the record; step down if an unexpected error leaves a takeover half done."""
+        led_before = self.leadership
+        try:
+            await self._follow_record(record)
+        except Exception:
+            if self.leadership is not led_before:
+                self._step_down("unexpected error")
+            raise
+
     async def _follow_record(self, record: GroupRecord) -> None:
         """Take over, step down or start an election, depending on the record."""
         if record.epoch > self._known_epoch:
@@ -427,7 +437,7 @@
             if session is not None and identity in states:
                 session.record_promise(states[identity], requested_at)
         changer = ReplicaSetChanger(self, self._context)
-        self._leader_tasks.spawn(changer.run())
+        self._leader_tasks.supervise(changer.run)
         self._context.log.write(
             Event.LEADERSHIP_TAKEN,
             group=self.group,
@@ -461,7 +471,7 @@
                 self._next_session_by_identity.get(identity, FIRST_SESSION),
             )
             self.sessions[identity] = session
-            self._session_tasks[identity] = self._leader_tasks.spawn(session.run())
+            self._session_tasks[identity] = self._leader_tasks.supervise(session.run)
         return session
 
     def _partial_texts_for(self, identity: str) -> PartialTexts:
--- a/tests/batch/test_unexpected_errors.py
+++ b/tests/batch/test_unexpected_errors.py
@@ -211,3 +211,29 @@
         server.close()
 
     asyncio.run(run())
+
+
+# Guards against a leader that reports no demand any more, so that no item starts.
+@pytest.mark.parametrize(
+    "name", ["_report_demand", "_give_up_expired_jobs", "_delete_old_jobs", "_demands"]
+)
+def test_items_start_after_an_unexpected_error_of_the_demand_loop(
+    name: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def scenario(harness: ExecutionHarness) -> None:
+        use_runner(harness, FailingRunner(harness.selector, 0))
+        original = getattr(harness.execution, name)
+        failed: list[str] = []
+
+        def fail_once(*args: Any) -> Any:
+            if not failed:
+                failed.append(name)
+                raise UnexpectedError
+            return original(*args)
+
+        monkeypatch.setattr(harness.execution, name, fail_once)
+        harness.submit("j", ITEMS)
+        await wait_for_results(harness, ITEMS)
+        assert failed
+
+    run_scenario(scenario, servers=3)
--- a/tests/gateway/test_ingress.py
+++ b/tests/gateway/test_ingress.py
@@ -4,11 +4,13 @@
 import socket
 from time import monotonic
 
+import pytest
 from sanic import Sanic
 
 from wharfcart.configuration.serving import Route, RouteKind, ServingConfiguration, TrafficShare
 from wharfcart.gateway.ingress import BACKLOG_ACCEPT_S, BACKLOG_READ_S, Ingress
 from wharfcart.observability.decisions import DecisionLog
+from wharfcart.observability.tasks import failures_by_task
 from wharfcart.routing.caller_request import AnswerSink, AnswerTruncatedError, CallerRequest
 
 REQUEST = b"GET /look/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: r\r\n\r\n"
@@ -143,3 +145,52 @@
     assert b"transfer-encoding: chunked" in whole.lower()
     assert b"data: x" in truncated
     assert b"0\r\n\r\n" not in truncated
+
+
+class FailingForwarder:
+    """Meets an unexpected error, before or after the start of the answer."""
+
+    def __init__(self, starts: bool) -> None:
+        self._starts = starts
+
+    async def forward(self, request: CallerRequest, sink: AnswerSink) -> None:
+        if self._starts:
+            await sink.start(200, [("content-type", "text/event-stream")])
+            await sink.send_part(b"id: 0\ndata: x\n\n")
+        raise ZeroDivisionError
+
+
+# Guards against a short answer that looks whole, or a promise, after an unexpected error.
+@pytest.mark.parametrize("starts", [False, True])
+def test_an_unexpected_error_ends_an_answer_without_a_promise(starts: bool) -> None:
+    async def scenario() -> bytes:
+        Sanic.test_mode = True
+        route = Route("r", "h", "/look/", RouteKind.STREAM, (TrafficShare("s", 1.0),), 5.0, 0.3)
+        configuration = ServingConfiguration(1, (route,), {})
+        ingress = Ingress(
+            lambda: configuration,
+            lambda: 0.0,
+            FailingForwarder(starts),
+            None,
+            None,
+            DecisionLog("test"),
+        )
+        front, readiness = listening_socket(), listening_socket()
+        await ingress.start(front, readiness)
+        reader, writer = await asyncio.open_connection(*front.getsockname())
+        writer.write(REQUEST.replace(b"Host: h", b"Host: h\r\nConnection: close"))
+        received = b""
+        try:
+            while part := await reader.read(4096):
+                received += part
+        except ConnectionError:
+            pass
+        return received
+
+    before = failures_by_task["Ingress._forward"]
+    received = asyncio.run(asyncio.wait_for(scenario(), 20))
+    assert failures_by_task["Ingress._forward"] == before + 1
+    if starts:
+        assert received.startswith(b"HTTP/1.1 200 ") and b"0\r\n\r\n" not in received
+    else:
+        assert received.startswith(b"HTTP/1.1 500 ")
--- a/tests/node/test_serving_node.py
+++ b/tests/node/test_serving_node.py
@@ -4,10 +4,14 @@
 from time import monotonic
 from typing import Any
 
+import pytest
+
 from wharfcart.cluster.coordination import ChangeBatch, KeyChange
 from wharfcart.configuration.serving import ColdLimit
+from wharfcart.node.fleet_keys import GROUP_PREFIX, LAYOUT_KEY, NODE_PREFIX
 from wharfcart.node.serving_node import ServingNode
 from wharfcart.observability.decisions import DecisionLog, Event
+from wharfcart.observability.tasks import failures_by_task
 from wharfcart.platform import names
 from wharfcart.settings.serving import ServingSettings
 
@@ -180,3 +184,47 @@
     assert len(node.selector.cold_instances(monotonic())) == 1
     node._apply_changes([entry_in_zone(2, "a", "i-a")])
     assert not node.selector.cold_instances(monotonic())
+
+
+CONFIGURATION = {"version": 7, "routes": [], "services": []}
+MALFORMED_CHANGES = [
+    (names.CONFIGURATION_KEY, b"{"),
+    (names.CONFIGURATION_KEY, b"[]"),
+    (names.CONFIGURATION_KEY, b'{"version": 1e999, "routes": [], "services": []}'),
+    (names.CONFIGURATION_KEY, b'{"version": ' + b"7" * 5000 + b"}"),
+    (names.CONFIGURATION_KEY, b"[" * 100_000),
+    (names.CONFIGURATION_KEY, b'{"version": 9, "routes": [7], "services": []}'),
+    (names.SERVER_PREFIX + "i-9", b"[" * 100_000),
+    (GROUP_PREFIX + "\u00b2", b"{}"),
+    (GROUP_PREFIX + "0", b'{"epoch": "x"}'),
+    (NODE_PREFIX + "n-9", b'{"no": "node"}'),
+    (LAYOUT_KEY, b"7"),
+    (names.EVACUATE_PREFIX + "z\udc80", b"\xff"),
+]
+
+
+# Guards against changes that are lost for good beside one that is malformed.
+@pytest.mark.parametrize("place", [0, 1, 2])
+@pytest.mark.parametrize(("key", "value"), MALFORMED_CHANGES)
+def test_a_malformed_change_leaves_the_others_and_what_was_known_in_force(
+    key: str, value: bytes, place: int
+) -> None:
+    node, _ = node_and_log()
+    document = json.dumps(CONFIGURATION).encode()
+    node._apply_changes([KeyChange(names.CONFIGURATION_KEY, 1, document)])
+    changes = [entry(3, "ready", "i-1"), entry(4, "ready", "i-2")]
+    changes.insert(place, KeyChange(key, 2, value))
+    node._apply_changes(changes)
+    known = {state.instance.instance_id for state in node.selector.states()}
+    assert known == {"i-1", "i-2"}
+    assert node.configuration is not None
+    assert node.configuration.version == 7
+
+
+def test_a_refused_change_is_logged_and_counted() -> None:
+    node, log = node_and_log()
+    before = failures_by_task["ServingNode._apply_change"]
+    node._apply_changes([KeyChange(names.CONFIGURATION_KEY, 2, b"{")])
+    ((event, fields),) = log.lines
+    assert (event, fields["key"], fields["revision"]) == (Event.ENTRY_REFUSED, "op/config", 2)
+    assert failures_by_task["ServingNode._apply_change"] == before + 1
--- a/tests/slots/network.py
+++ b/tests/slots/network.py
@@ -17,6 +17,7 @@
 from wharfcart.experiments.virtual_time import run_in_virtual_time, virtual_clock
 from wharfcart.observability.decisions import DecisionLog
 from wharfcart.observability.serving_metrics import ServingMetrics
+from wharfcart.observability.tasks import BackgroundTasks
 from wharfcart.routing.backend_selection import BackendSelector
 from wharfcart.routing.placement import PlacementRequest
 from wharfcart.slots.events import HolderId
@@ -214,7 +215,7 @@
             METRICS.placements,
             self.relays,
         )
-        self.task = asyncio.create_task(self.sessions.run())
+        self.task = BackgroundTasks().supervise(self.sessions.run)
 
     async def answer(self, frame: Frame) -> Frame:
         """Request a permit on behalf of another gateway."""
--- a/tests/slots/test_sessions.py
+++ b/tests/slots/test_sessions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from random import Random
+from typing import Any
 
 import pytest
 
@@ -20,7 +21,13 @@
 from wharfcart.slots.events import PreemptionCause, session_number
 from wharfcart.slots.item_slots import ItemDemand, ItemSlot, ItemSlots
 from wharfcart.slots.service import MAX_SNAPSHOTS_PER_SECOND
-from wharfcart.slots.session import GRANT_TIMEOUT_S, PAUSE_AFTER_TIMEOUT_S, HeldSlot
+from wharfcart.slots.session import (
+    GRANT_TIMEOUT_S,
+    PAUSE_AFTER_TIMEOUT_S,
+    HeldSlot,
+    SlotSession,
+)
+from wharfcart.slots.sessions import SlotSessions
 from wharfcart.slots.urgency import Urgency
 
 PATIENT = Urgency(until_due_s=15.0, remaining_s=4.0)
@@ -570,3 +577,59 @@
         assert fleet.in_use() == 1
 
     play(scenario)
+
+
+# Guards against a holder that counts as connected to a granting node, but reports nothing to it.
+@pytest.mark.parametrize("name", ["_handle_updates", "_hold_session", "_flush"])
+def test_a_session_opens_again_after_an_unexpected_error(
+    name: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def scenario(fleet: Fleet) -> None:
+        gateway = await fleet.gateway("g1")
+        placed = [await gateway.placement.place(request()) for _ in range(2)]
+        original = getattr(SlotSession, name)
+        failed: list[str] = []
+
+        def fail_once(*args: Any) -> Any:
+            if not failed:
+                failed.append(name)
+                raise ZeroDivisionError
+            return original(*args)
+
+        monkeypatch.setattr(SlotSession, name, fail_once)
+        fleet.network.unreachable.add(fleet.leader.address)
+        await asyncio.sleep(3.0)
+        fleet.network.unreachable.clear()
+        await asyncio.sleep(3.0)
+        assert failed
+        assert fleet.in_use() == 2
+        for placed_request in placed:
+            gateway.placement.send_finished(placed_request, SendResult.BACKEND_OK)
+        await asyncio.sleep(SETTLE_S)
+        assert fleet.in_use() == 0
+
+    play(scenario)
+
+
+# Guards against sessions that are all closed for good by one error of the loop that opens them.
+def test_sessions_stay_open_after_an_unexpected_error_of_their_loop(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario(fleet: Fleet) -> None:
+        gateway = await fleet.gateway("g1")
+        original = SlotSessions._send_responsiveness
+        calls: list[int] = []
+
+        def fail_once(sessions: SlotSessions) -> None:
+            calls.append(1)
+            if len(calls) == 1:
+                raise ZeroDivisionError
+            original(sessions)
+
+        monkeypatch.setattr(SlotSessions, "_send_responsiveness", fail_once)
+        await asyncio.sleep(3.0)
+        assert len(calls) > 2
+        await gateway.placement.place(request())
+        assert fleet.in_use() == 1
+
+    play(scenario)
