Metadata store: answers of another shape count as none

What callers could see: a reader of the store that ended, or a key that counted as absent, by a JSON answer of another shape; a listing whose later pages were older than the first claimed the first one's revision, so that the changes between were never asked for.

Cause: fields were converted as they came (KeyError, TypeError, AttributeError, ValueError, RecursionError), and a missing `key` looked like a 404. `read_all` took the revision of the first page for all.

Change: pages, entries and revisions are checked as they come in; any other shape is CoordinationUnavailableError, in doubt for a write. A listing is complete up to its oldest page.

--- a/src/wharfcart/platform/metadata_store.py
+++ b/src/wharfcart/platform/metadata_store.py
@@ -27,6 +27,8 @@
 CALL_TIMEOUT_S = 2.0
 WATCH_TIMEOUT_MARGIN_S = 1.0
 MAX_IDLE_S = 3.0
+# Of a signed 64-bit integer.
+MAX_REVISION = 2**63 - 1
 
 
 class MetadataStore:
@@ -46,23 +48,24 @@
         """
         found: list[KeyChange] = []
         after = ""
-        first_revision = 0
+        revisions: list[int] = []
         while True:
             query = f"?pathPrefix=&after={quote(after, safe='')}" if after else "?pathPrefix="
             query += "&stale=1" if stale else ""
             page = await self._call("GET", names.READ_RANGE + query)
-            # Later pages are newer; the batch is complete only up to the first page's revision.
-            first_revision = first_revision or int(page["at"])
-            found += [_parse_change(item) for item in page["requests"]]
-            if not page.get("more") or not page["requests"]:
-                return ChangeBatch(tuple(found), first_revision, complete=True)
-            after = str(page["requests"][-1]["key"])
+            changes = _parse_changes(page, "requests")
+            revisions.append(_parse_revision(page, "at"))
+            found += changes
+            if not page.get("more") or not changes:
+                # Pages differ in age; the batch is complete only up to the oldest one's revision.
+                return ChangeBatch(tuple(found), min(revisions), complete=True)
+            after = changes[-1].key
 
     async def wait_for_changes(self, after: int, wait_s: float) -> ChangeBatch:
         """Return the changes after a revision; wait for the first one for at most ``wait_s``."""
         query = f"?pathPrefix=&after={after}&waitMs={int(wait_s * 1000)}"
         page = await self._call("GET", names.WATCH + query, wait_s + WATCH_TIMEOUT_MARGIN_S)
-        return ChangeBatch(tuple(_parse_change(event) for event in page["events"]), int(page["at"]))
+        return ChangeBatch(tuple(_parse_changes(page, "events")), _parse_revision(page, "at"))
 
     async def read(self, key: str) -> KeyChange | None:
         """Return the value of a key and its revision, or None."""
@@ -86,7 +89,7 @@
         }
         data = json.dumps(body).encode()
         result = await self._call("POST", names.TRANSACTION, CALL_TIMEOUT_S, data)
-        return int(result["revision"])
+        return _parse_revision(result, "revision", is_write=True)
 
     async def _call(
         self, method: str, target: str, timeout_s: float = CALL_TIMEOUT_S, body: bytes = b""
@@ -128,9 +131,11 @@
 def _parse_response(status: int, data: bytes, is_write: bool) -> dict[str, Any]:
     if status == 200:
         try:
-            result: dict[str, Any] = json.loads(data)
-        except ValueError as error:
+            result = json.loads(data)
+        except (ValueError, RecursionError) as error:
             raise CoordinationUnavailableError("answer is no JSON", is_write) from error
+        if not isinstance(result, dict):
+            raise CoordinationUnavailableError("answer is no object", is_write)
         return result
     if status == 404:
         raise KeyError
@@ -142,6 +147,36 @@
     raise CoordinationUnavailableError(f"status {status}", is_write and not refused)
 
 
-def _parse_change(item: dict[str, Any]) -> KeyChange:
-    value = None if item.get("gone") else base64.b64decode(item.get("value", ""))
-    return KeyChange(str(item["key"]), int(item["revision"]), value)
+def _parse_changes(page: dict[str, Any], field: str) -> list[KeyChange]:
+    """Return the entries of a page.
+
+    Raises:
+        CoordinationUnavailableError: the page or an entry is malformed.
+    """
+    entries = page.get(field)
+    if not isinstance(entries, list):
+        raise CoordinationUnavailableError(f"answer has no {field}", False)
+    return [_parse_change(entry) for entry in entries]
+
+
+def _parse_change(entry: Any) -> KeyChange:
+    if not isinstance(entry, dict) or not isinstance(entry.get("key"), str):
+        raise CoordinationUnavailableError("an entry has no key", False)
+    return KeyChange(entry["key"], _parse_revision(entry, "revision"), _parse_value(entry))
+
+
+def _parse_value(entry: dict[str, Any]) -> bytes | None:
+    if entry.get("gone"):
+        return None
+    text = entry.get("value", "")
+    try:
+        return base64.b64decode(text, validate=True)
+    except (ValueError, TypeError) as error:
+        raise CoordinationUnavailableError("the value of an entry is no base64", False) from error
+
+
+def _parse_revision(fields: dict[str, Any], field: str, is_write: bool = False) -> int:
+    revision = fields.get(field)
+    if type(revision) is not int or not 0 <= revision <= MAX_REVISION:
+        raise CoordinationUnavailableError(f"{field} is no revision", is_write)
+    return revision
