Start: a SIGHUP ends no process that is still loading

A change of the file between the load of the settings and the first look at it was never applied.

Change: the entry point ignores SIGHUP before it imports anything, and the reloader compares with the file as it was before the settings were read, so that what came meanwhile is applied at its first look, within 2 s. The start of the interpreter itself, before the first line, is as it was.

--- a/src/wharfcart/node/process.py
+++ b/src/wharfcart/node/process.py
@@ -7,9 +7,14 @@
 
 import gc
 import os
+import signal
 import sys
 from pathlib import Path
 
+if __name__ == "__main__":
+    # Ends no process that can't reload yet: its settings are read after this line.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 from wharfcart.node.early_listening import open_unless_peer_responds
 
 SETTINGS_VARIABLE = "WHARFCART_SETTINGS"  # path of the settings file
--- a/src/wharfcart/node/roles.py
+++ b/src/wharfcart/node/roles.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import sys
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Protocol, TypeVar
 
@@ -15,7 +16,7 @@
 
 from wharfcart.errors import FindingsError
 from wharfcart.node.early_listening import EarlySockets
-from wharfcart.node.settings_reloader import SettingsReloader
+from wharfcart.node.settings_reloader import FileStat, SettingsReloader, read_stat
 from wharfcart.observability.decisions import DecisionLog, Event
 from wharfcart.observability.logs import configure_logging
 from wharfcart.observability.tasks import BackgroundTasks
@@ -31,6 +32,19 @@
 Settings = TypeVar("Settings", bound=ServingSettings)
 
 
+@dataclass(frozen=True)
+class SettingsFile:
+    """The settings file of a process.
+
+    Attributes:
+        path: its path.
+        stat: its state before the settings in force were read from it.
+    """
+
+    path: Path
+    stat: FileStat
+
+
 class Process(Protocol):
     """A serving process."""
 
@@ -54,36 +68,42 @@
         path: path of the settings file.
         sockets: listening sockets that were opened early.
     """
-    uvloop.run(_run_gateway(_load_settings(GatewaySettings, path), path, sockets))
+    stat = read_stat(path)
+    settings = _load_settings(GatewaySettings, path)
+    uvloop.run(_run_gateway(settings, SettingsFile(path, stat), sockets))
 
 
 def run_storage(path: Path) -> None:
     """Run a storage node with the settings in a file."""
-    uvloop.run(_run_storage(_load_settings(StorageSettings, path), path))
+    stat = read_stat(path)
+    settings = _load_settings(StorageSettings, path)
+    uvloop.run(_run_storage(settings, SettingsFile(path, stat)))
 
 
-async def _run_gateway(settings: GatewaySettings, path: Path, sockets: EarlySockets) -> None:
+async def _run_gateway(
+    settings: GatewaySettings, file: SettingsFile, sockets: EarlySockets
+) -> None:
     from wharfcart.node.gateway_process import GatewayProcess
 
     log = DecisionLog(settings.node_id)
-    await _run(GatewayProcess(settings, log, sockets), log, GatewaySettings, path)
+    await _run(GatewayProcess(settings, log, sockets), log, GatewaySettings, file)
 
 
-async def _run_storage(settings: StorageSettings, path: Path) -> None:
+async def _run_storage(settings: StorageSettings, file: SettingsFile) -> None:
     from wharfcart.node.storage_process import StorageProcess
 
     log = DecisionLog(settings.node_id)
-    await _run(StorageProcess(settings, log), log, StorageSettings, path)
+    await _run(StorageProcess(settings, log), log, StorageSettings, file)
 
 
 async def _run(
-    process: Process, log: DecisionLog, model: type[ServingSettings], path: Path
+    process: Process, log: DecisionLog, model: type[ServingSettings], file: SettingsFile
 ) -> None:
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stopping.set)
     loop.add_signal_handler(signal.SIGINT, stopping.set)
-    reloader = SettingsReloader(model, path, process.reload, log)
+    reloader = SettingsReloader(model, file.path, process.reload, log, file.stat)
     loop.add_signal_handler(signal.SIGHUP, reloader.reload)
     await process.start()
     _enable_garbage_collection()
--- a/src/wharfcart/node/settings_reloader.py
+++ b/src/wharfcart/node/settings_reloader.py
@@ -11,6 +11,9 @@
 
 POLL_INTERVAL_S = 2.0
 
+# Time of the last change in nanoseconds, and size in bytes.
+FileStat = tuple[int, int]
+
 
 class SettingsReloader:
     """Reloads a settings file; invalid settings are logged and ignored.
@@ -20,6 +23,7 @@
         path: path of the settings file.
         apply: called with valid new settings.
         log: receives the outcome of each reload.
+        loaded_stat: state of the file before the settings in force were read from it.
     """
 
     def __init__(
@@ -28,23 +32,24 @@
         path: Path,
         apply: Callable[[ServingSettings], None],
         log: DecisionLog,
+        loaded_stat: FileStat,
     ) -> None:
         self._model = model
         self._path = path
         self._apply = apply
         self._log = log
-        self._last_stat = self._read_stat()
+        self._last_stat = loaded_stat
 
     async def run(self) -> None:
         """Check the file for changes periodically until cancelled."""
         while True:
             await asyncio.sleep(POLL_INTERVAL_S)
-            if self._read_stat() != self._last_stat:
+            if read_stat(self._path) != self._last_stat:
                 self.reload()
 
     def reload(self) -> None:
         """Read the file and apply the settings."""
-        self._last_stat = self._read_stat()
+        self._last_stat = read_stat(self._path)
         try:
             settings = load_serving_settings(self._model, self._path, os.environ)
         except FindingsError as error:
@@ -54,9 +59,11 @@
         self._apply(settings)
         self._log.write(Event.RELOADED, outcome="taken")
 
-    def _read_stat(self) -> tuple[int, int]:
-        try:
-            file_stat = self._path.stat()
-        except OSError:
-            return (0, 0)
-        return (file_stat.st_mtime_ns, file_stat.st_size)
+
+def read_stat(path: Path) -> FileStat:
+    """Return what tells whether a file has changed; zeros if it can't be read."""
+    try:
+        file_stat = path.stat()
+    except OSError:
+        return (0, 0)
+    return (file_stat.st_mtime_ns, file_stat.st_size)
--- a/tests/node/test_garbage_at_start.py
+++ b/tests/node/test_garbage_at_start.py
@@ -44,7 +44,8 @@
     stopping_process = StopsAfterStart()
 
     def run_gateway(path: Path) -> None:
-        roles.uvloop.run(roles._run(stopping_process, DecisionLog("n"), ServingSettings, path))
+        file = roles.SettingsFile(path, (0, 0))
+        roles.uvloop.run(roles._run(stopping_process, DecisionLog("n"), ServingSettings, file))
 
     monkeypatch.setattr(process, "run_gateway", run_gateway)
     monkeypatch.setattr(process.sys, "argv", ["process", "gateway"])
