--- a/src/wharfcart/http/grammar.py
+++ b/src/wharfcart/http/grammar.py
@@ -9,7 +9,7 @@
 
 # Fits a signed 64-bit integer, as in the messages between nodes and in the tables on disk.
 MAX_DIGITS = 18
-_DIGITS = re.compile(r"[0-9]{1,18}")
+_DIGITS = re.compile(rf"[0-9]{{1,{MAX_DIGITS}}}")
 _DECIMAL = re.compile(r"[0-9]{1,15}(?:\.[0-9]{1,15})?")
 _TOKEN = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 _TARGET = re.compile(r"/[!-~]*")
--- a/src/wharfcart/platform/http_headers.py
+++ b/src/wharfcart/platform/http_headers.py
@@ -13,6 +13,8 @@
 REQUEST_ID_HEADER = names.REQUEST_ID
 RETRY_AFTER_HEADER = names.RETRY_AFTER
 STATUS_WRONG_INSTANCE = 421
+# A larger prompt is a mistake; its tokens are summed up over the requests of a back end.
+MAX_PROMPT_TOKENS = 10_000_000
 # A larger number of requests is a mistake.
 MAX_REPORTED = 1_000_000
 
@@ -255,4 +257,4 @@
         if not part_id or not part_id.isprintable() or tokens is None:
             return None
         parts.append(PromptPart(part_id, tokens))
-    return tuple(parts)
+    return tuple(parts) if sum(part.tokens for part in parts) <= MAX_PROMPT_TOKENS else None
--- a/src/wharfcart/slots/messages.py
+++ b/src/wharfcart/slots/messages.py
@@ -77,7 +77,7 @@
             pb.BackendLoad(
                 instance_id=load.instance_id,
                 in_use=load.in_use,
-                unread_tokens=load.unread_tokens,
+                unread_tokens=min(load.unread_tokens, MAX_UINT32),
                 avoided=load.avoided,
             )
             for load in snapshot.backends
--- a/tests/gateway/test_malformed_headers.py
+++ b/tests/gateway/test_malformed_headers.py
@@ -69,6 +69,8 @@
     (names.PROMPT_PREFIX, "a:\u00b2,b:5".encode()),
     (names.PROMPT_PREFIX, b"a:\xb2,b:5"),
     (names.PROMPT_PREFIX, b"a:" + b"7" * 5000),
+    (names.PROMPT_PREFIX, b"a:99999999999,b:5"),
+    (names.PROMPT_PREFIX, b"a:9999999,b:5"),
     (names.LAST_EVENT_ID, b"inf"),
     (names.LAST_EVENT_ID, "\u00b2".encode()),
 ]
--- a/tests/slots/test_sessions.py
+++ b/tests/slots/test_sessions.py
@@ -633,3 +633,17 @@
         assert fleet.in_use() == 1
 
     play(scenario)
+
+
+# Guards against a granting node whose loop ends by the sum of what callers say of their prompts.
+def test_prompts_beyond_any_sum_leave_the_granting_node_at_work() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        gateway = await fleet.gateway("g1")
+        for _ in range(3):
+            await gateway.placement.place(request(unread_tokens=2**32 - 1))
+        await asyncio.sleep(3 * SETTLE_S)
+        (session,) = gateway.sessions.by_group.values()
+        assert max(load.unread_tokens for load in session.snapshot.backends) == 2**32 - 1
+        assert len(gateway.sessions.available()) == 1
+
+    play(scenario, servers=1, slots=8)
